Lay the monorepo, the contracts between packages and the first design

Cause: nothing stood yet, and five parts are to be written side by side. Contracts: message codecs, platform seams, manifest types, scheduler class. Ruled out: one package (no boundary for the inner protocol).

--- /dev/null
+++ b/packages/measure/src/main.ts
@@ -0,0 +1,2 @@
+/** Entry point. */
+export {}
--- /dev/null
+++ b/packages/protocol/src/workload.ts
@@ -0,0 +1,21 @@
+/**
+ * The kinds of work and their urgency, shared by the manifest, the policies and the inner protocol.
+ */
+
+/** What kind of work a queue or a task carries. */
+export enum Workload {
+  /** A synchronous request with an answer. */
+  Request = 'request',
+  /** A long-running service replica. */
+  Service = 'service',
+  /** A durable job of one task. */
+  Batch = 'batch',
+  /** A durable job whose tasks start all at once or not at all. */
+  Gang = 'gang'
+}
+
+/** Urgent work starts before normal work of the same team. */
+export enum Urgency {
+  Urgent = 'urgent',
+  Normal = 'normal'
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,11 @@
+import { defineConfig } from 'vitest/config'
+
+export default defineConfig({
+  resolve: { conditions: ['source'] },
+  ssr: { resolve: { conditions: ['source'] } },
+  test: {
+    include: ['packages/*/test/**/*.spec.ts'],
+    testTimeout: 20_000,
+    server: { deps: { inline: [/@fireflymount/] } }
+  }
+})
