--- a/packages/daemon/src/peer/router.ts
+++ b/packages/daemon/src/peer/router.ts
@@ -14,9 +14,10 @@
    * @param shard the upstream's name
    * @param request the request
    * @param timeoutMs longest time until the result
+   * @param signal aborts when the caller has gone; what has not left for a worker need not be sent
    * @returns the owner's answer, not checked further, or a refusal that tells whether the work ran
    */
-  abstract ask (shard: string, request: Request, timeoutMs: number): Promise<Result<unknown, Refusal>>
+  abstract ask (shard: string, request: Request, timeoutMs: number, signal?: AbortSignal): Promise<Result<unknown, Refusal>>
 
   /** Asks one node by name. */
   abstract askNode (node: string, request: Request, timeoutMs: number): Promise<Result<unknown, Refusal>>
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -2,7 +2,8 @@
  * The messages between daemons. Every message is checked against its codec when it arrives.
  */
 import { Codec, array, boolean, enumeration, exactly, nullType, number, oneOf, optional, string, unknown, type GetType } from 'purify-ts/Codec'
-import { Execution, Reason } from './refusal.js'
+import type { Resources } from './resources.js'
+import { Execution, Reason, type Refusal } from './refusal.js'
 
 /** Version of the inner protocol. Daemons of different versions refuse each other's connections. */
 export const PROTOCOL_VERSION = 1
@@ -32,7 +33,9 @@
   /** Asks another shard's owner for part of a team's allotment. */
   Borrow = 'borrow',
   /** Returns configuration records that the asking node lacks. */
-  Records = 'records'
+  Records = 'records',
+  /** Closes one worker for new tasks, or opens it again. */
+  Drain = 'drain'
 }
 
 export const EpochCodec = Codec.interface({ counter: number, node: string })
@@ -98,14 +101,39 @@
 })
 
 export const RecordsCodec = Codec.interface({ kind: exactly(Kind.Records), from: number })
-
-export const RequestCodec = oneOf([
-  CallCodec, SubmitCodec, StatusCodec, CancelCodec, ExplainCodec, SurveyCodec, WatchCodec, PromiseCodec,
-  HandoverCodec, TransferCodec, BorrowCodec, RecordsCodec
-])
+/** Answered with `{ shard, worker, drained }`. */
+export const DrainCodec = Codec.interface({ kind: exactly(Kind.Drain), shard: string, worker: string, drained: boolean })
+
+/** The codec of each kind of request. */
+export const REQUEST_CODECS = {
+  [Kind.Call]: CallCodec,
+  [Kind.Submit]: SubmitCodec,
+  [Kind.Status]: StatusCodec,
+  [Kind.Cancel]: CancelCodec,
+  [Kind.Explain]: ExplainCodec,
+  [Kind.Survey]: SurveyCodec,
+  [Kind.Watch]: WatchCodec,
+  [Kind.Promise]: PromiseCodec,
+  [Kind.Handover]: HandoverCodec,
+  [Kind.Transfer]: TransferCodec,
+  [Kind.Borrow]: BorrowCodec,
+  [Kind.Records]: RecordsCodec,
+  [Kind.Drain]: DrainCodec
+}
 
 export type Call = GetType<typeof CallCodec>
-export type Submit = GetType<typeof SubmitCodec>
+export interface Submit {
+  readonly kind: Kind.Submit
+  readonly job: string
+  readonly queue: string
+  readonly team: string
+  /** Digest of the request's content: a repeated idempotency key with another content is refused. */
+  readonly digest: string
+  readonly tasks: number
+  readonly runtimeMs?: number
+  readonly size?: Resources
+  readonly body?: unknown
+}
 export type Status = GetType<typeof StatusCodec>
 export type Cancel = GetType<typeof CancelCodec>
 export type Explain = GetType<typeof ExplainCodec>
@@ -117,7 +145,9 @@
 export type Transfer = GetType<typeof TransferCodec>
 export type Borrow = GetType<typeof BorrowCodec>
 export type Records = GetType<typeof RecordsCodec>
-export type Request = Call | Submit | Status | Cancel | Explain | Survey | Watch | Pledge | Handover | Transfer | Borrow | Records
+export type Drain = GetType<typeof DrainCodec>
+export type Request = Call | Submit | Status | Cancel | Explain | Survey | Watch | Pledge | Handover |
+  Transfer | Borrow | Records | Drain
 
 /** States of a durable job. */
 export enum JobState {
@@ -130,6 +160,21 @@
   Unknown = 'unknown'
 }
 
+/** What a node says of a shard when it is watched. */
+export const PostCodec = Codec.interface({ epoch: EpochCodec, owner: boolean })
+export type Post = GetType<typeof PostCodec>
+
+/** A standby's answer to Kind.Promise. */
+export const VowCodec = Codec.interface({ granted: boolean, epoch: EpochCodec })
+export type Vow = GetType<typeof VowCodec>
+
+/** The answer to Kind.Borrow and Kind.Transfer: the transfer made or taken, if any. */
+export const LoanCodec = Codec.interface({ id: optional(string), amount: optional(AllotmentCodec) })
+export interface Loan {
+  readonly id?: string
+  readonly amount?: Allotment
+}
+
 /** A job as callers see it: the answer to Submit, Status and Cancel. */
 export const JobCodec = Codec.interface({
   job: string,
@@ -143,15 +188,23 @@
   result: optional(unknown),
   detail: optional(string)
 })
-export type Job = GetType<typeof JobCodec>
+export interface Job {
+  readonly job: string
+  readonly queue: string
+  readonly team: string
+  readonly state: JobState
+  readonly tasks: number
+  readonly attempts: number
+  readonly acceptedMs: number
+  readonly endedMs?: number
+  readonly result?: unknown
+  readonly detail?: string
+}
 
 /** The first frame on a connection, from both ends. */
 export const HelloCodec = Codec.interface({ frame: exactly('hello'), version: number, node: string, zone: string })
-/** A heartbeat and its echo. */
-export const PingCodec = Codec.interface({ frame: exactly('ping'), sequence: number })
-export const PongCodec = Codec.interface({ frame: exactly('pong'), sequence: number })
 /** A request with its id. */
-export const AskCodec = Codec.interface({ frame: exactly('ask'), id: number, request: RequestCodec })
+export const AskCodec = Codec.interface({ frame: exactly('ask'), id: number, request: unknown })
 /** An answer with the id of its request, and either a value or a refusal. */
 export const AnswerCodec = Codec.interface({
   frame: exactly('answer'),
@@ -162,15 +215,17 @@
 /** The sender will close after its open requests are answered and takes no new ones. */
 export const LeaveCodec = Codec.interface({ frame: exactly('leave'), drained: boolean })
 
-export const FrameCodec = oneOf([HelloCodec, PingCodec, PongCodec, AskCodec, AnswerCodec, LeaveCodec])
-
 export type Hello = GetType<typeof HelloCodec>
-export type Ping = GetType<typeof PingCodec>
-export type Pong = GetType<typeof PongCodec>
 export type Ask = GetType<typeof AskCodec>
-export type Answer = GetType<typeof AnswerCodec>
+export interface Answer {
+  readonly frame: 'answer'
+  readonly id: number
+  readonly value?: unknown
+  readonly refusal?: Refusal | null
+}
 export type Leave = GetType<typeof LeaveCodec>
-export type Frame = Hello | Ping | Pong | Ask | Answer | Leave
+/** Any frame of a connection. */
+export type Frame = Hello | Ask | Answer | Leave
 
 /** Configuration records as a peer hands them on. */
 export const RecordsPageCodec = Codec.interface({
--- a/packages/protocol/src/refusal.ts
+++ b/packages/protocol/src/refusal.ts
@@ -36,7 +36,8 @@
   Conflict = 'conflict',
   Leaving = 'leaving',
   KeyReused = 'key-reused',
-  Malformed = 'malformed'
+  Malformed = 'malformed',
+  Overloaded = 'overloaded'
 }
 
 /** A refusal or failure, as it travels between processes and on to the caller. */
