--- /dev/null
+++ b/packages/daemon/src/membership/members.ts
@@ -0,0 +1,90 @@
+/**
+ * The nodes and workers that this node knows from the platform's lagging list of VMs.
+ */
+import { sleep, type Clock } from '@fireflymount/platform/clock'
+import { VmRole, VmState, type Machines, type Vm } from '@fireflymount/platform/machines'
+import { rankNodes } from './rendezvous.js'
+
+/** Time between two polls of the list. */
+export const POLL_MS = 1000
+
+/** How many nodes, the owner included, follow a shard. */
+export const FOLLOWERS = 3
+
+/** The last list that the platform gave. */
+export class Members {
+  private vms: readonly Vm[] = []
+  private byId = new Map<string, Vm>()
+  private listedAtMs = -Infinity
+  private readonly listeners: Array<() => void> = []
+
+  constructor (private readonly machines: Machines, private readonly clock: Clock) {}
+
+  /** Polls the list until the signal. A failed poll leaves the last list in place. */
+  async run (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.poll()
+      await sleep(POLL_MS, signal)
+    }
+  }
+
+  /** Reads the list once. */
+  async poll (): Promise<void> {
+    const list = await this.machines.list()
+    if (list.isErr()) return
+    this.listedAtMs = this.clock.now()
+    this.vms = list.value
+    this.byId = new Map(list.value.map((vm) => [vm.id, vm]))
+    for (const listener of this.listeners) listener()
+  }
+
+  /** Milliseconds since the last successful poll. */
+  ageMs (): number {
+    return this.clock.now() - this.listedAtMs
+  }
+
+  /** Calls the listener after each successful poll. */
+  onPoll (listener: () => void): void {
+    this.listeners.push(listener)
+  }
+
+  /** @returns the VM, or undefined if the list does not have it */
+  vm (id: string): Vm | undefined {
+    return this.byId.get(id)
+  }
+
+  /** True if the list was read and the VM is terminated or not in it any more. */
+  isGone (id: string): boolean {
+    if (this.listedAtMs === -Infinity) return false
+    const vm = this.byId.get(id)
+    return vm === undefined || vm.state === VmState.Gone
+  }
+
+  /** Names of all daemons' VMs that are not gone. */
+  nodes (): string[] {
+    const names: string[] = []
+    for (const vm of this.vms) {
+      if (vm.role === VmRole.Entry && vm.state !== VmState.Gone) names.push(vm.id)
+    }
+    return names
+  }
+
+  /** The workers of an upstream that are not gone. */
+  workers (upstream: string): Vm[] {
+    return this.vms.filter((vm) => vm.role === VmRole.Worker && vm.upstream === upstream && vm.state !== VmState.Gone)
+  }
+
+  /**
+   * Orders the nodes that may own a shard.
+   *
+   * @param shard the shard's name
+   * @param zones availability zones of its workers; if no node is there, all nodes are candidates
+   * @returns names of live nodes, the first candidate first
+   */
+  candidates (shard: string, zones: readonly string[]): string[] {
+    const live = this.vms.filter((vm) => vm.role === VmRole.Entry && vm.state === VmState.Live)
+    const near = live.filter((vm) => zones.includes(vm.zone))
+    const chosen = near.length > 0 ? near : live
+    return rankNodes(shard, chosen.map((vm) => vm.id))
+  }
+}
--- a/packages/protocol/src/connection.ts
+++ b/packages/protocol/src/connection.ts
@@ -42,7 +42,7 @@
 
 /** A connection after both ends have said hello. */
 export class Connection {
-  readonly traffic: Traffic = { framesSent: 0, framesReceived: 0, bytesSent: 0, bytesReceived: 0, strayAnswers: 0, malformed: 0 }
+  readonly traffic = createTraffic()
   /** Time of the last request in either direction, on the monotonic clock in milliseconds. */
   usedAtMs = performance.now()
   private readonly pending = new Map<number, Pending>()
@@ -69,9 +69,9 @@
   }
 
   /**
-   * Exchanges hellos on a fresh socket.
+   * Exchanges hellos on a fresh socket. A socket that is still connecting is taken too, so that no frame is missed.
    *
-   * @param socket an open WebSocket
+   * @param socket a WebSocket, open or connecting
    * @param terms this end's name and bounds
    * @param handler answers the other end's requests
    * @returns the connection, or a sentence that says why there is none
@@ -80,9 +80,11 @@
    * const connection = await Connection.open(socket, terms, handler)
    */
   static async open (socket: WebSocket, terms: Terms, handler: Handler): Promise<Result<Connection, string>> {
-    socket.send(encodeFrame({ frame: 'hello', version: PROTOCOL_VERSION, node: terms.node, zone: terms.zone }))
+    const hello = encodeFrame({ frame: 'hello', version: PROTOCOL_VERSION, node: terms.node, zone: terms.zone })
+    if (socket.readyState === socket.OPEN) socket.send(hello)
+    else socket.once('open', () => { socket.send(hello) })
     // The connection is built while the hello is delivered: frames behind it in the same chunk must find its listeners.
-    const opened = await receiveHello(socket, terms.silenceMs, (hello) => new Connection(socket, hello, terms, handler))
+    const opened = await receiveHello(socket, terms.silenceMs, (peer) => new Connection(socket, peer, terms, handler))
     if (opened.isErr()) socket.terminate()
     return opened
   }
@@ -223,6 +225,18 @@
   }
 }
 
+/**
+ * Builds totals of nothing.
+ *
+ * @returns the totals
+ *
+ * @example
+ * const total = createTraffic()
+ */
+export function createTraffic (): Traffic {
+  return { framesSent: 0, framesReceived: 0, bytesSent: 0, bytesReceived: 0, strayAnswers: 0, malformed: 0 }
+}
+
 function lost (detail: string): Refusal {
   return { reason: Reason.ConnectionLost, detail, execution: Execution.Unknown, retryAfterMs: 0 }
 }
@@ -232,6 +246,7 @@
     const timer = setTimeout(() => { end(err('The other end did not say hello in time.')) }, timeoutMs)
     socket.once('message', onMessage)
     socket.once('close', onClose)
+    socket.once('error', onError)
     function onMessage (data: Buffer): void {
       const frame = decodeFrame(data)
       if (frame.isErr()) return end(err(frame.error))
@@ -242,6 +257,9 @@
     function onClose (): void {
       end(err('The other end closed the connection before its hello.'))
     }
+    function onError (error: Error): void {
+      end(err(error.message))
+    }
     function end (result: Result<T, string>): void {
       clearTimeout(timer)
       socket.off('message', onMessage)
