--- /dev/null
+++ b/packages/daemon/src/entry/access.ts
@@ -0,0 +1,134 @@
+/**
+ * Decides for whom a request is accepted.
+ */
+import { createHash, timingSafeEqual } from 'node:crypto'
+import { err, ok, type Result } from 'neverthrow'
+import { Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
+import type { Configuration } from '../configuration/configuration.js'
+import type { Job } from '@fireflymount/protocol/message'
+import type { Key, Queue } from '@fireflymount/manifest/manifest'
+import type { Settings } from '@fireflymount/manifest/settings'
+import type { Directory } from './directory.js'
+
+const BEARER = /^Bearer +([\x21-\x7e]+) *$/i
+const BAD_KEY = 'The key is not valid or has been withdrawn. Send "Authorization: Bearer <key name>.<secret>" with a key in force.'
+const NO_KEY = 'This needs a key. Send it as "Authorization: Bearer <key name>.<secret>".'
+
+/** Checks keys against the revision in effect. Secrets are hashed at once and kept nowhere. */
+export class Access {
+  private readonly administrators: readonly Buffer[]
+
+  constructor (
+    private readonly configuration: Configuration,
+    private readonly directory: Directory,
+    private readonly settings: Settings
+  ) {
+    this.administrators = settings.administrators.map((hash) => Buffer.from(hash, 'hex'))
+  }
+
+  /**
+   * Finds the team for which work on a queue is accepted.
+   *
+   * @param queue the queue
+   * @param header the value of the Authorization header, if there is one
+   * @returns the team, or why the work is refused
+   */
+  teamFor (queue: Queue, header: string | undefined): Result<string, Refusal> {
+    if (header === undefined && queue.open) return openTeam(queue)
+    const key = this.checkKey(header)
+    if (key.isErr()) return err(key.error)
+    if (!queue.teams.includes(key.value.team)) {
+      return err(refuse(Reason.WrongTeam, `The team "${key.value.team}" may not use the queue "${queue.name}". An operator can add it to the queue's teams.`))
+    }
+    return ok(key.value.team)
+  }
+
+  /**
+   * Tells whether a caller may see and cancel a job.
+   *
+   * @param job the job
+   * @param header the value of the Authorization header, if there is one
+   * @returns nothing, or why not
+   */
+  checkJob (job: Job, header: string | undefined): Result<void, Refusal> {
+    if (this.isAdministrator(header)) return ok()
+    const queue = this.directory.queue(job.queue)
+    if (header === undefined && queue?.open && queue.teams[0] === job.team) return ok()
+    const key = this.checkKey(header)
+    if (key.isErr()) return err(key.error)
+    if (key.value.team === job.team) return ok()
+    return err(refuse(Reason.WrongTeam, 'The job belongs to another team. Use a key of the team that submitted it.'))
+  }
+
+  /**
+   * Checks that a caller may act at all before a job is looked up.
+   *
+   * @param header the value of the Authorization header, if there is one
+   * @returns nothing, or why not
+   */
+  checkCaller (header: string | undefined): Result<void, Refusal> {
+    if (header === undefined || this.isAdministrator(header)) return ok()
+    return this.checkKey(header).map(() => undefined)
+  }
+
+  /**
+   * Checks an administration key.
+   *
+   * @param header the value of the Authorization header, if there is one
+   * @returns nothing, or why the caller is no administrator
+   */
+  checkAdministrator (header: string | undefined): Result<void, Refusal> {
+    if (header === undefined) return err(refuse(Reason.BadKey, 'This needs an administration key. Send it as "Authorization: Bearer <secret>".'))
+    if (this.isAdministrator(header)) return ok()
+    return err(refuse(Reason.BadKey, 'The administration key is not valid. Its hash must stand in "administrators" of the node\'s settings.'))
+  }
+
+  private isAdministrator (header: string | undefined): boolean {
+    const token = parseBearer(header)
+    if (token === undefined) return false
+    const digest = hash(token)
+    let found = false
+    for (const administrator of this.administrators) {
+      if (isSame(digest, administrator)) found = true
+    }
+    return found
+  }
+
+  private checkKey (header: string | undefined): Result<Key, Refusal> {
+    if (header === undefined) return err(refuse(Reason.BadKey, NO_KEY))
+    const token = parseBearer(header)
+    if (token === undefined) return err(refuse(Reason.BadKey, BAD_KEY))
+    if (this.configuration.ageMs() > this.settings.timing.staleMs) {
+      return err(refuse(Reason.ConfigurationStale, 'This node cannot tell whether the key is still in force: it reaches neither the log nor a peer. Nothing was run; try again.'))
+    }
+    const key = this.findKey(token)
+    return key === undefined ? err(refuse(Reason.BadKey, BAD_KEY)) : ok(key)
+  }
+
+  private findKey (token: string): Key | undefined {
+    const dot = token.lastIndexOf('.')
+    const named = dot < 1 ? undefined : this.directory.keyByName(token.slice(0, dot))
+    const digest = hash(named === undefined ? token : token.slice(dot + 1))
+    const key = named ?? this.directory.keyByHash(digest.toString('hex'))
+    if (key === undefined) return undefined
+    return isSame(digest, Buffer.from(key.hash, 'hex')) ? key : undefined
+  }
+}
+
+function openTeam (queue: Queue): Result<string, Refusal> {
+  const team = queue.teams[0]
+  if (team !== undefined) return ok(team)
+  return err(refuse(Reason.WrongTeam, `The open queue "${queue.name}" has no team to charge. An operator must list one in the queue's teams.`))
+}
+
+function parseBearer (header: string | undefined): string | undefined {
+  return header === undefined ? undefined : BEARER.exec(header)?.[1]
+}
+
+function hash (secret: string): Buffer {
+  return createHash('sha256').update(secret).digest()
+}
+
+function isSame (left: Buffer, right: Buffer): boolean {
+  return left.length === right.length && timingSafeEqual(left, right)
+}
--- /dev/null
+++ b/packages/daemon/src/entry/body.ts
@@ -0,0 +1,63 @@
+/**
+ * Reads JSON bodies.
+ */
+import { err, ok, type Result } from 'neverthrow'
+import { Reason, refuse } from '@fireflymount/protocol/refusal'
+import { Misuse, createBadRequest, createMisuse, createProblem, type Problem } from './problem.js'
+
+const JSON_TYPE = /^application\/(?:[\w.-]+\+)?json *(?:;|$)/i
+
+/**
+ * Reads a request's body as JSON.
+ *
+ * @param request the HTTP request
+ * @param bodyBytes the largest body to take
+ * @returns the value, or what is wrong with the request
+ *
+ * @example
+ * const body = await readJson(context.req.raw, settings.limits.bodyBytes)
+ * if (body.isErr()) return answerProblem(body.error)
+ */
+export async function readJson (request: Request, bodyBytes: number): Promise<Result<unknown, Problem>> {
+  if (!JSON_TYPE.test(request.headers.get('content-type') ?? '')) {
+    return err(createMisuse(Misuse.WrongContentType, 'The body must be JSON. Send it with "Content-Type: application/json".'))
+  }
+  const declared = Number(request.headers.get('content-length') ?? 0)
+  if (declared > bodyBytes) return err(createTooLarge(bodyBytes))
+  const text = await readText(request, bodyBytes)
+  if (text.isErr()) return err(text.error)
+  return parseJson(text.value)
+}
+
+async function readText (request: Request, bodyBytes: number): Promise<Result<string, Problem>> {
+  const chunks: Uint8Array[] = []
+  let length = 0
+  try {
+    for await (const chunk of request.body ?? []) {
+      length += chunk.length
+      if (length > bodyBytes) return err(createTooLarge(bodyBytes))
+      chunks.push(chunk)
+    }
+    return ok(new TextDecoder('utf-8', { fatal: true }).decode(Buffer.concat(chunks)))
+  } catch {
+    return err(createBadRequest('The body did not arrive whole, or is not UTF-8. Send it again as UTF-8.'))
+  }
+}
+
+function parseJson (text: string): Result<unknown, Problem> {
+  try {
+    return ok(JSON.parse(text))
+  } catch (error) {
+    return err(createBadRequest(`The body is not valid JSON: ${describeSyntax(error)}`))
+  }
+}
+
+/** The position is told, but nothing of the text, which can hold what must not be repeated. */
+function describeSyntax (error: unknown): string {
+  const position = /position \d+(?: \(line \d+ column \d+\))?/.exec(String(error))
+  return position === null ? 'it ends too early or is empty.' : `wrong at ${position[0]}.`
+}
+
+function createTooLarge (bodyBytes: number): Problem {
+  return createProblem(refuse(Reason.TooLarge, `The body is larger than the ${bodyBytes} bytes that this node takes. Send less.`))
+}
--- /dev/null
+++ b/packages/daemon/src/entry/directory.ts
@@ -0,0 +1,59 @@
+/**
+ * The parts of the configuration that the entry looks up for each request, indexed once a revision.
+ */
+import type { Configuration } from '../configuration/configuration.js'
+import type { Key, Manifest, Queue } from '@fireflymount/manifest/manifest'
+
+/** Indexes of one manifest. */
+interface Index {
+  readonly manifest: Manifest
+  readonly queues: ReadonlyMap<string, Queue>
+  readonly keysByName: ReadonlyMap<string, Key>
+  readonly keysByHash: ReadonlyMap<string, Key>
+  readonly shares: ReadonlyMap<string, number>
+}
+
+/** Looks up queues and keys of the revision that is in effect at the time of the call. */
+export class Directory {
+  private index: Index
+
+  constructor (private readonly configuration: Configuration) {
+    this.index = createIndex(configuration.current().manifest)
+  }
+
+  /** @returns the queue, or undefined if the current revision has none of that name */
+  queue (name: string): Queue | undefined {
+    return this.refresh().queues.get(name)
+  }
+
+  /** @returns the key of that public name, or undefined if it is unknown or withdrawn */
+  keyByName (name: string): Key | undefined {
+    return this.refresh().keysByName.get(name)
+  }
+
+  /** @returns the key with that hash, or undefined if it is unknown or withdrawn */
+  keyByHash (hash: string): Key | undefined {
+    return this.refresh().keysByHash.get(hash)
+  }
+
+  /** @returns the team's share; zero if the team is unknown */
+  share (team: string): number {
+    return this.refresh().shares.get(team) ?? 0
+  }
+
+  private refresh (): Index {
+    const { manifest } = this.configuration.current()
+    if (manifest !== this.index.manifest) this.index = createIndex(manifest)
+    return this.index
+  }
+}
+
+function createIndex (manifest: Manifest): Index {
+  return {
+    manifest,
+    queues: new Map(manifest.queues.map((queue) => [queue.name, queue])),
+    keysByName: new Map(manifest.keys.map((key) => [key.name, key])),
+    keysByHash: new Map(manifest.keys.map((key) => [key.hash, key])),
+    shares: new Map(manifest.teams.map((team) => [team.name, team.share]))
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/requests.ts
@@ -0,0 +1,106 @@
+/**
+ * Synchronous requests: from the caller to the owner of the queue's upstream and back.
+ */
+import { err, ok, type Result } from 'neverthrow'
+import { Kind, type Call } from '@fireflymount/protocol/message'
+import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
+import { Workload } from '@fireflymount/protocol/workload'
+import { readJson } from './body.js'
+import { answerProblem, createBadRequest, createProblem, type Problem } from './problem.js'
+import type { Context } from 'hono'
+import type { Queue } from '@fireflymount/manifest/manifest'
+import type { Entry } from './parts.js'
+
+const DEADLINE_HEADER = 'fireflymount-deadline-ms'
+/** Time for the owner's own answer at the deadline to arrive before the entry gives up. */
+const ANSWER_MARGIN_MS = 50
+/** Failures of the way to the owner or the worker, after which another attempt can succeed at once. */
+const PASSING: ReadonlySet<Reason> = new Set([Reason.ConnectionLost, Reason.NotOwner, Reason.Leaving, Reason.WorkerFailed])
+
+/**
+ * Handles `POST /v1/queues/{queue}/requests`.
+ *
+ * @param entry the parts of the API
+ * @param context the call
+ * @returns the whole answer of the work, or a problem
+ */
+export async function onRequest (entry: Entry, context: Context): Promise<Response> {
+  const arrivedMs = entry.clock.now()
+  const queue = entry.directory.queue(context.req.param('queue') ?? '')
+  if (queue === undefined) return refuseQueue(context)
+  const answer = await runRequest(entry, context, queue, arrivedMs)
+  const outcome = answer.isOk() ? 'succeeded' : outcomeOf(answer.error)
+  entry.metrics.count(`requests.${queue.name}.${outcome}`)
+  entry.metrics.timing(`latency.${queue.name}`, entry.clock.now() - arrivedMs)
+  return answer.match((value) => Response.json(value ?? null), answerProblem)
+}
+
+/**
+ * Answers a call to a queue that does not exist.
+ *
+ * @param context the call
+ * @returns the problem
+ */
+export function refuseQueue (context: Context): Response {
+  const detail = `There is no queue "${context.req.param('queue')}". Operators declare queues in the manifest.`
+  return answerProblem(createProblem(refuse(Reason.NoSuchQueue, detail)))
+}
+
+/**
+ * Names a problem in counters.
+ *
+ * @param problem the problem
+ * @returns the last part of its type
+ */
+export function outcomeOf (problem: Problem): string {
+  return problem.type.slice(problem.type.lastIndexOf(':') + 1)
+}
+
+async function runRequest (entry: Entry, context: Context, queue: Queue, arrivedMs: number): Promise<Result<unknown, Problem>> {
+  if (queue.workload !== Workload.Request) {
+    return err(createBadRequest(`The queue "${queue.name}" takes jobs. Use POST /v1/queues/${queue.name}/jobs.`))
+  }
+  const deadlineMs = parseDeadline(context.req.header(DEADLINE_HEADER), queue)
+  if (deadlineMs.isErr()) return err(deadlineMs.error)
+  const team = entry.access.teamFor(queue, context.req.header('authorization'))
+  if (team.isErr()) return err(createProblem(team.error))
+  const place = entry.admission.enter(team.value, queue.name)
+  if (place.isErr()) return err(createProblem(place.error))
+  try {
+    const body = await readJson(context.req.raw, entry.settings.limits.bodyBytes)
+    if (body.isErr()) return err(body.error)
+    const answer = await askUntil(entry, queue, team.value, body.value, arrivedMs + deadlineMs.value, context.req.raw.signal)
+    return answer.mapErr(createProblem)
+  } finally {
+    place.value.leave()
+  }
+}
+
+/** Asks the owner, again after a passing failure, as long as that is safe, the budget allows it and time is left. */
+async function askUntil (
+  entry: Entry, queue: Queue, team: string, body: unknown, endMs: number, signal: AbortSignal
+): Promise<Result<unknown, Refusal>> {
+  entry.retries.earn(queue.name)
+  for (let attempt = 1; ; attempt++) {
+    if (signal.aborted) return err(refuse(Reason.Cancelled, 'The caller has gone before the work was sent.'))
+    const budgetMs = Math.floor(endMs - entry.clock.now())
+    if (budgetMs <= 0) return err(refuse(Reason.DeadlinePassed, 'The deadline passed before the work was sent. Allow more time.'))
+    const call: Call = { kind: Kind.Call, queue: queue.name, team, budgetMs, body }
+    const answer = await entry.router.ask(queue.upstream, call, budgetMs + ANSWER_MARGIN_MS, signal)
+    if (answer.isOk() || !mayRepeat(answer.error, queue, attempt)) return answer
+    if (entry.clock.now() >= endMs || !entry.retries.spend(queue.name)) return answer
+    entry.metrics.count(`retries.${queue.name}`)
+  }
+}
+
+function mayRepeat (refusal: Refusal, queue: Queue, attempt: number): boolean {
+  if (attempt >= queue.attempts || !PASSING.has(refusal.reason)) return false
+  return refusal.execution === Execution.NotRun || queue.idempotent
+}
+
+function parseDeadline (text: string | undefined, queue: Queue): Result<number, Problem> {
+  if (text === undefined) return ok(queue.deadlineMs)
+  const ms = /^\d{1,12}$/.test(text) ? Number(text) : 0
+  if (ms > 0) return ok(Math.min(ms, queue.deadlineMs))
+  return err(createBadRequest('The header Fireflymount-Deadline-Ms must be a whole number of milliseconds above zero, such as 250.'))
+}
