Add the stand-ins of the log, the list of VMs and the workers

A restarted worker forgets its epoch. Start, stop, throttle and requests are therefore refused until an owner adopted it: a former owner cannot start anything on it by a late command. Renewal is answered without adoption, so that an owner sees the new boot id.

A start is remembered until its lease is over and while its report is kept, so that a repeat never runs twice.

--- /dev/null
+++ b/packages/standin/src/counters.ts
@@ -0,0 +1,55 @@
+/**
+ * Counters of the calls to the stand-in's services.
+ */
+
+/** The counters of one stream, one node, or all. */
+export interface Count {
+  appends: number
+  throttled: number
+  reads: number
+  lists: number
+  /** Bytes of the bodies of appends. */
+  bytesIn: number
+  /** Bytes of the bodies of answers to reads and lists. */
+  bytesOut: number
+}
+
+/** All counters. */
+export interface CounterTable {
+  readonly total: Count
+  readonly streams: Record<string, Count>
+  readonly nodes: Record<string, Count>
+}
+
+/** Counts by stream and by node. */
+export class Counters {
+  private readonly total = createCount()
+  private readonly streams = new Map<string, Count>()
+  private readonly nodes = new Map<string, Count>()
+
+  /** Adds to the counters of a stream, of a node and of all. */
+  add (node: string, stream: string, amounts: Partial<Count>): void {
+    const counts = [this.total, findCount(this.nodes, node)]
+    if (stream !== '') counts.push(findCount(this.streams, stream))
+    for (const count of counts) {
+      for (const [name, amount] of Object.entries(amounts)) count[name as keyof Count] += amount
+    }
+  }
+
+  /** All counters. */
+  table (): CounterTable {
+    return { total: this.total, streams: Object.fromEntries(this.streams), nodes: Object.fromEntries(this.nodes) }
+  }
+}
+
+function findCount (counts: Map<string, Count>, name: string): Count {
+  const known = counts.get(name)
+  if (known !== undefined) return known
+  const count = createCount()
+  counts.set(name, count)
+  return count
+}
+
+function createCount (): Count {
+  return { appends: 0, throttled: 0, reads: 0, lists: 0, bytesIn: 0, bytesOut: 0 }
+}
--- /dev/null
+++ b/packages/standin/src/host.ts
@@ -0,0 +1,270 @@
+/**
+ * The state of one stand-in worker: epoch, tasks under leases, requests and reports.
+ */
+import { randomUUID } from 'node:crypto'
+import {
+  TaskState,
+  WorkerFailure,
+  type TaskStart,
+  type WorkerError,
+  type WorkerReport,
+  type WorkerRequest
+} from '@fireflymount/platform/worker'
+import { compareEpochs, NO_EPOCH, type Epoch } from '@fireflymount/protocol/epoch'
+import type { Resources } from '@fireflymount/protocol/resources'
+import { err, ok, type Result } from 'neverthrow'
+import { Assignment, runKey } from './assignment.js'
+import { isFailing, parseBehaviour } from './behaviour.js'
+import { delay } from './delay.js'
+import { Event, type EventFields, type Record } from './record.js'
+import { Reports } from './reports.js'
+import { Room } from './room.js'
+import { Waiters } from './waiters.js'
+
+/** Time after which everything fails on a worker that fails all. */
+const FAIL_MS = 5
+
+/** What a worker has and does. */
+export interface HostOptions {
+  readonly id: string
+  readonly capacity: Resources
+  readonly slots: number
+  /** Interval of the check for lapsed leases. */
+  readonly leaseCheckMs: number
+  /** Time after which a change of usage is reported. */
+  readonly usageLagMs: number
+}
+
+/** One worker. */
+export class Host {
+  /** Fails everything that starts. */
+  failAll = false
+  private boot = ''
+  private bootedAt = 0
+  private epoch: Epoch = NO_EPOCH
+  private readonly running = new Map<string, Assignment>()
+  private readonly reports = new Reports()
+  /** The runs started so far, until their first lease is over. */
+  private readonly started = new Map<string, number>()
+  private readonly room: Room
+  private readonly renewals = new Waiters()
+
+  /**
+   * @param options what the worker has and does
+   * @param record receives everything that happens
+   */
+  constructor (private readonly options: HostOptions, private readonly record: Record) {
+    this.room = new Room(options.slots, options.capacity)
+    this.restart()
+    setInterval(() => this.lapse(), options.leaseCheckMs)
+  }
+
+  /** Loses everything that runs, all reports and the epoch, as a VM does that restarts. */
+  restart (): void {
+    for (const assignment of this.running.values()) {
+      clearTimeout(assignment.timer)
+      this.note(Event.Lost, this.describe(assignment))
+    }
+    this.running.clear()
+    this.reports.clear()
+    this.started.clear()
+    this.room.clear()
+    this.epoch = NO_EPOCH
+    this.boot = randomUUID()
+    this.bootedAt = performance.now()
+    this.note(Event.Boot, {})
+    this.renewals.wake()
+  }
+
+  /** Takes the worker over; see Worker.adopt. */
+  adopt (epoch: Epoch, leaseMs: number): Result<WorkerReport, WorkerError> {
+    this.lapse()
+    if (compareEpochs(epoch, this.epoch) < 0) return this.refuseStale(epoch, 'adopt')
+    this.epoch = epoch
+    this.note(Event.Adopt, { epoch })
+    this.extend(this.now() + leaseMs)
+    this.renewals.wake()
+    return ok(this.report(false))
+  }
+
+  /**
+   * Starts a task; see Worker.start.
+   *
+   * @returns true if it was started now, false if it had been started before
+   */
+  start (epoch: Epoch, task: TaskStart, untilMs: number): Result<boolean, WorkerError> {
+    this.lapse()
+    const owned = this.checkOwner(epoch, task.id)
+    if (owned.isErr()) return err(owned.error)
+    const running = this.running.get(task.id)
+    if (this.isKnown(runKey(task.id, task.attempt), running)) return ok(false)
+    if (running !== undefined) return this.refuse(epoch, task.id, `The task runs already as ${running.key}.`)
+    if (untilMs <= this.now()) return this.refuse(epoch, task.id, 'The lease is over.')
+    if (!this.room.take(task.size)) return this.refuseFull(epoch, task.id)
+    this.run(epoch, task, untilMs)
+    return ok(true)
+  }
+
+  /** Stops a task; see Worker.stop. */
+  stop (epoch: Epoch, id: string, checkpoint: boolean): Result<void, WorkerError> {
+    this.lapse()
+    const owned = this.checkOwner(epoch, id)
+    if (owned.isErr()) return owned
+    const assignment = this.running.get(id)
+    if (assignment === undefined) return ok(undefined)
+    if (!checkpoint) {
+      this.end(assignment, Event.Stop, TaskState.Stopped)
+      return ok(undefined)
+    }
+    if (assignment.stopping) return ok(undefined)
+    assignment.stopping = true
+    clearTimeout(assignment.timer)
+    assignment.timer = setTimeout(() => this.endWithCheckpoint(assignment), assignment.behaviour.checkpointMs ?? 0)
+    return ok(undefined)
+  }
+
+  /** Limits a task's processors; see Worker.throttle. */
+  throttle (epoch: Epoch, id: string, cpuMilli: number): Result<void, WorkerError> {
+    this.lapse()
+    const owned = this.checkOwner(epoch, id)
+    if (owned.isErr()) return owned
+    this.running.get(id)?.throttle(cpuMilli, this.now() + this.options.usageLagMs)
+    return ok(undefined)
+  }
+
+  /** Extends leases and returns news; see Worker.renew. */
+  async renew (
+    epoch: Epoch,
+    untilMs: number,
+    acknowledged: readonly string[],
+    waitMs: number
+  ): Promise<Result<WorkerReport, WorkerError>> {
+    this.lapse()
+    if (compareEpochs(epoch, this.epoch) < 0) return this.refuseStale(epoch, 'renew')
+    this.reports.acknowledge(acknowledged)
+    if (compareEpochs(epoch, this.epoch) === 0) this.extend(untilMs)
+    if (waitMs > 0 && !this.reports.hasFresh()) await this.renewals.wait(waitMs)
+    if (compareEpochs(epoch, this.epoch) < 0) return this.refuseStale(epoch, 'renew')
+    return ok(this.report(true))
+  }
+
+  /** Runs a request; see Worker.request. */
+  async request (epoch: Epoch, request: WorkerRequest): Promise<Result<unknown, WorkerError>> {
+    this.lapse()
+    const owned = this.checkOwner(epoch, request.id)
+    if (owned.isErr()) return owned
+    if (!this.room.take(request.size)) return this.refuseFull(epoch, request.id)
+    const { id: task, team, kind, size } = request
+    const behaviour = parseBehaviour(request.body)
+    const fields = { epoch, task, team, kind, size, echo: behaviour.echo }
+    const boot = this.boot
+    this.note(Event.RequestStart, fields)
+    await delay(this.failAll ? FAIL_MS : behaviour.workMs ?? 0)
+    if (boot !== this.boot) {
+      this.record.add(Event.Lost, boot, fields)
+      return err({ failure: WorkerFailure.Unknown, detail: 'The worker restarted.' })
+    }
+    this.room.free(size)
+    const isFailed = this.failAll || isFailing(behaviour, task)
+    this.note(Event.RequestEnd, { ...fields, outcome: isFailed ? TaskState.Failed : TaskState.Succeeded })
+    if (isFailed) return err({ failure: WorkerFailure.Failed, detail: 'The request failed.' })
+    return ok({ echo: behaviour.echo, worker: this.options.id })
+  }
+
+  private run (epoch: Epoch, task: TaskStart, untilMs: number): void {
+    const now = this.now()
+    const assignment = new Assignment(task, epoch, now, untilMs, now + this.options.usageLagMs)
+    this.running.set(task.id, assignment)
+    this.started.set(assignment.key, untilMs)
+    this.note(Event.Start, this.describe(assignment))
+    const isFailed = this.failAll || isFailing(assignment.behaviour, assignment.key)
+    const runMs = this.failAll ? FAIL_MS : assignment.behaviour.runMs
+    if (runMs === undefined) return
+    const state = isFailed ? TaskState.Failed : TaskState.Succeeded
+    const leftMs = Math.max(0, runMs - assignment.ranMs(now))
+    assignment.timer = setTimeout(() => this.end(assignment, Event.End, state), leftMs)
+  }
+
+  private end (assignment: Assignment, event: Event, state: TaskState, result?: unknown): void {
+    clearTimeout(assignment.timer)
+    this.running.delete(assignment.task.id)
+    this.room.free(assignment.task.size)
+    this.note(event, { ...this.describe(assignment), outcome: state })
+    const { behaviour } = assignment
+    const own = behaviour.result ?? { echo: behaviour.echo, worker: this.options.id }
+    this.reports.keep(assignment.report(state, this.now(), true, state === TaskState.Succeeded ? own : result))
+    this.renewals.wake()
+  }
+
+  private endWithCheckpoint (assignment: Assignment): void {
+    const checkpoint = { ranMs: assignment.ranMs(this.now()) }
+    this.end(assignment, Event.Stop, TaskState.Stopped, { checkpoint })
+  }
+
+  /** Stops the tasks whose leases are over. */
+  private lapse (): void {
+    const now = this.now()
+    for (const assignment of this.running.values()) {
+      if (assignment.untilMs <= now) this.end(assignment, Event.Lapse, TaskState.Lapsed)
+    }
+    for (const [key, untilMs] of this.started) {
+      if (untilMs <= now) this.started.delete(key)
+    }
+  }
+
+  private extend (untilMs: number): void {
+    for (const assignment of this.running.values()) assignment.untilMs = Math.max(assignment.untilMs, untilMs)
+  }
+
+  /** Reports all running tasks, or only those whose usage changed, and all ended ones. */
+  private report (isChangedOnly: boolean): WorkerReport {
+    const now = this.now()
+    const tasks = this.reports.tell()
+    for (const assignment of this.running.values()) {
+      if (isChangedOnly && !assignment.hasNews(now)) continue
+      tasks.push(assignment.reportRunning(TaskState.Running, now))
+    }
+    return { boot: this.boot, clockMs: now, tasks }
+  }
+
+  /** Whether a run was started before: repeating its start has no further effect. */
+  private isKnown (key: string, running: Assignment | undefined): boolean {
+    return running?.key === key || this.started.has(key) || this.reports.has(key)
+  }
+
+  /** Refuses commands of an owner that did not adopt the worker since it started, or that is no longer the newest. */
+  private checkOwner (epoch: Epoch, task: string): Result<void, WorkerError> {
+    const order = compareEpochs(epoch, this.epoch)
+    if (order < 0) return this.refuseStale(epoch, task)
+    if (order > 0) return this.refuse(epoch, task, 'Adopt the worker before any other command.')
+    return ok(undefined)
+  }
+
+  private refuseStale (epoch: Epoch, task: string): Result<never, WorkerError> {
+    this.note(Event.Refused, { epoch, task, outcome: WorkerFailure.StaleEpoch })
+    return err({ failure: WorkerFailure.StaleEpoch, detail: 'The epoch is older than the worker\'s.', epoch: this.epoch })
+  }
+
+  private refuseFull (epoch: Epoch, task: string): Result<never, WorkerError> {
+    this.note(Event.Refused, { epoch, task, outcome: WorkerFailure.Full })
+    return err({ failure: WorkerFailure.Full, detail: 'No free slot or not enough resources.' })
+  }
+
+  private refuse (epoch: Epoch, task: string, detail: string): Result<never, WorkerError> {
+    this.note(Event.Refused, { epoch, task, outcome: WorkerFailure.Refused })
+    return err({ failure: WorkerFailure.Refused, detail })
+  }
+
+  private describe (assignment: Assignment): EventFields {
+    const { id: task, attempt, team, kind, size } = assignment.task
+    return { epoch: assignment.epoch, task, attempt, team, kind, size, echo: assignment.behaviour.echo }
+  }
+
+  private note (event: Event, fields: EventFields): void {
+    this.record.add(event, this.boot, fields)
+  }
+
+  private now (): number {
+    return performance.now() - this.bootedAt
+  }
+}
--- a/packages/standin/src/main.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Entry point. */
-export {}
