Report requests in progress to an adopting owner

A new owner has to know the room that requests of the former one still take. Adoption lists them with attempt 0, and renewal reports their end, as docs/PLATFORM.md states.

--- a/packages/standin/src/host.ts
+++ b/packages/standin/src/host.ts
@@ -13,6 +13,7 @@
 import { compareEpochs, NO_EPOCH, type Epoch } from '@fireflymount/protocol/epoch'
 import type { Resources } from '@fireflymount/protocol/resources'
 import { err, ok, type Result } from 'neverthrow'
+import { ActiveRequest } from './active-request.js'
 import { Assignment, runKey } from './assignment.js'
 import { isFailing, parseBehaviour } from './behaviour.js'
 import { delay } from './delay.js'
@@ -43,6 +44,7 @@
   private bootedAt = 0
   private epoch: Epoch = NO_EPOCH
   private readonly running = new Map<string, Assignment>()
+  private readonly requests = new Set<ActiveRequest>()
   private readonly reports = new Reports()
   /** The runs started so far, until their first lease is over. */
   private readonly started = new Map<string, number>()
@@ -66,6 +68,7 @@
       this.note(Event.Lost, this.describe(assignment))
     }
     this.running.clear()
+    this.requests.clear()
     this.reports.clear()
     this.started.clear()
     this.room.clear()
@@ -84,7 +87,7 @@
     this.note(Event.Adopt, { epoch })
     this.extend(this.now() + leaseMs)
     this.renewals.wake()
-    return ok(this.report(false))
+    return ok(this.reportAll())
   }
 
   /**
@@ -145,7 +148,7 @@
     if (compareEpochs(epoch, this.epoch) === 0) this.extend(untilMs)
     if (waitMs > 0 && !this.reports.hasFresh()) await this.renewals.wait(waitMs)
     if (compareEpochs(epoch, this.epoch) < 0) return this.refuseStale(epoch, 'renew')
-    return ok(this.report(true))
+    return ok(this.reportNews())
   }
 
   /** Runs a request; see Worker.request. */
@@ -158,15 +161,18 @@
     const behaviour = parseBehaviour(request.body)
     const fields = { epoch, task, team, kind, size, echo: behaviour.echo }
     const boot = this.boot
+    const active = new ActiveRequest(request, this.now())
+    this.requests.add(active)
     this.note(Event.RequestStart, fields)
     await delay(this.failAll ? FAIL_MS : behaviour.workMs ?? 0)
     if (boot !== this.boot) {
       this.record.add(Event.Lost, boot, fields)
       return err({ failure: WorkerFailure.Unknown, detail: 'The worker restarted.' })
     }
-    this.room.free(size)
     const isFailed = this.failAll || isFailing(behaviour, task)
-    this.note(Event.RequestEnd, { ...fields, outcome: isFailed ? TaskState.Failed : TaskState.Succeeded })
+    const state = isFailed ? TaskState.Failed : TaskState.Succeeded
+    this.endRequest(active, size, state)
+    this.note(Event.RequestEnd, { ...fields, outcome: state })
     if (isFailed) return err({ failure: WorkerFailure.Failed, detail: 'The request failed.' })
     return ok({ echo: behaviour.echo, worker: this.options.id })
   }
@@ -196,6 +202,14 @@
     this.renewals.wake()
   }
 
+  private endRequest (active: ActiveRequest, size: Resources, state: TaskState): void {
+    this.room.free(size)
+    this.requests.delete(active)
+    if (!active.told) return
+    this.reports.keep(active.report(state, this.now()))
+    this.renewals.wake()
+  }
+
   private endWithCheckpoint (assignment: Assignment): void {
     const checkpoint = { ranMs: assignment.ranMs(this.now()) }
     this.end(assignment, Event.Stop, TaskState.Stopped, { checkpoint })
@@ -216,13 +230,24 @@
     for (const assignment of this.running.values()) assignment.untilMs = Math.max(assignment.untilMs, untilMs)
   }
 
-  /** Reports all running tasks, or only those whose usage changed, and all ended ones. */
-  private report (isChangedOnly: boolean): WorkerReport {
+  /** Reports everything that runs, and all that ended and is not acknowledged. */
+  private reportAll (): WorkerReport {
+    const now = this.now()
+    const tasks = this.reports.tell()
+    for (const assignment of this.running.values()) tasks.push(assignment.reportRunning(TaskState.Running, now))
+    for (const request of this.requests) {
+      request.told = true
+      tasks.push(request.report(TaskState.Running, now))
+    }
+    return { boot: this.boot, clockMs: now, tasks }
+  }
+
+  /** Reports changed usage, and all that ended and is not acknowledged. */
+  private reportNews (): WorkerReport {
     const now = this.now()
     const tasks = this.reports.tell()
     for (const assignment of this.running.values()) {
-      if (isChangedOnly && !assignment.hasNews(now)) continue
-      tasks.push(assignment.reportRunning(TaskState.Running, now))
+      if (assignment.hasNews(now)) tasks.push(assignment.reportRunning(TaskState.Running, now))
     }
     return { boot: this.boot, clockMs: now, tasks }
   }
