Add the scheduler of one shard

Shard has the whole structure: lanes per team, kind, urgency and size; fleet index by free room; shares, reservation, quarantine, preemption.

--- /dev/null
+++ b/packages/policy/src/lane.ts
@@ -0,0 +1,100 @@
+/**
+ * First-in-first-out lists of waiting tasks that look alike to the decisions.
+ */
+import type { Urgency, Workload } from '@fireflymount/protocol/workload'
+import type { Kind } from './kind.js'
+import type { TaskTable } from './table.js'
+import type { Team } from './team.js'
+import { NONE } from './table.js'
+
+/** Whether a lane's head is worth trying. */
+export enum Block {
+  None = 0,
+  /** No room for the head; opens when a worker frees enough. */
+  Room = 1,
+  /** The team is at its allotment; opens when the team releases something or gets more. */
+  Limit = 2,
+  /** Kept back so that requests find room; opens after a while. */
+  Headroom = 3
+}
+
+const HINTS_MAX = 8
+
+/** Waiting tasks of one team, kind, urgency and size, linked through the table. */
+export class Lane {
+  head = NONE
+  tail = NONE
+  length = 0
+  block = Block.None
+  /** Position in the list of lanes with the same block, kept by the owner of that list. */
+  position = NONE
+  /** Workers that freed room since the lane was blocked; undefined to search them all. */
+  hints: number[] | undefined
+  /** Earliest time of the next preemption or reservation for this lane. */
+  retryMs = 0
+
+  constructor (
+    readonly key: string,
+    readonly team: Team,
+    readonly kind: Kind,
+    readonly workload: Workload,
+    readonly urgency: Urgency,
+    /** All tasks have the same size and avoid no worker. */
+    readonly exact: boolean
+  ) {}
+
+  /**
+   * Adds a waiting slot: at the end, or at the front if it was submitted before the present head.
+   *
+   * @param table the tasks
+   * @param slot the slot
+   */
+  add (table: TaskTable, slot: number): void {
+    table.lanes[slot] = this
+    this.length++
+    if (this.head === NONE) {
+      this.head = slot
+      this.tail = slot
+      return
+    }
+    if (table.at(slot).submittedMs < table.at(this.head).submittedMs) {
+      table.next[slot] = this.head
+      table.previous[this.head] = slot
+      this.head = slot
+      return
+    }
+    table.previous[slot] = this.tail
+    table.next[this.tail] = slot
+    this.tail = slot
+  }
+
+  /**
+   * Takes a slot out, wherever it stands.
+   *
+   * @param table the tasks
+   * @param slot the slot
+   */
+  remove (table: TaskTable, slot: number): void {
+    const next = table.next[slot]!
+    const previous = table.previous[slot]!
+    if (previous === NONE) this.head = next
+    else table.next[previous] = next
+    if (next === NONE) this.tail = previous
+    else table.previous[next] = previous
+    table.next[slot] = NONE
+    table.previous[slot] = NONE
+    table.lanes[slot] = undefined
+    this.length--
+  }
+
+  /**
+   * Remembers a worker that freed enough room for the head.
+   *
+   * @param worker the worker's index
+   */
+  hint (worker: number): void {
+    if (this.hints === undefined || this.hints.includes(worker)) return
+    if (this.hints.length === HINTS_MAX) this.hints = undefined
+    else this.hints.push(worker)
+  }
+}
--- /dev/null
+++ b/packages/policy/src/policy.ts
@@ -0,0 +1,99 @@
+/**
+ * How work of one kind of workload is placed.
+ */
+import type { Resources } from '@fireflymount/protocol/resources'
+import type { Block, Lane } from './lane.js'
+import type { Occupancy } from './occupancy.js'
+import type { Task } from './task.js'
+import { NONE } from './table.js'
+
+/** Candidates that are looked at in each availability zone. */
+export const CANDIDATES = 16
+
+/** What the policy weighs on an upstream. Non-negative; only their ratio matters. */
+export interface Weights {
+  readonly waiting: number
+  readonly share: number
+  readonly packing: number
+}
+
+/** Where the tasks at the head of a lane go, or what keeps them. */
+export interface Choice {
+  readonly slots: readonly number[]
+  readonly workers: readonly number[]
+  /** Set if nothing is placed. */
+  readonly block: Block
+}
+
+/** Places the head of a lane. One subclass for each kind of workload. */
+export abstract class Policy {
+  /** Waiting time that counts as a whole share in the order of teams, in milliseconds. */
+  abstract readonly patienceMs: number
+  /** Head start in the order of a team's own lanes, as time waited, in milliseconds. */
+  abstract readonly precedenceMs: number
+
+  constructor (protected readonly occupancy: Occupancy, protected readonly weights: Weights) {}
+
+  /**
+   * Chooses a worker for the head of a lane; charges nothing.
+   *
+   * @param lane the lane, not empty, whose team admits the head
+   * @param nowMs the time
+   * @returns the choice
+   */
+  abstract choose (lane: Lane, nowMs: number): Choice
+
+  /**
+   * Scores how well a demand fits a worker: what would be left, and how lopsided.
+   *
+   * @param worker the worker's index
+   * @param size the demand
+   * @returns the score; less is a tighter fit
+   */
+  protected fit (worker: number, size: Resources): number {
+    const { fleet } = this.occupancy
+    const cpu = (fleet.freeCpu[worker]! - size.cpuMilli) * fleet.perCpu[worker]!
+    const memory = (fleet.freeMemory[worker]! - size.memoryMb) * fleet.perMemory[worker]!
+    const excess = Math.max(0, fleet.overuse[worker]! * fleet.perCpu[worker]! - cpu)
+    return cpu + memory + Math.abs(cpu - memory) + excess
+  }
+
+  /**
+   * Finds the ready worker that a task fits best, by all dimensions.
+   *
+   * @param task the task
+   * @returns the worker's index, or NONE
+   */
+  protected tightest (task: Task): number {
+    const { fleet } = this.occupancy
+    const { index } = fleet
+    const limit = CANDIDATES + (task.avoid?.length ?? 0)
+    index.count = 0
+    for (let zone = 0; zone < fleet.zones; zone++) index.collect(task.size, zone, limit, false)
+    let best = NONE
+    let least = Infinity
+    for (let position = 0; position < index.count; position++) {
+      const worker = index.found[position]!
+      const score = this.fit(worker, task.size)
+      if (score >= least || this.avoids(task, worker)) continue
+      best = worker
+      least = score
+    }
+    return best
+  }
+
+  /**
+   * Tells whether a task should not go to a worker where it failed before.
+   *
+   * @param task the task
+   * @param worker the worker's index
+   * @returns true if the worker is to be avoided
+   */
+  protected avoids (task: Task, worker: number): boolean {
+    const { avoid } = task
+    if (avoid === undefined || avoid.length === 0) return false
+    const { fleet } = this.occupancy
+    if (avoid.length >= fleet.ready) return false
+    return avoid.includes(fleet.machines[worker]!.id)
+  }
+}
--- /dev/null
+++ b/packages/policy/src/shard.ts
@@ -0,0 +1,416 @@
+/**
+ * The scheduler of one shard: shares, limits, spread, packing, gangs and quarantine together.
+ */
+import type { Result } from 'neverthrow'
+import type { Refusal } from '@fireflymount/protocol/refusal'
+import type { Resources } from '@fireflymount/protocol/resources'
+import type { Expiry, Round } from './scheduler.js'
+import type { Claim, Explanation, Machine, Placement, Preemption, Task } from './task.js'
+import type { Group } from './group.js'
+import type { Lane } from './lane.js'
+import type { Policies } from './lanes.js'
+import type { Choice, Weights } from './policy.js'
+import type { Team } from './team.js'
+import { ok } from 'neverthrow'
+import { Reason, refuse } from '@fireflymount/protocol/refusal'
+import { Urgency, Workload } from '@fireflymount/protocol/workload'
+import { Admission } from './admission.js'
+import { BatchPolicy } from './batch.js'
+import { because, explainSlot } from './explanation.js'
+import { GangPolicy, members, sumSizes } from './gang.js'
+import { Headroom } from './headroom.js'
+import { Health } from './health.js'
+import { Block } from './lane.js'
+import { Lanes } from './lanes.js'
+import { Occupancy } from './occupancy.js'
+import { EXCESS_GRACE_MS, Preemptor } from './preemption.js'
+import { RESERVATION_PAUSE_MS, Reservation } from './reservation.js'
+import { RequestPolicy, ServicePolicy } from './spread.js'
+import { NONE, Phase } from './table.js'
+import { Condition, Ending, Obstacle } from './task.js'
+import { Scheduler } from './scheduler.js'
+
+/** Time between two attempts to place blocked gangs and work kept back for requests. */
+const RETRY_INTERVAL_MS = 20
+/** Time that the head of a lane other than a gang's finds no room before workers are reserved for it. */
+const RESERVATION_WAIT_MS = 10_000
+const WORKERS_LOST: Machine = { id: '', zone: '', rack: '', capacity: { cpuMilli: 0, memoryMb: 0, accelerators: 0 }, slots: 0 }
+
+/** What a shard's scheduler is built from. */
+export interface ShardOptions {
+  /** Only their ratio matters. */
+  readonly weights: Weights
+}
+
+/** Decides for one shard with the whole policy. */
+export class Shard extends Scheduler {
+  private readonly occupancy = new Occupancy()
+  private readonly health = new Health(this.occupancy.fleet)
+  private readonly admission = new Admission(this.occupancy, this.health)
+  private readonly reservation = new Reservation(this.occupancy)
+  private readonly headroom: Headroom
+  private readonly policies: Policies
+  private readonly lanes: Lanes
+  private readonly preemptor: Preemptor
+  private readonly excessive = new Set<Team>()
+  private retryMs = 0
+  private roomChanged = false
+  private nowMs = 0
+
+  constructor ({ weights }: ShardOptions) {
+    super()
+    const normal = normalize(weights)
+    const { occupancy, reservation } = this
+    this.headroom = new Headroom(occupancy, normal)
+    this.policies = {
+      [Workload.Request]: new RequestPolicy(occupancy, normal),
+      [Workload.Service]: new ServicePolicy(occupancy, normal),
+      [Workload.Batch]: new BatchPolicy(occupancy, normal, this.headroom, reservation),
+      [Workload.Gang]: new GangPolicy(occupancy, normal, this.headroom, reservation)
+    }
+    this.lanes = new Lanes(occupancy, reservation, this.policies, normal)
+    this.preemptor = new Preemptor(occupancy, this.lanes)
+  }
+
+  setClaims (claims: readonly Claim[]): void {
+    const named = new Map(claims.map(claim => [claim.team, claim]))
+    let shares = 0
+    for (const claim of claims) shares += claim.share
+    const teams = new Set([...this.occupancy.teams.keys(), ...named.keys()])
+    for (const team of teams) this.setClaim(this.occupancy.team(team), named.get(team))
+    this.lanes.totals.shares = Math.max(shares, Number.EPSILON)
+  }
+
+  setMachine (machine: Machine): void {
+    const worker = this.occupancy.fleet.set(machine)
+    this.countTotals()
+    this.onRoom(worker)
+  }
+
+  setCondition (worker: string, condition: Condition): void {
+    const { fleet } = this.occupancy
+    const index = fleet.find(worker)
+    if (index === NONE) return
+    if (condition === Condition.Quarantined) return this.health.quarantine(index, this.nowMs)
+    const suspect = condition === Condition.Ready && this.health.suspects(index)
+    fleet.setCondition(index, suspect ? Condition.Quarantined : condition)
+    this.onRoom(index)
+  }
+
+  /**
+   * Reads a worker's condition, including quarantine by the shard itself.
+   *
+   * @param worker the worker
+   * @returns its condition, or undefined if it is not known
+   */
+  condition (worker: string): Condition | undefined {
+    const index = this.occupancy.fleet.find(worker)
+    return index === NONE ? undefined : this.occupancy.fleet.conditions[index]
+  }
+
+  removeMachine (worker: string): void {
+    const index = this.occupancy.fleet.find(worker)
+    if (index === NONE) return
+    this.occupancy.fleet.remove(index)
+    this.health.pardon(index)
+    this.countTotals()
+  }
+
+  setCapacity (kind: string, capacity: number): void {
+    this.occupancy.kind(kind).capacity = capacity
+  }
+
+  enqueue (task: Task, nowMs: number): Result<void, Refusal> {
+    this.nowMs = nowMs
+    const { table, deadlines } = this.occupancy
+    if (table.find(task.id) !== NONE) return ok(undefined)
+    const checked = this.admission.check(task, nowMs)
+    if (checked.isErr()) return checked
+    const slot = table.add(task, Phase.Waiting)
+    this.occupancy.kind(task.kind).waiting++
+    if (task.startByMs !== undefined) deadlines.add(slot, task.startByMs)
+    if (task.workload === Workload.Gang) this.addMember(slot)
+    else this.lanes.add(slot)
+    return ok(undefined)
+  }
+
+  cancel (task: string): boolean {
+    const { table } = this.occupancy
+    const slot = table.find(task)
+    if (slot === NONE || table.phase[slot] !== Phase.Waiting) return false
+    this.removeWaiting(slot)
+    return true
+  }
+
+  adopt (task: Task, worker: string, nowMs: number): void {
+    this.nowMs = nowMs
+    const { table, fleet } = this.occupancy
+    const known = table.find(task.id)
+    let index = fleet.find(worker)
+    if (index === NONE) index = fleet.set({ ...WORKERS_LOST, id: worker })
+    if (known !== NONE && table.phase[known] === Phase.Waiting) this.removeWaiting(known)
+    else if (known !== NONE && table.worker[known] === index) return
+    else if (known !== NONE) this.release(known, nowMs)
+    this.charge(table.add(task, Phase.Running), index, nowMs)
+  }
+
+  decide (nowMs: number, most: number): Round {
+    this.nowMs = nowMs
+    const expired = this.expire(nowMs)
+    const placements: Placement[] = []
+    this.reopenDue(nowMs)
+    this.lanes.refresh(nowMs)
+    while (placements.length < most) {
+      const lane = this.lanes.next(nowMs)
+      if (lane === undefined) break
+      if (!this.serve(lane, most, placements)) break
+    }
+    const preemptions = this.preempt(nowMs)
+    this.reserve(nowMs)
+    return { placements, preemptions, expired }
+  }
+
+  finish (task: string, ending: Ending, nowMs: number, runtimeMs?: number, usage?: Resources): void {
+    this.nowMs = nowMs
+    const { table } = this.occupancy
+    const slot = table.find(task)
+    if (slot === NONE || table.phase[slot] === Phase.Waiting) return
+    const { kind: name, runtimeMs: declaredMs, size } = table.at(slot)
+    const kind = this.occupancy.kind(name)
+    if (runtimeMs !== undefined && ending === Ending.Succeeded) kind.learnRuntime(declaredMs, runtimeMs)
+    if (usage !== undefined) kind.learnSize(size, usage)
+    const worker = this.release(slot, nowMs)
+    this.health.learn(worker, task, kind, ending, nowMs)
+    this.onRoom(worker)
+  }
+
+  observe (task: string, usage: Resources): void {
+    const { table } = this.occupancy
+    const slot = table.find(task)
+    if (slot === NONE) return
+    const { kind, size } = table.at(slot)
+    this.occupancy.kind(kind).learnSize(size, usage)
+  }
+
+  explain (task: string, _nowMs: number): Explanation {
+    const slot = this.occupancy.table.find(task)
+    if (slot !== NONE && this.admission.fails(this.occupancy.table.at(slot))) {
+      return because(Obstacle.Failing, 'The task failed on several workers that work for others.', 'Mend the job and send it anew.')
+    }
+    return explainSlot(this.occupancy, this.admission, slot)
+  }
+
+  waiting (): number {
+    return this.occupancy.table.waiting
+  }
+
+  running (): number {
+    return this.occupancy.table.running
+  }
+
+  used (name: string): Claim['allotment'] {
+    const { tasks, cpuMilli, memoryMb, accelerators } = this.occupancy.team(name)
+    return { tasks, cpuMilli, memoryMb, accelerators }
+  }
+
+  private setClaim (team: Team, claim: Claim | undefined): void {
+    team.setClaim(claim)
+    team.excessMs = team.exceeds() ? this.nowMs : 0
+    if (team.exceeds()) this.excessive.add(team)
+    this.lanes.reopenAll(team.limited)
+  }
+
+  /** Serves the head of a lane. Returns false if a gang has to wait for the next round. */
+  private serve (lane: Lane, most: number, placements: Placement[]): boolean {
+    const choice = this.choose(lane)
+    if (choice.block !== Block.None) {
+      this.lanes.block(lane, choice.block)
+      return true
+    }
+    if (placements.length > 0 && placements.length + choice.slots.length > most) return false
+    this.lanes.shift(lane)
+    for (const [position, slot] of choice.slots.entries()) placements.push(this.start(slot, choice.workers[position]!))
+    lane.team.refresh(this.lanes.totals)
+    if (this.reservation.lane === lane) this.unreserve()
+    return true
+  }
+
+  private choose (lane: Lane): Choice {
+    const { table } = this.occupancy
+    const { nowMs } = this
+    const task = table.at(lane.head)
+    if (!this.admitted(lane, task)) return { slots: [], workers: [], block: Block.Limit }
+    const probed = this.probe(task)
+    if (probed !== NONE) return { slots: [lane.head], workers: [probed], block: Block.None }
+    return this.policies[lane.workload].choose(lane, nowMs)
+  }
+
+  private admitted (lane: Lane, task: Task): boolean {
+    if (lane.workload !== Workload.Gang) return lane.team.admits(task.size, 1)
+    const slots = members(this.occupancy, lane.head)
+    return lane.team.admits(sumSizes(this.occupancy.table, slots), slots.length)
+  }
+
+  /** A quarantined worker that a task may probe, or NONE. */
+  private probe (task: Task): number {
+    if (task.urgency === Urgency.Urgent || task.avoid !== undefined) return NONE
+    if (task.workload === Workload.Gang || task.workload === Workload.Service) return NONE
+    const worker = this.health.due(task.size, this.nowMs)
+    if (worker !== NONE) this.health.probe(worker, task.id, this.nowMs)
+    return worker
+  }
+
+  private start (slot: number, worker: number): Placement {
+    const { table, fleet } = this.occupancy
+    const task = table.at(slot)
+    this.occupancy.kind(task.kind).waiting--
+    this.leaveGang(slot)
+    table.run(slot)
+    this.charge(slot, worker, this.nowMs)
+    return { task, worker: fleet.machines[worker]!.id }
+  }
+
+  private charge (slot: number, worker: number, nowMs: number): void {
+    const task = this.occupancy.table.at(slot)
+    this.occupancy.charge(slot, worker, nowMs)
+    if (task.workload === Workload.Request) this.headroom.count(task, 1, nowMs)
+  }
+
+  private release (slot: number, nowMs: number): number {
+    const task = this.occupancy.table.at(slot)
+    const worker = this.occupancy.table.worker[slot]!
+    this.occupancy.release(slot, nowMs)
+    if (task.workload === Workload.Request) this.headroom.count(task, -1, nowMs)
+    this.lanes.reopenAll(this.occupancy.team(task.team).limited)
+    return worker
+  }
+
+  private removeWaiting (slot: number): void {
+    const { table } = this.occupancy
+    const task = table.at(slot)
+    this.occupancy.kind(task.kind).waiting--
+    if (task.workload === Workload.Gang) this.removeMember(slot)
+    else this.removeFromLane(slot)
+    table.remove(slot)
+  }
+
+  private removeFromLane (slot: number): void {
+    const lane = this.occupancy.table.lanes[slot]
+    const reserved = lane !== undefined && this.reservation.lane === lane && lane.head === slot
+    this.lanes.remove(slot)
+    if (reserved) this.unreserve()
+  }
+
+  private addMember (slot: number): void {
+    const group = this.occupancy.join(this.occupancy.table.at(slot))
+    if (group === undefined) return this.lanes.add(slot)
+    group.waiting.add(slot)
+    if (group.leader === NONE && group.complete()) this.linkGang(group)
+  }
+
+  /** Lets one waiting member stand for the whole gang in its lane. */
+  private linkGang (group: Group): void {
+    const [leader] = group.waiting
+    group.leader = leader!
+    this.lanes.add(leader!)
+  }
+
+  private removeMember (slot: number): void {
+    const group = this.occupancy.group(this.occupancy.table.at(slot))
+    if (group === undefined) return this.removeFromLane(slot)
+    group.waiting.delete(slot)
+    if (group.leader !== NONE) this.removeFromLane(group.leader)
+    group.leader = NONE
+    if (group.complete()) this.linkGang(group)
+    this.occupancy.leave(group)
+  }
+
+  private leaveGang (slot: number): void {
+    const group = this.occupancy.group(this.occupancy.table.at(slot))
+    if (group === undefined) return
+    group.waiting.delete(slot)
+    group.leader = NONE
+  }
+
+  private expire (nowMs: number): Expiry[] {
+    const { table, deadlines } = this.occupancy
+    const expired: Expiry[] = []
+    for (let slot = deadlines.expired(nowMs); slot !== NONE; slot = deadlines.expired(nowMs)) {
+      const task = table.at(slot)
+      const waitMs = this.admission.waitMs(task, this.occupancy.kind(task.kind))
+      this.removeWaiting(slot)
+      expired.push({ task, refusal: refuse(Reason.DeadlinePassed, 'The work found no place before its latest start.', Math.ceil(waitMs)) })
+    }
+    return expired
+  }
+
+  private reopenDue (nowMs: number): void {
+    if (nowMs < this.retryMs) return
+    this.retryMs = nowMs + RETRY_INTERVAL_MS
+    this.lanes.reopenAll(this.lanes.headroom)
+    if (this.roomChanged) this.lanes.reopenGangs()
+    this.roomChanged = false
+  }
+
+  private preempt (nowMs: number): Preemption[] {
+    const preemptions = this.preemptor.preempt(nowMs)
+    for (const team of this.excessive) {
+      if (!team.exceeds()) this.excessive.delete(team)
+      else if (nowMs - team.excessMs >= EXCESS_GRACE_MS) {
+        team.excessMs = nowMs
+        preemptions.push(...this.preemptor.reduce(team))
+      }
+    }
+    return preemptions
+  }
+
+  /** Ends a lapsed reservation, or makes one for the blocked head whose team is furthest below its share. */
+  private reserve (nowMs: number): void {
+    const { reservation } = this
+    const { lane } = reservation
+    if (lane !== undefined) {
+      if (nowMs < reservation.untilMs) return
+      lane.retryMs = nowMs + RESERVATION_PAUSE_MS
+      this.unreserve()
+    }
+    const next = this.entitled(nowMs)
+    if (next === undefined) return
+    const count = next.workload === Workload.Gang ? members(this.occupancy, next.head).length : 1
+    if (!reservation.place(next, count, nowMs)) next.retryMs = nowMs + RESERVATION_PAUSE_MS
+  }
+
+  private entitled (nowMs: number): Lane | undefined {
+    let best: Lane | undefined
+    for (const lane of this.lanes.room) {
+      if (lane.workload === Workload.Request || nowMs < lane.retryMs) continue
+      const task = this.occupancy.table.at(lane.head)
+      if (lane.workload !== Workload.Gang && nowMs - task.submittedMs < RESERVATION_WAIT_MS) continue
+      lane.team.refresh(this.lanes.totals)
+      if (best === undefined || lane.team.level < best.team.level) best = lane
+    }
+    return best
+  }
+
+  private unreserve (): void {
+    for (const worker of this.reservation.cancel()) this.onRoom(worker)
+  }
+
+  private onRoom (worker: number): void {
+    this.roomChanged = true
+    this.lanes.onRoom(worker)
+  }
+
+  private countTotals (): void {
+    const { fleet } = this.occupancy
+    const { totals } = this.lanes
+    totals.cpuMilli = Math.max(1, fleet.totalCpu)
+    totals.memoryMb = Math.max(1, fleet.totalMemory)
+    totals.accelerators = Math.max(1, fleet.totalAccelerators)
+  }
+}
+
+function normalize ({ waiting, share, packing }: Weights): Weights {
+  const sum = waiting + share + packing
+  if (sum <= 0) return { waiting: 1 / 3, share: 1 / 3, packing: 1 / 3 }
+  return { waiting: waiting / sum, share: share / sum, packing: packing / sum }
+}
--- /dev/null
+++ b/packages/policy/src/spread.ts
@@ -0,0 +1,85 @@
+/**
+ * Requests and services: spread over availability zones, racks and workers.
+ */
+import type { Choice } from './policy.js'
+import type { Group } from './group.js'
+import type { Lane } from './lane.js'
+import type { Task } from './task.js'
+import { Block } from './lane.js'
+import { CANDIDATES, Policy } from './policy.js'
+import { NONE } from './table.js'
+
+/** Cost of a second replica on a worker, in a rack, in an availability zone. */
+const WORKER_COST = 10_000
+const RACK_COST = 100
+const ZONE_COST = 1_000
+const NOTHING: Choice = { slots: [], workers: [], block: Block.Room }
+
+/** Places synchronous requests: where most is free, or tight if packing outweighs waiting. */
+export class RequestPolicy extends Policy {
+  readonly patienceMs: number = 500
+  readonly precedenceMs: number = 60_000
+
+  choose (lane: Lane): Choice {
+    const task = this.occupancy.table.at(lane.head)
+    const worker = this.pick(task, lane)
+    return worker === NONE ? NOTHING : { slots: [lane.head], workers: [worker], block: Block.None }
+  }
+
+  /**
+   * Picks the best of some candidates.
+   *
+   * @param task the task
+   * @param lane its lane
+   * @returns the worker's index, or NONE
+   */
+  protected pick (task: Task, lane: Lane): number {
+    if (lane.hints !== undefined) return this.pickHint(task, lane.hints)
+    const group = this.occupancy.group(task)
+    const worker = this.search(task, group, CANDIDATES + (task.avoid?.length ?? 0))
+    if (worker === NONE || group === undefined || !group.workers.has(worker)) return worker
+    return this.search(task, group, Infinity)
+  }
+
+  private search (task: Task, group: Group | undefined, limit: number): number {
+    const { fleet } = this.occupancy
+    const { index } = fleet
+    const roomiest = this.weights.waiting >= this.weights.packing
+    index.count = 0
+    for (let zone = 0; zone < fleet.zones; zone++) index.collect(task.size, zone, limit, roomiest)
+    let best = NONE
+    let least = Infinity
+    for (let position = 0; position < index.count; position++) {
+      const worker = index.found[position]!
+      const score = this.score(worker, task, group, roomiest)
+      if (score >= least || this.avoids(task, worker)) continue
+      best = worker
+      least = score
+    }
+    return best
+  }
+
+  private pickHint (task: Task, hints: readonly number[]): number {
+    const { fleet } = this.occupancy
+    for (const worker of hints) {
+      if (fleet.open(worker) && fleet.fits(worker, task.size) && !this.avoids(task, worker)) return worker
+    }
+    return NONE
+  }
+
+  private score (worker: number, task: Task, group: Group | undefined, roomiest: boolean): number {
+    const fit = this.fit(worker, task.size)
+    const score = roomiest ? -fit : fit
+    if (group === undefined) return score
+    const { fleet } = this.occupancy
+    const replicas = group.workers.get(worker) ?? 0
+    const neighbours = group.racks.get(fleet.rack[worker]!) ?? 0
+    const zoned = group.zones.get(fleet.zone[worker]!) ?? 0
+    return score + replicas * WORKER_COST + zoned * ZONE_COST + neighbours * RACK_COST
+  }
+}
+
+/** Places replicas of services: as requests, but with the patience of work that stays. */
+export class ServicePolicy extends RequestPolicy {
+  override readonly patienceMs = 1_000
+}
--- /dev/null
+++ b/packages/policy/test/fixture.ts
@@ -0,0 +1,46 @@
+/**
+ * Builders of tasks and shards for tests.
+ */
+import type { Machine, Task } from '@fireflymount/policy/task'
+import { Shard } from '@fireflymount/policy/shard'
+import { Condition } from '@fireflymount/policy/task'
+import { Urgency, Workload } from '@fireflymount/protocol/workload'
+
+const ZONES = ['fukuoka', 'kumamoto', 'kagoshima']
+export const UNLIMITED = { tasks: Infinity, cpuMilli: Infinity, memoryMb: Infinity, accelerators: Infinity }
+
+export function createMachine (position: number, part: Partial<Machine> = {}): Machine {
+  return {
+    id: `w${position}`,
+    zone: ZONES[position % 3]!,
+    rack: `r${Math.floor(position / 5)}`,
+    capacity: { cpuMilli: 16_000, memoryMb: 32_768, accelerators: 0 },
+    slots: 8,
+    ...part
+  }
+}
+
+export function createTask (id: string, part: Partial<Task> = {}): Task {
+  return {
+    id,
+    team: 'guild',
+    kind: 'lookup',
+    workload: Workload.Request,
+    urgency: Urgency.Normal,
+    size: { cpuMilli: 2_000, memoryMb: 4_096, accelerators: 0 },
+    runtimeMs: 100,
+    submittedMs: 0,
+    checkpoint: false,
+    ...part
+  }
+}
+
+export function createShard (workers: number, teams: readonly string[] = ['guild', 'circle'], part: Partial<Machine> = {}): Shard {
+  const shard = new Shard({ weights: { waiting: 1, share: 1, packing: 1 } })
+  shard.setClaims(teams.map(team => ({ team, share: 1, allotment: UNLIMITED })))
+  for (let position = 0; position < workers; position++) {
+    shard.setMachine(createMachine(position, part))
+    shard.setCondition(`w${position}`, Condition.Ready)
+  }
+  return shard
+}
