--- /dev/null
+++ b/packages/daemon/test/entry-administration.spec.ts
@@ -0,0 +1,159 @@
+import { err, ok } from 'neverthrow'
+import { describe, expect, test } from 'vitest'
+import { Kind } from '@fireflymount/protocol/message'
+import { Reason, refuse } from '@fireflymount/protocol/refusal'
+import { ADMINISTRATOR, GUILD, createBench, createManifest, createQueue } from './entry-fakes.js'
+import type { Problem } from '../src/entry/problem.js'
+
+const ALL = '/v1/admin/configuration'
+const TEAM = `${ALL}/teams/guild`
+const operator = { authorization: ADMINISTRATOR }
+const team = { name: 'guild', workspace: 'hakata', share: 2, upperLimit: { tasks: 9 } }
+
+test.each([
+  { says: 'no key', headers: {} },
+  { says: "a caller's key", headers: { authorization: GUILD } },
+  { says: 'a wrong key', headers: { authorization: `${ADMINISTRATOR}x` } }
+])('administration calls refuse $says', async ({ headers }) => {
+  for (const path of [ALL, TEAM, '/v1/admin/status', '/v1/admin/burn', '/v1/admin/none']) {
+    expect((await createBench().request('GET', path, headers)).status).toBe(401)
+  }
+})
+
+describe('reading', () => {
+  test('the whole manifest comes with its revision', async () => {
+    const { request } = createBench()
+    const answer = await request('GET', ALL, operator)
+    expect([answer.status, answer.headers.get('etag'), await answer.json()]).toEqual([200, '"41"', createManifest()])
+    expect((await request('GET', ALL, { ...operator, 'if-none-match': '"41"' })).status).toBe(304)
+  })
+
+  test.each([
+    { path: TEAM, status: 200, etag: '"7"' },
+    { path: `${ALL}/teams/none`, status: 404, etag: null },
+    { path: `${ALL}/none/guild`, status: 404, etag: null }
+  ])('$path: $status', async ({ path, status, etag }) => {
+    const { request, configuration } = createBench()
+    configuration.changes.set('teams/guild', 7)
+    const answer = await request('GET', path, operator)
+    expect([answer.status, answer.headers.get('etag')]).toEqual([status, etag])
+  })
+})
+
+describe('changing one object', () => {
+  test.each([
+    { says: 'a change with its revision', method: 'PUT', headers: { 'if-match': '"41"' }, body: team, status: 200 },
+    { says: 'a removal with its revision', method: 'DELETE', path: `${ALL}/keys/shop`, headers: { 'if-match': '"41"' }, status: 200 },
+    { says: 'a new object', method: 'PUT', path: `${ALL}/workspaces/other`, headers: { 'if-none-match': '*' }, body: {}, status: 200 },
+    { says: 'a new object that is there already', method: 'PUT', headers: { 'if-none-match': '*' }, body: team, status: 412 },
+    { says: 'no precondition', method: 'PUT', headers: {}, body: team, status: 428 },
+    { says: 'a precondition that is no revision', method: 'PUT', headers: { 'if-match': '*' }, body: team, status: 400 },
+    { says: 'a revision before the last change', method: 'PUT', headers: { 'if-match': '"39"' }, body: team, status: 412 },
+    { says: 'a body with another name', method: 'PUT', headers: { 'if-match': '"41"' }, body: { ...team, name: 'x' }, status: 400 },
+    { says: 'an object that is not valid', method: 'PUT', headers: { 'if-match': '"41"' }, body: { ...team, share: -1 }, status: 422 },
+    { says: 'a removal that leaves references', method: 'DELETE', headers: { 'if-match': '"41"' }, status: 422 },
+    { says: 'a removal of nothing', method: 'DELETE', path: `${ALL}/teams/none`, headers: { 'if-match': '"41"' }, status: 404 },
+    { says: 'a section that does not exist', method: 'PUT', path: `${ALL}/none/x`, headers: { 'if-match': '"41"' }, body: {}, status: 400 }
+  ])('$says: $status', async ({ method, path, headers, body, status }) => {
+    const { request, configuration } = createBench()
+    configuration.changes.set('teams/guild', 40)
+    const answer = await request(method, path ?? TEAM, { ...operator, ...headers }, body)
+    expect(answer.status).toBe(status)
+    expect(configuration.published).toHaveLength(status === 200 ? 1 : 0)
+    if (status === 200) expect(answer.headers.get('etag')).toBe('"42"')
+  })
+})
+
+describe('publishing a delta', () => {
+  const put = { section: 'teams', name: 'guild', value: team }
+
+  test('the delta is published as it is', async () => {
+    const { request, configuration } = createBench()
+    const answer = await request('PATCH', ALL, operator, { base: 41, publish: 'p-1', changes: [put] })
+    expect([answer.status, await answer.json()]).toEqual([200, { revision: 42, publish: 'p-1' }])
+    expect(configuration.published).toEqual([{ base: 41, publish: 'p-1', changes: [put] }])
+  })
+
+  test.each([
+    { says: 'no fields', body: {}, status: 400, paths: ['$.base', '$.changes'] },
+    { says: 'wrong changes', body: { base: 1, changes: [{ section: 'x' }, null] }, status: 400, paths: ['$.changes[0].name', '$.changes[0].section', '$.changes[1].name', '$.changes[1].section'] },
+    {
+      says: 'objects that are not valid',
+      body: { base: 41, changes: [{ ...put, value: { ...team, share: 0, x: 1 } }, { section: 'queues', name: 'q', value: createQueue({ name: 'q', capacity: 0 }) }] },
+      status: 422,
+      paths: ['$.changes[0].value.share', '$.changes[0].value.x', '$.changes[1].value.capacity']
+    },
+    { says: 'references that are broken', body: { base: 41, changes: [{ section: 'workspaces', name: 'hakata' }] }, status: 422, paths: ['$.teams[0].workspace', '$.teams[1].workspace'] },
+    { says: 'a base that this node does not know', body: { base: 99, changes: [put] }, status: 503 }
+  ])('$says: $status with every path', async ({ body, status, paths }) => {
+    const { request, configuration, clock } = createBench()
+    clock.now = () => {
+      clock.ms += 1000
+      return clock.ms
+    }
+    const answer = await request('PATCH', ALL, operator, body)
+    const problem = await answer.json() as Problem
+    expect([answer.status, configuration.published.length]).toEqual([status, 0])
+    expect(problem.errors?.map(({ path }) => path).sort()).toEqual(paths)
+  })
+
+  test('a base that this node learns a moment later is waited for', async () => {
+    const { request, configuration } = createBench()
+    setTimeout(() => { configuration.revision = 45 }, 30)
+    expect((await request('PATCH', ALL, operator, { base: 45, changes: [put] })).status).toBe(200)
+  })
+
+  test.each([
+    { says: 'seen before publication', revision: 43, outcome: undefined, published: 0 },
+    { says: 'decided by the order of the log', revision: 41, outcome: 44, published: 1 }
+  ])('a conflict $says tells what has changed', async ({ revision, outcome, published }) => {
+    const { request, configuration } = createBench()
+    configuration.changes.set('teams/guild', revision)
+    const publish = configuration.publish.bind(configuration)
+    configuration.publish = async (delta) => {
+      await publish(delta)
+      configuration.changes.set('teams/guild', outcome!)
+      return err(refuse(Reason.Conflict, 'Changed.'))
+    }
+    const answer = await request('PATCH', ALL, operator, { base: 41, changes: [put] })
+    const { changed } = await answer.json() as Problem
+    expect([answer.status, configuration.published.length]).toEqual([409, published])
+    expect(changed).toEqual([{ path: 'teams/guild', revision: outcome ?? revision, value: createManifest().teams[0] }])
+  })
+
+  test.each([
+    { reason: Reason.LogUnavailable, status: 503 },
+    { reason: Reason.Malformed, status: 422 }
+  ])('the outcome $reason gives $status', async ({ reason, status }) => {
+    const { request, configuration } = createBench()
+    configuration.outcome = err(refuse(reason, 'No.'))
+    expect((await request('PATCH', ALL, operator, { base: 41, changes: [put] })).status).toBe(status)
+  })
+})
+
+describe('the state of the shards', () => {
+  const burn = { objective: 'fast-preview', queue: 'preview', team: 'guild', node: 'node-1', sinceMs: 1, windows: [], stepMs: 1000, steps: [] }
+
+  test('what owners do not answer is listed as missing', async () => {
+    const { request, router } = createBench()
+    router.answer = async (_, shard) => shard === 'bee-planner' ? ok({ shard, waiting: 3, burn: [burn, { bad: 1 }] }) : err(refuse(Reason.NoOwner, 'None.'))
+    const status = await (await request('GET', '/v1/admin/status', operator)).json()
+    const missing = [{ shard: 'cloth-studio', reason: 'no-owner', detail: 'None.' }]
+    expect(status).toMatchObject({ node: 'node-1', revision: 41, nodes: ['node-1', 'node-2'], shards: [{ shard: 'bee-planner', waiting: 3 }], missing })
+    expect(await (await request('GET', '/v1/admin/burn', operator)).json()).toMatchObject({ counts: [burn], missing })
+  })
+
+  test.each([
+    { method: 'GET', path: '/v1/admin/shards/bee-planner', kind: Kind.Survey, status: 200 },
+    { method: 'GET', path: '/v1/admin/shards/none', status: 404 },
+    { method: 'GET', path: '/v1/admin/jobs/bee-planner.01/explanation', kind: Kind.Explain, status: 200 },
+    { method: 'GET', path: '/v1/admin/jobs/none.01/explanation', status: 404 },
+    { method: 'POST', path: '/v1/admin/workers/bee-planner/w-1/drain', body: {}, kind: Kind.Drain, status: 200 },
+    { method: 'POST', path: '/v1/admin/workers/bee-planner/w-1/drain', body: { drained: 'no' }, status: 400 },
+    { method: 'POST', path: '/v1/admin/workers/none/w-1/drain', body: {}, status: 404 }
+  ])('$method $path: $status', async ({ method, path, body, kind, status }) => {
+    const { request, router } = createBench()
+    expect((await request(method, path, operator, body)).status).toBe(status)
+    expect(router.asked.map(({ request }) => request.kind)).toEqual(kind === undefined ? [] : [kind])
+  })
+})
--- /dev/null
+++ b/packages/daemon/test/entry-api.spec.ts
@@ -0,0 +1,222 @@
+import { err, ok } from 'neverthrow'
+import { describe, expect, test } from 'vitest'
+import { Kind, type Call } from '@fireflymount/protocol/message'
+import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
+import { Phase } from '../src/entry/presence.js'
+import type { Problem } from '../src/entry/problem.js'
+import { ADMINISTRATOR_SECRET, CIRCLE, CIRCLE_SECRET, GUILD, GUILD_SECRET, createBench, createQueue, hash } from './entry-fakes.js'
+
+const PREVIEW = '/v1/queues/preview/requests'
+
+describe('every reason has its status and says what is known about execution', () => {
+  test.each([
+    { reason: Reason.BadRequest, status: 400, retryAfter: null },
+    { reason: Reason.BadKey, status: 401, retryAfter: null },
+    { reason: Reason.NoSuchQueue, status: 404, retryAfter: null },
+    { reason: Reason.NoSuchJob, status: 404, retryAfter: null },
+    { reason: Reason.WrongTeam, status: 403, retryAfter: null },
+    { reason: Reason.TooLarge, status: 413, retryAfter: null },
+    { reason: Reason.Infeasible, status: 422, retryAfter: null },
+    { reason: Reason.QueueFull, status: 429, retryAfter: '1' },
+    { reason: Reason.DeadlineUnreachable, status: 503, retryAfter: '1' },
+    { reason: Reason.DeadlinePassed, status: 504, retryAfter: null },
+    { reason: Reason.LimitReached, status: 429, retryAfter: '1' },
+    { reason: Reason.NoOwner, status: 503, retryAfter: '1' },
+    { reason: Reason.NotOwner, status: 503, retryAfter: '1' },
+    { reason: Reason.LogUnavailable, status: 503, retryAfter: '5' },
+    { reason: Reason.ConfigurationStale, status: 503, retryAfter: '2' },
+    { reason: Reason.ConnectionLost, status: 502, retryAfter: '1' },
+    { reason: Reason.WorkerFailed, status: 502, retryAfter: '1' },
+    { reason: Reason.TaskFailed, status: 502, retryAfter: null },
+    { reason: Reason.Cancelled, status: 409, retryAfter: null },
+    { reason: Reason.Conflict, status: 409, retryAfter: null },
+    { reason: Reason.Leaving, status: 503, retryAfter: '1' },
+    { reason: Reason.KeyReused, status: 422, retryAfter: null },
+    { reason: Reason.Malformed, status: 502, retryAfter: null },
+    { reason: Reason.Overloaded, status: 503, retryAfter: '1' }
+  ])('$reason gives $status', async ({ reason, status, retryAfter }) => {
+    for (const execution of Object.values(Execution)) {
+      const { request, router } = createBench()
+      router.answer = async () => err({ reason, detail: 'It is so.', execution })
+      const answer = await request('POST', PREVIEW, { authorization: GUILD }, {})
+      expect(answer.headers.get('content-type')).toBe('application/problem+json')
+      expect(answer.headers.get('retry-after')).toBe(execution === Execution.NotRun ? retryAfter : null)
+      expect(await answer.json()).toMatchObject({ type: `urn:fireflymount:problem:${reason}`, status, execution, detail: 'It is so.' })
+      expect(answer.status).toBe(status)
+    }
+  })
+
+  test('the table above has every reason', () => {
+    expect(Object.values(Reason)).toHaveLength(24)
+  })
+
+  test('the time to come back is rounded up to seconds', async () => {
+    const { request, router } = createBench()
+    router.answer = async () => err(refuse(Reason.QueueFull, 'Full.', 1201))
+    const answer = await request('POST', PREVIEW, { authorization: GUILD }, {})
+    expect([answer.headers.get('retry-after'), (await answer.json() as Problem).retryAfterMs]).toEqual(['2', 1201])
+  })
+})
+
+describe('keys', () => {
+  test.each([
+    { says: 'a key of a listed team', queue: 'preview', header: GUILD, status: 200, team: 'guild' },
+    { says: 'a plain secret', queue: 'preview', header: `bearer ${GUILD_SECRET}`, status: 200, team: 'guild' },
+    { says: 'no key', queue: 'preview', status: 401 },
+    { says: 'a wrong secret', queue: 'preview', header: 'Bearer shop.wrong', status: 401 },
+    { says: 'the secret of another key', queue: 'preview', header: `Bearer shop.${CIRCLE_SECRET}`, status: 401 },
+    { says: 'the hash in place of the secret', queue: 'preview', header: `Bearer shop.${hash(GUILD_SECRET)}`, status: 401 },
+    { says: 'an administration key', queue: 'preview', header: `Bearer ${ADMINISTRATOR_SECRET}`, status: 401 },
+    { says: 'another scheme', queue: 'preview', header: `Basic ${GUILD_SECRET}`, status: 401 },
+    { says: 'a key of a team that is not listed', queue: 'preview', header: CIRCLE, status: 403 },
+    { says: 'no key on an open queue', queue: 'lookup', status: 200, team: 'guild' },
+    { says: 'a wrong key on an open queue', queue: 'lookup', header: 'Bearer shop.wrong', status: 401 },
+    { says: 'a key with a stale configuration', queue: 'preview', header: GUILD, ageMs: 4001, status: 503 },
+    { says: 'a key at the edge of staleness', queue: 'preview', header: GUILD, ageMs: 4000, status: 200, team: 'guild' },
+    { says: 'no key on an open queue with a stale configuration', queue: 'lookup', ageMs: 60_000, status: 200, team: 'guild' }
+  ])('$says: $status', async ({ queue, header, status, team, ageMs }) => {
+    const { request, router, configuration } = createBench()
+    configuration.age = ageMs ?? 0
+    const answer = await request('POST', `/v1/queues/${queue}/requests`, header === undefined ? {} : { authorization: header }, {})
+    expect(answer.status).toBe(status)
+    expect(router.asked.map(({ request }) => (request as Call).team)).toEqual(team === undefined ? [] : [team])
+    if (ageMs === 4001) expect(answer.headers.get('retry-after')).toBe('2')
+  })
+
+  test('a withdrawn key is refused from the next revision on', async () => {
+    const { request, configuration } = createBench()
+    expect((await request('POST', PREVIEW, { authorization: GUILD }, {})).status).toBe(200)
+    configuration.manifest = { ...configuration.manifest, keys: [] }
+    expect((await request('POST', PREVIEW, { authorization: GUILD }, {})).status).toBe(401)
+    expect((await request('POST', PREVIEW, { authorization: `Bearer ${GUILD_SECRET}` }, {})).status).toBe(401)
+  })
+
+  test.each([
+    { says: 'wrong keys', path: PREVIEW, body: {} },
+    { says: 'malformed bodies', path: PREVIEW, body: `{"secret": ${GUILD_SECRET}` },
+    { says: 'unknown routes', path: '/v1/other', body: {} },
+    { says: 'administration calls', path: '/v1/admin/status', body: {} }
+  ])('no secret is repeated in answers and counters on $says', async ({ path, body }) => {
+    const { request, metrics } = createBench()
+    for (const header of [GUILD, `Bearer shop.${GUILD_SECRET}x`, `Bearer ${GUILD_SECRET}.y`]) {
+      const answer = await request('POST', path, { authorization: header }, body)
+      const seen = JSON.stringify([...answer.headers]) + await answer.text() + metrics.names.join()
+      expect(seen).not.toContain(GUILD_SECRET)
+      expect(seen).not.toContain(hash(GUILD_SECRET))
+    }
+  })
+})
+
+describe('bad input gets a clear answer and is never sent on', () => {
+  const key = { authorization: GUILD }
+  test.each([
+    { says: 'malformed JSON', method: 'POST', path: PREVIEW, headers: key, body: '{"a":', status: 400 },
+    { says: 'an empty body', method: 'POST', path: PREVIEW, headers: { ...key, 'content-type': 'application/json' }, status: 400 },
+    { says: 'another content type', method: 'POST', path: PREVIEW, headers: { ...key, 'content-type': 'text/plain' }, body: '{}', status: 415 },
+    { says: 'no content type', method: 'POST', path: PREVIEW, headers: key, status: 415 },
+    { says: 'a body above the limit', method: 'POST', path: PREVIEW, headers: key, body: JSON.stringify('x'.repeat(2000)), status: 413 },
+    { says: 'a declared length above the limit', method: 'POST', path: PREVIEW, headers: { ...key, 'content-length': '2001' }, body: '{}', status: 413 },
+    { says: 'a deadline that is no number', method: 'POST', path: PREVIEW, headers: { ...key, 'fireflymount-deadline-ms': 'soon' }, body: '{}', status: 400 },
+    { says: 'a deadline of zero', method: 'POST', path: PREVIEW, headers: { ...key, 'fireflymount-deadline-ms': '0' }, body: '{}', status: 400 },
+    { says: 'an unknown queue', method: 'POST', path: '/v1/queues/none/requests', headers: key, body: '{}', status: 404 },
+    { says: 'a queue of jobs', method: 'POST', path: '/v1/queues/yardage/requests', headers: key, body: '{}', status: 400 },
+    { says: 'an unknown route', method: 'GET', path: '/v2', headers: key, status: 404 },
+    { says: 'a wrong method', method: 'PUT', path: PREVIEW, headers: key, body: '{}', status: 405 }
+  ])('$says: $status', async ({ method, path, headers, body, status }) => {
+    const { request, router } = createBench()
+    const answer = await request(method, path, headers, body)
+    expect(answer.status).toBe(status)
+    expect(await answer.json()).toMatchObject({ status, execution: 'not-run' })
+    expect(router.asked).toEqual([])
+    if (status === 405) expect(answer.headers.get('allow')).toBe('POST')
+  })
+})
+
+describe('requests', () => {
+  test.each([
+    { says: 'the whole answer is passed on', value: { a: [1, { b: null }] }, body: { a: [1, { b: null }] } },
+    { says: 'an answer of nothing is null', value: undefined, body: null }
+  ])('$says', async ({ value, body }) => {
+    const { request, router, metrics } = createBench()
+    router.answer = async () => ok(value)
+    const answer = await request('POST', PREVIEW, { authorization: GUILD }, [1])
+    expect([answer.status, await answer.json()]).toEqual([200, body])
+    expect(router.asked[0]).toMatchObject({ shard: 'bee-planner', request: { kind: Kind.Call, queue: 'preview', budgetMs: 800, body: [1] } })
+    expect(metrics.names).toEqual(['requests.preview.succeeded', 'latency.preview'])
+  })
+
+  test.each([
+    { says: 'a shorter deadline counts', header: '250', budgetMs: 250 },
+    { says: 'a longer deadline is capped', header: '9000', budgetMs: 800 }
+  ])('$says', async ({ header, budgetMs }) => {
+    const { request, router } = createBench()
+    await request('POST', PREVIEW, { authorization: GUILD, 'fireflymount-deadline-ms': header }, {})
+    expect(router.asked[0]!.request).toMatchObject({ budgetMs })
+  })
+
+  const lost: Refusal = { reason: Reason.ConnectionLost, detail: 'Lost.', execution: Execution.Unknown }
+  test.each([
+    { says: 'an idempotent request is repeated with the time that is left', queue: 'preview', refusal: lost, budgets: [800, 700] },
+    { says: 'a request that may have run is not repeated', queue: 'booking', refusal: lost, budgets: [800] },
+    { says: 'a full queue is answered at once', queue: 'preview', refusal: refuse(Reason.QueueFull, 'Full.'), budgets: [800] },
+    { says: 'nothing is repeated after the deadline', queue: 'preview', refusal: lost, tookMs: 800, budgets: [800] }
+  ])('$says', async ({ queue, refusal, budgets, tookMs }) => {
+    const { request, router, clock } = createBench()
+    router.answer = async () => {
+      clock.ms += tookMs ?? 100
+      return err(refusal)
+    }
+    const answer = await request('POST', `/v1/queues/${queue}/requests`, { authorization: GUILD }, {})
+    expect(router.asked.map(({ request }) => (request as Call).budgetMs)).toEqual(budgets)
+    expect((await answer.json() as Problem).execution).toBe(refusal.execution)
+  })
+
+  test('retries stay within the budget of a tenth', async () => {
+    const { request, router } = createBench()
+    router.answer = async () => err(lost)
+    for (let count = 0; count < 200; count++) await request('POST', PREVIEW, { authorization: GUILD }, {})
+    expect(router.asked.length - 200).toBeGreaterThanOrEqual(28)
+    expect(router.asked.length - 200).toBeLessThanOrEqual(30)
+  })
+})
+
+describe('limits on requests in progress', () => {
+  test('a queue, a busy team and the node have their bounds, and places are given back', async () => {
+    const { request, router, configuration } = createBench()
+    const { manifest } = configuration
+    configuration.manifest = { ...manifest, queues: [...manifest.queues, createQueue({ name: 'swap', teams: ['guild', 'circle'] })] }
+    const open: Array<() => void> = []
+    router.answer = () => new Promise((resolve) => open.push(() => resolve(ok(1))))
+    const running: Array<Promise<Response>> = []
+    const send = (queue: string, header: string): number => running.push(request('POST', `/v1/queues/${queue}/requests`, { authorization: header }, {}))
+    for (let count = 0; count < 9; count++) send('preview', GUILD)
+    send('swap', CIRCLE)
+    send('swap', GUILD)
+    expect(await statusOf(request('POST', PREVIEW, { authorization: GUILD }, {}))).toBe(429)
+    for (let count = 0; count < 9; count++) send('swap', CIRCLE)
+    await new Promise(setImmediate)
+    expect(await statusOf(request('POST', PREVIEW, { authorization: GUILD }, {}))).toBe(503)
+    for (const finish of open) finish()
+    expect(new Set((await Promise.all(running)).map((answer) => answer.status))).toEqual(new Set([200]))
+    router.answer = async () => ok(1)
+    expect(await statusOf(request('POST', PREVIEW, { authorization: GUILD }, {}))).toBe(200)
+  })
+
+  async function statusOf (answer: Promise<Response>): Promise<number> {
+    return (await answer).status
+  }
+})
+
+describe('health', () => {
+  test.each([
+    { phase: Phase.Starting, ready: 503, connection: null },
+    { phase: Phase.Serving, ready: 200, connection: null },
+    { phase: Phase.Draining, ready: 503, connection: 'close' }
+  ])('$phase: readyz $ready', async ({ phase, ready, connection }) => {
+    const { request, parts } = createBench()
+    parts.presence.current = () => phase
+    expect((await request('GET', '/readyz')).status).toBe(ready)
+    const health = await request('GET', '/healthz')
+    expect([health.status, health.headers.get('connection')]).toEqual([200, connection])
+  })
+})
--- /dev/null
+++ b/packages/daemon/test/entry-server.spec.ts
@@ -0,0 +1,69 @@
+import { connect } from 'node:net'
+import { ok } from 'neverthrow'
+import { expect, test } from 'vitest'
+import { SystemClock, sleep } from '@fireflymount/platform/clock'
+import { serveApi, type Service } from '../src/entry/server.js'
+import { GUILD, createBench, type Bench } from './entry-fakes.js'
+
+async function serve (): Promise<{ bench: Bench, service: Service, base: string }> {
+  const bench = createBench()
+  const service = await serveApi({ ...bench.parts, clock: new SystemClock() })
+  return { bench, service, base: `http://127.0.0.1:${service.address.port}` }
+}
+
+function preview (base: string): Promise<Response> {
+  const headers = { authorization: GUILD, 'content-type': 'application/json' }
+  return fetch(`${base}/v1/queues/preview/requests`, { method: 'POST', headers, body: '{}' })
+}
+
+test('a planned stop finishes what is in progress, takes work during the notice, and then closes', async () => {
+  const { bench, service, base } = await serve()
+  bench.router.answer = async () => {
+    await sleep(600)
+    return ok('whole')
+  }
+  const early = preview(base)
+  await sleep(50)
+  const closing = service.close()
+  const late = preview(base)
+  expect((await fetch(`${base}/readyz`)).status).toBe(503)
+  for (const answer of [await early, await late]) {
+    expect([answer.status, await answer.json(), answer.headers.get('connection')]).toEqual([200, 'whole', 'close'])
+  }
+  expect(await closing).toBe(0)
+  await expect(fetch(`${base}/healthz`)).rejects.toThrow()
+})
+
+test('a planned stop gives up after the drain time and tells how much it cut', async () => {
+  const { bench, service, base } = await serve()
+  bench.router.answer = () => new Promise(() => {})
+  const answer = expect(preview(base)).rejects.toThrow()
+  await sleep(50)
+  const startMs = performance.now()
+  expect(await service.close()).toBe(1)
+  expect(performance.now() - startMs).toBeGreaterThan(bench.parts.settings.timing.drainMs - 50)
+  await answer
+})
+
+test.each([
+  { says: 'headers above the limit', bytes: `GET /healthz HTTP/1.1\r\nHost: x\r\nX-Long: ${'x'.repeat(5000)}\r\n\r\n`, status: 431 },
+  { says: 'bytes that are no HTTP', bytes: 'hello\r\n\r\n', status: 400 },
+  { says: 'a body shorter than declared', bytes: `POST /v1/queues/preview/requests HTTP/1.1\r\nHost: x\r\nAuthorization: ${GUILD}\r\nContent-Type: application/json\r\nContent-Length: 9\r\n\r\n{}`, status: undefined }
+])('$says do no harm', async ({ bytes, status }) => {
+  const { bench, service, base } = await serve()
+  const answer = await exchange(service.address.port, bytes)
+  if (status !== undefined) expect(answer).toMatch(new RegExp(`^HTTP/1.1 ${status} [^]*application/problem\\+json[^]*"status":${status}`))
+  expect(bench.router.asked).toEqual([])
+  expect((await fetch(`${base}/healthz`)).status).toBe(200)
+  await service.close()
+})
+
+function exchange (port: number, bytes: string): Promise<string> {
+  return new Promise((resolve) => {
+    let answer = ''
+    const socket = connect(port, '127.0.0.1', () => socket.end(bytes))
+    socket.on('data', (data) => { answer += data })
+    socket.on('error', () => {})
+    socket.on('close', () => resolve(answer))
+  })
+}
