--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -20,6 +20,13 @@
   readonly refusal: Refusal
 }
 
+/** What a team lacks to start its next task, or its next gang. */
+export interface Shortage {
+  readonly team: string
+  readonly tasks: number
+  readonly size: Resources
+}
+
 /** All decisions of one shard. Time is handed in, in milliseconds of any monotonic clock. */
 export abstract class Scheduler {
   /** Replaces all teams' shares and allotments. */
@@ -50,4 +57,9 @@
   abstract running (): number
   /** What a team has running in this shard. */
   abstract used (team: string): Claim['allotment']
+
+  /** Teams whose next task waits only because their allotment in this shard is used up. */
+  shortages (): readonly Shortage[] {
+    return []
+  }
 }
--- a/packages/policy/src/shard.ts
+++ b/packages/policy/src/shard.ts
@@ -4,7 +4,7 @@
 import type { Result } from 'neverthrow'
 import type { Refusal } from '@fireflymount/protocol/refusal'
 import type { Resources } from '@fireflymount/protocol/resources'
-import type { Expiry, Round } from './scheduler.js'
+import type { Expiry, Round, Shortage } from './scheduler.js'
 import type { Claim, Explanation, Machine, Placement, Preemption, Task } from './task.js'
 import type { Group } from './group.js'
 import type { Lane } from './lane.js'
@@ -213,6 +213,17 @@
     return { tasks, cpuMilli, memoryMb, accelerators }
   }
 
+  override shortages (): readonly Shortage[] {
+    const shortages: Shortage[] = []
+    for (const team of this.occupancy.teams.values()) {
+      const lane = team.limited[0]
+      if (lane === undefined) continue
+      const gang = lane.workload === Workload.Gang ? members(this.occupancy, lane.head) : [lane.head]
+      shortages.push({ team: team.name, tasks: gang.length, size: sumSizes(this.occupancy.table, gang) })
+    }
+    return shortages
+  }
+
   private setClaim (team: Team, claim: Claim | undefined): void {
     team.setClaim(claim)
     team.excessMs = team.exceeds() ? this.nowMs : 0
