--- a/packages/daemon/src/entry/administration.ts
+++ b/packages/daemon/src/entry/administration.ts
@@ -5,7 +5,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { readJson } from './body.js'
 import { Misuse, answerProblem, createBadRequest, createMisuse, type Problem } from './problem.js'
-import { findObject, parseDelta, publishDelta } from './publication.js'
+import { findObject, readDelta, publishDelta } from './publication.js'
 import type { Context } from 'hono'
 import type { Change } from '@fireflymount/manifest/delta'
 import type { Section } from '@fireflymount/manifest/manifest'
@@ -84,7 +84,7 @@
 export async function onPatch (entry: Entry, context: Context): Promise<Response> {
   const body = await readJson(context.req.raw, MOST_BODY_BYTES)
   if (body.isErr()) return answerProblem(body.error)
-  const delta = parseDelta(body.value)
+  const delta = readDelta(body.value)
   if (delta.isErr()) return answerProblem(delta.error)
   const outcome = await publishDelta(entry, delta.value)
   entry.metrics.count(`publications.${outcome.isOk() ? 'accepted' : 'refused'}`)
@@ -94,7 +94,7 @@
 async function changeObject (entry: Entry, context: Context, change: Change): Promise<Response> {
   const base = findBase(entry, context, change)
   if (base.isErr()) return answerProblem(base.error)
-  const delta = parseDelta({ base: base.value, changes: [change], publish: context.req.header('idempotency-key') ?? randomUUID() })
+  const delta = readDelta({ base: base.value, changes: [change], publish: context.req.header('idempotency-key') ?? randomUUID() })
   if (delta.isErr()) return answerProblem(delta.error)
   const outcome = await publishDelta(entry, delta.value)
   entry.metrics.count(`publications.${outcome.isOk() ? 'accepted' : 'refused'}`)
@@ -112,7 +112,7 @@
   if (match === undefined) {
     return err(createMisuse(Misuse.PreconditionMissing, 'Send If-Match with the revision from the ETag, or "If-None-Match: *" for a new object.'))
   }
-  const base = /^"(\d{1,15})"$/.exec(match)?.[1]
+  const base = /^"(-1|\d{1,15})"$/.exec(match)?.[1]
   if (base !== undefined) return ok(Number(base))
   return err(createBadRequest('If-Match must be one revision in quotes, as in the ETag, such as "41".'))
 }
--- a/packages/daemon/src/entry/publication.ts
+++ b/packages/daemon/src/entry/publication.ts
@@ -4,7 +4,8 @@
 import { randomUUID } from 'node:crypto'
 import { err, ok, type Result } from 'neverthrow'
 import { parseManifest, parseObject } from '@fireflymount/manifest/codec'
-import { formatMistakes, nestMistakes, type ManifestError } from '@fireflymount/manifest/mistake'
+import { parseDelta } from '@fireflymount/manifest/delta-codec'
+import { formatMistakes, type ManifestError, type Mistake } from '@fireflymount/manifest/mistake'
 import { Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { sleep } from '@fireflymount/platform/clock'
 import { Misuse, createBadRequest, createMisuse, createProblem, type ChangedObject, type Problem } from './problem.js'
@@ -18,35 +19,23 @@
 /** Longest time that this node may lag behind the operator's base revision. */
 const LAG_MS = 2000
 const LAG_POLL_MS = 20
-const PUBLISH_ID = /^[\x21-\x7e]{1,200}$/
 const SECTIONS: ReadonlySet<string> = new Set(Object.values(Section))
 
 /**
  * Checks the body of a PATCH of the configuration.
  *
  * @param value the body
- * @returns the delta, or all mistakes at once
+ * @returns the delta, with a publish id of its own if it had none, or all mistakes at once
  *
  * @example
- * parseDelta({ base: 41, changes: [{ section: 'teams', name: 'guild' }] })
+ * readDelta({ base: 41, changes: [{ section: 'teams', name: 'guild' }] })
  */
-export function parseDelta (value: unknown): Result<Delta, Problem> {
-  const fields = (typeof value === 'object' && value !== null ? value : {}) as Record<string, unknown>
-  const errors: ManifestError[] = []
-  const { base, changes, publish = randomUUID() } = fields
-  if (!Number.isSafeInteger(base)) {
-    errors.push({ path: '$.base', mistake: 'is no revision', mend: 'Give the revision that the changes start from, as in the ETag.' })
-  }
-  if (typeof publish !== 'string' || !PUBLISH_ID.test(publish)) {
-    errors.push({ path: '$.publish', mistake: 'is no publish id', mend: 'Give 1 to 200 visible ASCII characters, or leave it out.' })
-  }
-  if (!Array.isArray(changes) || changes.length === 0) {
-    errors.push({ path: '$.changes', mistake: 'is no list of changes', mend: 'Give at least one {section, name, value}.' })
-  } else {
-    errors.push(...changes.flatMap(checkChange))
+export function readDelta (value: unknown): Result<Delta, Problem> {
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) {
+    return err(createBadRequest('The body must be an object with base, changes and, if you like, publish.'))
   }
-  if (errors.length > 0) return err(createBadRequest(`The delta has ${errors.length} mistake(s).`, errors))
-  return ok({ publish: publish as string, base: base as number, changes: changes as Change[] })
+  const delta = parseDelta({ publish: randomUUID(), ...value })
+  return delta.mapErr((errors) => createBadRequest(`The delta has ${errors.length} mistake(s).`, errors))
 }
 
 /**
@@ -86,23 +75,6 @@
   return manifest[section as Section].find((each) => each.name === name)
 }
 
-function checkChange (change: unknown, index: number): ManifestError[] {
-  const path = `$.changes[${index}]`
-  const fields = (typeof change === 'object' && change !== null ? change : {}) as Record<string, unknown>
-  const errors: ManifestError[] = []
-  if (!SECTIONS.has(String(fields.section))) {
-    errors.push({ path: `${path}.section`, mistake: 'is no section', mend: `Use one of: ${[...SECTIONS].join(', ')}.` })
-  }
-  if (typeof fields.name !== 'string') {
-    errors.push({ path: `${path}.name`, mistake: 'is no name', mend: 'Give the name of the object.' })
-  }
-  const name = (fields.value as { name?: unknown } | null | undefined)?.name
-  if (fields.value !== undefined && name !== fields.name) {
-    errors.push({ path: `${path}.value.name`, mistake: 'differs from the name of the change', mend: 'Give both the same name.' })
-  }
-  return errors
-}
-
 /** The operator may have read the base from a node that was ahead of this one. */
 async function waitForBase (entry: Entry, base: number): Promise<Result<void, Refusal>> {
   const endMs = entry.clock.now() + LAG_MS
@@ -128,16 +100,23 @@
 
 function checkChanges (entry: Entry, delta: Delta): ManifestError[] {
   const errors: ManifestError[] = []
-  for (const [index, { section, value }] of delta.changes.entries()) {
+  for (const [index, { section, name, value }] of delta.changes.entries()) {
     if (value === undefined) continue
+    const path = ['changes', index, 'value']
     const object = parseObject(section, value)
-    if (object.isErr()) errors.push(...formatMistakes(nestMistakes('changes', nestMistakes(index, nestMistakes('value', object.error)))))
+    const mistakes = object.isErr() ? object.error : checkName(name, object.value)
+    errors.push(...formatMistakes(mistakes.map((mistake) => ({ ...mistake, path: [...path, ...mistake.path] }))))
   }
   if (errors.length > 0) return errors
   const result = parseManifest(applyChanges(entry.configuration.current().manifest, delta.changes))
   return result.isErr() ? result.error : []
 }
 
+function checkName (name: string, object: object): Mistake[] {
+  if ((object as { name?: unknown }).name === name) return []
+  return [{ path: ['name'], mistake: `differs from "${name}", the name of the change`, mend: 'Give both the same name.' }]
+}
+
 function applyChanges (manifest: Manifest, changes: readonly Change[]): Manifest {
   const sections = new Map<Section, Map<string, unknown>>()
   for (const section of Object.values(Section)) sections.set(section, new Map(manifest[section].map((each) => [each.name, each])))
