--- /dev/null
+++ b/packages/scenario/src/cell/links.ts
@@ -0,0 +1,52 @@
+/**
+ * The relays on all links of a cell, by the process that connects and the process that it connects to.
+ */
+import { Link } from '../language/script.js'
+import { Relay } from './relay.js'
+
+/** Opens a relay on a link when it is first needed. */
+export class Links {
+  private readonly relays = new Map<string, Promise<Relay>>()
+  private readonly states = new Map<string, Link>()
+
+  /**
+   * Finds the relay on a link.
+   *
+   * @param from name of the process that connects
+   * @param to name of the process that is connected to
+   * @param target IP address and port of the latter
+   * @returns the address to connect to instead
+   */
+  async route (from: string, to: string, target: string): Promise<string> {
+    const name = `${from}>${to}>${target}`
+    const known = this.relays.get(name)
+    if (known !== undefined) return (await known).address()
+    const opening = this.open(from, to, target)
+    this.relays.set(name, opening)
+    return (await opening).address()
+  }
+
+  /** Changes the state of the link between two processes, in both directions. */
+  async set (link: Link, left: string, right: string): Promise<void> {
+    for (const [from, to] of [[left, right], [right, left]] as const) {
+      if (link !== Link.Stall) this.states.set(`${from}>${to}`, link)
+      for (const [name, relay] of this.relays) {
+        if (name.startsWith(`${from}>${to}>`)) await (await relay).set(link)
+      }
+    }
+  }
+
+  /** Closes every relay. */
+  async close (): Promise<void> {
+    for (const relay of this.relays.values()) await (await relay).close()
+    this.relays.clear()
+  }
+
+  private async open (from: string, to: string, target: string): Promise<Relay> {
+    const relay = new Relay(target)
+    await relay.open()
+    const state = this.states.get(`${from}>${to}`)
+    if (state !== undefined) await relay.set(state)
+    return relay
+  }
+}
--- /dev/null
+++ b/packages/scenario/src/language/phrases.ts
@@ -0,0 +1,82 @@
+/**
+ * The parts that steps of a scenario have in common: names, amounts, targets and outcomes.
+ */
+import { EmbeddedActionsParser } from 'chevrotain'
+import { Amount, Name, TOKENS, Text, keyword } from './lexer.js'
+import { TargetKind, type Option, type Target } from './script.js'
+
+/** Rules for the parts of a step. */
+export class Phrases extends EmbeddedActionsParser {
+  constructor () {
+    super([...TOKENS], { maxLookahead: 3, recoveryEnabled: false })
+  }
+
+  readonly word = this.RULE('name', (): string => this.CONSUME(Name).image)
+
+  readonly amount = this.RULE('amount', (): number => Number(this.CONSUME(Amount).image))
+
+  readonly text = this.RULE('text', (): string => this.CONSUME(Text).image.slice(1, -1))
+
+  readonly duration = this.RULE('duration', (): number => {
+    const amount = this.SUBRULE(this.amount)
+    this.CONSUME(keyword('ms'))
+    return amount
+  })
+
+  readonly target = this.RULE('target', (): Target => this.OR<Target>([
+    { ALT: () => this.related('owner', TargetKind.Owner, 1) },
+    { ALT: () => this.related('standby', TargetKind.Standby, 2) },
+    { ALT: () => this.related('host', TargetKind.Host, 3) },
+    { ALT: () => this.related('workers', TargetKind.Workers, 4) },
+    {
+      ALT: () => {
+        this.CONSUME(keyword('every'))
+        this.CONSUME(keyword('node'))
+        return { kind: TargetKind.Nodes, name: '' }
+      }
+    },
+    { ALT: () => ({ kind: TargetKind.Named, name: this.SUBRULE9(this.word) }) }
+  ]))
+
+  readonly options = this.RULE('options', (): Option[] => {
+    const options: Option[] = []
+    this.CONSUME(keyword('with'))
+    this.AT_LEAST_ONE_SEP({
+      SEP: keyword('and'),
+      DEF: () => {
+        const name = this.SUBRULE(this.word)
+        const value = this.SUBRULE(this.amount)
+        this.OPTION(() => this.CONSUME(keyword('ms')))
+        options.push({ name, value })
+      }
+    })
+    return options
+  })
+
+  readonly states = this.RULE('states', (): string[] => {
+    const states: string[] = []
+    this.AT_LEAST_ONE_SEP({
+      SEP: keyword('or'),
+      DEF: () => {
+        states.push(this.SUBRULE(this.word))
+      }
+    })
+    return states
+  })
+
+  readonly place = this.RULE('place', (): Target => {
+    this.CONSUME(keyword('at'))
+    return this.SUBRULE(this.target)
+  })
+
+  readonly outcome = this.RULE('outcome', (): string[] => {
+    this.CONSUME(keyword('expect'))
+    return this.SUBRULE(this.states)
+  })
+
+  private related (word: 'owner' | 'standby' | 'host' | 'workers', kind: TargetKind, index: 1 | 2 | 3 | 4): Target {
+    this.consume(index, keyword(word))
+    this.consume(index + 4, keyword('of'))
+    return { kind, name: this.subrule(index, this.word) }
+  }
+}
--- /dev/null
+++ b/packages/scenario/src/run/operator.ts
@@ -0,0 +1,138 @@
+/**
+ * An operator who publishes configuration through the administration API.
+ */
+import { randomUUID } from 'node:crypto'
+import { readFileSync } from 'node:fs'
+import type { Change } from '@fireflymount/manifest/delta'
+import { diffManifests } from '@fireflymount/manifest/diff'
+import { hashSecret } from '@fireflymount/manifest/hash'
+import { EMPTY_MANIFEST, Section, type Key, type Manifest, type UpperLimit } from '@fireflymount/manifest/manifest'
+import { Workload } from '@fireflymount/protocol/workload'
+import { callJson } from '../cell/http.js'
+import { ADMINISTRATION_SECRET } from '../cell/settings.js'
+import type { Departure, LimitChange } from '../check/evidence.js'
+import { machineNow } from './caller.js'
+
+const HEADERS = { authorization: `Bearer ${ADMINISTRATION_SECRET}` }
+const PROBLEM_PREFIX = /^.*:/
+const POLL_MS = 50
+
+/** A manifest of a scenario: any section may be missing, and keys have no hash. */
+type Draft = Partial<Manifest>
+
+/** Publishes, and knows what was accepted. */
+export class Operator {
+  readonly limits: LimitChange[] = []
+  readonly withdrawn: Departure[] = []
+  /** The configuration as far as this operator knows. */
+  manifest: Manifest = EMPTY_MANIFEST
+  private revision = -1
+
+  /** @param directory where the scenarios' manifests are */
+  constructor (private readonly directory: string) {}
+
+  /**
+   * Publishes the manifest of a file; one with the name of a section missing leaves that section as it is.
+   *
+   * @param api base URL of a node
+   * @param file name of the file
+   * @returns `accepted`, the reason of the refusal, or `lost`
+   */
+  async apply (api: string, file: string): Promise<string> {
+    const draft = JSON.parse(readFileSync(`${this.directory}/${file}`, 'utf8')) as Draft
+    const wanted: Manifest = { ...this.manifest, ...draft, keys: (draft.keys ?? this.manifest.keys).map(completeKey) }
+    return this.publish(api, diffManifests(this.manifest, wanted))
+  }
+
+  /** Grants a key to a team, or withdraws it. */
+  async changeKey (api: string, name: string, team: string | undefined): Promise<string> {
+    const value = team === undefined ? undefined : completeKey({ name, team, hash: '' })
+    const outcome = await this.publish(api, [{ section: Section.Keys, name, value }])
+    if (value === undefined && outcome === 'accepted') this.withdrawn.push({ name, atMs: machineNow() })
+    return outcome
+  }
+
+  /** Revision in effect on a node; undefined if it does not answer. */
+  async fetchRevision (api: string): Promise<number | undefined> {
+    const reply = await callJson(`${api}/v1/admin/configuration`, { headers: HEADERS })
+    if (reply.isErr() || reply.value.status !== 200) return undefined
+    return Number(String(reply.value.headers.etag).replaceAll('"', ''))
+  }
+
+  /** The newest revision that this operator knows to be accepted. */
+  newest (): number {
+    return this.revision
+  }
+
+  /** Name of the first key of a team. */
+  keyOf (team: string): string | undefined {
+    return this.manifest.keys.find((key) => key.team === team)?.name
+  }
+
+  /** Queues whose work must not run twice. */
+  nonIdempotent (): string[] {
+    const names: string[] = []
+    for (const queue of this.manifest.queues) {
+      if (!queue.idempotent) names.push(queue.name)
+    }
+    return names
+  }
+
+  /** Tells whether a queue takes synchronous requests. */
+  isSynchronous (queue: string): boolean {
+    return this.manifest.queues.find((each) => each.name === queue)?.workload === Workload.Request
+  }
+
+  private async publish (api: string, changes: readonly Change[]): Promise<string> {
+    const base = this.revision < 0 ? await this.fetchRevision(api) : this.revision
+    const sentMs = machineNow()
+    const reply = await callJson(`${api}/v1/admin/configuration`, {
+      method: 'PATCH', headers: HEADERS, body: { base, changes, publish: randomUUID() }
+    })
+    if (reply.isErr()) return 'lost'
+    if (reply.value.status >= 300) {
+      return String((reply.value.body as { type?: string } | undefined)?.type ?? reply.value.status).replace(PROBLEM_PREFIX, '')
+    }
+    this.accept(changes, (reply.value.body as { revision: number }).revision, sentMs)
+    return 'accepted'
+  }
+
+  private accept (changes: readonly Change[], revision: number, sentMs: number): void {
+    this.revision = Math.max(this.revision, revision)
+    const acceptedMs = machineNow()
+    for (const change of changes) {
+      this.manifest = replaceObject(this.manifest, change)
+      if (change.section !== Section.Teams || change.value === undefined) continue
+      const limit = (change.value as { upperLimit: UpperLimit }).upperLimit
+      this.limits.push({ team: change.name, limit, sentMs, acceptedMs })
+    }
+  }
+}
+
+/**
+ * Secret of a key of a scenario.
+ *
+ * @param name the key's name
+ * @returns what callers send
+ */
+export function secretOf (name: string): string {
+  return `secret-of-${name}`
+}
+
+/**
+ * Waits between two looks at a condition.
+ *
+ * @returns after a moment
+ */
+export function pause (): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, POLL_MS))
+}
+
+function completeKey (key: Key): Key {
+  return { ...key, hash: hashSecret(secretOf(key.name)) }
+}
+
+function replaceObject (manifest: Manifest, { section, name, value }: Change): Manifest {
+  const others = (manifest[section] as readonly { name: string }[]).filter((each) => each.name !== name)
+  return { ...manifest, [section]: value === undefined ? others : [...others, value] }
+}
