--- a/packages/platform/src/channel.ts
+++ b/packages/platform/src/channel.ts
@@ -38,6 +38,8 @@
 export interface Interruption {
   /** Whether the call may have reached the other end. */
   readonly sent: boolean
+  /** Whether the deadline passed: the connections may have gone silent. */
+  readonly timedOut: boolean
   readonly detail: string
 }
 
@@ -65,9 +67,15 @@
    */
   async call (exchange: Exchange): Promise<Result<Answer, Interruption>> {
     const { pool } = this
-    const outcome = await dispatch(pool, exchange, this.options.headers)
-    if (outcome.timedOut && pool === this.pool) this.replacePool()
-    return outcome.result
+    const answer = await dispatch(pool, exchange, this.options.headers)
+    if (answer.isErr() && answer.error.timedOut && pool === this.pool) this.refresh()
+    return answer
+  }
+
+  /** Uses new connections from now on. Calls in progress on the old ones end by themselves or at their deadlines. */
+  refresh (): void {
+    this.pool.close().catch(() => undefined)
+    this.pool = this.createPool()
   }
 
   /** @returns the bytes sent and received so far */
@@ -80,12 +88,6 @@
     await this.pool.destroy()
   }
 
-  /** Calls in progress on the old connections end by themselves or at their deadlines. */
-  private replacePool (): void {
-    this.pool.close().catch(() => undefined)
-    this.pool = this.createPool()
-  }
-
   private createPool (): Pool {
     const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
     return new Pool(`http://${this.address}`, {
@@ -102,13 +104,11 @@
   }
 }
 
-/** What became of a call. */
-interface Outcome {
-  readonly result: Result<Answer, Interruption>
-  readonly timedOut: boolean
-}
-
-function dispatch (pool: Pool, exchange: Exchange, headers?: Readonly<Record<string, string>>): Promise<Outcome> {
+function dispatch (
+  pool: Pool,
+  exchange: Exchange,
+  headers?: Readonly<Record<string, string>>
+): Promise<Result<Answer, Interruption>> {
   const body = exchange.message === undefined ? undefined : JSON.stringify(exchange.message)
   const json = body === undefined ? undefined : { 'content-type': 'application/json' }
   return new Promise((resolve) => {
@@ -139,7 +139,7 @@
    * @param exchange the call
    * @param resolve takes what becomes of it
    */
-  constructor (private readonly exchange: Exchange, private readonly resolve: (outcome: Outcome) => void) {
+  constructor (private readonly exchange: Exchange, private readonly resolve: (result: Result<Answer, Interruption>) => void) {
     const { timeoutMs, signal } = exchange
     this.timer = setTimeout(() => this.interrupt(`No answer within ${timeoutMs} ms.`, true), timeoutMs)
     signal?.addEventListener('abort', this.onAbort, { once: true })
@@ -166,25 +166,25 @@
 
   onResponseEnd (): void {
     const body = parseBody(this.chunks)
-    this.end({ result: ok({ status: this.status, body }), timedOut: false })
+    this.end(ok({ status: this.status, body }))
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
-    this.end({ result: err({ sent: this.sent, detail: error.message }), timedOut: false })
+    this.end(err({ sent: this.sent, timedOut: false, detail: error.message }))
   }
 
   private interrupt (detail: string, timedOut: boolean): void {
     const { sent } = this
-    this.end({ result: err({ sent, detail }), timedOut })
+    this.end(err({ sent, timedOut, detail }))
     this.controller?.abort(new Error(detail))
   }
 
-  private end (outcome: Outcome): void {
+  private end (result: Result<Answer, Interruption>): void {
     if (this.ended) return
     this.ended = true
     clearTimeout(this.timer)
     this.exchange.signal?.removeEventListener('abort', this.onAbort)
-    this.resolve(outcome)
+    this.resolve(result)
   }
 }
 
--- a/packages/platform/src/worker-client.ts
+++ b/packages/platform/src/worker-client.ts
@@ -94,6 +94,7 @@
       message: { untilMs, acknowledged, waitMs },
       timeoutMs: waitMs + this.timeoutMs
     })
+    if (answer.isErr()) this.refreshSilent(answer.error)
     return answer.mapErr(classify).andThen(checkStatus).andThen(parseReport)
   }
 
@@ -132,8 +133,17 @@
   ): Promise<Result<unknown, WorkerError>> {
     const headers = createHeaders(epoch)
     const answer = await this.commands.call({ method, path, headers, message, timeoutMs: this.timeoutMs })
+    if (answer.isErr()) this.refreshSilent(answer.error)
     return answer.mapErr(classify).andThen(checkStatus)
   }
+
+  /** Silence on one connection makes the others suspect: the next request must not be lost on one of them. */
+  private refreshSilent (interruption: Interruption): void {
+    if (!interruption.timedOut) return
+    this.renewals.refresh()
+    this.commands.refresh()
+    this.requests.refresh()
+  }
 }
 
 function createPath (task: string): string {
--- /dev/null
+++ b/packages/standin/test/list.spec.ts
@@ -0,0 +1,80 @@
+/**
+ * The list of VMs through its client.
+ */
+import { setTimeout as pass } from 'node:timers/promises'
+import { VmRole, VmState, type Vm } from '@fireflymount/platform/machines'
+import { RemoteMachines } from '@fireflymount/platform/machines-client'
+import { PlatformControl, type Fault } from '@fireflymount/standin/control'
+import { afterAll, beforeAll, beforeEach, expect, test } from 'vitest'
+import { end, startPlatform, type Standin } from './process.js'
+
+const LAG_MS = 150
+
+const WORKER: Vm = {
+  id: 'bee-1',
+  role: VmRole.Worker,
+  state: VmState.Live,
+  address: '127.0.0.1:1',
+  zone: 'fukuoka',
+  rack: 'r1',
+  upstream: 'bee-planner',
+  resources: { cpuMilli: 16_000, memoryMb: 32_000, accelerators: 0 },
+  slots: 8
+}
+
+const ENTRY: Vm = { id: 'entry-1', role: VmRole.Entry, state: VmState.Live, address: '127.0.0.1:2', zone: 'fukuoka', rack: 'r2' }
+
+let platform: Standin<string>
+let control: PlatformControl
+let machines: RemoteMachines
+
+beforeAll(async () => {
+  platform = await startPlatform()
+  control = new PlatformControl(platform.listening)
+  machines = new RemoteMachines({ address: platform.listening, node: 'node-a', timeoutMs: 200 })
+})
+
+beforeEach(async () => {
+  await control.mendList()
+  await control.lagList(0)
+  await control.putVms([WORKER, ENTRY])
+})
+
+afterAll(async () => {
+  await machines.close()
+  await end(platform.child)
+})
+
+test('the list returns every field of workers and entries', async () => {
+  expect((await machines.list())._unsafeUnwrap()).toEqual([WORKER, ENTRY])
+})
+
+test.each([
+  ['leaving', async () => await control.patchVm('bee-1', { state: VmState.Leaving }), [{ ...WORKER, state: VmState.Leaving }, ENTRY]],
+  ['gone', async () => await control.patchVm('bee-1', { state: VmState.Gone }), [{ ...WORKER, state: VmState.Gone }, ENTRY]],
+  ['removed', async () => await control.removeVm('bee-1'), [ENTRY]]
+])('a VM is %s only after the lag', async (_case, change, expected) => {
+  await control.lagList(LAG_MS)
+  await machines.list()
+  await change()
+  expect((await machines.list())._unsafeUnwrap()).toEqual([WORKER, ENTRY])
+  await pass(LAG_MS + 20)
+  expect((await machines.list())._unsafeUnwrap()).toEqual(expected)
+})
+
+test.each<[string, Fault, boolean]>([
+  ['an outage', { outage: true }, false],
+  ['a service that hangs', { hang: true }, false],
+  ['an outage for this node', { node: 'node-a', outage: true }, false],
+  ['an outage for another node', { node: 'node-b', outage: true }, true]
+])('%s', async (_case, fault, isServed) => {
+  await control.faultList(fault)
+  expect((await machines.list()).isOk()).toBe(isServed)
+})
+
+test('a silent connection fails one call and is replaced for the next', async () => {
+  await machines.list()
+  await control.silence()
+  expect((await machines.list()).isErr()).toBe(true)
+  expect((await machines.list()).isOk()).toBe(true)
+})
