--- a/packages/scenario/src/language/conditions.ts
+++ b/packages/scenario/src/language/conditions.ts
@@ -153,8 +153,11 @@
         this.CONSUME(keyword('workers'))
         this.CONSUME(keyword('of'))
         const name = this.SUBRULE(this.word)
-        this.CONSUME(keyword('quiet'))
-        return { subject: Subject.Quiet, name, states: [] }
+        const subject = this.OR2<Subject>([
+          { ALT: () => this.CONSUME(keyword('quiet')) && Subject.Quiet },
+          { ALT: () => this.CONSUME(keyword('adopted')) && Subject.Adopted }
+        ])
+        return { subject, name, states: [] }
       }
     },
     {
--- a/packages/scenario/src/language/lexer.ts
+++ b/packages/scenario/src/language/lexer.ts
@@ -22,7 +22,7 @@
   'withdraw', 'key', 'to', 'submit', 'jobs', 'job', 'request', 'requests', 'background', 'tasks', 'runs', 'cpu', 'fails',
   'once', 'cancel', 'race', 'load', 'per', 'second', 'within', 'expect', 'or', 'owner', 'standby', 'host', 'every', 'is', 'not',
   'service', 'has', 'running', 'gap', 'under', 'ready', 'exited', 'revision', 'one', 'most', 'least', 'starts', 'works',
-  'quiet', 'clean', 'invariant', 'any', 'ms'
+  'quiet', 'adopted', 'clean', 'invariant', 'any', 'ms'
 ] as const
 
 /** A reserved word of the language. It may still be used as a name. */
--- a/packages/scenario/src/language/script.ts
+++ b/packages/scenario/src/language/script.ts
@@ -236,6 +236,7 @@
   Key = 'key',
   Load = 'load',
   Quiet = 'quiet',
+  Adopted = 'adopted',
   Clean = 'clean',
   Invariants = 'invariants'
 }
--- a/packages/scenario/src/run/expectations.ts
+++ b/packages/scenario/src/run/expectations.ts
@@ -2,6 +2,7 @@
  * Looks once whether a condition of a scenario is met.
  */
 import { err, ok, type Result } from 'neverthrow'
+import { compareEpochs } from '@fireflymount/protocol/epoch'
 import { callJson } from '../cell/http.js'
 import { findViolations } from '../check/invariants.js'
 import type { Run } from '../check/evidence.js'
@@ -43,6 +44,7 @@
     case Subject.Key: return meetsKey(stage, condition)
     case Subject.Load: return meetsLoad(stage, condition)
     case Subject.Quiet: return meetsQuiet(stage, condition)
+    case Subject.Adopted: return meetsAdopted(stage, condition)
     case Subject.Clean: return stage.cell.findSecret(secretOf(''))
     case Subject.Invariants: return meetsInvariants(stage)
   }
@@ -68,7 +70,7 @@
 
 async function meetsStarts (stage: Stage, { name, count, comparison }: Condition): Promise<Verdict> {
   await stage.refresh()
-  const nonces = new Set([...stage.ledger.jobs(name), ...stage.ledger.answersOf(name)].map((each) => each.nonce))
+  const nonces = stage.ledger.nonces(name)
   const found = stage.recorder.runs().filter((run) => nonces.has(run.nonce ?? '')).length
   return compare(found, count ?? 0, comparison, `starts of ${name}`, '')
 }
@@ -182,6 +184,15 @@
   return running === 0 ? ok() : err(`${running} runs are left on the workers of "${name}".`)
 }
 
+async function meetsAdopted (stage: Stage, { name }: Condition): Promise<Verdict> {
+  await stage.refresh()
+  const workers = workersOf(stage, name)
+  const newest = stage.recorder.epoch(workers)
+  const others = workers.filter((worker) => compareEpochs(stage.recorder.epoch([worker]), newest) !== 0)
+  if (newest.counter > 0 && others.length === 0) return ok()
+  return err(`The epoch of "${name}" is ${newest.counter}:${newest.node}, and ${others.join(', ')} do not hold it.`)
+}
+
 async function meetsInvariants (stage: Stage): Promise<Verdict> {
   const violations = findViolations(await stage.collect())
   if (stage.recorder.incomplete) return err('A worker did not keep its whole record, so nothing is proved.')
--- a/packages/scenario/src/run/ledger.ts
+++ b/packages/scenario/src/run/ledger.ts
@@ -22,6 +22,7 @@
   readonly answers: Answer[] = []
   private readonly jobsByName = new Map<string, JobEntry[]>()
   private readonly answersByName = new Map<string, Answer[]>()
+  private readonly noncesByName = new Map<string, Set<string>>()
   private sequence = 0
 
   /** @param seed makes the nonces of one run differ from those of another */
@@ -33,6 +34,17 @@
     return `n${this.seed}-${this.sequence}`
   }
 
+  /** Remembers what is sent before there is an answer. */
+  addSent (name: string, nonce: string): void {
+    const nonces = this.noncesByName.get(name) ?? new Set()
+    this.noncesByName.set(name, nonces.add(nonce))
+  }
+
+  /** The nonces sent under a name. */
+  nonces (name: string): ReadonlySet<string> {
+    return this.noncesByName.get(name) ?? new Set()
+  }
+
   addJob (job: JobEntry): void {
     const jobs = this.jobsByName.get(job.name) ?? []
     this.jobsByName.set(job.name, [...jobs, job])
--- a/packages/scenario/src/run/targets.ts
+++ b/packages/scenario/src/run/targets.ts
@@ -88,7 +88,7 @@
 
 async function findHosts (stage: Stage, name: string): Promise<string[]> {
   await stage.refresh()
-  const nonces = new Set(stage.ledger.jobs(name).map((job) => job.nonce))
+  const nonces = stage.ledger.nonces(name)
   const hosts: string[] = []
   for (const run of stage.recorder.runs()) {
     if (run.endedMs !== undefined) continue
--- a/packages/scenario/src/run/work.ts
+++ b/packages/scenario/src/run/work.ts
@@ -47,6 +47,7 @@
  * @returns what came back
  */
 export async function sendTracked (stage: Stage, sending: Sending): Promise<Receipt> {
+  stage.ledger.addSent(sending.name, sending.nonce)
   const receipt = await sendWork(sending)
   stage.ledger.addAnswer(receipt.answer)
   return receipt
