--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,2 +1,63 @@
-/** Entry point. */
-export {}
+#!/usr/bin/env node
+/**
+ * Entry point of fireflymountd.
+ */
+import { readFile } from 'node:fs/promises'
+import { parseSettings } from '@fireflymount/manifest/settings-codec'
+import { Command } from 'commander'
+import { pino, destination } from 'pino'
+import { Node } from './node.js'
+
+/** Exit codes of the daemon. */
+enum Exit {
+  Stopped = 0,
+  CannotStart = 1,
+  BadSettings = 2
+}
+
+/** Standard error: standard output carries only the line that says that the node is ready. */
+const LOG_DESCRIPTOR = 2
+
+const program = new Command('fireflymountd')
+  .description('A node of the fireflymount cluster scheduler.')
+  .requiredOption('-s, --settings <file>', 'settings file in JSON')
+  .option('--check', 'check the settings file and exit')
+  .action(run)
+
+await program.parseAsync()
+
+async function run (options: { settings: string, check?: boolean }): Promise<void> {
+  if (process.env.UV_USE_IO_URING === '1') {
+    process.stderr.write('UV_USE_IO_URING must not be 1: fireflymountd does not use io_uring. Set it to 0.\n')
+    process.exit(Exit.BadSettings)
+  }
+  const settings = parseSettings(await readJson(options.settings))
+  if (settings.isErr()) {
+    for (const mistake of settings.error) process.stderr.write(`${mistake.path}: ${mistake.mistake} ${mistake.mend}\n`)
+    process.exit(Exit.BadSettings)
+  }
+  if (options.check) return
+  const logger = pino({ level: settings.value.log.level, base: { node: settings.value.node } }, destination({ fd: LOG_DESCRIPTOR, sync: true }))
+  const node = new Node(settings.value, logger)
+  const started = await node.start()
+  if (started.isErr()) {
+    logger.fatal({ detail: started.error }, 'node cannot start')
+    process.exit(Exit.CannotStart)
+  }
+  process.stdout.write(`${JSON.stringify({ ready: settings.value.node, api: started.value.address })}\n`)
+  process.once('SIGTERM', () => { stop(node) })
+  process.once('SIGINT', () => { stop(node) })
+}
+
+function stop (node: Node): void {
+  node.drain().then(() => { process.exit(Exit.Stopped) }, (error: unknown) => { throw error })
+}
+
+async function readJson (file: string): Promise<unknown> {
+  try {
+    return JSON.parse(await readFile(file, 'utf8'))
+  } catch (error) {
+    process.stderr.write(`${file}: ${String(error)}. The file must hold the settings as JSON.\n`)
+    process.exit(Exit.BadSettings)
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/node.ts
@@ -0,0 +1,134 @@
+/**
+ * One node: every part of the daemon, put together.
+ */
+import { SystemClock, sleep } from '@fireflymount/platform/clock'
+import { RemoteLog } from '@fireflymount/platform/log-client'
+import { RemoteMachines } from '@fireflymount/platform/machines-client'
+import { RemoteWorker } from '@fireflymount/platform/worker-client'
+import type { Settings } from '@fireflymount/manifest/settings'
+import { Kind, RecordsPageCodec, type RecordsPage, type Request } from '@fireflymount/protocol/message'
+import type { Refusal } from '@fireflymount/protocol/refusal'
+import { err, ok, type Result } from 'neverthrow'
+import type { Logger } from 'pino'
+import { Follower } from './configuration/follower.js'
+import { Counters } from './counters.js'
+import { Presence } from './entry/presence.js'
+import { serveApi, type Service } from './entry/server.js'
+import { Members } from './membership/members.js'
+import { Peers } from './peer/peers.js'
+import { Roles } from './owner/roles.js'
+
+const RECORDS_TIMEOUT_MS = 1000
+const DRAIN_POLL_MS = 50
+
+/** A running node. */
+export class Node {
+  private readonly stop = new AbortController()
+  private readonly clock = new SystemClock()
+  private readonly counters: Counters
+  private readonly members: Members
+  private readonly peers: Peers
+  private readonly configuration: Follower
+  private readonly roles: Roles
+  private readonly presence = new Presence()
+  private service: Service | undefined
+
+  constructor (private readonly settings: Settings, private readonly logger: Logger) {
+    const { platform, node } = settings
+    const log = new RemoteLog({ address: platform.log, node })
+    this.counters = new Counters(node, settings.metrics)
+    this.members = new Members(new RemoteMachines({ address: platform.machines, node }), this.clock)
+    this.peers = new Peers({
+      settings,
+      members: this.members,
+      metrics: this.counters,
+      clock: this.clock,
+      zonesOf: (shard) => this.zonesOf(shard),
+      handler: (request) => this.handle(request)
+    })
+    this.configuration = new Follower({
+      log,
+      clock: this.clock,
+      askPeers: (from) => this.askPeers(from),
+      isWriter: () => this.isWriter()
+    })
+    this.roles = new Roles({
+      settings,
+      log,
+      members: this.members,
+      router: this.peers,
+      manifest: () => this.configuration.current().manifest,
+      connect: (vm) => new RemoteWorker({ address: vm.address }),
+      clock: this.clock,
+      metrics: this.counters,
+      logger
+    })
+  }
+
+  /** Starts all parts. Returns the addresses, or a sentence that says why the node cannot start. */
+  async start (): Promise<Result<Service, string>> {
+    const listening = await this.peers.listen()
+    if (listening.isErr()) return err(listening.error)
+    await this.members.poll()
+    this.members.run(this.stop.signal).catch((error: unknown) => { throw error })
+    this.configuration.onRevision(({ manifest }) => { this.roles.setManifest(manifest) })
+    this.configuration.run(this.stop.signal).catch((error: unknown) => { throw error })
+    this.service = await serveApi({
+      configuration: this.configuration,
+      router: this.peers,
+      metrics: this.counters,
+      settings: this.settings,
+      clock: this.clock,
+      presence: this.presence
+    })
+    this.presence.serve()
+    this.logger.info({ api: this.service.address, peer: this.settings.peer }, 'node started')
+    return ok(this.service)
+  }
+
+  /** Stops gracefully: hands shards over, finishes requests in progress, then closes everything. */
+  async drain (): Promise<void> {
+    this.logger.info({ owned: this.roles.owned() }, 'planned stop begins')
+    const closed = this.service?.close()
+    await this.roles.release()
+    this.peers.leave()
+    const cut = await closed
+    await this.awaitCalls()
+    this.stop.abort()
+    this.roles.stop()
+    this.peers.close()
+    await this.counters.close()
+    this.logger.info({ cut: cut ?? 0 }, 'node stopped')
+  }
+
+  private async awaitCalls (): Promise<void> {
+    const endMs = this.clock.now() + this.settings.timing.drainMs
+    while (this.roles.callsInProgress() > 0 && this.clock.now() < endMs) await sleep(DRAIN_POLL_MS)
+  }
+
+  private async handle (request: Request): Promise<Result<unknown, Refusal>> {
+    if (request.kind === Kind.Records) return ok(this.configuration.recordsFrom(request.from))
+    return await this.roles.handle(request)
+  }
+
+  private zonesOf (shard: string): readonly string[] {
+    return this.configuration.current().manifest.upstreams.find((upstream) => upstream.name === shard)?.zones ?? []
+  }
+
+  /** Takes configuration records from the first peer that answers. */
+  private async askPeers (from: number): Promise<RecordsPage | undefined> {
+    for (const node of this.members.nodes()) {
+      if (node === this.settings.node) continue
+      const answer = await this.peers.askNode(node, { kind: Kind.Records, from }, RECORDS_TIMEOUT_MS)
+      if (answer.isErr()) continue
+      const page = RecordsPageCodec.decode(answer.value)
+      if (page.isRight()) return page.extract() as RecordsPage
+    }
+    return undefined
+  }
+
+  /** One node writes the snapshots of the configuration: the first live one by name. */
+  private isWriter (): boolean {
+    return this.members.nodes().sort()[0] === this.settings.node
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/owner/burn.ts
@@ -0,0 +1,102 @@
+/**
+ * Counts of good and bad events for the service-level objectives, by team, in steps of time.
+ */
+import { Measure, type Objective } from '@fireflymount/manifest/manifest'
+import type { Burn, Step, Window } from '@fireflymount/protocol/survey'
+
+/** Length of one step. */
+export const STEP_MS = 60_000
+/** Steps kept: six hours. */
+export const STEPS = 360
+/** Windows over which burn rates are given: 5 minutes, 1 hour, 6 hours. */
+export const WINDOWS_MS = [300_000, 3_600_000, 21_600_000]
+
+interface Series {
+  readonly objective: Objective
+  readonly team: string
+  readonly steps: Step[]
+}
+
+/** The counts of one node for one shard. */
+export class BurnCounts {
+  private objectives: readonly Objective[] = []
+  private readonly series = new Map<string, Series>()
+
+  constructor (private readonly node: string, private readonly sinceMs: number) {}
+
+  /** Takes the objectives of a new revision. */
+  setObjectives (objectives: readonly Objective[]): void {
+    this.objectives = objectives
+  }
+
+  /** Counts work of a queue that started after waiting. */
+  onStarted (queue: string, team: string, waitedMs: number, wallMs: number): void {
+    for (const objective of this.objectives) {
+      if (objective.queue !== queue || objective.measure !== Measure.Waiting) continue
+      this.count(objective, team, waitedMs <= (objective.withinMs ?? Infinity), wallMs)
+    }
+  }
+
+  /** Counts work of a queue that was given up before it started. */
+  onRefused (queue: string, team: string, wallMs: number): void {
+    for (const objective of this.objectives) {
+      if (objective.queue === queue) this.count(objective, team, false, wallMs)
+    }
+  }
+
+  /** Counts work of a queue that ended. */
+  onOver (queue: string, team: string, succeeded: boolean, wallMs: number): void {
+    for (const objective of this.objectives) {
+      if (objective.queue !== queue || objective.measure !== Measure.Success) continue
+      this.count(objective, team, succeeded, wallMs)
+    }
+  }
+
+  /** The counts as operators see them. */
+  report (wallMs: number): Burn[] {
+    const burns: Burn[] = []
+    for (const series of this.series.values()) {
+      burns.push({
+        objective: series.objective.name,
+        queue: series.objective.queue,
+        team: series.team,
+        node: this.node,
+        sinceMs: this.sinceMs,
+        windows: WINDOWS_MS.map((windowMs) => sumWindow(series.steps, windowMs, wallMs)),
+        stepMs: STEP_MS,
+        steps: series.steps
+      })
+    }
+    return burns
+  }
+
+  private count (objective: Objective, team: string, good: boolean, wallMs: number): void {
+    const key = `${objective.name}/${team}`
+    let series = this.series.get(key)
+    if (series === undefined) {
+      series = { objective, team, steps: [] }
+      this.series.set(key, series)
+    }
+    const startMs = wallMs - wallMs % STEP_MS
+    let step = series.steps.at(-1)
+    if (step?.startMs !== startMs) {
+      step = { startMs, good: 0, total: 0 }
+      series.steps.push(step)
+      if (series.steps.length > STEPS) series.steps.shift()
+    }
+    step.total++
+    if (good) step.good++
+  }
+}
+
+function sumWindow (steps: readonly Step[], windowMs: number, wallMs: number): Window {
+  let good = 0
+  let total = 0
+  for (let index = steps.length - 1; index >= 0; index--) {
+    const step = steps[index]!
+    if (step.startMs + STEP_MS <= wallMs - windowMs) break
+    good += step.good
+    total += step.total
+  }
+  return { windowMs, good, total }
+}
--- /dev/null
+++ b/packages/daemon/src/owner/change.ts
@@ -0,0 +1,120 @@
+/**
+ * The changes that an owner writes to its shard's stream.
+ */
+import { Codec, array, boolean, enumeration, exactly, number, oneOf, optional, string, unknown, type GetType } from 'purify-ts/Codec'
+import { AllotmentCodec, EpochCodec, ResourcesCodec } from '@fireflymount/protocol/message'
+
+/** The kinds of change. */
+export enum ChangeKind {
+  /** A job was accepted. */
+  Accepted = 'accepted',
+  /** Tasks are about to be sent to workers. */
+  Attempt = 'attempt',
+  /** A run ended, or certainly never began. */
+  Ended = 'ended',
+  /** A job's cancellation was asked for. */
+  Cancelled = 'cancelled',
+  /** The standbys changed while the owner stayed. */
+  Standbys = 'standbys',
+  /** Part of a team's allotment left this shard. */
+  Lent = 'lent',
+  /** Part of a team's allotment came to this shard. */
+  Borrowed = 'borrowed',
+  /** The receiver of a lent part is known to have it. */
+  Settled = 'settled',
+  /** An operator closed a worker to new tasks, or opened it again. */
+  Drained = 'drained'
+}
+
+/** How a run ended. */
+export enum Outcome {
+  Succeeded = 'succeeded',
+  Failed = 'failed',
+  Cancelled = 'cancelled',
+  /** Nobody can establish how it ended. */
+  Unknown = 'unknown',
+  /** It ended or never began, and the task waits again. */
+  Again = 'again'
+}
+
+export const AcceptedCodec = Codec.interface({
+  kind: exactly(ChangeKind.Accepted),
+  job: string,
+  queue: string,
+  team: string,
+  digest: string,
+  idempotent: boolean,
+  gang: boolean,
+  tasks: number,
+  runtimeMs: number,
+  size: ResourcesCodec,
+  body: unknown,
+  atMs: number
+})
+
+export const RunCodec = Codec.interface({ task: string, attempt: number, worker: string, boot: string })
+
+export const AttemptCodec = Codec.interface({ kind: exactly(ChangeKind.Attempt), runs: array(RunCodec) })
+
+export const EndedCodec = Codec.interface({
+  kind: exactly(ChangeKind.Ended),
+  task: string,
+  attempt: number,
+  outcome: enumeration(Outcome),
+  result: optional(unknown),
+  detail: optional(string),
+  atMs: number
+})
+
+export const CancelledCodec = Codec.interface({ kind: exactly(ChangeKind.Cancelled), job: string, atMs: number })
+
+export const StandbysCodec = Codec.interface({ kind: exactly(ChangeKind.Standbys), epoch: EpochCodec, names: array(string) })
+
+/** Transfers from one shard to another of one team are numbered from 1; at most one is unsettled. */
+export const LentCodec = Codec.interface({
+  kind: exactly(ChangeKind.Lent),
+  to: string,
+  team: string,
+  sequence: number,
+  amount: AllotmentCodec
+})
+
+export const BorrowedCodec = Codec.interface({
+  kind: exactly(ChangeKind.Borrowed),
+  from: string,
+  team: string,
+  sequence: number,
+  amount: AllotmentCodec
+})
+
+export const SettledCodec = Codec.interface({ kind: exactly(ChangeKind.Settled), to: string, team: string, sequence: number })
+
+export const DrainedCodec = Codec.interface({ kind: exactly(ChangeKind.Drained), worker: string, drained: boolean })
+
+export const ChangeCodec = oneOf([
+  AttemptCodec, EndedCodec, AcceptedCodec, CancelledCodec, StandbysCodec, LentCodec, BorrowedCodec, SettledCodec,
+  DrainedCodec
+])
+
+export type Accepted = GetType<typeof AcceptedCodec>
+export type Run = GetType<typeof RunCodec>
+export type Attempt = GetType<typeof AttemptCodec>
+/** The end of a run. */
+export interface Ended {
+  readonly kind: ChangeKind.Ended
+  readonly task: string
+  readonly attempt: number
+  readonly outcome: Outcome
+  readonly result?: unknown
+  readonly detail?: string
+  readonly atMs: number
+}
+export type Cancelled = GetType<typeof CancelledCodec>
+export type Standbys = GetType<typeof StandbysCodec>
+export type Lent = GetType<typeof LentCodec>
+export type Borrowed = GetType<typeof BorrowedCodec>
+export type Settled = GetType<typeof SettledCodec>
+export type Drained = GetType<typeof DrainedCodec>
+
+/** Any change of a shard. */
+export type Change = Accepted | Attempt | Ended | Cancelled | Standbys | Lent | Borrowed | Settled | Drained
--- /dev/null
+++ b/packages/daemon/src/owner/owner.ts
@@ -0,0 +1,431 @@
+/**
+ * The owner of a shard under one epoch: adopts the workers, decides every placement, answers every request.
+ */
+import type { Clock } from '@fireflymount/platform/clock'
+import type { Journal } from '@fireflymount/platform/journal'
+import { VmState, type Vm } from '@fireflymount/platform/machines'
+import type { TaskReport, Worker, WorkerReport } from '@fireflymount/platform/worker'
+import type { Manifest, Queue } from '@fireflymount/manifest/manifest'
+import type { Timing } from '@fireflymount/manifest/settings'
+import { Shard } from '@fireflymount/policy/shard'
+import type { Scheduler } from '@fireflymount/policy/scheduler'
+import { Condition, Obstacle, type Placement, type Task } from '@fireflymount/policy/task'
+import type { Epoch } from '@fireflymount/protocol/epoch'
+import { Kind, type Allotment, type Request } from '@fireflymount/protocol/message'
+import { Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
+import { addResources, type Resources } from '@fireflymount/protocol/resources'
+import { Workload } from '@fireflymount/protocol/workload'
+import { err, ok, type Result } from 'neverthrow'
+import type { Metrics } from '../counters.js'
+import type { Members } from '../membership/members.js'
+import type { Allotments } from './allotments.js'
+import type { BurnCounts } from './burn.js'
+import { Calls } from './calls.js'
+import { ChangeKind, Outcome } from './change.js'
+import { Jobs } from './jobs.js'
+import { Lending } from './lending.js'
+import { Replicas } from './replicas.js'
+import { Runs } from './runs.js'
+import { Session } from './session.js'
+import { Stage, type ShardState } from './state.js'
+import { surveyShard } from './survey.js'
+import type { Router } from '../peer/router.js'
+
+/** Placements decided in one go, before other work of the process gets a turn. */
+const ROUND_PLACEMENTS = 64
+/** Time between two rounds of upkeep: services, allotments, parked tasks, deadlines. */
+const UPKEEP_MS = 100
+/** Longest wait for a drain to be written. */
+const DRAIN_PATIENCE_MS = 2000
+
+/** What an owner is built from. */
+export interface OwnerParts {
+  readonly shard: string
+  readonly node: string
+  readonly epoch: Epoch
+  readonly journal: Journal
+  readonly state: ShardState
+  readonly allotments: Allotments
+  readonly burn: BurnCounts
+  readonly members: Members
+  readonly router: Router
+  readonly manifest: () => Manifest
+  readonly connect: (vm: Vm) => Worker
+  readonly clock: Clock
+  readonly timing: Timing
+  readonly metrics: Metrics
+  /** True while this owner may act. */
+  readonly confirmed: () => boolean
+  /** Clock time after which former owners' leases have certainly lapsed; undefined while that is unknown. */
+  readonly inheritedLapseMs: () => number | undefined
+  /** A worker or the journal knows a newer owner. */
+  readonly onStale: (epoch: Epoch | undefined) => void
+}
+
+/** One period of ownership. */
+export class Owner {
+  readonly scheduler: Scheduler
+  readonly runs: Runs
+  readonly calls: Calls
+  readonly jobs: Jobs
+  readonly replicas: Replicas
+  readonly sessions = new Map<string, Session>()
+  private readonly lending: Lending
+  private readonly capacities = new Map<string, Resources>()
+  private manifest: Manifest | undefined
+  private upkeep: NodeJS.Timeout | undefined
+  private roundDue = false
+  private active = false
+
+  constructor (readonly parts: OwnerParts) {
+    const { shard, clock, journal, state, metrics } = parts
+    const weights = parts.manifest().upstreams.find((upstream) => upstream.name === shard)?.weights
+    this.scheduler = new Shard({ weights: weights ?? { waiting: 1, share: 1, packing: 1 } })
+    const scheduler = this.scheduler
+    const session = (worker: string): Session | undefined => this.sessions.get(worker)
+    const onRoom = (): void => { this.requestRound() }
+    const onSuperseded = (): void => { parts.onStale(undefined) }
+    this.runs = new Runs({
+      scheduler,
+      journal,
+      state,
+      clock,
+      metrics,
+      session,
+      confirmed: parts.confirmed,
+      bodyOf: (task) => this.bodyOf(task),
+      mayRepeat: (task) => this.jobs.mayRepeat(task),
+      attemptsOf: (task) => this.jobs.attemptsOf(task),
+      requeue: (task) => { this.requeue(task) },
+      onOver: (task, outcome) => { this.onRunOver(task, outcome) },
+      onStarted: (task) => { this.onStarted(task) },
+      onSuperseded,
+      onRoom
+    })
+    this.calls = new Calls({
+      epoch: parts.epoch,
+      scheduler,
+      clock,
+      metrics,
+      session,
+      onStarted: (task) => { this.onStarted(task) },
+      onOver: (task, succeeded) => { parts.burn.onOver(task.kind, task.team, succeeded, clock.wall()) },
+      onRoom
+    })
+    this.jobs = new Jobs({
+      scheduler,
+      journal,
+      state,
+      runs: this.runs,
+      clock,
+      manifest: parts.manifest,
+      capacities: () => [...this.capacities.values()],
+      onSuperseded,
+      onRoom
+    })
+    this.replicas = new Replicas({
+      shard,
+      scheduler,
+      journal,
+      state,
+      runs: this.runs,
+      clock,
+      manifest: parts.manifest,
+      isLeaving: (worker) => this.isClosed(worker),
+      onRoom
+    })
+    this.lending = new Lending({
+      ...parts,
+      scheduler,
+      uncertain: () => this.uncertain(),
+      onChange: () => { this.refreshClaims() }
+    })
+  }
+
+  /** Charges what may run, queues what waits, and adopts the workers. */
+  start (): void {
+    this.active = true
+    this.refreshManifest()
+    this.refreshWorkers()
+    this.inheritRuns()
+    this.jobs.resume()
+    this.upkeep = setInterval(() => { this.keepUp() }, UPKEEP_MS)
+  }
+
+  /** Stops deciding and answering. Requests that are at workers are answered when they end. */
+  stop (): void {
+    if (!this.active) return
+    this.active = false
+    clearInterval(this.upkeep)
+    this.calls.refuseAll(refuse(Reason.NotOwner, `The shard ${this.parts.shard} has a new owner.`, 0))
+    for (const session of this.sessions.values()) session.end()
+    this.closeWhenIdle()
+  }
+
+  /** Answers a request of another node. */
+  async handle (request: Request): Promise<Result<unknown, Refusal>> {
+    if (!this.active || !this.parts.confirmed()) {
+      return err(refuse(Reason.NotOwner, `This node cannot confirm that it owns ${this.parts.shard}.`, 500))
+    }
+    switch (request.kind) {
+      case Kind.Call: {
+        const queue = this.queue(request.queue)
+        if (queue === undefined) return err(refuse(Reason.NoSuchQueue, `There is no queue ${request.queue}.`, 500))
+        const answer = await this.calls.run(request, queue)
+        if (answer.isErr()) this.noteRefusal(request.queue, request.team, answer.error)
+        return answer
+      }
+      case Kind.Submit: return await this.jobs.submit(request)
+      case Kind.Status: return await this.jobs.status(request.job, request.waitMs)
+      case Kind.Cancel: return await this.jobs.cancel(request.job)
+      case Kind.Explain: return this.explain(request.job)
+      case Kind.Survey: return ok(surveyShard(this))
+      case Kind.Drain: return await this.drain(request.worker, request.drained)
+      case Kind.Borrow: return await this.lending.lend(request)
+      case Kind.Transfer: return await this.lending.take(request)
+      default: return err(refuse(Reason.Malformed, `An owner does not answer requests of kind ${request.kind}.`))
+    }
+  }
+
+  /** True if a worker takes nothing new: it leaves, or an operator drained it. */
+  isClosed (worker: string): boolean {
+    const vm = this.parts.members.vm(worker)
+    return vm?.state === VmState.Leaving || this.parts.state.drained.has(worker)
+  }
+
+  /** Decides soon; several asks in a row make one round. */
+  requestRound (): void {
+    if (this.roundDue) return
+    this.roundDue = true
+    queueMicrotask(() => { this.runRound() })
+  }
+
+  /** Requests that are at workers keep their connections until they are answered. */
+  private closeWhenIdle (): void {
+    if (this.calls.size() > 0) {
+      setTimeout(() => { this.closeWhenIdle() }, UPKEEP_MS)
+      return
+    }
+    for (const session of this.sessions.values()) session.close()
+  }
+
+  /** What former owners may still have running on workers that were never adopted: charged to every limited team. */
+  private uncertain (): Allotment {
+    let total: Allotment = { tasks: 0, cpuMilli: 0, memoryMb: 0, accelerators: 0 }
+    for (const session of this.sessions.values()) {
+      const { resources, slots } = session.parts.vm
+      if (!session.isUncertain() || resources === undefined || slots === undefined) continue
+      total = { tasks: total.tasks + slots, ...addResources(total, resources) }
+    }
+    return total
+  }
+
+  private runRound (): void {
+    this.roundDue = false
+    if (!this.active || !this.parts.confirmed()) return
+    const round = this.scheduler.decide(this.parts.clock.now(), ROUND_PLACEMENTS)
+    const durable: Placement[] = []
+    for (const expiry of round.expired) this.calls.refuse(expiry.task.id, expiry.refusal)
+    for (const preemption of round.preemptions) this.preempt(preemption.task, preemption.checkpoint)
+    for (const placement of round.placements) {
+      if (placement.task.workload === Workload.Request) {
+        this.calls.place(placement.task.id, placement.worker)
+        continue
+      }
+      if (placement.task.workload === Workload.Service) this.replicas.onPlaced(placement.task.id)
+      else this.jobs.onPlaced(placement.task)
+      durable.push(placement)
+    }
+    if (durable.length > 0) this.runs.launch(durable).catch((error: unknown) => { throw error })
+    if (round.placements.length >= ROUND_PLACEMENTS) setImmediate(() => { this.requestRound() })
+  }
+
+  private keepUp (): void {
+    this.refreshManifest()
+    this.refreshWorkers()
+    this.refreshClaims()
+    if (this.parts.journal.available()) this.jobs.unpark()
+    this.replicas.reconcile()
+    this.lending.keepUp()
+    this.requestRound()
+  }
+
+  private refreshManifest (): void {
+    const manifest = this.parts.manifest()
+    if (manifest === this.manifest) return
+    this.manifest = manifest
+    this.parts.burn.setObjectives(manifest.objectives)
+    for (const queue of manifest.queues) {
+      if (queue.upstream === this.parts.shard && queue.workload === Workload.Request) {
+        this.scheduler.setCapacity(queue.name, queue.capacity)
+      }
+    }
+    this.refreshClaims()
+  }
+
+  private refreshClaims (): void {
+    this.scheduler.setClaims(this.lending.claims())
+  }
+
+  private refreshWorkers (): void {
+    const seen = new Set<string>()
+    for (const vm of this.parts.members.workers(this.parts.shard)) {
+      seen.add(vm.id)
+      const session = this.sessions.get(vm.id)
+      if (session === undefined) this.openSession(vm)
+      else this.refreshCondition(session)
+    }
+    for (const [id, session] of this.sessions) {
+      if (seen.has(id) || !this.parts.members.isGone(id) || this.runs.on(id).length > 0) continue
+      session.close()
+      this.sessions.delete(id)
+      this.capacities.delete(id)
+      this.scheduler.setCondition(id, Condition.Closed)
+      this.scheduler.removeMachine(id)
+    }
+  }
+
+  private openSession (vm: Vm): void {
+    if (vm.resources === undefined || vm.slots === undefined) return
+    this.scheduler.setMachine({ id: vm.id, zone: vm.zone, rack: vm.rack, capacity: vm.resources, slots: vm.slots })
+    this.scheduler.setCondition(vm.id, Condition.Closed)
+    this.capacities.set(vm.id, vm.resources)
+    const session = new Session({
+      vm,
+      worker: this.parts.connect(vm),
+      epoch: this.parts.epoch,
+      clock: this.parts.clock,
+      timing: this.parts.timing,
+      confirmed: this.parts.confirmed,
+      inheritedLapseMs: this.parts.inheritedLapseMs,
+      isGone: () => this.parts.members.isGone(vm.id),
+      events: {
+        onAdopted: (adopted, report) => { this.onAdopted(adopted, report) },
+        onReport: (reporter, report) => this.onReport(reporter, report),
+        onSilent: (silent) => { this.scheduler.setCondition(silent.id, Condition.Closed) },
+        onLapsed: (lapsed) => { this.onLapsed(lapsed.id) },
+        onStale: this.parts.onStale
+      }
+    })
+    this.sessions.set(vm.id, session)
+    session.run().catch((error: unknown) => { throw error })
+  }
+
+  private onAdopted (session: Session, report: WorkerReport): void {
+    this.parts.metrics.count('worker.adopted')
+    this.refreshClaims()
+    this.runs.onAdopted(session, report)
+    this.calls.onAdopted(session, report)
+    for (const task of report.tasks) this.onReport(session, task)
+    this.refreshCondition(session)
+    this.requestRound()
+  }
+
+  private onReport (session: Session, report: TaskReport): boolean {
+    if (report.attempt > 0) return this.runs.onReport(session, report)
+    this.calls.onReport(session, report)
+    return true
+  }
+
+  private onLapsed (worker: string): void {
+    this.parts.metrics.count('worker.lapsed')
+    this.refreshClaims()
+    this.runs.onLapsed(worker)
+    this.calls.onLapsed(worker)
+  }
+
+  private refreshCondition (session: Session): void {
+    const open = session.adopted && !this.isClosed(session.id)
+    this.scheduler.setCondition(session.id, open ? Condition.Ready : Condition.Closed)
+  }
+
+  /** Charges every run that a former owner wrote, before anything new is placed. */
+  private inheritRuns (): void {
+    for (const job of this.parts.state.jobs.values()) {
+      for (const record of job.tasks) {
+        if (record.stage === Stage.Out) this.runs.inherit(this.jobs.createTask(job, record.id), record)
+      }
+    }
+    for (const record of this.parts.state.replicas.values()) {
+      const service = this.replicas.serviceOf(record.id)
+      if (record.stage !== Stage.Out) continue
+      this.runs.inherit(service === undefined ? createOrphan(record.id) : this.replicas.createTask(record.id, service), record)
+    }
+    for (const worker of this.runs.workers()) {
+      if (!this.sessions.has(worker)) this.loseUnknownWorker(worker)
+    }
+  }
+
+  /** The list of VMs does not have the worker: what ran there is over if the platform says so. */
+  private loseUnknownWorker (worker: string): void {
+    if (this.parts.members.isGone(worker)) this.onLapsed(worker)
+  }
+
+  private requeue (task: string): void {
+    if (!this.active) return
+    if (!this.replicas.owns(task)) this.jobs.requeue(task)
+  }
+
+  private onRunOver (task: Task, outcome: Outcome): void {
+    if (this.replicas.owns(task.id)) return
+    this.parts.burn.onOver(task.kind, task.team, outcome === Outcome.Succeeded, this.parts.clock.wall())
+    this.jobs.onOver(task.id)
+  }
+
+  private onStarted (task: Task): void {
+    const waitedMs = this.parts.clock.now() - task.submittedMs
+    this.parts.metrics.timing(`wait.${task.kind}`, waitedMs)
+    this.parts.burn.onStarted(task.kind, task.team, waitedMs, this.parts.clock.wall())
+  }
+
+  private noteRefusal (queue: string, team: string, refusal: Refusal): void {
+    if (refusal.reason === Reason.TaskFailed || refusal.reason === Reason.NotOwner) return
+    this.parts.burn.onRefused(queue, team, this.parts.clock.wall())
+  }
+
+  private preempt (task: string, checkpoint: boolean): void {
+    if (!this.replicas.owns(task) && !this.jobs.mayRepeat(task)) return
+    this.parts.metrics.count('run.preempted')
+    this.runs.stop(task, checkpoint)
+  }
+
+  private bodyOf (task: string): unknown {
+    if (this.replicas.owns(task)) return this.replicas.serviceOf(task)?.body
+    return this.jobs.bodyOf(task)
+  }
+
+  private queue (name: string): Queue | undefined {
+    return this.parts.manifest().queues.find((queue) => queue.name === name)
+  }
+
+  private explain (id: string): Result<unknown, Refusal> {
+    const job = this.parts.state.jobs.get(id)
+    if (job === undefined) return err(refuse(Reason.NoSuchJob, `There is no job ${id}.`))
+    const waiting = job.tasks.find((task) => task.stage === Stage.Waiting)
+    if (waiting === undefined) return ok({ job: id, obstacle: Obstacle.None, detail: 'No task of the job waits.', remedy: '' })
+    return ok({ job: id, ...this.scheduler.explain(waiting.id, this.parts.clock.now()) })
+  }
+
+  private async drain (worker: string, drained: boolean): Promise<Result<unknown, Refusal>> {
+    if (!this.sessions.has(worker)) return err(refuse(Reason.BadRequest, `The shard ${this.parts.shard} has no worker ${worker}.`))
+    const written = await this.parts.journal.commit({ kind: ChangeKind.Drained, worker, drained }, DRAIN_PATIENCE_MS)
+    if (written.isErr()) return err(refuse(Reason.LogUnavailable, 'The drain was not written: the log is away.', 5000))
+    this.refreshWorkers()
+    return ok({ shard: this.parts.shard, worker, drained })
+  }
+}
+
+/** A replica of a service that is no longer declared. It is stopped as soon as its worker is adopted. */
+function createOrphan (id: string): Task {
+  return {
+    id,
+    team: '',
+    kind: 'orphan',
+    workload: Workload.Service,
+    urgency: 'normal' as Task['urgency'],
+    size: { cpuMilli: 0, memoryMb: 0, accelerators: 0 },
+    runtimeMs: Infinity,
+    submittedMs: 0,
+    checkpoint: false
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/owner/role.ts
@@ -0,0 +1,419 @@
+/**
+ * This node's part in one shard: bystander, standby or owner.
+ */
+import { sleep, type Clock } from '@fireflymount/platform/clock'
+import { JournalFailure, type Holder, type Journal } from '@fireflymount/platform/journal'
+import type { Vm } from '@fireflymount/platform/machines'
+import type { Worker } from '@fireflymount/platform/worker'
+import type { Manifest } from '@fireflymount/manifest/manifest'
+import type { Settings } from '@fireflymount/manifest/settings'
+import { NO_EPOCH, compareEpochs, type Epoch } from '@fireflymount/protocol/epoch'
+import { Kind, PostCodec, type Pledge, type Post, type Request, type Vow } from '@fireflymount/protocol/message'
+import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
+import { err, ok, type Result } from 'neverthrow'
+import type { Logger } from 'pino'
+import type { Metrics } from '../counters.js'
+import { FOLLOWERS, type Members } from '../membership/members.js'
+import type { Router } from '../peer/router.js'
+import { Allotments } from './allotments.js'
+import { BurnCounts } from './burn.js'
+import { Confirmation } from './confirmation.js'
+import { Owner } from './owner.js'
+import type { ShardState } from './state.js'
+
+/** Time between two looks at the shard. */
+const TICK_MS = 50
+/** How long reads of the stream are held open. */
+const FOLLOW_WAIT_MS = 1000
+/** Extra patience of a standby for each standby before it. */
+const STAGGER_MS = 400
+/** Extra patience while the holder's process answers but owns nothing. */
+const VACANCY_MS = 100
+/** Refused connections in a row after which the owner's process counts as dead. */
+const REFUSALS = 2
+const CATCH_UP_RETRY_MS = 200
+/** Wait for the successor's claim during a planned stop. */
+const HANDOVER_TIMEOUT_MS = 2000
+/** Bounds on clock drift and delay when leases of a former owner are concluded to have lapsed. */
+const LAPSE_FACTOR = 1.01
+const LAPSE_MARGIN_MS = 100
+
+/** What a role is built from. */
+export interface RoleParts {
+  readonly shard: string
+  readonly settings: Settings
+  readonly journal: Journal
+  readonly state: ShardState
+  readonly members: Members
+  readonly router: Router
+  readonly manifest: () => Manifest
+  readonly connect: (vm: Vm) => Worker
+  readonly clock: Clock
+  readonly metrics: Metrics
+  readonly logger: Logger
+}
+
+/** One shard as this node takes part in it. */
+export class Role {
+  private readonly allotments: Allotments
+  private readonly burn: BurnCounts
+  private manifest: Manifest | undefined
+  private owner: Owner | undefined
+  private confirmation: Confirmation | undefined
+  private following: AbortController | undefined
+  private caughtUp = false
+  private claiming = false
+  private leaving = false
+  /** Until then the shard is not claimed. A restarted process may have promised before it stopped. */
+  private promisedUntilMs: number
+  private heardAtMs = -Infinity
+  private vacantAtMs: number | undefined
+  private refusals = 0
+  private newest: Epoch = NO_EPOCH
+
+  constructor (private readonly parts: RoleParts) {
+    this.allotments = new Allotments(parts.shard)
+    this.burn = new BurnCounts(parts.settings.node, parts.clock.wall())
+    this.promisedUntilMs = parts.clock.now() + parts.settings.timing.confirmationMs
+    parts.journal.onHolder((holder) => { this.onHolder(holder) })
+  }
+
+  /** Runs until the signal. */
+  async run (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.refreshManifest()
+      if (this.owner !== undefined) await this.keepOwnership()
+      else if (this.isFollower()) await this.watch(signal)
+      else this.unfollow()
+      await sleep(TICK_MS, signal)
+    }
+    this.unfollow()
+    this.retire('The node stops.')
+  }
+
+  /** True while this node owns the shard and may act. */
+  owns (): boolean {
+    return this.owner !== undefined && this.confirmation !== undefined && this.confirmation.holds()
+  }
+
+  /** Requests at workers that this node still waits for. */
+  callsInProgress (): number {
+    return this.owner?.calls.size() ?? 0
+  }
+
+  /** Answers a request about the shard. */
+  async handle (request: Request): Promise<Result<unknown, Refusal>> {
+    switch (request.kind) {
+      case Kind.Watch: return ok(this.post())
+      case Kind.Promise: return ok(this.promise(request))
+      case Kind.Handover: return await this.takeHandover(request.epoch)
+    }
+    if (this.owner !== undefined) return await this.owner.handle(request)
+    return err(this.notOwner())
+  }
+
+  /** Hands the shard to the first standby that answers, before a planned stop. */
+  async release (): Promise<void> {
+    this.leaving = true
+    const { owner } = this
+    if (owner === undefined) return
+    for (const standby of this.standbys()) {
+      const request: Request = { kind: Kind.Handover, shard: this.parts.shard, epoch: owner.parts.epoch }
+      const taken = await this.parts.router.askNode(standby, request, HANDOVER_TIMEOUT_MS)
+      if (taken.isErr()) continue
+      this.newest = later(this.newest, (taken.value as Post).epoch)
+      this.retire(`Node ${standby} took the shard over.`)
+      return
+    }
+  }
+
+  private post (): Post {
+    const epoch = this.owner?.parts.epoch ?? this.newest
+    if (this.owner !== undefined) return { epoch, owner: true }
+    return { epoch, owner: false, heardMs: Math.min(this.parts.clock.now() - this.heardAtMs, Number.MAX_SAFE_INTEGER) }
+  }
+
+  private promise (pledge: Pledge): Vow {
+    const granted = this.owner === undefined && !this.claiming && compareEpochs(pledge.epoch, this.newest) >= 0
+    if (!granted) return { granted, epoch: this.owner?.parts.epoch ?? this.newest }
+    this.newest = pledge.epoch
+    this.heardAtMs = this.parts.clock.now()
+    this.promisedUntilMs = Math.max(this.promisedUntilMs, this.parts.clock.now() + pledge.forMs)
+    return { granted, epoch: pledge.epoch }
+  }
+
+  /** The owner asks for it, so that no silence has to be waited for and no promise is broken. */
+  private async takeHandover (epoch: Epoch): Promise<Result<Post, Refusal>> {
+    if (this.leaving || this.owner !== undefined || compareEpochs(epoch, this.newest) < 0) return err(this.notOwner())
+    this.promisedUntilMs = -Infinity
+    await this.claim(false)
+    if (this.owner === undefined) return err(this.notOwner())
+    return ok(this.post())
+  }
+
+  private notOwner (): Refusal {
+    const node = this.parts.journal.holder()?.epoch.node
+    const refusal = refuse(Reason.NotOwner, `This node does not own ${this.parts.shard}.`, 500)
+    const known = this.caughtUp && node !== undefined && node !== this.parts.settings.node
+    return known ? { ...refusal, execution: Execution.NotRun, node } : refusal
+  }
+
+  private isFollower (): boolean {
+    if (this.leaving) return false
+    const { node } = this.parts.settings
+    const holder = this.parts.journal.holder()
+    if (holder !== undefined && this.standbysOf(holder).includes(node)) return true
+    return this.candidates().slice(0, FOLLOWERS).includes(node)
+  }
+
+  private candidates (): string[] {
+    const upstream = this.parts.manifest().upstreams.find((candidate) => candidate.name === this.parts.shard)
+    return this.parts.members.candidates(this.parts.shard, upstream?.zones ?? [])
+  }
+
+  private follow (): void {
+    if (this.following !== undefined) return
+    this.following = new AbortController()
+    this.parts.journal.follow(FOLLOW_WAIT_MS, this.following.signal).catch((error: unknown) => { throw error })
+  }
+
+  private unfollow (): void {
+    this.following?.abort()
+    this.following = undefined
+    this.caughtUp = false
+  }
+
+  private refreshManifest (): void {
+    const manifest = this.parts.manifest()
+    if (manifest === this.manifest) return
+    this.manifest = manifest
+    this.allotments.setManifest(manifest, this.parts.clock.now())
+  }
+
+  /** One look of a standby at the owner. */
+  private async watch (signal: AbortSignal): Promise<void> {
+    if (!this.caughtUp) {
+      const read = await this.parts.journal.catchUp()
+      if (read.isErr()) return await sleep(CATCH_UP_RETRY_MS, signal)
+      this.caughtUp = true
+      this.heardAtMs = this.parts.clock.now()
+      this.follow()
+    }
+    const holder = this.parts.journal.holder()
+    if (holder === undefined) return await this.claimVacant()
+    if (holder.epoch.node === this.parts.settings.node) return await this.claim(false)
+    await this.look(holder)
+    if (this.isDue(holder)) await this.takeOver(holder)
+  }
+
+  /** The shard never had an owner: the first candidate claims it, the others wait a little. */
+  private async claimVacant (): Promise<void> {
+    const rank = this.candidates().indexOf(this.parts.settings.node)
+    if (this.parts.clock.now() - this.heardAtMs < rank * STAGGER_MS) return
+    await this.claim(false)
+  }
+
+  private async look (holder: Holder): Promise<void> {
+    const { timing } = this.parts.settings
+    const sentMs = this.parts.clock.now()
+    const answer = await this.parts.router.askNode(
+      this.ownerNode(holder),
+      { kind: Kind.Watch, shard: this.parts.shard },
+      timing.takeoverMs
+    )
+    if (answer.isErr()) {
+      this.refusals = answer.error.execution === Execution.NotRun ? this.refusals + 1 : 0
+      return
+    }
+    this.refusals = 0
+    const post = PostCodec.decode(answer.value).extract() as Post | string
+    if (typeof post === 'string') return
+    this.newest = later(this.newest, post.epoch)
+    if (post.owner) {
+      this.heardAtMs = this.parts.clock.now()
+      this.vacantAtMs = undefined
+      await sleep(Math.max(0, timing.heartbeatMs - (this.heardAtMs - sentMs)))
+      return
+    }
+    this.vacantAtMs ??= this.parts.clock.now()
+  }
+
+  /** The node that last was known to own the shard: the holder, or one that took over while the log was away. */
+  private ownerNode (holder: Holder): string {
+    const provisional = compareEpochs(this.newest, holder.epoch) > 0 && this.newest.node !== this.parts.settings.node
+    return provisional ? this.newest.node : holder.epoch.node
+  }
+
+  private isDue (holder: Holder): boolean {
+    const now = this.parts.clock.now()
+    if (now < this.promisedUntilMs || this.leaving) return false
+    const rank = this.rankAfter(holder)
+    if (rank === undefined) return false
+    if (this.vacantAtMs !== undefined && now - this.vacantAtMs > VACANCY_MS + rank * STAGGER_MS) return true
+    const patienceMs = this.refusals >= REFUSALS ? 0 : this.parts.settings.timing.takeoverMs
+    return now - this.heardAtMs > patienceMs + rank * STAGGER_MS
+  }
+
+  /** Position among the successors; a node that is no standby succeeds only an owner whose VM is gone. */
+  private rankAfter (holder: Holder): number | undefined {
+    const { node } = this.parts.settings
+    const rank = this.standbysOf(holder).indexOf(node)
+    if (rank >= 0) return rank
+    if (!this.parts.members.isGone(holder.epoch.node)) return undefined
+    return FOLLOWERS + Math.max(0, this.candidates().indexOf(node))
+  }
+
+  private async takeOver (holder: Holder): Promise<void> {
+    if (await this.isHeardByOthers(holder)) {
+      this.parts.metrics.count('takeover.held')
+      await sleep(this.parts.settings.timing.heartbeatMs)
+      return
+    }
+    await this.claim(this.standbysOf(holder).includes(this.parts.settings.node))
+  }
+
+  /** Asks the other standbys whether the owner is only unreachable from here. */
+  private async isHeardByOthers (holder: Holder): Promise<boolean> {
+    const { timing, node } = this.parts.settings
+    const others = this.standbysOf(holder).filter((standby) => standby !== node)
+    const asks = others.map((standby) =>
+      this.parts.router.askNode(standby, { kind: Kind.Watch, shard: this.parts.shard }, timing.heartbeatMs))
+    for (const answer of await Promise.all(asks)) {
+      if (answer.isErr()) continue
+      const post = answer.value as Post
+      this.newest = later(this.newest, post.epoch)
+      if (post.owner || (post.heardMs !== undefined && post.heardMs < timing.heartbeatMs)) return true
+    }
+    return false
+  }
+
+  /**
+   * Claims the shard under a new epoch.
+   *
+   * @param provisionally take it over at the workers if the log is away
+   */
+  private async claim (provisionally: boolean): Promise<void> {
+    const { journal, settings, clock } = this.parts
+    const before = journal.holder()
+    if (before !== undefined && clock.now() < this.promisedUntilMs) return
+    this.claiming = true
+    const epoch = { counter: Math.max(this.newest.counter, before?.epoch.counter ?? 0) + 1, node: settings.node }
+    const claimed = await journal.claim(epoch, this.wantedStandbys())
+    this.claiming = false
+    if (claimed.isOk()) {
+      this.become(epoch, this.wantedStandbys(), before === undefined ? -Infinity : clock.now(), false)
+      return
+    }
+    if (claimed.error.failure === JournalFailure.Superseded) {
+      this.newest = later(this.newest, journal.holder()?.epoch ?? NO_EPOCH)
+      this.heardAtMs = clock.now()
+      return
+    }
+    if (!provisionally || before === undefined || this.owner !== undefined) return
+    this.become(epoch, this.standbysOf(before).filter((standby) => standby !== settings.node), undefined, true)
+  }
+
+  private become (epoch: Epoch, standbys: readonly string[], fencedAtMs: number | undefined, provisional: boolean): void {
+    const { parts } = this
+    this.retire('A newer epoch begins.')
+    this.newest = epoch
+    this.vacantAtMs = undefined
+    const { timing } = parts.settings
+    const confirmation = new Confirmation({
+      shard: parts.shard,
+      epoch,
+      standbys,
+      provisional,
+      fencedAtMs,
+      timing,
+      journal: parts.journal,
+      members: parts.members,
+      router: parts.router,
+      clock: parts.clock
+    })
+    const owner: Owner = new Owner({
+      ...parts,
+      node: parts.settings.node,
+      epoch,
+      allotments: this.allotments,
+      burn: this.burn,
+      timing,
+      confirmed: () => this.owner === owner && confirmation.holds(),
+      inheritedLapseMs: () => confirmation.lapseMs(LAPSE_FACTOR, LAPSE_MARGIN_MS),
+      onStale: (newer) => { this.onStale(owner, newer) }
+    })
+    this.confirmation = confirmation
+    this.owner = owner
+    this.parts.metrics.count('shard.claimed')
+    this.parts.logger.info({ shard: parts.shard, epoch, provisional }, 'shard owned')
+    owner.start()
+  }
+
+  private async keepOwnership (): Promise<void> {
+    const { owner, confirmation } = this
+    if (owner === undefined || confirmation === undefined) return
+    if (confirmation.provisional) await this.claimProvisional(owner, confirmation)
+    await confirmation.refresh()
+    if (this.owner !== owner || confirmation.provisional) return
+    await confirmation.setStandbys(this.wantedStandbys())
+    const compacted = await this.parts.journal.compact()
+    if (compacted.isOk() && compacted.value) this.parts.metrics.count('shard.snapshot')
+  }
+
+  /** Appends the claim of a takeover that happened while the log was away. */
+  private async claimProvisional (owner: Owner, confirmation: Confirmation): Promise<void> {
+    const claimed = await this.parts.journal.claim(owner.parts.epoch, confirmation.standbys())
+    if (claimed.isOk()) {
+      confirmation.settle(this.parts.clock.now())
+      this.parts.logger.info({ shard: this.parts.shard, epoch: owner.parts.epoch }, 'takeover written to the log')
+      return
+    }
+    if (claimed.error.failure === JournalFailure.Superseded) this.retire('Another node claimed the shard in the log.')
+  }
+
+  private onHolder (holder: Holder): void {
+    this.newest = later(this.newest, holder.epoch)
+    const { owner } = this
+    if (owner === undefined || compareEpochs(holder.epoch, owner.parts.epoch) <= 0) return
+    this.heardAtMs = this.parts.clock.now()
+    this.retire(`Node ${holder.epoch.node} claimed the shard.`)
+  }
+
+  private onStale (owner: Owner, newer: Epoch | undefined): void {
+    if (this.owner !== owner) return
+    if (newer !== undefined) this.newest = later(this.newest, newer)
+    this.heardAtMs = this.parts.clock.now()
+    this.retire('A worker or the log knows a newer epoch.')
+  }
+
+  private retire (detail: string): void {
+    const { owner } = this
+    if (owner === undefined) return
+    this.owner = undefined
+    this.confirmation = undefined
+    this.refusals = 0
+    owner.stop()
+    this.parts.metrics.count('shard.retired')
+    this.parts.logger.info({ shard: this.parts.shard, epoch: owner.parts.epoch, detail }, 'shard given up')
+  }
+
+  private wantedStandbys (): string[] {
+    const others = this.candidates().filter((node) => node !== this.parts.settings.node)
+    return others.slice(0, FOLLOWERS - 1)
+  }
+
+  private standbys (): readonly string[] {
+    return this.confirmation?.standbys() ?? []
+  }
+
+  /** The standbys in force under a claim: those of the claim, or of the last change under it. */
+  private standbysOf (holder: Holder): readonly string[] {
+    const changed = this.parts.state.standbys
+    if (changed !== undefined && compareEpochs(changed.epoch, holder.epoch) === 0) return changed.names
+    return holder.standbys
+  }
+}
+
+function later (left: Epoch, right: Epoch): Epoch {
+  return compareEpochs(left, right) >= 0 ? left : right
+}
--- /dev/null
+++ b/packages/daemon/src/owner/roles.ts
@@ -0,0 +1,138 @@
+/**
+ * This node's roles in all shards, and the dispatch of requests to them.
+ */
+import { SNAPSHOT_MS, SNAPSHOT_RECORDS, STREAM_PATIENCE_MS } from './stream.js'
+import type { Clock } from '@fireflymount/platform/clock'
+import type { Log } from '@fireflymount/platform/log'
+import type { Vm } from '@fireflymount/platform/machines'
+import { Stream } from '@fireflymount/platform/stream'
+import type { Worker } from '@fireflymount/platform/worker'
+import type { Manifest } from '@fireflymount/manifest/manifest'
+import type { Settings } from '@fireflymount/manifest/settings'
+import { Kind, type Request } from '@fireflymount/protocol/message'
+import { Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
+import { err, type Result } from 'neverthrow'
+import type { Logger } from 'pino'
+import type { Metrics } from '../counters.js'
+import type { Members } from '../membership/members.js'
+import type { Router } from '../peer/router.js'
+import { Role } from './role.js'
+import { ShardState } from './state.js'
+
+/** When coming back helps after this node did not know a shard. */
+const UNKNOWN_RETRY_MS = 500
+
+/** What roles are built from. */
+export interface RolesParts {
+  readonly settings: Settings
+  readonly log: Log
+  readonly members: Members
+  readonly router: Router
+  readonly manifest: () => Manifest
+  readonly connect: (vm: Vm) => Worker
+  readonly clock: Clock
+  readonly metrics: Metrics
+  readonly logger: Logger
+}
+
+/** One role for each upstream of the manifest. */
+export class Roles {
+  private readonly roles = new Map<string, Role>()
+  private readonly stops = new Map<string, AbortController>()
+  private readonly streams: Stream[] = []
+
+  constructor (private readonly parts: RolesParts) {}
+
+  /** Takes the upstreams of a new revision. */
+  setManifest (manifest: Manifest): void {
+    for (const upstream of manifest.upstreams) {
+      if (!this.roles.has(upstream.name)) this.open(upstream.name)
+    }
+    for (const name of this.roles.keys()) {
+      if (!manifest.upstreams.some((upstream) => upstream.name === name)) this.close(name)
+    }
+  }
+
+  /** Answers a request that is for the owner or a standby of a shard. */
+  async handle (request: Request): Promise<Result<unknown, Refusal>> {
+    const shard = this.shardOf(request)
+    const role = shard === undefined ? undefined : this.roles.get(shard)
+    if (role === undefined) return err(refuse(Reason.NotOwner, `This node does not know the shard ${shard}.`, UNKNOWN_RETRY_MS))
+    return await role.handle(request)
+  }
+
+  /** Hands all shards over before a planned stop. */
+  async release (): Promise<void> {
+    await Promise.all([...this.roles.values()].map((role) => role.release()))
+  }
+
+  /** Requests at workers that this node still waits for. */
+  callsInProgress (): number {
+    let calls = 0
+    for (const role of this.roles.values()) calls += role.callsInProgress()
+    return calls
+  }
+
+  /** Shards that this node owns. */
+  owned (): string[] {
+    const names: string[] = []
+    for (const [name, role] of this.roles) {
+      if (role.owns()) names.push(name)
+    }
+    return names
+  }
+
+  /** Ends all roles. */
+  stop (): void {
+    for (const name of [...this.roles.keys()]) this.close(name)
+    for (const stream of this.streams) stream.close()
+  }
+
+  private open (shard: string): void {
+    const { settings, log, clock } = this.parts
+    const state = new ShardState()
+    const journal = new Stream({
+      log,
+      stream: `shard.${shard}`,
+      clock,
+      fold: state,
+      commitMs: settings.timing.commitMs,
+      snapshotRecords: SNAPSHOT_RECORDS,
+      snapshotMs: SNAPSHOT_MS,
+      patienceMs: STREAM_PATIENCE_MS
+    })
+    const role = new Role({ ...this.parts, shard, journal, state })
+    const stop = new AbortController()
+    this.streams.push(journal)
+    this.roles.set(shard, role)
+    this.stops.set(shard, stop)
+    role.run(stop.signal).catch((error: unknown) => { throw error })
+  }
+
+  private close (shard: string): void {
+    this.stops.get(shard)?.abort()
+    this.stops.delete(shard)
+    this.roles.delete(shard)
+  }
+
+  private shardOf (request: Request): string | undefined {
+    switch (request.kind) {
+      case Kind.Call:
+        return this.parts.manifest().queues.find((queue) => queue.name === request.queue)?.upstream
+      case Kind.Submit:
+      case Kind.Status:
+      case Kind.Cancel:
+      case Kind.Explain:
+        return shardOfJob(request.job)
+      case Kind.Transfer: return request.to
+      case Kind.Borrow: return request.from
+      case Kind.Records: return undefined
+      default: return request.shard
+    }
+  }
+}
+
+function shardOfJob (job: string): string | undefined {
+  const dot = job.lastIndexOf('.')
+  return dot < 0 ? undefined : job.slice(0, dot)
+}
--- /dev/null
+++ b/packages/daemon/src/owner/state.ts
@@ -0,0 +1,380 @@
+/**
+ * The durable state of a shard, folded from its stream by the owner and its standbys alike.
+ */
+import { Fold } from '@fireflymount/platform/journal'
+import { JobState, type Allotment, type Job } from '@fireflymount/protocol/message'
+import type { Resources } from '@fireflymount/protocol/resources'
+import {
+  ChangeCodec, ChangeKind, Outcome,
+  type Accepted, type Borrowed, type Cancelled, type Change, type Drained, type Ended, type Lent, type Run, type Settled,
+  type Standbys
+} from './change.js'
+
+/** How long an ended job is kept, so that a repeated idempotency key gets the first answer. */
+export const JOB_RETENTION_MS = 24 * 3600 * 1000
+
+/** Size of one part of a snapshot, in bytes of JSON. */
+const PART_BYTES = 150_000
+
+/** Where a task stands. */
+export enum Stage {
+  Waiting = 'waiting',
+  /** An attempt was written; the task may run on the worker named. */
+  Out = 'out',
+  Over = 'over'
+}
+
+/** A task of a job, or a replica of a service. */
+export interface TaskRecord {
+  readonly id: string
+  stage: Stage
+  /** Number of the last attempt, from 1; 0 before the first. */
+  attempt: number
+  /** Attempts that ran and failed. */
+  failures: number
+  worker?: string
+  boot?: string
+  outcome?: Outcome
+  result?: unknown
+  detail?: string
+}
+
+/** A job with its tasks. */
+export interface JobRecord {
+  readonly job: string
+  readonly queue: string
+  readonly team: string
+  readonly digest: string
+  readonly idempotent: boolean
+  readonly gang: boolean
+  readonly runtimeMs: number
+  readonly size: Resources
+  readonly body: unknown
+  readonly acceptedMs: number
+  readonly tasks: TaskRecord[]
+  cancelled: boolean
+  /** Tasks that are not over. */
+  left: number
+  endedMs?: number
+}
+
+/** A transfer of allotment that this shard gave away and that its receiver is not known to have. */
+export interface Loan {
+  readonly to: string
+  readonly team: string
+  readonly sequence: number
+  readonly amount: Allotment
+}
+
+interface Saved {
+  readonly jobs?: JobRecord[]
+  readonly replicas?: TaskRecord[]
+  readonly loans?: Loan[]
+  readonly lent?: Array<[string, number]>
+  readonly borrowed?: Array<[string, number]>
+  readonly net?: Array<[string, Allotment]>
+  readonly drained?: string[]
+  readonly standbys?: Standbys
+}
+
+/** Everything that a new owner must know. */
+export class ShardState extends Fold {
+  readonly jobs = new Map<string, JobRecord>()
+  /** Replicas of services, by task id. */
+  readonly replicas = new Map<string, TaskRecord>()
+  /** Unsettled transfers, by receiver and team. */
+  readonly loans = new Map<string, Loan>()
+  /** Number of the last transfer given, by receiver and team. */
+  readonly lent = new Map<string, number>()
+  /** Number of the last transfer taken, by giver and team. */
+  readonly borrowed = new Map<string, number>()
+  /** What a team's allotment gained by all transfers, by team; negative where it lost. */
+  readonly net = new Map<string, Allotment>()
+  /** Workers that an operator closed to new tasks. */
+  readonly drained = new Set<string>()
+  standbys: Standbys | undefined
+  /** Changes that no codec accepted. */
+  malformed = 0
+  private readonly jobOfTask = new Map<string, JobRecord>()
+  private readonly tasks = new Map<string, TaskRecord>()
+
+  override apply (value: unknown): void {
+    const change = ChangeCodec.decode(value)
+    if (change.isLeft()) {
+      this.malformed++
+      return
+    }
+    this.applyChange(change.extract() as Change)
+  }
+
+  override snapshot (): readonly unknown[] {
+    this.prune(this.newestMs())
+    const parts: Saved[] = [{
+      replicas: [...this.replicas.values()],
+      loans: [...this.loans.values()],
+      lent: [...this.lent],
+      borrowed: [...this.borrowed],
+      net: [...this.net],
+      drained: [...this.drained],
+      ...(this.standbys === undefined ? {} : { standbys: this.standbys })
+    }]
+    let batch: JobRecord[] = []
+    let bytes = 0
+    for (const job of this.jobs.values()) {
+      bytes += JSON.stringify(job).length
+      batch.push(job)
+      if (bytes < PART_BYTES) continue
+      parts.push({ jobs: batch })
+      batch = []
+      bytes = 0
+    }
+    parts.push({ jobs: batch })
+    // The parts are written over some time, while the state goes on changing.
+    return structuredClone(parts)
+  }
+
+  override restore (parts: readonly unknown[]): void {
+    this.clear()
+    for (const part of parts as readonly Saved[]) {
+      for (const job of part.jobs ?? []) this.index(structuredClone(job))
+      for (const replica of part.replicas ?? []) this.indexReplica({ ...replica })
+      for (const loan of part.loans ?? []) this.loans.set(transferKey(loan.to, loan.team), loan)
+      for (const [key, sequence] of part.lent ?? []) this.lent.set(key, sequence)
+      for (const [key, sequence] of part.borrowed ?? []) this.borrowed.set(key, sequence)
+      for (const [team, amount] of part.net ?? []) this.net.set(team, amount)
+      for (const worker of part.drained ?? []) this.drained.add(worker)
+      if (part.standbys !== undefined) this.standbys = part.standbys
+    }
+  }
+
+  /** @returns the task or replica with this id */
+  task (id: string): TaskRecord | undefined {
+    return this.tasks.get(id)
+  }
+
+  /** @returns the job that a task belongs to; undefined for a replica */
+  jobOf (task: string): JobRecord | undefined {
+    return this.jobOfTask.get(task)
+  }
+
+  /** Drops jobs that ended longer ago than the retention. */
+  prune (nowMs: number): void {
+    for (const job of this.jobs.values()) {
+      if (job.endedMs === undefined || nowMs - job.endedMs < JOB_RETENTION_MS) continue
+      this.jobs.delete(job.job)
+      for (const task of job.tasks) {
+        this.tasks.delete(task.id)
+        this.jobOfTask.delete(task.id)
+      }
+    }
+  }
+
+  private applyChange (change: Change): void {
+    switch (change.kind) {
+      case ChangeKind.Accepted: return this.accept(change)
+      case ChangeKind.Attempt: return this.attempt(change.runs)
+      case ChangeKind.Ended: return this.end(change)
+      case ChangeKind.Cancelled: return this.cancel(change)
+      case ChangeKind.Standbys:
+        this.standbys = change
+        return
+      case ChangeKind.Lent: return this.lend(change)
+      case ChangeKind.Borrowed: return this.borrow(change)
+      case ChangeKind.Settled: return this.settle(change)
+      case ChangeKind.Drained: return this.drain(change)
+    }
+  }
+
+  private accept (change: Accepted): void {
+    if (this.jobs.has(change.job)) return
+    const tasks: TaskRecord[] = []
+    for (let index = 0; index < change.tasks; index++) {
+      tasks.push({ id: `${change.job}/${index}`, stage: Stage.Waiting, attempt: 0, failures: 0 })
+    }
+    this.index({
+      job: change.job,
+      queue: change.queue,
+      team: change.team,
+      digest: change.digest,
+      idempotent: change.idempotent,
+      gang: change.gang,
+      runtimeMs: change.runtimeMs,
+      size: change.size,
+      body: change.body,
+      acceptedMs: change.atMs,
+      tasks,
+      cancelled: false,
+      left: tasks.length
+    })
+  }
+
+  private attempt (runs: readonly Run[]): void {
+    for (const run of runs) {
+      const task = this.tasks.get(run.task) ?? this.indexReplica({ id: run.task, stage: Stage.Waiting, attempt: 0, failures: 0 })
+      if (run.attempt <= task.attempt) continue
+      task.stage = Stage.Out
+      task.attempt = run.attempt
+      task.worker = run.worker
+      task.boot = run.boot
+    }
+  }
+
+  private end (change: Ended): void {
+    const task = this.tasks.get(change.task)
+    if (task === undefined || task.attempt !== change.attempt) return
+    if (task.stage === Stage.Over && task.outcome !== Outcome.Unknown) return
+    const job = this.jobOfTask.get(change.task)
+    if (change.outcome === Outcome.Again) {
+      if (task.stage === Stage.Out) task.stage = Stage.Waiting
+      if (change.detail !== undefined) task.failures++
+      if (job?.cancelled) this.close(job, task, Outcome.Cancelled, change)
+      return
+    }
+    if (job === undefined) {
+      this.replicas.delete(task.id)
+      this.tasks.delete(task.id)
+      return
+    }
+    this.close(job, task, change.outcome, change)
+  }
+
+  private close (job: JobRecord, task: TaskRecord, outcome: Outcome, change: Ended | Cancelled): void {
+    if (task.stage !== Stage.Over) job.left--
+    task.stage = Stage.Over
+    task.outcome = outcome
+    if (change.kind === ChangeKind.Ended && outcome === change.outcome) {
+      task.result = change.result
+      if (change.detail !== undefined) task.detail = change.detail
+    }
+    if (job.left === 0) job.endedMs ??= change.atMs
+  }
+
+  private cancel (change: Cancelled): void {
+    const job = this.jobs.get(change.job)
+    if (job === undefined || job.endedMs !== undefined) return
+    job.cancelled = true
+    for (const task of job.tasks) {
+      if (task.stage === Stage.Waiting) this.close(job, task, Outcome.Cancelled, change)
+    }
+  }
+
+  private lend (change: Lent): void {
+    const key = transferKey(change.to, change.team)
+    if (change.sequence <= (this.lent.get(key) ?? 0)) return
+    this.lent.set(key, change.sequence)
+    this.loans.set(key, { to: change.to, team: change.team, sequence: change.sequence, amount: change.amount })
+    this.move(change.team, change.amount, -1)
+  }
+
+  private borrow (change: Borrowed): void {
+    const key = transferKey(change.from, change.team)
+    if (change.sequence <= (this.borrowed.get(key) ?? 0)) return
+    this.borrowed.set(key, change.sequence)
+    this.move(change.team, change.amount, 1)
+  }
+
+  private settle (change: Settled): void {
+    const key = transferKey(change.to, change.team)
+    if (this.loans.get(key)?.sequence === change.sequence) this.loans.delete(key)
+  }
+
+  private drain (change: Drained): void {
+    if (change.drained) this.drained.add(change.worker)
+    else this.drained.delete(change.worker)
+  }
+
+  private move (team: string, amount: Allotment, sign: number): void {
+    const net = this.net.get(team) ?? { tasks: 0, cpuMilli: 0, memoryMb: 0, accelerators: 0 }
+    this.net.set(team, {
+      tasks: net.tasks + sign * amount.tasks,
+      cpuMilli: net.cpuMilli + sign * amount.cpuMilli,
+      memoryMb: net.memoryMb + sign * amount.memoryMb,
+      accelerators: net.accelerators + sign * amount.accelerators
+    })
+  }
+
+  private index (job: JobRecord): void {
+    this.jobs.set(job.job, job)
+    for (const task of job.tasks) {
+      this.tasks.set(task.id, task)
+      this.jobOfTask.set(task.id, job)
+    }
+  }
+
+  private indexReplica (task: TaskRecord): TaskRecord {
+    this.replicas.set(task.id, task)
+    this.tasks.set(task.id, task)
+    return task
+  }
+
+  private clear (): void {
+    this.jobs.clear()
+    this.replicas.clear()
+    this.loans.clear()
+    this.lent.clear()
+    this.borrowed.clear()
+    this.net.clear()
+    this.drained.clear()
+    this.tasks.clear()
+    this.jobOfTask.clear()
+    this.standbys = undefined
+  }
+
+  private newestMs (): number {
+    let newest = 0
+    for (const job of this.jobs.values()) newest = Math.max(newest, job.endedMs ?? job.acceptedMs)
+    return newest
+  }
+}
+
+/**
+ * Names the sequence of transfers between two shards for one team.
+ *
+ * @param shard the other shard
+ * @param team the team
+ * @returns the key
+ *
+ * @example
+ * state.loans.get(transferKey('cloth-studio', 'guild'))
+ */
+export function transferKey (shard: string, team: string): string {
+  return `${shard}/${team}`
+}
+
+/**
+ * Describes a job to its caller.
+ *
+ * @param record the job
+ * @returns state, attempts, and the result once it ended: of the only task, or one for each task
+ *
+ * @example
+ * return ok(describeJob(state.jobs.get(id)))
+ */
+export function describeJob (record: JobRecord): Job {
+  let attempts = 0
+  for (const task of record.tasks) attempts += task.attempt
+  const job = {
+    job: record.job,
+    queue: record.queue,
+    team: record.team,
+    state: stateOf(record),
+    tasks: record.tasks.length,
+    attempts,
+    acceptedMs: record.acceptedMs
+  }
+  if (record.endedMs === undefined) return job
+  const result = record.tasks.length === 1 ? record.tasks[0]!.result : record.tasks.map((task) => task.result ?? null)
+  const detail = record.tasks.find((task) => task.detail !== undefined)?.detail
+  return { ...job, endedMs: record.endedMs, result, ...(detail === undefined ? {} : { detail }) }
+}
+
+function stateOf (record: JobRecord): JobState {
+  if (record.endedMs === undefined) {
+    return record.tasks.some((task) => task.stage === Stage.Out) ? JobState.Running : JobState.Waiting
+  }
+  const outcomes = new Set(record.tasks.map((task) => task.outcome))
+  if (outcomes.has(Outcome.Unknown)) return JobState.Unknown
+  if (outcomes.has(Outcome.Failed)) return JobState.Failed
+  if (outcomes.has(Outcome.Cancelled)) return JobState.Cancelled
+  return JobState.Succeeded
+}
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -2,6 +2,7 @@
  * The messages between daemons. Every message is checked against its codec when it arrives.
  */
 import { Codec, array, boolean, enumeration, exactly, nullType, number, oneOf, optional, string, unknown, type GetType } from 'purify-ts/Codec'
+import type { Epoch } from './epoch.js'
 import type { Resources } from './resources.js'
 import { Execution, Reason, type Refusal } from './refusal.js'
 
@@ -26,7 +27,7 @@
   Watch = 'watch',
   /** Owner to standby: promise not to claim for some time. */
   Promise = 'promise',
-  /** Standby to owner, or planned stop: hand the shard over. */
+  /** Owner to standby before a planned stop: take the shard over now. */
   Handover = 'handover',
   /** Moves part of a team's allotment from one shard to another. */
   Transfer = 'transfer',
@@ -161,8 +162,19 @@
 }
 
 /** What a node says of a shard when it is watched. */
-export const PostCodec = Codec.interface({ epoch: EpochCodec, owner: boolean })
-export type Post = GetType<typeof PostCodec>
+export const PostCodec = Codec.interface({
+  /** The newest epoch that the node knows. */
+  epoch: EpochCodec,
+  owner: boolean,
+  /** From a standby: milliseconds since it heard from the owner. */
+  heardMs: optional(number)
+})
+/** What a node says of a shard when it is watched. */
+export interface Post {
+  readonly epoch: Epoch
+  readonly owner: boolean
+  readonly heardMs?: number
+}
 
 /** A standby's answer to Kind.Promise. */
 export const VowCodec = Codec.interface({ granted: boolean, epoch: EpochCodec })
