--- /dev/null
+++ b/packages/standin/test/worker.spec.ts
@@ -0,0 +1,252 @@
+/**
+ * A worker's commands, leases and reports through its client.
+ */
+import { setTimeout as pass } from 'node:timers/promises'
+import { TaskState, WorkerFailure, type TaskReport, type TaskStart } from '@fireflymount/platform/worker'
+import { RemoteWorker } from '@fireflymount/platform/worker-client'
+import type { Epoch } from '@fireflymount/protocol/epoch'
+import { Event, WorkerControl, type RecordEntry } from '@fireflymount/standin/control'
+import { afterAll, beforeAll, beforeEach, describe, expect, test } from 'vitest'
+import { end, startWorkers, type Standin } from './process.js'
+
+const FOREVER_MS = 1e9
+
+const SIZE = { cpuMilli: 1_000, memoryMb: 1_000, accelerators: 0 }
+
+const OLD: Epoch = { counter: 1, node: 'node-a' }
+const OWNER: Epoch = { counter: 2, node: 'node-a' }
+const NEWER: Epoch = { counter: 2, node: 'node-b' }
+
+let process: Standin<readonly { id: string, address: string }[]>
+let control: WorkerControl
+let worker: RemoteWorker
+/** Sequence number from which the record belongs to the present test. */
+let began: number
+
+beforeAll(async () => {
+  process = await startWorkers('--id', 'bee', '--slots', '3', '--cpu-milli', '4000', '--memory-mb', '8000', '--usage-lag-ms', '50')
+  const address = process.listening[0]?.address ?? ''
+  control = new WorkerControl(address)
+  worker = new RemoteWorker({ address, timeoutMs: 500 })
+})
+
+beforeEach(async () => {
+  await control.mend()
+  await control.restart()
+  began = (await control.record()).length
+  await worker.adopt(OWNER, FOREVER_MS)
+})
+
+afterAll(async () => {
+  await worker.close()
+  await end(process.child)
+})
+
+function createTask (fields: Partial<TaskStart> = {}): TaskStart {
+  return { id: 't', attempt: 1, team: 'guild', kind: 'render', size: SIZE, body: {}, ...fields }
+}
+
+function createRequest (id: string, body: unknown = { echo: id }) {
+  return { id, team: 'guild', kind: 'preview', size: SIZE, body }
+}
+
+async function recorded (...events: Event[]): Promise<RecordEntry[]> {
+  const entries = await control.record(began)
+  return entries.filter((entry) => events.includes(entry.event))
+}
+
+/** The reports of ended tasks. */
+async function renew (acknowledged: string[] = [], waitMs = 0): Promise<readonly TaskReport[]> {
+  return (await worker.renew(OWNER, FOREVER_MS, acknowledged, waitMs))._unsafeUnwrap().tasks
+}
+
+async function clock (): Promise<number> {
+  return (await worker.renew(OWNER, 0, [], 0))._unsafeUnwrap().clockMs
+}
+
+describe('epochs', () => {
+  const commands: [string, (epoch: Epoch) => Promise<{ isOk: () => boolean }>][] = [
+    ['adopt', (epoch) => worker.adopt(epoch, 0)],
+    ['start', (epoch) => worker.start(epoch, createTask(), FOREVER_MS)],
+    ['stop', (epoch) => worker.stop(epoch, 't', false)],
+    ['throttle', (epoch) => worker.throttle(epoch, 't', 100)],
+    ['renew', (epoch) => worker.renew(epoch, FOREVER_MS, [], 0)],
+    ['request', (epoch) => worker.request(epoch, createRequest('r'), 500)]
+  ]
+
+  test.each(commands)('%s under the owner\'s epoch is served', async (_command, send) => {
+    expect((await send(OWNER)).isOk()).toBe(true)
+  })
+
+  test.each(commands)('%s under an older epoch is refused with the newest one, and does nothing', async (_command, send) => {
+    expect(await send(OLD)).toMatchObject({ error: { failure: WorkerFailure.StaleEpoch, epoch: OWNER } })
+    expect(await recorded(Event.Start, Event.Stop, Event.RequestStart)).toEqual([])
+    expect(await recorded(Event.Refused)).toMatchObject([{ epoch: OLD }])
+  })
+
+  test.each(commands.slice(1, 4))('%s under a newer epoch is refused before adoption', async (_command, send) => {
+    expect(await send(NEWER)).toMatchObject({ error: { failure: WorkerFailure.Refused } })
+  })
+
+  test('a new owner learns what runs, with requests as attempt 0, and the former one is refused', async () => {
+    await worker.start(OWNER, createTask(), FOREVER_MS)
+    const request = worker.request(OWNER, createRequest('r', { workMs: 150 }), 1_000)
+    await pass(50)
+    const report = (await worker.adopt(NEWER, 1_000))._unsafeUnwrap()
+    expect(report.tasks.map(({ id, attempt, state }) => [id, attempt, state]))
+      .toEqual([['t', 1, TaskState.Running], ['r', 0, TaskState.Running]])
+    expect((await request).isOk()).toBe(true)
+    const ended = (await worker.renew(NEWER, FOREVER_MS, [], 0))._unsafeUnwrap().tasks
+    expect(ended.find((task) => task.id === 'r')).toMatchObject({ attempt: 0, state: TaskState.Succeeded })
+    expect((await worker.stop(OWNER, 't', false))._unsafeUnwrapErr().failure).toBe(WorkerFailure.StaleEpoch)
+  })
+
+  test('a held renewal ends as stale when a new owner adopts', async () => {
+    const renewal = worker.renew(OWNER, FOREVER_MS, [], 5_000)
+    await pass(30)
+    await worker.adopt(NEWER, 0)
+    expect((await renewal)._unsafeUnwrapErr().failure).toBe(WorkerFailure.StaleEpoch)
+  })
+
+  test('a restart changes the boot id, loses everything, and asks for adoption', async () => {
+    const before = (await worker.adopt(OWNER, 0))._unsafeUnwrap()
+    await worker.start(OWNER, createTask(), FOREVER_MS)
+    await control.restart()
+    const started = await worker.start(OWNER, createTask({ attempt: 2 }), FOREVER_MS)
+    expect(started._unsafeUnwrapErr().failure).toBe(WorkerFailure.Refused)
+    const renewal = (await worker.renew(OWNER, FOREVER_MS, [], 0))._unsafeUnwrap()
+    expect(renewal.boot).not.toBe(before.boot)
+    expect((await worker.adopt(OWNER, 0))._unsafeUnwrap()).toMatchObject({ boot: renewal.boot, tasks: [] })
+    expect(await recorded(Event.Lost)).toMatchObject([{ task: 't', boot: before.boot }])
+  })
+})
+
+describe('tasks', () => {
+  test.each<[string, unknown, TaskState, unknown]>([
+    ['succeeds with its result', { runMs: 20, result: { bill: 7 } }, TaskState.Succeeded, { bill: 7 }],
+    ['echoes with the worker\'s id', { runMs: 20, echo: 'x' }, TaskState.Succeeded, { echo: 'x', worker: 'bee' }],
+    ['fails', { runMs: 20, fail: true }, TaskState.Failed, undefined],
+    ['fails with probability 1', { runMs: 20, fail: 1 }, TaskState.Failed, undefined],
+    ['succeeds with probability 0 of failure', { runMs: 20, fail: 0, result: 1 }, TaskState.Succeeded, 1]
+  ])('a task %s, and its report is kept until acknowledged', async (_case, body, state, result) => {
+    await worker.start(OWNER, createTask({ body }), FOREVER_MS)
+    const [report] = await renew([], 1_000)
+    expect(report).toMatchObject({ id: 't', attempt: 1, team: 'guild', kind: 'render', size: SIZE, state, usage: SIZE })
+    expect(report?.result).toEqual(result)
+    expect(report?.runtimeMs).toBeGreaterThanOrEqual(18)
+    expect(await renew()).toHaveLength(1)
+    expect(await renew(['t/1'])).toEqual([])
+  })
+
+  test.each([
+    ['while it runs', 200, 0],
+    ['after it ended', 10, 60]
+  ])('starting the same attempt again %s has no further effect', async (_case, runMs, waitMs) => {
+    const task = createTask({ body: { runMs } })
+    expect((await worker.start(OWNER, task, FOREVER_MS)).isOk()).toBe(true)
+    await pass(waitMs)
+    expect((await worker.start(OWNER, task, FOREVER_MS)).isOk()).toBe(true)
+    expect(await recorded(Event.Start)).toHaveLength(1)
+  })
+
+  test('a second attempt of a running task is refused', async () => {
+    await worker.start(OWNER, createTask(), FOREVER_MS)
+    const second = await worker.start(OWNER, createTask({ attempt: 2 }), FOREVER_MS)
+    expect(second._unsafeUnwrapErr().failure).toBe(WorkerFailure.Refused)
+    expect(await recorded(Event.Start)).toHaveLength(1)
+  })
+
+  test.each<[string, Partial<TaskStart>[], number]>([
+    ['slots', [{}, {}, {}, {}], 3],
+    ['processors', [{ size: { ...SIZE, cpuMilli: 3_000 } }, { size: { ...SIZE, cpuMilli: 1_001 } }], 1],
+    ['memory', [{ size: { ...SIZE, memoryMb: 8_000 } }, {}], 1],
+    ['accelerators', [{ size: { ...SIZE, accelerators: 1 } }], 0]
+  ])('what exceeds the %s is refused as full', async (_case, tasks, fitting) => {
+    const failures: (WorkerFailure | undefined)[] = []
+    for (const [index, fields] of tasks.entries()) {
+      const started = await worker.start(OWNER, createTask({ ...fields, id: `t${index}` }), FOREVER_MS)
+      failures.push(started.isErr() ? started.error.failure : undefined)
+    }
+    expect(failures).toEqual(tasks.map((_, index) => index < fitting ? undefined : WorkerFailure.Full))
+  })
+
+  test('requests take slots, and ended work gives them back', async () => {
+    for (const id of ['t1', 't2']) await worker.start(OWNER, createTask({ id }), FOREVER_MS)
+    const first = worker.request(OWNER, createRequest('r1', { workMs: 60 }), 1_000)
+    await pass(20)
+    expect((await worker.request(OWNER, createRequest('r2'), 1_000))._unsafeUnwrapErr().failure).toBe(WorkerFailure.Full)
+    expect((await first).isOk()).toBe(true)
+    expect((await worker.request(OWNER, createRequest('r3'), 1_000)).isOk()).toBe(true)
+  })
+
+  test.each([
+    ['at once', false, undefined],
+    ['with a checkpoint', true, { checkpoint: { ranMs: expect.any(Number) as number } }]
+  ])('a task is stopped %s, and stopping it again changes nothing', async (_case, checkpoint, result) => {
+    await worker.start(OWNER, createTask({ body: { checkpointMs: 30 } }), FOREVER_MS)
+    expect((await worker.stop(OWNER, 't', checkpoint)).isOk()).toBe(true)
+    expect((await worker.stop(OWNER, 't', checkpoint)).isOk()).toBe(true)
+    const [report] = await renew([], 1_000)
+    expect(report?.state).toBe(TaskState.Stopped)
+    expect(report?.result).toEqual(result)
+    expect(await recorded(Event.Stop)).toHaveLength(1)
+  })
+
+  test('a task continues from its checkpoint', async () => {
+    await worker.start(OWNER, createTask({ body: { runMs: 10_000, checkpoint: { ranMs: 9_980 } } }), FOREVER_MS)
+    expect((await renew([], 1_000))[0]?.state).toBe(TaskState.Succeeded)
+  })
+
+  test('usage is reported once, after the lag, and again when a throttle changed it', async () => {
+    const usage = { cpuMilli: 9_000, memoryMb: 10, accelerators: 0 }
+    await worker.start(OWNER, createTask({ body: { usage } }), FOREVER_MS)
+    expect(await renew()).toEqual([])
+    await pass(60)
+    expect((await renew())[0]?.usage).toEqual(usage)
+    expect(await renew()).toEqual([])
+    await worker.throttle(OWNER, 't', 500)
+    await pass(60)
+    expect((await renew())[0]?.usage).toEqual({ ...usage, cpuMilli: 500 })
+  })
+})
+
+describe('leases', () => {
+  test('a task lapses when its lease is over, and is reported as lapsed', async () => {
+    await worker.start(OWNER, createTask(), await clock() + 80)
+    const [start] = await recorded(Event.Start)
+    await pass(150)
+    const [lapse] = await recorded(Event.Lapse)
+    const leasedMs = (lapse?.monotonicMs ?? 0) - (start?.monotonicMs ?? 0)
+    expect(leasedMs).toBeGreaterThan(60)
+    expect(leasedMs).toBeLessThan(140)
+    expect((await worker.renew(OWNER, 0, [], 0))._unsafeUnwrap().tasks[0]?.state).toBe(TaskState.Lapsed)
+  })
+
+  test.each<[string, () => Promise<unknown>, boolean]>([
+    ['renewal extends it', async () => await worker.renew(OWNER, FOREVER_MS, [], 0), true],
+    ['adoption extends it', async () => await worker.adopt(OWNER, 10_000), true],
+    ['renewal never shortens it', async () => await worker.renew(OWNER, 0, [], 0), false],
+    ['a stale renewal does not extend it', async () => await worker.renew(OLD, FOREVER_MS, [], 0), false]
+  ])('%s', async (_case, extend, isRunning) => {
+    await worker.start(OWNER, createTask(), await clock() + 150)
+    await extend()
+    await pass(50)
+    expect(await recorded(Event.Lapse)).toEqual([])
+    await pass(150)
+    expect(await recorded(Event.Lapse)).toHaveLength(isRunning ? 0 : 1)
+  })
+
+  test('a start whose lease is over is refused', async () => {
+    const started = await worker.start(OWNER, createTask(), await clock())
+    expect(started._unsafeUnwrapErr().failure).toBe(WorkerFailure.Refused)
+  })
+})
+
+test('a renewal is held while nothing ends, and its end comes with the report', async () => {
+  const start = performance.now()
+  expect(await renew([], 100)).toEqual([])
+  expect(performance.now() - start).toBeGreaterThanOrEqual(95)
+  await worker.start(OWNER, createTask({ body: { runMs: 50 } }), FOREVER_MS)
+  expect(await renew([], 5_000)).toHaveLength(1)
+  expect(performance.now() - start).toBeLessThan(2_000)
+})
