--- a/packages/scenario/src/main.ts
+++ b/packages/scenario/src/main.ts
@@ -5,6 +5,7 @@
 import { basename } from 'node:path'
 import { Command, InvalidArgumentError } from 'commander'
 import { listScenarios, runBatch, type Job } from './run/batch.js'
+import { readScenario } from './run/runner.js'
 import { formatSummary, formatTable } from './run/report.js'
 
 /** Options of the command line. */
@@ -13,6 +14,7 @@
   readonly seed?: number
   readonly repeat: number
   readonly atOnce: number
+  readonly slow: boolean
   readonly summary?: string
 }
 
@@ -21,13 +23,15 @@
   .option('--name <text>', 'only scenarios whose file name contains this')
   .option('--seed <number>', 'replaces the seed of the scenario', parseCount)
   .option('--repeat <times>', 'runs each that often, with the same seed', parseCount, 1)
+  .option('--slow', 'only those that the tests leave out', false)
   .option('--at-once <count>', 'scenarios that run side by side', parseCount, 4)
   .option('--summary <file>', 'writes the results as JSON')
 
 await run(command.parse().opts<Options>())
 
 async function run (options: Options): Promise<void> {
-  const files = listScenarios().filter((file) => basename(file).includes(options.name ?? ''))
+  const named = listScenarios().filter((file) => basename(file).includes(options.name ?? ''))
+  const files = options.slow ? named.filter((file) => readScenario(file).slow) : named
   if (files.length === 0) command.error(`There is no scenario whose name contains "${options.name}".`)
   const jobs: Job[] = files.flatMap((file) => Array.from({ length: options.repeat }, () => ({ file, seed: options.seed })))
   const verdicts = await runBatch(jobs, options.atOnce, (verdict) => {
--- /dev/null
+++ b/packages/scenario/test/scenarios.spec.ts
@@ -0,0 +1,14 @@
+import { basename } from 'node:path'
+import { expect, test } from 'vitest'
+import { listScenarios } from '@fireflymount/scenario/run/batch'
+import { readScenario, runScenario } from '@fireflymount/scenario/run/runner'
+
+const STOP_MS = 10_000
+
+/** Slow scenarios run with `npm run scenarios -- --slow` only. */
+const quick = listScenarios().filter((file) => !readScenario(file).slow)
+
+test.concurrent.each(quick.map((file) => [basename(file, '.scenario'), readScenario(file).title, file]))('%s: %s', async (_, __, file) => {
+  const verdict = await runScenario(file)
+  expect(verdict.detail).toBe('')
+}, Math.max(...quick.map((file) => readScenario(file).limitMs)) + STOP_MS)
