--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -37,7 +37,10 @@
     process.exit(Exit.BadSettings)
   }
   if (options.check) return
-  const logger = pino({ level: settings.value.log.level, base: { node: settings.value.node } }, destination({ fd: LOG_DESCRIPTOR, sync: true }))
+  const logger = pino(
+    { level: settings.value.log.level, base: { node: settings.value.node } },
+    destination({ fd: LOG_DESCRIPTOR, sync: true })
+  )
   const node = new Node(settings.value, logger)
   const started = await node.start()
   if (started.isErr()) {
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -35,9 +35,9 @@
 
   constructor (private readonly settings: Settings, private readonly logger: Logger) {
     const { platform, node } = settings
-    const log = new RemoteLog({ address: platform.log, node })
+    const log = new RemoteLog({ address: addressOf(platform.log), node })
     this.counters = new Counters(node, settings.metrics)
-    this.members = new Members(new RemoteMachines({ address: platform.machines, node }), this.clock)
+    this.members = new Members(new RemoteMachines({ address: addressOf(platform.machines), node }), this.clock)
     this.peers = new Peers({
       settings,
       members: this.members,
@@ -132,3 +132,8 @@
     return this.members.nodes().sort()[0] === this.settings.node
   }
 }
+
+/** The IP address and port of a base URL, as the settings have checked it. */
+function addressOf (url: string): string {
+  return new URL(url).host
+}
--- a/packages/daemon/src/owner/lending.ts
+++ b/packages/daemon/src/owner/lending.ts
@@ -95,7 +95,8 @@
   /** Takes a transfer in; a repeat has no further effect. */
   async take (transfer: Transfer): Promise<Result<LoanAnswer, Refusal>> {
     const sequence = Number(transfer.id)
-    if (sequence <= (this.parts.state.borrowed.get(transferKey(transfer.from, transfer.team)) ?? 0)) return ok({ id: transfer.id })
+    const taken = this.parts.state.borrowed.get(transferKey(transfer.from, transfer.team)) ?? 0
+    if (sequence <= taken) return ok({ id: transfer.id })
     const written = await this.parts.journal.commit(
       { kind: ChangeKind.Borrowed, from: transfer.from, team: transfer.team, sequence, amount: transfer.amount },
       COMMIT_PATIENCE_MS
--- /dev/null
+++ b/packages/daemon/test/owner/state.spec.ts
@@ -0,0 +1,135 @@
+import { expect, test } from 'vitest'
+import { ChangeKind, Outcome } from '../../src/owner/change.js'
+import { JOB_RETENTION_MS, ShardState, Stage, describeJob } from '../../src/owner/state.js'
+
+const SIZE = { cpuMilli: 1000, memoryMb: 500, accelerators: 0 }
+
+function accepted (job: string, fields: object = {}): object {
+  return {
+    kind: ChangeKind.Accepted,
+    job,
+    queue: 'render',
+    team: 'guild',
+    digest: 'd',
+    idempotent: false,
+    gang: false,
+    tasks: 1,
+    runtimeMs: 100,
+    size: SIZE,
+    body: { pattern: 7 },
+    atMs: 1000,
+    ...fields
+  }
+}
+
+function attempt (task: string, number = 1): object {
+  return { kind: ChangeKind.Attempt, runs: [{ task, attempt: number, worker: 'w1', boot: 'b1' }] }
+}
+
+function ended (task: string, outcome: Outcome, fields: object = {}): object {
+  return { kind: ChangeKind.Ended, task, attempt: 1, outcome, atMs: 2000, ...fields }
+}
+
+test.each([
+  { says: 'an accepted job waits', changes: [accepted('s.a')], state: 'waiting', attempts: 0 },
+  { says: 'an attempt makes it run', changes: [accepted('s.a'), attempt('s.a/0')], state: 'running', attempts: 1 },
+  {
+    says: 'the end of the run ends it',
+    changes: [accepted('s.a'), attempt('s.a/0'), ended('s.a/0', Outcome.Succeeded, { result: 42 })],
+    state: 'succeeded',
+    attempts: 1
+  },
+  {
+    says: 'an end of another attempt has no effect',
+    changes: [accepted('s.a'), attempt('s.a/0', 2), ended('s.a/0', Outcome.Succeeded)],
+    state: 'running',
+    attempts: 2
+  },
+  {
+    says: 'a task that is to run again waits',
+    changes: [accepted('s.a'), attempt('s.a/0'), ended('s.a/0', Outcome.Again)],
+    state: 'waiting',
+    attempts: 1
+  },
+  {
+    says: 'a cancelled job that waits is over',
+    changes: [accepted('s.a'), { kind: ChangeKind.Cancelled, job: 's.a', atMs: 3000 }],
+    state: 'cancelled',
+    attempts: 0
+  },
+  {
+    says: 'a cancelled job that runs is over when its run has ended',
+    changes: [accepted('s.a'), attempt('s.a/0'), { kind: ChangeKind.Cancelled, job: 's.a', atMs: 3000 }, ended('s.a/0', Outcome.Again)],
+    state: 'cancelled',
+    attempts: 1
+  },
+  {
+    says: 'an unknown outcome is final',
+    changes: [accepted('s.a'), attempt('s.a/0'), ended('s.a/0', Outcome.Unknown, { detail: 'lost' }), ended('s.a/0', Outcome.Again)],
+    state: 'unknown',
+    attempts: 1
+  },
+  {
+    says: 'a late report turns an unknown outcome into the true one',
+    changes: [accepted('s.a'), attempt('s.a/0'), ended('s.a/0', Outcome.Unknown), ended('s.a/0', Outcome.Succeeded, { result: 1 })],
+    state: 'succeeded',
+    attempts: 1
+  },
+  {
+    says: 'one failed task fails the job when all are over',
+    changes: [
+      accepted('s.a', { tasks: 2 }), attempt('s.a/0'), attempt('s.a/1'), ended('s.a/0', Outcome.Failed, { detail: 'The task failed.' }),
+      ended('s.a/1', Outcome.Succeeded)
+    ],
+    state: 'failed',
+    attempts: 2
+  },
+  { says: 'a repeated acceptance has no effect', changes: [accepted('s.a'), attempt('s.a/0'), accepted('s.a')], state: 'running', attempts: 1 }
+])('$says, also after a snapshot', ({ changes, state, attempts }) => {
+  const folded = new ShardState()
+  for (const change of changes) folded.apply(change)
+  const restored = new ShardState()
+  restored.restore(JSON.parse(JSON.stringify(folded.snapshot())) as unknown[])
+  for (const shard of [folded, restored]) {
+    expect(describeJob(shard.jobs.get('s.a')!)).toMatchObject({ state, attempts })
+  }
+})
+
+test('a snapshot stays as it was taken while the state goes on', () => {
+  const state = new ShardState()
+  state.apply(accepted('s.a'))
+  const parts = state.snapshot()
+  state.apply(attempt('s.a/0'))
+  const restored = new ShardState()
+  restored.restore(parts)
+  expect(restored.task('s.a/0')?.stage).toBe(Stage.Waiting)
+})
+
+test('an ended job is kept for the retention and then dropped', () => {
+  const state = new ShardState()
+  state.apply(accepted('s.a'))
+  state.apply(attempt('s.a/0'))
+  state.apply(ended('s.a/0', Outcome.Succeeded))
+  state.prune(2000 + JOB_RETENTION_MS - 1)
+  expect(state.jobs.has('s.a')).toBe(true)
+  state.prune(2000 + JOB_RETENTION_MS)
+  expect(state.jobs.has('s.a')).toBe(false)
+  expect(state.task('s.a/0')).toBeUndefined()
+})
+
+test.each([
+  { says: 'a transfer given lowers the team\'s part', change: { kind: ChangeKind.Lent, to: 't', team: 'guild', sequence: 1, amount: { tasks: 2, ...SIZE } }, tasks: -2 },
+  { says: 'a transfer taken raises it', change: { kind: ChangeKind.Borrowed, from: 't', team: 'guild', sequence: 1, amount: { tasks: 2, ...SIZE } }, tasks: 2 }
+])('$says, once however often it is written', ({ change, tasks }) => {
+  const state = new ShardState()
+  state.apply(change)
+  state.apply(change)
+  expect(state.net.get('guild')?.tasks).toBe(tasks)
+})
+
+test('a change that no codec accepts is counted and skipped', () => {
+  const state = new ShardState()
+  state.apply({ kind: 'accepted', job: 7 })
+  expect(state.malformed).toBe(1)
+  expect(state.jobs.size).toBe(0)
+})
--- /dev/null
+++ b/packages/protocol/test/connection.spec.ts
@@ -0,0 +1,130 @@
+import { once } from 'node:events'
+import type { AddressInfo } from 'node:net'
+import fc from 'fast-check'
+import { err, ok, type Result } from 'neverthrow'
+import { afterEach, expect, test } from 'vitest'
+import { WebSocket, WebSocketServer } from 'ws'
+import { Connection, type Handler, type Terms } from '@fireflymount/protocol/connection'
+import { decodeFrame, decodeRequest, encodeFrame } from '@fireflymount/protocol/frame'
+import { Kind, PROTOCOL_VERSION, type Request } from '@fireflymount/protocol/message'
+import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
+
+const WATCH: Request = { kind: Kind.Watch, shard: 'bee-planner' }
+const servers: WebSocketServer[] = []
+
+afterEach(() => {
+  for (const server of servers.splice(0)) {
+    for (const client of server.clients) client.terminate()
+    server.close()
+  }
+})
+
+function terms (node: string, fields: Partial<Terms> = {}): Terms {
+  return { node, zone: 'z', heartbeatMs: 20, silenceMs: 120, openRequests: 4, ...fields }
+}
+
+async function serve (onSocket: (socket: WebSocket) => void): Promise<WebSocket> {
+  const server = new WebSocketServer({ host: '127.0.0.1', port: 0 })
+  servers.push(server)
+  server.on('connection', onSocket)
+  await once(server, 'listening')
+  return new WebSocket(`ws://127.0.0.1:${(server.address() as AddressInfo).port}/`)
+}
+
+async function connect (handler: Handler, fields: Partial<Terms> = {}): Promise<Connection> {
+  const socket = await serve((incoming) => { Connection.open(incoming, terms('server'), handler).catch(() => {}) })
+  const connection = await Connection.open(socket, terms('client', fields), () => Promise.resolve(ok(null)))
+  return connection._unsafeUnwrap()
+}
+
+function answerWith (result: Result<unknown, Refusal>, delayMs = 0): Handler {
+  return async () => {
+    await new Promise((resolve) => setTimeout(resolve, delayMs))
+    return result
+  }
+}
+
+test.each<{ says: string, handler: Handler, expected: Result<unknown, Partial<Refusal>> }>([
+  { says: 'a value comes back whole', handler: answerWith(ok({ rows: [1, 2, 3] })), expected: ok({ rows: [1, 2, 3] }) },
+  { says: 'a refusal comes back as a refusal', handler: answerWith(err(refuse(Reason.QueueFull, 'full', 5))), expected: err({ reason: Reason.QueueFull, retryAfterMs: 5 }) },
+  { says: 'no answer in time is unknown', handler: answerWith(ok(1), 400), expected: err({ reason: Reason.ConnectionLost, execution: Execution.Unknown }) }
+])('$says', async ({ handler, expected }) => {
+  const connection = await connect(handler)
+  const answer = await connection.ask(WATCH, 200)
+  if (expected.isOk()) expect(answer).toEqual(expected)
+  else expect(answer._unsafeUnwrapErr()).toMatchObject(expected.error)
+  connection.close()
+})
+
+test('an answer that comes after the time-out is counted and goes to nobody', async () => {
+  const answers = [answerWith(ok('late'), 100), answerWith(ok('prompt'))]
+  const connection = await connect(() => answers.shift()!(WATCH, 'client'))
+  expect((await connection.ask(WATCH, 30)).isErr()).toBe(true)
+  expect(await connection.ask(WATCH, 90)).toEqual(ok('prompt'))
+  await new Promise((resolve) => setTimeout(resolve, 100))
+  expect(connection.traffic.strayAnswers).toBe(1)
+  connection.close()
+})
+
+test('requests over the bound are refused as not run', async () => {
+  const connection = await connect(answerWith(ok(1), 50), { openRequests: 1 })
+  const first = connection.ask(WATCH, 200)
+  const second = await connection.ask(WATCH, 200)
+  expect(second._unsafeUnwrapErr()).toMatchObject({ reason: Reason.QueueFull, execution: Execution.NotRun })
+  expect((await first).isOk()).toBe(true)
+  connection.close()
+})
+
+test('a connection that goes silent is closed, and its requests end as unknown', async () => {
+  const socket = await serve((incoming) => {
+    incoming.send(encodeFrame({ frame: 'hello', version: PROTOCOL_VERSION, node: 'server', zone: 'z' }))
+    incoming.once('message', () => { incoming.pause() })
+  })
+  const connection = (await Connection.open(socket, terms('client'), () => Promise.resolve(ok(null))))._unsafeUnwrap()
+  const answer = await connection.ask(WATCH, 5000)
+  expect(answer._unsafeUnwrapErr()).toMatchObject({ reason: Reason.ConnectionLost, execution: Execution.Unknown })
+  expect(connection.usable()).toBe(false)
+})
+
+test.each([
+  { says: 'another version', first: () => encodeFrame({ frame: 'hello', version: PROTOCOL_VERSION + 1, node: 'n', zone: 'z' }) },
+  { says: 'no hello', first: () => encodeFrame({ frame: 'leave', drained: true }) },
+  { says: 'bytes that are no frame', first: () => Buffer.from([0xc1, 0xff, 0x00]) }
+])('a connection is refused for $says', async ({ first }) => {
+  const socket = await serve((incoming) => { incoming.send(first()) })
+  expect((await Connection.open(socket, terms('client'), () => Promise.resolve(ok(null)))).isErr()).toBe(true)
+})
+
+test('a frame behind the hello in the same chunk is answered', async () => {
+  const answered: unknown[] = []
+  const socket = await serve((incoming) => {
+    incoming.on('message', (data: Buffer) => { answered.push(decodeFrame(data)._unsafeUnwrap()) })
+    incoming.send(encodeFrame({ frame: 'hello', version: PROTOCOL_VERSION, node: 'server', zone: 'z' }))
+    incoming.send(encodeFrame({ frame: 'ask', id: 9, request: WATCH }))
+  })
+  const connection = (await Connection.open(socket, terms('client'), () => Promise.resolve(ok('here'))))._unsafeUnwrap()
+  await expect.poll(() => answered).toContainEqual(expect.objectContaining({ frame: 'answer', id: 9, value: 'here' }))
+  connection.close()
+})
+
+test('any bytes are decoded or refused, never thrown', () => {
+  fc.assert(fc.property(fc.uint8Array({ maxLength: 200 }), (bytes) => {
+    decodeFrame(bytes)
+    return true
+  }))
+})
+
+test('any value is decoded as a request or refused, never thrown', () => {
+  fc.assert(fc.property(fc.anything(), (value) => {
+    decodeRequest(value)
+    decodeRequest({ kind: Kind.Call, queue: value })
+    return true
+  }))
+})
+
+test('a frame survives encoding and decoding', () => {
+  fc.assert(fc.property(fc.nat(), fc.jsonValue(), (id, value) => {
+    const frame = decodeFrame(encodeFrame({ frame: 'answer', id, value }))._unsafeUnwrap()
+    expect(JSON.stringify(frame)).toBe(JSON.stringify({ frame: 'answer', id, value }))
+  }))
+})
