Test the command-line tool against the daemon's real API

Burn rates are rounded to 1e-6: the first run showed that a rate of exactly 6 was taken for 5.999999.

--- a/packages/command/src/burn.ts
+++ b/packages/command/src/burn.ts
@@ -6,6 +6,8 @@
 import type { Missing } from './operations.js'
 
 const MINUTE_MS = 60_000
+/** Rates are rounded to its inverse, so that a rate at a threshold counts as reaching it. */
+const RATE_PRECISION = 1_000_000
 
 /** The windows of a report, from short to long. */
 export const WINDOWS_MS = [5 * MINUTE_MS, 60 * MINUTE_MS, 360 * MINUTE_MS] as const
@@ -104,7 +106,8 @@
 }
 
 function burnRate ({ good, total }: Tally, allowed: number): number | undefined {
-  return total === 0 ? undefined : (total - good) / total / allowed
+  if (total === 0) return undefined
+  return Math.round((total - good) / total / allowed * RATE_PRECISION) / RATE_PRECISION
 }
 
 /** A burn counts only if a short and a long window agree, so that neither a blip nor a past burn alarms. */
--- /dev/null
+++ b/packages/command/test/cell.ts
@@ -0,0 +1,218 @@
+/**
+ * The daemon's real API over fakes, behind a proxy that loses answers.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { once } from 'node:events'
+import { buffer } from 'node:stream/consumers'
+import { err, ok, type Result } from 'neverthrow'
+import { Configuration, type Revision } from '@fireflymount/daemon/configuration/configuration'
+import { Metrics } from '@fireflymount/daemon/counters'
+import { Presence } from '@fireflymount/daemon/entry/presence'
+import { serveApi, type Service } from '@fireflymount/daemon/entry/server'
+import { Router } from '@fireflymount/daemon/peer/router'
+import { Ledger } from '@fireflymount/manifest/fold'
+import { hashSecret } from '@fireflymount/manifest/hash'
+import { Outcome } from '@fireflymount/manifest/verdict'
+import { SystemClock } from '@fireflymount/platform/clock'
+import { Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
+import { runProgram } from '../src/program.js'
+import { Terminal } from '../src/terminal.js'
+import type { Delta } from '@fireflymount/manifest/delta'
+import type { Section } from '@fireflymount/manifest/manifest'
+import type { RecordsPage, Request } from '@fireflymount/protocol/message'
+
+export const OPERATOR_SECRET = 'operator-secret-99'
+
+/** Folds publications as the daemon does, without a log. */
+export class LocalConfiguration extends Configuration {
+  readonly ledger = new Ledger()
+  readonly published: Delta[] = []
+  /** Runs before the next publication is folded. */
+  before: (() => void) | undefined
+  private offset = 0
+
+  current (): Revision {
+    return { revision: this.ledger.revision(), manifest: this.ledger.manifest() }
+  }
+
+  changedAt (section: string, name: string): number | undefined {
+    return this.ledger.changedAt(section as Section, name)
+  }
+
+  ageMs (): number {
+    return 0
+  }
+
+  onRevision (): void {}
+
+  async publish (delta: Delta): Promise<Result<Revision, Refusal>> {
+    this.published.push(delta)
+    const before = this.before
+    this.before = undefined
+    before?.()
+    const { outcome } = this.ledger.apply(delta, this.offset++)
+    if (outcome === Outcome.Accepted) return ok(this.current())
+    return err(refuse(outcome === Outcome.Conflict ? Reason.Conflict : Reason.Malformed, 'Rejected.'))
+  }
+
+  /** Publishes for another operator. */
+  change (section: Section, value: { name: string }): void {
+    this.ledger.apply({ publish: `other-${this.offset}`, base: this.ledger.revision(), changes: [{ section, name: value.name, value }] }, this.offset++)
+  }
+
+  recordsFrom (): RecordsPage {
+    return { records: [], next: 0 }
+  }
+
+  async run (): Promise<void> {}
+}
+
+export class ScriptedRouter extends Router {
+  readonly asked: Request[] = []
+  answer: (request: Request, shard: string) => Result<unknown, Refusal> = () => ok(null)
+
+  async ask (shard: string, request: Request): Promise<Result<unknown, Refusal>> {
+    this.asked.push(request)
+    return this.answer(request, shard)
+  }
+
+  async askNode (): Promise<Result<unknown, Refusal>> {
+    return ok(null)
+  }
+
+  nodes (): readonly string[] {
+    return ['node-1']
+  }
+}
+
+class NoMetrics extends Metrics {
+  count (): void {}
+  timing (): void {}
+  gauge (): void {}
+}
+
+/** What the proxy does with one call. */
+export enum Fault {
+  /** Breaks the connection before the call is passed on. */
+  LoseCall = 'lose-call',
+  /** Breaks the connection after the call took effect. */
+  LoseAnswer = 'lose-answer'
+}
+
+/** What a run of the tool printed. */
+export interface Printed {
+  readonly exit: number
+  readonly out: string
+  readonly err: string
+}
+
+/** Environment variables. */
+type Variables = Readonly<Record<string, string | undefined>>
+
+/** A served API and the tool pointed at it. */
+export class Cell {
+  readonly configuration = new LocalConfiguration()
+  readonly router = new ScriptedRouter()
+  /** Faults of the coming calls that are no reads. */
+  faults: Fault[] = []
+  url = ''
+  private service: Service | undefined
+  private proxy: Server | undefined
+
+  async start (): Promise<void> {
+    const presence = new Presence()
+    presence.serve()
+    const { configuration, router } = this
+    this.service = await serveApi({
+      configuration,
+      router,
+      presence,
+      metrics: new NoMetrics(),
+      clock: new SystemClock(),
+      settings: {
+        node: 'node-1',
+        zone: 'fukuoka',
+        region: 'kyushu',
+        api: { host: '127.0.0.1', port: 0 },
+        peer: { host: '127.0.0.1', port: 0 },
+        platform: { log: '', machines: '' },
+        administrators: [hashSecret(OPERATOR_SECRET)],
+        limits: { bodyBytes: 100_000, headerBytes: 8192, connections: 50, requests: 50 },
+        timing: {
+          heartbeatMs: 1,
+          silenceMs: 1,
+          takeoverMs: 1,
+          leaseMs: 1,
+          renewMs: 1,
+          confirmationMs: 1,
+          commitMs: 1,
+          staleMs: 4000,
+          drainMs: 20
+        },
+        log: { level: 'silent' }
+      }
+    })
+    const proxy = createServer((request, response) => { this.forward(request, response).catch(() => response.destroy()) })
+    proxy.listen(0, '127.0.0.1')
+    await once(proxy, 'listening')
+    this.proxy = proxy
+    this.url = `http://127.0.0.1:${(proxy.address() as { port: number }).port}`
+  }
+
+  async stop (): Promise<void> {
+    this.proxy!.closeAllConnections()
+    this.proxy!.close()
+    await this.service!.close()
+  }
+
+  async run (args: readonly string[], input = '', variables: Variables = {}): Promise<Printed> {
+    const terminal = new Recorder(input, { FIREFLYMOUNT_SERVER: this.url, FIREFLYMOUNT_KEY: OPERATOR_SECRET, ...variables })
+    const exit = await runProgram(args, terminal)
+    return { exit, out: terminal.out, err: terminal.err }
+  }
+
+  private async forward (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await buffer(request)
+    const fault = request.method === 'GET' ? undefined : this.faults.shift()
+    if (fault === Fault.LoseCall) {
+      response.destroy()
+      return
+    }
+    const { port } = this.service!.address
+    const headers = Object.entries(request.headers).filter(([name]) => !['connection', 'content-length', 'host'].includes(name))
+    const answer = await fetch(`http://127.0.0.1:${port}${request.url}`, {
+      method: request.method,
+      headers: headers as Array<[string, string]>,
+      body: body.length === 0 ? undefined : new Uint8Array(body)
+    })
+    const text = await answer.text()
+    if (fault === Fault.LoseAnswer) response.destroy()
+    else response.writeHead(answer.status, Object.fromEntries(answer.headers)).end(text)
+  }
+}
+
+/** Records what the tool prints. */
+class Recorder extends Terminal {
+  out = ''
+  err = ''
+
+  constructor (private readonly input: string, private readonly variables: Variables) {
+    super()
+  }
+
+  write (text: string): void {
+    this.out += text
+  }
+
+  warn (text: string): void {
+    this.err += text
+  }
+
+  variable (name: string): string | undefined {
+    return this.variables[name]
+  }
+
+  async read (): Promise<string> {
+    return this.input
+  }
+}
--- /dev/null
+++ b/packages/command/test/program.spec.ts
@@ -0,0 +1,241 @@
+import { createServer } from 'node:net'
+import { once } from 'node:events'
+import { err, ok } from 'neverthrow'
+import { afterEach, beforeEach, describe, expect, test } from 'vitest'
+import { hashSecret } from '@fireflymount/manifest/hash'
+import { Section } from '@fireflymount/manifest/manifest'
+import { JobState, Kind, type Job, type Submit } from '@fireflymount/protocol/message'
+import { Execution, Reason, refuse } from '@fireflymount/protocol/refusal'
+import { Cell, Fault, OPERATOR_SECRET } from './cell.js'
+
+const TEAM = { name: 'guild', workspace: 'hakata', share: 1, upperLimit: {} }
+const QUEUE = {
+  name: 'yardage',
+  upstream: 'bee-planner',
+  workload: 'batch',
+  open: false,
+  teams: ['guild'],
+  idempotent: true,
+  urgency: 'normal',
+  size: { cpuMilli: 100, memoryMb: 100, accelerators: 0 },
+  runtimeMs: 10,
+  deadlineMs: 0,
+  capacity: 10,
+  attempts: 1,
+  checkpoint: false
+}
+const FILE = {
+  workspaces: [{ name: 'hakata' }],
+  upstreams: [{ name: 'bee-planner', zones: ['fukuoka'], weights: { waiting: 1, share: 1, packing: 1 } }],
+  teams: [TEAM],
+  queues: [QUEUE, { ...QUEUE, name: 'preview', workload: 'request', deadlineMs: 500 }]
+}
+const TEXT = JSON.stringify(FILE)
+
+let cell: Cell
+
+beforeEach(async () => {
+  cell = new Cell()
+  await cell.start()
+})
+
+afterEach(async () => await cell.stop())
+
+function createJob (state: JobState): Job {
+  const known = { job: 'bee-planner.01', queue: 'yardage', team: 'guild', tasks: 1, attempts: 1, acceptedMs: 1 }
+  return { ...known, state, endedMs: undefined, result: undefined, detail: undefined }
+}
+
+describe('apply', () => {
+  test('brings a file into effect, and then has nothing to change', async () => {
+    const plan = await cell.run(['plan', '-'], TEXT)
+    expect([plan.exit, cell.configuration.published.length]).toEqual([0, 0])
+    expect(plan.out).toMatch(/add +queues\/yardage[^]*Based on revision -1/)
+    expect(await cell.run(['apply', '-'], TEXT)).toMatchObject({ exit: 0, out: expect.stringContaining('In effect at revision 0.') })
+    expect(cell.configuration.current().manifest).toMatchObject(FILE)
+    expect(await cell.run(['apply', '-'], TEXT)).toMatchObject({ exit: 0, out: 'Nothing to change at revision 0.\n' })
+    const changed = { ...FILE, teams: [{ ...TEAM, share: 2 }], queues: [QUEUE] }
+    const diff = await cell.run(['diff', '-', '--output', 'json'], JSON.stringify(changed))
+    expect(JSON.parse(diff.out)).toEqual({
+      base: 0,
+      changes: [{ action: 'change', object: 'teams/guild', fields: 'share' }, { action: 'remove', object: 'queues/preview' }]
+    })
+  })
+
+  test('leaves sections alone that the file does not mention', async () => {
+    await cell.run(['apply', '-'], TEXT)
+    await cell.run(['key', 'grant', 'guild', 'shop'])
+    expect((await cell.run(['apply', '-'], TEXT)).out).toBe('Nothing to change at revision 1.\n')
+    expect((await cell.run(['apply', '-'], JSON.stringify({ ...FILE, keys: [] }))).out).toMatch(/remove +keys\/shop/)
+  })
+
+  test.each([
+    { says: 'the answer is lost', faults: [Fault.LoseAnswer], sent: 1, settled: true },
+    { says: 'the call is lost', faults: [Fault.LoseCall], sent: 1, settled: false },
+    { says: 'call and answer are lost in turn', faults: [Fault.LoseCall, Fault.LoseAnswer], sent: 1, settled: true }
+  ])('takes effect once when $says', async ({ faults, sent, settled }) => {
+    cell.faults = faults
+    const applied = await cell.run(['apply', '-', '--output', 'json'], TEXT)
+    expect([applied.exit, JSON.parse(applied.out).settled]).toEqual([0, settled])
+    expect(cell.configuration.published).toHaveLength(sent)
+    expect(cell.configuration.current().revision).toBe(0)
+  })
+
+  test('says that the outcome is unknown when every call is lost', async () => {
+    cell.faults = new Array(9).fill(Fault.LoseCall)
+    expect(await cell.run(['apply', '-'], TEXT)).toMatchObject({ exit: 5, err: expect.stringContaining('not known') })
+  })
+
+  test.each([
+    { says: 'an operator who changed the same object first', value: { ...TEAM, share: 7 }, faults: [], exit: 4 },
+    { says: 'the same after a lost answer', value: { ...TEAM, share: 7 }, faults: [Fault.LoseCall], exit: 4 },
+    { says: 'an operator who changed another object', value: { ...TEAM, name: 'circle' }, faults: [], exit: 0 }
+  ])('races $says: $exit', async ({ value, faults, exit }) => {
+    await cell.run(['apply', '-'], TEXT)
+    cell.faults = [...faults]
+    cell.configuration.before = () => cell.configuration.change(Section.Teams, value)
+    const applied = await cell.run(['apply', '-'], JSON.stringify({ ...FILE, teams: [{ ...TEAM, share: 3 }] }))
+    expect(applied.exit).toBe(exit)
+    if (exit === 4) expect(applied.err).toContain('teams/guild: has changed at revision 1.')
+    expect(cell.configuration.current().manifest.teams[0]!.share).toBe(exit === 4 ? 7 : 3)
+  })
+})
+
+describe('keys', () => {
+  test.each([
+    { says: 'an answer arrives', faults: [] },
+    { says: 'the answer is lost', faults: [Fault.LoseAnswer] }
+  ])('a key is printed once and only its hash is published when $says', async ({ faults }) => {
+    await cell.run(['apply', '-'], TEXT)
+    cell.faults = [...faults]
+    const granted = await cell.run(['key', 'grant', 'guild', 'shop'])
+    const secret = /^shop\.([\w-]{43})\n$/.exec(granted.out)![1]!
+    expect(cell.configuration.current().manifest.keys).toEqual([{ name: 'shop', team: 'guild', hash: hashSecret(secret) }])
+    expect(JSON.stringify(cell.configuration.published) + granted.err).not.toContain(secret)
+    cell.router.answer = () => ok('whole')
+    const request = ['submit', 'preview', '--request']
+    expect(await cell.run(request, '', { FIREFLYMOUNT_KEY: `shop.${secret}` })).toMatchObject({ exit: 0, out: '"whole"\n' })
+    expect((await cell.run(['key', 'withdraw', 'shop'])).exit).toBe(0)
+    const refused = await cell.run(request, '', { FIREFLYMOUNT_KEY: `shop.${secret}` })
+    expect([refused.exit, refused.out, (refused.err).includes(secret)]).toEqual([1, '', false])
+    expect((await cell.run(['key', 'withdraw', 'shop'])).out).toContain('nothing to withdraw')
+  })
+})
+
+describe('work', () => {
+  beforeEach(async () => {
+    await cell.run(['apply', '-'], TEXT)
+    const { out } = await cell.run(['key', 'grant', 'guild', 'shop'])
+    cell.run = cell.run.bind(cell)
+    const run = cell.run
+    cell.run = (args, input, variables) => run(args, input, { FIREFLYMOUNT_KEY: out.trim(), ...variables })
+  })
+
+  test.each([
+    { args: ['submit', 'yardage', '--body', '{"quilt":7}'], state: JobState.Waiting, exit: 0, kinds: [Kind.Submit] },
+    { args: ['submit', 'yardage', '--wait', '5'], state: JobState.Failed, exit: 6, kinds: [Kind.Submit] },
+    { args: ['job', 'bee-planner.01'], state: JobState.Succeeded, exit: 0, kinds: [Kind.Status] },
+    { args: ['job', 'bee-planner.01'], state: JobState.Unknown, exit: 5, kinds: [Kind.Status] },
+    { args: ['cancel', 'bee-planner.01'], state: JobState.Cancelled, exit: 0, kinds: [Kind.Status, Kind.Cancel] },
+    { args: ['explain', 'bee-planner.01'], state: JobState.Waiting, exit: 0, kinds: [Kind.Status, Kind.Explain] }
+  ])('$args.0 of a job that is $state: $exit', async ({ args, state, exit, kinds }) => {
+    cell.router.answer = () => ok(createJob(state))
+    const printed = await cell.run([...args, '--output', 'json'])
+    expect([printed.exit, JSON.parse(printed.out).state]).toEqual([exit, state])
+    expect(cell.router.asked.map(({ kind }) => kind)).toEqual(kinds)
+  })
+
+  test('a submission whose answer is lost is repeated with its key on the next server', async () => {
+    cell.router.answer = () => ok(createJob(JobState.Waiting))
+    cell.faults = [Fault.LoseAnswer]
+    expect((await cell.run(['--server', cell.url, '--server', cell.url, 'submit', 'yardage'])).exit).toBe(0)
+    const [first, second] = cell.router.asked as Submit[]
+    expect(first!.job).toBe(second!.job)
+  })
+
+  test('a request whose answer is lost is not repeated', async () => {
+    cell.faults = [Fault.LoseAnswer]
+    const sent = await cell.run(['--server', cell.url, '--server', cell.url, 'submit', 'preview', '--request', '--deadline', '90'])
+    expect([sent.exit, cell.router.asked.length]).toEqual([5, 1])
+    expect(cell.router.asked[0]).toMatchObject({ kind: Kind.Call })
+  })
+
+  test.each([
+    { refusal: refuse(Reason.QueueFull, 'Full.', 700), exit: 1, says: 'Try again in 700 ms.' },
+    { refusal: refuse(Reason.Infeasible, 'Too large for any worker.'), exit: 1, says: 'Too large for any worker.' },
+    { refusal: { reason: Reason.ConnectionLost, detail: 'Lost.', execution: Execution.Unknown }, exit: 5, says: '--idempotency-key' },
+    { refusal: { reason: Reason.TaskFailed, detail: 'Failed.', execution: Execution.Run }, exit: 6, says: 'Failed.' }
+  ])('a job refused by $refusal.reason: $exit', async ({ refusal, exit, says }) => {
+    cell.router.answer = () => err(refusal)
+    expect(await cell.run(['submit', 'yardage'])).toMatchObject({ exit, out: '', err: expect.stringContaining(says) })
+  })
+})
+
+describe('operations', () => {
+  test('what is missing is said, and the rest is shown', async () => {
+    await cell.run(['apply', '-'], JSON.stringify({ ...FILE, upstreams: [...FILE.upstreams, { ...FILE.upstreams[0], name: 'cloth-studio' }] }))
+    cell.router.answer = (_, shard) => shard === 'cloth-studio' ? err(refuse(Reason.NoOwner, 'None.')) : ok({ node: 'node-1', waiting: 4 })
+    const status = await cell.run(['status'])
+    expect(status).toMatchObject({ exit: 0, out: expect.stringMatching(/bee-planner +node-1 [^]*cloth-studio +no-owner/) })
+    expect(status.err).toBe('Missing: shard cloth-studio (no-owner): None.\n')
+    expect(await cell.run(['drain', 'bee-planner', 'w-1', '--undo'])).toMatchObject({ exit: 0 })
+    expect(cell.router.asked.at(-1)).toEqual({ kind: Kind.Drain, shard: 'bee-planner', worker: 'w-1', drained: false })
+  })
+
+  test.each([
+    { args: ['get', 'teams'], out: /NAME +WORKSPACE[^]*guild +hakata/ },
+    { args: ['get', 'teams', 'guild'], out: /share +1/ }
+  ])('$args.0 $args.1 shows what is in effect', async ({ args, out }) => {
+    await cell.run(['apply', '-'], TEXT)
+    expect((await cell.run(args)).out).toMatch(out)
+  })
+})
+
+describe('mistakes are named', () => {
+  const bad = JSON.stringify({ ...FILE, teams: [{ ...TEAM, share: -1, colour: 'red' }] })
+  test.each([
+    { says: 'no command', args: [], exit: 2, err: 'Usage' },
+    { says: 'an unknown command', args: ['aply'], exit: 2, err: 'Did you mean apply' },
+    { says: 'a missing argument', args: ['apply'], exit: 2, err: "missing required argument 'file'" },
+    { says: 'an unknown section', args: ['get', 'team'], exit: 2, err: 'Allowed choices are workspaces' },
+    { says: 'an object that does not exist', args: ['get', 'teams', 'x'], exit: 2, err: 'There is no "x" in teams' },
+    { says: 'a file that does not exist', args: ['apply', 'none.json'], exit: 2, err: '"none.json" cannot be read (ENOENT)' },
+    { says: 'a manifest with mistakes', args: ['validate', '-'], input: bad, exit: 2, err: /\$\.teams\[0\]\.share[^]*\$\.teams\[0\]\.colour|colour[^]*share/ },
+    { says: 'a manifest with mistakes on the way to a server', args: ['apply', '-'], input: bad, exit: 2, err: '$.teams[0].colour' },
+    { says: 'JSON with a mistake', args: ['validate', '-'], input: '{"teams":', exit: 2, err: 'fireflymount: -' },
+    { says: 'a body that is no JSON', args: ['submit', 'yardage', '--body', '{'], exit: 2, err: 'not valid JSON' },
+    { says: 'a wait that is no number', args: ['job', 'a.1', '--wait', 'x'], exit: 2, err: 'whole number' },
+    { says: 'a server that is no URL', args: ['--server', 'node-1', 'status'], exit: 2, err: 'no server' },
+    { says: 'no server', args: ['status'], variables: { FIREFLYMOUNT_SERVER: '' }, exit: 2, err: '--server' },
+    { says: 'an empty key file', args: ['--key-file', '-', 'status'], exit: 2, err: 'is empty' },
+    { says: 'a server that is away', args: ['--server', 'http://127.0.0.1:1', 'status'], exit: 3, err: 'ECONNREFUSED' },
+    { says: 'a wrong key', args: ['status'], variables: { FIREFLYMOUNT_KEY: 'wrong' }, exit: 1, err: '(401)' }
+  ])('$says: $exit', async ({ args, input, variables, exit, err }) => {
+    const printed = await cell.run(args, input, variables)
+    expect(printed.exit).toBe(exit)
+    expect(printed.err).toMatch(err)
+    expect(printed.out + printed.err).not.toContain(OPERATOR_SECRET)
+    expect(cell.configuration.published).toEqual([])
+  })
+
+  test('a server that is away is passed over', async () => {
+    expect((await cell.run(['--server', 'http://127.0.0.1:1', '--server', cell.url, 'status'])).exit).toBe(0)
+  })
+
+  test('a server that is no fireflymount breaks the connection: unknown for a change, tried on for a read', async () => {
+    const server = createServer((socket) => socket.destroy()).listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    const url = `http://127.0.0.1:${(server.address() as { port: number }).port}`
+    expect((await cell.run(['--server', url, '--server', cell.url, 'submit', 'preview', '--request'])).exit).toBe(5)
+    expect((await cell.run(['--server', url, '--server', cell.url, 'status'])).exit).toBe(0)
+    server.close()
+  })
+
+  test.each([
+    [[]], [['apply']], [['plan']], [['diff']], [['validate']], [['get']], [['status']], [['submit']], [['job']], [['cancel']], [['explain']],
+    [['drain']], [['key']], [['key', 'grant']], [['key', 'withdraw']], [['report']], [['report', 'burn']]
+  ])('%j has help with an example or the exit codes', async (args) => {
+    const { exit, out } = await cell.run([...args, '--help'])
+    expect([exit, out]).toEqual([0, expect.stringMatching(/Usage: fireflymount[^]*(Example:\n {2}\$ fireflymount|Exit codes:)/)])
+  })
+})
