--- a/packages/standin/test/worker-faults.spec.ts
+++ b/packages/standin/test/worker-faults.spec.ts
@@ -152,6 +152,16 @@
   await gone.close()
 })
 
+test('a request that waits for a connection until its deadline never leaves', async () => {
+  const narrow = new RemoteWorker({ address, requestConnections: 1 })
+  const request = { id: 'long', team: 'guild', kind: 'preview', size: SIZE, body: { workMs: 400 } }
+  const long = narrow.request(OWNER, request, 1_000)
+  expect(await ask('waiting', narrow)).toBe(WorkerFailure.Unreachable)
+  expect((await long).isOk()).toBe(true)
+  expect((await ran()).map(({ task }) => task)).toEqual(['long'])
+  await narrow.close()
+})
+
 test('a silent request fails one call, and the next uses a new connection', async () => {
   await ask('r1')
   await control.silence()
