--- /dev/null
+++ b/packages/daemon/test/owner/session.spec.ts
@@ -0,0 +1,153 @@
+import { err, ok, type Result } from 'neverthrow'
+import { afterEach, expect, test } from 'vitest'
+import { SystemClock } from '@fireflymount/platform/clock'
+import { VmRole, VmState } from '@fireflymount/platform/machines'
+import { Worker, WorkerFailure, type WorkerError, type WorkerReport } from '@fireflymount/platform/worker'
+import { DEFAULT_TIMING } from '@fireflymount/manifest/settings-codec'
+import { Session, type SessionParts } from '../../src/owner/session.js'
+
+const EPOCH = { counter: 2, node: 'n1' }
+const TIMING = { ...DEFAULT_TIMING, leaseMs: 200, renewMs: 20 }
+/** The worker's clock runs ahead of this process's by this much. */
+const OFFSET_MS = 1_000_000
+const sessions: Session[] = []
+
+/** A worker whose answers the test chooses. */
+class FakeWorker extends Worker {
+  boot = 'b1'
+  down = false
+  stale = false
+  readonly untils: number[] = []
+  adoptions = 0
+
+  adopt (): Promise<Result<WorkerReport, WorkerError>> {
+    if (!this.down && !this.stale) this.adoptions++
+    return this.answer(0)
+  }
+
+  renew (_: unknown, untilMs: number, __: unknown, waitMs: number): Promise<Result<WorkerReport, WorkerError>> {
+    this.untils.push(untilMs - OFFSET_MS - performance.now())
+    return this.answer(waitMs)
+  }
+
+  start (): Promise<Result<void, WorkerError>> { return Promise.resolve(ok(undefined)) }
+  stop (): Promise<Result<void, WorkerError>> { return Promise.resolve(ok(undefined)) }
+  throttle (): Promise<Result<void, WorkerError>> { return Promise.resolve(ok(undefined)) }
+  request (): Promise<Result<unknown, WorkerError>> { return Promise.resolve(ok(null)) }
+  close (): Promise<void> { return Promise.resolve() }
+
+  private async answer (waitMs: number): Promise<Result<WorkerReport, WorkerError>> {
+    await new Promise((resolve) => setTimeout(resolve, waitMs))
+    if (this.stale) return err({ failure: WorkerFailure.StaleEpoch, detail: '', epoch: { counter: 3, node: 'n2' } })
+    if (this.down) return err({ failure: WorkerFailure.Unknown, detail: '' })
+    return ok({ boot: this.boot, clockMs: performance.now() + OFFSET_MS, tasks: [] })
+  }
+}
+
+interface Seen {
+  adopted: number
+  silent: number
+  lapsedAtMs: number | undefined
+  stale: number
+}
+
+function open (worker: FakeWorker, fields: Partial<SessionParts> = {}): { session: Session, seen: Seen } {
+  const seen: Seen = { adopted: 0, silent: 0, lapsedAtMs: undefined, stale: 0 }
+  const session = new Session({
+    vm: { id: 'w1', role: VmRole.Worker, state: VmState.Live, address: '', zone: 'z', rack: 'r' },
+    worker,
+    epoch: EPOCH,
+    clock: new SystemClock(),
+    timing: TIMING,
+    confirmed: () => true,
+    inheritedLapseMs: () => -Infinity,
+    isGone: () => false,
+    events: {
+      onAdopted: () => { seen.adopted++ },
+      onReport: () => true,
+      onSilent: () => { seen.silent++ },
+      onLapsed: () => { seen.lapsedAtMs = performance.now() },
+      onStale: () => { seen.stale++ }
+    },
+    ...fields
+  })
+  sessions.push(session)
+  session.run().catch(() => {})
+  return { session, seen }
+}
+
+afterEach(() => {
+  for (const session of sessions.splice(0)) session.close()
+})
+
+test('a lease never reaches further than its term from the time of sending', async () => {
+  const worker = new FakeWorker()
+  open(worker)
+  await expect.poll(() => worker.untils.length).toBeGreaterThan(5)
+  for (const until of worker.untils) expect(until).toBeLessThanOrEqual(TIMING.leaseMs)
+})
+
+test('the leases of a worker that does not answer lapse after their term, and not before', async () => {
+  const worker = new FakeWorker()
+  const { seen } = open(worker)
+  await expect.poll(() => worker.untils.length).toBeGreaterThan(2)
+  worker.down = true
+  const downMs = performance.now()
+  await expect.poll(() => seen.lapsedAtMs, { timeout: 5000 }).toBeDefined()
+  expect(seen.silent).toBe(1)
+  expect(seen.lapsedAtMs! - downMs).toBeGreaterThanOrEqual(TIMING.leaseMs)
+})
+
+test.each([
+  { says: 'while a former owner may renew them', inheritedLapseMs: () => undefined, isGone: () => false, lapsed: false },
+  { says: 'before those of former owners have', inheritedLapseMs: () => Infinity, isGone: () => false, lapsed: false },
+  { says: 'when the platform says that the VM is terminated', inheritedLapseMs: () => undefined, isGone: () => true, lapsed: true }
+])('the leases of a worker that was never reached count as lapsed $says: $lapsed', async ({ inheritedLapseMs, isGone, lapsed }) => {
+  const worker = new FakeWorker()
+  worker.down = true
+  const { seen } = open(worker, { inheritedLapseMs, isGone })
+  await new Promise((resolve) => setTimeout(resolve, 300))
+  expect(seen.lapsedAtMs !== undefined).toBe(lapsed)
+})
+
+test('an owner that is not confirmed neither adopts nor renews', async () => {
+  const worker = new FakeWorker()
+  let confirmed = false
+  open(worker, { confirmed: () => confirmed })
+  await new Promise((resolve) => setTimeout(resolve, 150))
+  expect(worker.adoptions).toBe(0)
+  confirmed = true
+  await expect.poll(() => worker.untils.length).toBeGreaterThan(2)
+  confirmed = false
+  await new Promise((resolve) => setTimeout(resolve, 2 * TIMING.renewMs))
+  const sent = worker.untils.length
+  await new Promise((resolve) => setTimeout(resolve, 5 * TIMING.renewMs))
+  expect(worker.untils.length).toBe(sent)
+})
+
+test('a worker that restarted is adopted again', async () => {
+  const worker = new FakeWorker()
+  const { session, seen } = open(worker)
+  await expect.poll(() => session.boot).toBe('b1')
+  worker.boot = 'b2'
+  await expect.poll(() => session.boot).toBe('b2')
+  expect(seen.adopted).toBe(2)
+})
+
+test('a worker that holds a newer epoch ends the ownership', async () => {
+  const worker = new FakeWorker()
+  worker.stale = true
+  const { seen } = open(worker)
+  await expect.poll(() => seen.stale).toBeGreaterThan(0)
+  expect(seen.adopted).toBe(0)
+})
+
+test('a doubtful command is settled by another adoption once its lease is past', async () => {
+  const worker = new FakeWorker()
+  const { session, seen } = open(worker)
+  await expect.poll(() => seen.adopted).toBe(1)
+  const untilMs = session.untilMs()
+  session.doubt(untilMs)
+  await expect.poll(() => seen.adopted, { timeout: 3000 }).toBe(2)
+  expect(session.isPast(untilMs)).toBe(true)
+})
