--- a/packages/scenario/src/cell/cell.ts
+++ b/packages/scenario/src/cell/cell.ts
@@ -8,6 +8,7 @@
 import { VmRole, VmState, type Vm } from '@fireflymount/platform/machines'
 import type { Timing } from '@fireflymount/manifest/settings'
 import type { Resources } from '@fireflymount/protocol/resources'
+import type { Capacity } from '../check/evidence.js'
 import { Link } from '../language/script.js'
 import { Child } from './child.js'
 import { Front } from './front.js'
@@ -133,6 +134,11 @@
     return names
   }
 
+  /** What the workers have. */
+  capacities (): Capacity[] {
+    return [...this.workers.values()].map(({ name, vm }) => ({ worker: name, slots: vm.slots!, resources: vm.resources! }))
+  }
+
   /** The process of a name. */
   child (name: string): Child | undefined {
     if (name === 'platform') return this.platformChild
--- a/packages/scenario/src/cell/child.ts
+++ b/packages/scenario/src/cell/child.ts
@@ -96,6 +96,11 @@
   [Signal.Thaw]: 'SIGCONT'
 }
 
+/** @returns how many processes of this runner have not ended */
+export function countChildren (): number {
+  return children.size
+}
+
 /** Ends every process that was started and still runs. Also called when the runner itself ends. */
 export function endChildren (): void {
   for (const child of children) child.signal(Signal.Kill)
--- a/packages/scenario/src/demo/acts.ts
+++ b/packages/scenario/src/demo/acts.ts
@@ -109,11 +109,12 @@
     ...NO_EVIDENCE,
     runs: show.recorder.runs(),
     answers: show.answers,
-    capacities: [...show.cell.workers.values()].map(({ name, vm }) => ({ worker: name, slots: vm.slots!, resources: vm.resources! })),
+    capacities: show.cell.capacities(),
     limits: manifest.teams.map((team) => ({ team: team.name, limit: team.upperLimit, sentMs: 0, acceptedMs: 0 })),
     nonIdempotent: manifest.queues.filter((queue) => !queue.idempotent).map((queue) => queue.name)
   })
-  const result = violations.length === 0 ? `${show.recorder.runs().length} runs checked` : violations.map((each) => each.detail).join('; ')
+  const details = violations.map((each) => each.detail).join('; ')
+  const result = violations.length === 0 ? `${show.recorder.runs().length} runs checked` : details
   show.tell('invariants', violations.length === 0, result, 'The workers\' own record shows no violation.')
 }
 
--- a/packages/scenario/src/run/stage.ts
+++ b/packages/scenario/src/run/stage.ts
@@ -93,15 +93,12 @@
   /** Collects what the invariants are checked on. */
   async collect (): Promise<Evidence> {
     await this.refresh()
-    const capacities = [...this.cell.workers.values()].map((worker) => ({
-      worker: worker.name, slots: worker.vm.slots ?? 0, resources: worker.vm.resources!
-    }))
     const histories: History[] = []
     for (const [node, revisions] of this.histories) histories.push({ node, revisions })
     return {
       runs: this.recorder.runs(),
       answers: this.ledger.answers,
-      capacities,
+      capacities: this.cell.capacities(),
       limits: this.operator.limits,
       leaving: this.leaving,
       withdrawn: this.operator.withdrawn,
--- a/packages/scenario/src/run/steps.ts
+++ b/packages/scenario/src/run/steps.ts
@@ -96,7 +96,7 @@
 
 async function expectCondition (stage: Stage, { condition, withinMs, forMs }: Expect): Promise<Outcome> {
   const startedMs = performance.now()
-  for (;;) {
+  while (!stage.over) {
     const met = await meets(stage, condition)
     const passedMs = performance.now() - startedMs
     if (forMs !== undefined) {
@@ -108,6 +108,7 @@
     }
     await pause()
   }
+  return err('The scenario is over.')
 }
 
 async function findApi (stage: Stage, at: Apply['at']): Promise<Result<string, string>> {
