--- a/packages/daemon/src/owner/jobs.ts
+++ b/packages/daemon/src/owner/jobs.ts
@@ -2,7 +2,7 @@
  * Durable jobs at the owner: accepted once, queued, cancelled, described.
  */
 import type { Clock } from '@fireflymount/platform/clock'
-import { JournalFailure, type Journal, type JournalError } from '@fireflymount/platform/journal'
+import { JournalFailure, type JournalError } from '@fireflymount/platform/journal'
 import type { Manifest, Queue } from '@fireflymount/manifest/manifest'
 import type { Scheduler } from '@fireflymount/policy/scheduler'
 import type { Task } from '@fireflymount/policy/task'
@@ -12,6 +12,7 @@
 import { Urgency, Workload } from '@fireflymount/protocol/workload'
 import { err, ok, type Result } from 'neverthrow'
 import { ChangeKind, Outcome, type Change } from './change.js'
+import type { Ledger } from './ledger.js'
 import type { Runs } from './runs.js'
 import { Stage, describeJob, type JobRecord, type ShardState, type TaskRecord } from './state.js'
 
@@ -27,7 +28,7 @@
 /** What jobs need of their owner. */
 export interface JobParts {
   readonly scheduler: Scheduler
-  readonly journal: Journal
+  readonly journal: Ledger
   readonly state: ShardState
   readonly runs: Runs
   readonly clock: Clock
--- a/packages/daemon/src/owner/lending.ts
+++ b/packages/daemon/src/owner/lending.ts
@@ -3,7 +3,6 @@
  * answer is lost loses room until the giver repeats it, and never doubles it.
  */
 import type { Clock } from '@fireflymount/platform/clock'
-import type { Journal } from '@fireflymount/platform/journal'
 import type { Manifest } from '@fireflymount/manifest/manifest'
 import type { Scheduler, Shortage } from '@fireflymount/policy/scheduler'
 import type { Claim } from '@fireflymount/policy/task'
@@ -14,6 +13,7 @@
 import type { Router } from '../peer/router.js'
 import { mapAllotment, type Allotments } from './allotments.js'
 import { ChangeKind } from './change.js'
+import type { Ledger } from './ledger.js'
 import { transferKey, type Loan, type ShardState } from './state.js'
 
 /** Shortest time between two requests of one team to one shard. */
@@ -29,7 +29,7 @@
 export interface LendingParts {
   readonly shard: string
   readonly scheduler: Scheduler
-  readonly journal: Journal
+  readonly journal: Ledger
   readonly state: ShardState
   readonly allotments: Allotments
   readonly router: Router
--- a/packages/daemon/src/owner/owner.ts
+++ b/packages/daemon/src/owner/owner.ts
@@ -2,7 +2,6 @@
  * The owner of a shard under one epoch: adopts the workers, decides every placement, answers every request.
  */
 import type { Clock } from '@fireflymount/platform/clock'
-import type { Journal } from '@fireflymount/platform/journal'
 import { VmState, type Vm } from '@fireflymount/platform/machines'
 import type { TaskReport, Worker, WorkerReport } from '@fireflymount/platform/worker'
 import type { Manifest, Queue } from '@fireflymount/manifest/manifest'
@@ -23,6 +22,7 @@
 import { Calls } from './calls.js'
 import { ChangeKind, Outcome } from './change.js'
 import { Jobs } from './jobs.js'
+import type { Ledger } from './ledger.js'
 import { Lending } from './lending.js'
 import { Replicas } from './replicas.js'
 import { Runs } from './runs.js'
@@ -43,7 +43,7 @@
   readonly shard: string
   readonly node: string
   readonly epoch: Epoch
-  readonly journal: Journal
+  readonly journal: Ledger
   readonly state: ShardState
   readonly allotments: Allotments
   readonly burn: BurnCounts
--- a/packages/daemon/src/owner/replicas.ts
+++ b/packages/daemon/src/owner/replicas.ts
@@ -2,11 +2,11 @@
  * Replicas of services: keeps as many running as declared, and moves them off workers that leave.
  */
 import type { Clock } from '@fireflymount/platform/clock'
-import type { Journal } from '@fireflymount/platform/journal'
 import type { Manifest, Service } from '@fireflymount/manifest/manifest'
 import type { Scheduler } from '@fireflymount/policy/scheduler'
 import type { Task } from '@fireflymount/policy/task'
 import { Urgency, Workload } from '@fireflymount/protocol/workload'
+import type { Ledger } from './ledger.js'
 import type { Runs } from './runs.js'
 import type { ShardState } from './state.js'
 
@@ -14,7 +14,7 @@
 export interface ReplicaParts {
   readonly shard: string
   readonly scheduler: Scheduler
-  readonly journal: Journal
+  readonly journal: Ledger
   readonly state: ShardState
   readonly runs: Runs
   readonly clock: Clock
--- a/packages/daemon/src/owner/role.ts
+++ b/packages/daemon/src/owner/role.ts
@@ -18,6 +18,7 @@
 import { Allotments } from './allotments.js'
 import { BurnCounts } from './burn.js'
 import { Confirmation } from './confirmation.js'
+import { createLedger } from './ledger.js'
 import { Owner } from './owner.js'
 import type { ShardState } from './state.js'
 
@@ -333,6 +334,7 @@
     })
     const owner: Owner = new Owner({
       ...parts,
+      journal: createLedger(parts.journal, () => confirmation.provisional),
       node: parts.settings.node,
       epoch,
       allotments: this.allotments,
--- a/packages/daemon/src/owner/runs.ts
+++ b/packages/daemon/src/owner/runs.ts
@@ -3,13 +3,14 @@
  * on proof that the run before has ended or never began.
  */
 import type { Clock } from '@fireflymount/platform/clock'
-import { JournalFailure, type Journal, type JournalError } from '@fireflymount/platform/journal'
+import { JournalFailure, type JournalError } from '@fireflymount/platform/journal'
 import { TaskState, WorkerFailure, type TaskReport, type WorkerReport } from '@fireflymount/platform/worker'
 import { Ending, type Placement, type Task } from '@fireflymount/policy/task'
 import type { Scheduler } from '@fireflymount/policy/scheduler'
 import type { Result } from 'neverthrow'
 import type { Metrics } from '../counters.js'
 import { ChangeKind, Outcome, type Change, type Ended } from './change.js'
+import type { Ledger } from './ledger.js'
 import type { Session } from './session.js'
 import { Stage, type ShardState, type TaskRecord } from './state.js'
 
@@ -45,7 +46,7 @@
 /** What runs need of their owner. */
 export interface RunParts {
   readonly scheduler: Scheduler
-  readonly journal: Journal
+  readonly journal: Ledger
   readonly state: ShardState
   readonly clock: Clock
   readonly metrics: Metrics
