--- a/packages/platform/src/journal.ts
+++ b/packages/platform/src/journal.ts
@@ -85,6 +85,13 @@
   readonly appends: number
   readonly bytesWritten: number
   readonly bytesRead: number
+  /** Records read or taken. */
+  readonly records: number
   readonly snapshots: number
+  /** Times that the offset had expired. */
   readonly restarts: number
+  /** Restarts without a usable snapshot: records were lost for good. */
+  readonly gaps: number
+  /** Records that are no envelope. */
+  readonly malformed: number
 }
--- /dev/null
+++ b/packages/platform/test/stream.spec.ts
@@ -0,0 +1,323 @@
+import fc from 'fast-check'
+import type { Result } from 'neverthrow'
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { SystemClock } from '@fireflymount/platform/clock'
+import { Entry, Fold, JournalFailure, type JournalError } from '@fireflymount/platform/journal'
+import { Stream } from '@fireflymount/platform/stream'
+import type { Epoch } from '@fireflymount/protocol/epoch'
+import { Fate, FakeLog, type Call } from './fake-log.js'
+
+interface Change { id: number, counter: number, node: string }
+
+class ListFold extends Fold {
+  changes: Change[] = []
+
+  apply (change: unknown): void {
+    this.changes.push(change as Change)
+  }
+
+  snapshot (): readonly unknown[] {
+    const parts: unknown[] = []
+    for (let from = 0; from < this.changes.length; from += 3) parts.push(this.changes.slice(from, from + 3))
+    return parts
+  }
+
+  restore (parts: readonly unknown[]): void {
+    this.changes = parts.flat() as Change[]
+  }
+}
+
+const PATIENCE = { appendMs: 40, readMs: 40, firstRetryMs: 2, lastRetryMs: 20 }
+
+function createStream (log: FakeLog, commitMs = 5): { journal: Stream, fold: ListFold } {
+  const fold = new ListFold()
+  const journal = new Stream({
+    log,
+    stream: 'shard.test',
+    clock: new SystemClock(),
+    fold,
+    commitMs,
+    snapshotRecords: 4,
+    snapshotMs: 60_000,
+    patienceMs: 200,
+    patience: PATIENCE
+  })
+  return { journal, fold }
+}
+
+/** Waits for a promise while the fake clock runs. */
+async function run<T> (promise: Promise<T>): Promise<T> {
+  const state = { done: false }
+  const settled = promise.finally(() => { state.done = true })
+  for (let step = 0; step < 20_000 && !state.done; step += 1) await vi.advanceTimersByTimeAsync(1)
+  if (!state.done) throw new Error('The promise did not settle within 20 s of the fake clock.')
+  return await settled
+}
+
+beforeEach(() => { vi.useFakeTimers() })
+afterEach(() => {
+  vi.useRealTimers()
+  vi.restoreAllMocks()
+})
+
+/** A plain reading of the rules in docs/STREAMS.md, over all records ever appended. */
+function expectedChanges (log: FakeLog): Change[] {
+  const changes: Change[] = []
+  let holder: Epoch = { counter: 0, node: '' }
+  let last = 0
+  for (const { data } of log.records as Array<{ data: any }>) {
+    if (data.entry === Entry.Claim && data.epoch.counter > holder.counter) {
+      holder = data.epoch
+      last = 0
+    }
+    if (data.entry !== Entry.Commit || data.epoch.counter !== holder.counter || data.epoch.node !== holder.node) continue
+    if (data.sequence <= last) continue
+    last = data.sequence
+    changes.push(...data.changes)
+  }
+  return changes
+}
+
+const fate = fc.record({
+  fate: fc.oneof({ weight: 6, arbitrary: fc.constant(Fate.Served) }, fc.constantFrom(...Object.values(Fate))),
+  delayMs: fc.integer({ min: 0, max: 30 })
+})
+const action = fc.record({
+  writer: fc.constantFrom(0, 1),
+  kind: fc.constantFrom('claim', 'commit', 'commit', 'commit', 'commit', 'commit', 'compact', 'expire', 'rejoin'),
+  pauseMs: fc.integer({ min: 0, max: 25 })
+})
+
+interface Report { id: number, failure: JournalFailure | undefined }
+
+function createReport (id: number, result: Result<void, JournalError>): Report {
+  return { id, failure: result.isOk() ? undefined : result.error.failure }
+}
+
+test('two writers with faults: readers agree, and what each change was reported as is true', async () => {
+  let folded = 0
+  let refused = 0
+  const faults = fc.array(fate, { minLength: 40, maxLength: 120 })
+  const actions = fc.array(action, { minLength: 30, maxLength: 80 })
+  const property = fc.asyncProperty(faults, actions, fc.nat(), async (calls, steps, seed) => {
+    let random = seed
+    vi.spyOn(Math, 'random').mockImplementation(() => (random = (random * 16_807 + 7) % 2_147_483_647) / 2_147_483_647)
+    const log = new FakeLog()
+    const nodes = ['a', 'b']
+    const writers = nodes.map(() => createStream(log))
+    await run(writers[0]!.journal.claim({ counter: 1, node: 'a' }, []))
+    log.calls = [...calls]
+    const stop = new AbortController()
+    const follows = writers.map(({ journal }) => journal.follow(50, stop.signal))
+    const reports: Array<Promise<Report>> = []
+    const others: Array<Promise<unknown>> = []
+    for (const [id, { writer, kind, pauseMs }] of steps.entries()) {
+      const { journal } = writers[writer]!
+      const node = nodes[writer]!
+      const counter = journal.holder()?.epoch.counter ?? 0
+      if (kind === 'claim') others.push(journal.claim({ counter: counter + 1, node }, []))
+      if (kind === 'commit') reports.push(journal.commit({ id, counter, node }, 60).then((result) => createReport(id, result)))
+      if (kind === 'compact') others.push(journal.compact())
+      if (kind === 'expire') log.earliest = Math.max(log.earliest, findSnapshotStart(log))
+      if (kind === 'rejoin') others.push(createStream(log).journal.catchUp())
+      await vi.advanceTimersByTimeAsync(pauseMs)
+    }
+    log.calls = []
+    const outcomes = await run(Promise.all(reports))
+    await run(Promise.all(others))
+    await vi.advanceTimersByTimeAsync(200)
+    const fresh = createStream(log)
+    for (const { journal } of [...writers, fresh]) expect((await run(journal.catchUp())).isOk()).toBe(true)
+    stop.abort()
+    await run(Promise.all(follows))
+
+    const expected = expectedChanges(log)
+    for (const { fold } of [...writers, fresh]) expect(fold.changes).toEqual(expected)
+    const ids = expected.map((change) => change.id)
+    expect(new Set(ids).size).toBe(ids.length)
+    for (const { id, failure } of outcomes) {
+      const isFolded = ids.includes(id)
+      if (failure !== JournalFailure.Unknown) expect({ id, isFolded }).toEqual({ id, isFolded: failure === undefined })
+      if (failure === undefined) folded += 1
+      else refused += 1
+    }
+  })
+  await fc.assert(property, { numRuns: 150 })
+  expect(folded).toBeGreaterThan(500)
+  expect(refused).toBeGreaterThan(500)
+}, 60_000)
+
+/** Offset of the first record after the newest whole snapshot; 0 if there is none. */
+function findSnapshotStart (log: FakeLog): number {
+  const counts = new Map<string, number>()
+  let start = 0
+  const seen = new Set<string>()
+  for (const { data } of log.records as Array<{ data: any }>) {
+    if (data.entry !== Entry.Snapshot || seen.has(`${data.snapshot}/${data.part}`)) continue
+    seen.add(`${data.snapshot}/${data.part}`)
+    counts.set(data.snapshot, (counts.get(data.snapshot) ?? 0) + 1)
+    if ((counts.get(data.snapshot) ?? 0) >= data.parts) start = Math.max(start, data.asOf + 1)
+  }
+  return start
+}
+
+async function createHolder (log: FakeLog, commitMs?: number): Promise<{ journal: Stream, fold: ListFold }> {
+  const made = createStream(log, commitMs)
+  expect((await run(made.journal.claim({ counter: 1, node: 'a' }, ['b']))).isOk()).toBe(true)
+  return made
+}
+
+const change: Change = { id: 1, counter: 1, node: 'a' }
+
+test.each<[string, Call[]]>([
+  ['is lost after it took effect', [{ fate: Fate.LostAfter, delayMs: 1 }]],
+  ['is lost before it took effect', [{ fate: Fate.LostBefore, delayMs: 1 }]],
+  ['takes effect late, after the repeat', [{ fate: Fate.Late, delayMs: 1 }]],
+  ['never ends', [{ fate: Fate.Hung, delayMs: 1 }]],
+  ['is throttled', [{ fate: Fate.Throttled, delayMs: 1 }, { fate: Fate.Refused, delayMs: 1 }]]
+])('a change whose append %s is folded once', async (_, calls) => {
+  const log = new FakeLog()
+  const { journal, fold } = await createHolder(log)
+  log.calls = calls
+  expect((await run(journal.commit(change, 500))).isOk()).toBe(true)
+  await vi.advanceTimersByTimeAsync(100)
+  await run(journal.catchUp())
+  expect(fold.changes).toEqual([change])
+})
+
+test.each([
+  [Fate.Refused, JournalFailure.Unavailable],
+  [Fate.Throttled, JournalFailure.Unavailable]
+])('while every append is %s, a change is reported as %s after its patience and never takes effect', async (always, failure) => {
+  const log = new FakeLog()
+  const { journal, fold } = await createHolder(log)
+  log.always = always
+  const startMs = performance.now()
+  expect((await run(journal.commit(change, 100)))._unsafeUnwrapErr().failure).toBe(failure)
+  expect(performance.now() - startMs).toBeLessThan(200)
+  expect(journal.available()).toBe(false)
+  log.always = undefined
+  expect((await run(journal.commit({ ...change, id: 2 }, 100))).isOk()).toBe(true)
+  expect(fold.changes.map((each) => each.id)).toEqual([2])
+})
+
+test('a change that may have taken effect is settled after an outage of minutes, not refused', async () => {
+  const log = new FakeLog()
+  const { journal, fold } = await createHolder(log)
+  log.always = Fate.LostBefore
+  let reported = false
+  const commit = journal.commit(change, 100).finally(() => { reported = true })
+  await vi.advanceTimersByTimeAsync(180_000)
+  expect(reported).toBe(false)
+  log.always = undefined
+  expect((await run(commit)).isOk()).toBe(true)
+  expect(fold.changes).toEqual([change])
+})
+
+test('closing tells apart what was never sent and what may have taken effect', async () => {
+  const log = new FakeLog()
+  const { journal } = await createHolder(log)
+  log.always = Fate.Hung
+  const sent = journal.commit(change, 1000)
+  await vi.advanceTimersByTimeAsync(20)
+  const queued = journal.commit({ ...change, id: 2 }, 1000)
+  journal.close()
+  expect((await run(queued))._unsafeUnwrapErr().failure).toBe(JournalFailure.Unavailable)
+  expect((await run(sent))._unsafeUnwrapErr().failure).toBe(JournalFailure.Unknown)
+})
+
+test('of two claims with the same counter the first in the log wins, and the other learns it', async () => {
+  const log = new FakeLog()
+  const left = createStream(log)
+  const right = createStream(log)
+  await run(Promise.all([left.journal.catchUp(), right.journal.catchUp()]))
+  const claims = await run(Promise.all([
+    left.journal.claim({ counter: 1, node: 'a' }, []), right.journal.claim({ counter: 1, node: 'b' }, [])
+  ]))
+  expect(claims.map((claim) => claim.isOk())).toEqual([true, false])
+  expect(claims[1]?._unsafeUnwrapErr().failure).toBe(JournalFailure.Superseded)
+  expect(right.journal.holder()?.epoch.node).toBe('a')
+})
+
+test('a holder that was superseded without reading it finds out by its own append', async () => {
+  const log = new FakeLog()
+  const { journal, fold } = await createHolder(log)
+  const rival = createStream(log)
+  expect((await run(rival.journal.claim({ counter: 2, node: 'b' }, []))).isOk()).toBe(true)
+  expect((await run(journal.commit(change, 500)))._unsafeUnwrapErr().failure).toBe(JournalFailure.Superseded)
+  expect(fold.changes).toEqual([])
+  expect((await run(journal.commit(change, 500)))._unsafeUnwrapErr().failure).toBe(JournalFailure.Superseded)
+})
+
+test('changes share appends, with one in flight and a pause between them', async () => {
+  const log = new FakeLog()
+  const { journal, fold } = await createHolder(log, 20)
+  const before = journal.counters().appends
+  const commits: Array<Promise<unknown>> = []
+  for (let id = 0; id < 1000; id += 1) {
+    commits.push(journal.commit({ ...change, id }, 500))
+    if (id % 10 === 0) await vi.advanceTimersByTimeAsync(1)
+  }
+  await run(Promise.all(commits))
+  expect(fold.changes).toHaveLength(1000)
+  expect(journal.counters().appends - before).toBeLessThanOrEqual(8)
+})
+
+test('more changes than the journal holds are refused as overloaded', async () => {
+  const log = new FakeLog()
+  const { journal } = await createHolder(log)
+  log.always = Fate.Refused
+  const commits = Array.from({ length: 20_100 }, (_, id) => journal.commit({ ...change, id }, 50))
+  const results = await run(Promise.all(commits))
+  const failures = results.map((result) => result._unsafeUnwrapErr().failure)
+  expect(failures.filter((failure) => failure === JournalFailure.Overloaded).length).toBeGreaterThanOrEqual(100)
+})
+
+test('a reader whose offset expired starts over from the newest whole snapshot', async () => {
+  const log = new FakeLog()
+  const late = createStream(log)
+  const { journal, fold } = await createHolder(log)
+  for (let id = 0; id < 8; id += 1) await run(journal.commit({ ...change, id }, 500))
+  expect((await run(journal.compact()))._unsafeUnwrap()).toBe(true)
+  expect((await run(journal.compact()))._unsafeUnwrap()).toBe(false)
+  await run(journal.commit({ ...change, id: 8 }, 500))
+  log.earliest = findSnapshotStart(log)
+  expect(log.earliest).toBeGreaterThan(0)
+  expect((await run(late.journal.catchUp())).isOk()).toBe(true)
+  expect(late.fold.changes).toEqual(fold.changes)
+  expect(late.journal.holder()).toEqual(journal.holder())
+  expect(late.journal.counters()).toMatchObject({ restarts: 1, gaps: 0 })
+})
+
+test('a reader that finds no whole snapshot counts the gap and takes the next one', async () => {
+  const log = new FakeLog()
+  const { journal, fold } = await createHolder(log)
+  for (let id = 0; id < 8; id += 1) await run(journal.commit({ ...change, id }, 500))
+  log.earliest = 5
+  const late = createStream(log)
+  await run(late.journal.catchUp())
+  expect(late.journal.counters()).toMatchObject({ restarts: 1, gaps: 1 })
+  expect(late.journal.holder()).toBeUndefined()
+  await run(journal.compact())
+  await run(late.journal.catchUp())
+  expect(late.fold.changes).toEqual(fold.changes)
+  expect(late.journal.holder()).toEqual(journal.holder())
+})
+
+test('the confirmation ages while reads fail, and is renewed while a busy stream is followed', async () => {
+  const log = new FakeLog()
+  const { journal } = await createHolder(log)
+  const reader = createStream(log)
+  const stop = new AbortController()
+  const follow = reader.journal.follow(1000, stop.signal)
+  for (let id = 0; id < 100; id += 1) {
+    await run(journal.commit({ ...change, id }, 500))
+    await vi.advanceTimersByTimeAsync(20)
+  }
+  expect(performance.now() - reader.journal.confirmedAtMs()).toBeLessThan(700)
+  log.always = Fate.Hung
+  await vi.advanceTimersByTimeAsync(5000)
+  expect(performance.now() - reader.journal.confirmedAtMs()).toBeGreaterThan(4000)
+  stop.abort()
+  await run(follow)
+})
