Take hono's fast path for answers in the stand-ins

With overrideGlobalObjects off, every answer went through a web stream and a timer of the adapter. It was set without need: the stand-ins are processes of their own.

--- a/packages/standin/src/server.ts
+++ b/packages/standin/src/server.ts
@@ -54,7 +54,7 @@
  * @returns the address and port that it listens on
  */
 export function listen (app: Hono<Env>, host: string, port: number, connections: Connections): Promise<string> {
-  const server = createAdaptorServer({ fetch: app.fetch, overrideGlobalObjects: false }) as Server
+  const server = createAdaptorServer({ fetch: app.fetch }) as Server
   server.keepAliveTimeout = KEEP_ALIVE_MS
   server.on('connection', (socket: Socket) => connections.add(socket))
   return new Promise((resolve, reject) => {
