--- a/packages/platform/src/reader.ts
+++ b/packages/platform/src/reader.ts
@@ -5,18 +5,16 @@
 import { err, ok, type Result } from 'neverthrow'
 import { Assembly, type WholeSnapshot } from './assembly.js'
 import type { Clock } from './clock.js'
-import { EnvelopeCodec, type Claim, type Commit, type Envelope, type Head, type Part } from './envelope.js'
+import { EnvelopeCodec, PartCodec, type Claim, type Commit, type Envelope, type Head, type Part } from './envelope.js'
 import { Entry, type Fold, type Holder } from './journal.js'
 import { LogFailure, type Log, type LogError, type LogPage, type LogRecord } from './log.js'
+import { findSnapshot, type Retained } from './retained.js'
 import { limitTime, type Patience } from './retry.js'
 import type { Tally } from './tally.js'
 
 /** Former epochs whose last sequence number is remembered. */
 const PAST_COUNT = 16
 
-/** Tries to read from the oldest record before a reader gives up for now. */
-const RESTART_TRIES = 5
-
 /** Whether a commit is in effect, as far as was read. */
 export enum Settlement {
   InEffect = 'in-effect',
@@ -196,12 +194,12 @@
     const { log, stream, patience, tally } = this.options
     const page = await limitTime((limit) => log.read(stream, from, waitMs, limit), waitMs + patience.readMs, signal)
     if (signal?.aborted !== true) tally.available = page.isOk()
+    if (page.isOk()) tally.bytesRead += JSON.stringify(page.value.records).length
     return page
   }
 
   private take (record: LogRecord): void {
     if (record.offset !== this.position) return
-    this.options.tally.bytesRead += JSON.stringify(record.data).length
     const envelope = EnvelopeCodec.decode(record.data)
     if (envelope.isRight()) {
       this.fold(envelope.extract() as Envelope, record.offset)
@@ -261,45 +259,17 @@
   }
 
   private async scan (oldest: number): Promise<Result<boolean, LogError>> {
-    const assembly = new Assembly<Part>()
-    let earliest = oldest
-    let from = oldest
-    let newest: WholeSnapshot<Part> | undefined
-    let tries = 0
-    for (;;) {
-      const page = await this.fetch(from, 0)
-      if (page.isErr()) {
-        tries += 1
-        if (page.error.failure !== LogFailure.Expired || tries > RESTART_TRIES) return err(page.error)
-        earliest = page.error.earliest ?? earliest
-        from = Math.max(from, earliest)
-        continue
-      }
-      earliest = page.value.earliest
-      newest = this.findSnapshot(assembly, page.value.records) ?? newest
-      if (page.value.records.length === 0) break
-      from = page.value.next
-    }
-    this.startOver(earliest, newest)
+    const found = await findSnapshot({ fetch: (from) => this.fetch(from, 0), parse: parsePart }, oldest)
+    if (found.isErr()) return err(found.error)
+    this.startOver(found.value)
     return ok(false)
   }
 
-  private findSnapshot (assembly: Assembly<Part>, records: readonly LogRecord[]): WholeSnapshot<Part> | undefined {
-    let newest: WholeSnapshot<Part> | undefined
-    for (const record of records) {
-      this.options.tally.bytesRead += JSON.stringify(record.data).length
-      const envelope = EnvelopeCodec.decode(record.data).extract() as Envelope | string
-      if (typeof envelope === 'string' || envelope.entry !== Entry.Snapshot) continue
-      newest = assembly.add(envelope) ?? newest
-    }
-    return newest
-  }
-
-  private startOver (earliest: number, newest: WholeSnapshot<Part> | undefined): void {
+  private startOver ({ earliest, snapshot }: Retained<Part>): void {
     this.options.tally.restarts += 1
     this.assembly = new Assembly()
-    if (newest !== undefined && newest.asOf + 1 >= earliest) {
-      this.restore(newest)
+    if (snapshot !== undefined) {
+      this.restore(snapshot)
       return
     }
     this.options.tally.gaps += 1
@@ -321,6 +291,11 @@
   }
 }
 
+function parsePart (data: unknown): Part | undefined {
+  const part = PartCodec.decode(data)
+  return part.isRight() ? part.extract() as Part : undefined
+}
+
 function createHead (): Head {
   return { holder: undefined, sequence: 0, past: [] }
 }
