Bound answers and pages, and split the worker's fence from its state

A page of the log is at most 4 MB and an answer at most 32 MB: a thousand records of 1 MB each would have been read into memory at once.

--- a/packages/platform/src/channel.ts
+++ b/packages/platform/src/channel.ts
@@ -8,6 +8,9 @@
 /** Time in which a connection must be opened. */
 const CONNECT_TIMEOUT_MS = 1_000
 
+/** Most bytes of an answer's body. */
+const ANSWER_LIMIT_BYTES = 32_000_000
+
 /** Settings of a channel. */
 export interface ChannelOptions {
   /** Most connections at once. */
@@ -131,6 +134,7 @@
   private sent = false
   private status = 0
   private readonly chunks: Buffer[] = []
+  private bytes = 0
   private readonly timer: NodeJS.Timeout
   private controller: Dispatcher.DispatchController | undefined
   private readonly onAbort = (): void => this.interrupt('The caller ended the call.', false)
@@ -161,6 +165,11 @@
   }
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.bytes += chunk.length
+    if (this.bytes > ANSWER_LIMIT_BYTES) {
+      this.interrupt(`The answer is larger than ${ANSWER_LIMIT_BYTES} bytes.`, false)
+      return
+    }
     this.chunks.push(chunk)
   }
 
--- a/packages/standin/src/host.ts
+++ b/packages/standin/src/host.ts
@@ -10,13 +10,14 @@
   type WorkerReport,
   type WorkerRequest
 } from '@fireflymount/platform/worker'
-import { compareEpochs, NO_EPOCH, type Epoch } from '@fireflymount/protocol/epoch'
+import type { Epoch } from '@fireflymount/protocol/epoch'
 import type { Resources } from '@fireflymount/protocol/resources'
 import { err, ok, type Result } from 'neverthrow'
 import { ActiveRequest } from './active-request.js'
 import { Assignment, runKey } from './assignment.js'
 import { isFailing, parseBehaviour } from './behaviour.js'
 import { delay } from './delay.js'
+import { Fence } from './fence.js'
 import { Event, type EventFields, type Record } from './record.js'
 import { Reports } from './reports.js'
 import { Room } from './room.js'
@@ -40,9 +41,8 @@
 export class Host {
   /** Fails everything that starts. */
   failAll = false
-  private boot = ''
   private bootedAt = 0
-  private epoch: Epoch = NO_EPOCH
+  private readonly fence: Fence
   private readonly running = new Map<string, Assignment>()
   private readonly requests = new Set<ActiveRequest>()
   private readonly reports = new Reports()
@@ -56,6 +56,7 @@
    * @param record receives everything that happens
    */
   constructor (private readonly options: HostOptions, private readonly record: Record) {
+    this.fence = new Fence(record)
     this.room = new Room(options.slots, options.capacity)
     this.restart()
     setInterval(() => this.lapse(), options.leaseCheckMs)
@@ -65,26 +66,26 @@
   restart (): void {
     for (const assignment of this.running.values()) {
       clearTimeout(assignment.timer)
-      this.note(Event.Lost, this.describe(assignment))
+      this.record.add(Event.Lost, this.describe(assignment))
     }
     this.running.clear()
     this.requests.clear()
     this.reports.clear()
     this.started.clear()
     this.room.clear()
-    this.epoch = NO_EPOCH
-    this.boot = randomUUID()
+    this.fence.clear()
+    this.record.boot = randomUUID()
     this.bootedAt = performance.now()
-    this.note(Event.Boot, {})
+    this.record.add(Event.Boot, {})
     this.renewals.wake()
   }
 
   /** Takes the worker over; see Worker.adopt. */
   adopt (epoch: Epoch, leaseMs: number): Result<WorkerReport, WorkerError> {
     this.lapse()
-    if (compareEpochs(epoch, this.epoch) < 0) return this.refuseStale(epoch, 'adopt')
-    this.epoch = epoch
-    this.note(Event.Adopt, { epoch })
+    const adopted = this.fence.adopt(epoch)
+    if (adopted.isErr()) return err(adopted.error)
+    this.record.add(Event.Adopt, { epoch })
     this.extend(this.now() + leaseMs)
     this.renewals.wake()
     return ok(this.reportAll())
@@ -97,12 +98,12 @@
    */
   start (epoch: Epoch, task: TaskStart, untilMs: number): Result<boolean, WorkerError> {
     this.lapse()
-    const owned = this.checkOwner(epoch, task.id)
+    const owned = this.fence.checkOwner(epoch, task.id)
     if (owned.isErr()) return err(owned.error)
     const running = this.running.get(task.id)
     if (this.isKnown(runKey(task.id, task.attempt), running)) return ok(false)
-    if (running !== undefined) return this.refuse(epoch, task.id, `The task runs already as ${running.key}.`)
-    if (untilMs <= this.now()) return this.refuse(epoch, task.id, 'The lease is over.')
+    if (running !== undefined) return this.fence.refuse(epoch, task.id, WorkerFailure.Refused, `The task runs already as ${running.key}.`)
+    if (untilMs <= this.now()) return this.fence.refuse(epoch, task.id, WorkerFailure.Refused, 'The lease is over.')
     if (!this.room.take(task.size)) return this.refuseFull(epoch, task.id)
     this.run(epoch, task, untilMs)
     return ok(true)
@@ -111,7 +112,7 @@
   /** Stops a task; see Worker.stop. */
   stop (epoch: Epoch, id: string, checkpoint: boolean): Result<void, WorkerError> {
     this.lapse()
-    const owned = this.checkOwner(epoch, id)
+    const owned = this.fence.checkOwner(epoch, id)
     if (owned.isErr()) return owned
     const assignment = this.running.get(id)
     if (assignment === undefined) return ok(undefined)
@@ -129,7 +130,7 @@
   /** Limits a task's processors; see Worker.throttle. */
   throttle (epoch: Epoch, id: string, cpuMilli: number): Result<void, WorkerError> {
     this.lapse()
-    const owned = this.checkOwner(epoch, id)
+    const owned = this.fence.checkOwner(epoch, id)
     if (owned.isErr()) return owned
     this.running.get(id)?.throttle(cpuMilli, this.now() + this.options.usageLagMs)
     return ok(undefined)
@@ -143,36 +144,36 @@
     waitMs: number
   ): Promise<Result<WorkerReport, WorkerError>> {
     this.lapse()
-    if (compareEpochs(epoch, this.epoch) < 0) return this.refuseStale(epoch, 'renew')
+    const current = this.fence.checkAge(epoch, 'renew')
+    if (current.isErr()) return err(current.error)
     this.reports.acknowledge(acknowledged)
-    if (compareEpochs(epoch, this.epoch) === 0) this.extend(untilMs)
+    if (this.fence.isOwner(epoch)) this.extend(untilMs)
     if (waitMs > 0 && !this.reports.hasFresh()) await this.renewals.wait(waitMs)
-    if (compareEpochs(epoch, this.epoch) < 0) return this.refuseStale(epoch, 'renew')
-    return ok(this.reportNews())
+    return this.fence.checkAge(epoch, 'renew').map(() => this.reportNews())
   }
 
   /** Runs a request; see Worker.request. */
   async request (epoch: Epoch, request: WorkerRequest): Promise<Result<unknown, WorkerError>> {
     this.lapse()
-    const owned = this.checkOwner(epoch, request.id)
+    const owned = this.fence.checkOwner(epoch, request.id)
     if (owned.isErr()) return owned
     if (!this.room.take(request.size)) return this.refuseFull(epoch, request.id)
     const { id: task, team, kind, size } = request
     const behaviour = parseBehaviour(request.body)
     const fields = { epoch, task, team, kind, size, echo: behaviour.echo }
-    const boot = this.boot
+    const { boot } = this.record
     const active = new ActiveRequest(request, this.now())
     this.requests.add(active)
-    this.note(Event.RequestStart, fields)
+    this.record.add(Event.RequestStart, fields)
     await delay(this.failAll ? FAIL_MS : behaviour.workMs ?? 0)
-    if (boot !== this.boot) {
-      this.record.add(Event.Lost, boot, fields)
+    if (boot !== this.record.boot) {
+      this.record.add(Event.Lost, fields, boot)
       return err({ failure: WorkerFailure.Unknown, detail: 'The worker restarted.' })
     }
     const isFailed = this.failAll || isFailing(behaviour, task)
     const state = isFailed ? TaskState.Failed : TaskState.Succeeded
     this.endRequest(active, size, state)
-    this.note(Event.RequestEnd, { ...fields, outcome: state })
+    this.record.add(Event.RequestEnd, { ...fields, outcome: state })
     if (isFailed) return err({ failure: WorkerFailure.Failed, detail: 'The request failed.' })
     return ok({ echo: behaviour.echo, worker: this.options.id })
   }
@@ -182,7 +183,7 @@
     const assignment = new Assignment(task, epoch, now, untilMs, now + this.options.usageLagMs)
     this.running.set(task.id, assignment)
     this.started.set(assignment.key, untilMs)
-    this.note(Event.Start, this.describe(assignment))
+    this.record.add(Event.Start, this.describe(assignment))
     const isFailed = this.failAll || isFailing(assignment.behaviour, assignment.key)
     const runMs = this.failAll ? FAIL_MS : assignment.behaviour.runMs
     if (runMs === undefined) return
@@ -195,7 +196,7 @@
     clearTimeout(assignment.timer)
     this.running.delete(assignment.task.id)
     this.room.free(assignment.task.size)
-    this.note(event, { ...this.describe(assignment), outcome: state })
+    this.record.add(event, { ...this.describe(assignment), outcome: state })
     const { behaviour } = assignment
     const own = behaviour.result ?? { echo: behaviour.echo, worker: this.options.id }
     this.reports.keep(assignment.report(state, this.now(), true, state === TaskState.Succeeded ? own : result))
@@ -239,7 +240,7 @@
       request.told = true
       tasks.push(request.report(TaskState.Running, now))
     }
-    return { boot: this.boot, clockMs: now, tasks }
+    return { boot: this.record.boot, clockMs: now, tasks }
   }
 
   /** Reports changed usage, and all that ended and is not acknowledged. */
@@ -249,7 +250,7 @@
     for (const assignment of this.running.values()) {
       if (assignment.hasNews(now)) tasks.push(assignment.reportRunning(TaskState.Running, now))
     }
-    return { boot: this.boot, clockMs: now, tasks }
+    return { boot: this.record.boot, clockMs: now, tasks }
   }
 
   /** Whether a run was started before: repeating its start has no further effect. */
@@ -257,27 +258,8 @@
     return running?.key === key || this.started.has(key) || this.reports.has(key)
   }
 
-  /** Refuses commands of an owner that did not adopt the worker since it started, or that is no longer the newest. */
-  private checkOwner (epoch: Epoch, task: string): Result<void, WorkerError> {
-    const order = compareEpochs(epoch, this.epoch)
-    if (order < 0) return this.refuseStale(epoch, task)
-    if (order > 0) return this.refuse(epoch, task, 'Adopt the worker before any other command.')
-    return ok(undefined)
-  }
-
-  private refuseStale (epoch: Epoch, task: string): Result<never, WorkerError> {
-    this.note(Event.Refused, { epoch, task, outcome: WorkerFailure.StaleEpoch })
-    return err({ failure: WorkerFailure.StaleEpoch, detail: 'The epoch is older than the worker\'s.', epoch: this.epoch })
-  }
-
   private refuseFull (epoch: Epoch, task: string): Result<never, WorkerError> {
-    this.note(Event.Refused, { epoch, task, outcome: WorkerFailure.Full })
-    return err({ failure: WorkerFailure.Full, detail: 'No free slot or not enough resources.' })
-  }
-
-  private refuse (epoch: Epoch, task: string, detail: string): Result<never, WorkerError> {
-    this.note(Event.Refused, { epoch, task, outcome: WorkerFailure.Refused })
-    return err({ failure: WorkerFailure.Refused, detail })
+    return this.fence.refuse(epoch, task, WorkerFailure.Full, 'No free slot or not enough resources.')
   }
 
   private describe (assignment: Assignment): EventFields {
@@ -285,10 +267,6 @@
     return { epoch: assignment.epoch, task, attempt, team, kind, size, echo: assignment.behaviour.echo }
   }
 
-  private note (event: Event, fields: EventFields): void {
-    this.record.add(event, this.boot, fields)
-  }
-
   private now (): number {
     return performance.now() - this.bootedAt
   }
--- a/packages/standin/src/list-routes.ts
+++ b/packages/standin/src/list-routes.ts
@@ -46,7 +46,7 @@
   if (fate === Fate.Hung) return hang()
   if (fate === Fate.Refused) return context.json({ failure: 'unavailable' }, 503)
   const body = JSON.stringify({ vms: parts.inventory.visible() })
-  parts.counters.add(node, '', { lists: 1, bytesOut: body.length })
+  parts.counters.add(node, '', { lists: 1, bytesOut: Buffer.byteLength(body) })
   return context.body(body, 200, { 'content-type': 'application/json' })
 }
 
--- a/packages/standin/src/log-routes.ts
+++ b/packages/standin/src/log-routes.ts
@@ -54,19 +54,20 @@
   const node = context.req.header(NODE_HEADER) ?? ''
   const stream = context.req.param('stream') ?? ''
   const body = await context.req.text()
+  const bytes = Buffer.byteLength(body)
   await delay(parts.faults.delayMs(node, stream))
   const fate = parts.faults.decide(node, stream, true)
   if (fate === Fate.Hung) return hang()
   if (fate === Fate.Refused) return context.json({ failure: 'unavailable' }, 503)
-  if (body.length > RECORD_BYTES) return context.json({ failure: 'too-large' }, 413)
+  if (bytes > RECORD_BYTES) return context.json({ failure: 'too-large' }, 413)
   const message = AppendCodec.decode(parseJson(body)).extract()
   if (typeof message === 'string') return context.json({ failure: message }, 400)
   if (!parts.budget.take()) {
     parts.counters.add(node, stream, { throttled: 1 })
     return context.json({ failure: 'throttled' }, 429)
   }
-  const offset = parts.streams.append(stream, message.data)
-  parts.counters.add(node, stream, { appends: 1, bytesIn: body.length })
+  const offset = parts.streams.append(stream, message.data, bytes)
+  parts.counters.add(node, stream, { appends: 1, bytesIn: bytes })
   if (fate === Fate.Lost) return breakConnection(context)
   return context.json({ offset }, 201)
 }
@@ -87,7 +88,7 @@
   const page = parts.streams.read(stream, from)
   if (page.isErr()) return context.json(page.error, 410)
   const body = JSON.stringify(page.value)
-  parts.counters.add(node, stream, { reads: 1, bytesOut: body.length })
+  parts.counters.add(node, stream, { reads: 1, bytesOut: Buffer.byteLength(body) })
   return context.body(body, 200, { 'content-type': 'application/json' })
 }
 
--- a/packages/standin/src/record.ts
+++ b/packages/standin/src/record.ts
@@ -69,12 +69,14 @@
 export class Record {
   private readonly entries: RecordEntry[] = []
   private dropped = 0
+  /** Boot id of the worker. */
+  boot = ''
 
   /** @param worker the worker's id */
   constructor (private readonly worker: string) {}
 
   /** Adds an entry with the present time. */
-  add (event: Event, boot: string, fields: EventFields): void {
+  add (event: Event, fields: EventFields, boot = this.boot): void {
     if (this.entries.length >= RECORD_LIMIT) {
       this.dropped += 1
       return
--- a/packages/standin/src/streams.ts
+++ b/packages/standin/src/streams.ts
@@ -8,6 +8,9 @@
 /** Most records in one answer. */
 const PAGE_RECORDS = 1_000
 
+/** Most bytes in one answer, unless a single record is larger. */
+const PAGE_BYTES = 4_000_000
+
 /** A read below the retention. */
 export interface Expiry {
   readonly earliest: number
@@ -16,6 +19,8 @@
 /** One stream: every record ever appended, and the offset from which records are retained. */
 class Stream {
   readonly records: LogRecord[] = []
+  /** Bytes of each record. */
+  readonly sizes: number[] = []
   earliest = 0
   readonly readers = new Waiters()
 }
@@ -49,12 +54,14 @@
    *
    * @param name the stream
    * @param data a JSON value
+   * @param bytes its size
    * @returns the record's offset
    */
-  append (name: string, data: unknown): number {
+  append (name: string, data: unknown, bytes: number): number {
     const stream = this.find(name)
     const offset = stream.records.length
     stream.records.push({ offset, data })
+    stream.sizes.push(bytes)
     this.expireOld(stream)
     stream.readers.wake()
     return offset
@@ -70,15 +77,12 @@
   read (name: string, from: number): Result<LogPage, Expiry> {
     const stream = this.find(name)
     if (from < stream.earliest) return err({ earliest: stream.earliest })
-    const records = stream.records.slice(from, from + PAGE_RECORDS)
-    return ok({ records, next: from + records.length, earliest: stream.earliest })
+    return ok(takePage(stream, from))
   }
 
   /** Reads records whether or not they are retained, for checkers. */
   dump (name: string, from: number): LogPage {
-    const stream = this.find(name)
-    const records = stream.records.slice(from, from + PAGE_RECORDS)
-    return { records, next: from + records.length, earliest: stream.earliest }
+    return takePage(this.find(name), from)
   }
 
   /**
@@ -107,3 +111,14 @@
     stream.earliest = Math.max(stream.earliest, stream.records.length - this.retention)
   }
 }
+
+function takePage (stream: Stream, from: number): LogPage {
+  const records: LogRecord[] = []
+  let bytes = 0
+  for (const record of stream.records.slice(from, from + PAGE_RECORDS)) {
+    bytes += stream.sizes[record.offset] ?? 0
+    if (records.length > 0 && bytes > PAGE_BYTES) break
+    records.push(record)
+  }
+  return { records, next: from + records.length, earliest: stream.earliest }
+}
