Leave out undefined fields when a frame is encoded

Cause: undefined was encoded as nil, and the receiver's codecs refuse null for an optional field, so every submission without a run time was refused as malformed.

--- a/packages/protocol/src/frame.ts
+++ b/packages/protocol/src/frame.ts
@@ -11,7 +11,7 @@
 
 type Decoder = Pick<Codec<unknown>, 'decode'>
 
-const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: true })
+const packr = new Packr({ useRecords: false })
 
 /**
  * Encodes a frame.
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -242,6 +242,17 @@
 /** Configuration records as a peer hands them on. */
 export const RecordsPageCodec = Codec.interface({
   records: array(Codec.interface({ offset: number, data: unknown })),
-  next: number
+  next: number,
+  /** Time since the answering node last knew that it was up to date; absent if records after `next` are left. */
+  ageMs: optional(number),
+  /** Replaces the records before `next` that the answering node no longer holds. */
+  snapshot: optional(Codec.interface({ asOf: number, parts: array(unknown) }))
 })
-export type RecordsPage = GetType<typeof RecordsPageCodec>
+
+/** Configuration records of a peer, as RecordsPageCodec checks them. */
+export interface RecordsPage {
+  readonly records: ReadonlyArray<{ readonly offset: number, readonly data: unknown }>
+  readonly next: number
+  readonly ageMs?: number
+  readonly snapshot?: { readonly asOf: number, readonly parts: readonly unknown[] }
+}
--- a/packages/protocol/src/survey.ts
+++ b/packages/protocol/src/survey.ts
@@ -60,6 +60,8 @@
   workers: array(WorkerReportCodec),
   teams: array(TeamReportCodec),
   queues: array(QueueReportCodec),
+  /** Wall-clock time at which this owner began to count; what its predecessor had counted is lost. */
+  countingSinceMs: optional(number),
   burn: array(BurnCodec)
 })
 
--- a/packages/protocol/test/connection.spec.ts
+++ b/packages/protocol/test/connection.spec.ts
@@ -122,6 +122,12 @@
   }))
 })
 
+test('a request with fields left out arrives without them', () => {
+  const submit = { kind: Kind.Submit, job: 's.a', queue: 'q', team: 't', digest: 'd', tasks: 1, runtimeMs: undefined, size: undefined, body: undefined }
+  const frame = decodeFrame(encodeFrame({ frame: 'ask', id: 1, request: submit }))._unsafeUnwrap()
+  expect(decodeRequest((frame as { request: unknown }).request)._unsafeUnwrap()).toEqual(submit)
+})
+
 test('a frame survives encoding and decoding', () => {
   fc.assert(fc.property(fc.nat(), fc.jsonValue(), (id, value) => {
     const frame = decodeFrame(encodeFrame({ frame: 'answer', id, value }))._unsafeUnwrap()
