--- a/packages/command/src/burn.ts
+++ b/packages/command/src/burn.ts
@@ -16,11 +16,18 @@
 /** Burn rate that spends 5 % of a 30-day budget in six hours. */
 export const SLOW_BURN = 6
 
+/** The owner that counts for a shard. */
+export interface Counter {
+  readonly shard: string
+  readonly node: string
+  readonly countingSinceMs?: number
+}
+
 /** The answer of `GET /v1/admin/burn`. */
 export interface BurnCounts {
   readonly atMs: number
   readonly objectives: readonly Objective[]
-  readonly nodes: readonly string[]
+  readonly shards: readonly Counter[]
   readonly counts: readonly Burn[]
   readonly missing: readonly Missing[]
 }
@@ -133,15 +140,14 @@
   return missing.map(({ shard, reason, detail }) => `Shard ${shard} did not answer (${reason}): ${detail} Its counts are missing.`)
 }
 
-/** A node that took a shard over began to count then; what its predecessor had counted is lost. */
-function listYoung ({ counts, atMs }: BurnCounts): string[] {
+/** An owner that took a shard over began to count then; what its predecessor had counted is lost. */
+function listYoung ({ shards, atMs }: BurnCounts): string[] {
   const longest = Math.max(...WINDOWS_MS)
-  const since = new Map<string, number>()
-  for (const count of counts) {
-    if (count.sinceMs > atMs - longest) since.set(`${count.node}\n${count.queue}`, count.sinceMs)
+  const sentences: string[] = []
+  for (const { shard, node, countingSinceMs = atMs } of shards) {
+    if (countingSinceMs <= atMs - longest) continue
+    const since = new Date(countingSinceMs).toISOString()
+    sentences.push(`Shard ${shard}: ${node} counts since ${since}; what was counted before, by a node that died or stopped, is missing.`)
   }
-  return [...since].map(([place, sinceMs]) => {
-    const [node, queue] = place.split('\n')
-    return `Node ${node} counts the queue ${queue} since ${new Date(sinceMs).toISOString()}; what was counted before, by it or by a node that died, is missing.`
-  })
+  return sentences
 }
--- a/packages/command/test/program.spec.ts
+++ b/packages/command/test/program.spec.ts
@@ -153,6 +153,19 @@
     expect(first!.job).toBe(second!.job)
   })
 
+  test.each([
+    { says: 'the same key is the same job', keys: ['k', 'k'], same: true },
+    { says: 'no key is a new job each time', keys: [], same: false }
+  ])('$says', async ({ keys, same }) => {
+    cell.router.answer = () => ok(createJob(JobState.Waiting))
+    for (const index of [0, 1]) {
+      const key = keys[index]
+      await cell.run(['submit', 'yardage', ...key === undefined ? [] : ['--idempotency-key', key]])
+    }
+    const [first, second] = cell.router.asked as Submit[]
+    expect(first!.job === second!.job).toBe(same)
+  })
+
   test('a request whose answer is lost is not repeated', async () => {
     cell.faults = [Fault.LoseAnswer]
     const sent = await cell.run(['--server', cell.url, '--server', cell.url, 'submit', 'preview', '--request', '--deadline', '90'])
--- a/packages/command/test/report.spec.ts
+++ b/packages/command/test/report.spec.ts
@@ -20,7 +20,7 @@
 }
 
 function createCounts (counts: Burn[], change: Partial<BurnCounts> = {}): BurnCounts {
-  return { atMs: AT_MS, objectives: [OBJECTIVE], nodes: ['node-1'], counts, missing: [], ...change }
+  return { atMs: AT_MS, objectives: [OBJECTIVE], shards: [{ shard: 'bee-planner', node: 'node-1', countingSinceMs: 0 }], counts, missing: [], ...change }
 }
 
 function bad (percent: number): Tally {
@@ -64,11 +64,12 @@
     { says: 'a node that took over 30 minutes ago', sinceMs: AT_MS - 30 * MINUTE_MS, partial: [false, true, true], missing: 1 },
     { says: 'a node that took over just now', sinceMs: AT_MS - 1, partial: [true, true, true], missing: 1 }
   ])('$says: windows not counted in full are marked', ({ sinceMs, partial, missing }) => {
-    const report = createReport(createCounts([createBurn([bad(0), bad(0), bad(0)], { sinceMs })]))
+    const shards = [{ shard: 'bee-planner', node: 'node-1', countingSinceMs: sinceMs }]
+    const report = createReport(createCounts([createBurn([bad(0), bad(0), bad(0)], { sinceMs })], { shards }))
     expect(report.lines[0]!.rates.map((rate) => rate.partial)).toEqual(partial)
     expect(report.missing).toHaveLength(missing)
     expect(formatReport(report).split('*')).toHaveLength(1 + partial.filter(Boolean).length)
-    expect(formatPage(report)).toContain(missing === 0 ? 'Nothing is missing' : 'by a node that died, is missing')
+    expect(formatPage(report)).toContain(missing === 0 ? 'Nothing is missing' : 'by a node that died or stopped, is missing')
   })
 
   test('the page holds everything itself and escapes names', () => {
--- a/packages/daemon/src/entry/api.ts
+++ b/packages/daemon/src/entry/api.ts
@@ -52,12 +52,13 @@
   return { ...parts, directory, access, admission, retries: new RetryBudget() }
 }
 
-function addHealth (app: Hono, { presence }: Parts): void {
+function addHealth (app: Hono, { presence, configuration }: Parts): void {
   addPath(app, '/healthz', { [Method.Get]: () => Response.json({ status: 'ok' }) })
   addPath(app, '/readyz', {
     [Method.Get]: () => {
       const phase = presence.current()
-      return Response.json({ phase }, { status: phase === Phase.Serving ? 200 : 503 })
+      const ready = phase === Phase.Serving && Number.isFinite(configuration.ageMs())
+      return Response.json({ phase, ready }, { status: ready ? 200 : 503 })
     }
   })
 }
--- a/packages/daemon/src/entry/requests.ts
+++ b/packages/daemon/src/entry/requests.ts
@@ -14,8 +14,10 @@
 const DEADLINE_HEADER = 'fireflymount-deadline-ms'
 /** Time for the owner's own answer at the deadline to arrive before the entry gives up. */
 const ANSWER_MARGIN_MS = 50
-/** Failures of the way to the owner or the worker, after which another attempt can succeed at once. */
-const PASSING: ReadonlySet<Reason> = new Set([Reason.ConnectionLost, Reason.NotOwner, Reason.Leaving, Reason.WorkerFailed])
+/** Attempts at reaching the owner. Failures of workers are the owner's to repeat. */
+const MOST_ATTEMPTS = 3
+/** Failures of the way to the owner, after which another attempt can succeed at once. */
+const PASSING: ReadonlySet<Reason> = new Set([Reason.ConnectionLost, Reason.NotOwner, Reason.Leaving])
 
 /**
  * Handles `POST /v1/queues/{queue}/requests`.
@@ -94,7 +96,7 @@
 }
 
 function mayRepeat (refusal: Refusal, queue: Queue, attempt: number): boolean {
-  if (attempt >= queue.attempts || !PASSING.has(refusal.reason)) return false
+  if (attempt >= MOST_ATTEMPTS || !PASSING.has(refusal.reason)) return false
   return refusal.execution === Execution.NotRun || queue.idempotent
 }
 
--- a/packages/daemon/src/entry/status.ts
+++ b/packages/daemon/src/entry/status.ts
@@ -103,11 +103,12 @@
  * Handles `GET /v1/admin/burn`.
  *
  * @param entry the parts of the API
- * @returns the objectives and what each node counted for them, and what is missing
+ * @returns the objectives, what each owner counted for them and since when, and what is missing
  */
 export async function onBurn (entry: Entry): Promise<Response> {
   const { reports, missing } = await surveyAll(entry)
   const counts: Burn[] = []
+  const shards = reports.map(({ shard, node, countingSinceMs }) => ({ shard, node, countingSinceMs }))
   for (const report of reports) {
     const shard = String(report.shard)
     for (const value of Array.isArray(report.burn) ? report.burn : []) {
@@ -117,7 +118,7 @@
   }
   const { manifest } = entry.configuration.current()
   const { objectives } = manifest
-  return Response.json({ atMs: entry.clock.wall(), objectives, nodes: entry.router.nodes(), counts, missing })
+  return Response.json({ atMs: entry.clock.wall(), objectives, shards, counts, missing })
 }
 
 async function surveyAll (entry: Entry): Promise<Surveys> {
--- a/packages/daemon/src/owner/burn.ts
+++ b/packages/daemon/src/owner/burn.ts
@@ -22,7 +22,7 @@
   private objectives: readonly Objective[] = []
   private readonly series = new Map<string, Series>()
 
-  constructor (private readonly node: string, private readonly sinceMs: number) {}
+  constructor (private readonly node: string, readonly sinceMs: number) {}
 
   /** Takes the objectives of a new revision. */
   setObjectives (objectives: readonly Objective[]): void {
--- a/packages/daemon/src/owner/survey.ts
+++ b/packages/daemon/src/owner/survey.ts
@@ -25,6 +25,7 @@
     workers: [...owner.sessions.keys()].map((id) => surveyWorker(owner, id)),
     teams: parts.manifest().teams.map((team) => surveyTeam(owner, team.name)),
     queues: [],
+    countingSinceMs: parts.burn.sinceMs,
     burn: parts.burn.report(parts.clock.wall())
   }
 }
--- a/packages/daemon/test/entry-administration.spec.ts
+++ b/packages/daemon/test/entry-administration.spec.ts
@@ -83,6 +83,7 @@
       status: 422,
       paths: ['$.changes[0].value.share', '$.changes[0].value.x', '$.changes[1].value.capacity']
     },
+    { says: 'a value of another name', body: { base: 41, changes: [{ ...put, value: { ...team, name: 'x' } }] }, status: 422, paths: ['$.changes[0].value.name'] },
     { says: 'references that are broken', body: { base: 41, changes: [{ section: 'workspaces', name: 'hakata' }] }, status: 422, paths: ['$.teams[0].workspace', '$.teams[1].workspace'] },
     { says: 'a base that this node does not know', body: { base: 99, changes: [put] }, status: 503 }
   ])('$says: $status with every path', async ({ body, status, paths }) => {
@@ -136,11 +137,12 @@
 
   test('what owners do not answer is listed as missing', async () => {
     const { request, router } = createBench()
-    router.answer = async (_, shard) => shard === 'bee-planner' ? ok({ shard, waiting: 3, burn: [burn, { bad: 1 }] }) : err(refuse(Reason.NoOwner, 'None.'))
+    router.answer = async (_, shard) => shard === 'bee-planner' ? ok({ shard, node: 'node-2', countingSinceMs: 9, waiting: 3, burn: [burn, { bad: 1 }] }) : err(refuse(Reason.NoOwner, 'None.'))
     const status = await (await request('GET', '/v1/admin/status', operator)).json()
     const missing = [{ shard: 'cloth-studio', reason: 'no-owner', detail: 'None.' }]
     expect(status).toMatchObject({ node: 'node-1', revision: 41, nodes: ['node-1', 'node-2'], shards: [{ shard: 'bee-planner', waiting: 3 }], missing })
-    expect(await (await request('GET', '/v1/admin/burn', operator)).json()).toMatchObject({ counts: [burn], missing })
+    const shards = [{ shard: 'bee-planner', node: 'node-2', countingSinceMs: 9 }]
+    expect(await (await request('GET', '/v1/admin/burn', operator)).json()).toMatchObject({ shards, counts: [burn], missing })
   })
 
   test.each([
--- a/packages/daemon/test/entry-api.spec.ts
+++ b/packages/daemon/test/entry-api.spec.ts
@@ -93,7 +93,7 @@
 
   test.each([
     { says: 'wrong keys', path: PREVIEW, body: {} },
-    { says: 'malformed bodies', path: PREVIEW, body: `{"secret": ${GUILD_SECRET}` },
+    { says: 'malformed bodies', path: PREVIEW, body: GUILD_SECRET },
     { says: 'unknown routes', path: '/v1/other', body: {} },
     { says: 'administration calls', path: '/v1/admin/status', body: {} }
   ])('no secret is repeated in answers and counters on $says', async ({ path, body }) => {
@@ -156,8 +156,10 @@
 
   const lost: Refusal = { reason: Reason.ConnectionLost, detail: 'Lost.', execution: Execution.Unknown }
   test.each([
-    { says: 'an idempotent request is repeated with the time that is left', queue: 'preview', refusal: lost, budgets: [800, 700] },
+    { says: 'an idempotent request is repeated with the time that is left', queue: 'preview', refusal: lost, budgets: [800, 700, 600] },
     { says: 'a request that may have run is not repeated', queue: 'booking', refusal: lost, budgets: [800] },
+    { says: 'a request that did not run is repeated', queue: 'booking', refusal: refuse(Reason.Leaving, 'Gone.'), budgets: [800, 700, 600] },
+    { says: 'a failure of workers is the owner\'s to repeat', queue: 'preview', refusal: { ...lost, reason: Reason.WorkerFailed }, budgets: [800] },
     { says: 'a full queue is answered at once', queue: 'preview', refusal: refuse(Reason.QueueFull, 'Full.'), budgets: [800] },
     { says: 'nothing is repeated after the deadline', queue: 'preview', refusal: lost, tookMs: 800, budgets: [800] }
   ])('$says', async ({ queue, refusal, budgets, tookMs }) => {
@@ -171,7 +173,7 @@
     expect((await answer.json() as Problem).execution).toBe(refusal.execution)
   })
 
-  test('retries stay within the budget of a tenth', async () => {
+  test('retries stay within the burst and a tenth', async () => {
     const { request, router } = createBench()
     router.answer = async () => err(lost)
     for (let count = 0; count < 200; count++) await request('POST', PREVIEW, { authorization: GUILD }, {})
@@ -202,6 +204,19 @@
     expect(await statusOf(request('POST', PREVIEW, { authorization: GUILD }, {}))).toBe(200)
   })
 
+  test('one queue may not fill the node', async () => {
+    const { request, router } = createBench()
+    const open: Array<() => void> = []
+    router.answer = () => new Promise((resolve) => open.push(() => resolve(ok(1))))
+    const running = Array.from({ length: 15 }, () => request('POST', PREVIEW, { authorization: GUILD }, {}))
+    expect(await statusOf(request('POST', PREVIEW, { authorization: GUILD }, {}))).toBe(503)
+    const other = request('POST', '/v1/queues/lookup/requests', {}, {})
+    await new Promise(setImmediate)
+    for (const finish of open) finish()
+    expect(await statusOf(other)).toBe(200)
+    await Promise.all(running)
+  })
+
   async function statusOf (answer: Promise<Response>): Promise<number> {
     return (await answer).status
   }
@@ -209,11 +224,14 @@
 
 describe('health', () => {
   test.each([
-    { phase: Phase.Starting, ready: 503, connection: null },
-    { phase: Phase.Serving, ready: 200, connection: null },
-    { phase: Phase.Draining, ready: 503, connection: 'close' }
-  ])('$phase: readyz $ready', async ({ phase, ready, connection }) => {
-    const { request, parts } = createBench()
+    { phase: Phase.Starting, ageMs: 0, ready: 503, connection: null },
+    { phase: Phase.Serving, ageMs: 0, ready: 200, connection: null },
+    { phase: Phase.Serving, ageMs: 600_000, ready: 200, connection: null },
+    { phase: Phase.Serving, ageMs: Infinity, ready: 503, connection: null },
+    { phase: Phase.Draining, ageMs: 0, ready: 503, connection: 'close' }
+  ])('$phase with a configuration of age $ageMs: readyz $ready', async ({ phase, ageMs, ready, connection }) => {
+    const { request, parts, configuration } = createBench()
+    configuration.age = ageMs
     parts.presence.current = () => phase
     expect((await request('GET', '/readyz')).status).toBe(ready)
     const health = await request('GET', '/healthz')
