Offer freed workers to lanes instead of reopening every lane

Cause: a worker that freed one slot reopened every lane whose head fitted, one of them took the slot, and all the others were tried and blocked again one by one. Lanes without room now stay blocked; each freed worker is offered to the best of them in one pass.

Ruled out: keeping lists of hints per lane (the earlier version) still cost one selection for each blocked lane.

--- a/packages/policy/src/headroom.ts
+++ b/packages/policy/src/headroom.ts
@@ -1,14 +1,15 @@
 /**
  * Room kept back from batch work and gangs so that requests start without waiting for either to end.
  */
+import type { Resources } from '@fireflymount/protocol/resources'
 import type { Occupancy } from './occupancy.js'
 import type { Task } from './task.js'
 import type { Weights } from './policy.js'
 
 /** Time constant after which a past peak of requests is forgotten, in milliseconds. */
-export const PEAK_DECAY_MS = 300_000
+export const PEAK_DECAY_MS = 60_000
 /** Most of the shard that is kept back, as a part. */
-const KEPT_PART_MAX = 0.25
+const KEPT_PART_MAX = 0.2
 
 /** Recent peak of what requests had running at once. */
 export class Headroom {
@@ -22,7 +23,7 @@
   private readonly strictness: number
 
   constructor (private readonly occupancy: Occupancy, weights: Weights) {
-    this.strictness = Math.min(1, 2 * (weights.waiting + weights.share))
+    this.strictness = 1 - weights.packing
   }
 
   /**
@@ -46,21 +47,20 @@
   /**
    * Tells whether tasks may start without taking the room kept back.
    *
-   * @param task the task
-   * @param count how many of it
+   * @param size the sum of their sizes
+   * @param count how many they are
    * @param nowMs the time
    * @returns true if they may
    */
-  allows (task: Task, count: number, nowMs: number): boolean {
+  allows (size: Resources, count: number, nowMs: number): boolean {
     if (this.peakSlots < 1) return true
     this.decay(nowMs)
     const { fleet } = this.occupancy
-    const { size } = task
-    const cpu = kept(this.peakCpu - this.cpu, fleet.totalCpu, size.cpuMilli * count) * this.strictness
-    const memory = kept(this.peakMemory - this.memory, fleet.totalMemory, size.memoryMb * count) * this.strictness
+    const cpu = kept(this.peakCpu - this.cpu, fleet.totalCpu, size.cpuMilli) * this.strictness
+    const memory = kept(this.peakMemory - this.memory, fleet.totalMemory, size.memoryMb) * this.strictness
     const slots = Math.floor(kept(this.peakSlots - this.slots, fleet.totalSlots, count) * this.strictness)
     if (fleet.readySlots - count < slots) return false
-    return fleet.readyCpu - size.cpuMilli * count >= cpu && fleet.readyMemory - size.memoryMb * count >= memory
+    return fleet.readyCpu - size.cpuMilli >= cpu && fleet.readyMemory - size.memoryMb >= memory
   }
 
   private decay (nowMs: number): void {
--- a/packages/policy/src/health.ts
+++ b/packages/policy/src/health.ts
@@ -4,6 +4,7 @@
 import type { Resources } from '@fireflymount/protocol/resources'
 import type { Fleet } from './fleet.js'
 import type { Kind } from './kind.js'
+import { NO_RESOURCES } from '@fireflymount/protocol/resources'
 import { NONE } from './table.js'
 import { Condition, Ending } from './task.js'
 
@@ -103,6 +104,16 @@
     return NONE
   }
 
+  /**
+   * Tells whether any quarantined worker is due for a probe.
+   *
+   * @param nowMs the time
+   * @returns true if one is
+   */
+  anyDue (nowMs: number): boolean {
+    return this.quarantined.size > 0 && this.due(NO_RESOURCES, nowMs) !== NONE
+  }
+
   /**
    * Notes that a probe was placed, so that no second one follows before its interval.
    *
--- a/packages/policy/src/lane.ts
+++ b/packages/policy/src/lane.ts
@@ -1,35 +1,36 @@
 /**
  * First-in-first-out lists of waiting tasks that look alike to the decisions.
  */
+import type { Resources } from '@fireflymount/protocol/resources'
 import type { Urgency, Workload } from '@fireflymount/protocol/workload'
 import type { Kind } from './kind.js'
 import type { TaskTable } from './table.js'
 import type { Team } from './team.js'
+import { NO_RESOURCES } from '@fireflymount/protocol/resources'
 import { NONE } from './table.js'
 
-/** Whether a lane's head is worth trying. */
+/** Whether a lane's head is worth a search among all workers. */
 export enum Block {
   None = 0,
-  /** No room for the head; opens when a worker frees enough. */
+  /** No room for the head; workers that free some are offered to the lane. */
   Room = 1,
   /** The team is at its allotment; opens when the team releases something or gets more. */
   Limit = 2,
-  /** Kept back so that requests find room; opens after a while. */
+  /** Kept back so that requests find room; opens when enough is free. */
   Headroom = 3
 }
 
-const HINTS_MAX = 8
-
 /** Waiting tasks of one team, kind, urgency and size, linked through the table. */
 export class Lane {
   head = NONE
   tail = NONE
   length = 0
   block = Block.None
+  /** Size of the head, and when it was submitted. */
+  size: Resources = NO_RESOURCES
+  submittedMs = 0
   /** Position in the list of lanes with the same block, kept by the owner of that list. */
   position = NONE
-  /** Workers that freed room since the lane was blocked; undefined to search them all. */
-  hints: number[] | undefined
   /** Earliest time of the next preemption or reservation for this lane. */
   retryMs = 0
 
@@ -53,14 +54,14 @@
     table.lanes[slot] = this
     this.length++
     if (this.head === NONE) {
-      this.head = slot
       this.tail = slot
+      this.setHead(table, slot)
       return
     }
-    if (table.at(slot).submittedMs < table.at(this.head).submittedMs) {
+    if (table.at(slot).submittedMs < this.submittedMs) {
       table.next[slot] = this.head
       table.previous[this.head] = slot
-      this.head = slot
+      this.setHead(table, slot)
       return
     }
     table.previous[slot] = this.tail
@@ -77,7 +78,7 @@
   remove (table: TaskTable, slot: number): void {
     const next = table.next[slot]!
     const previous = table.previous[slot]!
-    if (previous === NONE) this.head = next
+    if (previous === NONE) this.setHead(table, next)
     else table.next[previous] = next
     if (next === NONE) this.tail = previous
     else table.previous[next] = previous
@@ -87,14 +88,11 @@
     this.length--
   }
 
-  /**
-   * Remembers a worker that freed enough room for the head.
-   *
-   * @param worker the worker's index
-   */
-  hint (worker: number): void {
-    if (this.hints === undefined || this.hints.includes(worker)) return
-    if (this.hints.length === HINTS_MAX) this.hints = undefined
-    else this.hints.push(worker)
+  private setHead (table: TaskTable, slot: number): void {
+    this.head = slot
+    if (slot === NONE) return
+    const { size, submittedMs } = table.at(slot)
+    this.size = size
+    this.submittedMs = submittedMs
   }
 }
--- a/packages/policy/src/lanes.ts
+++ b/packages/policy/src/lanes.ts
@@ -1,10 +1,10 @@
 /**
  * All lanes of a shard: which are worth trying, and which comes next.
  */
-import { Urgency, Workload } from '@fireflymount/protocol/workload'
+import type { Workload } from '@fireflymount/protocol/workload'
+import { Urgency } from '@fireflymount/protocol/workload'
 import type { Occupancy } from './occupancy.js'
 import type { Policy, Weights } from './policy.js'
-import type { Reservation } from './reservation.js'
 import type { Task } from './task.js'
 import type { Team, Totals } from './team.js'
 import { Block, Lane } from './lane.js'
@@ -18,22 +18,24 @@
 /** One policy for each kind of workload. */
 export type Policies = Readonly<Record<Workload, Policy>>
 
+/** Why a lane's head may not start although there is room; Block.None if it may. */
+export type Gate = (lane: Lane) => Block
+
 /** The lanes, by what blocks them, and their order. */
 export class Lanes {
-  /** Lanes whose head found no room. */
-  readonly room: Lane[] = []
   /** Lanes kept back for requests. */
   readonly headroom: Lane[] = []
   readonly totals: Totals = { cpuMilli: 1, memoryMb: 1, accelerators: 1, shares: 1 }
+  /** Teams with lanes that are open or found no room. */
+  readonly active: Team[] = []
   private readonly lanes = new Map<string, Lane>()
-  private readonly active: Team[] = []
   private readonly shareWeight: number
   private readonly waitingWeight: number
 
   constructor (
     private readonly occupancy: Occupancy,
-    private readonly reservation: Reservation,
     private readonly policies: Policies,
+    private readonly gate: Gate,
     weights: Weights
   ) {
     this.shareWeight = Math.max(SHARE_WEIGHT_MIN, weights.share)
@@ -47,12 +49,11 @@
    */
   add (slot: number): void {
     const { table } = this.occupancy
-    const task = table.at(slot)
-    const lane = this.laneOf(task)
+    const lane = this.laneOf(table.at(slot))
     const head = lane.head
     lane.add(table, slot)
     if (lane.length === 1) this.enter(lane)
-    else if (lane.head !== head) this.reopen(lane)
+    else if (lane.head !== head) this.open(lane)
   }
 
   /**
@@ -67,7 +68,7 @@
     const wasHead = lane.head === slot
     lane.remove(table, slot)
     if (lane.length === 0) this.drop(lane)
-    else if (wasHead) this.reopen(lane)
+    else if (wasHead) this.open(lane)
   }
 
   /**
@@ -78,7 +79,7 @@
   shift (lane: Lane): void {
     lane.remove(this.occupancy.table, lane.head)
     if (lane.length === 0) this.drop(lane)
-    else if (!lane.exact) lane.hints = undefined
+    else if (!lane.exact) this.open(lane)
   }
 
   /**
@@ -88,62 +89,46 @@
    * @param block the reason
    */
   block (lane: Lane, block: Block): void {
+    if (lane.block === block) return
     this.leave(lane)
     lane.block = block
-    lane.hints = []
     this.enter(lane)
   }
 
   /**
-   * Makes a lane worth a full search again.
+   * Makes a lane worth a search among all workers.
    *
    * @param lane the lane
    */
-  reopen (lane: Lane): void {
-    lane.hints = undefined
-    this.open(lane)
+  open (lane: Lane): void {
+    this.block(lane, Block.None)
   }
 
   /**
-   * Makes every lane of a list worth a full search again.
+   * Opens every lane of a list that the gate lets through.
    *
-   * @param lanes the list; it is emptied
-   */
-  reopenAll (lanes: Lane[]): void {
-    while (lanes.length > 0) this.reopen(lanes[lanes.length - 1]!)
-  }
-
-  /**
-   * Makes gangs that found no room worth a full search again.
+   * @param lanes the list
    */
-  reopenGangs (): void {
-    for (let position = this.room.length - 1; position >= 0; position--) {
-      const lane = this.room[position]!
-      if (lane.workload === Workload.Gang) this.reopen(lane)
+  openAll (lanes: readonly Lane[]): void {
+    for (let position = lanes.length - 1; position >= 0; position--) {
+      const lane = lanes[position]!
+      if (this.gate(lane) === Block.None) this.open(lane)
     }
   }
 
   /**
-   * Opens the lanes whose head fits on a worker that got room.
+   * Opens the lanes without room that meet a condition.
    *
-   * @param worker the worker's index
+   * @param condition which lanes
    */
-  onRoom (worker: number): void {
-    const { fleet, table } = this.occupancy
-    if (!fleet.open(worker) && !this.reservation.holds(worker)) return
-    for (const team of this.active) {
-      for (const lane of team.open) lane.hint(worker)
-    }
-    for (let position = this.room.length - 1; position >= 0; position--) {
-      const lane = this.room[position]!
-      if (lane.workload === Workload.Gang || !fleet.fits(worker, table.at(lane.head).size)) continue
-      lane.hint(worker)
-      this.open(lane)
+  openRoom (condition: (lane: Lane) => boolean): void {
+    for (const team of [...this.active]) {
+      for (const lane of team.room.filter(condition)) this.open(lane)
     }
   }
 
   /**
-   * Works the levels of all teams with open lanes out.
+   * Works the levels of all teams with waiting work out.
    *
    * @param nowMs the time
    */
@@ -156,17 +141,21 @@
 
   /**
    * Finds the lane that comes next: the team furthest below its share, corrected by waiting time; within the team
-   * urgent work first, then by time waited.
+   * urgent work first, then by time waited. Lanes that the gate stops are blocked on the way.
    *
    * @param nowMs the time
-   * @returns the lane, or undefined if none is worth trying
+   * @param worker a worker with room, to consider also lanes that found none so far; or NONE
+   * @returns the lane, or undefined if there is none
    */
-  next (nowMs: number): Lane | undefined {
+  next (nowMs: number, worker: number): Lane | undefined {
     let best: Lane | undefined
     let least = Infinity
-    for (const team of this.active) {
-      const lane = this.first(team)
-      const rank = this.rank(team, lane, nowMs)
+    for (let position = this.active.length - 1; position >= 0; position--) {
+      const team = this.active[position]!
+      const open = this.first(team.open, undefined, NONE, nowMs)
+      const lane = worker === NONE ? open : this.first(team.room, open, worker, nowMs)
+      if (lane === undefined) continue
+      const rank = this.rank(lane, nowMs)
       if (best !== undefined && rank >= least) continue
       best = lane
       least = rank
@@ -174,75 +163,67 @@
     return best
   }
 
-  /**
-   * Finds a waiting task's place among the lanes.
-   *
-   * @param task the task
-   * @returns the lane's key
-   */
-  private laneOf (task: Task): Lane {
-    const exact = this.lanes.size < EXACT_LANES_MAX && task.avoid === undefined
-    const key = laneKey(task, exact)
-    const known = this.lanes.get(key)
-    if (known !== undefined) return known
-    const { occupancy } = this
-    const lane = new Lane(key, occupancy.team(task.team), occupancy.kind(task.kind), task.workload, task.urgency, exact)
-    this.lanes.set(key, lane)
-    return lane
-  }
-
-  private first (team: Team): Lane {
-    let best = team.open[0]!
-    for (const lane of team.open) if (this.precedes(lane, best)) best = lane
+  private first (lanes: readonly Lane[], known: Lane | undefined, worker: number, nowMs: number): Lane | undefined {
+    let best = known
+    for (let position = lanes.length - 1; position >= 0; position--) {
+      const lane = lanes[position]!
+      if (worker !== NONE && !this.occupancy.fleet.fits(worker, lane.size)) continue
+      if (best !== undefined && !this.precedes(lane, best)) continue
+      if (worker !== NONE && !this.policies[lane.workload].accepts(lane, worker, nowMs)) continue
+      const block = this.gate(lane)
+      if (block === Block.None) best = lane
+      else this.block(lane, block)
+    }
     return best
   }
 
   private precedes (left: Lane, right: Lane): boolean {
     if (left.urgency !== right.urgency) return left.urgency === Urgency.Urgent
-    return this.sinceMs(left) < this.sinceMs(right)
-  }
-
-  private sinceMs (lane: Lane): number {
-    return this.occupancy.table.at(lane.head).submittedMs - this.policies[lane.workload].precedenceMs
+    const leftMs = left.submittedMs - this.policies[left.workload].precedenceMs
+    return leftMs < right.submittedMs - this.policies[right.workload].precedenceMs
   }
 
-  private rank (team: Team, lane: Lane, nowMs: number): number {
-    const waitedMs = nowMs - this.occupancy.table.at(lane.head).submittedMs
-    const impatience = Math.min(1, Math.max(0, waitedMs / this.policies[lane.workload].patienceMs))
-    return this.shareWeight * team.level - this.waitingWeight * impatience
+  private rank (lane: Lane, nowMs: number): number {
+    const impatience = Math.min(1, Math.max(0, (nowMs - lane.submittedMs) / this.policies[lane.workload].patienceMs))
+    return this.shareWeight * lane.team.level - this.waitingWeight * impatience
   }
 
-  private open (lane: Lane): void {
-    if (lane.block === Block.None) return
-    this.leave(lane)
-    lane.block = Block.None
-    this.enter(lane)
+  private laneOf (task: Task): Lane {
+    const exact = this.lanes.size < EXACT_LANES_MAX && task.avoid === undefined
+    const key = laneKey(task, exact)
+    const known = this.lanes.get(key)
+    if (known !== undefined) return known
+    const { occupancy } = this
+    const lane = new Lane(key, occupancy.team(task.team), occupancy.kind(task.kind), task.workload, task.urgency, exact)
+    this.lanes.set(key, lane)
+    return lane
   }
 
   private drop (lane: Lane): void {
     this.leave(lane)
     lane.block = Block.None
-    lane.hints = undefined
-    if (this.reservation.lane === lane || this.lanes.size < EXACT_LANES_MAX) return
-    this.lanes.delete(lane.key)
+    if (this.lanes.size >= EXACT_LANES_MAX) this.lanes.delete(lane.key)
   }
 
   private list (lane: Lane): Lane[] {
-    if (lane.block === Block.Room) return this.room
-    if (lane.block === Block.Headroom) return this.headroom
-    return lane.block === Block.Limit ? lane.team.limited : lane.team.open
+    if (lane.block === Block.None) return lane.team.open
+    if (lane.block === Block.Room) return lane.team.room
+    return lane.block === Block.Limit ? lane.team.limited : this.headroom
   }
 
   private enter (lane: Lane): void {
+    const { team } = lane
     const list = this.list(lane)
     lane.position = list.length
     list.push(lane)
-    if (list !== lane.team.open || list.length > 1) return
-    this.active.push(lane.team)
-    lane.team.refresh(this.totals)
+    if (team.position !== NONE || !isActive(team)) return
+    team.position = this.active.length
+    this.active.push(team)
+    team.refresh(this.totals)
   }
 
   private leave (lane: Lane): void {
+    const { team } = lane
     const list = this.list(lane)
     const last = list.pop()!
     if (last !== lane) {
@@ -250,11 +231,20 @@
       last.position = lane.position
     }
     lane.position = NONE
-    if (list !== lane.team.open || list.length > 0) return
-    this.active.splice(this.active.indexOf(lane.team), 1)
+    if (team.position === NONE || isActive(team)) return
+    const other = this.active.pop()!
+    if (other !== team) {
+      this.active[team.position] = other
+      other.position = team.position
+    }
+    team.position = NONE
   }
 }
 
+function isActive (team: Team): boolean {
+  return team.open.length + team.room.length > 0
+}
+
 function laneKey (task: Task, exact: boolean): string {
   const { size } = task
   const cpu = exact ? size.cpuMilli : -Math.ceil(Math.log2(size.cpuMilli + 1))
--- a/packages/policy/src/policy.ts
+++ b/packages/policy/src/policy.ts
@@ -2,8 +2,9 @@
  * How work of one kind of workload is placed.
  */
 import type { Resources } from '@fireflymount/protocol/resources'
-import type { Block, Lane } from './lane.js'
+import type { Lane } from './lane.js'
 import type { Occupancy } from './occupancy.js'
+import type { Reservation } from './reservation.js'
 import type { Task } from './task.js'
 import { NONE } from './table.js'
 
@@ -17,12 +18,10 @@
   readonly packing: number
 }
 
-/** Where the tasks at the head of a lane go, or what keeps them. */
+/** Where the tasks at the head of a lane go. */
 export interface Choice {
   readonly slots: readonly number[]
   readonly workers: readonly number[]
-  /** Set if nothing is placed. */
-  readonly block: Block
 }
 
 /** Places the head of a lane. One subclass for each kind of workload. */
@@ -32,16 +31,30 @@
   /** Head start in the order of a team's own lanes, as time waited, in milliseconds. */
   abstract readonly precedenceMs: number
 
-  constructor (protected readonly occupancy: Occupancy, protected readonly weights: Weights) {}
+  constructor (
+    protected readonly occupancy: Occupancy,
+    protected readonly weights: Weights,
+    protected readonly reservation: Reservation
+  ) {}
 
   /**
-   * Chooses a worker for the head of a lane; charges nothing.
+   * Chooses workers for the head of a lane; charges nothing.
    *
-   * @param lane the lane, not empty, whose team admits the head
+   * @param lane the lane, not empty
    * @param nowMs the time
-   * @returns the choice
+   * @returns the choice, or undefined if there is no room
    */
-  abstract choose (lane: Lane, nowMs: number): Choice
+  abstract choose (lane: Lane, nowMs: number): Choice | undefined
+
+  /**
+   * Tells whether the head of a lane may go to a worker that has room for it.
+   *
+   * @param lane the lane, not empty
+   * @param worker the worker's index
+   * @param nowMs the time
+   * @returns true if it may
+   */
+  abstract accepts (lane: Lane, worker: number, nowMs: number): boolean
 
   /**
    * Scores how well a demand fits a worker: what would be left, and how lopsided.
@@ -82,6 +95,22 @@
     return best
   }
 
+  /**
+   * Finds a worker among those reserved for a lane.
+   *
+   * @param lane the lane
+   * @param task the lane's head or another task of its gang
+   * @returns the worker's index, or NONE
+   */
+  protected reserved (lane: Lane, task: Task): number {
+    if (this.reservation.lane !== lane) return NONE
+    for (const worker of this.reservation.workers) {
+      if (!this.reservation.holds(worker) || !this.occupancy.fleet.fits(worker, task.size)) continue
+      if (!this.avoids(task, worker)) return worker
+    }
+    return NONE
+  }
+
   /**
    * Tells whether a task should not go to a worker where it failed before.
    *
--- a/packages/policy/src/preemption.ts
+++ b/packages/policy/src/preemption.ts
@@ -35,16 +35,19 @@
    */
   preempt (nowMs: number): Preemption[] {
     const preemptions: Preemption[] = []
-    for (const lane of this.lanes.room) {
-      if (!this.deserves(lane, nowMs)) continue
-      lane.retryMs = nowMs + PREEMPTION_WAIT_MS
-      for (let head = Math.min(lane.length, HEADS_MAX); head > 0; head--) {
-        if (!this.makeRoom(lane, preemptions)) break
-      }
+    for (const team of this.lanes.active) {
+      for (const lane of team.room) if (this.deserves(lane, nowMs)) this.preemptFor(lane, nowMs, preemptions)
     }
     return preemptions
   }
 
+  private preemptFor (lane: Lane, nowMs: number, preemptions: Preemption[]): void {
+    lane.retryMs = nowMs + PREEMPTION_WAIT_MS
+    for (let head = Math.min(lane.length, HEADS_MAX); head > 0; head--) {
+      if (!this.makeRoom(lane, preemptions)) return
+    }
+  }
+
   /**
    * Stops what a team has beyond a lowered allotment: tasks with checkpoint first, the latest started first.
    *
@@ -81,10 +84,8 @@
 
   private deserves (lane: Lane, nowMs: number): boolean {
     if (lane.urgency !== Urgency.Urgent || lane.workload === Workload.Gang || nowMs < lane.retryMs) return false
-    const task = this.occupancy.table.at(lane.head)
-    if (nowMs - task.submittedMs < PREEMPTION_WAIT_MS) return false
-    lane.team.refresh(this.lanes.totals)
-    return lane.team.level < LOW_LEVEL && lane.team.admits(task.size, 1)
+    if (nowMs - lane.submittedMs < PREEMPTION_WAIT_MS) return false
+    return lane.team.level < LOW_LEVEL && lane.team.admits(lane.size, 1)
   }
 
   private makeRoom (lane: Lane, preemptions: Preemption[]): boolean {
--- a/packages/policy/src/shard.ts
+++ b/packages/policy/src/shard.ts
@@ -30,8 +30,10 @@
 import { Condition, Ending, Obstacle } from './task.js'
 import { Scheduler } from './scheduler.js'
 
-/** Time between two attempts to place blocked gangs and work kept back for requests. */
-const RETRY_INTERVAL_MS = 20
+/** Time between two reviews of levels, blocked gangs, preemption and reservation. */
+const REVIEW_INTERVAL_MS = 20
+/** Time between two searches for heads that a freed worker was offered and did not suit. */
+const SEARCH_INTERVAL_MS = 1_000
 /** Time that the head of a lane other than a gang's finds no room before workers are reserved for it. */
 const RESERVATION_WAIT_MS = 10_000
 const WORKERS_LOST: Machine = { id: '', zone: '', rack: '', capacity: { cpuMilli: 0, memoryMb: 0, accelerators: 0 }, slots: 0 }
@@ -53,7 +55,10 @@
   private readonly lanes: Lanes
   private readonly preemptor: Preemptor
   private readonly excessive = new Set<Team>()
-  private retryMs = 0
+  /** Workers that freed room since the last decision. */
+  private readonly freed = new Set<number>()
+  private reviewMs = 0
+  private searchMs = 0
   private roomChanged = false
   private nowMs = 0
 
@@ -63,12 +68,12 @@
     const { occupancy, reservation } = this
     this.headroom = new Headroom(occupancy, normal)
     this.policies = {
-      [Workload.Request]: new RequestPolicy(occupancy, normal),
-      [Workload.Service]: new ServicePolicy(occupancy, normal),
-      [Workload.Batch]: new BatchPolicy(occupancy, normal, this.headroom, reservation),
-      [Workload.Gang]: new GangPolicy(occupancy, normal, this.headroom, reservation)
+      [Workload.Request]: new RequestPolicy(occupancy, normal, reservation),
+      [Workload.Service]: new ServicePolicy(occupancy, normal, reservation),
+      [Workload.Batch]: new BatchPolicy(occupancy, normal, reservation),
+      [Workload.Gang]: new GangPolicy(occupancy, normal, reservation)
     }
-    this.lanes = new Lanes(occupancy, reservation, this.policies, normal)
+    this.lanes = new Lanes(occupancy, this.policies, lane => this.gate(lane), normal)
     this.preemptor = new Preemptor(occupancy, this.lanes)
   }
 
@@ -113,6 +118,7 @@
     if (index === NONE) return
     this.occupancy.fleet.remove(index)
     this.health.pardon(index)
+    this.freed.delete(index)
     this.countTotals()
   }
 
@@ -158,15 +164,17 @@
     this.nowMs = nowMs
     const expired = this.expire(nowMs)
     const placements: Placement[] = []
-    this.reopenDue(nowMs)
-    this.lanes.refresh(nowMs)
+    const due = nowMs >= this.reviewMs
+    if (due) this.review(nowMs)
     while (placements.length < most) {
-      const lane = this.lanes.next(nowMs)
-      if (lane === undefined) break
-      if (!this.serve(lane, most, placements)) break
+      const worker = this.freedWorker()
+      const lane = this.lanes.next(nowMs, worker)
+      if (lane === undefined && worker === NONE) break
+      if (lane === undefined) this.freed.delete(worker)
+      else if (!this.serve(lane, worker, most, placements)) break
     }
-    const preemptions = this.preempt(nowMs)
-    this.reserve(nowMs)
+    const preemptions = due ? this.preempt(nowMs) : []
+    if (due) this.reserve(nowMs)
     return { placements, preemptions, expired }
   }
 
@@ -228,44 +236,59 @@
     team.setClaim(claim)
     team.excessMs = team.exceeds() ? this.nowMs : 0
     if (team.exceeds()) this.excessive.add(team)
-    this.lanes.reopenAll(team.limited)
+    team.refresh(this.lanes.totals)
+    this.lanes.openAll(team.limited)
   }
 
   /** Serves the head of a lane. Returns false if a gang has to wait for the next round. */
-  private serve (lane: Lane, most: number, placements: Placement[]): boolean {
-    const choice = this.choose(lane)
-    if (choice.block !== Block.None) {
-      this.lanes.block(lane, choice.block)
+  private serve (lane: Lane, worker: number, most: number, placements: Placement[]): boolean {
+    const choice = this.choose(lane, worker)
+    if (choice === undefined) {
+      this.lanes.block(lane, Block.Room)
       return true
     }
     if (placements.length > 0 && placements.length + choice.slots.length > most) return false
     this.lanes.shift(lane)
     for (const [position, slot] of choice.slots.entries()) placements.push(this.start(slot, choice.workers[position]!))
-    lane.team.refresh(this.lanes.totals)
     if (this.reservation.lane === lane) this.unreserve()
     return true
   }
 
-  private choose (lane: Lane): Choice {
-    const { table } = this.occupancy
-    const { nowMs } = this
-    const task = table.at(lane.head)
-    if (!this.admitted(lane, task)) return { slots: [], workers: [], block: Block.Limit }
-    const probed = this.probe(task)
-    if (probed !== NONE) return { slots: [lane.head], workers: [probed], block: Block.None }
-    return this.policies[lane.workload].choose(lane, nowMs)
+  private choose (lane: Lane, worker: number): Choice | undefined {
+    const probed = this.probe(this.occupancy.table.at(lane.head))
+    if (probed !== NONE) return { slots: [lane.head], workers: [probed] }
+    if (lane.block === Block.Room) return { slots: [lane.head], workers: [worker] }
+    return this.policies[lane.workload].choose(lane, this.nowMs)
   }
 
-  private admitted (lane: Lane, task: Task): boolean {
-    if (lane.workload !== Workload.Gang) return lane.team.admits(task.size, 1)
+  /** A worker that freed room since lanes were blocked for want of it, or NONE. */
+  private freedWorker (): number {
+    const { fleet } = this.occupancy
+    for (const worker of this.freed) {
+      if (fleet.freeSlots[worker]! > 0 && fleet.conditions[worker] === Condition.Ready) return worker
+      this.freed.delete(worker)
+    }
+    return NONE
+  }
+
+  /** What keeps the head of a lane although there is room. */
+  private gate (lane: Lane): Block {
+    if (lane.workload === Workload.Gang) return this.gangGate(lane)
+    if (!lane.team.admits(lane.size, 1)) return Block.Limit
+    if (lane.workload === Workload.Batch && !this.headroom.allows(lane.size, 1, this.nowMs)) return Block.Headroom
+    return Block.None
+  }
+
+  private gangGate (lane: Lane): Block {
     const slots = members(this.occupancy, lane.head)
-    return lane.team.admits(sumSizes(this.occupancy.table, slots), slots.length)
+    const size = sumSizes(this.occupancy.table, slots)
+    if (!lane.team.admits(size, slots.length)) return Block.Limit
+    return this.headroom.allows(size, slots.length, this.nowMs) ? Block.None : Block.Headroom
   }
 
   /** A quarantined worker that a task may probe, or NONE. */
   private probe (task: Task): number {
-    if (task.urgency === Urgency.Urgent || task.avoid !== undefined) return NONE
-    if (task.workload === Workload.Gang || task.workload === Workload.Service) return NONE
+    if (!mayProbe(task) || task.avoid !== undefined) return NONE
     const worker = this.health.due(task.size, this.nowMs)
     if (worker !== NONE) this.health.probe(worker, task.id, this.nowMs)
     return worker
@@ -284,6 +307,7 @@
   private charge (slot: number, worker: number, nowMs: number): void {
     const task = this.occupancy.table.at(slot)
     this.occupancy.charge(slot, worker, nowMs)
+    this.occupancy.team(task.team).refresh(this.lanes.totals)
     if (task.workload === Workload.Request) this.headroom.count(task, 1, nowMs)
   }
 
@@ -292,7 +316,9 @@
     const worker = this.occupancy.table.worker[slot]!
     this.occupancy.release(slot, nowMs)
     if (task.workload === Workload.Request) this.headroom.count(task, -1, nowMs)
-    this.lanes.reopenAll(this.occupancy.team(task.team).limited)
+    const team = this.occupancy.team(task.team)
+    team.refresh(this.lanes.totals)
+    this.lanes.openAll(team.limited)
     return worker
   }
 
@@ -355,12 +381,17 @@
     return expired
   }
 
-  private reopenDue (nowMs: number): void {
-    if (nowMs < this.retryMs) return
-    this.retryMs = nowMs + RETRY_INTERVAL_MS
-    this.lanes.reopenAll(this.lanes.headroom)
-    if (this.roomChanged) this.lanes.reopenGangs()
+  /** Refreshes what changes with time, and opens lanes that may have become placeable by it. */
+  private review (nowMs: number): void {
+    this.reviewMs = nowMs + REVIEW_INTERVAL_MS
+    this.lanes.refresh(nowMs)
+    this.lanes.openAll(this.lanes.headroom)
+    if (this.roomChanged) this.lanes.openRoom(lane => lane.workload === Workload.Gang)
     this.roomChanged = false
+    if (this.health.anyDue(nowMs)) this.lanes.openRoom(lane => mayProbe(lane))
+    if (nowMs < this.searchMs) return
+    this.searchMs = nowMs + SEARCH_INTERVAL_MS
+    this.lanes.openRoom(lane => !lane.exact || lane.workload === Workload.Service)
   }
 
   private preempt (nowMs: number): Preemption[] {
@@ -387,17 +418,16 @@
     const next = this.entitled(nowMs)
     if (next === undefined) return
     const count = next.workload === Workload.Gang ? members(this.occupancy, next.head).length : 1
-    if (!reservation.place(next, count, nowMs)) next.retryMs = nowMs + RESERVATION_PAUSE_MS
+    if (reservation.place(next, count, nowMs)) this.lanes.open(next)
+    else next.retryMs = nowMs + RESERVATION_PAUSE_MS
   }
 
   private entitled (nowMs: number): Lane | undefined {
     let best: Lane | undefined
-    for (const lane of this.lanes.room) {
-      if (lane.workload === Workload.Request || nowMs < lane.retryMs) continue
-      const task = this.occupancy.table.at(lane.head)
-      if (lane.workload !== Workload.Gang && nowMs - task.submittedMs < RESERVATION_WAIT_MS) continue
-      lane.team.refresh(this.lanes.totals)
-      if (best === undefined || lane.team.level < best.team.level) best = lane
+    for (const team of this.lanes.active) {
+      if (best !== undefined && team.level >= best.team.level) continue
+      const lane = team.room.find(candidate => isEntitled(candidate, nowMs))
+      if (lane !== undefined) best = lane
     }
     return best
   }
@@ -408,7 +438,7 @@
 
   private onRoom (worker: number): void {
     this.roomChanged = true
-    this.lanes.onRoom(worker)
+    this.freed.add(worker)
   }
 
   private countTotals (): void {
@@ -420,6 +450,17 @@
   }
 }
 
+/** Tells whether tasks may be risked on a worker that fails. */
+function mayProbe ({ urgency, workload }: Pick<Task, 'urgency' | 'workload'>): boolean {
+  return urgency === Urgency.Normal && (workload === Workload.Request || workload === Workload.Batch)
+}
+
+/** Tells whether a blocked lane may have workers reserved. */
+function isEntitled (lane: Lane, nowMs: number): boolean {
+  if (lane.workload === Workload.Request || nowMs < lane.retryMs) return false
+  return lane.workload === Workload.Gang || nowMs - lane.submittedMs >= RESERVATION_WAIT_MS
+}
+
 function normalize ({ waiting, share, packing }: Weights): Weights {
   const sum = waiting + share + packing
   if (sum <= 0) return { waiting: 1 / 3, share: 1 / 3, packing: 1 / 3 }
--- a/packages/policy/src/spread.ts
+++ b/packages/policy/src/spread.ts
@@ -5,36 +5,37 @@
 import type { Group } from './group.js'
 import type { Lane } from './lane.js'
 import type { Task } from './task.js'
-import { Block } from './lane.js'
 import { CANDIDATES, Policy } from './policy.js'
 import { NONE } from './table.js'
 
-/** Cost of a second replica on a worker, in a rack, in an availability zone. */
+/** Cost of a second replica on a worker, in an availability zone, in a rack. */
 const WORKER_COST = 10_000
-const RACK_COST = 100
 const ZONE_COST = 1_000
-const NOTHING: Choice = { slots: [], workers: [], block: Block.Room }
+const RACK_COST = 100
+/** Time after which a replica goes to a worker that has one of the same service already. */
+const DOUBLING_WAIT_MS = 5_000
 
 /** Places synchronous requests: where most is free, or tight if packing outweighs waiting. */
 export class RequestPolicy extends Policy {
   readonly patienceMs: number = 500
   readonly precedenceMs: number = 60_000
 
-  choose (lane: Lane): Choice {
+  choose (lane: Lane): Choice | undefined {
+    const worker = this.pick(lane, this.occupancy.table.at(lane.head))
+    return worker === NONE ? undefined : { slots: [lane.head], workers: [worker] }
+  }
+
+  accepts (lane: Lane, worker: number, nowMs: number): boolean {
     const task = this.occupancy.table.at(lane.head)
-    const worker = this.pick(task, lane)
-    return worker === NONE ? NOTHING : { slots: [lane.head], workers: [worker], block: Block.None }
+    if (!lane.exact && this.avoids(task, worker)) return false
+    if (!this.occupancy.fleet.open(worker) && (this.reservation.lane !== lane || !this.reservation.holds(worker))) return false
+    if (task.group === undefined || nowMs - task.submittedMs > DOUBLING_WAIT_MS) return true
+    return !this.occupancy.group(task)?.workers.has(worker)
   }
 
-  /**
-   * Picks the best of some candidates.
-   *
-   * @param task the task
-   * @param lane its lane
-   * @returns the worker's index, or NONE
-   */
-  protected pick (task: Task, lane: Lane): number {
-    if (lane.hints !== undefined) return this.pickHint(task, lane.hints)
+  private pick (lane: Lane, task: Task): number {
+    const reserved = this.reserved(lane, task)
+    if (reserved !== NONE) return reserved
     const group = this.occupancy.group(task)
     const worker = this.search(task, group, CANDIDATES + (task.avoid?.length ?? 0))
     if (worker === NONE || group === undefined || !group.workers.has(worker)) return worker
@@ -59,14 +60,6 @@
     return best
   }
 
-  private pickHint (task: Task, hints: readonly number[]): number {
-    const { fleet } = this.occupancy
-    for (const worker of hints) {
-      if (fleet.open(worker) && fleet.fits(worker, task.size) && !this.avoids(task, worker)) return worker
-    }
-    return NONE
-  }
-
   private score (worker: number, task: Task, group: Group | undefined, roomiest: boolean): number {
     const fit = this.fit(worker, task.size)
     const score = roomiest ? -fit : fit
--- a/packages/policy/src/team.ts
+++ b/packages/policy/src/team.ts
@@ -4,6 +4,7 @@
 import type { Resources } from '@fireflymount/protocol/resources'
 import type { Lane } from './lane.js'
 import type { Allowance, Claim } from './task.js'
+import { NONE } from './table.js'
 
 /** Time constant of the exponential decay of past usage, in milliseconds. */
 export const USAGE_DECAY_MS = 60_000
@@ -26,10 +27,14 @@
   expectedMemory = 0
   /** Usage against the share; 1 is exactly at the share. Valid after `refresh`. */
   level = 0
-  /** Waiting lanes that are worth trying. */
+  /** Waiting lanes that are worth a search among all workers. */
   readonly open: Lane[] = []
+  /** Waiting lanes whose head found no room. */
+  readonly room: Lane[] = []
   /** Waiting lanes that are at the team's allotment. */
   readonly limited: Lane[] = []
+  /** Position in the list of active teams, kept by the owner of that list. */
+  position = NONE
   /** Since when more runs than the allotment; 0 if not. */
   excessMs = 0
   private pastCpu = 0
