--- /dev/null
+++ b/packages/daemon/test/configuration/follower.spec.ts
@@ -0,0 +1,345 @@
+import { setMaxListeners } from 'node:events'
+import fc from 'fast-check'
+import { afterEach, beforeEach, describe, expect, test, vi } from 'vitest'
+import type { Change, Delta } from '@fireflymount/manifest/delta'
+import { Ledger, NO_REVISION } from '@fireflymount/manifest/fold'
+import { Section } from '@fireflymount/manifest/manifest'
+import { Outcome } from '@fireflymount/manifest/verdict'
+import { SystemClock } from '@fireflymount/platform/clock'
+import { Log } from '@fireflymount/platform/log'
+import { Execution, Reason } from '@fireflymount/protocol/refusal'
+import { RecordsPageCodec, type RecordsPage } from '@fireflymount/protocol/message'
+import { Fate, FakeLog, type Call } from '../../../platform/test/fake-log.js'
+import { Follower } from '../../src/configuration/follower.js'
+
+const SNAPSHOT_MS = 20_000
+const PATIENCE = { appendMs: 40, readMs: 40, firstRetryMs: 2, lastRetryMs: 20 }
+
+/** The log as one node reaches it. */
+class Route extends Log {
+  cut = false
+
+  constructor (private readonly log: FakeLog) {
+    super()
+  }
+
+  async append (stream: string, data: unknown): ReturnType<Log['append']> {
+    return this.cut ? await new Promise(() => {}) : await this.log.append(stream, data)
+  }
+
+  async read (stream: string, from: number, waitMs: number, signal?: AbortSignal): ReturnType<Log['read']> {
+    return this.cut ? await new Promise(() => {}) : await this.log.read(stream, from, waitMs, signal)
+  }
+}
+
+interface Member { route: Route, follower: Follower }
+
+/** Nodes that follow the same log and ask each other, the first reachable one first. */
+class Cell {
+  readonly log = new FakeLog()
+  readonly members: Member[] = []
+  readonly stop = new AbortController()
+  /** While set, no peer answers. */
+  peersCut = false
+  private readonly runs: Array<Promise<void>> = []
+
+  constructor (count: number) {
+    setMaxListeners(0, this.stop.signal)
+    for (let each = 0; each < count; each += 1) this.add()
+  }
+
+  add (): Member {
+    const route = new Route(this.log)
+    const index = this.members.length
+    const follower: Follower = new Follower({
+      log: route,
+      clock: new SystemClock(),
+      askPeers: async (from) => this.ask(follower, from),
+      isWriter: () => index === 0,
+      snapshotMs: SNAPSHOT_MS,
+      snapshotRecords: 20,
+      publishMs: 400,
+      patience: PATIENCE
+    })
+    const member = { route, follower }
+    this.members.push(member)
+    this.runs.push(follower.run(this.stop.signal))
+    return member
+  }
+
+  private ask (asking: Follower, from: number): RecordsPage | undefined {
+    if (this.peersCut) return undefined
+    const peers = this.members.filter(({ follower }) => follower !== asking)
+    const pages = peers.map(({ follower }) => RecordsPageCodec.decode(JSON.parse(JSON.stringify(follower.recordsFrom(from)))))
+    const page = pages.sort(() => Math.random() - 0.5)[0]
+    return page?.unsafeCoerce() as RecordsPage | undefined
+  }
+
+  async close (): Promise<void> {
+    this.stop.abort()
+    await run(Promise.all(this.runs))
+  }
+}
+
+async function run<T> (promise: Promise<T>): Promise<T> {
+  const state = { done: false }
+  const settled = promise.finally(() => { state.done = true })
+  for (let step = 0; step < 20_000 && !state.done; step += 1) await vi.advanceTimersByTimeAsync(1)
+  if (!state.done) throw new Error('The promise did not settle within 20 s of the fake clock.')
+  return await settled
+}
+
+async function createCell (count: number): Promise<Cell> {
+  const cell = new Cell(count)
+  await vi.advanceTimersByTimeAsync(50)
+  return cell
+}
+
+function putTeam (name: string, share = 1): Change {
+  return { section: Section.Teams, name, value: { name, workspace: 'w', share, upperLimit: {} } }
+}
+
+const workspace: Change = { section: Section.Workspaces, name: 'w', value: { name: 'w' } }
+let publications = 0
+
+function createDelta (base: number, ...changes: Change[]): Delta {
+  publications += 1
+  return { publish: `p${publications}`, base, changes }
+}
+
+beforeEach(() => { vi.useFakeTimers() })
+afterEach(() => {
+  vi.useRealTimers()
+  vi.restoreAllMocks()
+})
+
+describe('publication', () => {
+  test('of two racing publications of one object one takes effect everywhere, and the other is told what changed', async () => {
+    const cell = await createCell(3)
+    const [left, right] = cell.members
+    const results = await run(Promise.all([
+      left!.follower.publish(createDelta(NO_REVISION, workspace)), right!.follower.publish(createDelta(NO_REVISION, workspace))
+    ]))
+    expect(results.map((result) => result.isOk()).sort()).toEqual([false, true])
+    const refusal = results.find((result) => result.isErr())?._unsafeUnwrapErr()
+    expect(refusal).toMatchObject({ reason: Reason.Conflict, execution: Execution.NotRun })
+    expect(refusal?.detail).toContain('workspaces/w at revision 0')
+    await vi.advanceTimersByTimeAsync(1500)
+    for (const { follower } of cell.members) expect(follower.current().revision).toBe(0)
+    await cell.close()
+  })
+
+  test.each<[string, Call[]]>([
+    ['lost after it took effect', [{ fate: Fate.LostAfter, delayMs: 1 }]],
+    ['lost before it took effect', [{ fate: Fate.LostBefore, delayMs: 1 }]],
+    ['late', [{ fate: Fate.Late, delayMs: 1 }]],
+    ['never given', [{ fate: Fate.Hung, delayMs: 1 }]],
+    ['a refusal for too many appends', [{ fate: Fate.Throttled, delayMs: 1 }]]
+  ])('a publication whose answer is %s takes effect once', async (_, calls) => {
+    const cell = await createCell(1)
+    const { follower } = cell.members[0]!
+    cell.log.calls = calls
+    const result = await run(follower.publish(createDelta(NO_REVISION, workspace)))
+    expect(result._unsafeUnwrap().manifest.workspaces).toEqual([{ name: 'w' }])
+    await vi.advanceTimersByTimeAsync(200)
+    expect(follower.applied()).toHaveLength(1)
+    await cell.close()
+  })
+
+  test('an invalid publication is refused with all mistakes and changes nothing', async () => {
+    const cell = await createCell(1)
+    const { follower } = cell.members[0]!
+    const refusal = (await run(follower.publish(createDelta(NO_REVISION, putTeam('a', -1), putTeam('b', -1)))))._unsafeUnwrapErr()
+    expect(refusal.reason).toBe(Reason.BadRequest)
+    expect(refusal.detail).toContain('$.changes[0].value.share')
+    expect(refusal.detail).toContain('$.changes[1].value.share')
+    expect(follower.current().revision).toBe(NO_REVISION)
+    await cell.close()
+  })
+
+  test.each([
+    [Fate.Refused, Execution.NotRun, 0],
+    [Fate.LostAfter, Execution.Unknown, 1]
+  ])('while every append is %s the answer is %s, and a repeat after the outage is answered truly', async (fate, execution, count) => {
+    const cell = await createCell(1)
+    const { follower } = cell.members[0]!
+    const delta = createDelta(NO_REVISION, workspace)
+    cell.log.always = fate
+    await vi.advanceTimersByTimeAsync(1500)
+    const refusal = (await run(follower.publish(delta)))._unsafeUnwrapErr()
+    expect(refusal).toMatchObject({ reason: Reason.LogUnavailable, execution })
+    expect(cell.log.records.length > 0).toBe(count > 0)
+    cell.log.always = undefined
+    expect((await run(follower.publish(delta))).isOk()).toBe(true)
+    expect((await run(follower.publish(delta))).isOk()).toBe(true)
+    expect(follower.applied()).toHaveLength(1)
+    await cell.close()
+  })
+})
+
+describe('a node that is cut off from the log', () => {
+  test('takes records from its peers within 5 s and stays fresh as long as they are', async () => {
+    const cell = await createCell(3)
+    const [writer, , lonely] = cell.members
+    lonely!.route.cut = true
+    await run(writer!.follower.publish(createDelta(NO_REVISION, workspace)))
+    await vi.advanceTimersByTimeAsync(5000)
+    expect(lonely!.follower.current().revision).toBe(0)
+    expect(lonely!.follower.ageMs()).toBeLessThan(5000)
+    cell.peersCut = true
+    await vi.advanceTimersByTimeAsync(20_000)
+    expect(lonely!.follower.ageMs()).toBeGreaterThan(20_000)
+    await cell.close()
+  })
+
+  test('does not keep another such node fresh', async () => {
+    const cell = await createCell(2)
+    for (const { route } of cell.members) route.cut = true
+    await vi.advanceTimersByTimeAsync(20_000)
+    for (const { follower } of cell.members) expect(follower.ageMs()).toBeGreaterThan(19_000)
+    await cell.close()
+  })
+
+  test('gets a snapshot from a peer if it starts without any state', async () => {
+    const cell = await createCell(1)
+    const { follower } = cell.members[0]!
+    for (let each = 0; each < 5; each += 1) await run(follower.publish(createDelta(each - 1, workspace)))
+    cell.log.earliest = 3
+    await cell.close()
+    const revived = await createCell(0)
+    revived.members.push(...cell.members)
+    const late = revived.add()
+    late.route.cut = true
+    await vi.advanceTimersByTimeAsync(3000)
+    expect(late.follower.current()).toEqual(follower.current())
+    await revived.close()
+  })
+})
+
+describe('recovery', () => {
+  test('a node whose offset expired starts over from the newest snapshot', async () => {
+    const cell = await createCell(1)
+    const { follower } = cell.members[0]!
+    for (let each = 0; each < 40; each += 1) await run(follower.publish(createDelta(follower.current().revision, workspace)))
+    await vi.advanceTimersByTimeAsync(1500)
+    expect(follower.counters().snapshots).toBeGreaterThan(0)
+    cell.log.earliest = cell.log.records.length - 5
+    cell.peersCut = true
+    const late = cell.add()
+    await vi.advanceTimersByTimeAsync(2000)
+    expect(late.follower.current()).toEqual(follower.current())
+    expect(late.follower.counters().restarts).toBe(1)
+    await cell.close()
+  })
+
+  test('another node writes the snapshot when the writer does not', async () => {
+    const cell = await createCell(2)
+    await run(cell.members[1]!.follower.publish(createDelta(NO_REVISION, workspace)))
+    cell.members[0]!.route.cut = true
+    await vi.advanceTimersByTimeAsync(3 * SNAPSHOT_MS)
+    expect(cell.members[1]!.follower.counters().snapshots).toBeGreaterThan(0)
+    await cell.close()
+  })
+
+  test('a state that is lost for good is given up by a new node after some time, and never by one that has it', async () => {
+    const cell = await createCell(1)
+    const { follower, route } = cell.members[0]!
+    await run(follower.publish(createDelta(NO_REVISION, workspace)))
+    route.cut = true
+    cell.log.write({ publish: 'x', base: 0, changes: [putTeam('t')] })
+    cell.log.write({ publish: 'y', base: 0, changes: [putTeam('u')] })
+    cell.log.earliest = 2
+    cell.peersCut = true
+    const late = cell.add()
+    route.cut = false
+    await vi.advanceTimersByTimeAsync(3 * SNAPSHOT_MS)
+    expect(late.follower.ageMs()).toBe(Infinity)
+    await vi.advanceTimersByTimeAsync(2 * SNAPSHOT_MS)
+    expect(late.follower.counters().gaps).toBe(1)
+    expect(late.follower.ageMs()).toBeLessThan(2000)
+    expect(follower.current().revision).toBe(0)
+    expect(follower.ageMs()).toBeGreaterThan(4 * SNAPSHOT_MS)
+    await cell.close()
+  })
+})
+
+const fate = fc.record({
+  fate: fc.oneof({ weight: 8, arbitrary: fc.constant(Fate.Served) }, fc.constantFrom(...Object.values(Fate))),
+  delayMs: fc.integer({ min: 0, max: 30 })
+})
+const step = fc.record({
+  member: fc.nat(2),
+  kind: fc.constantFrom('publish', 'publish', 'publish', 'publish', 'cut', 'heal', 'peers', 'expire', 'join'),
+  team: fc.constantFrom('a', 'b', 'c'),
+  lag: fc.nat(2),
+  pauseMs: fc.integer({ min: 0, max: 700 })
+})
+
+interface Report { publish: string, outcome: Execution | 'accepted' }
+
+/** Offset up to which records may expire: the newest whole snapshot includes them. */
+function findExpiry (log: FakeLog): number {
+  let offset = 0
+  for (const { data } of log.records as Array<{ data: any }>) {
+    if (data.entry === 'snapshot' && data.part === data.parts - 1) offset = Math.max(offset, data.asOf + 1)
+  }
+  return offset
+}
+
+test('under faults every node applies revisions of the log in order, and each publisher hears the truth', async () => {
+  let accepted = 0
+  let refused = 0
+  const faults = fc.array(fate, { minLength: 30, maxLength: 200 })
+  const schedule = fc.array(step, { minLength: 15, maxLength: 40 })
+  const property = fc.asyncProperty(faults, schedule, fc.nat(), async (calls, steps, seed) => {
+    let random = seed
+    vi.spyOn(Math, 'random').mockImplementation(() => (random = (random * 16_807 + 7) % 2_147_483_647) / 2_147_483_647)
+    const cell = await createCell(3)
+    await run(cell.members[0]!.follower.publish(createDelta(NO_REVISION, workspace)))
+    cell.log.calls = [...calls]
+    const reports: Array<Promise<Report>> = []
+    for (const { member, kind, team, lag, pauseMs } of steps) {
+      const { follower, route } = cell.members[member]!
+      if (kind === 'publish') {
+        const delta = createDelta(Math.max(NO_REVISION, follower.current().revision - lag), putTeam(team, seed % 100 + 1))
+        reports.push(follower.publish(delta).then((result) => ({
+          publish: delta.publish, outcome: result.isOk() ? 'accepted' : result.error.execution
+        })))
+      }
+      if (kind === 'cut') route.cut = true
+      if (kind === 'heal') route.cut = false
+      if (kind === 'peers') cell.peersCut = !cell.peersCut
+      if (kind === 'expire') cell.log.earliest = Math.max(cell.log.earliest, findExpiry(cell.log))
+      if (kind === 'join' && cell.members.length < 6) cell.add()
+      await vi.advanceTimersByTimeAsync(pauseMs)
+    }
+    cell.log.calls = []
+    for (const { route } of cell.members) route.cut = false
+    const outcomes = await run(Promise.all(reports))
+    await vi.advanceTimersByTimeAsync(4000)
+
+    const ledger = new Ledger()
+    const verdicts = new Map<string, Outcome>()
+    for (const { data, offset } of cell.log.records) {
+      const { publish, outcome } = ledger.apply(data, offset)
+      if (!verdicts.has(publish)) verdicts.set(publish, outcome)
+    }
+    for (const { follower } of cell.members) {
+      expect(follower.current()).toEqual({ revision: ledger.revision(), manifest: ledger.manifest() })
+      const revisions = follower.applied().map((each) => each.revision)
+      expect(revisions).toEqual([...new Set(revisions)].sort((left, right) => left - right))
+      expect(follower.ageMs()).toBeLessThan(3000)
+    }
+    for (const { publish, outcome } of outcomes) {
+      if (outcome === Execution.Unknown) continue
+      const isAccepted = verdicts.get(publish) === Outcome.Accepted
+      expect({ publish, isAccepted }).toEqual({ publish, isAccepted: outcome === 'accepted' })
+      if (outcome === 'accepted') accepted += 1
+      else refused += 1
+    }
+    await cell.close()
+  })
+  await fc.assert(property, { numRuns: 60 })
+  expect(accepted).toBeGreaterThan(200)
+  expect(refused).toBeGreaterThan(50)
+}, 120_000)
--- a/packages/manifest/src/fold.ts
+++ b/packages/manifest/src/fold.ts
@@ -201,6 +201,16 @@
     return this.catalog.get(section, name)?.revision
   }
 
+  /**
+   * Returns the outcome of a publication.
+   *
+   * @param publish its publish id
+   * @returns the outcome, or undefined if none of the latest publications has this id
+   */
+  outcomeOf (publish: string): Outcome | undefined {
+    return this.decided.get(publish)
+  }
+
   /**
    * Returns the whole state for a snapshot.
    *
