--- a/packages/daemon/src/entry/server.ts
+++ b/packages/daemon/src/entry/server.ts
@@ -5,9 +5,8 @@
 import { once } from 'node:events'
 import { getRequestListener } from '@hono/node-server'
 import { sleep } from '@fireflymount/platform/clock'
-import { Reason, refuse } from '@fireflymount/protocol/refusal'
 import { createApi } from './api.js'
-import { Misuse, createBadRequest, createMisuse, createProblem, type Problem } from './problem.js'
+import { Misuse, createBadRequest, createMisuse, type Problem } from './problem.js'
 import type { AddressInfo } from 'node:net'
 import type { Duplex } from 'node:stream'
 import type { Listener } from '@fireflymount/manifest/settings'
@@ -103,6 +102,6 @@
 
 function describeClientError (code: string | undefined): Problem {
   if (code === 'HPE_HEADER_OVERFLOW') return createMisuse(Misuse.HeadersTooLarge, 'The headers are larger than this node takes. Send less.')
-  if (code === 'ERR_HTTP_REQUEST_TIMEOUT') return createProblem(refuse(Reason.DeadlinePassed, 'The request did not arrive in time.'))
+  if (code === 'ERR_HTTP_REQUEST_TIMEOUT') return createMisuse(Misuse.ReceiveTimeout, 'The request did not arrive in time. Send it without pauses.')
   return createBadRequest('This is no valid HTTP request.')
 }
