--- a/packages/scenario/src/cell/child.ts
+++ b/packages/scenario/src/cell/child.ts
@@ -9,6 +9,7 @@
 import { Signal } from '../language/script.js'
 
 const READY_TIMEOUT_MS = 10_000
+const GONE_TIMEOUT_MS = 5_000
 const LAST_LINES = 5
 
 const children = new Set<Child>()
@@ -63,6 +64,15 @@
     return this.lastLines.join(' | ')
   }
 
+  /** Waits for the end of a process that was told to stop or killed. Returns false if it goes on. */
+  async isGone (): Promise<boolean> {
+    if (this.exit() !== undefined) return true
+    if (!this.ordered) return false
+    const timeout = AbortSignal.timeout(GONE_TIMEOUT_MS)
+    await once(this.process, 'exit', { signal: timeout }).catch(() => {})
+    return this.exit() !== undefined
+  }
+
   /** Sends a signal, to this process only. */
   signal (signal: Signal): void {
     if (this.exit() !== undefined) return
--- a/packages/scenario/src/run/operator.ts
+++ b/packages/scenario/src/run/operator.ts
@@ -36,7 +36,7 @@
    *
    * @param api base URL of a node
    * @param file name of the file
-   * @returns `accepted`, the reason of the refusal, or `lost`
+   * @returns `accepted`, the reason of the refusal, or how the answer was lost
    */
   async apply (api: string, file: string): Promise<string> {
     const draft = JSON.parse(readFileSync(`${this.directory}/${file}`, 'utf8')) as Draft
@@ -89,7 +89,7 @@
     const reply = await callJson(`${api}/v1/admin/configuration`, {
       method: 'PATCH', headers: HEADERS, body: { base, changes, publish: randomUUID() }
     })
-    if (reply.isErr()) return 'lost'
+    if (reply.isErr()) return reply.error
     if (reply.value.status >= 300) {
       return String((reply.value.body as { type?: string } | undefined)?.type ?? reply.value.status).replace(PROBLEM_PREFIX, '')
     }
