Bound the cost of reservations and keep references by slot

Profile with 198,822 tasks running on 300 workers: 55 % of the time went into looking for a reservation, because a lane counted as stuck once its head was submitted 10 s ago, although it was being served. Now the time since the lane's last start counts, and one reservation looks at 2,048 running tasks at most. Teams, kinds and groups are kept by slot instead of looked up by name.

--- a/packages/policy/src/explanation.ts
+++ b/packages/policy/src/explanation.ts
@@ -2,6 +2,8 @@
  * Says why a task waits and what would let it run.
  */
 import type { Admission } from './admission.js'
+import type { Group } from './group.js'
+import type { Lane } from './lane.js'
 import type { Explanation, Task } from './task.js'
 import type { Occupancy } from './occupancy.js'
 import type { Team } from './team.js'
@@ -27,16 +29,15 @@
   const shape = admission.shapeObstacle(task)
   if (shape !== undefined) return because(Obstacle.Shape, shape, 'Cancel it and send it smaller, or add larger workers.')
   if (fleet.ready === 0) return because(Obstacle.Workers, 'No worker of the shard is ready.', 'Open a drained worker, or mend the quarantined ones.')
-  const gang = explainGang(occupancy, task)
+  const gang = explainGang(task, table.groups[slot])
   if (gang !== undefined) return gang
   const team = occupancy.team(task.team)
   if (!team.admits(task.size, 1)) return explainLimit(team, task)
   return explainBlock(occupancy, admission, slot)
 }
 
-function explainGang (occupancy: Occupancy, task: Task): Explanation | undefined {
+function explainGang (task: Task, group: Group | undefined): Explanation | undefined {
   if (task.workload !== Workload.Gang) return undefined
-  const group = occupancy.group(task)
   if (group === undefined || group.complete()) return undefined
   const known = group.waiting.size + group.running.size
   return because(Obstacle.Gang, `Only ${known} of ${group.size} tasks of the gang have arrived.`, 'Send the missing tasks, or cancel the gang.')
@@ -53,14 +54,14 @@
   const task = table.at(slot)
   const kind = occupancy.kind(task.kind)
   const waitMs = Math.ceil(admission.waitMs(task, kind))
-  const lane = table.lanes[slot] ?? leaderLane(occupancy, task)
+  const lane = table.lanes[slot] ?? leaderLane(occupancy, slot)
   const block = lane?.block ?? Block.None
   if (block === Block.None) {
     const detail = `Work of teams further below their share, or work sent earlier, comes first (${lane?.length ?? 0} like it wait).`
     return because(Obstacle.Share, detail, `Wait about ${waitMs} ms, raise the team's share, or mark the queue urgent.`)
   }
   if (task.workload === Workload.Gang) {
-    const size = occupancy.group(task)?.size ?? 1
+    const size = table.groups[slot]?.size ?? 1
     const detail = `No ${size} places for ${describe(task.size)} are free at once.`
     return because(Obstacle.Gang, detail, 'Wait for the reservation of workers, ask for fewer tasks, or add workers.')
   }
@@ -72,8 +73,8 @@
   return because(Obstacle.Room, detail, `Wait about ${waitMs} ms, add workers, or ask for less.`)
 }
 
-function leaderLane (occupancy: Occupancy, task: Task) {
-  const leader = occupancy.group(task)?.leader ?? NONE
+function leaderLane (occupancy: Occupancy, slot: number): Lane | undefined {
+  const leader = occupancy.table.groups[slot]?.leader ?? NONE
   return leader === NONE ? undefined : occupancy.table.lanes[leader]
 }
 
--- a/packages/policy/src/gang.ts
+++ b/packages/policy/src/gang.ts
@@ -61,7 +61,7 @@
  */
 export function members (occupancy: Occupancy, slot: number): number[] {
   const { table } = occupancy
-  const group = occupancy.group(table.at(slot))
+  const group = table.groups[slot]
   if (group === undefined) return [slot]
   const slots = [...group.waiting]
   return slots.sort((left, right) => table.at(right).size.cpuMilli - table.at(left).size.cpuMilli)
--- a/packages/policy/src/lane.ts
+++ b/packages/policy/src/lane.ts
@@ -31,6 +31,8 @@
   submittedMs = 0
   /** Position in the list of lanes with the same block, kept by the owner of that list. */
   position = NONE
+  /** When a task of the lane last started. */
+  servedMs = 0
   /** Earliest time of the next preemption or reservation for this lane. */
   retryMs = 0
 
--- a/packages/policy/src/lanes.ts
+++ b/packages/policy/src/lanes.ts
@@ -49,7 +49,7 @@
    */
   add (slot: number): void {
     const { table } = this.occupancy
-    const lane = this.laneOf(table.at(slot))
+    const lane = this.laneOf(slot)
     const head = lane.head
     lane.add(table, slot)
     if (lane.length === 1) this.enter(lane)
@@ -188,13 +188,14 @@
     return this.shareWeight * lane.team.level - this.waitingWeight * impatience
   }
 
-  private laneOf (task: Task): Lane {
+  private laneOf (slot: number): Lane {
+    const { table } = this.occupancy
+    const task = table.at(slot)
     const exact = this.lanes.size < EXACT_LANES_MAX && task.avoid === undefined
     const key = laneKey(task, exact)
     const known = this.lanes.get(key)
     if (known !== undefined) return known
-    const { occupancy } = this
-    const lane = new Lane(key, occupancy.team(task.team), occupancy.kind(task.kind), task.workload, task.urgency, exact)
+    const lane = new Lane(key, table.teams[slot]!, table.kinds[slot]!, task.workload, task.urgency, exact)
     this.lanes.set(key, lane)
     return lane
   }
--- a/packages/policy/src/occupancy.ts
+++ b/packages/policy/src/occupancy.ts
@@ -6,7 +6,7 @@
 import { Fleet } from './fleet.js'
 import { Group, groupKey } from './group.js'
 import { Kind } from './kind.js'
-import { NONE, TaskTable } from './table.js'
+import { NONE, Phase, TaskTable } from './table.js'
 import { Team } from './team.js'
 
 /** The state on which all policies of a shard decide. */
@@ -47,39 +47,51 @@
   }
 
   /**
-   * Finds a task's group.
+   * Takes a task in, with its group.
    *
-   * @param task the task
-   * @returns the group, or undefined if the task stands alone
+   * @param task the task, whose id is not in the table
+   * @param phase where it stands
+   * @returns its slot
    */
-  group (task: Task): Group | undefined {
-    const key = groupKey(task)
-    return key === undefined ? undefined : this.groups.get(key)
+  add (task: Task, phase: Phase): number {
+    const { table } = this
+    const slot = table.add(task, phase, this.team(task.team), this.kind(task.kind))
+    const group = this.join(task)
+    table.groups[slot] = group
+    if (phase !== Phase.Waiting) return slot
+    group?.waiting.add(slot)
+    table.kinds[slot]!.waiting++
+    return slot
   }
 
   /**
-   * Finds a task's group, and opens it if there is none.
+   * Takes a waiting task out.
    *
-   * @param task the task
-   * @returns the group, or undefined if the task stands alone
+   * @param slot its slot, unlinked from its lane
    */
-  join (task: Task): Group | undefined {
-    const key = groupKey(task)
-    if (key === undefined) return undefined
-    const known = this.groups.get(key)
-    if (known !== undefined) return known
-    const group = new Group(key, task.groupSize ?? 1)
-    this.groups.set(key, group)
-    return group
+  remove (slot: number): void {
+    const { table } = this
+    const group = table.groups[slot]
+    table.kinds[slot]!.waiting--
+    table.remove(slot)
+    if (group === undefined) return
+    group.waiting.delete(slot)
+    this.leave(group)
   }
 
   /**
-   * Forgets a group without members.
+   * Starts a waiting task.
    *
-   * @param group the group
+   * @param slot its slot, unlinked from its lane
+   * @param worker the worker's index
+   * @param nowMs the time
    */
-  leave (group: Group): void {
-    if (group.waiting.size === 0 && group.running.size === 0) this.groups.delete(group.key)
+  start (slot: number, worker: number, nowMs: number): void {
+    const { table } = this
+    table.kinds[slot]!.waiting--
+    table.groups[slot]?.waiting.delete(slot)
+    table.run(slot)
+    this.charge(slot, worker, nowMs)
   }
 
   /**
@@ -92,7 +104,7 @@
   charge (slot: number, worker: number, nowMs: number): void {
     const { table, fleet } = this
     const task = table.at(slot)
-    const kind = this.kind(task.kind)
+    const kind = table.kinds[slot]!
     const first = fleet.first[worker]!
     table.worker[slot] = worker
     table.startMs[slot] = nowMs
@@ -104,7 +116,7 @@
     fleet.charge(worker, task.size, 1)
     kind.running++
     this.countTeam(slot, kind, 1, nowMs)
-    const group = this.join(task)
+    const group = table.groups[slot]
     if (group === undefined) return
     group.running.add(slot)
     group.count(worker, fleet.rack[worker]!, fleet.zone[worker]!, 1)
@@ -120,7 +132,7 @@
     const { table, fleet } = this
     const task = table.at(slot)
     const worker = table.worker[slot]!
-    const kind = this.kind(task.kind)
+    const kind = table.kinds[slot]!
     const next = table.next[slot]!
     const previous = table.previous[slot]!
     if (previous === NONE) fleet.first[worker] = next
@@ -129,8 +141,8 @@
     fleet.charge(worker, task.size, -1)
     kind.running--
     this.countTeam(slot, kind, -1, nowMs)
+    const group = table.groups[slot]
     table.remove(slot)
-    const group = this.group(task)
     if (group === undefined) return
     group.running.delete(slot)
     group.count(worker, fleet.rack[worker]!, fleet.zone[worker]!, -1)
@@ -139,8 +151,8 @@
 
   private countTeam (slot: number, kind: Kind, sign: number, nowMs: number): void {
     const { table } = this
-    const { size, team: name } = table.at(slot)
-    const team = this.team(name)
+    const { size } = table.at(slot)
+    const team = table.teams[slot]!
     team.advance(nowMs)
     if (sign > 0) {
       const expectedCpu = size.cpuMilli * overuse(kind.cpuOveruse())
@@ -155,6 +167,20 @@
     team.expectedMemory += table.expectedMemory[slot]! * sign
     this.fleet.overuse[table.worker[slot]!]! += cpu - size.cpuMilli * sign
   }
+
+  private leave (group: Group): void {
+    if (group.waiting.size === 0 && group.running.size === 0) this.groups.delete(group.key)
+  }
+
+  private join (task: Task): Group | undefined {
+    const key = groupKey(task)
+    if (key === undefined) return undefined
+    const known = this.groups.get(key)
+    if (known !== undefined) return known
+    const group = new Group(key, task.groupSize ?? 1)
+    this.groups.set(key, group)
+    return group
+  }
 }
 
 /** A team is never charged less than it declared. */
--- a/packages/policy/src/reservation.ts
+++ b/packages/policy/src/reservation.ts
@@ -5,7 +5,7 @@
 import type { Occupancy } from './occupancy.js'
 import type { Task } from './task.js'
 import { Condition } from './task.js'
-import { NONE, Phase } from './table.js'
+import { NONE } from './table.js'
 
 /** A reservation lasts at least and at most this long. */
 export const RESERVATION_MIN_MS = 5_000
@@ -16,6 +16,8 @@
 export const RESERVATION_PAUSE_MS = 30_000
 /** Workers looked at for one reservation, beyond four for each task of a gang. */
 const WORKERS_EXAMINED = 128
+/** Running tasks looked at for one reservation. */
+const TASKS_EXAMINED = 2_048
 
 /** When a worker can take how many more tasks of a gang. */
 interface Opening {
@@ -118,14 +120,17 @@
     const length = fleet.length()
     const most = Math.min(length, WORKERS_EXAMINED + count * 4)
     const openings: Opening[] = []
-    for (let step = 0; step < most; step++) {
+    let examined = 0
+    for (let step = 0; step < most && examined < TASKS_EXAMINED; step++) {
       this.cursor = (this.cursor + 1) % length
-      if (fleet.conditions[this.cursor] === Condition.Ready) this.addOpenings(this.cursor, task, count, nowMs, openings)
+      if (fleet.conditions[this.cursor] !== Condition.Ready) continue
+      examined += this.addOpenings(this.cursor, task, count, nowMs, openings)
     }
     return openings
   }
 
-  private addOpenings (worker: number, task: Task, count: number, nowMs: number, openings: Opening[]): void {
+  /** Adds the openings of one worker. Returns how many running tasks it has. */
+  private addOpenings (worker: number, task: Task, count: number, nowMs: number, openings: Opening[]): number {
     const { fleet, table } = this.occupancy
     const { size } = task
     let cpu = fleet.freeCpu[worker]!
@@ -140,15 +145,16 @@
       const fitting = Math.min(slots, held)
       for (; opened < Math.min(fitting, count); opened++) openings.push({ worker, atMs })
       const slot = ends[step]
-      if (slot === undefined) return
+      if (slot === undefined) break
       const freed = table.at(slot).size
       cpu += freed.cpuMilli
       memory += freed.memoryMb
       accelerators += freed.accelerators
       slots++
       atMs = Math.max(nowMs, table.endMs[slot]!)
-      if (atMs > nowMs + RESERVATION_MAX_MS) return
+      if (atMs > nowMs + RESERVATION_MAX_MS) break
     }
+    return ends.length
   }
 
   /** Running tasks of a worker, by expected end. */
@@ -156,7 +162,7 @@
     const { fleet, table } = this.occupancy
     const slots: number[] = []
     for (let slot = fleet.first[worker]!; slot !== NONE; slot = table.next[slot]!) {
-      if (table.phase[slot] !== Phase.Free) slots.push(slot)
+      slots.push(slot)
     }
     return slots.sort((left, right) => table.endMs[left]! - table.endMs[right]!)
   }
--- a/packages/policy/src/shard.ts
+++ b/packages/policy/src/shard.ts
@@ -132,8 +132,7 @@
     if (table.find(task.id) !== NONE) return ok(undefined)
     const checked = this.admission.check(task, nowMs)
     if (checked.isErr()) return checked
-    const slot = table.add(task, Phase.Waiting)
-    this.occupancy.kind(task.kind).waiting++
+    const slot = this.occupancy.add(task, Phase.Waiting)
     if (task.startByMs !== undefined) deadlines.add(slot, task.startByMs)
     if (task.workload === Workload.Gang) this.addMember(slot)
     else this.lanes.add(slot)
@@ -157,7 +156,9 @@
     if (known !== NONE && table.phase[known] === Phase.Waiting) this.removeWaiting(known)
     else if (known !== NONE && table.worker[known] === index) return
     else if (known !== NONE) this.release(known, nowMs)
-    this.charge(table.add(task, Phase.Running), index, nowMs)
+    const slot = this.occupancy.add(task, Phase.Running)
+    this.occupancy.charge(slot, index, nowMs)
+    this.onCharge(slot, nowMs)
   }
 
   decide (nowMs: number, most: number): Round {
@@ -183,8 +184,8 @@
     const { table } = this.occupancy
     const slot = table.find(task)
     if (slot === NONE || table.phase[slot] === Phase.Waiting) return
-    const { kind: name, runtimeMs: declaredMs, size } = table.at(slot)
-    const kind = this.occupancy.kind(name)
+    const { runtimeMs: declaredMs, size } = table.at(slot)
+    const kind = table.kinds[slot]!
     if (runtimeMs !== undefined && ending === Ending.Succeeded) kind.learnRuntime(declaredMs, runtimeMs)
     if (usage !== undefined) kind.learnSize(size, usage)
     const worker = this.release(slot, nowMs)
@@ -196,8 +197,7 @@
     const { table } = this.occupancy
     const slot = table.find(task)
     if (slot === NONE) return
-    const { kind, size } = table.at(slot)
-    this.occupancy.kind(kind).learnSize(size, usage)
+    table.kinds[slot]!.learnSize(table.at(slot).size, usage)
   }
 
   explain (task: string, _nowMs: number): Explanation {
@@ -249,6 +249,7 @@
     }
     if (placements.length > 0 && placements.length + choice.slots.length > most) return false
     this.lanes.shift(lane)
+    lane.servedMs = this.nowMs
     for (const [position, slot] of choice.slots.entries()) placements.push(this.start(slot, choice.workers[position]!))
     if (this.reservation.lane === lane) this.unreserve()
     return true
@@ -296,39 +297,39 @@
 
   private start (slot: number, worker: number): Placement {
     const { table, fleet } = this.occupancy
-    const task = table.at(slot)
-    this.occupancy.kind(task.kind).waiting--
-    this.leaveGang(slot)
-    table.run(slot)
-    this.charge(slot, worker, this.nowMs)
-    return { task, worker: fleet.machines[worker]!.id }
+    const group = table.groups[slot]
+    if (group !== undefined) group.leader = NONE
+    this.occupancy.start(slot, worker, this.nowMs)
+    this.onCharge(slot, this.nowMs)
+    return { task: table.at(slot), worker: fleet.machines[worker]!.id }
   }
 
-  private charge (slot: number, worker: number, nowMs: number): void {
-    const task = this.occupancy.table.at(slot)
-    this.occupancy.charge(slot, worker, nowMs)
-    this.occupancy.team(task.team).refresh(this.lanes.totals)
+  private onCharge (slot: number, nowMs: number): void {
+    const { table } = this.occupancy
+    const task = table.at(slot)
+    table.teams[slot]!.refresh(this.lanes.totals)
     if (task.workload === Workload.Request) this.headroom.count(task, 1, nowMs)
   }
 
   private release (slot: number, nowMs: number): number {
-    const task = this.occupancy.table.at(slot)
-    const worker = this.occupancy.table.worker[slot]!
+    const { table } = this.occupancy
+    const task = table.at(slot)
+    const team = table.teams[slot]!
+    const worker = table.worker[slot]!
     this.occupancy.release(slot, nowMs)
     if (task.workload === Workload.Request) this.headroom.count(task, -1, nowMs)
-    const team = this.occupancy.team(task.team)
     team.refresh(this.lanes.totals)
     this.lanes.openAll(team.limited)
     return worker
   }
 
   private removeWaiting (slot: number): void {
-    const { table } = this.occupancy
-    const task = table.at(slot)
-    this.occupancy.kind(task.kind).waiting--
-    if (task.workload === Workload.Gang) this.removeMember(slot)
+    const group = this.occupancy.table.groups[slot]
+    const isMember = group !== undefined && this.occupancy.table.at(slot).workload === Workload.Gang
+    if (isMember) this.unlinkGang(group)
     else this.removeFromLane(slot)
-    table.remove(slot)
+    this.occupancy.remove(slot)
+    if (isMember && group.complete()) this.linkGang(group)
   }
 
   private removeFromLane (slot: number): void {
@@ -339,10 +340,9 @@
   }
 
   private addMember (slot: number): void {
-    const group = this.occupancy.join(this.occupancy.table.at(slot))
-    if (group === undefined) return this.lanes.add(slot)
-    group.waiting.add(slot)
-    if (group.leader === NONE && group.complete()) this.linkGang(group)
+    const group = this.occupancy.table.groups[slot]
+    if (group === undefined) this.lanes.add(slot)
+    else if (group.leader === NONE && group.complete()) this.linkGang(group)
   }
 
   /** Lets one waiting member stand for the whole gang in its lane. */
@@ -352,21 +352,9 @@
     this.lanes.add(leader!)
   }
 
-  private removeMember (slot: number): void {
-    const group = this.occupancy.group(this.occupancy.table.at(slot))
-    if (group === undefined) return this.removeFromLane(slot)
-    group.waiting.delete(slot)
+  private unlinkGang (group: Group): void {
     if (group.leader !== NONE) this.removeFromLane(group.leader)
     group.leader = NONE
-    if (group.complete()) this.linkGang(group)
-    this.occupancy.leave(group)
-  }
-
-  private leaveGang (slot: number): void {
-    const group = this.occupancy.group(this.occupancy.table.at(slot))
-    if (group === undefined) return
-    group.waiting.delete(slot)
-    group.leader = NONE
   }
 
   private expire (nowMs: number): Expiry[] {
@@ -458,7 +446,7 @@
 /** Tells whether a blocked lane may have workers reserved. */
 function isEntitled (lane: Lane, nowMs: number): boolean {
   if (lane.workload === Workload.Request || nowMs < lane.retryMs) return false
-  return lane.workload === Workload.Gang || nowMs - lane.submittedMs >= RESERVATION_WAIT_MS
+  return lane.workload === Workload.Gang || nowMs - Math.max(lane.servedMs, lane.submittedMs) >= RESERVATION_WAIT_MS
 }
 
 function normalize ({ waiting, share, packing }: Weights): Weights {
--- a/packages/policy/src/spread.ts
+++ b/packages/policy/src/spread.ts
@@ -30,13 +30,13 @@
     if (!lane.exact && this.avoids(task, worker)) return false
     if (!this.occupancy.fleet.open(worker) && (this.reservation.lane !== lane || !this.reservation.holds(worker))) return false
     if (task.group === undefined || nowMs - task.submittedMs > DOUBLING_WAIT_MS) return true
-    return !this.occupancy.group(task)?.workers.has(worker)
+    return !this.occupancy.table.groups[lane.head]!.workers.has(worker)
   }
 
   private pick (lane: Lane, task: Task): number {
     const reserved = this.reserved(lane, task)
     if (reserved !== NONE) return reserved
-    const group = this.occupancy.group(task)
+    const group = this.occupancy.table.groups[lane.head]
     const worker = this.search(task, group, CANDIDATES + (task.avoid?.length ?? 0))
     if (worker === NONE || group === undefined || !group.workers.has(worker)) return worker
     return this.search(task, group, Infinity)
--- a/packages/policy/src/table.ts
+++ b/packages/policy/src/table.ts
@@ -1,8 +1,11 @@
 /**
  * All tasks of a shard, waiting and running, in arrays indexed by slot.
  */
+import type { Group } from './group.js'
+import type { Kind } from './kind.js'
 import type { Lane } from './lane.js'
 import type { Task } from './task.js'
+import type { Team } from './team.js'
 
 /** Marks the end of a list, and the absence of a slot or worker. */
 export const NONE = -1
@@ -22,6 +25,9 @@
 export class TaskTable {
   readonly tasks: Array<Task | undefined> = []
   readonly lanes: Array<Lane | undefined> = []
+  readonly teams: Team[] = []
+  readonly kinds: Kind[] = []
+  readonly groups: Array<Group | undefined> = []
   phase = new Uint8Array(INITIAL_SLOTS)
   next = new Int32Array(INITIAL_SLOTS).fill(NONE)
   previous = new Int32Array(INITIAL_SLOTS).fill(NONE)
@@ -54,13 +60,18 @@
    *
    * @param task the task, whose id is not in the table
    * @param phase where it stands
+   * @param team accounts of its team
+   * @param kind what is learned about its kind
    * @returns its slot
    */
-  add (task: Task, phase: Phase): number {
+  add (task: Task, phase: Phase, team: Team, kind: Kind): number {
     const slot = this.free.pop() ?? this.tasks.length
     if (slot === this.phase.length) this.grow()
     this.tasks[slot] = task
     this.lanes[slot] = undefined
+    this.teams[slot] = team
+    this.kinds[slot] = kind
+    this.groups[slot] = undefined
     this.phase[slot] = phase
     this.worker[slot] = NONE
     this.next[slot] = NONE
@@ -105,6 +116,7 @@
     this.slots.delete(this.at(slot).id)
     this.tasks[slot] = undefined
     this.lanes[slot] = undefined
+    this.groups[slot] = undefined
     this.phase[slot] = Phase.Free
     this.generation[slot]!++
     this.free.push(slot)
