Read and write bodies without web streams

Bodies with a declared length are read from the socket and answers are written as text.

Requests without a usable Host or target get a problem, too.

--- a/packages/daemon/src/entry/administration.ts
+++ b/packages/daemon/src/entry/administration.ts
@@ -3,6 +3,7 @@
  */
 import { randomUUID } from 'node:crypto'
 import { err, ok, type Result } from 'neverthrow'
+import { answerJson } from './answer.js'
 import { readJson } from './body.js'
 import { Misuse, answerProblem, createBadRequest, createMisuse, type Problem } from './problem.js'
 import { findObject, readDelta, publishDelta } from './publication.js'
@@ -25,7 +26,7 @@
   const { revision, manifest } = entry.configuration.current()
   const headers = { etag: formatTag(revision), [AGE_HEADER]: String(Math.round(entry.configuration.ageMs())) }
   if (context.req.header('if-none-match') === headers.etag) return new Response(null, { status: 304, headers })
-  return Response.json(manifest, { headers })
+  return answerJson(manifest, 200, headers)
 }
 
 /**
@@ -40,7 +41,7 @@
   const { manifest, revision } = entry.configuration.current()
   const object = findObject(manifest, section, name)
   if (object === undefined) return refuseObject(section, name)
-  return Response.json(object, { headers: { etag: formatTag(entry.configuration.changedAt(section, name) ?? revision) } })
+  return answerJson(object, 200, { etag: formatTag(entry.configuration.changedAt(section, name) ?? revision) })
 }
 
 /**
@@ -123,7 +124,7 @@
 }
 
 function answerRevision (revision: number, publish: string): Response {
-  return Response.json({ revision, publish }, { headers: { etag: formatTag(revision) } })
+  return answerJson({ revision, publish }, 200, { etag: formatTag(revision) })
 }
 
 function refuseObject (section: string, name: string): Response {
--- a/packages/daemon/src/entry/api.ts
+++ b/packages/daemon/src/entry/api.ts
@@ -2,6 +2,7 @@
  * The HTTP API of a node, for callers, operators and the balancer.
  */
 import { Hono } from 'hono'
+import { answerJson } from './answer.js'
 import { Access } from './access.js'
 import { onConfiguration, onObject, onPatch, onPut, onRemove } from './administration.js'
 import { Admission } from './admission.js'
@@ -53,12 +54,12 @@
 }
 
 function addHealth (app: Hono, { presence, configuration }: Parts): void {
-  addPath(app, '/healthz', { [Method.Get]: () => Response.json({ status: 'ok' }) })
+  addPath(app, '/healthz', { [Method.Get]: () => answerJson({ status: 'ok' }) })
   addPath(app, '/readyz', {
     [Method.Get]: () => {
       const phase = presence.current()
       const ready = phase === Phase.Serving && Number.isFinite(configuration.ageMs())
-      return Response.json({ phase, ready }, { status: ready ? 200 : 503 })
+      return answerJson({ phase, ready }, ready ? 200 : 503)
     }
   })
 }
--- a/packages/daemon/src/entry/body.ts
+++ b/packages/daemon/src/entry/body.ts
@@ -22,28 +22,35 @@
   if (!JSON_TYPE.test(request.headers.get('content-type') ?? '')) {
     return err(createMisuse(Misuse.WrongContentType, 'The body must be JSON. Send it with "Content-Type: application/json".'))
   }
-  const declared = Number(request.headers.get('content-length') ?? 0)
-  if (declared > bodyBytes) return err(createTooLarge(bodyBytes))
-  const text = await readText(request, bodyBytes)
+  const declared = request.headers.get('content-length')
+  if (Number(declared) > bodyBytes) return err(createTooLarge(bodyBytes))
+  const text = await readText(request, declared === null ? bodyBytes : undefined)
   if (text.isErr()) return err(text.error)
   return parseJson(text.value)
 }
 
-async function readText (request: Request, bodyBytes: number): Promise<Result<string, Problem>> {
-  const chunks: Uint8Array[] = []
-  let length = 0
+/** A declared length is kept by the HTTP parser, so that only a body without one is counted. */
+async function readText (request: Request, bodyBytes: number | undefined): Promise<Result<string, Problem>> {
   try {
-    for await (const chunk of request.body ?? []) {
-      length += chunk.length
-      if (length > bodyBytes) return err(createTooLarge(bodyBytes))
-      chunks.push(chunk)
-    }
-    return ok(new TextDecoder('utf-8', { fatal: true }).decode(Buffer.concat(chunks)))
+    const bytes = bodyBytes === undefined ? await request.arrayBuffer() : await readChunks(request, bodyBytes)
+    if (bytes === undefined) return err(createTooLarge(bodyBytes!))
+    return ok(new TextDecoder('utf-8', { fatal: true }).decode(bytes))
   } catch {
     return err(createBadRequest('The body did not arrive whole, or is not UTF-8. Send it again as UTF-8.'))
   }
 }
 
+async function readChunks (request: Request, bodyBytes: number): Promise<Uint8Array | undefined> {
+  const chunks: Uint8Array[] = []
+  let length = 0
+  for await (const chunk of request.body ?? []) {
+    length += chunk.length
+    if (length > bodyBytes) return undefined
+    chunks.push(chunk)
+  }
+  return Buffer.concat(chunks)
+}
+
 function parseJson (text: string): Result<unknown, Problem> {
   try {
     return ok(JSON.parse(text))
--- a/packages/daemon/src/entry/jobs.ts
+++ b/packages/daemon/src/entry/jobs.ts
@@ -6,6 +6,7 @@
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { sleep } from '@fireflymount/platform/clock'
 import { Workload } from '@fireflymount/protocol/workload'
+import { answerJson } from './answer.js'
 import { readJson } from './body.js'
 import { Phase } from './presence.js'
 import { answerProblem, createBadRequest, createProblem, type Problem } from './problem.js'
@@ -43,7 +44,7 @@
   if (job.isErr()) return answerProblem(job.error, headers)
   headers.location = `/v1/jobs/${job.value.job}`
   const status = ENDED.has(job.value.state) ? 200 : 202
-  return Response.json(job.value, { status, headers })
+  return answerJson(job.value, status, headers)
 }
 
 /**
@@ -57,7 +58,7 @@
   const job = await findJob(entry, context)
   if (job.isErr()) return answerProblem(job.error)
   const waitMs = parseWait(context.req.header('prefer'))
-  return Response.json(await waitForEnd(entry, context, job.value, waitMs))
+  return answerJson(await waitForEnd(entry, context, job.value, waitMs))
 }
 
 /**
@@ -73,7 +74,7 @@
   const id = job.value.job
   const answer = await entry.router.ask(shardOf(id)!, { kind: Kind.Cancel, job: id }, OWNER_TIMEOUT_MS)
   const cancelled = answer.andThen(decodeJob).mapErr(createProblem)
-  return cancelled.match((ended) => Response.json(ended), answerProblem)
+  return cancelled.match((ended) => answerJson(ended), answerProblem)
 }
 
 /**
@@ -88,7 +89,7 @@
   if (job.isErr()) return answerProblem(job.error)
   const id = job.value.job
   const answer = await entry.router.ask(shardOf(id)!, { kind: Kind.Explain, job: id }, OWNER_TIMEOUT_MS)
-  return answer.mapErr(createProblem).match((explanation) => Response.json(explanation ?? null), answerProblem)
+  return answer.mapErr(createProblem).match((explanation) => answerJson(explanation), answerProblem)
 }
 
 async function submitJob (entry: Entry, context: Context, queue: Queue, key: string): Promise<Result<Job, Problem>> {
--- a/packages/daemon/src/entry/requests.ts
+++ b/packages/daemon/src/entry/requests.ts
@@ -5,6 +5,7 @@
 import { Kind, type Call } from '@fireflymount/protocol/message'
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { Workload } from '@fireflymount/protocol/workload'
+import { answerJson } from './answer.js'
 import { readJson } from './body.js'
 import { answerProblem, createBadRequest, createProblem, type Problem } from './problem.js'
 import type { Context } from 'hono'
@@ -34,7 +35,7 @@
   const outcome = answer.isOk() ? 'succeeded' : outcomeOf(answer.error)
   entry.metrics.count(`requests.${queue.name}.${outcome}`)
   entry.metrics.timing(`latency.${queue.name}`, entry.clock.now() - arrivedMs)
-  return answer.match((value) => Response.json(value ?? null), answerProblem)
+  return answer.match((value) => answerJson(value), answerProblem)
 }
 
 /**
--- a/packages/daemon/src/entry/server.ts
+++ b/packages/daemon/src/entry/server.ts
@@ -6,7 +6,7 @@
 import { getRequestListener } from '@hono/node-server'
 import { sleep } from '@fireflymount/platform/clock'
 import { createApi } from './api.js'
-import { Misuse, createBadRequest, createMisuse, type Problem } from './problem.js'
+import { Misuse, answerProblem, createBadRequest, createMisuse, type Problem } from './problem.js'
 import type { AddressInfo } from 'node:net'
 import type { Duplex } from 'node:stream'
 import type { Listener } from '@fireflymount/manifest/settings'
@@ -52,8 +52,9 @@
     requestTimeout: RECEIVE_TIMEOUT_MS,
     headersTimeout: HEADERS_TIMEOUT_MS,
     keepAliveTimeout: KEEP_ALIVE_MS,
-    connectionsCheckingInterval: CHECK_MS
-  }, getRequestListener(createApi(parts).fetch, { overrideGlobalObjects: false }))
+    connectionsCheckingInterval: CHECK_MS,
+    requireHostHeader: false
+  }, getRequestListener(createApi(parts).fetch, { errorHandler: onRequestError }))
   server.maxConnections = limits.connections
   server.on('clientError', onClientError)
   server.on('drop', () => parts.metrics.count('entry.connections.refused'))
@@ -83,6 +84,11 @@
   return new Promise((resolve) => server.getConnections((_, count) => resolve(count ?? 0)))
 }
 
+/** The target or the Host header of a request cannot be understood. */
+function onRequestError (): Response {
+  return answerProblem(createBadRequest('The URL or the Host header is not valid.'))
+}
+
 function onClientError (error: NodeJS.ErrnoException, socket: Duplex): void {
   if (error.code === 'ECONNRESET' || !socket.writable) {
     socket.destroy()
--- a/packages/daemon/src/entry/status.ts
+++ b/packages/daemon/src/entry/status.ts
@@ -4,6 +4,7 @@
 import { Kind } from '@fireflymount/protocol/message'
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { BurnCodec, type Burn } from '@fireflymount/protocol/survey'
+import { answerJson } from './answer.js'
 import { readJson } from './body.js'
 import { answerProblem, createBadRequest, createProblem } from './problem.js'
 import { shardOf } from './submission.js'
@@ -37,7 +38,7 @@
 export async function onOverview (entry: Entry): Promise<Response> {
   const { reports, missing } = await surveyAll(entry)
   const shards = reports.map(({ burn: _, ...shard }) => shard)
-  return Response.json({
+  return answerJson({
     node: entry.settings.node,
     phase: entry.presence.current(),
     revision: entry.configuration.current().revision,
@@ -60,7 +61,7 @@
   const shard = context.req.param('upstream') ?? ''
   if (!hasUpstream(entry, shard)) return refuseUpstream(shard)
   const answer = await entry.router.ask(shard, { kind: Kind.Survey, shard }, SURVEY_TIMEOUT_MS)
-  return answer.match((report) => Response.json(report ?? null), answerRefusal)
+  return answer.match((report) => answerJson(report), answerRefusal)
 }
 
 /**
@@ -77,7 +78,7 @@
     return answerRefusal(refuse(Reason.NoSuchJob, 'There is no job with this id.'))
   }
   const answer = await entry.router.ask(shard, { kind: Kind.Explain, job }, OWNER_TIMEOUT_MS)
-  return answer.match((explanation) => Response.json(explanation ?? null), answerRefusal)
+  return answer.match((explanation) => answerJson(explanation), answerRefusal)
 }
 
 /**
@@ -96,7 +97,7 @@
   if (typeof drained !== 'boolean') return answerProblem(createBadRequest('"drained" must be true or false.'))
   const worker = context.req.param('worker') ?? ''
   const answer = await entry.router.ask(shard, { kind: Kind.Drain, shard, worker, drained }, OWNER_TIMEOUT_MS)
-  return answer.match((state) => Response.json(state ?? { shard, worker, drained }), answerRefusal)
+  return answer.match((state) => answerJson(state ?? { shard, worker, drained }), answerRefusal)
 }
 
 /**
@@ -118,7 +119,7 @@
   }
   const { manifest } = entry.configuration.current()
   const { objectives } = manifest
-  return Response.json({ atMs: entry.clock.wall(), objectives, shards, counts, missing })
+  return answerJson({ atMs: entry.clock.wall(), objectives, shards, counts, missing })
 }
 
 async function surveyAll (entry: Entry): Promise<Surveys> {
--- a/packages/daemon/test/entry-server.spec.ts
+++ b/packages/daemon/test/entry-server.spec.ts
@@ -48,6 +48,13 @@
 test.each([
   { says: 'headers above the limit', bytes: `GET /healthz HTTP/1.1\r\nHost: x\r\nX-Long: ${'x'.repeat(5000)}\r\n\r\n`, status: 431 },
   { says: 'bytes that are no HTTP', bytes: 'hello\r\n\r\n', status: 400 },
+  { says: 'a request without a host', bytes: 'GET /healthz HTTP/1.1\r\n\r\n', status: 400 },
+  { says: 'a target that is no URL', bytes: 'GET http://:x/ HTTP/1.1\r\nHost: x\r\n\r\n', status: 400 },
+  {
+    says: 'chunks above the limit',
+    bytes: `POST /v1/queues/preview/requests HTTP/1.1\r\nHost: x\r\nAuthorization: ${GUILD}\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\nbb8\r\n${' '.repeat(3000)}\r\n0\r\n\r\n`,
+    status: 413
+  },
   { says: 'a body shorter than declared', bytes: `POST /v1/queues/preview/requests HTTP/1.1\r\nHost: x\r\nAuthorization: ${GUILD}\r\nContent-Type: application/json\r\nContent-Length: 9\r\n\r\n{}`, status: undefined }
 ])('$says do no harm', async ({ bytes, status }) => {
   const { bench, service, base } = await serve()
