Let any one standby confirm the owner, and none delay a takeover

Cause: the owner needed pledges of all standbys, and a pledge kept its giver from claiming for confirmationMs. Ruled out: longer patience of the router (hides the gap). Now a claimant concludes that leases have lapsed only after all standbys of the claim before granted its pledge or are gone; owner and claimant always share a standby. A standby that sees the log away does not wait for a claim to fail, and another one holds back while it takes over.

--- a/packages/daemon/src/owner/role.ts
+++ b/packages/daemon/src/owner/role.ts
@@ -17,7 +17,7 @@
 import type { Router } from '../peer/router.js'
 import { Allotments } from './allotments.js'
 import { BurnCounts } from './burn.js'
-import { Confirmation } from './confirmation.js'
+import { Confirmation, type ConfirmationParts } from './confirmation.js'
 import { createLedger } from './ledger.js'
 import { Owner } from './owner.js'
 import type { ShardState } from './state.js'
@@ -35,9 +35,6 @@
 const CATCH_UP_RETRY_MS = 200
 /** Wait for the successor's claim during a planned stop. */
 const HANDOVER_TIMEOUT_MS = 2000
-/** Bounds on clock drift and delay when leases of a former owner are concluded to have lapsed. */
-const LAPSE_FACTOR = 1.01
-const LAPSE_MARGIN_MS = 100
 
 /** What a role is built from. */
 export interface RoleParts {
@@ -65,17 +62,16 @@
   private caughtUp = false
   private claiming = false
   private leaving = false
-  /** Until then the shard is not claimed. A restarted process may have promised before it stopped. */
-  private promisedUntilMs: number
   private heardAtMs = -Infinity
   private vacantAtMs: number | undefined
   private refusals = 0
   private newest: Epoch = NO_EPOCH
+  /** The newest epoch that this node granted a pledge. */
+  private granted: Epoch = NO_EPOCH
 
   constructor (private readonly parts: RoleParts) {
     this.allotments = new Allotments(parts.shard)
     this.burn = new BurnCounts(parts.settings.node, parts.clock.wall())
-    this.promisedUntilMs = parts.clock.now() + parts.settings.timing.confirmationMs
     parts.journal.onHolder((holder) => { this.onHolder(holder) })
   }
 
@@ -106,7 +102,7 @@
   async handle (request: Request): Promise<Result<unknown, Refusal>> {
     switch (request.kind) {
       case Kind.Watch: return ok(this.post())
-      case Kind.Promise: return ok(this.promise(request))
+      case Kind.Pledge: return ok(this.grant(request))
       case Kind.Handover: return await this.takeHandover(request.epoch)
     }
     if (this.owner !== undefined) return await this.owner.handle(request)
@@ -131,32 +127,33 @@
   private post (): Post {
     const epoch = this.owner?.parts.epoch ?? this.newest
     if (this.owner !== undefined) return { epoch, owner: true }
-    return { epoch, owner: false, heardMs: Math.min(this.parts.clock.now() - this.heardAtMs, Number.MAX_SAFE_INTEGER) }
+    const heardMs = Math.min(this.parts.clock.now() - this.heardAtMs, Number.MAX_SAFE_INTEGER)
+    return { epoch, owner: false, heardMs, claiming: this.claiming }
   }
 
-  private promise (pledge: Pledge): Vow {
+  private grant (pledge: Pledge): Vow {
     const granted = this.owner === undefined && !this.claiming && compareEpochs(pledge.epoch, this.newest) >= 0
     if (!granted) return { granted, epoch: this.owner?.parts.epoch ?? this.newest }
     this.newest = pledge.epoch
+    this.granted = pledge.epoch
     this.heardAtMs = this.parts.clock.now()
-    this.promisedUntilMs = Math.max(this.promisedUntilMs, this.parts.clock.now() + pledge.forMs)
     return { granted, epoch: pledge.epoch }
   }
 
   /** The owner asks for it, so that no silence has to be waited for and no promise is broken. */
   private async takeHandover (epoch: Epoch): Promise<Result<Post, Refusal>> {
     if (this.leaving || this.owner !== undefined || compareEpochs(epoch, this.newest) < 0) return err(this.notOwner())
-    this.promisedUntilMs = -Infinity
     await this.claim(false)
     if (this.owner === undefined) return err(this.notOwner())
     return ok(this.post())
   }
 
   private notOwner (): Refusal {
-    const node = this.parts.journal.holder()?.epoch.node
+    const holder = this.parts.journal.holder()
     const refusal = refuse(Reason.NotOwner, `This node does not own ${this.parts.shard}.`, 500)
-    const known = this.caughtUp && node !== undefined && node !== this.parts.settings.node
-    return known ? { ...refusal, execution: Execution.NotRun, node } : refusal
+    if (!this.caughtUp || holder === undefined || this.refusals > 0) return refusal
+    const node = this.ownerNode(holder)
+    return node === this.parts.settings.node ? refusal : { ...refusal, node }
   }
 
   private isFollower (): boolean {
@@ -247,7 +244,7 @@
 
   private isDue (holder: Holder): boolean {
     const now = this.parts.clock.now()
-    if (now < this.promisedUntilMs || this.leaving) return false
+    if (this.leaving) return false
     const rank = this.rankAfter(holder)
     if (rank === undefined) return false
     if (this.vacantAtMs !== undefined && now - this.vacantAtMs > VACANCY_MS + rank * STAGGER_MS) return true
@@ -270,10 +267,16 @@
       await sleep(this.parts.settings.timing.heartbeatMs)
       return
     }
-    await this.claim(this.standbysOf(holder).includes(this.parts.settings.node))
+    await this.claim(this.mayTakeOverAtWorkers(holder))
   }
 
-  /** Asks the other standbys whether the owner is only unreachable from here. */
+  /** While the log is away: a standby that has not granted a newer owner a pledge. */
+  private mayTakeOverAtWorkers (holder: Holder): boolean {
+    if (compareEpochs(this.granted, holder.epoch) > 0) return false
+    return this.standbysOf(holder).includes(this.parts.settings.node)
+  }
+
+  /** Asks the other standbys whether the owner is only unreachable from here, or one of them is taking over. */
   private async isHeardByOthers (holder: Holder): Promise<boolean> {
     const { timing, node } = this.parts.settings
     const others = this.standbysOf(holder).filter((standby) => standby !== node)
@@ -283,7 +286,8 @@
       if (answer.isErr()) continue
       const post = answer.value as Post
       this.newest = later(this.newest, post.epoch)
-      if (post.owner || (post.heardMs !== undefined && post.heardMs < timing.heartbeatMs)) return true
+      if (post.owner || post.claiming === true) return true
+      if (post.heardMs !== undefined && post.heardMs < timing.heartbeatMs) return true
     }
     return false
   }
@@ -296,13 +300,19 @@
   private async claim (provisionally: boolean): Promise<void> {
     const { journal, settings, clock } = this.parts
     const before = journal.holder()
-    if (before !== undefined && clock.now() < this.promisedUntilMs) return
     this.claiming = true
     const epoch = { counter: Math.max(this.newest.counter, before?.epoch.counter ?? 0) + 1, node: settings.node }
-    const claimed = await journal.claim(epoch, this.wantedStandbys())
+    const former = before === undefined ? [] : this.standbysOf(before).filter((standby) => standby !== settings.node)
+    const standbys = this.wantedStandbys(former)
+    if (provisionally && !journal.available()) {
+      this.claiming = false
+      this.become(epoch, { standbys, former, provisional: true, first: false })
+      return
+    }
+    const claimed = await journal.claim(epoch, standbys)
     this.claiming = false
     if (claimed.isOk()) {
-      this.become(epoch, this.wantedStandbys(), before === undefined ? -Infinity : clock.now(), false)
+      this.become(epoch, { standbys, former, provisional: false, first: before === undefined })
       return
     }
     if (claimed.error.failure === JournalFailure.Superseded) {
@@ -311,27 +321,16 @@
       return
     }
     if (!provisionally || before === undefined || this.owner !== undefined) return
-    this.become(epoch, this.standbysOf(before).filter((standby) => standby !== settings.node), undefined, true)
+    this.become(epoch, { standbys, former, provisional: true, first: false })
   }
 
-  private become (epoch: Epoch, standbys: readonly string[], fencedAtMs: number | undefined, provisional: boolean): void {
+  private become (epoch: Epoch, terms: Pick<ConfirmationParts, 'standbys' | 'former' | 'provisional' | 'first'>): void {
     const { parts } = this
     this.retire('A newer epoch begins.')
     this.newest = epoch
     this.vacantAtMs = undefined
     const { timing } = parts.settings
-    const confirmation = new Confirmation({
-      shard: parts.shard,
-      epoch,
-      standbys,
-      provisional,
-      fencedAtMs,
-      timing,
-      journal: parts.journal,
-      members: parts.members,
-      router: parts.router,
-      clock: parts.clock
-    })
+    const confirmation = new Confirmation({ ...parts, ...terms, epoch, timing })
     const owner: Owner = new Owner({
       ...parts,
       journal: createLedger(parts.journal, () => confirmation.provisional),
@@ -341,13 +340,13 @@
       burn: this.burn,
       timing,
       confirmed: () => this.owner === owner && confirmation.holds(),
-      inheritedLapseMs: () => confirmation.lapseMs(LAPSE_FACTOR, LAPSE_MARGIN_MS),
+      inheritedLapseMs: () => confirmation.lapseMs(),
       onStale: (newer) => { this.onStale(owner, newer) }
     })
     this.confirmation = confirmation
     this.owner = owner
     this.parts.metrics.count('shard.claimed')
-    this.parts.logger.info({ shard: parts.shard, epoch, provisional }, 'shard owned')
+    this.parts.logger.info({ shard: parts.shard, epoch, provisional: terms.provisional }, 'shard owned')
     owner.start()
   }
 
@@ -357,7 +356,7 @@
     if (confirmation.provisional) await this.claimProvisional(owner, confirmation)
     await confirmation.refresh()
     if (this.owner !== owner || confirmation.provisional) return
-    await confirmation.setStandbys(this.wantedStandbys())
+    await confirmation.setStandbys(this.wantedStandbys([]))
     const compacted = await this.parts.journal.compact()
     if (compacted.isOk() && compacted.value) this.parts.metrics.count('shard.snapshot')
   }
@@ -366,7 +365,7 @@
   private async claimProvisional (owner: Owner, confirmation: Confirmation): Promise<void> {
     const claimed = await this.parts.journal.claim(owner.parts.epoch, confirmation.standbys())
     if (claimed.isOk()) {
-      confirmation.settle(this.parts.clock.now())
+      confirmation.settle()
       this.parts.logger.info({ shard: this.parts.shard, epoch: owner.parts.epoch }, 'takeover written to the log')
       return
     }
@@ -399,9 +398,11 @@
     this.parts.logger.info({ shard: this.parts.shard, epoch: owner.parts.epoch, detail }, 'shard given up')
   }
 
-  private wantedStandbys (): string[] {
+  /** The next candidates, and those standbys of the claim before that may still act on it. */
+  private wantedStandbys (former: readonly string[]): string[] {
     const others = this.candidates().filter((node) => node !== this.parts.settings.node)
-    return others.slice(0, FOLLOWERS - 1)
+    const left = former.filter((node) => !this.parts.members.isGone(node))
+    return [...new Set([...others.slice(0, FOLLOWERS - 1), ...left])]
   }
 
   private standbys (): readonly string[] {
--- a/packages/daemon/src/owner/session.ts
+++ b/packages/daemon/src/owner/session.ts
@@ -228,6 +228,8 @@
   }
 
   private isLapseCertain (): boolean {
+    // Since the adoption, the worker has refused former owners.
+    if (this.boot !== '') return this.parts.clock.now() > this.leaseEndMs
     const inherited = this.parts.inheritedLapseMs()
     if (inherited === undefined) return false
     return this.parts.clock.now() > Math.max(inherited, this.leaseEndMs)
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -25,8 +25,8 @@
   Survey = 'survey',
   /** Standby to owner: are you there; the answer tells the epoch. */
   Watch = 'watch',
-  /** Owner to standby: promise not to claim for some time. */
-  Promise = 'promise',
+  /** Owner to standby: grant this epoch a pledge, and no older one from now on. */
+  Pledge = 'pledge',
   /** Owner to standby before a planned stop: take the shard over now. */
   Handover = 'handover',
   /** Moves part of a team's allotment from one shard to another. */
@@ -78,7 +78,7 @@
 export const ExplainCodec = Codec.interface({ kind: exactly(Kind.Explain), job: string })
 export const SurveyCodec = Codec.interface({ kind: exactly(Kind.Survey), shard: string })
 export const WatchCodec = Codec.interface({ kind: exactly(Kind.Watch), shard: string })
-export const PromiseCodec = Codec.interface({ kind: exactly(Kind.Promise), shard: string, epoch: EpochCodec, forMs: number })
+export const PledgeCodec = Codec.interface({ kind: exactly(Kind.Pledge), shard: string, epoch: EpochCodec })
 export const HandoverCodec = Codec.interface({ kind: exactly(Kind.Handover), shard: string, epoch: EpochCodec })
 
 /** Amount of a team's upper limit: running tasks and their sizes. */
@@ -114,7 +114,7 @@
   [Kind.Explain]: ExplainCodec,
   [Kind.Survey]: SurveyCodec,
   [Kind.Watch]: WatchCodec,
-  [Kind.Promise]: PromiseCodec,
+  [Kind.Pledge]: PledgeCodec,
   [Kind.Handover]: HandoverCodec,
   [Kind.Transfer]: TransferCodec,
   [Kind.Borrow]: BorrowCodec,
@@ -140,7 +140,7 @@
 export type Explain = GetType<typeof ExplainCodec>
 export type Survey = GetType<typeof SurveyCodec>
 export type Watch = GetType<typeof WatchCodec>
-export type Pledge = GetType<typeof PromiseCodec>
+export type Pledge = GetType<typeof PledgeCodec>
 export type Handover = GetType<typeof HandoverCodec>
 export type Allotment = GetType<typeof AllotmentCodec>
 export type Transfer = GetType<typeof TransferCodec>
@@ -167,16 +167,19 @@
   epoch: EpochCodec,
   owner: boolean,
   /** From a standby: milliseconds since it heard from the owner. */
-  heardMs: optional(number)
+  heardMs: optional(number),
+  /** From a standby: it is taking the shard over. */
+  claiming: optional(boolean)
 })
 /** What a node says of a shard when it is watched. */
 export interface Post {
   readonly epoch: Epoch
   readonly owner: boolean
   readonly heardMs?: number
+  readonly claiming?: boolean
 }
 
-/** A standby's answer to Kind.Promise. */
+/** A standby's answer to Kind.Pledge. */
 export const VowCodec = Codec.interface({ granted: boolean, epoch: EpochCodec })
 export type Vow = GetType<typeof VowCodec>
 
