Bound questions about jobs and the depth of bodies

Questions about jobs wait for up to a minute and count as requests in progress. A body of 100,000 nested arrays made the digest and the codec between nodes exhaust the stack, which was answered by 500 and now by 400.

--- a/packages/daemon/src/entry/admission.ts
+++ b/packages/daemon/src/entry/admission.ts
@@ -39,9 +39,7 @@
    * @returns the place, or the refusal
    */
   enter (team: string, queue: string): Result<Place, Refusal> {
-    if (this.total >= this.limit) {
-      return err(refuse(Reason.Overloaded, `This node has ${this.limit} requests in progress, its limit. Try another node or come back.`, RETRY_MS))
-    }
+    if (this.total >= this.limit) return err(this.refuseAll())
     if ((this.byQueue.get(queue) ?? 0) >= Math.ceil(this.limit * QUEUE_FRACTION)) {
       return err(refuse(Reason.Overloaded, `The queue "${queue}" has as many requests in progress as one queue may have in this node. Come back.`, RETRY_MS))
     }
@@ -49,17 +47,22 @@
       return err(refuse(Reason.LimitReached, `This node is busy and the team "${team}" has its share of requests in progress. Come back.`, RETRY_MS))
     }
     this.add(team, queue, 1)
-    return ok(this.createPlace(team, queue))
+    return ok(createPlace(() => this.add(team, queue, -1)))
   }
 
-  private createPlace (team: string, queue: string): Place {
-    let held = true
-    return {
-      leave: () => {
-        if (held) this.add(team, queue, -1)
-        held = false
-      }
-    }
+  /**
+   * Takes in a call whose team and queue are not known yet, such as a question for a job.
+   *
+   * @returns the place, or the refusal
+   */
+  enterUnknown (): Result<Place, Refusal> {
+    if (this.total >= this.limit) return err(this.refuseAll())
+    this.total++
+    return ok(createPlace(() => { this.total-- }))
+  }
+
+  private refuseAll (): Refusal {
+    return refuse(Reason.Overloaded, `This node has ${this.limit} requests in progress, its limit. Try another node or come back.`, RETRY_MS)
   }
 
   private bound (team: string): number {
@@ -78,6 +81,16 @@
   }
 }
 
+function createPlace (giveBack: () => void): Place {
+  let held = true
+  return {
+    leave: () => {
+      if (held) giveBack()
+      held = false
+    }
+  }
+}
+
 function adjust (counts: Map<string, number>, name: string, by: number): void {
   const count = (counts.get(name) ?? 0) + by
   if (count === 0) counts.delete(name)
--- a/packages/daemon/src/entry/body.ts
+++ b/packages/daemon/src/entry/body.ts
@@ -5,6 +5,8 @@
 import { Reason, refuse } from '@fireflymount/protocol/refusal'
 import { Misuse, createBadRequest, createMisuse, createProblem, type Problem } from './problem.js'
 
+/** Deeper values would exhaust the stack of the codecs between nodes. */
+const MOST_DEPTH = 100
 const JSON_TYPE = /^application\/(?:[\w.-]+\+)?json *(?:;|$)/i
 
 /**
@@ -53,12 +55,23 @@
 
 function parseJson (text: string): Result<unknown, Problem> {
   try {
-    return ok(JSON.parse(text))
+    const value: unknown = JSON.parse(text)
+    if (!isDeeper(value, MOST_DEPTH)) return ok(value)
+    return err(createBadRequest(`The body is nested more than ${MOST_DEPTH} levels deep. Flatten it.`))
   } catch (error) {
     return err(createBadRequest(`The body is not valid JSON: ${describeSyntax(error)}`))
   }
 }
 
+function isDeeper (value: unknown, depth: number): boolean {
+  if (typeof value !== 'object' || value === null) return false
+  if (depth === 0) return true
+  for (const element of Object.values(value)) {
+    if (isDeeper(element, depth - 1)) return true
+  }
+  return false
+}
+
 /** The position is told, but nothing of the text, which can hold what must not be repeated. */
 function describeSyntax (error: unknown): string {
   const position = /position \d+(?: \(line \d+ column \d+\))?/.exec(String(error))
--- a/packages/daemon/src/entry/jobs.ts
+++ b/packages/daemon/src/entry/jobs.ts
@@ -55,10 +55,8 @@
  * @returns the job, or a problem
  */
 export async function onStatus (entry: Entry, context: Context): Promise<Response> {
-  const job = await findJob(entry, context)
-  if (job.isErr()) return answerProblem(job.error)
   const waitMs = parseWait(context.req.header('prefer'))
-  return answerJson(await waitForEnd(entry, context, job.value, waitMs))
+  return await answerAboutJob(entry, context, async (job) => ok(await waitForEnd(entry, context, job, waitMs)))
 }
 
 /**
@@ -69,12 +67,10 @@
  * @returns the job, cancelled unless it had ended, or a problem
  */
 export async function onCancel (entry: Entry, context: Context): Promise<Response> {
-  const job = await findJob(entry, context)
-  if (job.isErr()) return answerProblem(job.error)
-  const id = job.value.job
-  const answer = await entry.router.ask(shardOf(id)!, { kind: Kind.Cancel, job: id }, OWNER_TIMEOUT_MS)
-  const cancelled = answer.andThen(decodeJob).mapErr(createProblem)
-  return cancelled.match((ended) => answerJson(ended), answerProblem)
+  return await answerAboutJob(entry, context, async ({ job }) => {
+    const answer = await entry.router.ask(shardOf(job)!, { kind: Kind.Cancel, job }, OWNER_TIMEOUT_MS)
+    return answer.andThen(decodeJob)
+  })
 }
 
 /**
@@ -85,11 +81,25 @@
  * @returns why the job waits, or a problem
  */
 export async function onExplain (entry: Entry, context: Context): Promise<Response> {
-  const job = await findJob(entry, context)
-  if (job.isErr()) return answerProblem(job.error)
-  const id = job.value.job
-  const answer = await entry.router.ask(shardOf(id)!, { kind: Kind.Explain, job: id }, OWNER_TIMEOUT_MS)
-  return answer.mapErr(createProblem).match((explanation) => answerJson(explanation), answerProblem)
+  return await answerAboutJob(entry, context, ({ job }) => {
+    return entry.router.ask(shardOf(job)!, { kind: Kind.Explain, job }, OWNER_TIMEOUT_MS)
+  })
+}
+
+/** Answers a question about a job that the caller may see. */
+async function answerAboutJob (
+  entry: Entry, context: Context, ask: (job: Job) => Promise<Result<unknown, Refusal>>
+): Promise<Response> {
+  const place = entry.admission.enterUnknown()
+  if (place.isErr()) return answerProblem(createProblem(place.error))
+  try {
+    const job = await findJob(entry, context)
+    if (job.isErr()) return answerProblem(job.error)
+    const answer = await ask(job.value)
+    return answer.mapErr(createProblem).match((value) => answerJson(value), answerProblem)
+  } finally {
+    place.value.leave()
+  }
 }
 
 async function submitJob (entry: Entry, context: Context, queue: Queue, key: string): Promise<Result<Job, Problem>> {
--- a/packages/daemon/test/entry-api.spec.ts
+++ b/packages/daemon/test/entry-api.spec.ts
@@ -111,6 +111,7 @@
   const key = { authorization: GUILD }
   test.each([
     { says: 'malformed JSON', method: 'POST', path: PREVIEW, headers: key, body: '{"a":', status: 400 },
+    { says: 'a value nested too deeply', method: 'POST', path: PREVIEW, headers: key, body: '['.repeat(900) + ']'.repeat(900), status: 400 },
     { says: 'an empty body', method: 'POST', path: PREVIEW, headers: { ...key, 'content-type': 'application/json' }, status: 400 },
     { says: 'another content type', method: 'POST', path: PREVIEW, headers: { ...key, 'content-type': 'text/plain' }, body: '{}', status: 415 },
     { says: 'no content type', method: 'POST', path: PREVIEW, headers: key, status: 415 },
@@ -198,6 +199,7 @@
     for (let count = 0; count < 9; count++) send('swap', CIRCLE)
     await new Promise(setImmediate)
     expect(await statusOf(request('POST', PREVIEW, { authorization: GUILD }, {}))).toBe(503)
+    expect(await statusOf(request('GET', '/v1/jobs/bee-planner.01', { authorization: GUILD }))).toBe(503)
     for (const finish of open) finish()
     expect(new Set((await Promise.all(running)).map((answer) => answer.status))).toEqual(new Set([200]))
     router.answer = async () => ok(1)
--- a/packages/daemon/test/entry-server.spec.ts
+++ b/packages/daemon/test/entry-server.spec.ts
@@ -1,7 +1,8 @@
 import { connect } from 'node:net'
-import { ok } from 'neverthrow'
+import { err, ok } from 'neverthrow'
 import { expect, test } from 'vitest'
 import { SystemClock, sleep } from '@fireflymount/platform/clock'
+import { Execution, Reason } from '@fireflymount/protocol/refusal'
 import { serveApi, type Service } from '../src/entry/server.js'
 import { GUILD, createBench, type Bench } from './entry-fakes.js'
 
@@ -11,9 +12,9 @@
   return { bench, service, base: `http://127.0.0.1:${service.address.port}` }
 }
 
-function preview (base: string): Promise<Response> {
+function preview (base: string, signal?: AbortSignal): Promise<Response> {
   const headers = { authorization: GUILD, 'content-type': 'application/json' }
-  return fetch(`${base}/v1/queues/preview/requests`, { method: 'POST', headers, body: '{}' })
+  return fetch(`${base}/v1/queues/preview/requests`, { method: 'POST', headers, body: '{}', signal })
 }
 
 test('a planned stop finishes what is in progress, takes work during the notice, and then closes', async () => {
@@ -34,6 +35,20 @@
   await expect(fetch(`${base}/healthz`)).rejects.toThrow()
 })
 
+test('a request whose caller has gone is not sent again', async () => {
+  const { bench, service, base } = await serve()
+  const caller = new AbortController()
+  bench.router.answer = async () => {
+    caller.abort()
+    await sleep(100)
+    return err({ reason: Reason.ConnectionLost, detail: 'Lost.', execution: Execution.NotRun })
+  }
+  await expect(preview(base, caller.signal)).rejects.toThrow()
+  await sleep(200)
+  expect(bench.router.asked).toHaveLength(1)
+  await service.close()
+})
+
 test('a planned stop gives up after the drain time and tells how much it cut', async () => {
   const { bench, service, base } = await serve()
   bench.router.answer = () => new Promise(() => {})
