--- a/packages/scenario/src/language/disturbances.ts
+++ b/packages/scenario/src/language/disturbances.ts
@@ -103,7 +103,8 @@
     const state = this.OR<Departing>([
       { ALT: () => this.CONSUME(keyword('leave')) && Departing.Leaving },
       { ALT: () => this.CONSUME(keyword('gone')) && Departing.Gone },
-      { ALT: () => this.CONSUME(keyword('drain')) && Departing.Drained }
+      { ALT: () => this.CONSUME(keyword('drain')) && Departing.Drained },
+      { ALT: () => this.CONSUME(keyword('forget')) && Departing.Forgotten }
     ])
     return { verb: Verb.Leave, state, target: this.SUBRULE(this.target) }
   })
--- a/packages/scenario/src/language/lexer.ts
+++ b/packages/scenario/src/language/lexer.ts
@@ -18,7 +18,7 @@
 const KEYWORDS = [
   'scenario', 'seed', 'limit', 'slow', 'proves',
   'start', 'platform', 'workers', 'node', 'nodes', 'of', 'in', 'rack', 'with', 'timing', 'stop', 'kill', 'freeze', 'thaw', 'as',
-  'cut', 'silence', 'stall', 'heal', 'and', 'log', 'for', 'list', 'lag', 'leave', 'gone', 'drain', 'fault', 'apply', 'at', 'grant',
+  'cut', 'silence', 'stall', 'heal', 'and', 'log', 'for', 'list', 'lag', 'leave', 'gone', 'drain', 'forget', 'fault', 'apply', 'at', 'grant',
   'withdraw', 'key', 'to', 'submit', 'jobs', 'job', 'request', 'requests', 'background', 'tasks', 'runs', 'cpu', 'fails',
   'once', 'cancel', 'race', 'load', 'per', 'second', 'within', 'expect', 'or', 'owner', 'standby', 'host', 'every', 'is', 'not',
   'service', 'has', 'running', 'gap', 'under', 'ready', 'exited', 'revision', 'one', 'most', 'least', 'starts', 'works',
--- a/packages/scenario/src/language/orders.ts
+++ b/packages/scenario/src/language/orders.ts
@@ -12,9 +12,13 @@
   readonly apply = this.RULE('apply', (): Apply => {
     this.CONSUME(keyword('apply'))
     const file = this.SUBRULE(this.text)
+    const name = this.OPTION3(() => {
+      this.CONSUME(keyword('as'))
+      return this.SUBRULE(this.word)
+    })
     const at = this.OPTION(() => this.SUBRULE(this.place))
     const expected = this.OPTION2(() => this.SUBRULE(this.outcome)) ?? ['accepted']
-    return { verb: Verb.Apply, file, at, expected }
+    return { verb: Verb.Apply, file, name, at, expected }
   })
 
   readonly key = this.RULE('key', (): KeyStep => {
--- a/packages/scenario/src/language/script.ts
+++ b/packages/scenario/src/language/script.ts
@@ -132,7 +132,9 @@
   /** The platform's list says that it was terminated. */
   Gone = 'gone',
   /** An operator drains the worker. */
-  Drained = 'drained'
+  Drained = 'drained',
+  /** The platform's list no longer has it, though it goes on. */
+  Forgotten = 'forgotten'
 }
 
 /** Makes a VM go. */
@@ -154,6 +156,8 @@
 export interface Apply {
   readonly verb: Verb.Apply
   readonly file: string
+  /** Name under which the outcome is counted. */
+  readonly name?: string
   readonly at?: Target
   readonly expected: readonly string[]
 }
--- a/packages/scenario/src/run/processes.ts
+++ b/packages/scenario/src/run/processes.ts
@@ -159,6 +159,7 @@
 }
 
 async function depart (stage: Stage, name: string, state: Departing): Promise<Outcome> {
+  if (state === Departing.Forgotten) return discard(await stage.cell.askPlatform('DELETE', `vms/${name}`))
   const vmState = state === Departing.Leaving ? VmState.Leaving : VmState.Gone
   if (vmState === VmState.Leaving && stage.cell.workers.has(name)) stage.leaving.push({ name, atMs: machineNow() })
   if (vmState === VmState.Gone && stage.cell.workers.has(name)) {
--- a/packages/scenario/src/run/steps.ts
+++ b/packages/scenario/src/run/steps.ts
@@ -4,7 +4,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Timing } from '@fireflymount/manifest/settings'
 import { Verb, type Action, type Apply, type Cancel, type Expect, type KeyStep, type Load as LoadStep, type Race, type Step } from '../language/script.js'
-import { cancelJob } from './caller.js'
+import { cancelJob, machineNow } from './caller.js'
 import { meets } from './expectations.js'
 import { Load } from './load.js'
 import { pause } from './operator.js'
@@ -55,10 +55,15 @@
   return ok()
 }
 
-async function apply (stage: Stage, { file, at, expected }: Apply): Promise<Outcome> {
+async function apply (stage: Stage, { file, name, at, expected }: Apply): Promise<Outcome> {
   const api = await findApi(stage, at)
   if (api.isErr()) return err(api.error)
+  const sentMs = machineNow()
   const outcome = await stage.operator.apply(api.value, file)
+  if (name !== undefined) {
+    const nonce = stage.ledger.nextNonce()
+    stage.ledger.addAnswer({ name, nonce, queue: '', sentMs, answeredMs: machineNow(), outcome, hasResult: false, whole: true })
+  }
   return checkOutcome(`apply "${file}"`, outcome, expected)
 }
 
