--- a/packages/daemon/src/membership/members.ts
+++ b/packages/daemon/src/membership/members.ts
@@ -8,6 +8,9 @@
 /** Time between two polls of the list. */
 export const POLL_MS = 1000
 
+/** Time for which a VM must be missing from every list before it counts as terminated: a list can be wrong for a while. */
+export const ABSENCE_MS = 60_000
+
 /** How many nodes, the owner included, follow a shard. */
 export const FOLLOWERS = 3
 
@@ -16,6 +19,8 @@
   private vms: readonly Vm[] = []
   private byId = new Map<string, Vm>()
   private listedAtMs = -Infinity
+  /** Since when VMs that were asked for are missing. */
+  private readonly missingSinceMs = new Map<string, number>()
   private readonly listeners: Array<() => void> = []
 
   constructor (private readonly machines: Machines, private readonly clock: Clock) {}
@@ -35,6 +40,9 @@
     this.listedAtMs = this.clock.now()
     this.vms = list.value
     this.byId = new Map(list.value.map((vm) => [vm.id, vm]))
+    for (const id of this.missingSinceMs.keys()) {
+      if (this.byId.has(id)) this.missingSinceMs.delete(id)
+    }
     for (const listener of this.listeners) listener()
   }
 
@@ -53,11 +61,14 @@
     return this.byId.get(id)
   }
 
-  /** True if the list was read and the VM is terminated or not in it any more. */
+  /** True if the platform says that the VM is terminated, or has left it out of every list for `ABSENCE_MS`. */
   isGone (id: string): boolean {
-    if (this.listedAtMs === -Infinity) return false
     const vm = this.byId.get(id)
-    return vm === undefined || vm.state === VmState.Gone
+    if (vm !== undefined) return vm.state === VmState.Gone
+    if (this.listedAtMs === -Infinity) return false
+    const sinceMs = this.missingSinceMs.get(id) ?? this.listedAtMs
+    this.missingSinceMs.set(id, sinceMs)
+    return this.listedAtMs - sinceMs >= ABSENCE_MS
   }
 
   /** Names of all daemons' VMs that are not gone. */
--- a/packages/daemon/src/owner/calls.ts
+++ b/packages/daemon/src/owner/calls.ts
@@ -34,11 +34,17 @@
 
 type Seat = Result<string, Refusal>
 
+interface Waiter {
+  readonly task: Task
+  readonly resolve: (seat: Seat) => void
+}
+
 /** All synchronous requests in progress. */
 export class Calls {
-  private readonly waiting = new Map<string, (seat: Seat) => void>()
+  private readonly waiting = new Map<string, Waiter>()
   /** Requests whose answer was lost, and those of former owners, by worker: they may still run. */
   private readonly doubtful = new Map<string, Set<string>>()
+  private readonly running = new Map<string, Task>()
   private next = 1
   private open = 0
 
@@ -49,9 +55,14 @@
     return this.open
   }
 
-  /** True if a placement is for a request of this owner. */
-  owns (task: string): boolean {
-    return this.waiting.has(task)
+  /** Requests that wait for a worker. */
+  waitingTasks (): Task[] {
+    return [...this.waiting.values()].map((waiter) => waiter.task)
+  }
+
+  /** Requests that are at a worker. */
+  runningTasks (): Task[] {
+    return [...this.running.values()]
   }
 
   /**
@@ -118,7 +129,9 @@
       const task = this.createTask(call, queue, endMs, avoid)
       const seat = await this.seat(task)
       if (seat.isErr()) return err(seat.error)
+      this.running.set(task.id, task)
       const answer = await this.send(task, seat.value, call, endMs)
+      this.running.delete(task.id)
       if (answer.isOk()) {
         this.parts.onOver(task, true)
         return ok(answer.value)
@@ -158,7 +171,7 @@
 
   private seat (task: Task): Promise<Seat> {
     return new Promise((resolve) => {
-      this.waiting.set(task.id, resolve)
+      this.waiting.set(task.id, { task, resolve })
       const queued = this.parts.scheduler.enqueue(task, this.parts.clock.now())
       if (queued.isErr()) this.refuse(task.id, queued.error)
       else this.parts.onRoom()
@@ -190,10 +203,10 @@
   }
 
   private settle (task: string, seat: Seat): void {
-    const resolve = this.waiting.get(task)
-    if (resolve === undefined) return
+    const waiter = this.waiting.get(task)
+    if (waiter === undefined) return
     this.waiting.delete(task)
-    resolve(seat)
+    waiter.resolve(seat)
   }
 
   /** The request may still run: its room and limit stay charged until the worker says that it does not. */
--- a/packages/daemon/test/membership.spec.ts
+++ b/packages/daemon/test/membership.spec.ts
@@ -1,4 +1,8 @@
+import { ok } from 'neverthrow'
 import { expect, test } from 'vitest'
+import { Clock } from '@fireflymount/platform/clock'
+import { Machines, VmRole, VmState, type Vm } from '@fireflymount/platform/machines'
+import { ABSENCE_MS, Members } from '../src/membership/members.js'
 import { rankNodes } from '../src/membership/rendezvous.js'
 
 const NODES = Array.from({ length: 24 }, (_, index) => `node-${index}`)
@@ -25,3 +29,37 @@
   }
   expect(Math.max(...owned.values())).toBeLessThan(3 * SHARDS.length / NODES.length)
 })
+
+class FakeClock extends Clock {
+  ms = 0
+  now (): number { return this.ms }
+  wall (): number { return this.ms }
+}
+
+class FakeMachines extends Machines {
+  vms: Vm[] = []
+  list (): ReturnType<Machines['list']> { return Promise.resolve(ok(this.vms)) }
+}
+
+const NODE: Vm = { id: 'f1', role: VmRole.Entry, state: VmState.Live, address: '127.0.0.1:1', zone: 'fukuoka', rack: 'r1' }
+
+test.each([
+  { says: 'listed as live is not', lists: [[NODE]], everyMs: 1, gone: false },
+  { says: 'listed as gone is', lists: [[{ ...NODE, state: VmState.Gone }]], everyMs: 1, gone: true },
+  { says: 'left out of one list is not', lists: [[NODE], []], everyMs: ABSENCE_MS, gone: false },
+  { says: 'left out of every list for long is', lists: [[], [], []], everyMs: ABSENCE_MS / 2, gone: true },
+  { says: 'left out, listed and left out again is not', lists: [[], [NODE], []], everyMs: ABSENCE_MS / 2, gone: false }
+])('a VM $says terminated', async ({ lists, everyMs, gone }) => {
+  const machines = new FakeMachines()
+  const clock = new FakeClock()
+  const members = new Members(machines, clock)
+  expect(members.isGone('f1')).toBe(false)
+  let last = false
+  for (const list of lists) {
+    machines.vms = list
+    await members.poll()
+    last = members.isGone('f1')
+    clock.ms += everyMs
+  }
+  expect(last).toBe(gone)
+})
