--- a/packages/daemon/test/configuration/follower.spec.ts
+++ b/packages/daemon/test/configuration/follower.spec.ts
@@ -57,7 +57,7 @@
       askPeers: async (from) => this.ask(follower, from),
       isWriter: () => index === 0,
       snapshotMs: SNAPSHOT_MS,
-      snapshotRecords: 20,
+      snapshotRecords: 6,
       publishMs: 400,
       patience: PATIENCE
     })
