--- /dev/null
+++ b/packages/daemon/test/configuration/freshest.spec.ts
@@ -0,0 +1,31 @@
+import { expect, test } from 'vitest'
+import type { RecordsPage } from '@fireflymount/protocol/message'
+import { askFreshest } from '../../src/configuration/freshest.js'
+
+const lagging: RecordsPage = { records: [], next: 3, ageMs: 9 }
+const stale: RecordsPage = { records: [], next: 5, ageMs: 9000 }
+const fresh: RecordsPage = { records: [], next: 5, ageMs: 20 }
+const unknown: RecordsPage = { records: [], next: 5 }
+
+test.each<[string, Array<RecordsPage | undefined>, RecordsPage | undefined]>([
+  ['the fresh one of equal answers', [stale, unknown, fresh], fresh],
+  ['the furthest answer, also if its peer is stale', [lagging, stale], stale],
+  ['the only answer', [undefined, unknown, undefined], unknown],
+  ['nothing if no peer answers', [undefined, undefined], undefined],
+  ['nothing without peers', [], undefined]
+])('returns %s', async (_, pages, expected) => {
+  const nodes = pages.map((_, index) => String(index))
+  expect(await askFreshest(nodes, async (node) => pages[Number(node)])).toBe(expected)
+})
+
+test('every peer is asked sooner or later, and never more than four at once', async () => {
+  const nodes = Array.from({ length: 12 }, (_, index) => String(index))
+  const asked = new Set<string>()
+  for (let round = 0; round < 200; round += 1) {
+    const before: string[] = []
+    await askFreshest(nodes, async (node) => { before.push(node); return undefined })
+    expect(new Set(before).size).toBe(4)
+    for (const node of before) asked.add(node)
+  }
+  expect(asked.size).toBe(12)
+})
