--- a/packages/policy/src/health.ts
+++ b/packages/policy/src/health.ts
@@ -4,6 +4,8 @@
 import type { Resources } from '@fireflymount/protocol/resources'
 import type { Fleet } from './fleet.js'
 import type { Kind } from './kind.js'
+import { Urgency, Workload } from '@fireflymount/protocol/workload'
+import type { Task } from './task.js'
 import { NO_RESOURCES } from '@fireflymount/protocol/resources'
 import { NONE } from './table.js'
 import { Condition, Ending } from './task.js'
@@ -155,3 +157,13 @@
     return record
   }
 }
+
+/**
+ * Tells whether tasks may be risked on a worker that fails.
+ *
+ * @param work a task or a lane
+ * @returns true for normal requests and batch work
+ */
+export function mayProbe ({ urgency, workload }: Pick<Task, 'urgency' | 'workload'>): boolean {
+  return urgency === Urgency.Normal && (workload === Workload.Request || workload === Workload.Batch)
+}
--- a/packages/policy/src/lanes.ts
+++ b/packages/policy/src/lanes.ts
@@ -3,6 +3,7 @@
  */
 import type { Workload } from '@fireflymount/protocol/workload'
 import { Urgency } from '@fireflymount/protocol/workload'
+import type { Gate } from './gate.js'
 import type { Occupancy } from './occupancy.js'
 import type { Policy, Weights } from './policy.js'
 import type { Task } from './task.js'
@@ -18,9 +19,6 @@
 /** One policy for each kind of workload. */
 export type Policies = Readonly<Record<Workload, Policy>>
 
-/** Why a lane's head may not start although there is room; Block.None if it may. */
-export type Gate = (lane: Lane) => Block
-
 /** The lanes, by what blocks them, and their order. */
 export class Lanes {
   /** Lanes kept back for requests. */
@@ -112,7 +110,7 @@
   openAll (lanes: readonly Lane[]): void {
     for (let position = lanes.length - 1; position >= 0; position--) {
       const lane = lanes[position]!
-      if (this.gate(lane) === Block.None) this.open(lane)
+      if (this.gate.check(lane) === Block.None) this.open(lane)
     }
   }
 
@@ -170,7 +168,7 @@
       if (worker !== NONE && !this.occupancy.fleet.fits(worker, lane.size)) continue
       if (best !== undefined && !this.precedes(lane, best)) continue
       if (worker !== NONE && !this.policies[lane.workload].accepts(lane, worker, nowMs)) continue
-      const block = this.gate(lane)
+      const block = this.gate.check(lane)
       if (block === Block.None) best = lane
       else this.block(lane, block)
     }
--- a/packages/policy/src/occupancy.ts
+++ b/packages/policy/src/occupancy.ts
@@ -11,6 +11,8 @@
 
 /** The state on which all policies of a shard decide. */
 export class Occupancy {
+  /** The time of the last event. */
+  nowMs = 0
   readonly table = new TaskTable()
   readonly deadlines = new DeadlineHeap(this.table)
   readonly fleet = new Fleet()
--- a/packages/policy/src/policy.ts
+++ b/packages/policy/src/policy.ts
@@ -129,3 +129,15 @@
     return avoid.includes(fleet.machines[worker]!.id)
   }
 }
+
+/**
+ * Scales weights to a sum of 1.
+ *
+ * @param weights the weights; all 0 counts as all equal
+ * @returns the scaled weights
+ */
+export function normalizeWeights ({ waiting, share, packing }: Weights): Weights {
+  const sum = waiting + share + packing
+  if (sum <= 0) return { waiting: 1 / 3, share: 1 / 3, packing: 1 / 3 }
+  return { waiting: waiting / sum, share: share / sum, packing: packing / sum }
+}
--- a/packages/policy/src/reservation.ts
+++ b/packages/policy/src/reservation.ts
@@ -1,6 +1,7 @@
 /**
  * Keeps workers free for one blocked head of a lane at a time, for a bounded time.
  */
+import type { FreedWorkers } from './freed.js'
 import type { Lane } from './lane.js'
 import type { Occupancy } from './occupancy.js'
 import type { Task } from './task.js'
@@ -35,7 +36,7 @@
   readonly workers: number[] = []
   private cursor = 0
 
-  constructor (private readonly occupancy: Occupancy) {}
+  constructor (private readonly occupancy: Occupancy, private readonly freed: FreedWorkers) {}
 
   /**
    * Reserves workers for the head of a lane.
@@ -59,16 +60,13 @@
     return true
   }
 
-  /**
-   * Gives the reserved workers back.
-   *
-   * @returns the workers that were reserved
-   */
-  cancel (): number[] {
-    const workers = this.workers.splice(0)
-    for (const worker of workers) this.occupancy.fleet.reserve(worker, false)
+  /** Gives the reserved workers back. */
+  cancel (): void {
     this.lane = undefined
-    return workers
+    for (const worker of this.workers.splice(0)) {
+      this.occupancy.fleet.reserve(worker, false)
+      this.freed.add(worker)
+    }
   }
 
   /**
