Report what a node spends

GET /v1/admin/node gives the bytes of control by what they are exchanged with, the bytes of callers' requests apart from them, processor time, memory, appends and owned shards, as totals since the start. The bytes are those of the sockets, so that headers of HTTP and WebSocket, pings and handshakes are in; frames of callers' requests are taken off by their kind, without their 2 to 14 bytes of frame header.

--- a/packages/command/test/cell.ts
+++ b/packages/command/test/cell.ts
@@ -127,6 +127,7 @@
       configuration,
       router,
       presence,
+      usage: () => { throw new Error('not used') },
       metrics: new NoMetrics(),
       clock: new SystemClock(),
       settings: {
--- a/packages/daemon/src/entry/api.ts
+++ b/packages/daemon/src/entry/api.ts
@@ -14,6 +14,7 @@
 import { onRequest } from './requests.js'
 import { RetryBudget } from './retries.js'
 import { onAdminExplain, onBurn, onDrain, onOverview, onShard } from './status.js'
+import { onUsage } from './usage.js'
 import type { Entry, Parts } from './parts.js'
 
 /**
@@ -93,5 +94,6 @@
   addPath(app, '/v1/admin/shards/:upstream', { [Method.Get]: (context) => onShard(entry, context) })
   addPath(app, '/v1/admin/jobs/:id/explanation', { [Method.Get]: (context) => onAdminExplain(entry, context) })
   addPath(app, '/v1/admin/workers/:upstream/:worker/drain', { [Method.Post]: (context) => onDrain(entry, context) })
+  addPath(app, '/v1/admin/node', { [Method.Get]: () => onUsage(entry) })
   addPath(app, '/v1/admin/burn', { [Method.Get]: () => onBurn(entry) })
 }
--- a/packages/daemon/src/entry/parts.ts
+++ b/packages/daemon/src/entry/parts.ts
@@ -11,6 +11,7 @@
 import type { Directory } from './directory.js'
 import type { Presence } from './presence.js'
 import type { RetryBudget } from './retries.js'
+import type { Usage } from './usage.js'
 
 /** What the daemon hands to the API. */
 export interface Parts {
@@ -20,6 +21,8 @@
   readonly settings: Settings
   readonly clock: Clock
   readonly presence: Presence
+  /** What the node has spent since its start. */
+  readonly usage: () => Usage
 }
 
 /** The parts with what the API keeps for itself. */
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -4,7 +4,6 @@
 import { SystemClock, sleep } from '@fireflymount/platform/clock'
 import { RemoteLog } from '@fireflymount/platform/log-client'
 import { RemoteMachines } from '@fireflymount/platform/machines-client'
-import { RemoteWorker } from '@fireflymount/platform/worker-client'
 import type { Settings } from '@fireflymount/manifest/settings'
 import { Kind, RecordsPageCodec, type RecordsPage, type Request } from '@fireflymount/protocol/message'
 import type { Refusal } from '@fireflymount/protocol/refusal'
@@ -14,9 +13,11 @@
 import { Counters } from './counters.js'
 import { Presence } from './entry/presence.js'
 import { serveApi, type Service } from './entry/server.js'
+import type { Usage } from './entry/usage.js'
 import { Members } from './membership/members.js'
 import { Peers } from './peer/peers.js'
 import { Roles } from './owner/roles.js'
+import { WorkerLinks } from './worker-links.js'
 
 const RECORDS_TIMEOUT_MS = 1000
 const DRAIN_POLL_MS = 50
@@ -26,6 +27,9 @@
   private readonly stop = new AbortController()
   private readonly clock = new SystemClock()
   private readonly counters: Counters
+  private readonly log: RemoteLog
+  private readonly machines: RemoteMachines
+  private readonly workers = new WorkerLinks()
   private readonly members: Members
   private readonly peers: Peers
   private readonly configuration: Follower
@@ -36,8 +40,10 @@
   constructor (private readonly settings: Settings, private readonly logger: Logger) {
     const { platform, node } = settings
     const log = new RemoteLog({ address: addressOf(platform.log), node })
+    this.log = log
+    this.machines = new RemoteMachines({ address: addressOf(platform.machines), node })
     this.counters = new Counters(node, settings.metrics)
-    this.members = new Members(new RemoteMachines({ address: addressOf(platform.machines), node }), this.clock)
+    this.members = new Members(this.machines, this.clock)
     this.peers = new Peers({
       settings,
       members: this.members,
@@ -58,7 +64,7 @@
       members: this.members,
       router: this.peers,
       manifest: () => this.configuration.current().manifest,
-      connect: (vm) => new RemoteWorker({ address: vm.address }),
+      connect: (vm) => this.workers.connect(vm.address),
       clock: this.clock,
       metrics: this.counters,
       logger
@@ -79,7 +85,8 @@
       metrics: this.counters,
       settings: this.settings,
       clock: this.clock,
-      presence: this.presence
+      presence: this.presence,
+      usage: () => this.usage()
     })
     this.presence.serve()
     this.logger.info({ api: this.service.address, peer: this.settings.peer }, 'node started')
@@ -101,6 +108,25 @@
     this.logger.info({ cut: cut ?? 0 }, 'node stopped')
   }
 
+  private usage (): Usage {
+    const frames = this.peers.traffic()
+    const bytes = this.peers.bytes()
+    const requests = { sent: frames.requestBytesSent, received: frames.requestBytesReceived }
+    return {
+      control: {
+        peers: { sent: bytes.sent - requests.sent, received: bytes.received - requests.received },
+        log: this.log.traffic(),
+        machines: this.machines.traffic(),
+        workers: this.workers.traffic()
+      },
+      requests: { peers: requests, workers: this.workers.requestTraffic() },
+      frames: { sent: frames.framesSent, received: frames.framesReceived },
+      appends: this.log.appendCount(),
+      owned: this.roles.owned(),
+      counters: this.counters.snapshot()
+    }
+  }
+
   private async awaitCalls (): Promise<void> {
     const endMs = this.clock.now() + this.settings.timing.drainMs
     while (this.roles.callsInProgress() > 0 && this.clock.now() < endMs) await sleep(DRAIN_POLL_MS)
--- a/packages/daemon/src/peer/peers.ts
+++ b/packages/daemon/src/peer/peers.ts
@@ -3,10 +3,11 @@
  */
 import { createServer, type Server } from 'node:http'
 import { sleep, type Clock } from '@fireflymount/platform/clock'
+import { Meter, type Traffic as Bytes } from '@fireflymount/platform/traffic'
 import { Connection, createTraffic, type Handler, type Terms, type Traffic } from '@fireflymount/protocol/connection'
 import { FRAME_LIMIT_BYTES } from '@fireflymount/protocol/frame'
 import { Kind, type Request } from '@fireflymount/protocol/message'
-import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
+import { Execution, Reason, refuse, withEarlierTries, type Refusal } from '@fireflymount/protocol/refusal'
 import type { Settings } from '@fireflymount/manifest/settings'
 import { err, ok, type Result } from 'neverthrow'
 import { WebSocket, WebSocketServer } from 'ws'
@@ -42,6 +43,7 @@
   private readonly owners = new Map<string, string>()
   private readonly terms: Terms
   private readonly past = createTraffic()
+  private readonly meter = new Meter()
   private server: Server | undefined
   private sockets: WebSocketServer | undefined
   private sweeper: NodeJS.Timeout | undefined
@@ -64,7 +66,10 @@
     const server = createServer((_, response) => { response.writeHead(426).end() })
     this.server = server
     this.sockets = new WebSocketServer({ server, maxPayload: FRAME_LIMIT_BYTES, perMessageDeflate: false })
-    this.sockets.on('connection', (socket) => { this.accept(socket) })
+    this.sockets.on('connection', (socket, request) => {
+      this.meter.add(request.socket)
+      this.accept(socket)
+    })
     this.sweeper = setInterval(() => { this.sweep() }, SWEEP_MS)
     return await new Promise((resolve) => {
       server.once('error', (error) => { resolve(err(`Cannot listen on ${host}:${port}: ${error.message}`)) })
@@ -87,12 +92,13 @@
     const startMs = this.parts.clock.now()
     const patienceMs = Math.min(timeoutMs, OWNER_PATIENCE_MS)
     let failed: string | undefined
+    let earlier = Execution.NotRun
     let last = refuse(Reason.NoOwner, `The shard ${shard} has no owner that this node can reach.`, 1000)
     for (let round = 0; ; round++) {
       const spentMs = this.parts.clock.now() - startMs
-      if (round > 0 && spentMs >= patienceMs) return err(last)
+      if (round > 0 && spentMs >= patienceMs) return err(withEarlierTries(last, earlier))
       const node = this.pick(shard, round, failed)
-      if (node === undefined) return err(last)
+      if (node === undefined) return err(withEarlierTries(last, earlier))
       const answer = await this.askNode(node, withTimeSpent(request, spentMs), timeoutMs - spentMs)
       if (answer.isOk()) {
         this.owners.set(shard, node)
@@ -106,12 +112,12 @@
         if (refusal.node === undefined) await sleep(RETRY_MS)
         continue
       }
-      if (refusal.reason !== Reason.ConnectionLost) return answer
+      if (refusal.reason !== Reason.ConnectionLost) return err(withEarlierTries(refusal, earlier))
+      if (refusal.execution !== Execution.NotRun) earlier = Execution.Unknown
       if (refusal.execution !== Execution.NotRun && !isRepeatable(request)) return answer
       this.parts.metrics.count('route.retry')
       failed = node
       this.owners.delete(shard)
-      last = refusal.execution === Execution.NotRun ? last : refusal
       await sleep(RETRY_MS)
     }
   }
@@ -141,6 +147,11 @@
     return total
   }
 
+  /** Bytes of all connections above TCP: frames with their headers, heartbeats and handshakes. */
+  bytes (): Bytes {
+    return this.meter.total()
+  }
+
   private pick (shard: string, round: number, failed: string | undefined): string | undefined {
     const known = this.owners.get(shard)
     if (known !== undefined && known !== failed) return known
@@ -174,6 +185,7 @@
       maxPayload: FRAME_LIMIT_BYTES,
       localAddress: this.parts.settings.peer.host
     })
+    socket.once('upgrade', (response) => { this.meter.add(response.socket) })
     const connection = await Connection.open(socket, this.terms, this.parts.handler)
     if (connection.isErr()) return err(`Node ${node} cannot be reached: ${connection.error}`)
     this.keep(node, connection.value)
@@ -232,6 +244,8 @@
   total.framesReceived += part.framesReceived
   total.bytesSent += part.bytesSent
   total.bytesReceived += part.bytesReceived
+  total.requestBytesSent += part.requestBytesSent
+  total.requestBytesReceived += part.requestBytesReceived
   total.strayAnswers += part.strayAnswers
   total.malformed += part.malformed
 }
--- a/packages/daemon/test/entry-fakes.ts
+++ b/packages/daemon/test/entry-fakes.ts
@@ -17,6 +17,7 @@
 import type { Settings } from '@fireflymount/manifest/settings'
 import type { RecordsPage, Job, Request } from '@fireflymount/protocol/message'
 import type { Parts } from '../src/entry/parts.js'
+import type { Usage } from '../src/entry/usage.js'
 
 export const GUILD_SECRET = 'guild-secret-4711'
 export const CIRCLE_SECRET = 'circle-secret-4712'
@@ -182,6 +183,20 @@
 /** Headers to send; undefined ones are left out. */
 type Headings = Readonly<Record<string, string | undefined>>
 
+export const USAGE: Usage = {
+  control: {
+    peers: { sent: 1, received: 2 },
+    log: { sent: 3, received: 4 },
+    machines: { sent: 5, received: 6 },
+    workers: { sent: 7, received: 8 }
+  },
+  requests: { peers: { sent: 9, received: 10 }, workers: { sent: 11, received: 12 } },
+  frames: { sent: 13, received: 14 },
+  appends: 15,
+  owned: ['bee-planner'],
+  counters: { 'shard.claimed': 1 }
+}
+
 export interface Bench {
   readonly parts: Parts
   readonly configuration: FakeConfiguration
@@ -198,7 +213,7 @@
   const clock = new FakeClock()
   const presence = new Presence()
   presence.serve()
-  const parts: Parts = { configuration, router, metrics, clock, presence, settings: createSettings() }
+  const parts: Parts = { configuration, router, metrics, clock, presence, settings: createSettings(), usage: () => USAGE }
   const api = createApi(parts)
   return {
     parts,
--- /dev/null
+++ b/packages/daemon/test/entry-usage.spec.ts
@@ -0,0 +1,59 @@
+import { once } from 'node:events'
+import { createServer, type Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { afterEach, expect, test } from 'vitest'
+import { ADMINISTRATOR, GUILD, USAGE, createBench } from './entry-fakes.js'
+import { WorkerLinks } from '../src/worker-links.js'
+
+const EPOCH = { counter: 1, node: 'node-1' }
+const servers: Server[] = []
+
+afterEach(() => {
+  for (const server of servers.splice(0)) server.close()
+})
+
+async function startWorker (): Promise<string> {
+  const server = createServer((_, response) => response.writeHead(409, { 'content-type': 'application/json' }).end('{"failure":"full"}'))
+  servers.push(server)
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+test.each([
+  { says: 'an administrator sees the totals', headers: { authorization: ADMINISTRATOR }, status: 200 },
+  { says: 'a caller does not', headers: { authorization: GUILD }, status: 401 }
+])('$says', async ({ headers, status }) => {
+  const answer = await createBench().request('GET', '/v1/admin/node', headers)
+  expect(answer.status).toBe(status)
+  if (status !== 200) return
+  const body = await answer.json() as { cpu: { userMs: number }, memory: { residentBytes: number } }
+  expect(body).toMatchObject({ node: 'node-1', ...USAGE })
+  expect(body.cpu.userMs).toBeGreaterThan(0)
+  expect(body.memory.residentBytes).toBeGreaterThan(1_000_000)
+})
+
+test.each([
+  { says: 'commands are control', control: true, send: (link: ReturnType<WorkerLinks['connect']>) => link.adopt(EPOCH, 0) },
+  {
+    says: 'requests are not',
+    control: false,
+    send: (link: ReturnType<WorkerLinks['connect']>) => {
+      const size = { cpuMilli: 1, memoryMb: 1, accelerators: 0 }
+      return link.request(EPOCH, { id: 'r', team: 'guild', kind: 'preview', size, body: {} }, 1000)
+    }
+  }
+])('$says, also after the link is closed', async ({ control, send }) => {
+  const links = new WorkerLinks()
+  const address = await startWorker()
+  for (let round = 0; round < 2; round++) {
+    const before = control ? links.traffic() : links.requestTraffic()
+    const link = links.connect(address)
+    await send(link)
+    await link.close()
+    const after = control ? links.traffic() : links.requestTraffic()
+    expect(after.sent - before.sent).toBeGreaterThan(100)
+    expect(after.received - before.received).toBeGreaterThan(50)
+    expect(control ? links.requestTraffic() : links.traffic()).toEqual({ sent: 0, received: 0 })
+  }
+})
--- a/packages/platform/src/log-client.ts
+++ b/packages/platform/src/log-client.ts
@@ -31,6 +31,7 @@
   private readonly appends: Channel
   private readonly reads: Channel
   private readonly timeoutMs: number
+  private appended = 0
 
   /** @param options settings */
   constructor (options: RemoteLogOptions) {
@@ -48,7 +49,9 @@
       timeoutMs: this.timeoutMs,
       message: { data }
     })
-    return answer.mapErr(classify).andThen(parseAppended)
+    const appended = answer.mapErr(classify).andThen(parseAppended)
+    if (appended.isOk()) this.appended += 1
+    return appended
   }
 
   async read (stream: string, from: number, waitMs: number, signal?: AbortSignal): Promise<Result<LogPage, LogError>> {
@@ -61,6 +64,11 @@
     return answer.mapErr(classify).andThen(parsePage)
   }
 
+  /** @returns how many records the log has taken from this client */
+  appendCount (): number {
+    return this.appended
+  }
+
   /** @returns the bytes sent and received so far */
   traffic (): Traffic {
     const appends = this.appends.traffic()
--- a/packages/platform/src/traffic.ts
+++ b/packages/platform/src/traffic.ts
@@ -9,6 +9,20 @@
   readonly received: number
 }
 
+/** Nothing sent or received. */
+export const NO_TRAFFIC: Traffic = { sent: 0, received: 0 }
+
+/**
+ * Sums two amounts.
+ *
+ * @param left one amount
+ * @param right the other
+ * @returns the sum
+ */
+export function addTraffic (left: Traffic, right: Traffic): Traffic {
+  return { sent: left.sent + right.sent, received: left.received + right.received }
+}
+
 /** Sums the bytes of a client's connections, the closed ones too. */
 export class Meter {
   private readonly open = new Set<Socket>()
--- a/packages/protocol/src/connection.ts
+++ b/packages/protocol/src/connection.ts
@@ -4,7 +4,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { WebSocket } from 'ws'
 import { decodeFrame, decodeRequest, encodeFrame } from './frame.js'
-import { PROTOCOL_VERSION, type Answer, type Ask, type Frame, type Hello, type Request } from './message.js'
+import { Kind, PROTOCOL_VERSION, type Answer, type Ask, type Frame, type Hello, type Request } from './message.js'
 import { Execution, Reason, refuse, type Refusal } from './refusal.js'
 
 /** Answers the requests of the other end. `from` is the other node's name. */
@@ -27,16 +27,25 @@
   framesReceived: number
   bytesSent: number
   bytesReceived: number
+  /** Part of `bytesSent` that carries callers' requests and their answers. */
+  requestBytesSent: number
+  requestBytesReceived: number
   /** Answers that came after their request had timed out, or that belong to none. */
   strayAnswers: number
   malformed: number
 }
 
 interface Pending {
+  readonly kind: Kind
   readonly resolve: (result: Result<unknown, Refusal>) => void
   readonly timer: NodeJS.Timeout
 }
 
+/** Kinds that carry what callers and operators asked for. */
+const REQUEST_KINDS: ReadonlySet<unknown> = new Set([
+  Kind.Call, Kind.Submit, Kind.Status, Kind.Cancel, Kind.Explain, Kind.Survey, Kind.Drain
+])
+
 /** Bytes that may wait in the socket before requests are refused. */
 const SEND_BUFFER_BYTES = 8 * 1024 * 1024
 
@@ -127,8 +136,8 @@
         this.pending.delete(id)
         resolve(err(lost(`Node ${this.peer.node} did not answer in time.`)))
       }, timeoutMs)
-      this.pending.set(id, { resolve, timer })
-      this.send({ frame: 'ask', id, request })
+      this.pending.set(id, { kind: request.kind, resolve, timer })
+      this.send({ frame: 'ask', id, request }, request.kind)
     })
   }
 
@@ -151,8 +160,9 @@
     if (this.socket.readyState === this.socket.OPEN) this.socket.ping()
   }
 
-  private send (frame: Frame): void {
+  private send (frame: Frame, kind?: unknown): void {
     const bytes = encodeFrame(frame)
+    if (REQUEST_KINDS.has(kind)) this.traffic.requestBytesSent += bytes.length
     this.traffic.framesSent++
     this.traffic.bytesSent += bytes.length
     this.socket.send(bytes, () => {})
@@ -168,6 +178,7 @@
       this.close()
       return
     }
+    if (REQUEST_KINDS.has(this.kindOf(frame.value))) this.traffic.requestBytesReceived += data.length
     switch (frame.value.frame) {
       case 'ask':
         this.serve(frame.value)
@@ -180,6 +191,12 @@
     }
   }
 
+  /** The kind of request that a received frame belongs to. */
+  private kindOf (frame: Frame): unknown {
+    if (frame.frame === 'ask') return (frame.request as { kind?: unknown } | null)?.kind
+    return frame.frame === 'answer' ? this.pending.get(frame.id)?.kind : undefined
+  }
+
   private settle (answer: Answer): void {
     const pending = this.pending.get(answer.id)
     if (pending === undefined) {
@@ -194,8 +211,9 @@
   private async serve (ask: Ask): Promise<void> {
     const result = await this.run(ask)
     if (this.over) return
-    if (result.isOk()) this.send({ frame: 'answer', id: ask.id, value: result.value })
-    else this.send({ frame: 'answer', id: ask.id, refusal: result.error })
+    const { kind } = ask.request as { kind?: unknown }
+    if (result.isOk()) this.send({ frame: 'answer', id: ask.id, value: result.value }, kind)
+    else this.send({ frame: 'answer', id: ask.id, refusal: result.error }, kind)
   }
 
   private async run (ask: Ask): Promise<Result<unknown, Refusal>> {
@@ -234,7 +252,16 @@
  * const total = createTraffic()
  */
 export function createTraffic (): Traffic {
-  return { framesSent: 0, framesReceived: 0, bytesSent: 0, bytesReceived: 0, strayAnswers: 0, malformed: 0 }
+  return {
+    framesSent: 0,
+    framesReceived: 0,
+    bytesSent: 0,
+    bytesReceived: 0,
+    requestBytesSent: 0,
+    requestBytesReceived: 0,
+    strayAnswers: 0,
+    malformed: 0
+  }
 }
 
 function lost (detail: string): Refusal {
--- a/packages/protocol/test/connection.spec.ts
+++ b/packages/protocol/test/connection.spec.ts
@@ -134,3 +134,16 @@
     expect(JSON.stringify(frame)).toBe(JSON.stringify({ frame: 'answer', id, value }))
   }))
 })
+
+test.each<{ says: string, request: Request, isCounted: boolean }>([
+  { says: 'a call counts as a request', request: { kind: Kind.Call, queue: 'preview', team: 'guild', budgetMs: 100, body: null }, isCounted: true },
+  { says: 'a watch counts as control', request: WATCH, isCounted: false }
+])('$says, with its answer', async ({ request, isCounted }) => {
+  const connection = await connect(answerWith(ok({ rows: [1, 2, 3] })))
+  await connection.ask(request, 200)
+  const { traffic } = connection
+  expect(traffic.bytesSent * traffic.bytesReceived).toBeGreaterThan(0)
+  const expected = isCounted ? [traffic.bytesSent, traffic.bytesReceived] : [0, 0]
+  expect([traffic.requestBytesSent, traffic.requestBytesReceived]).toEqual(expected)
+  connection.close()
+})
