--- a/packages/scenario/src/language/conditions.ts
+++ b/packages/scenario/src/language/conditions.ts
@@ -167,6 +167,14 @@
         return { subject: Subject.Clean, name: '', states: [] }
       }
     },
+    {
+      ALT: () => {
+        this.CONSUME(keyword('stream'))
+        const name = this.SUBRULE2(this.word)
+        this.CONSUME(keyword('has'))
+        return { subject: Subject.Stream, name, states: [], count: this.SUBRULE(this.amount), comparison: Comparison.AtLeast }
+      }
+    },
     {
       ALT: () => {
         this.CONSUME(keyword('every'))
--- a/packages/scenario/src/language/lexer.ts
+++ b/packages/scenario/src/language/lexer.ts
@@ -4,7 +4,7 @@
 import { Lexer, createToken, type TokenType } from 'chevrotain'
 
 /** A name of a process, upstream, queue, team, job or state. */
-export const Name = createToken({ name: 'Name', label: 'a name', pattern: /[a-z][A-Za-z0-9-]*/ })
+export const Name = createToken({ name: 'Name', label: 'a name', pattern: /[a-z][A-Za-z0-9.-]*/ })
 /** A whole number. */
 export const Amount = createToken({ name: 'Amount', label: 'a number', pattern: /\d+/ })
 /** A text in double quotes. */
@@ -22,7 +22,7 @@
   'withdraw', 'key', 'to', 'submit', 'jobs', 'job', 'request', 'requests', 'background', 'tasks', 'runs', 'cpu', 'fails',
   'once', 'cancel', 'race', 'load', 'per', 'second', 'within', 'expect', 'or', 'owner', 'standby', 'host', 'every', 'is', 'not',
   'service', 'has', 'running', 'gap', 'under', 'ready', 'exited', 'revision', 'one', 'most', 'least', 'starts', 'works',
-  'quiet', 'adopted', 'clean', 'invariant', 'any', 'ms'
+  'quiet', 'adopted', 'stream', 'clean', 'invariant', 'any', 'ms'
 ] as const
 
 /** A reserved word of the language. It may still be used as a name. */
--- a/packages/scenario/src/language/script.ts
+++ b/packages/scenario/src/language/script.ts
@@ -242,6 +242,7 @@
   Quiet = 'quiet',
   Adopted = 'adopted',
   Clean = 'clean',
+  Stream = 'stream',
   Invariants = 'invariants'
 }
 
--- a/packages/scenario/src/run/steps.ts
+++ b/packages/scenario/src/run/steps.ts
@@ -93,7 +93,7 @@
 function startLoad (stage: Stage, action: LoadStep): Outcome {
   const work = { ...action, count: 1, fails: false, expected: [] }
   stage.loads.set(action.name, new Load(action.perSecond, async () => {
-    const sending = createSending(stage, work, true)
+    const sending = createSending(stage, work, stage.operator.isSynchronous(action.queue))
     return (await sendTracked(stage, sending)).answer
   }))
   return ok()
