Say not-run only if no try can have run

Cause: a retry's refusal (queue full, new owner, deadline) replaced what was known of the try before, whose answer had been lost, so a request that may have run was answered as not-run. Also: a task on a worker that the list leaves out moves when its leases have lapsed for certain; changes are checked by the codec of their kind; parked tasks are queued again twice a second instead of ten times.

--- a/packages/daemon/src/entry/requests.ts
+++ b/packages/daemon/src/entry/requests.ts
@@ -3,7 +3,7 @@
  */
 import { err, ok, type Result } from 'neverthrow'
 import { Kind, type Call } from '@fireflymount/protocol/message'
-import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
+import { Execution, Reason, refuse, withEarlierTries, type Refusal } from '@fireflymount/protocol/refusal'
 import { Workload } from '@fireflymount/protocol/workload'
 import { answerJson } from './answer.js'
 import { readJson } from './body.js'
@@ -84,14 +84,21 @@
   entry: Entry, queue: Queue, team: string, body: unknown, endMs: number, signal: AbortSignal
 ): Promise<Result<unknown, Refusal>> {
   entry.retries.earn(queue.name)
+  let earlier = Execution.NotRun
   for (let attempt = 1; ; attempt++) {
-    if (signal.aborted) return err(refuse(Reason.Cancelled, 'The caller has gone before the work was sent.'))
+    if (signal.aborted) return err(withEarlierTries(refuse(Reason.Cancelled, 'The caller has gone.'), earlier))
     const budgetMs = Math.floor(endMs - entry.clock.now())
-    if (budgetMs <= 0) return err(refuse(Reason.DeadlinePassed, 'The deadline passed before the work was sent. Allow more time.'))
+    if (budgetMs <= 0) {
+      const passed = refuse(Reason.DeadlinePassed, 'The deadline passed before the work was sent. Allow more time.')
+      return err(withEarlierTries(passed, earlier))
+    }
     const call: Call = { kind: Kind.Call, queue: queue.name, team, budgetMs, body }
     const answer = await entry.router.ask(queue.upstream, call, budgetMs + ANSWER_MARGIN_MS, signal)
-    if (answer.isOk() || !mayRepeat(answer.error, queue, attempt)) return answer
-    if (entry.clock.now() >= endMs || !entry.retries.spend(queue.name)) return answer
+    if (answer.isOk()) return answer
+    const refusal = withEarlierTries(answer.error, earlier)
+    if (!mayRepeat(answer.error, queue, attempt)) return err(refusal)
+    if (entry.clock.now() >= endMs || !entry.retries.spend(queue.name)) return err(refusal)
+    earlier = refusal.execution
     entry.metrics.count(`retries.${queue.name}`)
   }
 }
--- a/packages/daemon/src/owner/calls.ts
+++ b/packages/daemon/src/owner/calls.ts
@@ -8,7 +8,7 @@
 import { Ending, type Task } from '@fireflymount/policy/task'
 import type { Epoch } from '@fireflymount/protocol/epoch'
 import type { Call } from '@fireflymount/protocol/message'
-import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
+import { Execution, Reason, refuse, withEarlierTries, type Refusal } from '@fireflymount/protocol/refusal'
 import { Urgency, Workload } from '@fireflymount/protocol/workload'
 import { err, ok, type Result } from 'neverthrow'
 import type { Metrics } from '../counters.js'
@@ -125,10 +125,11 @@
     const endMs = this.parts.clock.now() + call.budgetMs
     const avoid: string[] = []
     let failures = 0
+    let execution = Execution.NotRun
     for (;;) {
       const task = this.createTask(call, queue, endMs, avoid)
       const seat = await this.seat(task)
-      if (seat.isErr()) return err(seat.error)
+      if (seat.isErr()) return err(withEarlierTries(seat.error, execution))
       this.running.set(task.id, task)
       const answer = await this.send(task, seat.value, call, endMs)
       this.running.delete(task.id)
@@ -138,8 +139,10 @@
       }
       const { failure } = answer.error
       if (failure === WorkerFailure.StaleEpoch) {
-        return err(refuse(Reason.NotOwner, 'The shard has a new owner.', OWNER_RETRY_MS))
+        return err(withEarlierTries(refuse(Reason.NotOwner, 'The shard has a new owner.', OWNER_RETRY_MS), execution))
       }
+      if (failure === WorkerFailure.Failed) execution = Execution.Run
+      if (failure === WorkerFailure.Unknown && execution === Execution.NotRun) execution = Execution.Unknown
       avoid.push(seat.value)
       failures += ran(failure) ? 1 : 0
       if (failures < queue.attempts && avoid.length < PLACEMENTS && this.parts.clock.now() < endMs) {
@@ -149,7 +152,7 @@
         }
       }
       this.parts.onOver(task, false)
-      return err(refusalOf(answer.error, queue))
+      return err(withEarlierTries(refusalOf(answer.error, queue), execution))
     }
   }
 
--- a/packages/daemon/src/owner/change.ts
+++ b/packages/daemon/src/owner/change.ts
@@ -1,7 +1,7 @@
 /**
  * The changes that an owner writes to its shard's stream.
  */
-import { Codec, array, boolean, enumeration, exactly, number, oneOf, optional, string, unknown, type GetType } from 'purify-ts/Codec'
+import { Codec, array, boolean, enumeration, exactly, number, optional, string, unknown, type GetType } from 'purify-ts/Codec'
 import { AllotmentCodec, EpochCodec, ResourcesCodec } from '@fireflymount/protocol/message'
 
 /** The kinds of change. */
@@ -91,10 +91,18 @@
 
 export const DrainedCodec = Codec.interface({ kind: exactly(ChangeKind.Drained), worker: string, drained: boolean })
 
-export const ChangeCodec = oneOf([
-  AttemptCodec, EndedCodec, AcceptedCodec, CancelledCodec, StandbysCodec, LentCodec, BorrowedCodec, SettledCodec,
-  DrainedCodec
-])
+/** The codec of each kind of change. */
+export const CHANGE_CODECS: Readonly<Record<ChangeKind, Pick<Codec<unknown>, 'decode'>>> = {
+  [ChangeKind.Accepted]: AcceptedCodec,
+  [ChangeKind.Attempt]: AttemptCodec,
+  [ChangeKind.Ended]: EndedCodec,
+  [ChangeKind.Cancelled]: CancelledCodec,
+  [ChangeKind.Standbys]: StandbysCodec,
+  [ChangeKind.Lent]: LentCodec,
+  [ChangeKind.Borrowed]: BorrowedCodec,
+  [ChangeKind.Settled]: SettledCodec,
+  [ChangeKind.Drained]: DrainedCodec
+}
 
 export type Accepted = GetType<typeof AcceptedCodec>
 export type Run = GetType<typeof RunCodec>
@@ -118,3 +126,21 @@
 
 /** Any change of a shard. */
 export type Change = Accepted | Attempt | Ended | Cancelled | Standbys | Lent | Borrowed | Settled | Drained
+
+/**
+ * Checks a change.
+ *
+ * @param value one change of a commit
+ * @returns the change, or undefined if no codec accepts it
+ *
+ * @example
+ * const change = parseChange(value)
+ */
+export function parseChange (value: unknown): Change | undefined {
+  const kind = (value as { kind?: ChangeKind } | null)?.kind
+  if (typeof kind !== 'string' || !Object.hasOwn(CHANGE_CODECS, kind)) return undefined
+  return CHANGE_CODECS[kind].decode(value).caseOf<Change | undefined>({
+    Left: () => undefined,
+    Right: (change) => change as Change
+  })
+}
--- a/packages/daemon/src/owner/jobs.ts
+++ b/packages/daemon/src/owner/jobs.ts
@@ -22,6 +22,8 @@
 const LOG_RETRY_MS = 5000
 /** When coming back helps after the queue was full. */
 const FULL_RETRY_MS = 1000
+/** Time between two tries to queue tasks that the scheduler did not take. */
+const UNPARK_INTERVAL_MS = 500
 /** Most tasks of one job. */
 export const JOB_TASKS = 1000
 
@@ -46,6 +48,7 @@
   private readonly waiters = new Map<string, Set<() => void>>()
   /** Tasks that wait for the log, or for a worker that is large enough. */
   private readonly parked = new Set<string>()
+  private unparkedAtMs = -Infinity
   /** Waiting tasks, by queue. */
   private readonly waiting = new Map<string, number>()
 
@@ -77,7 +80,7 @@
   /** Describes a job, at once or when it has ended. */
   async status (id: string, waitMs: number): Promise<Result<Job, Refusal>> {
     const job = this.parts.state.jobs.get(id)
-    if (job === undefined) return err(refuse(Reason.NoSuchJob, `There is no job ${id}.`))
+    if (job === undefined) return err(this.noSuchJob(id))
     if (job.endedMs === undefined && waitMs > 0) await this.wait(id, waitMs)
     return ok(describeJob(job))
   }
@@ -85,7 +88,7 @@
   /** Cancels a job: what waits ends at once, what runs is stopped. */
   async cancel (id: string): Promise<Result<Job, Refusal>> {
     const job = this.parts.state.jobs.get(id)
-    if (job === undefined) return err(refuse(Reason.NoSuchJob, `There is no job ${id}.`))
+    if (job === undefined) return err(this.noSuchJob(id))
     if (job.endedMs !== undefined || job.cancelled) return ok(describeJob(job))
     const written = await this.commit({ kind: ChangeKind.Cancelled, job: id, atMs: this.parts.clock.wall() })
     if (written.isErr()) return err(refusalOf(written.error, 'The cancellation'))
@@ -121,8 +124,11 @@
     this.countWaiting(task.kind, -1)
   }
 
-  /** Queues parked tasks again. */
+  /** Queues parked tasks again, if the last time was long enough ago. */
   unpark (): void {
+    const now = this.parts.clock.now()
+    if (this.parked.size === 0 || now - this.unparkedAtMs < UNPARK_INTERVAL_MS) return
+    this.unparkedAtMs = now
     const jobs = new Set<JobRecord>()
     for (const id of this.parked) {
       const job = this.parts.state.jobOf(id)
@@ -152,7 +158,6 @@
   /** Describes a task of a job for the scheduler. */
   createTask (job: JobRecord, id: string): Task {
     const queue = this.queueOf(job)
-    const left = job.tasks.filter((task) => task.stage !== Stage.Over).length
     return {
       id,
       team: job.team,
@@ -163,7 +168,7 @@
       runtimeMs: job.runtimeMs,
       submittedMs: this.parts.clock.now() - Math.max(0, this.parts.clock.wall() - job.acceptedMs),
       checkpoint: queue?.checkpoint ?? false,
-      ...(job.gang ? { group: job.job, groupSize: left } : {})
+      ...(job.gang ? { group: job.job, groupSize: job.left } : {})
     }
   }
 
@@ -242,6 +247,12 @@
     this.queue(job)
   }
 
+  /** An owner that cannot read the log may lack the newest jobs. */
+  private noSuchJob (id: string): Refusal {
+    if (this.parts.journal.available()) return refuse(Reason.NoSuchJob, `There is no job ${id}.`)
+    return refuse(Reason.LogUnavailable, `It cannot be told whether there is a job ${id}: the log is away.`, LOG_RETRY_MS)
+  }
+
   private queueOf (job: JobRecord): Queue | undefined {
     return this.parts.manifest().queues.find((queue) => queue.name === job.queue)
   }
--- a/packages/daemon/src/owner/owner.ts
+++ b/packages/daemon/src/owner/owner.ts
@@ -243,6 +243,7 @@
   private keepUp (): void {
     this.refreshManifest()
     this.refreshWorkers()
+    this.loseUnlistedWorkers()
     this.refreshClaims()
     if (this.parts.journal.available()) this.jobs.unpark()
     this.replicas.reconcile()
@@ -351,14 +352,16 @@
       if (record.stage !== Stage.Out) continue
       this.runs.inherit(service === undefined ? createOrphan(record.id) : this.replicas.createTask(record.id, service), record)
     }
-    for (const worker of this.runs.workers()) {
-      if (!this.sessions.has(worker)) this.loseUnknownWorker(worker)
-    }
   }
 
-  /** The list of VMs does not have the worker: what ran there is over if the platform says so. */
-  private loseUnknownWorker (worker: string): void {
-    if (this.parts.members.isGone(worker)) this.onLapsed(worker)
+  /** Workers that the list of VMs does not have cannot be adopted: what ran there is over when its leases have lapsed. */
+  private loseUnlistedWorkers (): void {
+    const lapseMs = this.parts.inheritedLapseMs()
+    const lapsed = lapseMs !== undefined && this.parts.clock.now() > lapseMs
+    for (const worker of this.runs.workers()) {
+      if (this.sessions.has(worker)) continue
+      if (lapsed || this.parts.members.isGone(worker)) this.onLapsed(worker)
+    }
   }
 
   private requeue (task: string): void {
--- a/packages/daemon/src/owner/state.ts
+++ b/packages/daemon/src/owner/state.ts
@@ -5,7 +5,7 @@
 import { JobState, type Allotment, type Job } from '@fireflymount/protocol/message'
 import type { Resources } from '@fireflymount/protocol/resources'
 import {
-  ChangeCodec, ChangeKind, Outcome,
+  ChangeKind, Outcome, parseChange,
   type Accepted, type Borrowed, type Cancelled, type Change, type Drained, type Ended, type Lent, type Run, type Settled,
   type Standbys
 } from './change.js'
@@ -99,12 +99,9 @@
   private readonly tasks = new Map<string, TaskRecord>()
 
   override apply (value: unknown): void {
-    const change = ChangeCodec.decode(value)
-    if (change.isLeft()) {
-      this.malformed++
-      return
-    }
-    this.applyChange(change.extract() as Change)
+    const change = parseChange(value)
+    if (change === undefined) this.malformed++
+    else this.applyChange(change)
   }
 
   override snapshot (): readonly unknown[] {
--- a/packages/daemon/test/entry-api.spec.ts
+++ b/packages/daemon/test/entry-api.spec.ts
@@ -174,6 +174,14 @@
     expect((await answer.json() as Problem).execution).toBe(refusal.execution)
   })
 
+  test('a refusal of the repetition does not say that the request did not run', async () => {
+    const { request, router } = createBench()
+    const answers = [lost, refuse(Reason.QueueFull, 'Full.', 100)]
+    router.answer = async () => err(answers.shift()!)
+    const answer = await request('POST', PREVIEW, { authorization: GUILD }, {})
+    expect(await answer.json()).toMatchObject({ status: 429, execution: Execution.Unknown })
+  })
+
   test('retries stay within the burst and a tenth', async () => {
     const { request, router } = createBench()
     router.answer = async () => err(lost)
--- a/packages/protocol/src/refusal.ts
+++ b/packages/protocol/src/refusal.ts
@@ -66,3 +66,18 @@
   if (retryAfterMs === undefined) return { reason, detail, execution: Execution.NotRun }
   return { reason, detail, execution: Execution.NotRun, retryAfterMs }
 }
+
+/**
+ * Corrects a refusal by what is known of earlier tries: a later refusal does not make it untrue that one may have run.
+ *
+ * @param refusal the refusal of the last try
+ * @param earlier what is known of the tries before
+ * @returns the refusal, with `NotRun` only if no try can have run
+ *
+ * @example
+ * return err(withEarlierTries(answer.error, Execution.Unknown))
+ */
+export function withEarlierTries (refusal: Refusal, earlier: Execution): Refusal {
+  if (earlier === Execution.NotRun || refusal.execution === Execution.Run) return refusal
+  return { ...refusal, execution: earlier }
+}
