--- a/packages/daemon/src/entry/jobs.ts
+++ b/packages/daemon/src/entry/jobs.ts
@@ -35,7 +35,7 @@
 export async function onSubmit (entry: Entry, context: Context): Promise<Response> {
   const arrivedMs = entry.clock.now()
   const queue = entry.directory.queue(context.req.param('queue') ?? '')
-  if (queue === undefined) return refuseQueue(context)
+  if (queue === undefined) return refuseQueue(entry, context)
   const key = parseIdempotencyKey(queue, context.req.header('idempotency-key'))
   const headers: Record<string, string> = key.isOk() ? { 'idempotency-key': key.value } : {}
   const job = key.isOk() ? await submitJob(entry, context, queue, key.value) : err(key.error)
--- a/packages/daemon/src/entry/requests.ts
+++ b/packages/daemon/src/entry/requests.ts
@@ -12,6 +12,8 @@
 import type { Queue } from '@fireflymount/manifest/manifest'
 import type { Entry } from './parts.js'
 
+/** When coming back helps while a node has no configuration. */
+const STARTING_RETRY_MS = 1000
 const DEADLINE_HEADER = 'fireflymount-deadline-ms'
 /** Time for the owner's own answer at the deadline to arrive before the entry gives up. */
 const ANSWER_MARGIN_MS = 50
@@ -30,7 +32,7 @@
 export async function onRequest (entry: Entry, context: Context): Promise<Response> {
   const arrivedMs = entry.clock.now()
   const queue = entry.directory.queue(context.req.param('queue') ?? '')
-  if (queue === undefined) return refuseQueue(context)
+  if (queue === undefined) return refuseQueue(entry, context)
   const answer = await runRequest(entry, context, queue, arrivedMs)
   const outcome = answer.isOk() ? 'succeeded' : outcomeOf(answer.error)
   entry.metrics.count(`requests.${queue.name}.${outcome}`)
@@ -39,12 +41,17 @@
 }
 
 /**
- * Answers a call to a queue that does not exist.
+ * Answers a call to a queue that this node does not know: because there is none, or because it has no configuration yet.
  *
+ * @param entry the parts of the API
  * @param context the call
  * @returns the problem
  */
-export function refuseQueue (context: Context): Response {
+export function refuseQueue (entry: Entry, context: Context): Response {
+  if (!Number.isFinite(entry.configuration.ageMs())) {
+    const detail = 'This node has no configuration yet. Send the work to another node, or again.'
+    return answerProblem(createProblem(refuse(Reason.ConfigurationStale, detail, STARTING_RETRY_MS)))
+  }
   const detail = `There is no queue "${context.req.param('queue')}". Operators declare queues in the manifest.`
   return answerProblem(createProblem(refuse(Reason.NoSuchQueue, detail)))
 }
--- a/packages/daemon/test/entry-api.spec.ts
+++ b/packages/daemon/test/entry-api.spec.ts
@@ -174,6 +174,17 @@
     expect((await answer.json() as Problem).execution).toBe(refusal.execution)
   })
 
+  test.each([
+    { says: 'an unknown queue does not exist', ageMs: 0, status: 404 },
+    { says: 'an unknown queue on a node without a configuration may exist', ageMs: Infinity, status: 503 }
+  ])('$says', async ({ ageMs, status }) => {
+    const { request, configuration } = createBench()
+    configuration.age = ageMs
+    for (const path of ['/v1/queues/unheard/requests', '/v1/queues/unheard/jobs']) {
+      expect(await statusOf(request('POST', path, { authorization: GUILD }, {}))).toBe(status)
+    }
+  })
+
   test('a refusal of the repetition does not say that the request did not run', async () => {
     const { request, router } = createBench()
     const answers = [lost, refuse(Reason.QueueFull, 'Full.', 100)]
