--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -21,6 +21,9 @@
 
 const RECORDS_TIMEOUT_MS = 1000
 const DRAIN_POLL_MS = 50
+const START_POLL_MS = 10
+/** Longest wait for the configuration before callers are served. */
+const CONFIGURATION_PATIENCE_MS = 3000
 
 /** A running node. */
 export class Node {
@@ -79,6 +82,7 @@
     this.members.run(this.stop.signal).catch((error: unknown) => { throw error })
     this.configuration.onRevision(({ manifest }) => { this.roles.setManifest(manifest) })
     this.configuration.run(this.stop.signal).catch((error: unknown) => { throw error })
+    await this.awaitConfiguration()
     this.service = await serveApi({
       configuration: this.configuration,
       router: this.peers,
@@ -127,6 +131,12 @@
     }
   }
 
+  /** Callers are served with a configuration, or without one if neither the log nor a peer answers. */
+  private async awaitConfiguration (): Promise<void> {
+    const endMs = this.clock.now() + CONFIGURATION_PATIENCE_MS
+    while (!Number.isFinite(this.configuration.ageMs()) && this.clock.now() < endMs) await sleep(START_POLL_MS)
+  }
+
   private async awaitCalls (): Promise<void> {
     const endMs = this.clock.now() + this.settings.timing.drainMs
     while (this.roles.callsInProgress() > 0 && this.clock.now() < endMs) await sleep(DRAIN_POLL_MS)
