Do not claim that nothing was run after a lost answer

Cause: after a lost answer to a submission the tool went on to the next server and reported that server's refusal with exit code 1. It exits with 5 now, as long as no server answers.

--- a/packages/command/src/client.ts
+++ b/packages/command/src/client.ts
@@ -60,7 +60,8 @@
   constructor (private readonly servers: readonly string[], private readonly key: string | undefined) {}
 
   /**
-   * Makes a call. Another server is tried only if the call provably did not take effect or may be repeated.
+   * Makes a call. Another server is tried only if the call provably did not take effect or may be repeated. Once an
+   * answer to a change was lost, a refusal by another server does not show that nothing was run.
    *
    * @param call the call
    * @returns the answer, or why there is none
@@ -69,8 +70,9 @@
     let failure: Failure = { exit: Exit.Unreachable, message: 'No server is known. Give --server URL or set FIREFLYMOUNT_SERVER.' }
     for (const server of this.servers) {
       const reply = await this.send(server, call)
-      if (reply.isOk() || !mayGoOn(reply.error, call.repeat)) return reply
-      failure = worse(failure, reply.error)
+      if (reply.isOk()) return reply
+      failure = call.method === 'GET' ? reply.error : worse(failure, reply.error)
+      if (!mayGoOn(reply.error, call.repeat)) break
     }
     return err(failure)
   }
@@ -110,8 +112,8 @@
 
 /** A refusal tells more than a connection that could not be made, and a lost answer must not be hidden by either. */
 function worse (left: Failure, right: Failure): Failure {
-  const rank = [Exit.Unreachable, Exit.Refused, Exit.Unknown]
-  return rank.indexOf(right.exit) >= rank.indexOf(left.exit) ? right : left
+  if (left.exit === Exit.Unknown) return { ...left, message: `${left.message} Then: ${right.message}` }
+  return right.exit === Exit.Unreachable && left.exit === Exit.Refused ? left : right
 }
 
 function parseBody (text: string): unknown {
--- a/packages/command/test/program.spec.ts
+++ b/packages/command/test/program.spec.ts
@@ -166,6 +166,13 @@
     expect(first!.job === second!.job).toBe(same)
   })
 
+  test('a refusal after a lost answer does not claim that nothing was run', async () => {
+    cell.router.answer = () => err(refuse(Reason.QueueFull, 'Full.'))
+    cell.faults = [Fault.LoseAnswer]
+    const sent = await cell.run(['--server', cell.url, '--server', cell.url, 'submit', 'yardage'])
+    expect([sent.exit, cell.router.asked.length]).toEqual([5, 2])
+  })
+
   test('a request whose answer is lost is not repeated', async () => {
     cell.faults = [Fault.LoseAnswer]
     const sent = await cell.run(['--server', cell.url, '--server', cell.url, 'submit', 'preview', '--request', '--deadline', '90'])
