Mend two ways in which accepted work could wait for ever

A lane at its team's allotment that, once the allotment was raised, was kept back for requests stayed in the list of limited lanes, which only the team's own events look at. Lists are now sorted anew by what keeps each lane. 2. A quarantined worker is released by probes only, and gangs, services and urgent work do not probe: a gang that needs every worker waited for ever.

--- a/packages/policy/src/health.ts
+++ b/packages/policy/src/health.ts
@@ -17,6 +17,8 @@
 /** Time from quarantine to the first probe; doubles with each failed probe. */
 export const PROBE_INTERVAL_MS = 10_000
 const PROBE_INTERVAL_MAX_MS = 300_000
+/** Time that a due probe waits for suitable work before the worker is trusted again, until its next failure. */
+export const PROBE_OVERDUE_MS = 60_000
 /** A kind with a lower share of successes blames no worker. */
 const HEALTHY_SUCCESS = 0.5
 
@@ -116,6 +118,26 @@
     return this.quarantined.size > 0 && this.due(NO_RESOURCES, nowMs) !== NONE
   }
 
+  /**
+   * Releases quarantined workers for which no work that may probe them came. One failure quarantines them again.
+   *
+   * @param nowMs the time
+   * @returns the workers' indices
+   */
+  parole (nowMs: number): number[] {
+    const released: number[] = []
+    for (const worker of this.quarantined) {
+      const record = this.record(worker)
+      if (record.probe !== undefined || nowMs - record.probeMs < PROBE_OVERDUE_MS) continue
+      this.quarantined.delete(worker)
+      record.failures = QUARANTINE_FAILURES - 1
+      record.intervalMs = Math.min(record.intervalMs * 2, PROBE_INTERVAL_MAX_MS)
+      released.push(worker)
+      if (this.fleet.conditions[worker] === Condition.Quarantined) this.fleet.setCondition(worker, Condition.Ready)
+    }
+    return released
+  }
+
   /**
    * Notes that a probe was placed, so that no second one follows before its interval.
    *
@@ -132,6 +154,7 @@
   private onSuccess (worker: number, record: Standing): void {
     record.failures = 0
     record.successes++
+    if (!this.quarantined.has(worker)) record.intervalMs = PROBE_INTERVAL_MS
     if (!this.quarantined.has(worker) || record.successes < PROBE_SUCCESSES) return
     this.pardon(worker)
     if (this.fleet.conditions[worker] === Condition.Quarantined) this.fleet.setCondition(worker, Condition.Ready)
--- a/packages/policy/src/lanes.ts
+++ b/packages/policy/src/lanes.ts
@@ -103,14 +103,14 @@
   }
 
   /**
-   * Opens every lane of a list that the gate lets through.
+   * Opens every lane of a list that the gate lets through, and notes what keeps the others now.
    *
    * @param lanes the list
    */
   openAll (lanes: readonly Lane[]): void {
     for (let position = lanes.length - 1; position >= 0; position--) {
       const lane = lanes[position]!
-      if (this.gate.check(lane) === Block.None) this.open(lane)
+      this.block(lane, this.gate.check(lane))
     }
   }
 
--- a/packages/policy/src/review.ts
+++ b/packages/policy/src/review.ts
@@ -68,6 +68,7 @@
   begin (nowMs: number): void {
     this.dueMs = nowMs + REVIEW_INTERVAL_MS
     this.lanes.refresh(nowMs)
+    for (const worker of this.health.parole(nowMs)) this.freed.add(worker)
     this.lanes.openAll(this.lanes.headroom)
     if (this.freed.changed) this.lanes.openRoom(lane => lane.workload === Workload.Gang)
     this.freed.changed = false
--- a/packages/policy/test/protection.spec.ts
+++ b/packages/policy/test/protection.spec.ts
@@ -120,6 +120,18 @@
     expect(runOneByOne(shard, 1, 30_200, worker => worker === 'w0')).toEqual(['w0'])
   })
 
+  test('is trusted until its next failure if only work came that may not probe it', () => {
+    const shard = quarantine()
+    const serve = (id: string, nowMs: number) => {
+      shard.enqueue(createTask(id, { urgency: Urgency.Urgent, size: { cpuMilli: 16_000, memoryMb: 1, accelerators: 0 } }), nowMs)
+      return shard.decide(nowMs, 1).placements[0]?.worker
+    }
+    expect([serve('u1', 60_000), serve('u2', 60_000), serve('u3', 60_000)]).not.toContain('w0')
+    expect(serve('u4', 80_000)).toBe('w0')
+    shard.finish('u3', Ending.Failed, 80_010)
+    expect(shard.condition('w0')).toBe(Condition.Quarantined)
+  })
+
   test('is not blamed for a kind of task that fails everywhere', () => {
     const shard = createShard(6)
     runOneByOne(shard, 200, 0, () => true)
