--- a/packages/measure/src/cases.ts
+++ b/packages/measure/src/cases.ts
@@ -42,7 +42,15 @@
  * @returns the cases
  */
 export function createCases (seed: number): Case[] {
-  return [swapRush(seed), longStudy(seed), cancellationWave(seed), wrongSizes(seed), failingWorkers(seed), ownerDeath(seed)]
+  return [
+    swapRush(seed),
+    beyondCapacity(seed),
+    longStudy(seed),
+    cancellationWave(seed),
+    wrongSizes(seed),
+    failingWorkers(seed),
+    ownerDeath(seed)
+  ]
 }
 
 /**
@@ -119,6 +127,17 @@
   return { name: 'evening swap rush', claims: BEES, weights: WAITING_FIRST, course }
 }
 
+/** More lookups than all workers can serve. */
+function beyondCapacity (seed: number): Case {
+  const random = new Random(seed)
+  const arrivals = [
+    ...everyday(random, 60_000),
+    ...createArrivals(random, { ...LOOKUPS, fromMs: 20_000, toMs: 40_000, perS: 1_400 })
+  ]
+  const course = () => ({ machines: createMachines(24), arrivals, untilMs: 60_000 })
+  return { name: 'lookups beyond capacity', claims: BEES, weights: WAITING_FIRST, course }
+}
+
 function longStudy (seed: number): Case {
   const random = new Random(seed)
   const study = { kind: 'drift-study', team: 'regulation', workload: Workload.Batch, checkpoint: true }
--- a/packages/policy/src/lanes.ts
+++ b/packages/policy/src/lanes.ts
@@ -16,6 +16,9 @@
 /** Least weight of the share, so that equal waiting times never leave a team behind for good. */
 const SHARE_WEIGHT_MIN = 0.05
 
+/** Patience of urgent work as a part of that of normal work. */
+const URGENT_PATIENCE = 0.1
+
 /** One policy for each kind of workload. */
 export type Policies = Readonly<Record<Workload, Policy>>
 
@@ -182,7 +185,9 @@
   }
 
   private rank (lane: Lane, nowMs: number): number {
-    const impatience = Math.min(1, Math.max(0, (nowMs - lane.submittedMs) / this.policies[lane.workload].patienceMs))
+    const { patienceMs } = this.policies[lane.workload]
+    const limitMs = lane.urgency === Urgency.Urgent ? patienceMs * URGENT_PATIENCE : patienceMs
+    const impatience = Math.min(1, Math.max(0, (nowMs - lane.submittedMs) / limitMs))
     return this.shareWeight * lane.team.level - this.waitingWeight * impatience
   }
 
