Count no mistakes and wishes of callers as service-level burn

Cause: in a trial over real processes one cancelled estimate was reported as a burn rate of 1000 (fast burn).

--- a/packages/daemon/src/owner/burn.ts
+++ b/packages/daemon/src/owner/burn.ts
@@ -2,6 +2,7 @@
  * Counts of good and bad events for the service-level objectives, by team, in steps of time.
  */
 import { Measure, type Objective } from '@fireflymount/manifest/manifest'
+import { Reason } from '@fireflymount/protocol/refusal'
 import type { Burn, Step, Window } from '@fireflymount/protocol/survey'
 
 /** Length of one step. */
@@ -11,6 +12,12 @@
 /** Windows over which burn rates are given: 5 minutes, 1 hour, 6 hours. */
 export const WINDOWS_MS = [300_000, 3_600_000, 21_600_000]
 
+/** Refusals that are no fault of the service: mistakes and wishes of callers, and what is counted elsewhere. */
+const HARMLESS: ReadonlySet<Reason> = new Set([
+  Reason.BadRequest, Reason.BadKey, Reason.NoSuchQueue, Reason.NoSuchJob, Reason.WrongTeam, Reason.TooLarge,
+  Reason.Infeasible, Reason.KeyReused, Reason.Cancelled, Reason.Conflict, Reason.TaskFailed, Reason.NotOwner
+])
+
 interface Series {
   readonly objective: Objective
   readonly team: string
@@ -38,7 +45,8 @@
   }
 
   /** Counts work of a queue that was given up before it started. */
-  onRefused (queue: string, team: string, wallMs: number): void {
+  onRefused (queue: string, team: string, reason: Reason, wallMs: number): void {
+    if (HARMLESS.has(reason)) return
     for (const objective of this.objectives) {
       if (objective.queue === queue) this.count(objective, team, false, wallMs)
     }
--- a/packages/daemon/src/owner/owner.ts
+++ b/packages/daemon/src/owner/owner.ts
@@ -371,7 +371,9 @@
 
   private onRunOver (task: Task, outcome: Outcome): void {
     if (this.replicas.owns(task.id)) return
-    this.parts.burn.onOver(task.kind, task.team, outcome === Outcome.Succeeded, this.parts.clock.wall())
+    if (outcome !== Outcome.Cancelled) {
+      this.parts.burn.onOver(task.kind, task.team, outcome === Outcome.Succeeded, this.parts.clock.wall())
+    }
     this.jobs.onOver(task.id)
   }
 
@@ -382,8 +384,7 @@
   }
 
   private noteRefusal (queue: string, team: string, refusal: Refusal): void {
-    if (refusal.reason === Reason.TaskFailed || refusal.reason === Reason.NotOwner) return
-    this.parts.burn.onRefused(queue, team, this.parts.clock.wall())
+    this.parts.burn.onRefused(queue, team, refusal.reason, this.parts.clock.wall())
   }
 
   private preempt (task: string, checkpoint: boolean): void {
