--- a/packages/platform/src/stream.ts
+++ b/packages/platform/src/stream.ts
@@ -85,11 +85,11 @@
   }
 
   holder (): Holder | undefined {
-    return this.reader.holder()
+    return this.reader.replay.holder()
   }
 
   position (): number {
-    return this.reader.position
+    return this.reader.replay.position
   }
 
   confirmedAtMs (): number {
@@ -97,7 +97,7 @@
   }
 
   onHolder (listener: (holder: Holder) => void): void {
-    this.reader.onHolder(listener)
+    this.reader.replay.onHolder(listener)
   }
 
   async claim (epoch: Epoch, standbys: readonly string[]): Promise<Result<Holder, JournalError>> {
@@ -122,7 +122,7 @@
   }
 
   private judgeClaim (epoch: Epoch): Result<Holder, JournalError> | undefined {
-    const holder = this.reader.holder()
+    const holder = this.reader.replay.holder()
     if (holder === undefined) return undefined
     if (compareEpochs(holder.epoch, epoch) === 0) {
       this.writer.open(epoch)
@@ -150,13 +150,13 @@
 
   private isSnapshotDue (): boolean {
     const { snapshotRecords, snapshotMs, clock } = this.options
-    if (clock.now() - this.reader.snapshotAtMs >= snapshotMs) return true
-    return this.reader.position - 1 - this.reader.snapshotAsOf >= snapshotRecords
+    if (clock.now() - this.reader.replay.snapshotAtMs >= snapshotMs) return true
+    return this.reader.replay.position - 1 - this.reader.replay.snapshotAsOf >= snapshotRecords
   }
 
   private async writeSnapshot (): Promise<Result<boolean, JournalError>> {
-    const asOf = this.reader.position - 1
-    const head = this.reader.copyHead()
+    const asOf = this.reader.replay.position - 1
+    const head = this.reader.replay.copyHead()
     const values = this.options.fold.snapshot()
     const snapshot = `${this.token}-${asOf}`
     const parts = values.length
--- a/packages/platform/src/writer.ts
+++ b/packages/platform/src/writer.ts
@@ -7,7 +7,8 @@
 import type { Commit, Envelope } from './envelope.js'
 import { Entry, JournalFailure, type JournalError } from './journal.js'
 import { LogFailure, type Log, type LogError } from './log.js'
-import { Settlement, type Reader } from './reader.js'
+import type { Reader } from './reader.js'
+import { Settlement } from './replay.js'
 import { Backoff, limitTime, type Patience } from './retry.js'
 import type { Tally } from './tally.js'
 
@@ -50,7 +51,7 @@
   private readonly stop = new AbortController()
 
   constructor (private readonly options: WriterOptions, private readonly reader: Reader) {
-    reader.onHolder((holder) => {
+    reader.replay.onHolder((holder) => {
       if (this.epoch === undefined || compareEpochs(holder.epoch, this.epoch) === 0) return
       this.epoch = undefined
       this.refuseQueue(SUPERSEDED)
@@ -72,7 +73,7 @@
    * @returns true from `open` until a newer claim is read
    */
   isOpen (): boolean {
-    const holder = this.reader.holder()
+    const holder = this.reader.replay.holder()
     if (this.epoch === undefined || holder === undefined || this.stop.signal.aborted) return false
     return compareEpochs(this.epoch, holder.epoch) === 0
   }
@@ -156,12 +157,12 @@
   }
 
   private async write (epoch: Epoch, changes: readonly Pending[]): Promise<void> {
-    const sequence = this.reader.sequence() + 1
+    const sequence = this.reader.replay.sequence() + 1
     const backoff = new Backoff(this.options.patience)
     let batch = changes
     let undecided = false
     for (;;) {
-      const settlement = this.reader.settle(epoch, sequence)
+      const settlement = this.reader.replay.settle(epoch, sequence)
       if (settlement !== Settlement.Open) return resolveBatch(batch, undecided ? describe(settlement) : SUPERSEDED)
       if (this.stop.signal.aborted) return resolveBatch(batch, undecided ? UNKNOWN : CLOSED)
       if (!undecided) batch = this.dropLate(batch)
@@ -171,13 +172,13 @@
       undecided ||= answer === undefined || answer.isOk() || answer.error.failure === LogFailure.Unknown
       if (answer?.isOk()) await this.readThrough(answer.value, commit)
       else if (undecided && answer !== undefined) await this.reader.catchUp()
-      if (this.reader.settle(epoch, sequence) === Settlement.Open) await backoff.wait(this.stop.signal)
+      if (this.reader.replay.settle(epoch, sequence) === Settlement.Open) await backoff.wait(this.stop.signal)
     }
   }
 
   private async appendUntilSettled (commit: Commit): Promise<Result<number, LogError> | undefined> {
     const settled = new AbortController()
-    const isSettled = (): boolean => this.reader.settle(commit.epoch, commit.sequence) !== Settlement.Open
+    const isSettled = (): boolean => this.reader.replay.settle(commit.epoch, commit.sequence) !== Settlement.Open
     const watch = this.reader.until(isSettled, settled.signal)
     const answer = await Promise.race([this.append(commit), watch])
     settled.abort()
@@ -186,8 +187,8 @@
 
   private async readThrough (offset: number, commit: Commit): Promise<void> {
     const backoff = new Backoff(this.options.patience)
-    while (!this.stop.signal.aborted && this.reader.position <= offset) {
-      if (this.reader.settle(commit.epoch, commit.sequence) !== Settlement.Open) return
+    while (!this.stop.signal.aborted && this.reader.replay.position <= offset) {
+      if (this.reader.replay.settle(commit.epoch, commit.sequence) !== Settlement.Open) return
       const read = await this.reader.read(0)
       if (read.isErr()) await backoff.wait(this.stop.signal)
     }
