--- a/packages/command/src/operations.ts
+++ b/packages/command/src/operations.ts
@@ -1,11 +1,14 @@
 /**
- * Commands on the running system: status and drain.
+ * Commands on the running system: status, drain and report.
  */
+import { writeFile } from 'node:fs/promises'
 import { err, ok, type Result } from 'neverthrow'
 import { describeList, describeObject, type Outcome, type Session } from './action.js'
+import { createReport, type BurnCounts } from './burn.js'
 import { Repeat } from './client.js'
+import { createMisuse, type Failure } from './failure.js'
+import { formatPage, formatReport } from './report.js'
 import type { SurveyReport } from '@fireflymount/protocol/survey'
-import type { Failure } from './failure.js'
 import type { Row } from './terminal.js'
 
 /** A part of an answer that the server could not get. */
@@ -58,6 +61,21 @@
   return reply.map(({ body }) => describeObject((body ?? {}) as object))
 }
 
+/**
+ * Reports on service-level burn.
+ *
+ * @param session the client and the terminal
+ * @param page the file to which an HTML page is written, if there is one
+ * @returns the report, with remarks on what is missing
+ */
+export async function reportBurn (session: Session, page?: string): Promise<Result<Outcome, Failure>> {
+  const reply = await session.client.call({ method: 'GET', path: '/v1/admin/burn', repeat: Repeat.Safe })
+  if (reply.isErr()) return err(reply.error)
+  const report = createReport(reply.value.body as BurnCounts)
+  const written = page === undefined ? ok() : await writePage(page, formatPage(report))
+  return written.map(() => ({ value: report, text: formatReport(report), remarks: report.missing }))
+}
+
 /**
  * Puts what is missing into words.
  *
@@ -90,3 +108,12 @@
   const head = `${report.shard} is owned by ${report.node}; ${report.waiting} waiting, ${report.running} running.\n`
   return { value: report, text: head + describeList(['worker', 'condition', 'zone', 'rack', 'running', 'slots', 'used', 'capacity'], rows).text }
 }
+
+async function writePage (page: string, text: string): Promise<Result<void, Failure>> {
+  try {
+    await writeFile(page, text)
+    return ok()
+  } catch (error) {
+    return err(createMisuse(`The page "${page}" cannot be written (${(error as NodeJS.ErrnoException).code}). Choose another file.`))
+  }
+}
