--- a/packages/command/src/keys.ts
+++ b/packages/command/src/keys.ts
@@ -11,19 +11,22 @@
 import type { Outcome, Session } from './action.js'
 
 const SECRET_BYTES = 32
+const SUFFIX_BYTES = 3
+const MOST_NAME_LENGTH = 63
 
 /**
  * Creates a key for a team. Only the hash of its secret is published; the secret is printed once.
  *
  * @param session the client and the terminal
  * @param team the team
- * @param name the key's public name
+ * @param chosen the key's public name; a new one is made if it is absent
  * @returns the key as callers send it
  */
-export async function grantKey (session: Session, team: string, name: string): Promise<Result<Outcome, Failure>> {
+export async function grantKey (session: Session, team: string, chosen?: string): Promise<Result<Outcome, Failure>> {
   const effective = await readEffective(session.client)
   if (effective.isErr()) return err(effective.error)
   const { manifest, revision } = effective.value
+  const name = chosen ?? createName(team)
   if (!manifest.teams.some((each) => each.name === team)) {
     return err(createMisuse(`There is no team "${team}". Run "fireflymount get teams" to see all.`))
   }
@@ -62,3 +65,8 @@
     text: `The key "${name}" is withdrawn at revision ${publication.revision}.\n`
   }))
 }
+
+function createName (team: string): string {
+  const suffix = `-${randomBytes(SUFFIX_BYTES).toString('hex')}`
+  return team.slice(0, MOST_NAME_LENGTH - suffix.length) + suffix
+}
--- a/packages/command/src/program.ts
+++ b/packages/command/src/program.ts
@@ -133,8 +133,10 @@
   const key = addCommand(program, 'key', 'grants and withdraws keys', 'key grant guild shop-terminal')
   addCommand(key, 'grant', 'creates a key and prints it once', 'key grant guild shop-terminal')
     .argument('<team>', 'team for which it works')
-    .argument('<name>', 'public name of the key')
-    .action((team: string, name: string, _, command: Command) => run.remote(command, (session) => grantKey(session, team, name)))
+    .argument('[name]', 'public name of the key (default: the team and six random digits)')
+    .action((team: string, name: string | undefined, _, command: Command) => {
+      return run.remote(command, (session) => grantKey(session, team, name))
+    })
   addCommand(key, 'withdraw', 'withdraws a key', 'key withdraw shop-terminal')
     .argument('<name>', 'public name of the key')
     .action((name: string, _, command: Command) => run.remote(command, (session) => withdrawKey(session, name)))
--- a/packages/command/test/program.spec.ts
+++ b/packages/command/test/program.spec.ts
@@ -122,6 +122,15 @@
   })
 })
 
+test.each([
+  { team: 'guild', name: /^guild-[0-9a-f]{6}$/ },
+  { team: 'g'.repeat(63), name: /^g{56}-[0-9a-f]{6}$/ }
+])('a key of $team without a name gets one', async ({ team, name }) => {
+  await cell.run(['apply', '-'], JSON.stringify({ ...FILE, teams: [TEAM, { ...TEAM, name: 'g'.repeat(63) }] }))
+  expect((await cell.run(['key', 'grant', team])).exit).toBe(0)
+  expect(cell.configuration.current().manifest.keys[0]!.name).toMatch(name)
+})
+
 describe('work', () => {
   beforeEach(async () => {
     await cell.run(['apply', '-'], TEXT)
