--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -10,6 +10,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Logger } from 'pino'
 import { Follower } from './configuration/follower.js'
+import { askFreshest } from './configuration/freshest.js'
 import { Counters } from './counters.js'
 import { Presence } from './entry/presence.js'
 import { serveApi, type Service } from './entry/server.js'
@@ -151,16 +152,17 @@
     return this.configuration.current().manifest.upstreams.find((upstream) => upstream.name === shard)?.zones ?? []
   }
 
-  /** Takes configuration records from the first peer that answers. */
-  private async askPeers (from: number): Promise<RecordsPage | undefined> {
-    for (const node of this.members.nodes()) {
-      if (node === this.settings.node) continue
-      const answer = await this.peers.askNode(node, { kind: Kind.Records, from }, RECORDS_TIMEOUT_MS)
-      if (answer.isErr()) continue
-      const page = RecordsPageCodec.decode(answer.value)
-      if (page.isRight()) return page.extract() as RecordsPage
-    }
-    return undefined
+  /** Takes configuration records from the freshest of some peers. */
+  private askPeers (from: number): Promise<RecordsPage | undefined> {
+    const others = this.members.nodes().filter((node) => node !== this.settings.node)
+    return askFreshest(others, (node) => this.askRecords(node, from))
+  }
+
+  private async askRecords (node: string, from: number): Promise<RecordsPage | undefined> {
+    const answer = await this.peers.askNode(node, { kind: Kind.Records, from }, RECORDS_TIMEOUT_MS)
+    if (answer.isErr()) return undefined
+    const page = RecordsPageCodec.decode(answer.value)
+    return page.isRight() ? page.extract() as RecordsPage : undefined
   }
 
   /** One node writes the snapshots of the configuration: the first live one by name. */
