Let urgent work preempt its own team's normal work, and refuse at the deadline

Now tasks with a checkpoint of the same team make room, and the owner refuses a waiting request at its deadline, as not run.

--- a/packages/daemon/src/owner/calls.ts
+++ b/packages/daemon/src/owner/calls.ts
@@ -37,6 +37,7 @@
 interface Waiter {
   readonly task: Task
   readonly resolve: (seat: Seat) => void
+  readonly expiry: NodeJS.Timeout
 }
 
 /** All synchronous requests in progress. */
@@ -174,8 +175,10 @@
 
   private seat (task: Task): Promise<Seat> {
     return new Promise((resolve) => {
-      this.waiting.set(task.id, { task, resolve })
-      const queued = this.parts.scheduler.enqueue(task, this.parts.clock.now())
+      const nowMs = this.parts.clock.now()
+      const expiry = setTimeout(() => { this.expire(task.id) }, task.startByMs! - nowMs)
+      this.waiting.set(task.id, { task, resolve, expiry })
+      const queued = this.parts.scheduler.enqueue(task, nowMs)
       if (queued.isErr()) this.refuse(task.id, queued.error)
       else this.parts.onRoom()
     })
@@ -205,10 +208,17 @@
     this.parts.onRoom()
   }
 
+  /** The deadline passes while the request still waits. */
+  private expire (task: string): void {
+    this.parts.scheduler.cancel(task)
+    this.refuse(task, refuse(Reason.DeadlinePassed, 'No worker had room before the deadline.', OWNER_RETRY_MS))
+  }
+
   private settle (task: string, seat: Seat): void {
     const waiter = this.waiting.get(task)
     if (waiter === undefined) return
     this.waiting.delete(task)
+    clearTimeout(waiter.expiry)
     waiter.resolve(seat)
   }
 
--- a/packages/policy/src/preemption.ts
+++ b/packages/policy/src/preemption.ts
@@ -1,5 +1,6 @@
 /**
- * Stops running tasks for urgent work of teams that are well below their share, and for lowered allotments.
+ * Stops running tasks for urgent work: of the same team, or of others while it is well below its share. Also stops what a
+ * lowered allotment does not cover.
  */
 import type { Resources } from '@fireflymount/protocol/resources'
 import { Urgency, Workload } from '@fireflymount/protocol/workload'
@@ -11,7 +12,7 @@
 import { Condition } from './task.js'
 import { NONE, Phase } from './table.js'
 
-/** A team may preempt for urgent work while its level is below this. */
+/** A team may preempt other teams' work for its urgent work while its level is below this. */
 const LOW_LEVEL = 0.5
 /** Time that urgent work waits before it preempts, and between two rounds of preemption for one lane. */
 export const PREEMPTION_WAIT_MS = 100
@@ -85,7 +86,7 @@
   private deserves (lane: Lane, nowMs: number): boolean {
     if (lane.urgency !== Urgency.Urgent || lane.workload === Workload.Gang || nowMs < lane.retryMs) return false
     if (nowMs - lane.submittedMs < PREEMPTION_WAIT_MS) return false
-    return lane.team.level < LOW_LEVEL && lane.team.admits(lane.size, 1)
+    return lane.team.admits(lane.size, 1)
   }
 
   private makeRoom (lane: Lane, preemptions: Preemption[]): boolean {
@@ -129,9 +130,11 @@
     if (table.phase[slot] !== Phase.Running) return false
     const task = table.at(slot)
     if (!task.checkpoint || task.urgency === Urgency.Urgent || task.workload !== Workload.Batch) return false
+    if (task.team === team.name) return true
+    if (team.level >= LOW_LEVEL) return false
     const other = this.occupancy.team(task.team)
     other.refresh(this.lanes.totals)
-    return other !== team && other.level > 1
+    return other.level > 1
   }
 
   private stop (slot: number, preemptions: Preemption[]): void {
