Answer a claim within its patience while the log hangs

A claim waited for the call in progress, up to 2 s for a read and 2 s more for an append, before its patience of 500 ms was looked at; a standby takes over at the workers only after that answer.

--- a/packages/platform/src/stream.ts
+++ b/packages/platform/src/stream.ts
@@ -35,6 +35,16 @@
   readonly patience?: Patience
 }
 
+/** A claim that is being made. */
+interface Attempt {
+  readonly epoch: Epoch
+  readonly standbys: string[]
+  /** Aborted when the claim was answered. */
+  readonly over: AbortController
+  /** An append of it was sent that may take effect. */
+  undecided: boolean
+}
+
 /**
  * A journal on one stream of the log.
  *
@@ -101,24 +111,33 @@
   }
 
   async claim (epoch: Epoch, standbys: readonly string[]): Promise<Result<Holder, JournalError>> {
-    const { clock, patienceMs } = this.options
+    const attempt: Attempt = { epoch, standbys: [...standbys], over: new AbortController(), undecided: false }
+    const late = sleep(this.options.patienceMs, attempt.over.signal).then(() => undefined)
+    const outcome = await Promise.race([this.tryClaim(attempt), late])
+    attempt.over.abort()
+    if (outcome !== undefined) return outcome
+    if (attempt.undecided) return err(fail(JournalFailure.Unknown, 'It is not known whether the claim took effect.'))
+    return err(fail(JournalFailure.Unavailable, 'The log did not take the claim.'))
+  }
+
+  private async tryClaim (attempt: Attempt): Promise<Result<Holder, JournalError> | undefined> {
+    const { epoch, standbys, over } = attempt
     const backoff = new Backoff(this.patience)
-    const deadlineMs = clock.now() + patienceMs
-    let undecided = false
     while (!this.stop.signal.aborted) {
       const read = await this.reader.catchUp()
+      if (over.signal.aborted) return undefined
       const outcome = read.isOk() ? this.judgeClaim(epoch) : undefined
       if (outcome !== undefined) return outcome
-      if (clock.now() > deadlineMs) break
       if (read.isOk()) {
-        const answer = await this.writer.append({ entry: Entry.Claim, epoch, standbys: [...standbys] })
-        if (answer.isOk() || answer.error.failure === LogFailure.Unknown) undecided = true
+        const before = attempt.undecided
+        attempt.undecided = true
+        const answer = await this.writer.append({ entry: Entry.Claim, epoch, standbys })
         if (answer.isOk()) continue
+        if (answer.error.failure !== LogFailure.Unknown) attempt.undecided = before
       }
-      await backoff.wait(this.stop.signal)
+      await backoff.wait(over.signal)
     }
-    if (undecided) return err(fail(JournalFailure.Unknown, 'It is not known whether the claim took effect.'))
-    return err(fail(JournalFailure.Unavailable, 'The log did not take the claim.'))
+    return undefined
   }
 
   private judgeClaim (epoch: Epoch): Result<Holder, JournalError> | undefined {
--- a/packages/platform/test/fake-log.ts
+++ b/packages/platform/test/fake-log.ts
@@ -33,6 +33,8 @@
   calls: Call[] = []
   /** The fate of all calls while it is set. */
   always: Fate | undefined
+  /** The fate of all calls of one kind while it is set. */
+  byKind: Partial<Record<'append' | 'read', Fate>> = {}
   readonly seen: Array<{ kind: 'append' | 'read', atMs: number }> = []
 
   async append (_stream: string, data: unknown): Promise<Result<number, LogError>> {
@@ -75,7 +77,8 @@
 
   private next (kind: 'append' | 'read'): Call {
     this.seen.push({ kind, atMs: performance.now() })
-    if (this.always !== undefined) return { fate: this.always, delayMs: 1 }
+    const fate = this.byKind[kind] ?? this.always
+    if (fate !== undefined) return { fate, delayMs: 1 }
     return this.calls.shift() ?? SERVED
   }
 }
--- a/packages/platform/test/stream.spec.ts
+++ b/packages/platform/test/stream.spec.ts
@@ -29,7 +29,7 @@
 
 const PATIENCE = { appendMs: 40, readMs: 40, firstRetryMs: 2, lastRetryMs: 20 }
 
-function createStream (log: FakeLog, commitMs = 5): { journal: Stream, fold: ListFold } {
+function createStream (log: FakeLog, commitMs = 5, patience = PATIENCE): { journal: Stream, fold: ListFold } {
   const fold = new ListFold()
   const journal = new Stream({
     log,
@@ -40,7 +40,7 @@
     snapshotRecords: 4,
     snapshotMs: 60_000,
     patienceMs: 200,
-    patience: PATIENCE
+    patience
   })
   return { journal, fold }
 }
@@ -239,6 +239,23 @@
   expect(right.journal.holder()?.epoch.node).toBe('a')
 })
 
+test.each<[string, Partial<Record<'append' | 'read', Fate>>, JournalFailure]>([
+  ['reads hang', { read: Fate.Hung }, JournalFailure.Unavailable],
+  ['appends are refused', { append: Fate.Refused }, JournalFailure.Unavailable],
+  ['appends hang', { append: Fate.Hung, read: Fate.Served }, JournalFailure.Unknown]
+])('while %s a claim is answered within its patience, and truly', async (_, fates, failure) => {
+  const log = new FakeLog()
+  log.byKind = fates
+  const { journal } = createStream(log, 5, { ...PATIENCE, appendMs: 5000, readMs: 5000 })
+  const startMs = performance.now()
+  expect((await run(journal.claim({ counter: 1, node: 'a' }, [])))._unsafeUnwrapErr().failure).toBe(failure)
+  expect(performance.now() - startMs).toBeLessThan(250)
+  log.byKind = {}
+  await vi.advanceTimersByTimeAsync(6000)
+  expect(log.records.length > 0).toBe(failure === JournalFailure.Unknown)
+  expect((await run(journal.claim({ counter: 1, node: 'a' }, []))).isOk()).toBe(true)
+})
+
 test('a holder that was superseded without reading it finds out by its own append', async () => {
   const log = new FakeLog()
   const { journal, fold } = await createHolder(log)
