Look queues and services up by index, and order nodes once a list

Cause: every role ordered all nodes 20 times a second, each request searched all queues four times, and each owner all services 10 times a second. Worked out, not measured; today's sizes do not show it.

--- a/packages/daemon/src/entry/requests.ts
+++ b/packages/daemon/src/entry/requests.ts
@@ -1,6 +1,7 @@
 /**
  * Synchronous requests: from the caller to the owner of the queue's upstream and back.
  */
+import { randomUUID } from 'node:crypto'
 import { err, ok, type Result } from 'neverthrow'
 import { Kind, type Call } from '@fireflymount/protocol/message'
 import { Execution, Reason, refuse, withEarlierTries, type Refusal } from '@fireflymount/protocol/refusal'
@@ -17,6 +18,7 @@
 const DEADLINE_HEADER = 'fireflymount-deadline-ms'
 /** Time for the owner's own answer at the deadline to arrive before the entry gives up. */
 const ANSWER_MARGIN_MS = 50
+const ABANDON_TIMEOUT_MS = 1000
 /** Attempts at reaching the owner. Failures of workers are the owner's to repeat. */
 const MOST_ATTEMPTS = 3
 /** Failures of the way to the owner, after which another attempt can succeed at once. */
@@ -79,16 +81,31 @@
   try {
     const body = await readJson(context.req.raw, entry.settings.limits.bodyBytes)
     if (body.isErr()) return err(body.error)
-    const answer = await askUntil(entry, queue, team.value, body.value, arrivedMs + deadlineMs.value, context.req.raw.signal)
+    const call: Call = { kind: Kind.Call, id: randomUUID(), queue: queue.name, team: team.value, budgetMs: 0, body: body.value }
+    const answer = await askUnlessGone(entry, queue, call, arrivedMs + deadlineMs.value, context.req.raw.signal)
     return answer.mapErr(createProblem)
   } finally {
     place.value.leave()
   }
 }
 
+/** Asks the owner, and tells it when the caller has gone, so that work that still waits is not started. */
+async function askUnlessGone (
+  entry: Entry, queue: Queue, call: Call, endMs: number, signal: AbortSignal
+): Promise<Result<unknown, Refusal>> {
+  async function onGone (): Promise<void> {
+    entry.metrics.count(`abandoned.${queue.name}`)
+    await entry.router.ask(queue.upstream, { kind: Kind.Abandon, shard: queue.upstream, call: call.id! }, ABANDON_TIMEOUT_MS)
+  }
+  signal.addEventListener('abort', onGone)
+  const answer = await askUntil(entry, queue, call, endMs, signal)
+  signal.removeEventListener('abort', onGone)
+  return answer
+}
+
 /** Asks the owner, again after a passing failure, as long as that is safe, the budget allows it and time is left. */
 async function askUntil (
-  entry: Entry, queue: Queue, team: string, body: unknown, endMs: number, signal: AbortSignal
+  entry: Entry, queue: Queue, call: Call, endMs: number, signal: AbortSignal
 ): Promise<Result<unknown, Refusal>> {
   entry.retries.earn(queue.name)
   let earlier = Execution.NotRun
@@ -99,8 +116,7 @@
       const passed = refuse(Reason.DeadlinePassed, 'The deadline passed before the work was sent. Allow more time.')
       return err(withEarlierTries(passed, earlier))
     }
-    const call: Call = { kind: Kind.Call, queue: queue.name, team, budgetMs, body }
-    const answer = await entry.router.ask(queue.upstream, call, budgetMs + ANSWER_MARGIN_MS, signal)
+    const answer = await entry.router.ask(queue.upstream, { ...call, budgetMs }, budgetMs + ANSWER_MARGIN_MS, signal)
     if (answer.isOk()) return answer
     const refusal = withEarlierTries(answer.error, earlier)
     if (!mayRepeat(answer.error, queue, attempt)) return err(refusal)
--- a/packages/daemon/src/membership/members.ts
+++ b/packages/daemon/src/membership/members.ts
@@ -14,10 +14,19 @@
 /** How many nodes, the owner included, follow a shard. */
 export const FOLLOWERS = 3
 
+/** The order of the nodes for one shard. */
+interface Rank {
+  readonly zones: readonly string[]
+  readonly names: readonly string[]
+}
+
 /** The last list that the platform gave. */
 export class Members {
   private vms: readonly Vm[] = []
   private byId = new Map<string, Vm>()
+  private byUpstream = new Map<string, Vm[]>()
+  /** Orders that were worked out from the last list, by shard. */
+  private readonly ranks = new Map<string, Rank>()
   private listedAtMs = -Infinity
   /** Since when VMs that were asked for are missing. */
   private readonly missingSinceMs = new Map<string, number>()
@@ -40,6 +49,8 @@
     this.listedAtMs = this.clock.now()
     this.vms = list.value
     this.byId = new Map(list.value.map((vm) => [vm.id, vm]))
+    this.byUpstream = groupWorkers(list.value)
+    this.ranks.clear()
     for (const id of this.missingSinceMs.keys()) {
       if (this.byId.has(id)) this.missingSinceMs.delete(id)
     }
@@ -81,8 +92,8 @@
   }
 
   /** The workers of an upstream that are not gone. */
-  workers (upstream: string): Vm[] {
-    return this.vms.filter((vm) => vm.role === VmRole.Worker && vm.upstream === upstream && vm.state !== VmState.Gone)
+  workers (upstream: string): readonly Vm[] {
+    return this.byUpstream.get(upstream) ?? []
   }
 
   /**
@@ -92,10 +103,29 @@
    * @param zones availability zones of its workers; if no node is there, all nodes are candidates
    * @returns names of live nodes, the first candidate first
    */
-  candidates (shard: string, zones: readonly string[]): string[] {
+  candidates (shard: string, zones: readonly string[]): readonly string[] {
+    const known = this.ranks.get(shard)
+    if (known !== undefined && known.zones === zones) return known.names
+    const names = this.rank(shard, zones)
+    this.ranks.set(shard, { zones, names })
+    return names
+  }
+
+  private rank (shard: string, zones: readonly string[]): string[] {
     const live = this.vms.filter((vm) => vm.role === VmRole.Entry && vm.state === VmState.Live)
     const near = live.filter((vm) => zones.includes(vm.zone))
     const chosen = near.length > 0 ? near : live
     return rankNodes(shard, chosen.map((vm) => vm.id))
   }
 }
+
+function groupWorkers (vms: readonly Vm[]): Map<string, Vm[]> {
+  const groups = new Map<string, Vm[]>()
+  for (const vm of vms) {
+    if (vm.role !== VmRole.Worker || vm.upstream === undefined || vm.state === VmState.Gone) continue
+    const group = groups.get(vm.upstream)
+    if (group === undefined) groups.set(vm.upstream, [vm])
+    else group.push(vm)
+  }
+  return groups
+}
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -4,6 +4,7 @@
 import { SystemClock, sleep } from '@fireflymount/platform/clock'
 import { RemoteLog } from '@fireflymount/platform/log-client'
 import { RemoteMachines } from '@fireflymount/platform/machines-client'
+import { findUpstream } from '@fireflymount/manifest/lookup'
 import type { Settings } from '@fireflymount/manifest/settings'
 import { Kind, RecordsPageCodec, type RecordsPage, type Request } from '@fireflymount/protocol/message'
 import type { Refusal } from '@fireflymount/protocol/refusal'
@@ -149,7 +150,7 @@
   }
 
   private zonesOf (shard: string): readonly string[] {
-    return this.configuration.current().manifest.upstreams.find((upstream) => upstream.name === shard)?.zones ?? []
+    return findUpstream(this.configuration.current().manifest, shard)?.zones ?? []
   }
 
   /** Takes configuration records from the freshest of some peers. */
--- a/packages/daemon/src/owner/calls.ts
+++ b/packages/daemon/src/owner/calls.ts
@@ -36,6 +36,7 @@
 
 interface Waiter {
   readonly task: Task
+  readonly call: string | undefined
   readonly resolve: (seat: Seat) => void
   readonly expiry: NodeJS.Timeout
 }
@@ -43,6 +44,8 @@
 /** All synchronous requests in progress. */
 export class Calls {
   private readonly waiting = new Map<string, Waiter>()
+  /** Waiting tasks by the id that the entry gave their request. */
+  private readonly byCall = new Map<string, string>()
   /** Requests whose answer was lost, and those of former owners, by worker: they may still run. */
   private readonly doubtful = new Map<string, Set<string>>()
   private readonly running = new Map<string, Task>()
@@ -80,6 +83,20 @@
     return answer
   }
 
+  /**
+   * Gives a request up whose caller has gone. What is at a worker is left to end.
+   *
+   * @param call the id that the entry gave the request
+   * @returns true if the request waited
+   */
+  abandon (call: string): boolean {
+    const task = this.byCall.get(call)
+    if (task === undefined) return false
+    this.parts.scheduler.cancel(task)
+    this.refuse(task, refuse(Reason.Cancelled, 'The caller has gone.'))
+    return true
+  }
+
   /** Gives a request its worker. */
   place (task: string, worker: string): void {
     this.settle(task, ok(worker))
@@ -129,7 +146,7 @@
     let execution = Execution.NotRun
     for (;;) {
       const task = this.createTask(call, queue, endMs, avoid)
-      const seat = await this.seat(task)
+      const seat = await this.seat(task, call.id)
       if (seat.isErr()) return err(withEarlierTries(seat.error, execution))
       this.running.set(task.id, task)
       const answer = await this.send(task, seat.value, call, endMs)
@@ -173,11 +190,12 @@
     }
   }
 
-  private seat (task: Task): Promise<Seat> {
+  private seat (task: Task, call: string | undefined): Promise<Seat> {
     return new Promise((resolve) => {
       const nowMs = this.parts.clock.now()
       const expiry = setTimeout(() => { this.expire(task.id) }, task.startByMs! - nowMs)
-      this.waiting.set(task.id, { task, resolve, expiry })
+      this.waiting.set(task.id, { task, call, resolve, expiry })
+      if (call !== undefined) this.byCall.set(call, task.id)
       const queued = this.parts.scheduler.enqueue(task, nowMs)
       if (queued.isErr()) this.refuse(task.id, queued.error)
       else this.parts.onRoom()
@@ -218,6 +236,7 @@
     const waiter = this.waiting.get(task)
     if (waiter === undefined) return
     this.waiting.delete(task)
+    if (waiter.call !== undefined) this.byCall.delete(waiter.call)
     clearTimeout(waiter.expiry)
     waiter.resolve(seat)
   }
--- a/packages/daemon/src/owner/jobs.ts
+++ b/packages/daemon/src/owner/jobs.ts
@@ -3,6 +3,7 @@
  */
 import type { Clock } from '@fireflymount/platform/clock'
 import { JournalFailure, type JournalError } from '@fireflymount/platform/journal'
+import { findQueue } from '@fireflymount/manifest/lookup'
 import type { Manifest, Queue } from '@fireflymount/manifest/manifest'
 import type { Scheduler } from '@fireflymount/policy/scheduler'
 import type { Task } from '@fireflymount/policy/task'
@@ -173,7 +174,7 @@
   }
 
   private async accept (submit: Submit): Promise<Result<Job, Refusal>> {
-    const queue = this.parts.manifest().queues.find((candidate) => candidate.name === submit.queue)
+    const queue = findQueue(this.parts.manifest(), submit.queue)
     if (queue === undefined) return err(refuse(Reason.NoSuchQueue, `There is no queue ${submit.queue}.`, LOG_RETRY_MS))
     const refusal = this.check(submit, queue)
     if (refusal !== undefined) return err(refusal)
@@ -254,7 +255,7 @@
   }
 
   private queueOf (job: JobRecord): Queue | undefined {
-    return this.parts.manifest().queues.find((queue) => queue.name === job.queue)
+    return findQueue(this.parts.manifest(), job.queue)
   }
 
   private countWaiting (queue: string, by: number): void {
--- a/packages/daemon/src/owner/owner.ts
+++ b/packages/daemon/src/owner/owner.ts
@@ -4,7 +4,8 @@
 import type { Clock } from '@fireflymount/platform/clock'
 import { VmState, type Vm } from '@fireflymount/platform/machines'
 import type { TaskReport, Worker, WorkerReport } from '@fireflymount/platform/worker'
-import type { Manifest, Queue } from '@fireflymount/manifest/manifest'
+import { findQueue, findUpstream } from '@fireflymount/manifest/lookup'
+import type { Manifest } from '@fireflymount/manifest/manifest'
 import type { Timing } from '@fireflymount/manifest/settings'
 import { Shard } from '@fireflymount/policy/shard'
 import type { Scheduler } from '@fireflymount/policy/scheduler'
@@ -79,7 +80,7 @@
 
   constructor (readonly parts: OwnerParts) {
     const { shard, clock, journal, state, metrics } = parts
-    const weights = parts.manifest().upstreams.find((upstream) => upstream.name === shard)?.weights
+    const weights = findUpstream(parts.manifest(), shard)?.weights
     this.scheduler = new Shard({ weights: weights ?? { waiting: 1, share: 1, packing: 1 } })
     const scheduler = this.scheduler
     const session = (worker: string): Session | undefined => this.sessions.get(worker)
@@ -169,7 +170,7 @@
     }
     switch (request.kind) {
       case Kind.Call: {
-        const queue = this.queue(request.queue)
+        const queue = findQueue(this.parts.manifest(), request.queue)
         if (queue === undefined) return err(refuse(Reason.NoSuchQueue, `There is no queue ${request.queue}.`, 500))
         const answer = await this.calls.run(request, queue)
         if (answer.isErr()) this.noteRefusal(request.queue, request.team, answer.error)
@@ -398,10 +399,6 @@
     return this.jobs.bodyOf(task)
   }
 
-  private queue (name: string): Queue | undefined {
-    return this.parts.manifest().queues.find((queue) => queue.name === name)
-  }
-
   private explain (id: string): Result<unknown, Refusal> {
     const job = this.parts.state.jobs.get(id)
     if (job === undefined) return err(refuse(Reason.NoSuchJob, `There is no job ${id}.`))
--- a/packages/daemon/src/owner/replicas.ts
+++ b/packages/daemon/src/owner/replicas.ts
@@ -2,6 +2,7 @@
  * Replicas of services: keeps as many running as declared, and moves them off workers that leave.
  */
 import type { Clock } from '@fireflymount/platform/clock'
+import { findService, listServices } from '@fireflymount/manifest/lookup'
 import type { Manifest, Service } from '@fireflymount/manifest/manifest'
 import type { Scheduler } from '@fireflymount/policy/scheduler'
 import type { Task } from '@fireflymount/policy/task'
@@ -33,8 +34,7 @@
   /** Starts what is missing, stops what is too much, and moves one replica of a service at a time. */
   reconcile (): void {
     const wanted = new Map<string, Service>()
-    for (const service of this.parts.manifest().services) {
-      if (service.upstream !== this.parts.shard) continue
+    for (const service of listServices(this.parts.manifest(), this.parts.shard)) {
       for (let index = 0; index < service.replicas; index++) wanted.set(replicaId(service.name, index), service)
       this.move(service)
     }
@@ -56,8 +56,7 @@
 
   /** The service of a replica, as declared now. */
   serviceOf (task: string): Service | undefined {
-    const name = task.slice(PREFIX.length, task.lastIndexOf('/'))
-    return this.parts.manifest().services.find((service) => service.name === name)
+    return findService(this.parts.manifest(), task.slice(PREFIX.length, task.lastIndexOf('/')))
   }
 
   /** Describes a replica for the scheduler. */
--- a/packages/daemon/src/owner/role.ts
+++ b/packages/daemon/src/owner/role.ts
@@ -5,6 +5,7 @@
 import { JournalFailure, type Holder, type Journal } from '@fireflymount/platform/journal'
 import type { Vm } from '@fireflymount/platform/machines'
 import type { Worker } from '@fireflymount/platform/worker'
+import { findUpstream } from '@fireflymount/manifest/lookup'
 import type { Manifest } from '@fireflymount/manifest/manifest'
 import type { Settings } from '@fireflymount/manifest/settings'
 import { NO_EPOCH, compareEpochs, type Epoch } from '@fireflymount/protocol/epoch'
@@ -22,8 +23,10 @@
 import { Owner } from './owner.js'
 import type { ShardState } from './state.js'
 
-/** Time between two looks at the shard. */
+/** Time between two looks at the shard, of its owner and standbys and of other nodes. */
 const TICK_MS = 50
+const BYSTANDER_TICK_MS = 250
+const NO_ZONES: readonly string[] = []
 /** How long reads of the stream are held open. */
 const FOLLOW_WAIT_MS = 1000
 /** Extra patience of a standby for each standby before it. */
@@ -81,7 +84,7 @@
       this.refreshManifest()
       if (this.owner !== undefined) await this.keepOwnership()
       else if (this.isFollower()) await this.watch(signal)
-      else this.unfollow()
+      else await this.standBy(signal)
       await sleep(TICK_MS, signal)
     }
     this.unfollow()
@@ -164,9 +167,9 @@
     return this.candidates().slice(0, FOLLOWERS).includes(node)
   }
 
-  private candidates (): string[] {
-    const upstream = this.parts.manifest().upstreams.find((candidate) => candidate.name === this.parts.shard)
-    return this.parts.members.candidates(this.parts.shard, upstream?.zones ?? [])
+  private candidates (): readonly string[] {
+    const zones = findUpstream(this.parts.manifest(), this.parts.shard)?.zones ?? NO_ZONES
+    return this.parts.members.candidates(this.parts.shard, zones)
   }
 
   private follow (): void {
@@ -175,6 +178,11 @@
     this.parts.journal.follow(FOLLOW_WAIT_MS, this.following.signal).catch((error: unknown) => { throw error })
   }
 
+  private async standBy (signal: AbortSignal): Promise<void> {
+    this.unfollow()
+    await sleep(BYSTANDER_TICK_MS, signal)
+  }
+
   private unfollow (): void {
     this.following?.abort()
     this.following = undefined
--- a/packages/daemon/src/owner/roles.ts
+++ b/packages/daemon/src/owner/roles.ts
@@ -7,6 +7,7 @@
 import type { Vm } from '@fireflymount/platform/machines'
 import { Stream } from '@fireflymount/platform/stream'
 import type { Worker } from '@fireflymount/platform/worker'
+import { findQueue } from '@fireflymount/manifest/lookup'
 import type { Manifest } from '@fireflymount/manifest/manifest'
 import type { Settings } from '@fireflymount/manifest/settings'
 import { Kind, type Request } from '@fireflymount/protocol/message'
@@ -118,7 +119,7 @@
   private shardOf (request: Request): string | undefined {
     switch (request.kind) {
       case Kind.Call:
-        return this.parts.manifest().queues.find((queue) => queue.name === request.queue)?.upstream
+        return findQueue(this.parts.manifest(), request.queue)?.upstream
       case Kind.Submit:
       case Kind.Status:
       case Kind.Cancel:
