Give up requests that wait when their caller disconnects

Cause: a request whose caller had gone waited on and was run by a worker for nobody, so that a wave of disconnects cost as much room as the work itself. What is at a worker is left to end.

--- a/packages/daemon/src/owner/owner.ts
+++ b/packages/daemon/src/owner/owner.ts
@@ -182,6 +182,7 @@
       case Kind.Explain: return this.explain(request.job)
       case Kind.Survey: return ok(surveyShard(this))
       case Kind.Drain: return await this.drain(request.worker, request.drained)
+      case Kind.Abandon: return ok(this.calls.abandon(request.call))
       case Kind.Borrow: return await this.lending.lend(request)
       case Kind.Transfer: return await this.lending.take(request)
       default: return err(refuse(Reason.Malformed, `An owner does not answer requests of kind ${request.kind}.`))
--- a/packages/daemon/test/entry-server.spec.ts
+++ b/packages/daemon/test/entry-server.spec.ts
@@ -2,6 +2,7 @@
 import { err, ok } from 'neverthrow'
 import { expect, test } from 'vitest'
 import { SystemClock, sleep } from '@fireflymount/platform/clock'
+import { Kind, type Call } from '@fireflymount/protocol/message'
 import { Execution, Reason } from '@fireflymount/protocol/refusal'
 import { serveApi, type Service } from '../src/entry/server.js'
 import { GUILD, createBench, type Bench } from './entry-fakes.js'
@@ -35,17 +36,20 @@
   await expect(fetch(`${base}/healthz`)).rejects.toThrow()
 })
 
-test('a request whose caller has gone is not sent again', async () => {
+test('a request whose caller has gone is given up at the owner and not sent again', async () => {
   const { bench, service, base } = await serve()
   const caller = new AbortController()
-  bench.router.answer = async () => {
+  bench.router.answer = async ({ kind }) => {
+    if (kind === Kind.Abandon) return ok(true)
     caller.abort()
     await sleep(100)
     return err({ reason: Reason.ConnectionLost, detail: 'Lost.', execution: Execution.NotRun })
   }
   await expect(preview(base, caller.signal)).rejects.toThrow()
   await sleep(200)
-  expect(bench.router.asked).toHaveLength(1)
+  const [call, abandon, ...more] = bench.router.asked.map(({ request }) => request)
+  expect(abandon).toEqual({ kind: Kind.Abandon, shard: 'bee-planner', call: (call as Call).id })
+  expect(more).toEqual([])
   await service.close()
 })
 
--- a/packages/protocol/src/connection.ts
+++ b/packages/protocol/src/connection.ts
@@ -43,7 +43,7 @@
 
 /** Kinds that carry what callers and operators asked for. */
 const REQUEST_KINDS: ReadonlySet<unknown> = new Set([
-  Kind.Call, Kind.Submit, Kind.Status, Kind.Cancel, Kind.Explain, Kind.Survey, Kind.Drain
+  Kind.Call, Kind.Submit, Kind.Status, Kind.Cancel, Kind.Explain, Kind.Survey, Kind.Drain, Kind.Abandon
 ])
 
 /** Bytes that may wait in the socket before requests are refused. */
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -36,7 +36,9 @@
   /** Returns configuration records that the asking node lacks. */
   Records = 'records',
   /** Closes one worker for new tasks, or opens it again. */
-  Drain = 'drain'
+  Drain = 'drain',
+  /** Gives up a synchronous request whose caller has gone, if it still waits. */
+  Abandon = 'abandon'
 }
 
 export const EpochCodec = Codec.interface({ counter: number, node: string })
@@ -54,6 +56,7 @@
 /** Runs a synchronous request on a queue. `budgetMs` is the time left until the caller's deadline. */
 export const CallCodec = Codec.interface({
   kind: exactly(Kind.Call),
+  id: optional(string),
   queue: string,
   team: string,
   budgetMs: number,
@@ -104,6 +107,8 @@
 export const RecordsCodec = Codec.interface({ kind: exactly(Kind.Records), from: number })
 /** Answered with `{ shard, worker, drained }`. */
 export const DrainCodec = Codec.interface({ kind: exactly(Kind.Drain), shard: string, worker: string, drained: boolean })
+/** Answered with true if the request waited and was given up. */
+export const AbandonCodec = Codec.interface({ kind: exactly(Kind.Abandon), shard: string, call: string })
 
 /** The codec of each kind of request. */
 export const REQUEST_CODECS = {
@@ -119,10 +124,19 @@
   [Kind.Transfer]: TransferCodec,
   [Kind.Borrow]: BorrowCodec,
   [Kind.Records]: RecordsCodec,
-  [Kind.Drain]: DrainCodec
+  [Kind.Drain]: DrainCodec,
+  [Kind.Abandon]: AbandonCodec
 }
 
-export type Call = GetType<typeof CallCodec>
+export interface Call {
+  readonly kind: Kind.Call
+  /** Unique id that the entry chose, by which it can give the request up. */
+  readonly id?: string
+  readonly queue: string
+  readonly team: string
+  readonly budgetMs: number
+  readonly body?: unknown
+}
 export interface Submit {
   readonly kind: Kind.Submit
   readonly job: string
@@ -147,8 +161,9 @@
 export type Borrow = GetType<typeof BorrowCodec>
 export type Records = GetType<typeof RecordsCodec>
 export type Drain = GetType<typeof DrainCodec>
+export type Abandon = GetType<typeof AbandonCodec>
 export type Request = Call | Submit | Status | Cancel | Explain | Survey | Watch | Pledge | Handover |
-  Transfer | Borrow | Records | Drain
+  Transfer | Borrow | Records | Drain | Abandon
 
 /** States of a durable job. */
 export enum JobState {
