Replace replicas of services that are declared differently, one at a time

The attempt of a replica now carries a digest of what it was started as, so that a new owner sees what is outdated too. Before, a changed body or size took effect only when a replica happened to end.

--- a/packages/daemon/src/owner/change.ts
+++ b/packages/daemon/src/owner/change.ts
@@ -52,7 +52,8 @@
   atMs: number
 })
 
-export const RunCodec = Codec.interface({ task: string, attempt: number, worker: string, boot: string })
+/** `spec` identifies what a replica was started as. */
+export const RunCodec = Codec.interface({ task: string, attempt: number, worker: string, boot: string, spec: optional(string) })
 
 export const AttemptCodec = Codec.interface({ kind: exactly(ChangeKind.Attempt), runs: array(RunCodec) })
 
@@ -105,8 +106,19 @@
 }
 
 export type Accepted = GetType<typeof AcceptedCodec>
-export type Run = GetType<typeof RunCodec>
-export type Attempt = GetType<typeof AttemptCodec>
+/** One run of an attempt. */
+export interface Run {
+  readonly task: string
+  readonly attempt: number
+  readonly worker: string
+  readonly boot: string
+  readonly spec?: string
+}
+/** Runs that are about to be sent. */
+export interface Attempt {
+  readonly kind: ChangeKind.Attempt
+  readonly runs: readonly Run[]
+}
 /** The end of a run. */
 export interface Ended {
   readonly kind: ChangeKind.Ended
--- a/packages/daemon/src/owner/owner.ts
+++ b/packages/daemon/src/owner/owner.ts
@@ -95,6 +95,7 @@
       session,
       confirmed: parts.confirmed,
       bodyOf: (task) => this.bodyOf(task),
+      specOf: (task) => this.replicas.specOf(task),
       mayRepeat: (task) => this.jobs.mayRepeat(task),
       attemptsOf: (task) => this.jobs.attemptsOf(task),
       requeue: (task) => { this.requeue(task) },
--- a/packages/daemon/src/owner/replicas.ts
+++ b/packages/daemon/src/owner/replicas.ts
@@ -1,6 +1,7 @@
 /**
  * Replicas of services: keeps as many running as declared, and moves them off workers that leave.
  */
+import { createHash } from 'node:crypto'
 import type { Clock } from '@fireflymount/platform/clock'
 import { findService, listServices } from '@fireflymount/manifest/lookup'
 import type { Manifest, Service } from '@fireflymount/manifest/manifest'
@@ -31,7 +32,7 @@
 
   constructor (private readonly parts: ReplicaParts) {}
 
-  /** Starts what is missing, stops what is too much, and moves one replica of a service at a time. */
+  /** Starts what is missing, stops what is too much, and replaces one replica of a service at a time. */
   reconcile (): void {
     const wanted = new Map<string, Service>()
     for (const service of listServices(this.parts.manifest(), this.parts.shard)) {
@@ -59,6 +60,13 @@
     return findService(this.parts.manifest(), task.slice(PREFIX.length, task.lastIndexOf('/')))
   }
 
+  /** Identifies what a replica is started as; undefined for tasks that are no replicas. */
+  specOf (task: string): string | undefined {
+    if (!this.owns(task)) return undefined
+    const service = this.serviceOf(task)
+    return service === undefined ? undefined : specOf(service)
+  }
+
   /** Describes a replica for the scheduler. */
   createTask (id: string, service: Service): Task {
     return {
@@ -89,12 +97,18 @@
     this.parts.runs.stop(id, false)
   }
 
+  /** True if the service was declared differently when the replica was started. */
+  private isOutdated (task: string): boolean {
+    const spec = this.parts.state.replicas.get(task)?.spec
+    return spec !== undefined && spec !== this.specOf(task)
+  }
+
   private move (service: Service): void {
     for (let index = 0; index < service.replicas; index++) {
       const run = this.parts.runs.get(replicaId(service.name, index))
       if (run === undefined) return
       if (run.stopping) return
-      if (!this.parts.isLeaving(run.worker)) continue
+      if (!this.parts.isLeaving(run.worker) && !this.isOutdated(run.task.id)) continue
       this.parts.runs.stop(run.task.id, true)
       return
     }
@@ -102,6 +116,18 @@
 }
 
 const PREFIX = 'service:'
+const SPEC_LENGTH = 16
+
+const specs = new WeakMap<Service, string>()
+
+function specOf (service: Service): string {
+  let spec = specs.get(service)
+  if (spec === undefined) {
+    spec = createHash('sha256').update(JSON.stringify([service.size, service.body])).digest('hex').slice(0, SPEC_LENGTH)
+    specs.set(service, spec)
+  }
+  return spec
+}
 
 function replicaId (service: string, index: number): string {
   return `${PREFIX}${service}/${index}`
--- a/packages/daemon/src/owner/runs.ts
+++ b/packages/daemon/src/owner/runs.ts
@@ -9,7 +9,7 @@
 import type { Scheduler } from '@fireflymount/policy/scheduler'
 import type { Result } from 'neverthrow'
 import type { Metrics } from '../counters.js'
-import { ChangeKind, Outcome, type Change, type Ended } from './change.js'
+import { ChangeKind, Outcome, type Attempt, type Change, type Ended } from './change.js'
 import type { Ledger } from './ledger.js'
 import type { Session } from './session.js'
 import { Stage, type ShardState, type TaskRecord } from './state.js'
@@ -53,6 +53,8 @@
   readonly session: (worker: string) => Session | undefined
   readonly confirmed: () => boolean
   readonly bodyOf: (task: string) => unknown
+  /** Identifies what a replica is started as; undefined for tasks of jobs. */
+  readonly specOf: (task: string) => string | undefined
   readonly mayRepeat: (task: string) => boolean
   /** Most attempts that may fail. */
   readonly attemptsOf: (task: string) => number
@@ -110,7 +112,7 @@
     const runs = placements.map((placement) => this.prepare(placement))
     const written = await this.commit({
       kind: ChangeKind.Attempt,
-      runs: runs.map((run) => ({ task: run.task.id, attempt: run.attempt, worker: run.worker, boot: run.boot }))
+      runs: runs.map((run) => this.describe(run))
     }, ATTEMPT_PATIENCE_MS)
     if (written.isErr()) {
       for (const run of runs) this.giveBack(run)
@@ -190,6 +192,12 @@
     return run
   }
 
+  private describe (run: Run): Attempt['runs'][number] {
+    const { task, attempt, worker, boot } = run
+    const spec = this.parts.specOf(task.id)
+    return { task: task.id, attempt, worker, boot, ...(spec === undefined ? {} : { spec }) }
+  }
+
   private async send (run: Run): Promise<void> {
     const session = this.parts.session(run.worker)
     if (session === undefined || !session.adopted || session.boot !== run.boot || run.stopping || !this.parts.confirmed()) {
--- a/packages/daemon/src/owner/state.ts
+++ b/packages/daemon/src/owner/state.ts
@@ -34,6 +34,8 @@
   failures: number
   worker?: string
   boot?: string
+  /** Identifies what a replica was started as. */
+  spec?: string
   outcome?: Outcome
   result?: unknown
   detail?: string
@@ -213,6 +215,7 @@
       task.attempt = run.attempt
       task.worker = run.worker
       task.boot = run.boot
+      if (run.spec !== undefined) task.spec = run.spec
     }
   }
 
--- a/packages/scenario/src/run/expectations.ts
+++ b/packages/scenario/src/run/expectations.ts
@@ -73,7 +73,8 @@
 async function meetsStarts (stage: Stage, { name, count, comparison }: Condition): Promise<Verdict> {
   await stage.refresh()
   const nonces = stage.ledger.nonces(name)
-  const found = stage.recorder.runs().filter((run) => nonces.has(run.nonce ?? '')).length
+  const isService = nonces.size === 0
+  const found = stage.recorder.runs().filter((run) => isService ? run.kind === name : nonces.has(run.nonce ?? '')).length
   return compare(found, count ?? 0, comparison, `starts of ${name}`, '')
 }
 
