--- a/packages/command/src/program.ts
+++ b/packages/command/src/program.ts
@@ -8,7 +8,7 @@
 import { Exit } from './exit.js'
 import { grantKey, withdrawKey } from './keys.js'
 import { drainWorker, reportBurn, showStatus } from './operations.js'
-import { Format, formatFailure, type Terminal } from './terminal.js'
+import { Format, formatFailure, formatJson, type Terminal } from './terminal.js'
 import { cancel, explain, showJob, submit, type Submission } from './work.js'
 import type { Result } from 'neverthrow'
 import type { Failure } from './failure.js'
@@ -52,18 +52,20 @@
 
   /** Runs an action that needs a server. */
   async remote (command: Command, action: (session: Session) => Promise<Result<Outcome, Failure>>): Promise<void> {
-    this.finish(await runAction(command.optsWithGlobals<Options>(), this.terminal, action))
+    const options = command.optsWithGlobals<Options>()
+    this.finish(await runAction(options, this.terminal, action), options.output)
   }
 
   /** Runs an action that needs none. */
   async local (command: Command, action: () => Promise<Result<Outcome, Failure>>): Promise<void> {
+    const { output } = command.optsWithGlobals<Options>()
     const outcome = await action()
-    this.finish(outcome.andThen((printed) => printOutcome(printed, command.optsWithGlobals<Options>().output, this.terminal)))
+    this.finish(outcome.andThen((printed) => printOutcome(printed, output, this.terminal)), output)
   }
 
-  private finish (result: Result<void, Failure>): void {
+  private finish (result: Result<void, Failure>, format: Format): void {
     if (result.isOk()) return
-    this.terminal.warn(formatFailure(result.error))
+    this.terminal.warn(format === Format.Json ? formatJson(result.error) : formatFailure(result.error))
     this.exit = result.error.exit
   }
 }
--- a/packages/command/test/program.spec.ts
+++ b/packages/command/test/program.spec.ts
@@ -7,6 +7,7 @@
 import { JobState, Kind, type Job, type Submit } from '@fireflymount/protocol/message'
 import { Execution, Reason, refuse } from '@fireflymount/protocol/refusal'
 import { Cell, Fault, OPERATOR_SECRET } from './cell.js'
+import type { Failure } from '../src/failure.js'
 
 const TEAM = { name: 'guild', workspace: 'hakata', share: 1, upperLimit: {} }
 const QUEUE = {
@@ -247,6 +248,12 @@
     expect(cell.configuration.published).toEqual([])
   })
 
+  test('mistakes are printed as JSON where the output is JSON', async () => {
+    const printed = await cell.run(['validate', '-', '--output', 'json'], bad)
+    const failure = JSON.parse(printed.err) as Failure
+    expect([failure.exit, failure.details!.map(({ path }) => path).sort()]).toEqual([2, ['$.teams[0].colour', '$.teams[0].share']])
+  })
+
   test('a server that is away is passed over', async () => {
     expect((await cell.run(['--server', 'http://127.0.0.1:1', '--server', cell.url, 'status'])).exit).toBe(0)
   })
