--- a/packages/scenario/src/run/processes.ts
+++ b/packages/scenario/src/run/processes.ts
@@ -128,6 +128,7 @@
   ['frozen', () => ({ freeze: true })],
   ['dead', () => ({ dead: true })],
   ['slow', (slowMs: number) => ({ slowMs })],
+  ['slow-starts', (slowMs: number) => ({ command: 'start', slowMs })],
   ['late', (lateMs: number) => ({ command: 'request', lateMs })],
   ['lost', (lostAnswers: number) => ({ command: 'request', lostAnswers })],
   ['lost-starts', (lostAnswers: number) => ({ command: 'start', lostAnswers })],
