Reserve workers also for work that is kept back for requests

Cause: a task that needs a whole worker and was kept back for requests never counted as one without room, so no worker was reserved for it, while small tasks went on filling what was left. The new test failed: not started within 60 s beside endless small tasks. It now may have a reservation after 10 s, and the room kept back does not bind its own reservation.

--- a/packages/policy/src/review.ts
+++ b/packages/policy/src/review.ts
@@ -20,7 +20,7 @@
 const REVIEW_INTERVAL_MS = 20
 /** Time between two searches for heads that a freed worker was offered and did not suit. */
 const SEARCH_INTERVAL_MS = 1_000
-/** Time that a lane other than a gang's starts nothing for want of room before workers are reserved for it. */
+/** Time that a lane starts nothing before workers are reserved for it; a gang that finds no room need not wait. */
 const RESERVATION_WAIT_MS = 10_000
 
 /** Opens lanes that time has made placeable, preempts, and reserves. */
@@ -122,12 +122,17 @@
       const lane = team.room.find(candidate => isEntitled(candidate, nowMs))
       if (lane !== undefined) best = lane
     }
-    return best
+    return best ?? this.lanes.headroom.find(lane => nowMs >= lane.retryMs && isStarved(lane, nowMs))
   }
 }
 
 /** Tells whether a blocked lane may have workers reserved. */
 function isEntitled (lane: Lane, nowMs: number): boolean {
   if (lane.workload === Workload.Request || nowMs < lane.retryMs) return false
-  return lane.workload === Workload.Gang || nowMs - Math.max(lane.servedMs, lane.submittedMs) >= RESERVATION_WAIT_MS
+  return lane.workload === Workload.Gang || isStarved(lane, nowMs)
+}
+
+/** Tells whether a lane has started nothing for long. */
+function isStarved (lane: Lane, nowMs: number): boolean {
+  return nowMs - Math.max(lane.servedMs, lane.submittedMs) >= RESERVATION_WAIT_MS
 }
--- a/packages/policy/src/shard.ts
+++ b/packages/policy/src/shard.ts
@@ -66,7 +66,7 @@
       [Workload.Batch]: new BatchPolicy(occupancy, normal, reservation),
       [Workload.Gang]: new GangPolicy(occupancy, normal, reservation)
     }
-    this.lanes = new Lanes(occupancy, this.policies, new Gate(occupancy, this.headroom), normal)
+    this.lanes = new Lanes(occupancy, this.policies, new Gate(occupancy, this.headroom, reservation), normal)
     this.waitlist = new Waitlist(occupancy, this.lanes, reservation, admission)
     this.review = new Review(occupancy, this.lanes, health, new Preemptor(occupancy, this.lanes), reservation, freed)
   }
--- /dev/null
+++ b/packages/policy/test/order.spec.ts
@@ -0,0 +1,173 @@
+import { describe, expect, test } from 'vitest'
+import type { Shard } from '@fireflymount/policy/shard'
+import type { Task } from '@fireflymount/policy/task'
+import { Condition, Ending } from '@fireflymount/policy/task'
+import { Team } from '@fireflymount/policy/team'
+import { Urgency, Workload } from '@fireflymount/protocol/workload'
+import { UNLIMITED, createShard, createTask } from './fixture.js'
+
+const WHOLE = { cpuMilli: 16_000, memoryMb: 1_024, accelerators: 0 }
+const LARGE = { cpuMilli: 12_000, memoryMb: 1_024, accelerators: 0 }
+
+function fill (shard: Shard, tasks: number, part: Partial<Task> = {}): void {
+  for (let task = 0; task < tasks; task++) shard.enqueue(createTask(`fill${task}`, { team: 'circle', kind: 'fill', workload: Workload.Batch, ...part }), 0)
+  expect(shard.decide(0, tasks).placements).toHaveLength(tasks)
+}
+
+function startedBy (shard: Shard, nowMs: number, most = 1): string[] {
+  return shard.decide(nowMs, most).placements.map(({ task }) => task.id)
+}
+
+test.each([
+  { case: 'urgent before normal work of the team', first: {}, second: { urgency: Urgency.Urgent }, expected: 'second' },
+  { case: 'requests before batch work of the team', first: { workload: Workload.Batch }, second: {}, expected: 'second' },
+  { case: 'what was submitted first', first: {}, second: { kind: 'preview' }, expected: 'first' },
+  { case: 'what is sent again but was submitted first', first: { submittedMs: 50 }, second: { submittedMs: 40 }, expected: 'second' }
+])('a place goes to $case', ({ first, second, expected }) => {
+  const shard = createShard(1)
+  shard.enqueue(createTask('first', { submittedMs: 10, ...first }), 60)
+  shard.enqueue(createTask('second', { submittedMs: 20, ...second }), 60)
+  expect(startedBy(shard, 60)).toEqual([expected])
+})
+
+test('a team that uses more than it declares is charged for what it uses', () => {
+  const shard = createShard(4, ['guild', 'circle'])
+  shard.enqueue(createTask('probe', { kind: 'wide', workload: Workload.Batch }), 0)
+  shard.decide(0, 1)
+  shard.finish('probe', Ending.Succeeded, 10, 10, { cpuMilli: 6_000, memoryMb: 4_096, accelerators: 0 })
+  for (const [team, kind] of [['guild', 'wide'], ['circle', 'narrow']] as const) {
+    for (let task = 0; task < 64; task++) shard.enqueue(createTask(`${team}${task}`, { team, kind, workload: Workload.Batch }), 20)
+  }
+  shard.decide(20, 100)
+  expect(shard.used('guild').tasks).toBe(8)
+  expect(shard.used('circle').tasks).toBe(24)
+})
+
+test.each([
+  { case: 'at once', nowMs: 0, level: 1.5 },
+  { case: 'after the time constant', nowMs: 60_000, level: 2 - 0.5 * Math.exp(-1) },
+  { case: 'after long', nowMs: 3_600_000, level: 2 }
+])('usage that goes on counts fully in the long run: $case', ({ nowMs, level }) => {
+  const team = new Team('guild')
+  team.share = 1
+  team.expectedCpu = 100
+  team.advance(nowMs)
+  team.refresh({ cpuMilli: 100, memoryMb: 100, accelerators: 1, shares: 2 })
+  expect(team.level).toBeCloseTo(level, 6)
+})
+
+describe('replicas of a service', () => {
+  test('share a worker only if every worker has one, even where others are fuller', () => {
+    const shard = createShard(3, ['guild', 'circle'])
+    for (const worker of ['w0', 'w1']) shard.adopt(createTask(worker, { team: 'circle', size: LARGE }), worker, 0)
+    for (const id of ['s0', 's1', 's2']) {
+      shard.enqueue(createTask(id, { workload: Workload.Service, group: 'ledger', groupSize: 3 }), 0)
+    }
+    expect(new Set(shard.decide(0, 3).placements.map(({ worker }) => worker)).size).toBe(3)
+  })
+
+  test('take different racks of an availability zone before they share one', () => {
+    const shard = createShard(0)
+    for (const [position, rack] of ['r0', 'r0', 'r0', 'r1'].entries()) {
+      shard.setMachine({ id: `w${position}`, zone: 'fukuoka', rack, capacity: { cpuMilli: 16_000, memoryMb: 32_768, accelerators: 0 }, slots: 8 })
+      shard.setCondition(`w${position}`, Condition.Ready)
+    }
+    shard.adopt(createTask('other', { size: LARGE }), 'w3', 0)
+    for (const id of ['s0', 's1']) shard.enqueue(createTask(id, { workload: Workload.Service, group: 'ledger', groupSize: 2 }), 0)
+    expect(shard.decide(0, 2).placements.map(({ worker }) => worker)).toContain('w3')
+  })
+})
+
+test('a batch task avoids the worker where it failed, though that is the tightest', () => {
+  const shard = createShard(2)
+  shard.adopt(createTask('other'), 'w0', 0)
+  shard.enqueue(createTask('again', { workload: Workload.Batch, avoid: ['w0'] }), 0)
+  expect(shard.decide(0, 1).placements[0]!.worker).toBe('w1')
+})
+
+test('batch work leaves room for as many requests as ran at once recently', () => {
+  const shard = createShard(2)
+  for (let task = 0; task < 3; task++) shard.enqueue(createTask(`r${task}`), 0)
+  shard.decide(0, 3)
+  for (let task = 0; task < 3; task++) shard.finish(`r${task}`, Ending.Succeeded, 100, 100)
+  for (let task = 0; task < 20; task++) shard.enqueue(createTask(`b${task}`, { kind: 'yardage', workload: Workload.Batch }), 100)
+  expect(shard.decide(100, 20).placements).toHaveLength(14)
+  expect(shard.decide(600_000, 20).placements).toHaveLength(2)
+})
+
+describe('a reservation', () => {
+  /** Two workers full of tasks of 60 s; a task that needs a whole worker has waited 11 s. */
+  function reserve (): Shard {
+    const shard = createShard(2)
+    fill(shard, 16, { runtimeMs: 60_000 })
+    shard.enqueue(createTask('whole', { workload: Workload.Batch, size: WHOLE, kind: 'whole' }), 0)
+    shard.decide(11_000, 10)
+    return shard
+  }
+
+  /** Ends a task on each worker. */
+  function free (shard: Shard, nowMs: number): void {
+    for (const id of ['fill0', 'fill15']) shard.finish(id, Ending.Succeeded, nowMs)
+  }
+
+  test.each([
+    { case: 'takes tasks that end before it is needed', runtimeMs: 1_000, starts: 2 },
+    { case: 'keeps its worker from tasks that end later', runtimeMs: 100_000, starts: 1 }
+  ])('$case', ({ runtimeMs, starts }) => {
+    const shard = reserve()
+    free(shard, 12_000)
+    for (const id of ['a', 'b']) shard.enqueue(createTask(id, { kind: 'late', workload: Workload.Batch, runtimeMs, submittedMs: 12_000 }), 12_000)
+    expect(startedBy(shard, 12_000, 10)).toHaveLength(starts)
+  })
+
+  test.each([
+    { case: 'when its task is cancelled', end: (shard: Shard) => { shard.cancel('whole') }, atMs: 12_000 },
+    { case: 'when it lapses', end: () => {}, atMs: 200_000 }
+  ])('gives its worker back $case', ({ end, atMs }) => {
+    const shard = reserve()
+    free(shard, 12_000)
+    for (const id of ['a', 'b']) shard.enqueue(createTask(id, { kind: 'late', workload: Workload.Batch, runtimeMs: 1e6, submittedMs: 12_000 }), 12_000)
+    end(shard)
+    shard.decide(atMs, 10)
+    shard.decide(atMs + 10, 10)
+    expect(shard.waiting()).toBe(atMs === 12_000 ? 0 : 1)
+  })
+
+  test('lets a task that needs a whole worker start beside endless small ones', () => {
+    const shard = createShard(2)
+    let sequence = 0
+    const running: string[] = []
+    shard.enqueue(createTask('whole', { workload: Workload.Batch, size: WHOLE, kind: 'whole' }), 0)
+    for (let task = 0; task < 16; task++) shard.adopt(createTask(`a${task}`, { team: 'circle', kind: 'small', runtimeMs: 500 }), `w${task % 2}`, 0)
+    running.push(...Array.from({ length: 16 }, (_, task) => `a${task}`))
+    for (let nowMs = 0; nowMs < 60_000; nowMs += 50) {
+      while (shard.waiting() < 10) {
+        const part = { team: 'circle', kind: 'small', workload: Workload.Batch, runtimeMs: 500, submittedMs: nowMs }
+        shard.enqueue(createTask(`s${sequence++}`, part), nowMs)
+      }
+      shard.finish(running.shift()!, Ending.Succeeded, nowMs, 500)
+      const started = startedBy(shard, nowMs, 10)
+      if (started.includes('whole')) return
+      running.push(...started)
+    }
+    throw new Error('The task that needs a whole worker did not start.')
+  })
+})
+
+test('a gang kept back for requests once its allotment was raised starts when they are forgotten', () => {
+  const shard = createShard(2)
+  const allot = (tasks: number) => shard.setClaims([{ team: 'guild', share: 1, allotment: { ...UNLIMITED, tasks } }])
+  for (let task = 0; task < 3; task++) shard.enqueue(createTask(`r${task}`), 0)
+  shard.decide(0, 3)
+  for (let task = 0; task < 3; task++) shard.finish(`r${task}`, Ending.Succeeded, 100, 100)
+  allot(0)
+  for (let task = 0; task < 15; task++) {
+    const size = { cpuMilli: 100, memoryMb: 128, accelerators: 0 }
+    shard.enqueue(createTask(`g${task}`, { kind: 'gang', workload: Workload.Gang, group: 'g', groupSize: 12, size }), 100)
+  }
+  shard.decide(100, 20)
+  allot(100)
+  shard.decide(200, 20)
+  shard.decide(900_000, 20)
+  expect(shard.waiting()).toBe(0)
+})
--- a/packages/policy/test/protection.spec.ts
+++ b/packages/policy/test/protection.spec.ts
@@ -113,6 +113,19 @@
     expect(shard.condition('w0')).toBe(Condition.Ready)
   })
 
+  test('gets no second probe while the first one runs, however long', () => {
+    const shard = quarantine()
+    for (const id of ['p1', 'p2', 'p3']) shard.enqueue(createTask(id), 10_100)
+    shard.decide(10_100, 3)
+    for (const id of ['q1', 'q2', 'q3']) shard.enqueue(createTask(id), 50_000)
+    expect(shard.decide(50_000, 3).placements.map(({ worker }) => worker)).not.toContain('w0')
+  })
+
+  test('does not count against a job that failed there', () => {
+    const shard = quarantine()
+    expect(shard.enqueue(createTask('again', { avoid: ['w0', 'w1', 'w2'] }), 10).isOk()).toBe(true)
+  })
+
   test('is probed less often with every probe that fails', () => {
     const shard = quarantine()
     expect(runOneByOne(shard, 1, 10_100, worker => worker === 'w0')).toEqual(['w0'])
