--- a/packages/daemon/src/entry/directory.ts
+++ b/packages/daemon/src/entry/directory.ts
@@ -1,19 +1,19 @@
 /**
  * The parts of the configuration that the entry looks up for each request, indexed once a revision.
  */
+import { findQueue, findUpstream } from '@fireflymount/manifest/lookup'
 import type { Configuration } from '../configuration/configuration.js'
 import type { Key, Manifest, Queue } from '@fireflymount/manifest/manifest'
 
 /** Indexes of one manifest. */
 interface Index {
   readonly manifest: Manifest
-  readonly queues: ReadonlyMap<string, Queue>
   readonly keysByName: ReadonlyMap<string, Key>
   readonly keysByHash: ReadonlyMap<string, Key>
   readonly shares: ReadonlyMap<string, number>
 }
 
-/** Looks up queues and keys of the revision that is in effect at the time of the call. */
+/** Looks up queues, upstreams, keys and shares of the revision that is in effect at the time of the call. */
 export class Directory {
   private index: Index
 
@@ -23,7 +23,12 @@
 
   /** @returns the queue, or undefined if the current revision has none of that name */
   queue (name: string): Queue | undefined {
-    return this.refresh().queues.get(name)
+    return findQueue(this.configuration.current().manifest, name)
+  }
+
+  /** @returns whether the current revision has an upstream of that name */
+  hasUpstream (name: string): boolean {
+    return findUpstream(this.configuration.current().manifest, name) !== undefined
   }
 
   /** @returns the key of that public name, or undefined if it is unknown or withdrawn */
@@ -51,7 +56,6 @@
 function createIndex (manifest: Manifest): Index {
   return {
     manifest,
-    queues: new Map(manifest.queues.map((queue) => [queue.name, queue])),
     keysByName: new Map(manifest.keys.map((key) => [key.name, key])),
     keysByHash: new Map(manifest.keys.map((key) => [key.hash, key])),
     shares: new Map(manifest.teams.map((team) => [team.name, team.share]))
--- a/packages/daemon/src/entry/jobs.ts
+++ b/packages/daemon/src/entry/jobs.ts
@@ -131,7 +131,7 @@
   if (caller.isErr()) return err(createProblem(caller.error))
   const id = context.req.param('id') ?? ''
   const shard = shardOf(id)
-  if (shard === undefined || !entry.configuration.current().manifest.upstreams.some((upstream) => upstream.name === shard)) {
+  if (shard === undefined || !entry.directory.hasUpstream(shard)) {
     return err(createProblem(refuse(Reason.NoSuchJob, 'There is no job with this id.')))
   }
   const answer = await entry.router.ask(shard, { kind: Kind.Status, job: id, waitMs: 0 }, OWNER_TIMEOUT_MS)
--- a/packages/daemon/src/entry/status.ts
+++ b/packages/daemon/src/entry/status.ts
@@ -59,7 +59,7 @@
  */
 export async function onShard (entry: Entry, context: Context): Promise<Response> {
   const shard = context.req.param('upstream') ?? ''
-  if (!hasUpstream(entry, shard)) return refuseUpstream(shard)
+  if (!entry.directory.hasUpstream(shard)) return refuseUpstream(shard)
   const answer = await entry.router.ask(shard, { kind: Kind.Survey, shard }, SURVEY_TIMEOUT_MS)
   return answer.match((report) => answerJson(report), answerRefusal)
 }
@@ -74,7 +74,7 @@
 export async function onAdminExplain (entry: Entry, context: Context): Promise<Response> {
   const job = context.req.param('id') ?? ''
   const shard = shardOf(job)
-  if (shard === undefined || !hasUpstream(entry, shard)) {
+  if (shard === undefined || !entry.directory.hasUpstream(shard)) {
     return answerRefusal(refuse(Reason.NoSuchJob, 'There is no job with this id.'))
   }
   const answer = await entry.router.ask(shard, { kind: Kind.Explain, job }, OWNER_TIMEOUT_MS)
@@ -90,7 +90,7 @@
  */
 export async function onDrain (entry: Entry, context: Context): Promise<Response> {
   const shard = context.req.param('upstream') ?? ''
-  if (!hasUpstream(entry, shard)) return refuseUpstream(shard)
+  if (!entry.directory.hasUpstream(shard)) return refuseUpstream(shard)
   const body = await readJson(context.req.raw, entry.settings.limits.bodyBytes)
   if (body.isErr()) return answerProblem(body.error)
   const drained = (body.value as { drained?: unknown } | null)?.drained ?? true
@@ -146,10 +146,6 @@
   surveys.missing.push({ shard, reason: Reason.Malformed, detail: 'The owner sent no valid report.' })
 }
 
-function hasUpstream (entry: Entry, shard: string): boolean {
-  return entry.configuration.current().manifest.upstreams.some((upstream) => upstream.name === shard)
-}
-
 function refuseUpstream (shard: string): Response {
   const detail = `There is no upstream "${shard}" in the configuration.`
   return answerProblem({ ...createProblem(refuse(Reason.NoSuchQueue, detail)), title: 'No such upstream', execution: Execution.NotRun })
