--- a/packages/daemon/src/peer/peers.ts
+++ b/packages/daemon/src/peer/peers.ts
@@ -88,7 +88,9 @@
     return await connection.value.ask(request, timeoutMs)
   }
 
-  override async ask (shard: string, request: Request, timeoutMs: number): Promise<Result<unknown, Refusal>> {
+  override async ask (
+    shard: string, request: Request, timeoutMs: number, signal?: AbortSignal
+  ): Promise<Result<unknown, Refusal>> {
     const startMs = this.parts.clock.now()
     const patienceMs = Math.min(timeoutMs, OWNER_PATIENCE_MS)
     let failed: string | undefined
@@ -96,7 +98,7 @@
     let last = refuse(Reason.NoOwner, `The shard ${shard} has no owner that this node can reach.`, 1000)
     for (let round = 0; ; round++) {
       const spentMs = this.parts.clock.now() - startMs
-      if (round > 0 && spentMs >= patienceMs) return err(withEarlierTries(last, earlier))
+      if (round > 0 && (spentMs >= patienceMs || signal?.aborted)) return err(withEarlierTries(last, earlier))
       const node = this.pick(shard, round, failed)
       if (node === undefined) return err(withEarlierTries(last, earlier))
       const answer = await this.askNode(node, withTimeSpent(request, spentMs), timeoutMs - spentMs)
