--- a/packages/measure/src/control.ts
+++ b/packages/measure/src/control.ts
@@ -7,7 +7,7 @@
 import { callJson } from '@fireflymount/scenario/cell/http'
 import { BenchCell, type CellPlan } from './bench/cell.js'
 import { CALLER, createManifest, shardName, yardageOf } from './bench/manifest.js'
-import { spendingOf, type Spending } from './bench/usage.js'
+import { spendingOf, type NodeUsage, type Spending } from './bench/usage.js'
 import type { Report } from './report.js'
 import { Part } from './report.js'
 import { fitSlope, mean, type Slope } from './slope.js'
@@ -96,7 +96,7 @@
     const idle = await watch(cell, Series.Workers, PLAN.workers, WINDOW_MS)
     points.push(...idle)
     for (const [series, x] of [
-      [Series.Nodes, PLAN.nodes], [Series.Shards, PLAN.shards], [Series.Starts, 0], [Series.Running, 0], [Series.Changes, 0]
+      [Series.Nodes, PLAN.nodes], [Series.Starts, 0], [Series.Running, 0], [Series.Changes, 0]
     ] as const) points.push(...idle.map((point) => ({ ...point, series, x })))
     for (const rate of CHANGES_PER_S) {
       points.push(...await watch(cell, Series.Changes, rate, CHANGE_WINDOW_MS, changeOf(cell, rate)))
@@ -149,22 +149,23 @@
   else await repeat(work, windowMs)
   const after = await cell.usages()
   const spendings = after.map((usage, index) => spendingOf(before[index]!, usage))
+  if (series === Series.Shards) return spendings.map((spending, index) => pointOf(spending, after[index]!))
   const owned = new Map(after.map(({ node, owned }) => [node, owned.length]))
-  const standbys = new Set<string>()
-  for (let index = 0; index < (series === Series.Shards ? x : 1); index++) {
-    for (const node of await cell.standbys(shardName(index))) standbys.add(node)
-  }
+  const standbys = new Set(await cell.standbys(SHARD))
   const load = loadavg()[0]!
   const points: ControlPoint[] = []
   for (const role of Object.values(NodeRole)) {
     const group = spendings.filter(({ node }) => roleOf(node, owned, standbys) === role)
-    if (group.length === 0) continue
-    if (series !== Series.Shards) points.push({ series, x, role, load, ...averageOf(group) })
-    else if (role === NodeRole.Owner) points.push({ series, x: x / group.length, role, load, ...averageOf(group) })
+    if (group.length > 0) points.push({ series, x, role, load, ...averageOf(group) })
   }
   return points
 }
 
+/** A node by the number of shards that it owns. */
+function pointOf ({ node: _, ...spending }: Spending, { owned }: NodeUsage): ControlPoint {
+  return { series: Series.Shards, x: owned.length, role: NodeRole.Owner, load: loadavg()[0]!, ...spending }
+}
+
 function roleOf (node: string, owned: ReadonlyMap<string, number>, standbys: ReadonlySet<string>): NodeRole {
   if ((owned.get(node) ?? 0) > 0) return NodeRole.Owner
   return standbys.has(node) ? NodeRole.Standby : NodeRole.Follower
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -5,13 +5,22 @@
 import type { Part } from './report.js'
 import { Control } from './control.js'
 import { Decisions } from './costs.js'
+import { Journals } from './journals.js'
 import { Quality } from './quality.js'
 import { runPart } from './report.js'
+import { Standby } from './standby.js'
 import { Wire } from './wire.js'
 
 const SEED = '7'
 
-const parts: readonly Part[] = [new Decisions(), new Quality(), new Wire(process.env.MEASURE_PROFILES), new Control()]
+const parts: readonly Part[] = [
+  new Decisions(),
+  new Quality(),
+  new Journals(),
+  new Standby(),
+  new Wire(process.env.MEASURE_PROFILES),
+  new Control()
+]
 
 const program = new Command('measure').description('Measures fireflymount and writes docs/MEASUREMENTS.md')
 
--- a/packages/measure/src/recovery.ts
+++ b/packages/measure/src/recovery.ts
@@ -17,7 +17,8 @@
 const RATES = [100, 620, 2000]
 const COMMIT_MS = 20
 /** Between commits while a stream is filled. */
-const FILL_MS = 1
+/** Shortest time between two commits while a stream is filled. */
+export const FILL_MS = 1
 const LIVE_TASKS = [100, 1000, 10_000]
 /** Tasks that ended before, for each that is live. */
 const ENDED_PER_LIVE = 4
@@ -87,13 +88,13 @@
 }
 
 /** The changes of one task, as long as those of an owner. */
-interface TaskChange {
+export interface TaskChange {
   readonly kind: 'accepted' | 'attempt' | 'ended'
   readonly task: string
 }
 
 /** The live tasks of a shard. */
-class TaskFold extends Fold {
+export class TaskFold extends Fold {
   private tasks = new Map<string, TaskChange>()
 
   apply (change: unknown): void {
@@ -118,7 +119,8 @@
   }
 }
 
-function createAccepted (task: string, random: Random): TaskChange {
+/** Builds the change that accepts a task. */
+export function createAccepted (task: string, random: Random): TaskChange {
   const accepted = {
     kind: 'accepted' as const,
     task,
@@ -135,26 +137,29 @@
   return accepted
 }
 
-function createAttempt (task: string, random: Random): TaskChange {
+/** Builds the change of a task's first attempt. */
+export function createAttempt (task: string, random: Random): TaskChange {
   const worker = `bee-planner-${random.below(24)}`
   const attempt = { kind: 'attempt' as const, task, attempt: 1, worker, boot: '6f1c9a52' }
   return attempt
 }
 
-function createEnded (task: string): TaskChange {
+/** Builds the change that ends a task. */
+export function createEnded (task: string): TaskChange {
   const outcome = { outcome: 'succeeded', result: { metres: 12 }, atMs: 1_796_342_404_000 }
   const ended = { kind: 'ended' as const, task, attempt: 1, ...outcome }
   return ended
 }
 
 /** One node's journal, and what it needs. */
-interface Seat {
+export interface Seat {
   readonly journal: Stream
   readonly fold: TaskFold
   readonly log: RemoteLog
 }
 
-function openStream (service: Service, stream: string, commitMs = COMMIT_MS): Seat {
+/** Opens a journal of its own on a stream of the service. */
+export function openStream (service: Service, stream: string, commitMs = COMMIT_MS): Seat {
   const fold = new TaskFold()
   const log = new RemoteLog({ address: service.address, node: 'entry-1' })
   const journal = new Stream({
@@ -214,7 +219,8 @@
   return [whole, restored]
 }
 
-async function fillStream (journal: Stream, liveTasks: number, random: Random): Promise<void> {
+/** Writes live tasks, and the ended ones before them, to a stream. */
+export async function fillStream (journal: Stream, liveTasks: number, random: Random): Promise<void> {
   const total = liveTasks * (1 + ENDED_PER_LIVE)
   for (let from = 0; from < total; from += TASKS_PER_COMMIT) {
     const commits: Array<ReturnType<Stream['commit']>> = []
