Split the standby's view off the role, and the sessions off the owner

New: a provisional owner whose workers were taken back by an owner that has the log leaves them alone for 10 s; else the two would take them in turns.

--- a/packages/daemon/src/owner/owner.ts
+++ b/packages/daemon/src/owner/owner.ts
@@ -2,7 +2,7 @@
  * The owner of a shard under one epoch: adopts the workers, decides every placement, answers every request.
  */
 import type { Clock } from '@fireflymount/platform/clock'
-import { VmState, type Vm } from '@fireflymount/platform/machines'
+import type { Vm } from '@fireflymount/platform/machines'
 import type { TaskReport, Worker, WorkerReport } from '@fireflymount/platform/worker'
 import { findQueue, findUpstream } from '@fireflymount/manifest/lookup'
 import type { Manifest } from '@fireflymount/manifest/manifest'
@@ -11,9 +11,8 @@
 import type { Scheduler } from '@fireflymount/policy/scheduler'
 import { Condition, Obstacle, type Placement, type Task } from '@fireflymount/policy/task'
 import type { Epoch } from '@fireflymount/protocol/epoch'
-import { Kind, type Allotment, type Request } from '@fireflymount/protocol/message'
+import { Kind, type Request } from '@fireflymount/protocol/message'
 import { Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
-import { addResources, type Resources } from '@fireflymount/protocol/resources'
 import { Workload } from '@fireflymount/protocol/workload'
 import { err, ok, type Result } from 'neverthrow'
 import type { Metrics } from '../counters.js'
@@ -22,12 +21,13 @@
 import type { BurnCounts } from './burn.js'
 import { Calls } from './calls.js'
 import { ChangeKind, Outcome } from './change.js'
+import { Fleet } from './fleet.js'
 import { Jobs } from './jobs.js'
 import type { Ledger } from './ledger.js'
 import { Lending } from './lending.js'
 import { Replicas } from './replicas.js'
 import { Runs } from './runs.js'
-import { Session } from './session.js'
+import type { Session } from './session.js'
 import { Stage, type ShardState } from './state.js'
 import { surveyShard } from './survey.js'
 import type { Router } from '../peer/router.js'
@@ -70,9 +70,8 @@
   readonly calls: Calls
   readonly jobs: Jobs
   readonly replicas: Replicas
-  readonly sessions = new Map<string, Session>()
+  readonly fleet: Fleet
   private readonly lending: Lending
-  private readonly capacities = new Map<string, Resources>()
   private manifest: Manifest | undefined
   private upkeep: NodeJS.Timeout | undefined
   private roundDue = false
@@ -83,7 +82,19 @@
     const weights = findUpstream(parts.manifest(), shard)?.weights
     this.scheduler = new Shard({ weights: weights ?? { waiting: 1, share: 1, packing: 1 } })
     const scheduler = this.scheduler
-    const session = (worker: string): Session | undefined => this.sessions.get(worker)
+    this.fleet = new Fleet({
+      ...parts,
+      scheduler,
+      isBusy: (worker) => this.runs.on(worker).length > 0,
+      events: {
+        onAdopted: (adopted, report) => { this.onAdopted(adopted, report) },
+        onReport: (reporter, report) => this.onReport(reporter, report),
+        onSilent: (silent) => { scheduler.setCondition(silent.id, Condition.Closed) },
+        onLapsed: (lapsed) => { this.onLapsed(lapsed.id) },
+        onStale: parts.onStale
+      }
+    })
+    const session = (worker: string): Session | undefined => this.fleet.session(worker)
     const onRoom = (): void => { this.requestRound() }
     const onSuperseded = (): void => { parts.onStale(undefined) }
     this.runs = new Runs({
@@ -121,7 +132,7 @@
       runs: this.runs,
       clock,
       manifest: parts.manifest,
-      capacities: () => [...this.capacities.values()],
+      capacities: () => this.fleet.capacities(),
       onSuperseded,
       onRoom
     })
@@ -133,13 +144,13 @@
       runs: this.runs,
       clock,
       manifest: parts.manifest,
-      isLeaving: (worker) => this.isClosed(worker),
+      isLeaving: (worker) => this.fleet.isClosed(worker),
       onRoom
     })
     this.lending = new Lending({
       ...parts,
       scheduler,
-      uncertain: () => this.uncertain(),
+      uncertain: () => this.fleet.uncertain(),
       onChange: () => { this.refreshClaims() }
     })
   }
@@ -148,7 +159,7 @@
   start (): void {
     this.active = true
     this.refreshManifest()
-    this.refreshWorkers()
+    this.fleet.refresh()
     this.inheritRuns()
     this.jobs.resume()
     this.upkeep = setInterval(() => { this.keepUp() }, UPKEEP_MS)
@@ -160,8 +171,7 @@
     this.active = false
     clearInterval(this.upkeep)
     this.calls.refuseAll(refuse(Reason.NotOwner, `The shard ${this.parts.shard} has a new owner.`, 0))
-    for (const session of this.sessions.values()) session.end()
-    this.closeWhenIdle()
+    this.fleet.end(() => this.calls.size() === 0)
   }
 
   /** Answers a request of another node. */
@@ -190,12 +200,6 @@
     }
   }
 
-  /** True if a worker takes nothing new: it leaves, or an operator drained it. */
-  isClosed (worker: string): boolean {
-    const vm = this.parts.members.vm(worker)
-    return vm?.state === VmState.Leaving || this.parts.state.drained.has(worker)
-  }
-
   /** Decides soon; several asks in a row make one round. */
   requestRound (): void {
     if (this.roundDue) return
@@ -203,26 +207,6 @@
     queueMicrotask(() => { this.runRound() })
   }
 
-  /** Requests that are at workers keep their connections until they are answered. */
-  private closeWhenIdle (): void {
-    if (this.calls.size() > 0) {
-      setTimeout(() => { this.closeWhenIdle() }, UPKEEP_MS)
-      return
-    }
-    for (const session of this.sessions.values()) session.close()
-  }
-
-  /** What former owners may still have running on workers that were never adopted: charged to every limited team. */
-  private uncertain (): Allotment {
-    let total: Allotment = { tasks: 0, cpuMilli: 0, memoryMb: 0, accelerators: 0 }
-    for (const session of this.sessions.values()) {
-      const { resources, slots } = session.parts.vm
-      if (!session.isUncertain() || resources === undefined || slots === undefined) continue
-      total = { tasks: total.tasks + slots, ...addResources(total, resources) }
-    }
-    return total
-  }
-
   private runRound (): void {
     this.roundDue = false
     if (!this.active || !this.parts.confirmed()) return
@@ -245,8 +229,8 @@
 
   private keepUp (): void {
     this.refreshManifest()
-    this.refreshWorkers()
-    this.loseUnlistedWorkers()
+    this.fleet.refresh()
+    for (const worker of this.fleet.unlisted(this.runs.workers())) this.onLapsed(worker)
     this.refreshClaims()
     if (this.parts.journal.available()) this.jobs.unpark()
     this.replicas.reconcile()
@@ -271,57 +255,13 @@
     this.scheduler.setClaims(this.lending.claims())
   }
 
-  private refreshWorkers (): void {
-    const seen = new Set<string>()
-    for (const vm of this.parts.members.workers(this.parts.shard)) {
-      seen.add(vm.id)
-      const session = this.sessions.get(vm.id)
-      if (session === undefined) this.openSession(vm)
-      else this.refreshCondition(session)
-    }
-    for (const [id, session] of this.sessions) {
-      if (seen.has(id) || !this.parts.members.isGone(id) || this.runs.on(id).length > 0) continue
-      session.close()
-      this.sessions.delete(id)
-      this.capacities.delete(id)
-      this.scheduler.setCondition(id, Condition.Closed)
-      this.scheduler.removeMachine(id)
-    }
-  }
-
-  private openSession (vm: Vm): void {
-    if (vm.resources === undefined || vm.slots === undefined) return
-    this.scheduler.setMachine({ id: vm.id, zone: vm.zone, rack: vm.rack, capacity: vm.resources, slots: vm.slots })
-    this.scheduler.setCondition(vm.id, Condition.Closed)
-    this.capacities.set(vm.id, vm.resources)
-    const session = new Session({
-      vm,
-      worker: this.parts.connect(vm),
-      epoch: this.parts.epoch,
-      clock: this.parts.clock,
-      timing: this.parts.timing,
-      confirmed: this.parts.confirmed,
-      inheritedLapseMs: this.parts.inheritedLapseMs,
-      isGone: () => this.parts.members.isGone(vm.id),
-      events: {
-        onAdopted: (adopted, report) => { this.onAdopted(adopted, report) },
-        onReport: (reporter, report) => this.onReport(reporter, report),
-        onSilent: (silent) => { this.scheduler.setCondition(silent.id, Condition.Closed) },
-        onLapsed: (lapsed) => { this.onLapsed(lapsed.id) },
-        onStale: this.parts.onStale
-      }
-    })
-    this.sessions.set(vm.id, session)
-    session.run().catch((error: unknown) => { throw error })
-  }
-
   private onAdopted (session: Session, report: WorkerReport): void {
     this.parts.metrics.count('worker.adopted')
     this.refreshClaims()
     this.runs.onAdopted(session, report)
     this.calls.onAdopted(session, report)
     for (const task of report.tasks) this.onReport(session, task)
-    this.refreshCondition(session)
+    this.fleet.refreshCondition(session)
     this.requestRound()
   }
 
@@ -338,11 +278,6 @@
     this.calls.onLapsed(worker)
   }
 
-  private refreshCondition (session: Session): void {
-    const open = session.adopted && !this.isClosed(session.id)
-    this.scheduler.setCondition(session.id, open ? Condition.Ready : Condition.Closed)
-  }
-
   /** Charges every run that a former owner wrote, before anything new is placed. */
   private inheritRuns (): void {
     for (const job of this.parts.state.jobs.values()) {
@@ -357,16 +292,6 @@
     }
   }
 
-  /** Workers that the list of VMs does not have cannot be adopted: what ran there is over when its leases have lapsed. */
-  private loseUnlistedWorkers (): void {
-    const lapseMs = this.parts.inheritedLapseMs()
-    const lapsed = lapseMs !== undefined && this.parts.clock.now() > lapseMs
-    for (const worker of this.runs.workers()) {
-      if (this.sessions.has(worker)) continue
-      if (lapsed || this.parts.members.isGone(worker)) this.onLapsed(worker)
-    }
-  }
-
   private requeue (task: string): void {
     if (!this.active) return
     if (!this.replicas.owns(task)) this.jobs.requeue(task)
@@ -410,10 +335,10 @@
   }
 
   private async drain (worker: string, drained: boolean): Promise<Result<unknown, Refusal>> {
-    if (!this.sessions.has(worker)) return err(refuse(Reason.BadRequest, `The shard ${this.parts.shard} has no worker ${worker}.`))
+    if (this.fleet.session(worker) === undefined) return err(refuse(Reason.BadRequest, `The shard ${this.parts.shard} has no worker ${worker}.`))
     const written = await this.parts.journal.commit({ kind: ChangeKind.Drained, worker, drained }, DRAIN_PATIENCE_MS)
     if (written.isErr()) return err(refuse(Reason.LogUnavailable, 'The drain was not written: the log is away.', 5000))
-    this.refreshWorkers()
+    this.fleet.refresh()
     return ok({ shard: this.parts.shard, worker, drained })
   }
 }
--- a/packages/daemon/src/owner/role.ts
+++ b/packages/daemon/src/owner/role.ts
@@ -9,8 +9,8 @@
 import type { Manifest } from '@fireflymount/manifest/manifest'
 import type { Settings } from '@fireflymount/manifest/settings'
 import { NO_EPOCH, compareEpochs, type Epoch } from '@fireflymount/protocol/epoch'
-import { Kind, PostCodec, type Pledge, type Post, type Request, type Vow } from '@fireflymount/protocol/message'
-import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
+import { Kind, type Pledge, type Post, type Request, type Vow } from '@fireflymount/protocol/message'
+import { Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
 import type { Logger } from 'pino'
 import type { Metrics } from '../counters.js'
@@ -21,6 +21,7 @@
 import { Confirmation, type ConfirmationParts } from './confirmation.js'
 import { createLedger } from './ledger.js'
 import { Owner } from './owner.js'
+import { STAGGER_MS, Standby } from './standby.js'
 import type { ShardState } from './state.js'
 
 /** Time between two looks at the shard, of its owner and standbys and of other nodes. */
@@ -29,12 +30,6 @@
 const NO_ZONES: readonly string[] = []
 /** How long reads of the stream are held open. */
 const FOLLOW_WAIT_MS = 1000
-/** Extra patience of a standby for each standby before it. */
-const STAGGER_MS = 400
-/** Extra patience while the holder's process answers but owns nothing. */
-const VACANCY_MS = 100
-/** Refused connections in a row after which the owner's process counts as dead. */
-const REFUSALS = 2
 const CATCH_UP_RETRY_MS = 200
 /** Wait for the successor's claim during a planned stop. */
 const HANDOVER_TIMEOUT_MS = 2000
@@ -65,16 +60,12 @@
   private caughtUp = false
   private claiming = false
   private leaving = false
-  private heardAtMs = -Infinity
-  private vacantAtMs: number | undefined
-  private refusals = 0
-  private newest: Epoch = NO_EPOCH
-  /** The newest epoch that this node granted a pledge. */
-  private granted: Epoch = NO_EPOCH
+  private readonly standby: Standby
 
   constructor (private readonly parts: RoleParts) {
     this.allotments = new Allotments(parts.shard)
     this.burn = new BurnCounts(parts.settings.node, parts.clock.wall())
+    this.standby = new Standby({ ...parts, candidates: () => this.candidates() })
     parts.journal.onHolder((holder) => { this.onHolder(holder) })
   }
 
@@ -121,31 +112,26 @@
       const request: Request = { kind: Kind.Handover, shard: this.parts.shard, epoch: owner.parts.epoch }
       const taken = await this.parts.router.askNode(standby, request, HANDOVER_TIMEOUT_MS)
       if (taken.isErr()) continue
-      this.newest = later(this.newest, (taken.value as Post).epoch)
+      this.standby.learn((taken.value as Post).epoch)
       this.retire(`Node ${standby} took the shard over.`)
       return
     }
   }
 
   private post (): Post {
-    const epoch = this.owner?.parts.epoch ?? this.newest
-    if (this.owner !== undefined) return { epoch, owner: true }
-    const heardMs = Math.min(this.parts.clock.now() - this.heardAtMs, Number.MAX_SAFE_INTEGER)
-    return { epoch, owner: false, heardMs, claiming: this.claiming }
+    if (this.owner !== undefined) return { epoch: this.owner.parts.epoch, owner: true }
+    return { epoch: this.standby.newest, owner: false, heardMs: this.standby.heardMs(), claiming: this.claiming }
   }
 
   private grant (pledge: Pledge): Vow {
-    const granted = this.owner === undefined && !this.claiming && compareEpochs(pledge.epoch, this.newest) >= 0
-    if (!granted) return { granted, epoch: this.owner?.parts.epoch ?? this.newest }
-    this.newest = pledge.epoch
-    this.granted = pledge.epoch
-    this.heardAtMs = this.parts.clock.now()
-    return { granted, epoch: pledge.epoch }
+    if (this.owner !== undefined) return { granted: false, epoch: this.owner.parts.epoch }
+    if (this.claiming) return { granted: false, epoch: this.standby.newest }
+    return { granted: this.standby.grant(pledge.epoch), epoch: this.standby.newest }
   }
 
-  /** The owner asks for it, so that no silence has to be waited for and no promise is broken. */
+  /** The owner asks for it, so that no silence has to be waited for. */
   private async takeHandover (epoch: Epoch): Promise<Result<Post, Refusal>> {
-    if (this.leaving || this.owner !== undefined || compareEpochs(epoch, this.newest) < 0) return err(this.notOwner())
+    if (this.leaving || this.owner !== undefined || compareEpochs(epoch, this.standby.newest) < 0) return err(this.notOwner())
     await this.claim(false)
     if (this.owner === undefined) return err(this.notOwner())
     return ok(this.post())
@@ -154,8 +140,8 @@
   private notOwner (): Refusal {
     const holder = this.parts.journal.holder()
     const refusal = refuse(Reason.NotOwner, `This node does not own ${this.parts.shard}.`, 500)
-    if (!this.caughtUp || holder === undefined || this.refusals > 0) return refusal
-    const node = this.ownerNode(holder)
+    if (!this.caughtUp || holder === undefined || this.standby.isRefused()) return refusal
+    const node = this.standby.ownerNode(holder)
     return node === this.parts.settings.node ? refusal : { ...refusal, node }
   }
 
@@ -163,7 +149,7 @@
     if (this.leaving) return false
     const { node } = this.parts.settings
     const holder = this.parts.journal.holder()
-    if (holder !== undefined && this.standbysOf(holder).includes(node)) return true
+    if (holder !== undefined && this.standby.standbysOf(holder).includes(node)) return true
     return this.candidates().slice(0, FOLLOWERS).includes(node)
   }
 
@@ -202,102 +188,30 @@
       const read = await this.parts.journal.catchUp()
       if (read.isErr()) return await sleep(CATCH_UP_RETRY_MS, signal)
       this.caughtUp = true
-      this.heardAtMs = this.parts.clock.now()
+      this.standby.hear()
       this.follow()
     }
     const holder = this.parts.journal.holder()
     if (holder === undefined) return await this.claimVacant()
     if (holder.epoch.node === this.parts.settings.node) return await this.claim(false)
-    await this.look(holder)
-    if (this.isDue(holder)) await this.takeOver(holder)
+    await this.standby.look(holder)
+    if (!this.leaving && this.standby.isDue(holder)) await this.takeOver(holder)
   }
 
   /** The shard never had an owner: the first candidate claims it, the others wait a little. */
   private async claimVacant (): Promise<void> {
     const rank = this.candidates().indexOf(this.parts.settings.node)
-    if (this.parts.clock.now() - this.heardAtMs < rank * STAGGER_MS) return
+    if (this.standby.heardMs() < rank * STAGGER_MS) return
     await this.claim(false)
   }
 
-  private async look (holder: Holder): Promise<void> {
-    const { timing } = this.parts.settings
-    const sentMs = this.parts.clock.now()
-    const answer = await this.parts.router.askNode(
-      this.ownerNode(holder),
-      { kind: Kind.Watch, shard: this.parts.shard },
-      timing.takeoverMs
-    )
-    if (answer.isErr()) {
-      this.refusals = answer.error.execution === Execution.NotRun ? this.refusals + 1 : 0
-      return
-    }
-    this.refusals = 0
-    const post = PostCodec.decode(answer.value).extract() as Post | string
-    if (typeof post === 'string') return
-    this.newest = later(this.newest, post.epoch)
-    if (post.owner) {
-      this.heardAtMs = this.parts.clock.now()
-      this.vacantAtMs = undefined
-      await sleep(Math.max(0, timing.heartbeatMs - (this.heardAtMs - sentMs)))
-      return
-    }
-    this.vacantAtMs ??= this.parts.clock.now()
-  }
-
-  /** The node that last was known to own the shard: the holder, or one that took over while the log was away. */
-  private ownerNode (holder: Holder): string {
-    const provisional = compareEpochs(this.newest, holder.epoch) > 0 && this.newest.node !== this.parts.settings.node
-    return provisional ? this.newest.node : holder.epoch.node
-  }
-
-  private isDue (holder: Holder): boolean {
-    const now = this.parts.clock.now()
-    if (this.leaving) return false
-    const rank = this.rankAfter(holder)
-    if (rank === undefined) return false
-    if (this.vacantAtMs !== undefined && now - this.vacantAtMs > VACANCY_MS + rank * STAGGER_MS) return true
-    const patienceMs = this.refusals >= REFUSALS ? 0 : this.parts.settings.timing.takeoverMs
-    return now - this.heardAtMs > patienceMs + rank * STAGGER_MS
-  }
-
-  /** Position among the successors; a node that is no standby succeeds only an owner whose VM is gone. */
-  private rankAfter (holder: Holder): number | undefined {
-    const { node } = this.parts.settings
-    const rank = this.standbysOf(holder).indexOf(node)
-    if (rank >= 0) return rank
-    if (!this.parts.members.isGone(holder.epoch.node)) return undefined
-    return FOLLOWERS + Math.max(0, this.candidates().indexOf(node))
-  }
-
   private async takeOver (holder: Holder): Promise<void> {
-    if (await this.isHeardByOthers(holder)) {
+    if (await this.standby.isHeardByOthers(holder)) {
       this.parts.metrics.count('takeover.held')
       await sleep(this.parts.settings.timing.heartbeatMs)
       return
     }
-    await this.claim(this.mayTakeOverAtWorkers(holder))
-  }
-
-  /** While the log is away: a standby that has not granted a newer owner a pledge. */
-  private mayTakeOverAtWorkers (holder: Holder): boolean {
-    if (compareEpochs(this.granted, holder.epoch) > 0) return false
-    return this.standbysOf(holder).includes(this.parts.settings.node)
-  }
-
-  /** Asks the other standbys whether the owner is only unreachable from here, or one of them is taking over. */
-  private async isHeardByOthers (holder: Holder): Promise<boolean> {
-    const { timing, node } = this.parts.settings
-    const others = this.standbysOf(holder).filter((standby) => standby !== node)
-    const asks = others.map((standby) =>
-      this.parts.router.askNode(standby, { kind: Kind.Watch, shard: this.parts.shard }, timing.heartbeatMs))
-    for (const answer of await Promise.all(asks)) {
-      if (answer.isErr()) continue
-      const post = answer.value as Post
-      this.newest = later(this.newest, post.epoch)
-      if (post.owner || post.claiming === true) return true
-      if (post.heardMs !== undefined && post.heardMs < timing.heartbeatMs) return true
-    }
-    return false
+    await this.claim(this.standby.mayTakeOverAtWorkers(holder))
   }
 
   /**
@@ -306,11 +220,11 @@
    * @param provisionally take it over at the workers if the log is away
    */
   private async claim (provisionally: boolean): Promise<void> {
-    const { journal, settings, clock } = this.parts
+    const { journal, settings } = this.parts
     const before = journal.holder()
     this.claiming = true
-    const epoch = { counter: Math.max(this.newest.counter, before?.epoch.counter ?? 0) + 1, node: settings.node }
-    const former = before === undefined ? [] : this.standbysOf(before).filter((standby) => standby !== settings.node)
+    const epoch = { counter: Math.max(this.standby.newest.counter, before?.epoch.counter ?? 0) + 1, node: settings.node }
+    const former = before === undefined ? [] : this.standby.standbysOf(before).filter((standby) => standby !== settings.node)
     const standbys = this.wantedStandbys(former)
     if (provisionally && !journal.available()) {
       this.claiming = false
@@ -324,8 +238,8 @@
       return
     }
     if (claimed.error.failure === JournalFailure.Superseded) {
-      this.newest = later(this.newest, journal.holder()?.epoch ?? NO_EPOCH)
-      this.heardAtMs = clock.now()
+      this.standby.learn(journal.holder()?.epoch ?? NO_EPOCH)
+      this.standby.hear()
       return
     }
     if (!provisionally || before === undefined || this.owner !== undefined) return
@@ -335,8 +249,7 @@
   private become (epoch: Epoch, terms: Pick<ConfirmationParts, 'standbys' | 'former' | 'provisional' | 'first'>): void {
     const { parts } = this
     this.retire('A newer epoch begins.')
-    this.newest = epoch
-    this.vacantAtMs = undefined
+    this.standby.learn(epoch)
     const { timing } = parts.settings
     const confirmation = new Confirmation({ ...parts, ...terms, epoch, timing })
     const owner: Owner = new Owner({
@@ -381,17 +294,16 @@
   }
 
   private onHolder (holder: Holder): void {
-    this.newest = later(this.newest, holder.epoch)
+    this.standby.learn(holder.epoch)
     const { owner } = this
     if (owner === undefined || compareEpochs(holder.epoch, owner.parts.epoch) <= 0) return
-    this.heardAtMs = this.parts.clock.now()
     this.retire(`Node ${holder.epoch.node} claimed the shard.`)
   }
 
   private onStale (owner: Owner, newer: Epoch | undefined): void {
     if (this.owner !== owner) return
-    if (newer !== undefined) this.newest = later(this.newest, newer)
-    this.heardAtMs = this.parts.clock.now()
+    if (newer !== undefined) this.standby.learn(newer)
+    if (this.confirmation?.provisional === true) this.standby.pauseTakeovers()
     this.retire('A worker or the log knows a newer epoch.')
   }
 
@@ -400,7 +312,7 @@
     if (owner === undefined) return
     this.owner = undefined
     this.confirmation = undefined
-    this.refusals = 0
+    this.standby.hear()
     owner.stop()
     this.parts.metrics.count('shard.retired')
     this.parts.logger.info({ shard: this.parts.shard, epoch: owner.parts.epoch, detail }, 'shard given up')
@@ -416,15 +328,4 @@
   private standbys (): readonly string[] {
     return this.confirmation?.standbys() ?? []
   }
-
-  /** The standbys in force under a claim: those of the claim, or of the last change under it. */
-  private standbysOf (holder: Holder): readonly string[] {
-    const changed = this.parts.state.standbys
-    if (changed !== undefined && compareEpochs(changed.epoch, holder.epoch) === 0) return changed.names
-    return holder.standbys
-  }
-}
-
-function later (left: Epoch, right: Epoch): Epoch {
-  return compareEpochs(left, right) >= 0 ? left : right
 }
--- a/packages/daemon/src/owner/survey.ts
+++ b/packages/daemon/src/owner/survey.ts
@@ -4,6 +4,7 @@
 import { addResources, NO_RESOURCES } from '@fireflymount/protocol/resources'
 import type { QueueReport, SurveyReport, TeamReport, WorkerReport } from '@fireflymount/protocol/survey'
 import type { Owner } from './owner.js'
+import type { Session } from './session.js'
 import { Stage } from './state.js'
 
 /** Waiting and running work of one queue or team. */
@@ -33,7 +34,7 @@
     confirmed: parts.confirmed(),
     waiting: scheduler.waiting(),
     running: scheduler.running(),
-    workers: [...owner.sessions.keys()].map((id) => surveyWorker(owner, id)),
+    workers: [...owner.fleet.all()].map((session) => surveyWorker(owner, session)),
     teams: parts.manifest().teams.map((team) => surveyTeam(owner, team.name, teams.get(team.name)?.waiting ?? 0)),
     queues: [...queues].map(([queue, count]): QueueReport => ({ queue, ...count })),
     countingSinceMs: parts.burn.sinceMs,
@@ -41,9 +42,8 @@
   }
 }
 
-function surveyWorker (owner: Owner, id: string): WorkerReport {
-  const session = owner.sessions.get(id)!
-  const { vm } = session.parts
+function surveyWorker (owner: Owner, session: Session): WorkerReport {
+  const { id, parts: { vm } } = session
   return {
     worker: id,
     condition: conditionOf(owner, id, session.adopted),
@@ -58,7 +58,7 @@
 
 function conditionOf (owner: Owner, id: string, adopted: boolean): string {
   if (!adopted) return 'unreachable'
-  return owner.isClosed(id) ? 'closed' : 'ready'
+  return owner.fleet.isClosed(id) ? 'closed' : 'ready'
 }
 
 function surveyTeam (owner: Owner, team: string, waiting: number): TeamReport {
