Score roomy workers without a bonus for lopsided room

Spread and tight placing have scores of their own now. Slots kept back for requests are rounded instead of cut: 1.997 counted as 1. Tables cover both, the level for preemption and gangs kept back.

--- a/packages/policy/src/headroom.ts
+++ b/packages/policy/src/headroom.ts
@@ -58,7 +58,7 @@
     const { fleet } = this.occupancy
     const cpu = kept(this.peakCpu - this.cpu, fleet.totalCpu, size.cpuMilli) * this.strictness
     const memory = kept(this.peakMemory - this.memory, fleet.totalMemory, size.memoryMb) * this.strictness
-    const slots = Math.floor(kept(this.peakSlots - this.slots, fleet.totalSlots, count) * this.strictness)
+    const slots = Math.round(kept(this.peakSlots - this.slots, fleet.totalSlots, count) * this.strictness)
     if (fleet.readySlots - count < slots) return false
     return fleet.readyCpu - size.cpuMilli >= cpu && fleet.readyMemory - size.memoryMb >= memory
   }
--- a/packages/policy/src/policy.ts
+++ b/packages/policy/src/policy.ts
@@ -60,18 +60,27 @@
   abstract accepts (lane: Lane, worker: number, nowMs: number): boolean
 
   /**
-   * Scores how well a demand fits a worker: what would be left, and how lopsided.
+   * Scores how tight a demand fits a worker: what would be left, how lopsided, and what is expected beyond declared sizes.
    *
    * @param worker the worker's index
    * @param size the demand
-   * @returns the score; less is a tighter fit
+   * @returns the score; less is better
    */
-  protected fit (worker: number, size: Resources): number {
-    const { fleet } = this.occupancy
-    const cpu = (fleet.freeCpu[worker]! - size.cpuMilli) * fleet.perCpu[worker]!
-    const memory = (fleet.freeMemory[worker]! - size.memoryMb) * fleet.perMemory[worker]!
-    const excess = Math.max(0, fleet.overuse[worker]! * fleet.perCpu[worker]! - cpu)
-    return cpu + memory + IMBALANCE_WEIGHT * Math.abs(cpu - memory) + excess
+  protected tightness (worker: number, size: Resources): number {
+    const { cpu, memory } = this.left(worker, size)
+    return cpu + memory + IMBALANCE_WEIGHT * Math.abs(cpu - memory) + this.excess(worker, cpu)
+  }
+
+  /**
+   * Scores how much room a demand leaves on a worker.
+   *
+   * @param worker the worker's index
+   * @param size the demand
+   * @returns the score; less is better
+   */
+  protected looseness (worker: number, size: Resources): number {
+    const { cpu, memory } = this.left(worker, size)
+    return this.excess(worker, cpu) - cpu - memory
   }
 
   /**
@@ -90,7 +99,7 @@
     let least = Infinity
     for (let position = 0; position < index.count; position++) {
       const worker = index.found[position]!
-      const score = this.fit(worker, task.size)
+      const score = this.tightness(worker, task.size)
       if (score >= least || this.avoids(task, worker)) continue
       best = worker
       least = score
@@ -128,6 +137,19 @@
     if (avoid.length >= fleet.ready) return false
     return avoid.includes(fleet.machines[worker]!.id)
   }
+
+  private left (worker: number, size: Resources): { cpu: number, memory: number } {
+    const { fleet } = this.occupancy
+    return {
+      cpu: (fleet.freeCpu[worker]! - size.cpuMilli) * fleet.perCpu[worker]!,
+      memory: (fleet.freeMemory[worker]! - size.memoryMb) * fleet.perMemory[worker]!
+    }
+  }
+
+  private excess (worker: number, leftCpu: number): number {
+    const { fleet } = this.occupancy
+    return Math.max(0, fleet.overuse[worker]! * fleet.perCpu[worker]! - leftCpu)
+  }
 }
 
 /**
--- a/packages/policy/src/spread.ts
+++ b/packages/policy/src/spread.ts
@@ -61,8 +61,7 @@
   }
 
   private score (worker: number, task: Task, group: Group | undefined, roomiest: boolean): number {
-    const fit = this.fit(worker, task.size)
-    const score = roomiest ? -fit : fit
+    const score = roomiest ? this.looseness(worker, task.size) : this.tightness(worker, task.size)
     if (group === undefined) return score
     const { fleet } = this.occupancy
     const replicas = group.workers.get(worker) ?? 0
--- a/packages/policy/test/order.spec.ts
+++ b/packages/policy/test/order.spec.ts
@@ -51,6 +51,7 @@
   const team = new Team('guild')
   team.share = 1
   team.expectedCpu = 100
+  team.advance(nowMs / 2)
   team.advance(nowMs)
   team.refresh({ cpuMilli: 100, memoryMb: 100, accelerators: 1, shares: 2 })
   expect(team.level).toBeCloseTo(level, 6)
@@ -58,12 +59,10 @@
 
 describe('replicas of a service', () => {
   test('share a worker only if every worker has one, even where others are fuller', () => {
-    const shard = createShard(3, ['guild', 'circle'])
-    for (const worker of ['w0', 'w1']) shard.adopt(createTask(worker, { team: 'circle', size: LARGE }), worker, 0)
-    for (const id of ['s0', 's1', 's2']) {
-      shard.enqueue(createTask(id, { workload: Workload.Service, group: 'ledger', groupSize: 3 }), 0)
-    }
-    expect(new Set(shard.decide(0, 3).placements.map(({ worker }) => worker)).size).toBe(3)
+    const shard = createShard(2, ['guild', 'circle'], { zone: 'fukuoka', rack: 'r' })
+    shard.adopt(createTask('other', { team: 'circle', size: LARGE }), 'w0', 0)
+    for (const id of ['s0', 's1']) shard.enqueue(createTask(id, { workload: Workload.Service, group: 'ledger', groupSize: 2 }), 0)
+    expect(new Set(shard.decide(0, 2).placements.map(({ worker }) => worker)).size).toBe(2)
   })
 
   test('take different racks of an availability zone before they share one', () => {
@@ -85,12 +84,15 @@
   expect(shard.decide(0, 1).placements[0]!.worker).toBe('w1')
 })
 
-test('batch work leaves room for as many requests as ran at once recently', () => {
+test.each([
+  { bound: 'processors and memory', size: { cpuMilli: 2_000, memoryMb: 4_096, accelerators: 0 } },
+  { bound: 'slots', size: { cpuMilli: 0, memoryMb: 0, accelerators: 0 } }
+])('batch work leaves room for as many requests as ran at once recently: $bound', ({ size }) => {
   const shard = createShard(2)
-  for (let task = 0; task < 3; task++) shard.enqueue(createTask(`r${task}`), 0)
+  for (let task = 0; task < 3; task++) shard.enqueue(createTask(`r${task}`, { size }), 0)
   shard.decide(0, 3)
   for (let task = 0; task < 3; task++) shard.finish(`r${task}`, Ending.Succeeded, 100, 100)
-  for (let task = 0; task < 20; task++) shard.enqueue(createTask(`b${task}`, { kind: 'yardage', workload: Workload.Batch }), 100)
+  for (let task = 0; task < 20; task++) shard.enqueue(createTask(`b${task}`, { kind: 'yardage', workload: Workload.Batch, size }), 100)
   expect(shard.decide(100, 20).placements).toHaveLength(14)
   expect(shard.decide(600_000, 20).placements).toHaveLength(2)
 })
@@ -133,11 +135,14 @@
     expect(shard.waiting()).toBe(atMs === 12_000 ? 0 : 1)
   })
 
-  test('lets a task that needs a whole worker start beside endless small ones', () => {
+  test.each([
+    { workload: Workload.Batch, group: undefined },
+    { workload: Workload.Gang, group: 'gang' }
+  ])('lets $workload work that needs a whole worker start beside endless small tasks', ({ workload, group }) => {
     const shard = createShard(2)
     let sequence = 0
     const running: string[] = []
-    shard.enqueue(createTask('whole', { workload: Workload.Batch, size: WHOLE, kind: 'whole' }), 0)
+    shard.enqueue(createTask('whole', { workload, group, size: WHOLE, kind: 'whole' }), 0)
     for (let task = 0; task < 16; task++) shard.adopt(createTask(`a${task}`, { team: 'circle', kind: 'small', runtimeMs: 500 }), `w${task % 2}`, 0)
     running.push(...Array.from({ length: 16 }, (_, task) => `a${task}`))
     for (let nowMs = 0; nowMs < 60_000; nowMs += 50) {
@@ -160,14 +165,28 @@
   for (let task = 0; task < 3; task++) shard.enqueue(createTask(`r${task}`), 0)
   shard.decide(0, 3)
   for (let task = 0; task < 3; task++) shard.finish(`r${task}`, Ending.Succeeded, 100, 100)
+  for (let task = 0; task < 3; task++) shard.adopt(createTask(`a${task}`, { team: 'circle', kind: 'yardage', workload: Workload.Batch }), 'w0', 100)
   allot(0)
-  for (let task = 0; task < 15; task++) {
+  for (let task = 0; task < 12; task++) {
     const size = { cpuMilli: 100, memoryMb: 128, accelerators: 0 }
     shard.enqueue(createTask(`g${task}`, { kind: 'gang', workload: Workload.Gang, group: 'g', groupSize: 12, size }), 100)
   }
   shard.decide(100, 20)
   allot(100)
-  shard.decide(200, 20)
-  shard.decide(900_000, 20)
-  expect(shard.waiting()).toBe(0)
+  expect(shard.decide(200, 20).placements).toHaveLength(0)
+  expect(shard.decide(900_000, 20).placements).toHaveLength(12)
+})
+
+test.each([
+  { running: 5, says: 'does not preempt others while its team is not far below its share', preempted: 0 },
+  { running: 2, says: 'preempts others while its team is far below its share', preempted: 1 }
+])('urgent work $says', ({ running, preempted }) => {
+  const shard = createShard(2)
+  for (let task = 0; task < 16; task++) {
+    const part = task < running ? {} : { team: 'circle', workload: Workload.Batch, checkpoint: true }
+    shard.adopt(createTask(`t${task}`, part), `w${task % 2}`, 0)
+  }
+  shard.enqueue(createTask('urgent', { urgency: Urgency.Urgent, submittedMs: 600_000 }), 600_000)
+  shard.decide(600_000, 1)
+  expect(shard.decide(600_200, 1).preemptions).toHaveLength(preempted)
 })
