--- a/packages/measure/src/control.ts
+++ b/packages/measure/src/control.ts
@@ -22,6 +22,8 @@
 const WINDOW_MS = 6_000
 const CHANGE_WINDOW_MS = 10_000
 const SETTLE_MS = 2_000
+/** Time after which every worker has reported the usage of new tasks, which it does once. */
+const USAGE_SETTLE_MS = 6_000
 const MS_PER_S = 1000
 const SHORT_RUN_MS = 200
 const LONG_RUN_MS = 600_000
@@ -237,7 +239,7 @@
     if (waitedMs > 10 * SETTLE_MS) throw new Error(`Only ${await cell.running(SHARD)} of ${tasks} tasks run.`)
     await sleep(SETTLE_MS)
   }
-  await sleep(SETTLE_MS)
+  await sleep(USAGE_SETTLE_MS)
 }
 
 /**
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -3,6 +3,7 @@
  */
 import { Command } from 'commander'
 import type { Part } from './report.js'
+import { writeCapacity } from './capacity.js'
 import { Control } from './control.js'
 import { Decisions } from './costs.js'
 import { Journals } from './journals.js'
@@ -31,6 +32,10 @@
     .action(({ seed }: { seed: string }) => runPart(part, Number(seed)))
 }
 
+program.command('capacity')
+  .description('Tables of docs/CAPACITY.md, from what was measured before')
+  .action(writeCapacity)
+
 program.command('all', { isDefault: true })
   .description('All parts')
   .option('--seed <number>', 'seed of everything random', SEED)
--- a/packages/measure/src/report.ts
+++ b/packages/measure/src/report.ts
@@ -93,7 +93,13 @@
   return String(Number(value.toPrecision(3)))
 }
 
-function formatTable ({ title, columns, rows }: Table): string {
+/**
+ * Formats a table of a page.
+ *
+ * @param table the table
+ * @returns Markdown
+ */
+export function formatTable ({ title, columns, rows }: Table): string {
   const lines = rows.map(row => `| ${row.map(cell => typeof cell === 'number' ? round(cell) : cell).join(' | ')} |`)
   return [`### ${title}\n`, `| ${columns.join(' | ')} |`, `| ${columns.map(() => '---').join(' | ')} |`, ...lines].join('\n')
 }
