--- a/packages/daemon/src/configuration/feed.ts
+++ b/packages/daemon/src/configuration/feed.ts
@@ -7,7 +7,7 @@
 import { Backoff, limitTime, type Patience } from '@fireflymount/platform/retry'
 import type { RecordsPage } from '@fireflymount/protocol/message'
 import { err, ok, type Result } from 'neverthrow'
-import { parsePart } from './archive.js'
+import { ARCHIVE, parsePart } from './archive.js'
 import type { Replica } from './replica.js'
 
 const HOLD_MS = 1000
@@ -85,7 +85,7 @@
     const { clock, replica } = this.options
     const sentMs = clock.now()
     const from = replica.position
-    const page = await this.fetch(from, waitMs, signal)
+    const page = await this.fetch(this.options.stream, from, waitMs, signal)
     if (page.isErr()) {
       if (page.error.failure !== LogFailure.Expired) return err(page.error)
       if (replica.position !== from) return ok(false)
@@ -128,8 +128,10 @@
     }
   }
 
-  private async fetch (from: number, waitMs: number, signal?: AbortSignal): Promise<Result<LogPage, LogError>> {
-    const { log, stream, patience } = this.options
+  private async fetch (
+    stream: string, from: number, waitMs: number, signal?: AbortSignal
+  ): Promise<Result<LogPage, LogError>> {
+    const { log, patience } = this.options
     return await limitTime((limit) => log.read(stream, from, waitMs, limit), waitMs + patience.readMs, signal)
   }
 
@@ -138,14 +140,13 @@
     return this.restarting
   }
 
-  private async startOver (oldest: number): Promise<Result<boolean, LogError>> {
+  private async startOver (earliest: number): Promise<Result<boolean, LogError>> {
     const { replica } = this.options
-    const found = await findSnapshot({ fetch: (from) => this.fetch(from, 0), parse: parsePart }, oldest)
+    const found = await findSnapshot({ fetch: (from) => this.fetch(ARCHIVE, from, 0), parse: parsePart }, 0)
     if (found.isErr()) return err(found.error)
-    const { earliest, snapshot, tail } = found.value
-    if (snapshot !== undefined) {
+    const { snapshot } = found.value
+    if (snapshot !== undefined && snapshot.asOf + 1 >= earliest) {
       if (replica.restore(snapshot.asOf, snapshot.values)) this.restarts += 1
-      replica.take(tail)
       return ok(false)
     }
     await this.takeFromPeers()
--- a/packages/daemon/src/configuration/replica.ts
+++ b/packages/daemon/src/configuration/replica.ts
@@ -3,11 +3,10 @@
  */
 import { Ledger, NO_REVISION } from '@fireflymount/manifest/fold'
 import type { Outcome, Verdict } from '@fireflymount/manifest/verdict'
-import { Assembly, type SnapshotPart } from '@fireflymount/platform/assembly'
 import type { Clock } from '@fireflymount/platform/clock'
 import type { LogRecord } from '@fireflymount/platform/log'
 import type { RecordsPage } from '@fireflymount/protocol/message'
-import { parsePart } from './archive.js'
+import { parseMark } from './archive.js'
 import type { Revision } from './configuration.js'
 import { Window } from './window.js'
 
@@ -35,12 +34,11 @@
   position = 0
   /** Time at which the configuration was last known to be up to date. */
   confirmedAtMs = -Infinity
-  /** Last record that the newest snapshot read includes, and when it was read. */
+  /** Last record that the newest snapshot includes, and when this node learnt of it. */
   snapshotAsOf = -1
   snapshotAtMs: number
   private revision: Revision
   private readonly window = new Window()
-  private readonly assembly = new Assembly<SnapshotPart>()
   private readonly history: Applied[] = []
   private readonly listeners: Array<(revision: Revision) => void> = []
   private readonly waiting = new Set<Waiter>()
@@ -109,13 +107,12 @@
 
   private fold (record: LogRecord): void {
     this.position += 1
-    const part = parsePart(record.data)
-    if (part !== undefined) {
-      this.window.push({ offset: record.offset, data: null })
-      if (this.assembly.add(part) !== undefined) this.noteSnapshot(part.asOf)
+    this.window.push(record)
+    const asOf = parseMark(record.data)
+    if (asOf !== undefined) {
+      this.noteSnapshot(asOf)
       return
     }
-    this.window.push(record)
     const verdict = this.ledger.apply(record.data, record.offset)
     for (const waiter of this.waiting) {
       if (waiter.publish === verdict.publish) waiter.resolve(verdict.repeated ? verdict.outcome : verdict)
@@ -153,7 +150,7 @@
   }
 
   /**
-   * Notes that a snapshot stands in the stream.
+   * Notes that a whole snapshot was written.
    *
    * @param asOf offset of the last record that it includes
    */
--- a/packages/daemon/test/configuration/follower.spec.ts
+++ b/packages/daemon/test/configuration/follower.spec.ts
@@ -15,20 +15,24 @@
 const SNAPSHOT_MS = 20_000
 const PATIENCE = { appendMs: 40, readMs: 40, firstRetryMs: 2, lastRetryMs: 20 }
 
-/** The log as one node reaches it. */
+/** The log as one node reaches it, with a stream for the configuration and one for its snapshots. */
 class Route extends Log {
   cut = false
 
-  constructor (private readonly log: FakeLog) {
+  constructor (private readonly log: FakeLog, private readonly archive: FakeLog) {
     super()
   }
 
   async append (stream: string, data: unknown): ReturnType<Log['append']> {
-    return this.cut ? await new Promise(() => {}) : await this.log.append(stream, data)
+    return this.cut ? await new Promise(() => {}) : await this.find(stream).append(stream, data)
   }
 
   async read (stream: string, from: number, waitMs: number, signal?: AbortSignal): ReturnType<Log['read']> {
-    return this.cut ? await new Promise(() => {}) : await this.log.read(stream, from, waitMs, signal)
+    return this.cut ? await new Promise(() => {}) : await this.find(stream).read(stream, from, waitMs, signal)
+  }
+
+  private find (stream: string): FakeLog {
+    return stream === 'configuration' ? this.log : this.archive
   }
 }
 
@@ -37,6 +41,7 @@
 /** Nodes that follow the same log and ask each other, the first reachable one first. */
 class Cell {
   readonly log = new FakeLog()
+  readonly archive = new FakeLog()
   readonly members: Member[] = []
   readonly stop = new AbortController()
   /** While set, no peer answers. */
@@ -49,7 +54,7 @@
   }
 
   add (): Member {
-    const route = new Route(this.log)
+    const route = new Route(this.log, this.archive)
     const index = this.members.length
     const follower: Follower = new Follower({
       log: route,
@@ -57,7 +62,7 @@
       askPeers: async (from) => this.ask(follower, from),
       isWriter: () => index === 0,
       snapshotMs: SNAPSHOT_MS,
-      snapshotRecords: 6,
+      snapshotRecords: 3,
       publishMs: 400,
       patience: PATIENCE
     })
@@ -237,7 +242,8 @@
     await run(cell.members[1]!.follower.publish(createDelta(NO_REVISION, workspace)))
     cell.members[0]!.route.cut = true
     await vi.advanceTimersByTimeAsync(3 * SNAPSHOT_MS)
-    expect(cell.members[1]!.follower.counters().snapshots).toBeGreaterThan(0)
+    expect(cell.members[1]!.follower.counters().snapshots).toBe(1)
+    expect(cell.archive.seen.map((call) => call.kind)).not.toContain('read')
     await cell.close()
   })
 
@@ -269,7 +275,9 @@
 })
 const step = fc.record({
   member: fc.nat(2),
-  kind: fc.constantFrom('publish', 'publish', 'publish', 'publish', 'cut', 'heal', 'peers', 'expire', 'join'),
+  kind: fc.constantFrom(
+    'publish', 'publish', 'publish', 'publish', 'publish', 'cut', 'heal', 'heal', 'peers', 'expire', 'expire', 'join', 'join'
+  ),
   team: fc.constantFrom('a', 'b', 'c'),
   lag: fc.nat(2),
   pauseMs: fc.integer({ min: 0, max: 700 })
@@ -278,10 +286,10 @@
 interface Report { publish: string, outcome: Execution | 'accepted' }
 
 /** Offset up to which records may expire: the newest whole snapshot includes them. */
-function findExpiry (log: FakeLog): number {
+function findExpiry (archive: FakeLog): number {
   let offset = 0
-  for (const { data } of log.records as Array<{ data: any }>) {
-    if (data.entry === 'snapshot' && data.part === data.parts - 1) offset = Math.max(offset, data.asOf + 1)
+  for (const { data } of archive.records as Array<{ data: any }>) {
+    if (data.part === data.parts - 1) offset = Math.max(offset, data.asOf + 1)
   }
   return offset
 }
@@ -289,6 +297,7 @@
 test('under faults every node applies revisions of the log in order, and each publisher hears the truth', async () => {
   let accepted = 0
   let refused = 0
+  let restarts = 0
   const faults = fc.array(fate, { minLength: 30, maxLength: 200 })
   const schedule = fc.array(step, { minLength: 15, maxLength: 40 })
   const property = fc.asyncProperty(faults, schedule, fc.nat(), async (calls, steps, seed) => {
@@ -297,6 +306,7 @@
     const cell = await createCell(3)
     await run(cell.members[0]!.follower.publish(createDelta(NO_REVISION, workspace)))
     cell.log.calls = [...calls]
+    cell.archive.calls = calls.slice(0, 20).reverse()
     const reports: Array<Promise<Report>> = []
     for (const { member, kind, team, lag, pauseMs } of steps) {
       const { follower, route } = cell.members[member]!
@@ -309,11 +319,12 @@
       if (kind === 'cut') route.cut = true
       if (kind === 'heal') route.cut = false
       if (kind === 'peers') cell.peersCut = !cell.peersCut
-      if (kind === 'expire') cell.log.earliest = Math.max(cell.log.earliest, findExpiry(cell.log))
-      if (kind === 'join' && cell.members.length < 6) cell.add()
+      if (kind === 'expire') cell.log.earliest = Math.max(cell.log.earliest, findExpiry(cell.archive))
+      if (kind === 'join' && cell.members.length < 7) cell.add()
       await vi.advanceTimersByTimeAsync(pauseMs)
     }
     cell.log.calls = []
+    cell.archive.calls = []
     for (const { route } of cell.members) route.cut = false
     const outcomes = await run(Promise.all(reports))
     await vi.advanceTimersByTimeAsync(4000)
@@ -329,6 +340,7 @@
       const revisions = follower.applied().map((each) => each.revision)
       expect(revisions).toEqual([...new Set(revisions)].sort((left, right) => left - right))
       expect(follower.ageMs()).toBeLessThan(3000)
+      restarts += follower.counters().restarts
     }
     for (const { publish, outcome } of outcomes) {
       if (outcome === Execution.Unknown) continue
@@ -342,4 +354,5 @@
   await fc.assert(property, { numRuns: 60 })
   expect(accepted).toBeGreaterThan(200)
   expect(refused).toBeGreaterThan(50)
+  expect(restarts).toBeGreaterThan(5)
 }, 120_000)
--- a/packages/platform/src/replay.ts
+++ b/packages/platform/src/replay.ts
@@ -178,7 +178,7 @@
   startOver ({ earliest, snapshot, tail }: Retained<Part>): void {
     this.options.tally.restarts += 1
     this.assembly = new Assembly()
-    if (snapshot !== undefined) {
+    if (snapshot !== undefined && snapshot.asOf + 1 >= earliest) {
       this.restore(snapshot)
       this.take(tail)
       return
--- a/packages/platform/src/retained.ts
+++ b/packages/platform/src/retained.ts
@@ -15,7 +15,7 @@
 export interface Retained<P extends SnapshotPart> {
   /** Oldest offset retained. */
   readonly earliest: number
-  /** The newest whole snapshot after which no record is missing. */
+  /** The newest whole snapshot. */
   readonly snapshot?: WholeSnapshot<P>
   /** The records after the snapshot; empty if they have to be read again. */
   readonly tail: readonly LogRecord[]
@@ -34,7 +34,7 @@
  *
  * @param search how to read and what to look for
  * @param oldest offset to start from
- * @returns the newest usable snapshot, or why the stream could not be read
+ * @returns the newest whole snapshot, or why the stream could not be read
  *
  * @example
  * const found = await findSnapshot({ fetch, parse: parsePart }, error.earliest)
@@ -59,16 +59,23 @@
     earliest = page.value.earliest
     for (const { data } of page.value.records) {
       const part = search.parse(data)
-      if (part !== undefined) newest = assembly.add(part) ?? newest
+      if (part !== undefined) newest = chooseNewer(newest, assembly.add(part))
     }
     if (page.value.records.length === 0) break
     tail = extendTail(tail, page.value.records, newest?.asOf ?? -1)
     from = page.value.next
   }
-  if (newest === undefined || newest.asOf + 1 < earliest) return ok({ earliest, tail: [] })
+  if (newest === undefined) return ok({ earliest, tail: [] })
   return ok({ earliest, snapshot: newest, tail: tail[0]?.offset === newest.asOf + 1 ? tail : [] })
 }
 
+function chooseNewer<P extends SnapshotPart> (
+  left: WholeSnapshot<P> | undefined, right: WholeSnapshot<P> | undefined
+): WholeSnapshot<P> | undefined {
+  if (left === undefined || right === undefined) return left ?? right
+  return right.asOf >= left.asOf ? right : left
+}
+
 function extendTail (tail: readonly LogRecord[], records: readonly LogRecord[], asOf: number): LogRecord[] {
   return [...tail, ...records].filter((record) => record.offset > asOf).slice(-TAIL_COUNT)
 }
