--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -13,13 +13,15 @@
 import { Wire } from './wire.js'
 
 const SEED = '7'
+/** Directory for processor profiles of the daemons of the part "wire"; none if unset. */
+const PROFILES = process.env.MEASURE_PROFILES
 
 const parts: readonly Part[] = [
   new Decisions(),
   new Quality(),
   new Journals(),
   new Standby(),
-  new Wire(process.env.MEASURE_PROFILES),
+  new Wire(PROFILES),
   new Control()
 ]
 
