--- a/packages/platform/src/replay.ts
+++ b/packages/platform/src/replay.ts
@@ -40,8 +40,8 @@
   snapshotAtMs = -Infinity
   private head: Head = createHead()
   private assembly = new Assembly<Part>()
-  /** Records were lost before the first one read; the next whole snapshot replaces the state. */
-  private incomplete = false
+  /** After records were lost: the oldest offset retained then. The next whole snapshot that reaches it replaces the state. */
+  private gapAt: number | undefined
   private readonly listeners: Array<(holder: Holder) => void> = []
 
   constructor (private readonly options: ReplayOptions) {}
@@ -165,7 +165,7 @@
   private foldPart (part: Part): void {
     const whole = this.assembly.add(part)
     if (whole === undefined) return
-    if (this.incomplete) this.restore(whole)
+    if (this.gapAt !== undefined && whole.asOf + 1 >= this.gapAt) this.restore(whole)
     this.snapshotAsOf = whole.asOf
     this.snapshotAtMs = this.options.clock.now()
   }
@@ -184,7 +184,7 @@
       return
     }
     this.options.tally.gaps += 1
-    this.incomplete = true
+    this.gapAt = earliest
     this.head = createHead()
     this.options.fold.restore([])
     this.position = earliest
@@ -196,7 +196,7 @@
     this.options.fold.restore(snapshot.values)
     this.position = snapshot.asOf + 1
     this.snapshotAsOf = snapshot.asOf
-    this.incomplete = false
+    this.gapAt = undefined
     const holder = this.head.holder
     if (holder !== undefined && holder.offset !== before?.offset) this.announce(holder)
   }
--- a/packages/platform/test/stream.spec.ts
+++ b/packages/platform/test/stream.spec.ts
@@ -306,6 +306,24 @@
   expect(late.journal.counters()).toMatchObject({ restarts: 1, gaps: 0 })
 })
 
+test('a whole snapshot is of no use once a record after it has expired', async () => {
+  const log = new FakeLog()
+  const { journal, fold } = await createHolder(log)
+  await run(journal.commit(change, 500))
+  log.calls = [{ fate: Fate.Served, delayMs: 10 }, { fate: Fate.Served, delayMs: 1 }]
+  await run(Promise.all([journal.compact(), journal.commit({ ...change, id: 2 }, 500)]))
+  expect((log.records as Array<{ data: any }>).map(({ data }) => data.entry)).toEqual(['claim', 'commit', 'commit', 'snapshot'])
+  log.earliest = 3
+  const late = createStream(log)
+  await run(late.journal.catchUp())
+  expect(late.journal.counters()).toMatchObject({ restarts: 1, gaps: 1 })
+  await run(journal.commit({ ...change, id: 3 }, 500))
+  for (let id = 4; id < 8; id += 1) await run(journal.commit({ ...change, id }, 500))
+  expect((await run(journal.compact()))._unsafeUnwrap()).toBe(true)
+  await run(late.journal.catchUp())
+  expect(late.fold.changes).toEqual(fold.changes)
+})
+
 test('a reader that finds no whole snapshot counts the gap and takes the next one', async () => {
   const log = new FakeLog()
   const { journal, fold } = await createHolder(log)
