Do not read back own records while the owner writes

The owner follows its own stream, so that each group commit came back to it through the read that was held open. For 200 ms after an own append that proved to be at the end the follower now reads nothing; a newer claim shows in the gap before the next append, or once the pause is over, and workers fence by epoch as before. An append whose answer is lost is read back up to 200 ms later.

--- a/packages/platform/src/stream.ts
+++ b/packages/platform/src/stream.ts
@@ -15,6 +15,8 @@
 
 /** Age of the confirmation after which a busy stream is asked whether its end was reached. */
 const CONFIRM_MS = 500
+/** Time after an own append that proved to be at the end of the stream, in which nothing is read: own records would come back. */
+const QUIET_MS = 200
 /** Shortest time between reads that return nothing. */
 const IDLE_MS = 10
 
@@ -79,6 +81,11 @@
     const { clock } = this.options
     const backoff = new Backoff(this.patience)
     while (!signal.aborted) {
+      const quietMs = this.writer.confirmedAtMs + QUIET_MS - clock.now()
+      if (quietMs > 0) {
+        await sleep(quietMs, signal)
+        continue
+      }
       const sentMs = clock.now()
       const read = await this.reader.read(this.isConfirmed() ? waitMs : 0, signal)
       if (read.isErr()) {
--- a/packages/platform/src/writer.ts
+++ b/packages/platform/src/writer.ts
@@ -43,6 +43,8 @@
 
 /** The writing side of a journal: one batch at a time, in effect only under the epoch that it was opened with. */
 export class Writer {
+  /** When the last own append was sent that proved to be at the end of the stream. */
+  confirmedAtMs = -Infinity
   private epoch: Epoch | undefined
   private queue: Pending[] = []
   private queuedCharacters = 0
@@ -122,6 +124,7 @@
     tally.bytesWritten += JSON.stringify(data).length
     tally.available = answer.isOk()
     if (answer.isOk()) this.reader.takeOwn(answer.value, data, sentMs)
+    if (this.reader.confirmedAtMs >= sentMs) this.confirmedAtMs = sentMs
     return answer
   }
 
--- a/packages/platform/test/stream.spec.ts
+++ b/packages/platform/test/stream.spec.ts
@@ -356,3 +356,23 @@
   stop.abort()
   await run(follow)
 })
+
+test('a holder that writes steadily does not read back its own records, and one that stops learns of a newer claim', async () => {
+  const log = new FakeLog()
+  const { journal, fold } = createStream(log)
+  const stop = new AbortController()
+  await run(journal.claim({ counter: 1, node: 'a' }, []))
+  const following = journal.follow(1000, stop.signal)
+  const readsBefore = log.seen.filter(({ kind }) => kind === 'read').length
+  for (let id = 0; id < 50; id += 1) {
+    await run(journal.commit({ id, counter: 1, node: 'a' }, 1000))
+    await vi.advanceTimersByTimeAsync(20)
+  }
+  expect(fold.changes).toHaveLength(50)
+  expect(log.seen.filter(({ kind }) => kind === 'read').length - readsBefore).toBeLessThan(3)
+  log.write({ entry: Entry.Claim, epoch: { counter: 2, node: 'b' }, standbys: [] })
+  await vi.advanceTimersByTimeAsync(300)
+  expect(journal.holder()?.epoch.node).toBe('b')
+  stop.abort()
+  await run(following)
+})
