--- a/packages/scenario/src/run/report.ts
+++ b/packages/scenario/src/run/report.ts
@@ -38,6 +38,6 @@
     runs: verdicts.length,
     passed: verdicts.length - failed.length,
     failed: failed.map(({ name, seed, detail }) => ({ name, seed, detail })),
-    durations: verdicts.map(({ name, seed, durationMs }) => ({ name, seed, durationMs }))
+    scenarios: verdicts.map(({ name, seed, passed, durationMs, proves }) => ({ name, seed, passed, durationMs, proves }))
   })
 }
--- a/packages/scenario/src/run/runner.ts
+++ b/packages/scenario/src/run/runner.ts
@@ -6,7 +6,7 @@
 import { basename, dirname, join } from 'node:path'
 import { Cell } from '../cell/cell.js'
 import { parseScenario } from '../language/parser.js'
-import { Subject, Verb, type Scenario, type Step } from '../language/script.js'
+import { Subject, type Scenario, type Step } from '../language/script.js'
 import { meets } from './expectations.js'
 import { Stage } from './stage.js'
 import { runStep } from './steps.js'
@@ -92,9 +92,9 @@
   for (const step of steps) {
     if (stage.over) return 'abandoned'
     const outcome = await runStep(stage, step.action)
-    const crashed = outcome.isErr() || step.action.verb === Verb.Signal ? undefined : stage.cell.findCrash()
-    if (outcome.isErr()) return `line ${step.line}: ${outcome.error}`
-    if (crashed !== undefined) return `line ${step.line}: ${crashed}`
+    const crash = stage.cell.findCrash()
+    if (outcome.isErr()) return `line ${step.line}: ${[outcome.error, crash].filter(Boolean).join(' ')}`
+    if (crash !== undefined) return `line ${step.line}: ${crash}`
   }
   for (const load of stage.loads.values()) await load.stop()
   await Promise.all(stage.pending)
