Require a live standby without the log, and let strangers take over late

Cause: an owner counted itself as confirmed once all its standbys were terminated, although a successor can hold their grants by then: two owners could have renewed. And a node that was not yet among the standbys, as after the first claim on a lagging list, never took over while the owner's VM was listed (owner-isolated-with-worker FAILED, 1 start instead of 2 within 15 s). Ruled out: certainty for standbys only (the shard stays without an owner). Now nodes that are no standbys claim through the log, last; standbys are added without delay while there are too few.

--- a/packages/daemon/src/owner/confirmation.ts
+++ b/packages/daemon/src/owner/confirmation.ts
@@ -15,7 +15,7 @@
 import type { Router } from '../peer/router.js'
 import { ChangeKind } from './change.js'
 
-/** Time that a change of the candidates must last before it becomes a change of the standbys. */
+/** Time that a change of the candidates must last before it becomes a change of the standbys, unless there are too few. */
 const STANDBY_SETTLE_MS = 2000
 const STANDBY_PATIENCE_MS = 1000
 const PLEDGE_TIMEOUT_MS = 500
@@ -103,7 +103,6 @@
     const asked = this.isConfirmedByLog(now) ? this.parts.former.filter((node) => !this.grantedAtMs.has(node)) : this.names
     const left = [...new Set(asked)].filter((node) => !this.parts.members.isGone(node))
     this.askedAtMs = now
-    if (asked === this.names && left.length === 0) this.pledgedAtMs = now
     await Promise.all(left.map((node) => this.ask(node, now)))
   }
 
@@ -115,7 +114,8 @@
       this.wantedSinceMs = now
     }
     const next = this.nextStandbys()
-    if (isSame(next, this.names) || now - this.wantedSinceMs < STANDBY_SETTLE_MS) return
+    const settled = now - this.wantedSinceMs >= STANDBY_SETTLE_MS || this.names.length < names.length
+    if (isSame(next, this.names) || !settled) return
     const written = await this.parts.journal.commit(
       { kind: ChangeKind.Standbys, epoch: this.parts.epoch, names: [...next] },
       STANDBY_PATIENCE_MS
--- a/packages/daemon/src/owner/standby.ts
+++ b/packages/daemon/src/owner/standby.ts
@@ -13,6 +13,8 @@
 
 /** Extra patience of a standby for each standby before it. */
 export const STAGGER_MS = 400
+/** Extra patience of a node that is no standby, while the owner's VM is not gone. */
+const STRANGER_MS = 5000
 /** Extra patience while the owner's process answers but owns nothing. */
 const VACANCY_MS = 100
 /** Refused connections in a row after which the owner's process counts as dead. */
@@ -111,12 +113,11 @@
 
   /** True if the owner has been silent for so long that this node should take over. */
   isDue (holder: Holder): boolean {
-    const rank = this.rankAfter(holder)
-    if (rank === undefined) return false
+    const turnMs = this.turnMs(holder)
     const now = this.parts.clock.now()
-    if (this.vacantAtMs !== undefined && now - this.vacantAtMs > VACANCY_MS + rank * STAGGER_MS) return true
+    if (this.vacantAtMs !== undefined && now - this.vacantAtMs > VACANCY_MS + turnMs) return true
     const patienceMs = this.refusals >= REFUSALS ? 0 : this.parts.settings.timing.takeoverMs
-    return now - this.heardAtMs > patienceMs + rank * STAGGER_MS
+    return now - this.heardAtMs > patienceMs + turnMs
   }
 
   /** True if this node may take the workers over without the log: a standby that has granted no newer owner a pledge. */
@@ -149,12 +150,12 @@
     return holder.standbys
   }
 
-  /** Position among the successors; a node that is no standby succeeds only an owner whose VM is gone. */
-  private rankAfter (holder: Holder): number | undefined {
+  /** Patience on account of this node's place among the successors; nodes that are no standbys come last. */
+  private turnMs (holder: Holder): number {
     const { node } = this.parts.settings
     const rank = this.standbysOf(holder).indexOf(node)
-    if (rank >= 0) return rank
-    if (!this.parts.members.isGone(holder.epoch.node)) return undefined
-    return FOLLOWERS + Math.max(0, this.parts.candidates().indexOf(node))
+    if (rank >= 0) return rank * STAGGER_MS
+    const turnMs = (FOLLOWERS + Math.max(0, this.parts.candidates().indexOf(node))) * STAGGER_MS
+    return this.parts.members.isGone(holder.epoch.node) ? turnMs : turnMs + STRANGER_MS
   }
 }
--- a/packages/daemon/test/owner/confirmation.spec.ts
+++ b/packages/daemon/test/owner/confirmation.spec.ts
@@ -67,7 +67,7 @@
 test.each([
   { says: 'neither the log nor a standby', granting: [], gone: [], holds: false },
   { says: 'one standby of two', granting: ['n3'], gone: [], holds: true },
-  { says: 'no standby, and all are terminated', granting: [], gone: ['n2', 'n3'], holds: true }
+  { says: 'no standby, although all are terminated', granting: [], gone: ['n2', 'n3'], holds: false }
 ])('an owner that is confirmed by $says for longer than the bound may act: $holds', async ({ granting, gone, holds }) => {
   const bench = createBench()
   for (const node of granting) bench.granting.add(node)
