Keep keyed queues open in an outage of the log while all nodes agree

Cause: a peer's answer counted only as far as it had the log itself, so that 15 s into an outage every keyed queue closed on every node, although nobody can publish then. Now a node is fresh if every node that may be alive answers that it knows of nothing newer. Ruled out: trusting any peer (two cut-off nodes would keep each other fresh while a third one with the log accepts a withdrawal). Also: a worker with requests still counted is not removed from the scheduler, which would have stopped the process.

--- a/packages/daemon/src/configuration/feed.ts
+++ b/packages/daemon/src/configuration/feed.ts
@@ -16,6 +16,9 @@
 /** Age after which peers are asked. */
 const PEER_AFTER_MS = 1500
 const PEER_POLL_MS = 500
+/** Age after which all nodes are asked whether anyone knows more, and the time between two such rounds. */
+const ALL_AFTER_MS = 3000
+const ALL_POLL_MS = 1500
 const IDLE_MS = 10
 
 /** What a feed works on. */
@@ -27,6 +30,8 @@
   readonly patience: Patience
   /** Asks peers for the records from an offset; undefined if none answered. */
   readonly askPeers: (from: number) => Promise<RecordsPage | undefined>
+  /** Asks every node that may be alive for the records from an offset; undefined unless all answered. */
+  readonly askAll: (from: number) => Promise<readonly RecordsPage[] | undefined>
   /** Time without any snapshot after which a node that knows nothing takes the state as lost. */
   readonly lossMs: number
 }
@@ -38,6 +43,7 @@
   /** Times that records were lost for good. */
   gaps = 0
   private missingSinceMs: number | undefined
+  private askedAllAtMs = -Infinity
   private restarting: Promise<Result<boolean, LogError>> | undefined
 
   constructor (private readonly options: FeedOptions) {}
@@ -70,6 +76,7 @@
   async followPeers (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       if (this.options.replica.ageMs() > PEER_AFTER_MS) await this.takeFromPeers()
+      if (this.options.replica.ageMs() > ALL_AFTER_MS) await this.confirmWithAll()
       await sleep(PEER_POLL_MS, signal)
     }
   }
@@ -128,6 +135,21 @@
     }
   }
 
+  /**
+   * Confirms the configuration without the log: publications go through nodes, so that none was answered as accepted
+   * before this round if every node that may be alive says that it knows of none.
+   */
+  async confirmWithAll (): Promise<void> {
+    const { clock, replica, askAll } = this.options
+    const sentMs = clock.now()
+    if (sentMs - this.askedAllAtMs < ALL_POLL_MS) return
+    this.askedAllAtMs = sentMs
+    const pages = await askAll(replica.position)
+    if (pages === undefined) return
+    for (const page of pages) replica.take(page.records)
+    if (pages.every((page) => page.next <= replica.position)) replica.confirm(sentMs)
+  }
+
   private async fetch (
     stream: string, from: number, waitMs: number, signal?: AbortSignal
   ): Promise<Result<LogPage, LogError>> {
--- a/packages/daemon/src/configuration/follower.ts
+++ b/packages/daemon/src/configuration/follower.ts
@@ -26,6 +26,8 @@
   readonly clock: Clock
   /** Asks peers for the records from an offset; undefined if none answered. */
   readonly askPeers: (from: number) => Promise<RecordsPage | undefined>
+  /** Asks every node that may be alive; undefined unless all answered. Without it, only the log keeps a node fresh. */
+  readonly askAll?: (from: number) => Promise<readonly RecordsPage[] | undefined>
   /** Tells whether this node is the one that writes snapshots. */
   readonly isWriter: () => boolean
   /** Time between snapshots; the log must retain records for four times as long. */
@@ -60,11 +62,12 @@
   constructor (options: FollowerOptions) {
     super()
     const { log, clock, askPeers, isWriter, patience = DEFAULT_PATIENCE } = options
+    const askAll = options.askAll ?? (() => Promise.resolve(undefined))
     const { snapshotMs = SNAPSHOT_MS, snapshotRecords = SNAPSHOT_RECORDS, publishMs = PUBLISH_MS } = options
     const replica = new Replica(clock)
     const common = { log, stream: STREAM, clock, replica, patience }
     this.replica = replica
-    this.feed = new Feed({ ...common, askPeers, lossMs: 4 * snapshotMs })
+    this.feed = new Feed({ ...common, askPeers, askAll, lossMs: 4 * snapshotMs })
     this.archive = new Archive({ ...common, isWriter, snapshotMs, snapshotRecords })
     this.publisher = new Publisher({ ...common, feed: this.feed, publishMs })
   }
--- a/packages/daemon/src/membership/members.ts
+++ b/packages/daemon/src/membership/members.ts
@@ -28,6 +28,8 @@
   /** Orders that were worked out from the last list, by shard. */
   private readonly ranks = new Map<string, Rank>()
   private listedAtMs = -Infinity
+  /** When each daemon's VM that is not gone was last listed. */
+  private readonly nodesListedAtMs = new Map<string, number>()
   /** Since when VMs that were asked for are missing. */
   private readonly missingSinceMs = new Map<string, number>()
   private readonly listeners: Array<() => void> = []
@@ -51,6 +53,7 @@
     this.byId = new Map(list.value.map((vm) => [vm.id, vm]))
     this.byUpstream = groupWorkers(list.value)
     this.ranks.clear()
+    this.noteNodes()
     for (const id of this.missingSinceMs.keys()) {
       if (this.byId.has(id)) this.missingSinceMs.delete(id)
     }
@@ -91,6 +94,12 @@
     return names
   }
 
+  /** Names of all daemons' VMs that may be alive, left out of the last lists or not; undefined if the list is old. */
+  possibleNodes (): string[] | undefined {
+    if (this.ageMs() > ABSENCE_MS) return undefined
+    return [...this.nodesListedAtMs.keys()]
+  }
+
   /** The workers of an upstream that are not gone. */
   workers (upstream: string): readonly Vm[] {
     return this.byUpstream.get(upstream) ?? []
@@ -111,6 +120,17 @@
     return names
   }
 
+  private noteNodes (): void {
+    for (const vm of this.vms) {
+      if (vm.role !== VmRole.Entry) continue
+      if (vm.state === VmState.Gone) this.nodesListedAtMs.delete(vm.id)
+      else this.nodesListedAtMs.set(vm.id, this.listedAtMs)
+    }
+    for (const [id, listedAtMs] of this.nodesListedAtMs) {
+      if (this.listedAtMs - listedAtMs >= ABSENCE_MS) this.nodesListedAtMs.delete(id)
+    }
+  }
+
   private rank (shard: string, zones: readonly string[]): string[] {
     const live = this.vms.filter((vm) => vm.role === VmRole.Entry && vm.state === VmState.Live)
     const near = live.filter((vm) => zones.includes(vm.zone))
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -61,6 +61,7 @@
       log,
       clock: this.clock,
       askPeers: (from) => this.askPeers(from),
+      askAll: (from) => this.askAll(from),
       isWriter: () => this.isWriter()
     })
     this.roles = new Roles({
@@ -159,6 +160,16 @@
     return askFreshest(others, (node) => this.askRecords(node, from))
   }
 
+  /** Takes configuration records from every other node that may be alive; undefined unless all answered. */
+  private async askAll (from: number): Promise<readonly RecordsPage[] | undefined> {
+    const nodes = this.members.possibleNodes()
+    if (nodes === undefined) return undefined
+    const others = nodes.filter((node) => node !== this.settings.node)
+    const pages = await Promise.all(others.map((node) => this.askRecords(node, from)))
+    const answered = pages.filter((page) => page !== undefined)
+    return answered.length === others.length ? answered : undefined
+  }
+
   private async askRecords (node: string, from: number): Promise<RecordsPage | undefined> {
     const answer = await this.peers.askNode(node, { kind: Kind.Records, from }, RECORDS_TIMEOUT_MS)
     if (answer.isErr()) return undefined
--- a/packages/daemon/src/owner/calls.ts
+++ b/packages/daemon/src/owner/calls.ts
@@ -5,7 +5,7 @@
 import { WorkerFailure, type TaskReport, type WorkerError, type WorkerReport, TaskState } from '@fireflymount/platform/worker'
 import type { Queue } from '@fireflymount/manifest/manifest'
 import type { Scheduler } from '@fireflymount/policy/scheduler'
-import { Ending, type Task } from '@fireflymount/policy/task'
+import { Ending, type Placement, type Task } from '@fireflymount/policy/task'
 import type { Epoch } from '@fireflymount/protocol/epoch'
 import type { Call } from '@fireflymount/protocol/message'
 import { Execution, Reason, refuse, withEarlierTries, type Refusal } from '@fireflymount/protocol/refusal'
@@ -48,7 +48,7 @@
   private readonly byCall = new Map<string, string>()
   /** Requests whose answer was lost, and those of former owners, by worker: they may still run. */
   private readonly doubtful = new Map<string, Set<string>>()
-  private readonly running = new Map<string, Task>()
+  private readonly running = new Map<string, Placement>()
   private next = 1
   private open = 0
 
@@ -64,9 +64,18 @@
     return [...this.waiting.values()].map((waiter) => waiter.task)
   }
 
+  /** True if requests are, or may be, at a worker. */
+  isOn (worker: string): boolean {
+    if ((this.doubtful.get(worker)?.size ?? 0) > 0) return true
+    for (const placement of this.running.values()) {
+      if (placement.worker === worker) return true
+    }
+    return false
+  }
+
   /** Requests that are at a worker. */
   runningTasks (): Task[] {
-    return [...this.running.values()]
+    return [...this.running.values()].map((placement) => placement.task)
   }
 
   /**
@@ -148,7 +157,7 @@
       const task = this.createTask(call, queue, endMs, avoid)
       const seat = await this.seat(task, call.id)
       if (seat.isErr()) return err(withEarlierTries(seat.error, execution))
-      this.running.set(task.id, task)
+      this.running.set(task.id, { task, worker: seat.value })
       const answer = await this.send(task, seat.value, call, endMs)
       this.running.delete(task.id)
       if (answer.isOk()) {
--- a/packages/daemon/src/owner/fleet.ts
+++ b/packages/daemon/src/owner/fleet.ts
@@ -29,7 +29,7 @@
   readonly timing: Timing
   readonly confirmed: () => boolean
   readonly inheritedLapseMs: () => number | undefined
-  /** True if runs on a worker are not settled. */
+  /** True if runs or requests on a worker are not settled. */
   readonly isBusy: (worker: string) => boolean
   readonly events: SessionEvents
 }
--- a/packages/daemon/src/owner/owner.ts
+++ b/packages/daemon/src/owner/owner.ts
@@ -85,7 +85,7 @@
     this.fleet = new Fleet({
       ...parts,
       scheduler,
-      isBusy: (worker) => this.runs.on(worker).length > 0,
+      isBusy: (worker) => this.runs.on(worker).length > 0 || this.calls.isOn(worker),
       events: {
         onAdopted: (adopted, report) => { this.onAdopted(adopted, report) },
         onReport: (reporter, report) => this.onReport(reporter, report),
--- a/packages/daemon/test/membership.spec.ts
+++ b/packages/daemon/test/membership.spec.ts
@@ -63,3 +63,18 @@
   }
   expect(last).toBe(gone)
 })
+
+test('a node that is left out of a list may still be alive, one that is gone is not, and an old list says nothing', async () => {
+  const machines = new FakeMachines()
+  const clock = new FakeClock()
+  const members = new Members(machines, clock)
+  expect(members.possibleNodes()).toBeUndefined()
+  machines.vms = [NODE, { ...NODE, id: 'k1' }]
+  await members.poll()
+  machines.vms = [{ ...NODE, id: 'k1', state: VmState.Gone }]
+  clock.ms = ABSENCE_MS - 1
+  await members.poll()
+  expect(members.possibleNodes()).toEqual(['f1'])
+  clock.ms = 2 * ABSENCE_MS
+  expect(members.possibleNodes()).toBeUndefined()
+})
