--- a/packages/daemon/src/owner/standby.ts
+++ b/packages/daemon/src/owner/standby.ts
@@ -98,7 +98,7 @@
     if (typeof post === 'string') return
     this.learn(post.epoch)
     if (!post.owner) {
-      this.vacantAtMs ??= clock.now()
+      if (post.claiming !== true) this.vacantAtMs ??= clock.now()
       return
     }
     this.hear()
