--- a/packages/daemon/test/owner/session.spec.ts
+++ b/packages/daemon/test/owner/session.spec.ts
@@ -98,7 +98,7 @@
   expect(seen.lapsedAtMs! - downMs).toBeGreaterThanOrEqual(TIMING.leaseMs)
 })
 
-test.each([
+test.each<{ says: string, inheritedLapseMs: () => number | undefined, isGone: () => boolean, lapsed: boolean }>([
   { says: 'while a former owner may renew them', inheritedLapseMs: () => undefined, isGone: () => false, lapsed: false },
   { says: 'before those of former owners have', inheritedLapseMs: () => Infinity, isGone: () => false, lapsed: false },
   { says: 'when the platform says that the VM is terminated', inheritedLapseMs: () => undefined, isGone: () => true, lapsed: true }
