--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -7,6 +7,7 @@
 import { Command } from 'commander'
 import { pino, destination } from 'pino'
 import { Node } from './node.js'
+import { stopProcess } from './invariant.js'
 
 /** Exit codes of the daemon. */
 enum Exit {
@@ -53,7 +54,7 @@
 }
 
 function stop (node: Node): void {
-  node.drain().then(() => { process.exit(Exit.Stopped) }, (error: unknown) => { throw error })
+  node.drain().then(() => { process.exit(Exit.Stopped) }, stopProcess)
 }
 
 async function readJson (file: string): Promise<unknown> {
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -1,6 +1,7 @@
 /**
  * One node: every part of the daemon, put together.
  */
+import { setMaxListeners } from 'node:events'
 import { SystemClock, sleep } from '@fireflymount/platform/clock'
 import { RemoteLog } from '@fireflymount/platform/log-client'
 import { RemoteMachines } from '@fireflymount/platform/machines-client'
@@ -20,6 +21,7 @@
 import { Peers } from './peer/peers.js'
 import { Roles } from './owner/roles.js'
 import { WorkerLinks } from './worker-links.js'
+import { stopProcess } from './invariant.js'
 
 const RECORDS_TIMEOUT_MS = 1000
 const DRAIN_POLL_MS = 50
@@ -44,6 +46,8 @@
 
   constructor (private readonly settings: Settings, private readonly logger: Logger) {
     const { platform, node } = settings
+    // Every task of the node listens to the one signal.
+    setMaxListeners(0, this.stop.signal)
     const log = new RemoteLog({ address: addressOf(platform.log), node })
     this.log = log
     this.machines = new RemoteMachines({ address: addressOf(platform.machines), node })
@@ -82,9 +86,9 @@
     const listening = await this.peers.listen()
     if (listening.isErr()) return err(listening.error)
     await this.members.poll()
-    this.members.run(this.stop.signal).catch((error: unknown) => { throw error })
+    this.members.run(this.stop.signal).catch(stopProcess)
     this.configuration.onRevision(({ manifest }) => { this.roles.setManifest(manifest) })
-    this.configuration.run(this.stop.signal).catch((error: unknown) => { throw error })
+    this.configuration.run(this.stop.signal).catch(stopProcess)
     await this.awaitConfiguration()
     this.service = await serveApi({
       configuration: this.configuration,
--- a/packages/daemon/src/owner/confirmation.ts
+++ b/packages/daemon/src/owner/confirmation.ts
@@ -10,7 +10,7 @@
 import type { Journal } from '@fireflymount/platform/journal'
 import type { Timing } from '@fireflymount/manifest/settings'
 import type { Epoch } from '@fireflymount/protocol/epoch'
-import { Kind, VowCodec, type Vow } from '@fireflymount/protocol/message'
+import { Kind, GrantCodec, type Grant } from '@fireflymount/protocol/message'
 import type { Members } from '../membership/members.js'
 import type { Router } from '../peer/router.js'
 import { ChangeKind } from './change.js'
@@ -137,8 +137,8 @@
     const { shard, epoch } = this.parts
     const answer = await this.parts.router.askNode(node, { kind: Kind.Pledge, shard, epoch }, PLEDGE_TIMEOUT_MS)
     if (answer.isErr()) return
-    const vow = VowCodec.decode(answer.value).extract() as Vow | string
-    if (typeof vow === 'string' || !vow.granted) return
+    const grant = GrantCodec.decode(answer.value).extract() as Grant | string
+    if (typeof grant === 'string' || !grant.granted) return
     this.pledgedAtMs = Math.max(this.pledgedAtMs, sentMs)
     if (!this.grantedAtMs.has(node)) this.grantedAtMs.set(node, this.parts.clock.now())
   }
--- a/packages/daemon/src/owner/fleet.ts
+++ b/packages/daemon/src/owner/fleet.ts
@@ -13,6 +13,7 @@
 import type { Members } from '../membership/members.js'
 import { Session, type SessionEvents } from './session.js'
 import type { ShardState } from './state.js'
+import { stopProcess } from '../invariant.js'
 
 /** Time between two checks whether the connections to workers can be closed. */
 const CLOSE_POLL_MS = 100
@@ -125,7 +126,7 @@
     parts.scheduler.setCondition(vm.id, Condition.Closed)
     const session = new Session({ ...parts, vm, worker: parts.connect(vm), isGone: () => parts.members.isGone(vm.id) })
     this.sessions.set(vm.id, session)
-    session.run().catch((error: unknown) => { throw error })
+    session.run().catch(stopProcess)
   }
 
   private drop (session: Session): void {
--- a/packages/daemon/src/owner/jobs.ts
+++ b/packages/daemon/src/owner/jobs.ts
@@ -16,6 +16,7 @@
 import type { Ledger } from './ledger.js'
 import type { Runs } from './runs.js'
 import { Stage, describeJob, type JobRecord, type ShardState, type TaskRecord } from './state.js'
+import { stopProcess } from '../invariant.js'
 
 /** How long an acceptance or cancellation is tried before the caller is told that the log is away. */
 const COMMIT_PATIENCE_MS = 1500
@@ -27,6 +28,8 @@
 const UNPARK_INTERVAL_MS = 500
 /** Most tasks of one job. */
 export const JOB_TASKS = 1000
+/** Largest body of a job, as JSON: it must fit into one record of the log. */
+export const JOB_BODY_CHARACTERS = 800_000
 
 /** What jobs need of their owner. */
 export interface JobParts {
@@ -115,7 +118,7 @@
     const job = this.parts.state.jobOf(taskId)
     if (job === undefined) return
     if (job.gang && job.endedMs === undefined && job.tasks.some(isBroken)) {
-      this.cancel(job.job).catch((error: unknown) => { throw error })
+      this.cancel(job.job).catch(stopProcess)
     }
     if (job.endedMs !== undefined) this.notify(job.job)
   }
@@ -204,6 +207,9 @@
     if (submit.tasks < 1 || submit.tasks > JOB_TASKS) {
       return refuse(Reason.TooLarge, `A job has 1 to ${JOB_TASKS} tasks, not ${submit.tasks}.`)
     }
+    if (JSON.stringify(submit.body ?? null).length > JOB_BODY_CHARACTERS) {
+      return refuse(Reason.TooLarge, `The body of a job has at most ${JOB_BODY_CHARACTERS} characters. Send a reference instead.`)
+    }
     if ((this.waiting.get(queue.name) ?? 0) + submit.tasks > queue.capacity) {
       return refuse(Reason.QueueFull, `The queue ${queue.name} holds ${queue.capacity} waiting tasks and is full.`, FULL_RETRY_MS)
     }
@@ -311,6 +317,8 @@
         execution: Execution.Unknown,
         retryAfterMs: LOG_RETRY_MS
       }
+    case JournalFailure.Overloaded:
+      return refuse(Reason.Overloaded, `${what} was not accepted: too much waits to be written.`, FULL_RETRY_MS)
     default:
       return refuse(Reason.LogUnavailable, `${what} was not accepted: the log is away.`, LOG_RETRY_MS)
   }
--- a/packages/daemon/src/owner/lending.ts
+++ b/packages/daemon/src/owner/lending.ts
@@ -15,6 +15,7 @@
 import { ChangeKind } from './change.js'
 import type { Ledger } from './ledger.js'
 import { transferKey, type Loan, type ShardState } from './state.js'
+import { stopProcess } from '../invariant.js'
 
 /** Shortest time between two requests of one team to one shard. */
 const BORROW_INTERVAL_MS = 500
@@ -114,7 +115,7 @@
       const key = transferKey(upstream.name, shortage.team)
       if (now - (this.askedAtMs.get(key) ?? -Infinity) < BORROW_INTERVAL_MS) continue
       this.askedAtMs.set(key, now)
-      this.borrowFrom(upstream.name, shortage).catch((error: unknown) => { throw error })
+      this.borrowFrom(upstream.name, shortage).catch(stopProcess)
     }
   }
 
@@ -178,7 +179,7 @@
     const now = this.parts.clock.now()
     if (now - (this.settledAtMs.get(key) ?? -Infinity) < SETTLE_INTERVAL_MS) return
     this.settledAtMs.set(key, now)
-    this.settle(loan).catch((error: unknown) => { throw error })
+    this.settle(loan).catch(stopProcess)
   }
 
   private async settle (loan: Loan): Promise<void> {
--- a/packages/daemon/src/owner/owner.ts
+++ b/packages/daemon/src/owner/owner.ts
@@ -31,6 +31,7 @@
 import { Stage, type ShardState } from './state.js'
 import { surveyShard } from './survey.js'
 import type { Router } from '../peer/router.js'
+import { stopProcess } from '../invariant.js'
 
 /** Placements decided in one go, before other work of the process gets a turn. */
 const ROUND_PLACEMENTS = 64
@@ -223,7 +224,7 @@
       else this.jobs.onPlaced(placement.task)
       durable.push(placement)
     }
-    if (durable.length > 0) this.runs.launch(durable).catch((error: unknown) => { throw error })
+    if (durable.length > 0) this.runs.launch(durable).catch(stopProcess)
     if (round.placements.length >= ROUND_PLACEMENTS) setImmediate(() => { this.requestRound() })
   }
 
--- a/packages/daemon/src/owner/role.ts
+++ b/packages/daemon/src/owner/role.ts
@@ -9,7 +9,7 @@
 import type { Manifest } from '@fireflymount/manifest/manifest'
 import type { Settings } from '@fireflymount/manifest/settings'
 import { NO_EPOCH, compareEpochs, type Epoch } from '@fireflymount/protocol/epoch'
-import { Kind, type Pledge, type Post, type Request, type Vow } from '@fireflymount/protocol/message'
+import { Kind, type Pledge, type Ownership, type Request, type Grant } from '@fireflymount/protocol/message'
 import { Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
 import type { Logger } from 'pino'
@@ -23,6 +23,7 @@
 import { Owner } from './owner.js'
 import { STAGGER_MS, Standby } from './standby.js'
 import type { ShardState } from './state.js'
+import { stopProcess } from '../invariant.js'
 
 /** Time between two looks at the shard, of its owner and standbys and of other nodes. */
 const TICK_MS = 50
@@ -95,7 +96,7 @@
   /** Answers a request about the shard. */
   async handle (request: Request): Promise<Result<unknown, Refusal>> {
     switch (request.kind) {
-      case Kind.Watch: return ok(this.post())
+      case Kind.Watch: return ok(this.ownership())
       case Kind.Pledge: return ok(this.grant(request))
       case Kind.Handover: return await this.takeHandover(request.epoch)
     }
@@ -112,29 +113,29 @@
       const request: Request = { kind: Kind.Handover, shard: this.parts.shard, epoch: owner.parts.epoch }
       const taken = await this.parts.router.askNode(standby, request, HANDOVER_TIMEOUT_MS)
       if (taken.isErr()) continue
-      this.standby.learn((taken.value as Post).epoch)
+      this.standby.learn((taken.value as Ownership).epoch)
       this.retire(`Node ${standby} took the shard over.`)
       return
     }
   }
 
-  private post (): Post {
+  private ownership (): Ownership {
     if (this.owner !== undefined) return { epoch: this.owner.parts.epoch, owner: true }
     return { epoch: this.standby.newest, owner: false, heardMs: this.standby.heardMs(), claiming: this.claiming }
   }
 
-  private grant (pledge: Pledge): Vow {
+  private grant (pledge: Pledge): Grant {
     if (this.owner !== undefined) return { granted: false, epoch: this.owner.parts.epoch }
     if (this.claiming) return { granted: false, epoch: this.standby.newest }
     return { granted: this.standby.grant(pledge.epoch), epoch: this.standby.newest }
   }
 
   /** The owner asks for it, so that no silence has to be waited for. */
-  private async takeHandover (epoch: Epoch): Promise<Result<Post, Refusal>> {
+  private async takeHandover (epoch: Epoch): Promise<Result<Ownership, Refusal>> {
     if (this.leaving || this.owner !== undefined || compareEpochs(epoch, this.standby.newest) < 0) return err(this.notOwner())
     await this.claim(false)
     if (this.owner === undefined) return err(this.notOwner())
-    return ok(this.post())
+    return ok(this.ownership())
   }
 
   private notOwner (): Refusal {
@@ -161,7 +162,7 @@
   private follow (): void {
     if (this.following !== undefined) return
     this.following = new AbortController()
-    this.parts.journal.follow(FOLLOW_WAIT_MS, this.following.signal).catch((error: unknown) => { throw error })
+    this.parts.journal.follow(FOLLOW_WAIT_MS, this.following.signal).catch(stopProcess)
   }
 
   private async standBy (signal: AbortSignal): Promise<void> {
--- a/packages/daemon/src/owner/roles.ts
+++ b/packages/daemon/src/owner/roles.ts
@@ -1,39 +1,24 @@
 /**
  * This node's roles in all shards, and the dispatch of requests to them.
  */
-import { SNAPSHOT_MS, SNAPSHOT_RECORDS, STREAM_PATIENCE_MS } from './stream.js'
-import type { Clock } from '@fireflymount/platform/clock'
 import type { Log } from '@fireflymount/platform/log'
-import type { Vm } from '@fireflymount/platform/machines'
 import { Stream } from '@fireflymount/platform/stream'
-import type { Worker } from '@fireflymount/platform/worker'
 import { findQueue } from '@fireflymount/manifest/lookup'
 import type { Manifest } from '@fireflymount/manifest/manifest'
-import type { Settings } from '@fireflymount/manifest/settings'
 import { Kind, type Request } from '@fireflymount/protocol/message'
 import { Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, type Result } from 'neverthrow'
-import type { Logger } from 'pino'
-import type { Metrics } from '../counters.js'
-import type { Members } from '../membership/members.js'
-import type { Router } from '../peer/router.js'
-import { Role } from './role.js'
+import { Role, type RoleParts } from './role.js'
 import { ShardState } from './state.js'
+import { SNAPSHOT_MS, SNAPSHOT_RECORDS, STREAM_PATIENCE_MS } from './stream.js'
+import { stopProcess } from '../invariant.js'
 
 /** When coming back helps after this node did not know a shard. */
 const UNKNOWN_RETRY_MS = 500
 
 /** What roles are built from. */
-export interface RolesParts {
-  readonly settings: Settings
+export interface RolesParts extends Omit<RoleParts, 'shard' | 'journal' | 'state'> {
   readonly log: Log
-  readonly members: Members
-  readonly router: Router
-  readonly manifest: () => Manifest
-  readonly connect: (vm: Vm) => Worker
-  readonly clock: Clock
-  readonly metrics: Metrics
-  readonly logger: Logger
 }
 
 /** One role for each upstream of the manifest. */
@@ -107,7 +92,7 @@
     this.streams.push(journal)
     this.roles.set(shard, role)
     this.stops.set(shard, stop)
-    role.run(stop.signal).catch((error: unknown) => { throw error })
+    role.run(stop.signal).catch(stopProcess)
   }
 
   private close (shard: string): void {
--- a/packages/daemon/src/owner/runs.ts
+++ b/packages/daemon/src/owner/runs.ts
@@ -13,6 +13,7 @@
 import type { Ledger } from './ledger.js'
 import type { Session } from './session.js'
 import { Stage, type ShardState, type TaskRecord } from './state.js'
+import { stopProcess } from '../invariant.js'
 
 /** How long a commit is tried before its tasks go back to waiting. */
 const ATTEMPT_PATIENCE_MS = 1000
@@ -119,7 +120,7 @@
       return
     }
     for (const run of runs) {
-      this.send(run).catch((error: unknown) => { throw error })
+      this.send(run).catch(stopProcess)
     }
   }
 
@@ -154,7 +155,7 @@
       return true
     }
     if (run.phase === Phase.Ending) return false
-    this.end(run, report).catch((error: unknown) => { throw error })
+    this.end(run, report).catch(stopProcess)
     return true
   }
 
@@ -240,14 +241,14 @@
   private sendStop (run: Run, checkpoint: boolean): void {
     const session = this.parts.session(run.worker)
     if (session === undefined || !this.parts.confirmed()) return
-    session.stop(run.task.id, checkpoint).catch((error: unknown) => { throw error })
+    session.stop(run.task.id, checkpoint).catch(stopProcess)
   }
 
   /** A report of a run that the state does not have: stopped if it runs, else acknowledged. */
   private onStray (session: Session, report: TaskReport): boolean {
     if (report.state === TaskState.Running) {
       this.parts.metrics.count('run.stray')
-      session.stop(report.id, false).catch((error: unknown) => { throw error })
+      session.stop(report.id, false).catch(stopProcess)
       return true
     }
     const record = this.parts.state.task(report.id)
@@ -257,7 +258,7 @@
       return true
     }
     const change = endOf(report, outcomeOf(report, false))
-    this.write(change).then(() => { session.acknowledge(report.id, report.attempt) }, (error: unknown) => { throw error })
+    this.write(change).then(() => { session.acknowledge(report.id, report.attempt) }, stopProcess)
     return true
   }
 
@@ -295,7 +296,7 @@
       if (!written) return
       this.remove(run)
       this.close(run, outcome)
-    }, (error: unknown) => { throw error })
+    }, stopProcess)
   }
 
   /** The run never began: the task waits again, without a record, since an adoption proves the same to any owner. */
--- a/packages/daemon/src/owner/standby.ts
+++ b/packages/daemon/src/owner/standby.ts
@@ -5,7 +5,7 @@
 import type { Holder } from '@fireflymount/platform/journal'
 import type { Settings } from '@fireflymount/manifest/settings'
 import { NO_EPOCH, compareEpochs, type Epoch } from '@fireflymount/protocol/epoch'
-import { Kind, PostCodec, type Post } from '@fireflymount/protocol/message'
+import { Kind, OwnershipCodec, type Ownership } from '@fireflymount/protocol/message'
 import { Execution } from '@fireflymount/protocol/refusal'
 import { FOLLOWERS, type Members } from '../membership/members.js'
 import type { Router } from '../peer/router.js'
@@ -14,7 +14,7 @@
 /** Extra patience of a standby for each standby before it. */
 export const STAGGER_MS = 400
 /** Extra patience of a node that is no standby, while the owner's VM is not gone. */
-const STRANGER_MS = 5000
+const OUTSIDER_MS = 5000
 /** Extra patience while the owner's process answers but owns nothing. */
 const VACANCY_MS = 100
 /** Refused connections in a row after which the owner's process counts as dead. */
@@ -94,11 +94,11 @@
       return
     }
     this.refusals = 0
-    const post = PostCodec.decode(answer.value).extract() as Post | string
-    if (typeof post === 'string') return
-    this.learn(post.epoch)
-    if (!post.owner) {
-      if (post.claiming !== true) this.vacantAtMs ??= clock.now()
+    const answered = OwnershipCodec.decode(answer.value).extract() as Ownership | string
+    if (typeof answered === 'string') return
+    this.learn(answered.epoch)
+    if (!answered.owner) {
+      if (answered.claiming !== true) this.vacantAtMs ??= clock.now()
       return
     }
     this.hear()
@@ -134,11 +134,11 @@
     const others = this.standbysOf(holder).filter((standby) => standby !== settings.node)
     const asks = others.map((standby) => router.askNode(standby, { kind: Kind.Watch, shard }, heartbeatMs))
     for (const answer of await Promise.all(asks)) {
-      const post = answer.isOk() ? PostCodec.decode(answer.value).extract() as Post | string : ''
-      if (typeof post === 'string') continue
-      this.learn(post.epoch)
-      if (post.owner || post.claiming === true) return true
-      if (post.heardMs !== undefined && post.heardMs < heartbeatMs) return true
+      const answered = answer.isOk() ? OwnershipCodec.decode(answer.value).extract() as Ownership | string : ''
+      if (typeof answered === 'string') continue
+      this.learn(answered.epoch)
+      if (answered.owner || answered.claiming === true) return true
+      if (answered.heardMs !== undefined && answered.heardMs < heartbeatMs) return true
     }
     return false
   }
@@ -156,6 +156,6 @@
     const rank = this.standbysOf(holder).indexOf(node)
     if (rank >= 0) return rank * STAGGER_MS
     const turnMs = (FOLLOWERS + Math.max(0, this.parts.candidates().indexOf(node))) * STAGGER_MS
-    return this.parts.members.isGone(holder.epoch.node) ? turnMs : turnMs + STRANGER_MS
+    return this.parts.members.isGone(holder.epoch.node) ? turnMs : turnMs + OUTSIDER_MS
   }
 }
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -177,7 +177,7 @@
 }
 
 /** What a node says of a shard when it is watched. */
-export const PostCodec = Codec.interface({
+export const OwnershipCodec = Codec.interface({
   /** The newest epoch that the node knows. */
   epoch: EpochCodec,
   owner: boolean,
@@ -187,7 +187,7 @@
   claiming: optional(boolean)
 })
 /** What a node says of a shard when it is watched. */
-export interface Post {
+export interface Ownership {
   readonly epoch: Epoch
   readonly owner: boolean
   readonly heardMs?: number
@@ -195,8 +195,8 @@
 }
 
 /** A standby's answer to Kind.Pledge. */
-export const VowCodec = Codec.interface({ granted: boolean, epoch: EpochCodec })
-export type Vow = GetType<typeof VowCodec>
+export const GrantCodec = Codec.interface({ granted: boolean, epoch: EpochCodec })
+export type Grant = GetType<typeof GrantCodec>
 
 /** The answer to Kind.Borrow and Kind.Transfer: the transfer made or taken, if any. */
 export const LoanCodec = Codec.interface({ id: optional(string), amount: optional(AllotmentCodec) })
