Leave alone what a provisional owner has not read of the log

The standby that took over while the log was away lacked the newest attempts, took the renders that ran for strays and stopped them. It now charges them, stops and acknowledges nothing that it does not know, and begins a new period of ownership, with the whole state, as soon as its claim is in the log. Also seen there: the first owner of a shard named no standbys, because its list of VMs was up to 1 s old, so that nobody could take over without the log. The list is read again before a first claim. A retired owner no longer repeats the writing of ends for ever.

--- a/packages/daemon/src/owner/confirmation.ts
+++ b/packages/daemon/src/owner/confirmation.ts
@@ -46,11 +46,11 @@
 
 /** The right of one epoch's owner to act. */
 export class Confirmation {
-  provisional: boolean
+  readonly provisional: boolean
   private names: readonly string[]
   /** When each standby first granted a pledge of this epoch. */
   private readonly grantedAtMs = new Map<string, number>()
-  private fencedAtMs: number
+  private readonly fencedAtMs: number
   private pledgedAtMs = -Infinity
   private askedAtMs = -Infinity
   private wanted: readonly string[]
@@ -76,12 +76,6 @@
     return this.names
   }
 
-  /** The claim is in the log. */
-  settle (): void {
-    this.provisional = false
-    this.fencedAtMs = this.parts.clock.now()
-  }
-
   /** Clock time after which the leases of all former owners have lapsed; undefined while one may renew them. */
   lapseMs (): number | undefined {
     if (this.parts.first) return -Infinity
--- a/packages/daemon/src/owner/ledger.ts
+++ b/packages/daemon/src/owner/ledger.ts
@@ -15,17 +15,17 @@
  * Keeps an owner from writing before its claim is in the log.
  *
  * @param journal the shard's journal
- * @param isProvisional true while the claim is not in the log
- * @returns the journal's writing side; Unavailable while the owner is provisional
+ * @param provisional the claim is not in the log
+ * @returns the journal's writing side; Unavailable for a provisional owner
  *
  * @example
- * const ledger = createLedger(journal, () => confirmation.provisional)
+ * const ledger = createLedger(journal, terms.provisional)
  */
-export function createLedger (journal: Journal, isProvisional: () => boolean): Ledger {
+export function createLedger (journal: Journal, provisional: boolean): Ledger {
+  if (!provisional) return journal
   return {
-    available: () => !isProvisional() && journal.available(),
-    commit: async (change, patienceMs): Promise<Result<void, JournalError>> => {
-      if (!isProvisional()) return await journal.commit(change, patienceMs)
+    available: () => false,
+    commit: async (): Promise<Result<void, JournalError>> => {
       await sleep(REFUSAL_PAUSE_MS)
       return err({ failure: JournalFailure.Unavailable, detail: 'The log is away since before this owner took over.' })
     }
--- a/packages/daemon/src/owner/owner.ts
+++ b/packages/daemon/src/owner/owner.ts
@@ -56,6 +56,8 @@
   readonly clock: Clock
   readonly timing: Timing
   readonly metrics: Metrics
+  /** The claim is not in the log: the owner took over while the log is away. */
+  readonly provisional: boolean
   /** True while this owner may act. */
   readonly confirmed: () => boolean
   /** Clock time after which former owners' leases have certainly lapsed; undefined while that is unknown. */
@@ -106,6 +108,8 @@
       metrics,
       session,
       confirmed: parts.confirmed,
+      provisional: parts.provisional,
+      active: () => this.active,
       bodyOf: (task) => this.bodyOf(task),
       specOf: (task) => this.replicas.specOf(task),
       mayRepeat: (task) => this.jobs.mayRepeat(task),
--- a/packages/daemon/src/owner/role.ts
+++ b/packages/daemon/src/owner/role.ts
@@ -201,8 +201,10 @@
 
   /** The shard never had an owner: the first candidate claims it, the others wait a little. */
   private async claimVacant (): Promise<void> {
+    // The claim names the standbys: those of an old list would leave the shard without any.
+    await this.parts.members.poll()
     const rank = this.candidates().indexOf(this.parts.settings.node)
-    if (this.standby.heardMs() < rank * STAGGER_MS) return
+    if (this.standby.heardMs() < rank * STAGGER_MS || this.parts.journal.holder() !== undefined) return
     await this.claim(false)
   }
 
@@ -241,6 +243,7 @@
     if (claimed.error.failure === JournalFailure.Superseded) {
       this.standby.learn(journal.holder()?.epoch ?? NO_EPOCH)
       this.standby.hear()
+      this.retire('Another node claimed the shard in the log.')
       return
     }
     if (!provisionally || before === undefined || this.owner !== undefined) return
@@ -255,7 +258,8 @@
     const confirmation = new Confirmation({ ...parts, ...terms, epoch, timing })
     const owner: Owner = new Owner({
       ...parts,
-      journal: createLedger(parts.journal, () => confirmation.provisional),
+      journal: createLedger(parts.journal, terms.provisional),
+      provisional: terms.provisional,
       node: parts.settings.node,
       epoch,
       allotments: this.allotments,
@@ -275,25 +279,15 @@
   private async keepOwnership (): Promise<void> {
     const { owner, confirmation } = this
     if (owner === undefined || confirmation === undefined) return
-    if (confirmation.provisional) await this.claimProvisional(owner, confirmation)
+    // A claim begins a new period of ownership, whose state is read from the log.
+    if (confirmation.provisional) return await this.claim(false)
     await confirmation.refresh()
-    if (this.owner !== owner || confirmation.provisional) return
+    if (this.owner !== owner) return
     await confirmation.setStandbys(this.wantedStandbys([]))
     const compacted = await this.parts.journal.compact()
     if (compacted.isOk() && compacted.value) this.parts.metrics.count('shard.snapshot')
   }
 
-  /** Appends the claim of a takeover that happened while the log was away. */
-  private async claimProvisional (owner: Owner, confirmation: Confirmation): Promise<void> {
-    const claimed = await this.parts.journal.claim(owner.parts.epoch, confirmation.standbys())
-    if (claimed.isOk()) {
-      confirmation.settle()
-      this.parts.logger.info({ shard: this.parts.shard, epoch: owner.parts.epoch }, 'takeover written to the log')
-      return
-    }
-    if (claimed.error.failure === JournalFailure.Superseded) this.retire('Another node claimed the shard in the log.')
-  }
-
   private onHolder (holder: Holder): void {
     this.standby.learn(holder.epoch)
     const { owner } = this
--- a/packages/daemon/src/owner/runs.ts
+++ b/packages/daemon/src/owner/runs.ts
@@ -7,6 +7,7 @@
 import { TaskState, WorkerFailure, type TaskReport, type WorkerReport } from '@fireflymount/platform/worker'
 import { Ending, type Placement, type Task } from '@fireflymount/policy/task'
 import type { Scheduler } from '@fireflymount/policy/scheduler'
+import { Urgency, Workload } from '@fireflymount/protocol/workload'
 import type { Result } from 'neverthrow'
 import type { Metrics } from '../counters.js'
 import { ChangeKind, Outcome, type Attempt, type Change, type Ended } from './change.js'
@@ -53,6 +54,10 @@
   readonly metrics: Metrics
   readonly session: (worker: string) => Session | undefined
   readonly confirmed: () => boolean
+  /** The owner took over while the log is away: its state may lack the newest records, and it writes nothing. */
+  readonly provisional: boolean
+  /** True while the owner has not given the shard up. */
+  readonly active: () => boolean
   readonly bodyOf: (task: string) => unknown
   /** Identifies what a replica is started as; undefined for tasks of jobs. */
   readonly specOf: (task: string) => string | undefined
@@ -75,6 +80,8 @@
 export class Runs {
   private readonly runs = new Map<string, Run>()
   private readonly byWorker = new Map<string, Set<Run>>()
+  /** Tasks found running that a provisional owner's state does not have. */
+  private readonly unread = new Set<string>()
 
   constructor (private readonly parts: RunParts) {}
 
@@ -246,6 +253,7 @@
 
   /** A report of a run that the state does not have: stopped if it runs, else acknowledged. */
   private onStray (session: Session, report: TaskReport): boolean {
+    if (this.parts.provisional) return this.onUnread(session, report)
     if (report.state === TaskState.Running) {
       this.parts.metrics.count('run.stray')
       session.stop(report.id, false).catch(stopProcess)
@@ -262,6 +270,19 @@
     return true
   }
 
+  /** While the log is away, the state may lack what the owner before wrote last: nothing is stopped or acknowledged. */
+  private onUnread (session: Session, report: TaskReport): boolean {
+    const now = this.parts.clock.now()
+    if (report.state !== TaskState.Running) {
+      if (this.unread.delete(report.id)) this.parts.scheduler.finish(report.id, Ending.Released, now)
+      return false
+    }
+    if (this.unread.has(report.id) || this.runs.has(report.id)) return true
+    this.unread.add(report.id)
+    this.parts.scheduler.adopt(createUnread(report, now), session.id, now)
+    return true
+  }
+
   private async end (run: Run, report: TaskReport): Promise<void> {
     run.phase = Phase.Ending
     const record = this.parts.state.task(run.task.id)
@@ -323,6 +344,7 @@
     for (;;) {
       const written = await this.commit(change, ENDED_PATIENCE_MS)
       if (written.isOk()) return true
+      if (!this.parts.active()) return false
       if (written.error.failure === JournalFailure.Superseded || written.error.failure === JournalFailure.Unknown) return false
     }
   }
@@ -348,6 +370,21 @@
   }
 }
 
+/** Describes a task that only its worker's report tells of. */
+function createUnread (report: TaskReport, nowMs: number): Task {
+  return {
+    id: report.id,
+    team: report.team,
+    kind: report.kind,
+    workload: Workload.Batch,
+    urgency: Urgency.Normal,
+    size: report.size,
+    runtimeMs: report.runtimeMs,
+    submittedMs: nowMs,
+    checkpoint: false
+  }
+}
+
 function endOf (report: TaskReport, outcome: Outcome): Ended {
   return {
     kind: ChangeKind.Ended,
