Let the retry budget cover a connection that went silent

Cause: a silent connection is noticed after 1 s, and 10 retries at once are too few for what was in flight; connections-stalled had been eased from 20 to 5 requests a second for that.

--- a/packages/daemon/src/entry/retries.ts
+++ b/packages/daemon/src/entry/retries.ts
@@ -4,7 +4,8 @@
 
 /** Tokens that each first attempt earns; a retry costs one. */
 const TOKENS_PER_REQUEST = 0.1
-const MOST_TOKENS = 10
+/** Retries at once: what is in flight on a connection that went silent must fit. */
+const MOST_TOKENS = 50
 
 /** A token bucket for each queue. */
 export class RetryBudget {
