--- a/packages/daemon/src/entry/jobs.ts
+++ b/packages/daemon/src/entry/jobs.ts
@@ -6,8 +6,8 @@
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { sleep } from '@fireflymount/platform/clock'
 import { Workload } from '@fireflymount/protocol/workload'
+import { runAdmitted } from './admitted.js'
 import { answerJson } from './answer.js'
-import { readJson } from './body.js'
 import { Phase } from './presence.js'
 import { answerProblem, createBadRequest, createProblem, type Problem } from './problem.js'
 import { outcomeOf, refuseQueue } from './requests.js'
@@ -106,22 +106,14 @@
   if (queue.workload === Workload.Request) {
     return err(createBadRequest(`The queue "${queue.name}" takes synchronous requests. Use POST /v1/queues/${queue.name}/requests.`))
   }
-  const team = entry.access.teamFor(queue, context.req.header('authorization'))
-  if (team.isErr()) return err(createProblem(team.error))
-  const place = entry.admission.enter(team.value, queue.name)
-  if (place.isErr()) return err(createProblem(place.error))
-  try {
-    const body = await readJson(context.req.raw, entry.settings.limits.bodyBytes)
-    if (body.isErr()) return err(body.error)
-    const submit = parseSubmission(queue, team.value, key, body.value)
+  return await runAdmitted(entry, context, queue, async (team, body) => {
+    const submit = parseSubmission(queue, team, key, body)
     if (submit.isErr()) return err(submit.error)
     const answer = await entry.router.ask(queue.upstream, submit.value, OWNER_TIMEOUT_MS)
     const job = answer.andThen(decodeJob).mapErr(describeSubmission)
     if (job.isErr()) return err(createProblem(job.error))
     return ok(await waitForEnd(entry, context, job.value, parseWait(context.req.header('prefer'))))
-  } finally {
-    place.value.leave()
-  }
+  })
 }
 
 /** Finds a job that the caller may see. */
--- a/packages/daemon/src/entry/requests.ts
+++ b/packages/daemon/src/entry/requests.ts
@@ -6,8 +6,8 @@
 import { Kind, type Call } from '@fireflymount/protocol/message'
 import { Execution, Reason, refuse, withEarlierTries, type Refusal } from '@fireflymount/protocol/refusal'
 import { Workload } from '@fireflymount/protocol/workload'
+import { runAdmitted } from './admitted.js'
 import { answerJson } from './answer.js'
-import { readJson } from './body.js'
 import { answerProblem, createBadRequest, createProblem, type Problem } from './problem.js'
 import type { Context } from 'hono'
 import type { Queue } from '@fireflymount/manifest/manifest'
@@ -74,19 +74,11 @@
   }
   const deadlineMs = parseDeadline(context.req.header(DEADLINE_HEADER), queue)
   if (deadlineMs.isErr()) return err(deadlineMs.error)
-  const team = entry.access.teamFor(queue, context.req.header('authorization'))
-  if (team.isErr()) return err(createProblem(team.error))
-  const place = entry.admission.enter(team.value, queue.name)
-  if (place.isErr()) return err(createProblem(place.error))
-  try {
-    const body = await readJson(context.req.raw, entry.settings.limits.bodyBytes)
-    if (body.isErr()) return err(body.error)
-    const call: Call = { kind: Kind.Call, id: randomUUID(), queue: queue.name, team: team.value, budgetMs: 0, body: body.value }
+  return await runAdmitted(entry, context, queue, async (team, body) => {
+    const call: Call = { kind: Kind.Call, id: randomUUID(), queue: queue.name, team, budgetMs: 0, body }
     const answer = await askUnlessGone(entry, queue, call, arrivedMs + deadlineMs.value, context.req.raw.signal)
     return answer.mapErr(createProblem)
-  } finally {
-    place.value.leave()
-  }
+  })
 }
 
 /** Asks the owner, and tells it when the caller has gone, so that work that still waits is not started. */
--- a/packages/daemon/src/owner/owner.ts
+++ b/packages/daemon/src/owner/owner.ts
@@ -13,7 +13,7 @@
 import type { Epoch } from '@fireflymount/protocol/epoch'
 import { Kind, type Request } from '@fireflymount/protocol/message'
 import { Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
-import { Workload } from '@fireflymount/protocol/workload'
+import { Urgency, Workload } from '@fireflymount/protocol/workload'
 import { err, ok, type Result } from 'neverthrow'
 import type { Metrics } from '../counters.js'
 import type { Members } from '../membership/members.js'
@@ -355,7 +355,7 @@
     team: '',
     kind: 'orphan',
     workload: Workload.Service,
-    urgency: 'normal' as Task['urgency'],
+    urgency: Urgency.Normal,
     size: { cpuMilli: 0, memoryMb: 0, accelerators: 0 },
     runtimeMs: Infinity,
     submittedMs: 0,
