--- a/packages/daemon/src/owner/runs.ts
+++ b/packages/daemon/src/owner/runs.ts
@@ -7,10 +7,10 @@
 import { TaskState, WorkerFailure, type TaskReport, type WorkerReport } from '@fireflymount/platform/worker'
 import { Ending, type Placement, type Task } from '@fireflymount/policy/task'
 import type { Scheduler } from '@fireflymount/policy/scheduler'
-import { Urgency, Workload } from '@fireflymount/protocol/workload'
 import type { Result } from 'neverthrow'
 import type { Metrics } from '../counters.js'
 import { ChangeKind, Outcome, type Attempt, type Change, type Ended } from './change.js'
+import { createUnread, endOf, endingOf, outcomeOf } from './ending.js'
 import type { Ledger } from './ledger.js'
 import type { Session } from './session.js'
 import { Stage, type ShardState, type TaskRecord } from './state.js'
@@ -369,50 +369,3 @@
     if (runs?.size === 0) this.byWorker.delete(run.worker)
   }
 }
-
-/** Describes a task that only its worker's report tells of. */
-function createUnread (report: TaskReport, nowMs: number): Task {
-  return {
-    id: report.id,
-    team: report.team,
-    kind: report.kind,
-    workload: Workload.Batch,
-    urgency: Urgency.Normal,
-    size: report.size,
-    runtimeMs: report.runtimeMs,
-    submittedMs: nowMs,
-    checkpoint: false
-  }
-}
-
-function endOf (report: TaskReport, outcome: Outcome): Ended {
-  return {
-    kind: ChangeKind.Ended,
-    task: report.id,
-    attempt: report.attempt,
-    outcome,
-    atMs: Date.now(),
-    ...(report.result === undefined || outcome === Outcome.Again ? {} : { result: report.result }),
-    ...(report.state === TaskState.Failed ? { detail: 'The task failed.' } : {}),
-    ...(report.state === TaskState.Lapsed && outcome === Outcome.Failed
-      ? { detail: 'The worker stopped the task because its lease lapsed.' }
-      : {})
-  }
-}
-
-function outcomeOf (report: TaskReport, again: boolean): Outcome {
-  switch (report.state) {
-    case TaskState.Succeeded: return Outcome.Succeeded
-    case TaskState.Stopped: return again ? Outcome.Again : Outcome.Cancelled
-    case TaskState.Failed: return again ? Outcome.Again : Outcome.Failed
-    default: return again ? Outcome.Again : Outcome.Failed
-  }
-}
-
-function endingOf (report: TaskReport): Ending {
-  switch (report.state) {
-    case TaskState.Succeeded: return Ending.Succeeded
-    case TaskState.Failed: return Ending.Failed
-    default: return Ending.Released
-  }
-}
--- a/packages/daemon/test/configuration/follower.spec.ts
+++ b/packages/daemon/test/configuration/follower.spec.ts
@@ -9,6 +9,7 @@
 import { Log } from '@fireflymount/platform/log'
 import { Execution, Reason } from '@fireflymount/protocol/refusal'
 import { RecordsPageCodec, type RecordsPage } from '@fireflymount/protocol/message'
+import { run } from '../../../platform/test/fake-clock.js'
 import { Fate, FakeLog, type Call } from '../../../platform/test/fake-log.js'
 import { Follower } from '../../src/configuration/follower.js'
 
@@ -94,14 +95,6 @@
   }
 }
 
-async function run<T> (promise: Promise<T>): Promise<T> {
-  const state = { done: false }
-  const settled = promise.finally(() => { state.done = true })
-  for (let step = 0; step < 20_000 && !state.done; step += 1) await vi.advanceTimersByTimeAsync(1)
-  if (!state.done) throw new Error('The promise did not settle within 20 s of the fake clock.')
-  return await settled
-}
-
 async function createCell (count: number): Promise<Cell> {
   const cell = new Cell(count)
   await vi.advanceTimersByTimeAsync(50)
--- a/packages/platform/test/stream.spec.ts
+++ b/packages/platform/test/stream.spec.ts
@@ -5,6 +5,7 @@
 import { Entry, Fold, JournalFailure, type JournalError } from '@fireflymount/platform/journal'
 import { Stream } from '@fireflymount/platform/stream'
 import type { Epoch } from '@fireflymount/protocol/epoch'
+import { run } from './fake-clock.js'
 import { Fate, FakeLog, type Call } from './fake-log.js'
 
 interface Change { id: number, counter: number, node: string }
@@ -45,15 +46,6 @@
   return { journal, fold }
 }
 
-/** Waits for a promise while the fake clock runs. */
-async function run<T> (promise: Promise<T>): Promise<T> {
-  const state = { done: false }
-  const settled = promise.finally(() => { state.done = true })
-  for (let step = 0; step < 20_000 && !state.done; step += 1) await vi.advanceTimersByTimeAsync(1)
-  if (!state.done) throw new Error('The promise did not settle within 20 s of the fake clock.')
-  return await settled
-}
-
 beforeEach(() => { vi.useFakeTimers() })
 afterEach(() => {
   vi.useRealTimers()
