Carry the key __proto__ through the inner protocol unchanged

Cause: msgpackr renames that key to __proto_ when it reads objects, so a body or an answer with it arrived altered. Ruled out: refusing such bodies (answers of workers can have the key too); reading every frame by maps (slower). Only frames whose bytes hold the key are read that way.

--- a/packages/protocol/src/frame.ts
+++ b/packages/protocol/src/frame.ts
@@ -11,7 +11,11 @@
 
 type Decoder = Pick<Codec<unknown>, 'decode'>
 
+/** A key that msgpackr renames when it reads objects. */
+const RENAMED_KEY = '__proto__'
+
 const packr = new Packr({ useRecords: false })
+const mapReader = new Packr({ useRecords: false, mapsAsObjects: false })
 
 /**
  * Encodes a frame.
@@ -62,12 +66,24 @@
 
 function unpack (bytes: Uint8Array): Result<unknown, string> {
   try {
-    return ok(packr.unpack(bytes))
+    const buffer = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength)
+    return ok(buffer.includes(RENAMED_KEY) ? toObjects(mapReader.unpack(bytes)) : packr.unpack(bytes))
   } catch (error) {
     return err(`The frame is no MessagePack: ${String(error)}`)
   }
 }
 
+/** Turns maps into objects with the same keys as own properties. */
+function toObjects (value: unknown): unknown {
+  if (Array.isArray(value)) return value.map(toObjects)
+  if (!(value instanceof Map)) return value
+  const object = {}
+  for (const [key, member] of value) {
+    Object.defineProperty(object, String(key), { value: toObjects(member), enumerable: true, writable: true, configurable: true })
+  }
+  return object
+}
+
 function codecOf (value: unknown): Decoder | undefined {
   switch ((value as { frame?: string } | null)?.frame) {
     case 'hello': return HelloCodec
--- a/packages/protocol/test/connection.spec.ts
+++ b/packages/protocol/test/connection.spec.ts
@@ -128,6 +128,11 @@
   expect(decodeRequest((frame as { request: unknown }).request)._unsafeUnwrap()).toEqual(submit)
 })
 
+test.each(['{"__proto__":1}', '[{"a":{"__proto__":{"x":[null,true,"y"]}},"b":{}}]', '"__proto__"'])('the value %s arrives as it was sent', (text) => {
+  const frame = decodeFrame(encodeFrame({ frame: 'answer', id: 1, value: JSON.parse(text) }))._unsafeUnwrap()
+  expect(JSON.stringify((frame as { value: unknown }).value)).toBe(text)
+})
+
 test('a frame survives encoding and decoding', () => {
   fc.assert(fc.property(fc.nat(), fc.jsonValue(), (id, value) => {
     const frame = decodeFrame(encodeFrame({ frame: 'answer', id, value }))._unsafeUnwrap()
