--- a/packages/daemon/src/membership/members.ts
+++ b/packages/daemon/src/membership/members.ts
@@ -32,7 +32,6 @@
   private readonly nodesListedAtMs = new Map<string, number>()
   /** Since when VMs that were asked for are missing. */
   private readonly missingSinceMs = new Map<string, number>()
-  private readonly listeners: Array<() => void> = []
 
   constructor (private readonly machines: Machines, private readonly clock: Clock) {}
 
@@ -57,7 +56,6 @@
     for (const id of this.missingSinceMs.keys()) {
       if (this.byId.has(id)) this.missingSinceMs.delete(id)
     }
-    for (const listener of this.listeners) listener()
   }
 
   /** Milliseconds since the last successful poll. */
@@ -65,11 +63,6 @@
     return this.clock.now() - this.listedAtMs
   }
 
-  /** Calls the listener after each successful poll. */
-  onPoll (listener: () => void): void {
-    this.listeners.push(listener)
-  }
-
   /** @returns the VM, or undefined if the list does not have it */
   vm (id: string): Vm | undefined {
     return this.byId.get(id)
--- a/packages/daemon/src/owner/runs.ts
+++ b/packages/daemon/src/owner/runs.ts
@@ -90,11 +90,6 @@
     return this.runs.get(task)
   }
 
-  /** Number of runs that may be in progress. */
-  size (): number {
-    return this.runs.size
-  }
-
   /** Takes over a run that a former owner wrote. Its room and limits are charged at once. */
   inherit (task: Task, record: TaskRecord): void {
     const run: Run = {
--- a/packages/daemon/src/peer/peers.ts
+++ b/packages/daemon/src/peer/peers.ts
@@ -124,11 +124,6 @@
     }
   }
 
-  /** The node that last answered as the owner of a shard. */
-  ownerOf (shard: string): string | undefined {
-    return this.owners.get(shard)
-  }
-
   /** Tells all peers to send no new requests here. */
   leave (): void {
     for (const connection of this.incoming) connection.leave()
