Serve jobs of dependent steps on the users' platform

The users' platform brings workers with leases and fencing tokens, a store with fenced producers and keyed topics, and an advisor.

Not there yet: evacuation, refusals by backlog, speculation, pacing, waves, moves, tests.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/node_modules/**', 'docs/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/node_modules/**', 'docs/**', 'target/**', 'journal/**'] }),
   {
     rules: {
       'no-console': 'error',
--- /dev/null
+++ b/packages/control/src/entry/desk.ts
@@ -0,0 +1,197 @@
+/**
+ * What callers may do at any node: submit, look up and cancel jobs, and count a queue's waiting jobs.
+ */
+import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
+import { err, ok, type Result } from 'neverthrow'
+import { sleep, type Clock, type Stamp } from '../clock.js'
+import { Subject, encodeJob, encodeRecord } from '../journal/record.js'
+import type { Table } from '../journal/table.js'
+import { findQueueByPath, findWorkspaceByKey, type Configuration, type Queue } from '../model/configuration.js'
+import { findJobMistake, isFinal, Phase, type Job, type Step } from '../model/job.js'
+import { StoreFailure, Topic, type KeyedRecord, type Store } from '../ports/store.js'
+import type { Log } from '../report/log.js'
+import type { Metrics } from '../report/metrics.js'
+import type { Gate } from './gate.js'
+
+/** Longest wait for the owner's answer to a look-up, before this node's own copy of the journal is used. */
+const LOOKUP_TIMEOUT_MS = 400
+/** Time kept of a caller's deadline for the way of the answer. */
+const ANSWER_RESERVE_MS = 150
+/** First and longest pause between two tries to append. */
+const RETRY_MIN_MS = 30
+const RETRY_MAX_MS = 300
+/** When to come back while the store or the configuration cannot be reached. */
+const AWAY_RETRY_MS = 1000
+/** Longest time for an unknown job to be looked for in the journal. */
+const CATCH_UP_AGE_MS = 20
+
+/** A call that has been let in. */
+export interface Access {
+  readonly queue: Queue
+  /** Empty on an open queue without a key. */
+  readonly workspace: string
+  /** Version of the configuration that let the call in. */
+  readonly version: number
+}
+
+/** What a caller submits. */
+export interface Submission {
+  readonly id: string
+  readonly payload: string
+  readonly steps: readonly Step[]
+  readonly occurrences: number
+  readonly firstDueMs: number
+  readonly intervalMs: number
+}
+
+/** What the desk is built from. */
+export interface DeskParts {
+  readonly configuration: () => Configuration | undefined
+  /** When the configuration was last known to be the newest. */
+  readonly configurationFreshAt: () => Stamp
+  /** Age of the configuration beyond which keys are not trusted. */
+  readonly configurationAgeMaxMs: number
+  readonly table: () => Table
+  readonly store: Store
+  /** Reads the journal to its end. */
+  readonly catchUp: () => Promise<void>
+  /** When the journal was last read to its end. */
+  readonly journalFreshAt: () => Stamp
+  /** Tells the owner of appended records; resolves at once. */
+  readonly notify: (records: readonly KeyedRecord[]) => void
+  /** Asks the owner for a job's phase; null if it knows no such job, undefined without an answer. */
+  readonly askPhase: (job: string, timeoutMs: number) => Promise<Phase | null | undefined>
+  readonly gate: Gate
+  readonly clock: Clock
+  readonly log: Log
+  readonly metrics: Metrics
+}
+
+/** Serves callers. */
+export class Desk {
+  constructor (private readonly parts: DeskParts) {}
+
+  /**
+   * Lets a call in, or refuses it.
+   *
+   * @param host host name without a port
+   * @param path path of the request
+   * @param key the caller's key; empty without one
+   */
+  admit (host: string, path: string, key: string): Result<Access, Refusal> {
+    const configuration = this.parts.configuration()
+    if (configuration === undefined) {
+      return err(refuse(Reason.ConfigurationStale, 'This node has no configuration yet.', AWAY_RETRY_MS))
+    }
+    const ageMs = this.parts.clock.ageOf(this.parts.configurationFreshAt())
+    if (ageMs > this.parts.configurationAgeMaxMs) {
+      return err(refuse(Reason.ConfigurationStale, `The configuration was last confirmed ${Math.round(ageMs)} ms ago.`, AWAY_RETRY_MS))
+    }
+    const queue = findQueueByPath(configuration, host, path)
+    if (queue === undefined) return err(refuse(Reason.NoSuchQueue, `There is no queue at ${host}${path}.`))
+    const workspace = key === '' ? undefined : findWorkspaceByKey(configuration, key)
+    if (workspace === undefined && !queue.open) return err(refuse(Reason.BadKey, 'The key is missing or belongs to no workspace.'))
+    return ok({ queue, workspace: workspace?.name ?? '', version: configuration.version })
+  }
+
+  /** Accepts a job. It is in the store when this resolves to a value. */
+  async submit (access: Access, submission: Submission, budgetMs: number): Promise<Result<void, Refusal>> {
+    const { queue } = access
+    const known = this.parts.table().jobs.get(submission.id)
+    if (known !== undefined) {
+      if (known.job.queue === queue.name) return ok(undefined)
+      return err(refuse(Reason.BadRequest, `The id ${submission.id} names a job on another queue. Choose another id.`))
+    }
+    const mistake = findJobMistake(submission.steps)
+    if (mistake !== undefined) return err(refuse(Reason.BadRequest, mistake))
+    const refusal = this.parts.gate.check(queue.name)
+    if (refusal !== undefined) return err(refusal)
+    const job = this.createJob(access, submission)
+    const appended = await this.append(encodeJob(job), budgetMs)
+    if (appended.isErr()) return err(appended.error)
+    this.parts.log.decision('job accepted', {
+      job: job.id, queue: queue.name, workspace: job.workspace, version: access.version, steps: job.steps.length
+    })
+    return ok(undefined)
+  }
+
+  /** Returns what a caller is shown of a job. */
+  async lookup (access: Access, id: string): Promise<Result<Phase, Refusal>> {
+    const known = this.parts.table().jobs.get(id)
+    if (known !== undefined && isFinal(known.visiblePhase())) return this.show(access, id)
+    const phase = await this.parts.askPhase(id, LOOKUP_TIMEOUT_MS)
+    if (phase !== undefined && phase !== null) return ok(phase)
+    if (!this.parts.table().jobs.has(id)) await this.catchUp()
+    return this.show(access, id)
+  }
+
+  /** Cancels a job. The cancellation is in the store when this resolves to a value. */
+  async cancel (access: Access, id: string, budgetMs: number): Promise<Result<void, Refusal>> {
+    if (!this.parts.table().jobs.has(id)) await this.catchUp()
+    const known = this.parts.table().jobs.get(id)
+    if (known === undefined || known.job.queue !== access.queue.name) return err(noSuchJob(id))
+    if (known.over()) return ok(undefined)
+    const record = encodeRecord(Subject.Cancellation, id, { atMs: this.parts.clock.wall() })
+    const appended = await this.append(record, budgetMs)
+    if (appended.isErr()) return err(appended.error)
+    this.parts.log.decision('cancellation accepted', { job: id, version: access.version })
+    return ok(undefined)
+  }
+
+  /** Counts the jobs of a queue of which no task has started. */
+  waiting (access: Access): number {
+    let count = 0
+    for (const entry of this.parts.table().jobs.values()) {
+      if (entry.job.queue === access.queue.name && entry.visiblePhase() === Phase.Pending) count++
+    }
+    return count
+  }
+
+  private show (access: Access, id: string): Result<Phase, Refusal> {
+    const known = this.parts.table().jobs.get(id)
+    if (known === undefined || known.job.queue !== access.queue.name) return err(noSuchJob(id))
+    return ok(known.visiblePhase())
+  }
+
+  private async catchUp (): Promise<void> {
+    if (this.parts.clock.ageOf(this.parts.journalFreshAt()) > CATCH_UP_AGE_MS) await this.parts.catchUp()
+  }
+
+  private createJob (access: Access, submission: Submission): Job {
+    return {
+      ...submission,
+      queue: access.queue.name,
+      upstream: access.queue.upstream,
+      workspace: access.workspace,
+      acceptedMs: this.parts.clock.wall()
+    }
+  }
+
+  /** Appends until the store has the record or the caller's time is over. Appending a record twice changes nothing. */
+  private async append (record: KeyedRecord, budgetMs: number): Promise<Result<void, Refusal>> {
+    const { clock } = this.parts
+    const endMs = clock.now() + budgetMs - ANSWER_RESERVE_MS
+    let execution = Execution.NotRun
+    let retryMs = RETRY_MIN_MS
+    let failure: StoreFailure
+    do {
+      const appended = await this.parts.store.append(Topic.Journal, [record])
+      if (appended.isOk()) {
+        this.parts.notify([record])
+        return ok(undefined)
+      }
+      failure = appended.error
+      if (failure === StoreFailure.NoAnswer) execution = Execution.Unknown
+      if (failure === StoreFailure.Invalid) break
+      await sleep(retryMs * (0.5 + Math.random()))
+      retryMs = Math.min(2 * retryMs, RETRY_MAX_MS)
+    } while (clock.now() + retryMs < endMs)
+    return err({
+      reason: Reason.LogUnavailable, detail: `The store did not take the record: ${failure}.`, execution, retryAfterMs: AWAY_RETRY_MS
+    })
+  }
+}
+
+function noSuchJob (id: string): Refusal {
+  return refuse(Reason.NoSuchJob, `There is no job ${id} on this queue.`)
+}
--- /dev/null
+++ b/packages/control/src/membership/election.ts
@@ -0,0 +1,59 @@
+/**
+ * Decides when this node claims the cell. The store's fence makes claims safe; this makes them rare and quick.
+ */
+
+/** Sign of life that candidates wait for in the journal before they claim: two beats of the owner. */
+export const SILENCE_BEFORE_CLAIM_MS = 700
+/** Head start of each rank over the next, above the time of a claim. */
+const RANK_STEP_MS = 120
+/** Ranks beyond this claim together with it. */
+const RANK_MAX = 4
+
+/** What a node knows of the owner. */
+export interface OwnerView {
+  /** A connection to the owner is open. */
+  readonly linked: boolean
+  /** Steady time since when there has been no connection to the owner. */
+  readonly unlinkedMs: number
+  /** Steady time at which a record of the owner was last read from the journal. */
+  readonly heardMs: number
+  /** Steady time of the last read that reached the end of the journal. */
+  readonly readMs: number
+  /** The owner announced that it leaves. */
+  readonly left: boolean
+  /** There has never been an owner, or it is an earlier process of this node. */
+  readonly vacant: boolean
+}
+
+/**
+ * Tells whether to claim the cell now.
+ *
+ * @param view what is known of the owner
+ * @param rank position among the candidates, from 0
+ * @param nowMs steady time
+ * @returns true to claim
+ */
+export function isClaimDue (view: OwnerView, rank: number, nowMs: number): boolean {
+  const headStartMs = Math.min(rank, RANK_MAX) * RANK_STEP_MS
+  if (view.left) return nowMs - view.unlinkedMs >= headStartMs
+  if (view.linked) return false
+  const silenceMs = SILENCE_BEFORE_CLAIM_MS + headStartMs
+  if (nowMs - view.unlinkedMs < (view.vacant ? headStartMs : silenceMs)) return false
+  // The journal must have been read to its end after the silence, and have shown no sign of the owner.
+  if (!view.vacant && nowMs - view.heardMs < silenceMs) return false
+  return view.readMs >= view.unlinkedMs && (view.vacant || view.readMs - view.heardMs >= silenceMs / 2)
+}
+
+/**
+ * Orders the candidates for the cell: those in the owner's place after it, by name.
+ *
+ * @param node this node
+ * @param nodes all known nodes
+ * @param owner the owner that is gone; empty if there was none
+ * @returns this node's rank, from 0
+ */
+export function rankOf (node: string, nodes: Iterable<string>, owner: string): number {
+  const names = [...nodes].filter((name) => name !== owner).sort()
+  const after = [...names.filter((name) => name > owner), ...names.filter((name) => name < owner)]
+  return Math.max(0, after.indexOf(node))
+}
--- /dev/null
+++ b/packages/control/src/owner/advice.ts
@@ -0,0 +1,174 @@
+/**
+ * Advice on where steps may run. The advisor serves one call at a time for each machine, so calls are spread over the nodes.
+ */
+import { detach } from '../detach.js'
+import type { Result } from 'neverthrow'
+import type { Clock } from '../clock.js'
+import type { AdviceTerms } from '../model/configuration.js'
+import type { AdviceFailure, Tickets } from '../ports/advisor.js'
+
+/** Subtracted from a ticket's time for the way of the answer and of the start. */
+const TICKET_MARGIN_MS = 250
+/** Calls that may wait at the advisor for one machine: one being served and one behind it. */
+const CALLS_A_NODE = 2
+/** Longest time for an answer, beside what the advisor needs for the calls ahead. */
+const ANSWER_SLACK_MS = 800
+/** Most workers that one call may name. */
+const WORKERS_A_CALL = 100
+
+/** Asks the advisor through a node. */
+export type Ask = (
+  node: string, step: string, workers: readonly string[], timeoutMs: number
+) => Promise<Result<Tickets, AdviceFailure>>
+
+/** A worker's incarnation. */
+export interface Candidate {
+  readonly id: string
+  readonly born: number
+}
+
+interface Ticket {
+  readonly text: string
+  readonly born: number
+  readonly untilMs: number
+}
+
+/** What is known of a step. The set of workers that may run it does not change. */
+class Knowledge {
+  readonly tickets = new Map<string, Ticket>()
+  readonly asked = new Set<string>()
+  pending = false
+}
+
+interface Inquiry {
+  readonly step: string
+  readonly candidates: readonly Candidate[]
+  readonly costMs: number
+  readonly validMs: number
+  /** Smaller goes first. */
+  readonly urgency: number
+}
+
+/** Where a worker stands with a step. */
+export enum Admission {
+  /** The worker may run the step and its ticket is valid. */
+  Valid = 'valid',
+  /** The worker may run the step, with a new ticket. */
+  Expired = 'expired',
+  /** Nobody has asked. */
+  Unknown = 'unknown',
+  Forbidden = 'forbidden'
+}
+
+/** All advice that the owner has or waits for. */
+export class AdviceDesk {
+  private readonly steps = new Map<string, Knowledge>()
+  private readonly queue: Inquiry[] = []
+  private readonly load = new Map<string, number>()
+
+  constructor (
+    private readonly ask: Ask,
+    private readonly nodes: () => readonly string[],
+    private readonly clock: Clock,
+    private readonly onAdvice: (step: string, granted: number, asked: number, tookMs: number, node: string) => void
+  ) {}
+
+  /** Tells where a worker stands with a step. */
+  admission (step: string, worker: Candidate): Admission {
+    const known = this.steps.get(step)
+    const ticket = known?.tickets.get(worker.id)
+    if (ticket !== undefined) {
+      const valid = ticket.born === worker.born && ticket.untilMs > this.clock.now()
+      return valid ? Admission.Valid : Admission.Expired
+    }
+    return known?.asked.has(worker.id) === true ? Admission.Forbidden : Admission.Unknown
+  }
+
+  /** The ticket of a worker for a step; empty without one. */
+  ticketOf (step: string, worker: string): string {
+    return this.steps.get(step)?.tickets.get(worker)?.text ?? ''
+  }
+
+  /** True while an answer for the step is on its way. */
+  pending (step: string): boolean {
+    return this.steps.get(step)?.pending ?? false
+  }
+
+  /** Asks about workers, unless an answer for the step is on its way. */
+  request (step: string, workers: readonly Candidate[], terms: AdviceTerms, urgency: number): void {
+    let known = this.steps.get(step)
+    if (known === undefined) this.steps.set(step, known = new Knowledge())
+    if (known.pending || workers.length === 0) return
+    known.pending = true
+    const candidates = workers.slice(0, WORKERS_A_CALL)
+    const costMs = terms.callMs + terms.workerMs * candidates.length
+    this.queue.push({ step, candidates, costMs, validMs: terms.validMs, urgency })
+    this.advance()
+  }
+
+  /** A ticket was rejected: it has to be asked for again. */
+  expire (step: string, worker: string): void {
+    const known = this.steps.get(step)
+    const ticket = known?.tickets.get(worker)
+    if (ticket !== undefined) known!.tickets.set(worker, { ...ticket, untilMs: 0 })
+  }
+
+  /** Forgets a job that has ended. */
+  forget (job: string, steps: Iterable<string>): void {
+    for (const step of steps) {
+      if (step.startsWith(job)) this.steps.delete(step)
+    }
+  }
+
+  /** Sends waiting inquiries to nodes with little to wait for. */
+  advance (): void {
+    while (this.queue.length > 0) {
+      const node = this.leastLoaded()
+      if (node === undefined) return
+      let first = 0
+      for (let index = 1; index < this.queue.length; index++) {
+        if (this.queue[index]!.urgency < this.queue[first]!.urgency) first = index
+      }
+      const [inquiry] = this.queue.splice(first, 1)
+      detach(this.send(node, inquiry!))
+    }
+  }
+
+  private async send (node: string, inquiry: Inquiry): Promise<void> {
+    const { step, candidates, costMs } = inquiry
+    this.load.set(node, (this.load.get(node) ?? 0) + 1)
+    const sentMs = this.clock.now()
+    const ids = candidates.map((candidate) => candidate.id)
+    const advice = await this.ask(node, step, ids, CALLS_A_NODE * Math.max(costMs, ANSWER_SLACK_MS) + ANSWER_SLACK_MS)
+    this.load.set(node, this.load.get(node)! - 1)
+    const known = this.steps.get(step)
+    if (known !== undefined) {
+      known.pending = false
+      if (advice.isOk()) this.learn(known, inquiry, advice.value)
+    }
+    this.onAdvice(step, advice.isOk() ? advice.value.length : -1, candidates.length, this.clock.now() - sentMs, node)
+    this.advance()
+  }
+
+  private learn (known: Knowledge, inquiry: Inquiry, tickets: Tickets): void {
+    const untilMs = this.clock.now() + inquiry.validMs - TICKET_MARGIN_MS
+    const granted = new Map(tickets)
+    for (const { id, born } of inquiry.candidates) {
+      known.asked.add(id)
+      const text = granted.get(id)
+      if (text !== undefined) known.tickets.set(id, { text, born, untilMs })
+    }
+  }
+
+  private leastLoaded (): string | undefined {
+    let best: string | undefined
+    let least = CALLS_A_NODE
+    for (const node of this.nodes()) {
+      const load = this.load.get(node) ?? 0
+      if (load >= least) continue
+      best = node
+      least = load
+    }
+    return best
+  }
+}
--- /dev/null
+++ b/packages/control/src/owner/ledger.ts
@@ -0,0 +1,68 @@
+/**
+ * What runs where, and what each workspace uses. Everything that may run is charged until it provably does not.
+ */
+import { NO_RESOURCES, addResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
+import type { JobEntry, TaskEntry } from '../journal/table.js'
+import type { Step } from '../model/job.js'
+import type { Run } from './run.js'
+
+/** All runs that may be running. */
+export class Ledger {
+  private readonly byName = new Map<string, Run>()
+  private readonly byJob = new Map<string, Set<Run>>()
+  private readonly usage = new Map<string, Resources>()
+
+  /** Charges a run. */
+  add (run: Run): void {
+    this.byName.set(run.name, run)
+    let runs = this.byJob.get(run.entry.job.id)
+    if (runs === undefined) this.byJob.set(run.entry.job.id, runs = new Set())
+    runs.add(run)
+    run.session.attach(run)
+    const { workspace } = run.entry.job
+    this.usage.set(workspace, addResources(this.usedBy(workspace), run.step.size))
+  }
+
+  /** Releases a run whose end is known. */
+  remove (run: Run): void {
+    if (this.byName.get(run.name) !== run) return
+    this.byName.delete(run.name)
+    const runs = this.byJob.get(run.entry.job.id)
+    runs?.delete(run)
+    if (runs?.size === 0) this.byJob.delete(run.entry.job.id)
+    run.session.detach(run)
+    const { workspace } = run.entry.job
+    this.usage.set(workspace, subtractResources(this.usedBy(workspace), run.step.size))
+  }
+
+  /** The run of a task, by the name that workers know it by. */
+  find (name: string): Run | undefined {
+    return this.byName.get(name)
+  }
+
+  runOf (entry: JobEntry, task: TaskEntry): Run | undefined {
+    return this.byName.get(`${entry.job.id}.${task.key}`)
+  }
+
+  runsOf (entry: JobEntry): Iterable<Run> {
+    return this.byJob.get(entry.job.id) ?? []
+  }
+
+  all (): Iterable<Run> {
+    return this.byName.values()
+  }
+
+  get size (): number {
+    return this.byName.size
+  }
+
+  /** What a workspace has on all workers, at the sizes that its jobs declare. */
+  usedBy (workspace: string): Resources {
+    return this.usage.get(workspace) ?? NO_RESOURCES
+  }
+}
+
+/** What a task takes of its worker's room: a best-effort task is not charged for processors. */
+export function chargeOf (step: Step): Resources {
+  return step.bestEffort ? { ...step.size, cpuMilli: 0 } : step.size
+}
--- a/packages/daemon/src/owner/roles.ts
+++ b/packages/daemon/src/owner/roles.ts
@@ -112,8 +112,7 @@
         return shardOfJob(request.job)
       case Kind.Transfer: return request.to
       case Kind.Borrow: return request.from
-      case Kind.Records: return undefined
-      default: return request.shard
+      default: return 'shard' in request ? request.shard : undefined
     }
   }
 }
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -2,6 +2,7 @@
  * The messages between daemons. Every message is checked against its codec when it arrives.
  */
 import { Codec, array, boolean, enumeration, exactly, nullType, number, oneOf, optional, string, unknown, type GetType } from 'purify-ts/Codec'
+import { Left, Right } from 'purify-ts/Either'
 import type { Epoch } from './epoch.js'
 import type { Resources } from './resources.js'
 import { Execution, Reason, type Refusal } from './refusal.js'
@@ -38,7 +39,19 @@
   /** Closes one worker for new tasks, or opens it again. */
   Drain = 'drain',
   /** Gives up a synchronous request whose caller has gone, if it still waits. */
-  Abandon = 'abandon'
+  Abandon = 'abandon',
+  /** Entry to owner: records that the entry has appended to the journal. */
+  Notice = 'notice',
+  /** Returns the phase of a job of dependent steps. */
+  Lookup = 'lookup',
+  /** Owner to any node: ask the advisor on behalf of this machine. */
+  Advise = 'advise',
+  /** Makes a call to the store for a node that the store does not serve. */
+  Relay = 'relay',
+  /** Owner to entries: which queues are to refuse new jobs. */
+  Pressure = 'pressure',
+  /** Owner to all nodes before a planned stop: take over now. */
+  Succeed = 'succeed'
 }
 
 export const EpochCodec = Codec.interface({ counter: number, node: string })
@@ -110,6 +123,39 @@
 /** Answered with true if the request waited and was given up. */
 export const AbandonCodec = Codec.interface({ kind: exactly(Kind.Abandon), shard: string, call: string })
 
+/** Bytes inside a message. */
+const bytes = Codec.custom<Buffer>({
+  decode: (value) => Buffer.isBuffer(value) ? Right(value) : Left('The value is not bytes.'),
+  encode: (value) => value
+})
+const record = Codec.interface({ key: string, value: optional(bytes) })
+
+/** Records that have been appended. Answered with true. */
+export const NoticeCodec = Codec.interface({ kind: exactly(Kind.Notice), records: array(record) })
+/** Answered with the phase, or with null if the owner knows no such job. */
+export const LookupCodec = Codec.interface({ kind: exactly(Kind.Lookup), job: string })
+/** Answered with rows of worker and ticket. */
+export const AdviseCodec = Codec.interface({
+  kind: exactly(Kind.Advise), step: string, workers: array(string), timeoutMs: number
+})
+/** Exactly one of the three calls. Answered with what the store returned. */
+export const RelayCodec = Codec.interface({
+  kind: exactly(Kind.Relay),
+  topic: string,
+  append: optional(Codec.interface({
+    records: array(record), fence: optional(Codec.interface({ epoch: number, sequence: number }))
+  })),
+  read: optional(Codec.interface({ from: number, waitMs: number })),
+  newest: optional(Codec.interface({ after: optional(string) }))
+})
+/** Queues that refuse new jobs, with the time after which coming back helps. */
+export const PressureCodec = Codec.interface({
+  kind: exactly(Kind.Pressure),
+  epoch: number,
+  queues: array(Codec.interface({ queue: string, backlogMs: number, drainMs: number }))
+})
+export const SucceedCodec = Codec.interface({ kind: exactly(Kind.Succeed), epoch: number })
+
 /** The codec of each kind of request. */
 export const REQUEST_CODECS = {
   [Kind.Call]: CallCodec,
@@ -125,7 +171,13 @@
   [Kind.Borrow]: BorrowCodec,
   [Kind.Records]: RecordsCodec,
   [Kind.Drain]: DrainCodec,
-  [Kind.Abandon]: AbandonCodec
+  [Kind.Abandon]: AbandonCodec,
+  [Kind.Notice]: NoticeCodec,
+  [Kind.Lookup]: LookupCodec,
+  [Kind.Advise]: AdviseCodec,
+  [Kind.Relay]: RelayCodec,
+  [Kind.Pressure]: PressureCodec,
+  [Kind.Succeed]: SucceedCodec
 }
 
 export interface Call {
@@ -161,9 +213,15 @@
 export type Borrow = GetType<typeof BorrowCodec>
 export type Records = GetType<typeof RecordsCodec>
 export type Drain = GetType<typeof DrainCodec>
+export type Notice = GetType<typeof NoticeCodec>
+export type Lookup = GetType<typeof LookupCodec>
+export type Advise = GetType<typeof AdviseCodec>
+export type Relay = GetType<typeof RelayCodec>
+export type Pressure = GetType<typeof PressureCodec>
+export type Succeed = GetType<typeof SucceedCodec>
 export type Abandon = GetType<typeof AbandonCodec>
 export type Request = Call | Submit | Status | Cancel | Explain | Survey | Watch | Pledge | Handover |
-  Transfer | Borrow | Records | Drain | Abandon
+  Transfer | Borrow | Records | Drain | Abandon | Notice | Lookup | Advise | Relay | Pressure | Succeed
 
 /** States of a durable job. */
 export enum JobState {
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -4,7 +4,7 @@
   resolve: { conditions: ['source'] },
   ssr: { resolve: { conditions: ['source'] } },
   test: {
-    include: ['packages/*/test/**/*.spec.ts'],
+    include: ['packages/*/test/**/*.spec.ts', 'platform/test/**/*.spec.ts'],
     testTimeout: 20_000,
     server: { deps: { inline: [/@fireflymount/] } }
   }
