Keep room for urgent and large tasks, learn speeds, and reach the store through other nodes

Added: reserve for urgent tasks, held workers with preemption of checkpointed tasks, rates of workspaces, speeds compared within a step, restart of stalled tasks, evacuation, pacing of best-effort tasks, refusals by backlog, a second way to the store after 250 ms.

--- a/packages/control/src/entry/desk.ts
+++ b/packages/control/src/entry/desk.ts
@@ -20,6 +20,8 @@
 /** First and longest pause between two tries to append. */
 const RETRY_MIN_MS = 30
 const RETRY_MAX_MS = 300
+/** A record that the store provably did not take is tried again for this long; then the caller is told to come back. */
+const REFUSED_PATIENCE_MS = 400
 /** When to come back while the store or the configuration cannot be reached. */
 const AWAY_RETRY_MS = 1000
 /** Longest time for an unknown job to be looked for in the journal. */
@@ -170,7 +172,8 @@
   /** Appends until the store has the record or the caller's time is over. Appending a record twice changes nothing. */
   private async append (record: KeyedRecord, budgetMs: number): Promise<Result<void, Refusal>> {
     const { clock } = this.parts
-    const endMs = clock.now() + budgetMs - ANSWER_RESERVE_MS
+    const startedMs = clock.now()
+    const endMs = startedMs + budgetMs - ANSWER_RESERVE_MS
     let execution = Execution.NotRun
     let retryMs = RETRY_MIN_MS
     let failure: StoreFailure
@@ -183,6 +186,7 @@
       failure = appended.error
       if (failure === StoreFailure.NoAnswer) execution = Execution.Unknown
       if (failure === StoreFailure.Invalid) break
+      if (execution === Execution.NotRun && clock.now() - startedMs > REFUSED_PATIENCE_MS) break
       await sleep(retryMs * (0.5 + Math.random()))
       retryMs = Math.min(2 * retryMs, RETRY_MAX_MS)
     } while (clock.now() + retryMs < endMs)
--- a/packages/control/src/membership/access.ts
+++ b/packages/control/src/membership/access.ts
@@ -2,7 +2,7 @@
  * The way to the store: directly, or through another node while the store does not serve this one.
  */
 import { err, ok, type Result } from 'neverthrow'
-import { NEVER, type Clock, type Stamp } from '../clock.js'
+import { NEVER, sleep, type Clock, type Stamp } from '../clock.js'
 import {
   Store, StoreFailure, type Fence, type KeyedRecord, type NewestPage, type RecordPage, type StoreAnswer, type StoreCall,
   type StorePort, type Topic
@@ -11,10 +11,10 @@
 /** Shortest and longest time for an answer; doubles while answers fail to come, so that a slow store is still heard. */
 const PATIENCE_MIN_MS = 1000
 const PATIENCE_MAX_MS = 8000
-/** After this long without a direct answer, calls go through another node first. */
-const DETOUR_AFTER_MS = 600
-/** How often the direct way is tried while calls go through another node. */
-const RETRY_DIRECT_MS = 1000
+/** Without a direct answer for this long the call is also made through another node: many times a sound store's answer. */
+const HEDGE_AFTER_MS = 250
+/** How often the direct way is tried while the store does not serve this node. */
+const PROBE_INTERVAL_MS = 700
 
 /** Makes a call through another node. */
 export type Relay = (call: StoreCall, timeoutMs: number) => Promise<Result<StoreAnswer, StoreFailure>>
@@ -25,7 +25,7 @@
   heardAt: Stamp = NEVER
   private patienceMs = PATIENCE_MIN_MS
   private failingSinceMs: number | undefined
-  private triedDirectMs = -Infinity
+  private probedMs = -Infinity
 
   constructor (
     private readonly port: StorePort,
@@ -50,7 +50,7 @@
 
   /** Makes a call directly, for this node or another. */
   async direct (call: StoreCall): Promise<Result<StoreAnswer, StoreFailure>> {
-    this.triedDirectMs = this.clock.now()
+    this.probedMs = this.clock.now()
     const answer = await this.port.call(call, this.patienceMs)
     this.note(answer.isErr() ? answer.error : undefined)
     return answer
@@ -61,23 +61,19 @@
     return this.failingSinceMs === undefined
   }
 
+  /**
+   * Makes a call directly, through another node, or both: the first useful answer counts. Every call may be carried out twice
+   * without harm, since records are keyed and fenced appends carry a sequence number.
+   */
   private async reach (call: StoreCall): Promise<Result<StoreAnswer, StoreFailure>> {
-    if (!this.detours()) {
-      const answer = await this.direct(call)
-      if (answer.isOk() || !isOutage(answer.error)) return answer
-      // An append that may have taken effect is repeated by its caller, who knows whether that is safe.
-      if (!this.detours()) return answer
-    }
-    const relayed = await this.relay(call, this.patienceMs)
-    if (relayed.isOk() || !isOutage(relayed.error)) return relayed
-    if (this.clock.now() - this.triedDirectMs < RETRY_DIRECT_MS) return relayed
-    return await this.direct(call)
-  }
-
-  private detours (): boolean {
-    if (this.failingSinceMs === undefined) return false
-    const now = this.clock.now()
-    return now - this.failingSinceMs > DETOUR_AFTER_MS && now - this.triedDirectMs < RETRY_DIRECT_MS
+    const probing = this.clock.now() - this.probedMs >= PROBE_INTERVAL_MS
+    if (!this.served() && !probing) return await this.relay(call, this.patienceMs)
+    const direct = this.direct(call)
+    const hedgeMs = this.served() ? HEDGE_AFTER_MS + waitOf(call) : 0
+    const early = await Promise.race([direct, sleep(hedgeMs)])
+    if (early !== undefined && (early.isOk() || !isOutage(early.error))) return early
+    const relayed = this.relay(call, this.patienceMs)
+    return await firstUseful(direct, relayed)
   }
 
   private note (failure: StoreFailure | undefined): void {
@@ -101,6 +97,24 @@
   return failure === StoreFailure.Refused || failure === StoreFailure.NoAnswer
 }
 
+function waitOf (call: StoreCall): number {
+  return 'read' in call ? call.read.waitMs : 0
+}
+
+/** The first answer that is no outage. Of two outages the one that leaves open what happened. */
+async function firstUseful (
+  left: Promise<Result<StoreAnswer, StoreFailure>>, right: Promise<Result<StoreAnswer, StoreFailure>>
+): Promise<Result<StoreAnswer, StoreFailure>> {
+  const [first, other] = await Promise.race([
+    left.then((result) => [result, right] as const),
+    right.then((result) => [result, left] as const)
+  ])
+  if (first.isOk() || !isOutage(first.error)) return first
+  const second = await other
+  if (second.isOk() || !isOutage(second.error)) return second
+  return first.error === StoreFailure.NoAnswer ? first : second
+}
+
 /** An answer that a peer sent back, or the failure that it names. */
 export function decodeRelayed (value: unknown): Result<StoreAnswer, StoreFailure> {
   const { failure, answer } = value as { failure?: StoreFailure, answer?: StoreAnswer }
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -4,11 +4,11 @@
 import { detach } from './detach.js'
 import { setMaxListeners } from 'node:events'
 import { Kind, type Relay, type Request } from '@fireflymount/protocol/message'
-import { Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
+import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
 import { sleep, type Clock } from './clock.js'
 import { Desk } from './entry/desk.js'
-import { Gate } from './entry/gate.js'
+import { Gate, type QueuePressure } from './entry/gate.js'
 import { Follower } from './journal/follower.js'
 import { Subject, encodeRecord, splitKey, type NodeAddress } from './journal/record.js'
 import { Table } from './journal/table.js'
@@ -43,7 +43,7 @@
 /** Longest time that a planned stop tells others to take over. */
 const SUCCEED_TIMEOUT_MS = 300
 /** Nodes through which a call to the store is tried. */
-const RELAYS_MAX = 2
+const RELAYS_MAX = 3
 
 /** Settings of a node. */
 export interface NodeTerms extends OwnerTerms {
@@ -90,6 +90,8 @@
   private heardMs = -Infinity
   private readMs = -Infinity
   private ownerRecords = 0
+  /** Node through which the store was last reached. */
+  private relayNode = ''
 
   constructor (private readonly parts: NodeParts) {
     const { clock, terms, log } = parts
@@ -317,6 +319,7 @@
       ask: (node, step, workers, timeoutMs) => this.askAdvice(node, step, workers, timeoutMs),
       nodes: () => [terms.node, ...this.links.connected()],
       terms,
+      announce: (pressures) => { this.announce(epoch, pressures) },
       log,
       metrics
     })
@@ -335,6 +338,11 @@
     this.journal.hurry()
   }
 
+  private announce (epoch: number, pressures: readonly QueuePressure[]): void {
+    this.gate.announce(pressures)
+    detach(this.links.broadcast({ kind: Kind.Pressure, epoch, queues: [...pressures] }, NOTICE_TIMEOUT_MS))
+  }
+
   private notify (records: readonly KeyedRecord[]): void {
     if (this.owner !== undefined) {
       this.takeNotice(records)
@@ -366,19 +374,24 @@
     return answer.isOk() ? ok(answer.value as Tickets) : err(AdviceFailure.NoAnswer)
   }
 
-  /** Makes a call to the store through another node: the owner first, then others. */
+  /** Makes a call to the store through another node: the one that last could, the owner, then others. */
   private async relay (call: StoreCall, timeoutMs: number): Promise<Result<StoreAnswer, StoreFailure>> {
-    const owner = this.table.owner?.node ?? ''
-    const names = new Set([owner, ...this.links.connected(), ...this.table.nodes.keys()])
+    const names = new Set([this.relayNode, this.table.owner?.node ?? '', ...this.links.connected(), ...this.table.nodes.keys()])
     names.delete(this.parts.terms.node)
+    names.delete('')
     let tries = 0
+    let failure = StoreFailure.Refused
     for (const node of names) {
-      if (node === '' || tries++ >= RELAYS_MAX) continue
+      if (tries++ >= RELAYS_MAX) break
       const waitMs = 'read' in call ? call.read.waitMs : 0
       const answer = await this.links.ask(node, { kind: Kind.Relay, ...call } as Relay, timeoutMs + waitMs)
-      if (answer.isOk()) return decodeRelayed(answer.value)
+      if (answer.isOk()) {
+        this.relayNode = node
+        return decodeRelayed(answer.value)
+      }
+      if (answer.error.execution !== Execution.NotRun) failure = StoreFailure.NoAnswer
     }
-    return err(tries === 0 ? StoreFailure.Refused : StoreFailure.NoAnswer)
+    return err(failure)
   }
 
   private async handle (request: Request): Promise<Result<unknown, Refusal>> {
--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -1,21 +1,27 @@
 /**
  * One round of decisions: which waiting tasks go to which workers now, and about which steps to ask the advisor.
  */
-import { subtractResources, type Resources } from '@fireflymount/protocol/resources'
+import { addResources, NO_RESOURCES, scaleResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
 import type { Clock } from '../clock.js'
 import type { TaskEntry } from '../journal/table.js'
 import { chainMsOf } from '../model/job.js'
 import type { Configuration, Queue } from '../model/configuration.js'
 import { fitGang, fitTask, isEligible, type FitTerms, type Site } from '../place/fit.js'
+import { chooseHeld, chooseStopped, mayHold, type Occupant } from '../place/hold.js'
 import { headroomOf } from '../place/limit.js'
+import { UrgentUse } from '../place/reserve.js'
 import { urgencyOf } from '../place/order.js'
 import { Admission, type AdviceDesk } from './advice.js'
 import type { Demand, Demands } from './demand.js'
 import { chargeOf, type Ledger } from './ledger.js'
+import { Pool, totalOf } from './pool.js'
+import { RunState, type Run } from './run.js'
 import type { Session } from './session.js'
 
 /** How long before its time a scheduled occurrence may start. */
 const EARLY_MS = 0
+/** Lower priorities may use the room kept for urgent tasks when they must start within this time. */
+const PRESSING_MS = 1500
 /** Objective of a job whose queue has been removed. */
 const DEFAULT_STRETCH = 4
 
@@ -28,6 +34,13 @@
   readonly ticket: string
 }
 
+/** What one round decides. */
+export interface Decisions {
+  readonly assignments: Assignment[]
+  /** Runs to stop, so that larger or more urgent tasks find room. */
+  readonly preemptions: Run[]
+}
+
 /** What decisions are made from. */
 export interface DispatchParts {
   readonly ledger: Ledger
@@ -39,6 +52,8 @@
   readonly terms: FitTerms
   /** Tasks that may not start before this steady time, by name. */
   readonly backoff: ReadonlyMap<string, number>
+  /** Jobs beyond the rate of their workspace. */
+  readonly excess: ReadonlySet<string>
   readonly slownessOf: (session: Session) => number
 }
 
@@ -46,24 +61,29 @@
   readonly demand: Demand
   readonly queue: Queue | undefined
   readonly urgency: number
+  /** Time that is left until the step has to start for its job to meet its objective. */
+  readonly slackMs: number
 }
 
-/** Decides. Keeps nothing between rounds. */
+/** Decides. Keeps between rounds only what urgent tasks use. */
 export class Dispatcher {
+  private readonly urgentUse = new Map<string, UrgentUse>()
+
   constructor (private readonly parts: DispatchParts) {}
 
   /** Decides for all waiting tasks. */
-  round (): Assignment[] {
-    const assignments: Assignment[] = []
-    const pools = new Map<string, Map<string, Site>>()
+  round (): Decisions {
+    const decisions: Decisions = { assignments: [], preemptions: [] }
+    const pools = new Map<string, Pool>()
     const reserved = new Map<string, number>()
-    for (const ranked of this.rank()) {
+    const order = this.rank()
+    for (const ranked of order) {
       const upstream = this.upstreamOf(ranked)
       let pool = pools.get(upstream)
-      if (pool === undefined) pools.set(upstream, pool = this.sitesOf(upstream))
-      this.place(ranked, pool, reserved, assignments)
+      if (pool === undefined) pools.set(upstream, pool = this.createPool(upstream, order))
+      this.place(ranked, pool, reserved, decisions)
     }
-    return assignments
+    return decisions
   }
 
   /** Demands in the order in which they are placed. */
@@ -76,35 +96,40 @@
       if (demand.entry.job.occurrences > 0 && demand.dueMs - EARLY_MS > nowMs) continue
       const queue = queues.get(demand.entry.job.queue)
       const stretch = queue?.stretch ?? DEFAULT_STRETCH
+      const objectiveMs = stretch * chainMsOf(demand.entry.job.steps) + (queue?.targetMs ?? 0)
+      const slackMs = demand.dueMs + objectiveMs - demand.chainMs - nowMs
       const urgency = urgencyOf({
         lasting: demand.step.lasting,
         priority: queue?.priority ?? 0,
         sinceMs: demand.dueMs,
-        objectiveMs: stretch * chainMsOf(demand.entry.job.steps) + (queue?.targetMs ?? 0),
+        objectiveMs,
         chainMs: demand.chainMs,
-        overShare: false
+        overShare: this.parts.excess.has(demand.entry.job.id)
       }, nowMs)
-      ranked.push({ demand, queue, urgency })
+      ranked.push({ demand, queue, urgency, slackMs })
     }
     return ranked.sort((left, right) => left.urgency - right.urgency)
   }
 
-  private place (ranked: Ranked, pool: Map<string, Site>, reserved: Map<string, number>, assignments: Assignment[]): void {
+  private place (ranked: Ranked, pool: Pool, reserved: Map<string, number>, decisions: Decisions): void {
     const { demand } = ranked
     const { step } = demand
     const waiting = this.unblocked(demand)
-    const allowed = Math.min(waiting.length, this.headroom(demand, reserved))
+    const charge = chargeOf(step)
+    const within = Math.min(waiting.length, this.headroom(demand, reserved))
+    const allowed = this.mayUseReserve(ranked, pool) ? within : pool.beyondReserve(charge, within)
     if (allowed === 0 || (step.gang && allowed < step.count)) return
     const sites: Site[] = []
-    for (const site of pool.values()) {
+    for (const site of pool.sites.values()) {
       if (isEligible(step, site.labels, site.capacity)) sites.push(site)
     }
     const admitted = this.admit(ranked, sites)
     if (admitted.length === 0) return
-    const charge = chargeOf(step)
     const chosen = step.gang
       ? fitGang(step, charge, step.count, admitted, this.parts.terms)
       : this.fitTasks(demand, charge, allowed, admitted)
+    const missing = allowed - (chosen?.length ?? 0)
+    if (missing > 0) this.holdRoom(ranked, missing, pool, admitted.filter((site) => chosen?.includes(site) !== true), decisions)
     if (chosen === undefined || chosen.length === 0) return
     const renew = chosen.filter((site) => this.admission(ranked, site) === Admission.Expired)
     if (renew.length > 0) this.renewTickets(ranked, renew, admitted)
@@ -112,11 +137,11 @@
     let next = 0
     for (const site of chosen) {
       // Room for tasks that wait for a ticket is kept for them in this round.
-      site.free = subtractResources(site.free, charge)
+      pool.take(site, charge)
       if (!complete || renew.includes(site)) continue
       const session = this.parts.sessions.get(site.id)!
       const ticket = ranked.queue?.advice === undefined ? '' : this.parts.advice.ticketOf(demand.name, site.id)
-      assignments.push({ demand, task: waiting[next++]!, session, charge, ticket })
+      decisions.assignments.push({ demand, task: waiting[next++]!, session, charge, ticket })
     }
     const { workspace } = demand.entry.job
     for (const [dimension, amount] of Object.entries(step.size)) {
@@ -143,6 +168,34 @@
     return chosen
   }
 
+  /** Holds workers for tasks that are too large for what is free, and empties them of what loses nothing by a stop. */
+  private holdRoom (ranked: Ranked, missing: number, pool: Pool, sites: readonly Site[], decisions: Decisions): void {
+    const { demand, queue } = ranked
+    const charge = chargeOf(demand.step)
+    const urgent = queue !== undefined && queue.priority <= pool.urgentPriority && !this.parts.excess.has(demand.entry.job.id)
+    const able = sites.filter((site) => mayHold(demand.step.lasting, urgent, charge, site.capacity))
+    for (const site of chooseHeld(demand.step, charge, missing, able)) {
+      if (pool.holdsLeft <= 0) return
+      const session = this.parts.sessions.get(site.id)!
+      const leaving = [...session.runs.values()].some((run) => run.stopping !== undefined)
+      if (!leaving) decisions.preemptions.push(...chooseStopped(charge, site.free, this.occupantsOf(session, queue)))
+      pool.hold(site)
+    }
+  }
+
+  /** Runs of later queues that resume from a checkpoint, or that only use what is idle. */
+  private occupantsOf (session: Session, queue: Queue | undefined): Array<Occupant<Run>> {
+    const occupants: Array<Occupant<Run>> = []
+    const priorities = new Map(this.parts.configuration().queues.map((candidate) => [candidate.name, candidate.priority]))
+    for (const run of session.runs.values()) {
+      const priority = priorities.get(run.entry.job.queue) ?? 0
+      const later = queue === undefined || priority > queue.priority
+      if (!later || run.step.lasting || run.step.gang || run.state !== RunState.Running) continue
+      if (run.step.checkpoints || run.step.bestEffort) occupants.push({ run, charge: run.charge, wasteMs: run.charge.cpuMilli })
+    }
+    return occupants
+  }
+
   /** Workers that may run the step; asks the advisor about those that nobody has asked about. */
   private admit (ranked: Ranked, sites: readonly Site[]): Site[] {
     const { demand, queue, urgency } = ranked
@@ -207,6 +260,32 @@
     }
   }
 
+  /** True for urgent and lasting tasks, and for those that would otherwise miss their objective. */
+  private mayUseReserve ({ demand, queue, slackMs }: Ranked, pool: Pool): boolean {
+    if (demand.step.lasting || queue === undefined || queue.priority <= pool.urgentPriority) return true
+    return slackMs > 0 && slackMs < PRESSING_MS
+  }
+
+  private createPool (upstream: string, order: readonly Ranked[]): Pool {
+    const priorities = new Map<string, number>()
+    for (const queue of this.parts.configuration().queues) {
+      if (queue.upstream === upstream) priorities.set(queue.name, queue.priority)
+    }
+    const urgentPriority = Math.min(...priorities.values())
+    let used = NO_RESOURCES
+    for (const run of this.parts.ledger.all()) {
+      if (priorities.get(run.entry.job.queue) === urgentPriority && !run.step.lasting) used = addResources(used, run.charge)
+    }
+    for (const { demand } of order) {
+      if (priorities.get(demand.entry.job.queue) !== urgentPriority || demand.step.lasting) continue
+      used = addResources(used, scaleResources(chargeOf(demand.step), demand.waiting.length))
+    }
+    let use = this.urgentUse.get(upstream)
+    if (use === undefined) this.urgentUse.set(upstream, use = new UrgentUse())
+    use.note(used, this.parts.clock.now())
+    return new Pool(this.sitesOf(upstream), urgentPriority, use.reserve(totalOf(this.parts.sessions.values(), upstream)))
+  }
+
   private upstreamOf ({ demand, queue }: Ranked): string {
     return queue?.upstream ?? demand.entry.job.upstream
   }
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -4,6 +4,7 @@
  * Every assignment is in the journal before its start is sent, and every end before it is acknowledged to its worker.
  * A successor therefore knows each run that may exist, and each worker repeats what the journal does not hold.
  */
+import { setMaxListeners } from 'node:events'
 import { detach } from '../detach.js'
 import { sleep, type Clock, type Stamp } from '../clock.js'
 import { Follower } from '../journal/follower.js'
@@ -18,7 +19,11 @@
 import { Topic, type Store } from '../ports/store.js'
 import type { Log } from '../report/log.js'
 import type { Metrics } from '../report/metrics.js'
+import { RateBook } from '../place/rate.js'
+import { SpeedBook } from '../place/speed.js'
+import type { QueuePressure } from '../entry/gate.js'
 import { AdviceDesk, type Ask } from './advice.js'
+import { Caretaker } from './caretaker.js'
 import { Demands } from './demand.js'
 import { Dispatcher, type Assignment } from './dispatcher.js'
 import { Ledger, chargeOf } from './ledger.js'
@@ -48,6 +53,8 @@
   readonly farFactor: number
   /** How long a job that has ended is kept for its callers. */
   readonly keptMs: number
+  /** Longest time that a stop takes at a worker. */
+  readonly stopMs: number
 }
 
 /** What the owner is built from. */
@@ -64,6 +71,8 @@
   readonly ask: Ask
   readonly nodes: () => readonly string[]
   readonly terms: OwnerTerms
+  /** Tells all nodes which queues are to refuse. */
+  readonly announce: (pressures: readonly QueuePressure[]) => void
   readonly log: Log
   readonly metrics: Metrics
 }
@@ -78,6 +87,11 @@
   private readonly registry: Registry
   private readonly advice: AdviceDesk
   private readonly dispatcher: Dispatcher
+  private readonly rates = new RateBook()
+  private readonly counted = new Set<string>()
+  private readonly excess = new Set<string>()
+  private readonly speeds = new SpeedBook()
+  private readonly caretaker: Caretaker
   private readonly backoff = new Map<string, number>()
   private readonly stop = new AbortController()
   private readonly host: SessionHost
@@ -88,6 +102,7 @@
   constructor (private readonly parts: OwnerParts) {
     const { clock, store, table, epoch, metrics, log } = parts
     this.epoch = epoch
+    setMaxListeners(0, this.stop.signal)
     this.writer = new Writer(store, clock, epoch, parts.sequence, parts.claimedAt, (bytes, tookMs) => {
       metrics.appends.inc()
       metrics.appendBytes.inc(bytes)
@@ -116,10 +131,26 @@
       clock,
       terms: { farFactor: parts.terms.farFactor },
       backoff: this.backoff,
-      slownessOf: () => 1
+      excess: this.excess,
+      slownessOf: (session) => this.speeds.slownessOf(session.id)
+    })
+    this.caretaker = new Caretaker({
+      table,
+      ledger: this.ledger,
+      sessions: this.sessions,
+      speeds: this.speeds,
+      configuration: parts.configuration,
+      clock,
+      stopMs: parts.terms.stopMs,
+      announce: parts.announce,
+      log
     })
     this.host = this.createHost()
-    for (const entry of table.jobs.values()) this.adoptJob(entry)
+    const entries = [...table.jobs.values()].sort((left, right) => left.job.acceptedMs - right.job.acceptedMs)
+    for (const entry of entries) {
+      this.countRate(entry)
+      this.adoptJob(entry)
+    }
   }
 
   /** Owns the cell until superseded or stopped. */
@@ -146,11 +177,22 @@
   onJob (id: string): void {
     const entry = this.parts.table.jobs.get(id)
     if (entry === undefined || isFinal(entry.phase)) return
+    this.countRate(entry)
     if (entry.cancelledMs > 0) this.cancel(entry)
     this.demands.refresh(entry)
     this.requestRound()
   }
 
+  /** Counts a job once against the rate of its workspace. */
+  private countRate ({ job }: JobEntry): void {
+    if (this.counted.has(job.id)) return
+    this.counted.add(job.id)
+    const weight = this.parts.configuration().workspaces.find((workspace) => workspace.name === job.workspace)?.weight ?? 0
+    if (!this.rates.count(job.workspace, weight, job.acceptedMs)) return
+    this.excess.add(job.id)
+    this.parts.log.decision('beyond rate', { job: job.id, workspace: job.workspace, weight })
+  }
+
   private cancel (entry: JobEntry): void {
     finish(entry, Phase.Cancelled, this.parts.clock.wall())
     this.stopJob(entry, StopReason.Cancelled)
@@ -296,6 +338,7 @@
     const phase = entry.phase
     const changed = settleEnd(entry, task, end, this.attemptsOf(entry), this.parts.clock.wall())
     this.noteEnd(session, entry, end, run, phase)
+    if (own && end.ending === Ending.Done) this.noteSpeed(run)
     if (end.ending === Ending.Failed || end.ending === Ending.Done) session.noteOutcome(end.ending === Ending.Failed)
     if (end.ending !== Ending.Done) this.holdBack(end.task)
     if (end.ending !== Ending.Done && !entry.over()) this.breakGang(entry, task)
@@ -315,6 +358,11 @@
     this.parts.metrics.jobSeconds.observe({ queue: entry.job.queue }, tookMs / 1000)
   }
 
+  private noteSpeed (run: Run): void {
+    const fresh = run.task.checkpoint === '' && run.percent === 100 && !run.step.bestEffort
+    if (fresh && run.startedMs > 0) this.speeds.note(run.stepName, run.session.id, this.parts.clock.now() - run.startedMs)
+  }
+
   /** A gang works only whole: stops the other members. */
   private breakGang (entry: JobEntry, task: TaskEntry): void {
     if (!entry.job.steps[task.step]!.gang) return
@@ -334,7 +382,7 @@
 
   private onGone (run: Run, reason: string): void {
     this.parts.log.decision('run did not begin', { task: run.name, run: run.number, worker: run.session.id, reason })
-    if (reason === 'no-ticket') this.advice.expire(stepNameOf(run), run.session.id)
+    if (reason === 'no-ticket') this.advice.expire(run.stepName, run.session.id)
     else this.holdBack(run.name)
     const entry = this.giveBack(run, Ending.Stopped)
     if (!entry.over()) this.breakGang(entry, run.task)
@@ -374,8 +422,12 @@
   private decide (): void {
     if (!this.mayAct()) return
     const startedMs = this.parts.clock.now()
-    const assignments = this.dispatcher.round()
+    const { assignments, preemptions } = this.dispatcher.round()
     this.parts.metrics.roundSeconds.observe((this.parts.clock.now() - startedMs) / 1000)
+    for (const run of preemptions) {
+      this.parts.log.decision('preempt', { task: run.name, run: run.number, worker: run.session.id })
+      detach(run.session.stopRun(run, StopReason.Preempted))
+    }
     if (assignments.length > 0) detach(this.assign(assignments))
   }
 
@@ -441,6 +493,7 @@
       await sleep(TICK_MS, signal)
       this.sweepSessions()
       this.sweepBackoff()
+      if (this.mayAct()) this.caretaker.tick()
       this.advice.advance()
       this.requestRound()
     }
@@ -469,7 +522,3 @@
     }
   }
 }
-
-function stepNameOf (run: Run): string {
-  return `${run.entry.job.id}.${run.task.occurrence}.${run.task.step}`
-}
--- a/packages/control/src/owner/run.ts
+++ b/packages/control/src/owner/run.ts
@@ -68,6 +68,11 @@
     return `${this.entry.job.id}.${this.task.key}`
   }
 
+  /** Job id, occurrence and step, joined by dots. */
+  get stepName (): string {
+    return `${this.entry.job.id}.${this.task.occurrence}.${this.task.step}`
+  }
+
   get step (): Step {
     return this.entry.job.steps[this.task.step]!
   }
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -1,6 +1,7 @@
 /**
  * The owner's session with one worker: renews the lease, receives ends, sends orders.
  */
+import { setMaxListeners } from 'node:events'
 import { NO_RESOURCES, addResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
 import { sleep, type Clock } from '../clock.js'
 import { rackOf, type EndedRun, type Report, type Worker } from '../model/worker.js'
@@ -8,7 +9,7 @@
 import { RunState, StopReason, type Run } from './run.js'
 
 /** Longest wait of one renewal for an end. With the round trip it stays far below the lease. */
-const RENEW_WAIT_MS = 1500
+const RENEW_WAIT_MS = 1900
 /** How long a start stays valid on the worker's clock: bounds how late a lost one can be carried out. */
 const START_VALID_MS = 2000
 /** Slowest that a worker's clock may run, as a share of true time. */
@@ -72,6 +73,7 @@
   private clockAtMs: number
   private lastDeadlineMs = 0
   private newestReportMs = -1
+  private updatedMs: number
   private retryMs = RETRY_MIN_MS
   private readonly stop = new AbortController()
 
@@ -79,6 +81,9 @@
     this.born = worker.born
     this.clockMs = worker.clockMs
     this.clockAtMs = host.clock.now()
+    this.updatedMs = this.clockAtMs
+    // Every order that waits listens to the one signal.
+    setMaxListeners(0, this.stop.signal)
   }
 
   get id (): string {
@@ -99,6 +104,12 @@
     return this.adopted && this.reachable && !this.worker.draining && nowMs >= this.coolUntilMs && this.strangers.size === 0
   }
 
+  /** Least time that a draining worker has left; undefined for others. */
+  remainingMs (): number | undefined {
+    if (!this.worker.draining) return undefined
+    return Math.max(0, (this.worker.remainingMs ?? 0) - (this.host.clock.now() - this.updatedMs))
+  }
+
   attach (run: Run): void {
     this.runs.set(run.name, run)
     this.used = addResources(this.used, run.charge)
@@ -114,6 +125,7 @@
   update (worker: Worker): void {
     if (worker.address !== this.worker.address) this.host.fleet.forget(this.worker)
     this.worker = worker
+    this.updatedMs = this.host.clock.now()
     if (worker.born > this.born) this.rebirth(worker.born, worker.clockMs, 'The registry shows a later start of the worker.')
   }
 
--- a/packages/control/src/place/order.ts
+++ b/packages/control/src/place/order.ts
@@ -19,6 +19,8 @@
   readonly overShare: boolean
 }
 
+/** Time beside its tasks that a step needs: advice, journal, starts and ends. A step with less left is late already. */
+const OVERHEAD_MS = 150
 /** A job later than this many times its objective is of no use to its caller in time. */
 const LATE_FACTOR = 3
 
@@ -43,7 +45,7 @@
  */
 export function urgencyOf (standing: Standing, nowMs: number): number {
   const { sinceMs, objectiveMs, chainMs, priority } = standing
-  const latestStartMs = sinceMs + objectiveMs - chainMs
+  const latestStartMs = sinceMs + objectiveMs - chainMs - OVERHEAD_MS
   const late = latestStartMs < nowMs
   return bandOf(standing, nowMs) * BAND_STEP + Math.min(priority, 99) * PRIORITY_STEP + (late ? LATE_STEP : 0) + latestStartMs
 }
