Grant no lease while a worker does not answer

Ruled out: room, advice (6 of 24 workers allowed) and upper limits. Renewals of a worker that does not answer now leave the lease as it is.

--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -252,8 +252,11 @@
 
   private async renew (waitMs: number): Promise<void> {
     const { host, worker } = this
-    const deadlineMs = this.estimateClock() + host.leaseMs
-    this.lastDeadlineMs = Math.max(this.lastDeadlineMs, deadlineMs)
+    // A renewal that is not answered may still take effect. So that the lease of a worker that was lost is known to lapse, no
+    // more is granted until the worker answers again.
+    const granting = this.reachable || !this.adopted
+    const deadlineMs = granting ? this.estimateClock() + host.leaseMs : undefined
+    if (deadlineMs !== undefined) this.lastDeadlineMs = Math.max(this.lastDeadlineMs, deadlineMs)
     host.onLook()
     const report = await host.fleet.renew(worker, { fence: host.fence, acknowledged: this.acknowledged, deadlineMs, waitMs })
     if (this.stop.signal.aborted) return
--- a/packages/control/src/ports/fleet.ts
+++ b/packages/control/src/ports/fleet.ts
@@ -52,8 +52,8 @@
   readonly fence: number
   /** Position through which ends are journaled and may be forgotten. */
   readonly acknowledged: number
-  /** New end of the lease, on the worker's clock. */
-  readonly deadlineMs: number
+  /** New end of the lease, on the worker's clock; undefined to leave it as it is. */
+  readonly deadlineMs: number | undefined
   /** How long the answer may wait for an end. */
   readonly waitMs: number
 }
--- /dev/null
+++ b/packages/control/test/fakes.ts
@@ -0,0 +1,187 @@
+/**
+ * Fakes at the product's seams: a store, workers and a clock that tests move by hand.
+ */
+import { err, ok, type Result } from 'neverthrow'
+import { Clock } from '../src/clock.js'
+import type { Job, Step } from '../src/model/job.js'
+import type { Report, Worker } from '../src/model/worker.js'
+import { Fleet, WorkerFailure, type RenewOrder, type RunOrder, type StartOrder } from '../src/ports/fleet.js'
+import {
+  StoreFailure, StorePort, Topic, type KeyedRecord, type StoreAnswer, type StoreCall, type StoredRecord
+} from '../src/ports/store.js'
+
+/** A clock that tests set. */
+export class FakeClock extends Clock {
+  steadyMs = 1000
+  wallMs = 1_700_000_000_000
+
+  now (): number {
+    return this.steadyMs
+  }
+
+  wall (): number {
+    return this.wallMs
+  }
+
+  /** Lets time pass on both clocks. */
+  pass (ms: number): void {
+    this.steadyMs += ms
+    this.wallMs += ms
+  }
+}
+
+/** A keyed log with fenced appends, as the platform's pages describe it. */
+export class FakeStore extends StorePort {
+  readonly records: Record<Topic, StoredRecord[]> = {
+    [Topic.Journal]: [], [Topic.Configuration]: [], [Topic.Workers]: [], [Topic.Status]: []
+  }
+
+  /** Offset before which records have expired. */
+  first = 0
+  /** Answers calls instead of the store; undefined lets the store answer. */
+  fault: ((call: StoreCall) => StoreFailure | undefined) | undefined
+  /** Carries an append out although `fault` fails it. */
+  loseAnswers = false
+  calls = 0
+  private epoch = 0
+  private expected: number | undefined
+  private answers = new Map<number, number>()
+
+  override call (call: StoreCall): Promise<Result<StoreAnswer, StoreFailure>> {
+    this.calls++
+    const fault = this.fault?.(call)
+    if (fault !== undefined) {
+      if (this.loseAnswers) this.answer(call)
+      return Promise.resolve(err(fault))
+    }
+    return Promise.resolve(this.answer(call))
+  }
+
+  /** Appends as another writer. */
+  put (topic: Topic, record: KeyedRecord): void {
+    this.records[topic].push({ ...record, offset: this.records[topic].length })
+  }
+
+  private answer (call: StoreCall): Result<StoreAnswer, StoreFailure> {
+    const records = this.records[call.topic]
+    if ('append' in call) return this.append(call.topic, call.append)
+    if ('read' in call) {
+      if (call.read.from < this.first) return err(StoreFailure.Expired)
+      return ok({ records: records.slice(call.read.from), end: records.length })
+    }
+    const newest = new Map<string, StoredRecord>()
+    for (const record of records) newest.set(record.key, record)
+    const kept = [...newest.values()].filter((record) => record.value !== undefined)
+    return ok({ records: kept, end: records.length, next: undefined })
+  }
+
+  private append (topic: Topic, { records, fence }: { records: readonly KeyedRecord[], fence?: { epoch: number, sequence: number } }) {
+    if (fence !== undefined) {
+      if (fence.epoch < this.epoch) return err(StoreFailure.Fenced)
+      if (fence.epoch === this.epoch) {
+        const repeated = this.answers.get(fence.sequence)
+        if (repeated !== undefined) return ok(repeated)
+        if (fence.sequence !== this.expected) return err(StoreFailure.OutOfSequence)
+      } else {
+        this.answers = new Map()
+      }
+      this.epoch = fence.epoch
+      this.expected = fence.sequence + 1
+      this.answers.set(fence.sequence, this.records[topic].length)
+    }
+    const offset = this.records[topic].length
+    for (const record of records) this.put(topic, record)
+    return ok(offset)
+  }
+}
+
+/** Workers that answer as a test says. */
+export class FakeFleet extends Fleet {
+  readonly started: StartOrder[] = []
+  readonly stopped: RunOrder[] = []
+  readonly paced: Array<{ order: RunOrder, percent: number }> = []
+  readonly renewed: RenewOrder[] = []
+  onStart: (order: StartOrder) => Result<number, WorkerFailure> = () => ok(1)
+  onStop: (order: RunOrder) => Result<number, WorkerFailure> = () => ok(1)
+  onRenew: (order: RenewOrder) => Promise<Result<Report, WorkerFailure>> = async () => err(WorkerFailure.NoAnswer)
+
+  override async start (_worker: Worker, order: StartOrder): Promise<Result<number, WorkerFailure>> {
+    this.started.push(order)
+    return this.onStart(order)
+  }
+
+  override async stop (_worker: Worker, order: RunOrder): Promise<Result<number, WorkerFailure>> {
+    this.stopped.push(order)
+    return this.onStop(order)
+  }
+
+  override async pace (_worker: Worker, order: RunOrder, percent: number): Promise<Result<number, WorkerFailure>> {
+    this.paced.push({ order, percent })
+    return ok(1)
+  }
+
+  override async renew (_worker: Worker, order: RenewOrder): Promise<Result<Report, WorkerFailure>> {
+    this.renewed.push(order)
+    return await this.onRenew(order)
+  }
+
+  override forget (): void {}
+}
+
+/** A step of one small task, with what a test says otherwise. */
+export function createStep (fields: Partial<Step> = {}): Step {
+  return {
+    count: 1,
+    size: { cpuMilli: 1000, memoryMb: 1000, accelerators: 0 },
+    estimateMs: 1000,
+    after: [],
+    checkpoints: false,
+    gang: false,
+    sameRack: false,
+    label: '',
+    rack: '',
+    perWorker: 0,
+    speculative: false,
+    lasting: false,
+    image: '',
+    latencyTargetMs: 0,
+    bestEffort: false,
+    disruptionBudget: 0,
+    ...fields
+  }
+}
+
+/** A job of one step, with what a test says otherwise. */
+export function createJob (fields: Partial<Job> = {}): Job {
+  return {
+    id: '00000000000000aa',
+    queue: 'preview',
+    upstream: 'planner',
+    workspace: 'guild',
+    payload: 'text',
+    steps: [createStep()],
+    occurrences: 0,
+    firstDueMs: 0,
+    intervalMs: 0,
+    acceptedMs: 1_700_000_000_000,
+    ...fields
+  }
+}
+
+/** A worker with 16 cores, with what a test says otherwise. */
+export function createWorker (fields: Partial<Worker> = {}): Worker {
+  return {
+    id: 'w1',
+    upstream: 'planner',
+    address: '10.0.0.1:80',
+    zone: 'fukuoka',
+    draining: false,
+    remainingMs: undefined,
+    capacity: { cpuMilli: 16_000, memoryMb: 32_000, accelerators: 0 },
+    labels: ['a', 'r1'],
+    born: 10,
+    clockMs: 5000,
+    machine: 'm1',
+    ...fields
+  }
+}
