Let neither the first renewal nor the read before a claim wait

Ruled out: start-up (0.5 s) and the claim itself (60 ms). A worker that is not known to be there is asked for a prompt answer; a read that must not wait runs beside the long poll.

--- a/packages/control/src/journal/follower.ts
+++ b/packages/control/src/journal/follower.ts
@@ -29,7 +29,7 @@
   freshAt: Stamp = NEVER
   /** Least time between the beginnings of two reads; bounds the price of following. */
   intervalMs: number
-  private busy: Promise<Result<void, StoreFailure>> | undefined
+  private rereading: Promise<Result<void, StoreFailure>> | undefined
   private hurried: AbortController | undefined
 
   constructor (
@@ -65,12 +65,11 @@
   }
 
   /**
-   * Reads all that the store has now.
+   * Reads all that the store has now, also while a read of `run` waits for records.
    *
    * @returns nothing once all is read, or why it cannot be
    */
   async catchUp (): Promise<Result<void, StoreFailure>> {
-    if (this.busy !== undefined) await this.busy
     return await this.read(0)
   }
 
@@ -81,15 +80,20 @@
   }
 
   private async read (waitMs: number): Promise<Result<void, StoreFailure>> {
-    while (this.busy !== undefined) await this.busy
-    this.busy = this.offset === undefined ? this.readNewest() : this.readOn(this.offset, waitMs)
-    const result = await this.busy
-    this.busy = undefined
+    if (this.offset === undefined) return await this.reread()
+    const read = await this.readOn(waitMs)
+    return read.isErr() && read.error === StoreFailure.Expired ? await this.reread() : read
+  }
+
+  /** Reads the newest records once, however many ask for it. */
+  private async reread (): Promise<Result<void, StoreFailure>> {
+    this.rereading ??= this.readNewest()
+    const result = await this.rereading
+    this.rereading = undefined
     return result
   }
 
   private async readNewest (): Promise<Result<void, StoreFailure>> {
-    const sentAt = this.clock.stamp()
     let after: string | undefined
     let from: number | undefined
     do {
@@ -101,33 +105,31 @@
       after = page.value.next
     } while (after !== undefined)
     this.offset = from
-    return await this.readRest(sentAt, from, 0)
-  }
-
-  private async readOn (from: number, waitMs: number): Promise<Result<void, StoreFailure>> {
-    const read = await this.readRest(this.clock.stamp(), from, waitMs)
-    if (read.isErr() && read.error === StoreFailure.Expired) return await this.readNewest()
-    return read
+    return await this.readOn(0)
   }
 
-  /** Reads on until nothing is left. */
-  private async readRest (startedAt: Stamp, start: number, waitMs: number): Promise<Result<void, StoreFailure>> {
-    let from = start
-    let sentAt = startedAt
+  /** Reads on until nothing is left. Two reads at once hand each record on only once. */
+  private async readOn (waitMs: number): Promise<Result<void, StoreFailure>> {
     while (true) {
+      const from = this.offset
+      if (from === undefined) return err(StoreFailure.Expired)
+      const sentAt = this.clock.stamp()
       const page = await this.store.read(this.topic, from, waitMs)
       if (page.isErr()) return err(page.error)
-      for (const record of page.value.records) {
-        if (record.offset >= from) this.sink.onRecord(record)
-      }
-      const last = page.value.records.at(-1)
-      from = last === undefined ? Math.max(from, page.value.end) : last.offset + 1
-      this.offset = from
-      if (from >= page.value.end) break
-      sentAt = this.clock.stamp()
+      // The offset may have been dropped, or moved on by another read, while the answer was on its way.
+      if (this.offset === undefined) return err(StoreFailure.Expired)
+      for (const record of page.value.records) this.handOn(record)
+      if (page.value.records.length === 0 && page.value.end > this.offset) this.offset = page.value.end
+      if (this.offset < page.value.end) continue
+      this.freshAt = sentAt
+      this.sink.onCaughtUp?.()
+      return ok(undefined)
     }
-    this.freshAt = sentAt
-    this.sink.onCaughtUp?.()
-    return ok(undefined)
+  }
+
+  private handOn (record: StoredRecord): void {
+    if (this.offset === undefined || record.offset < this.offset) return
+    this.offset = record.offset + 1
+    this.sink.onRecord(record)
   }
 }
--- a/packages/control/src/membership/election.ts
+++ b/packages/control/src/membership/election.ts
@@ -17,8 +17,6 @@
   readonly unlinkedMs: number
   /** Steady time at which a record of the owner was last read from the journal. */
   readonly heardMs: number
-  /** Steady time of the last read that reached the end of the journal. */
-  readonly readMs: number
   /** The owner announced that it leaves. */
   readonly left: boolean
   /** There has never been an owner, or it is an earlier process of this node. */
@@ -30,18 +28,17 @@
  *
  * @param view what is known of the owner
  * @param rank position among the candidates, from 0
- * @param nowMs steady time
+ * @param nowMs steady time up to which the journal has been read
  * @returns true to claim
  */
 export function isClaimDue (view: OwnerView, rank: number, nowMs: number): boolean {
   const headStartMs = Math.min(rank, RANK_MAX) * RANK_STEP_MS
-  if (view.left) return nowMs - view.unlinkedMs >= headStartMs
+  const unlinkedMs = nowMs - view.unlinkedMs
+  if (view.left) return unlinkedMs >= headStartMs
   if (view.linked) return false
+  if (view.vacant) return unlinkedMs >= headStartMs
   const silenceMs = SILENCE_BEFORE_CLAIM_MS + headStartMs
-  if (nowMs - view.unlinkedMs < (view.vacant ? headStartMs : silenceMs)) return false
-  // The journal must have been read to its end after the silence, and have shown no sign of the owner.
-  if (!view.vacant && nowMs - view.heardMs < silenceMs) return false
-  return view.readMs >= view.unlinkedMs && (view.vacant || view.readMs - view.heardMs >= silenceMs / 2)
+  return unlinkedMs >= silenceMs && nowMs - view.heardMs >= silenceMs
 }
 
 /**
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -84,7 +84,6 @@
   private configuration: Configuration | undefined
   private owner: Owner | undefined
   private draining = false
-  private claiming = false
   private ownerLeft = 0
   private unlinkedMs: number
   private heardMs = -Infinity
@@ -254,11 +253,18 @@
       const linked = owner !== undefined && this.links.has(owner.node)
       if (owner !== undefined && !linked && owner.node !== this.parts.terms.node) detach(this.links.connect(owner.node))
       this.journal.intervalMs = this.owner !== undefined ? OWNER_READ_MS : linked ? FOLLOWER_READ_MS : ALERT_READ_MS
-      if (this.owner === undefined && !this.draining && !this.claiming && this.isDue(linked)) await this.claim()
+      if (this.owner !== undefined || this.draining) continue
+      if (this.isDue(linked, this.parts.clock.now())) await this.confirmAndClaim(linked)
     }
   }
 
-  private isDue (linked: boolean): boolean {
+  /** Claims the cell unless a last look at the journal shows a sign of the owner. */
+  private async confirmAndClaim (linked: boolean): Promise<void> {
+    const read = await this.journal.catchUp()
+    if (read.isOk() && this.isDue(linked, this.readMs)) await this.claim()
+  }
+
+  private isDue (linked: boolean, nowMs: number): boolean {
     const { owner } = this.table
     if (this.journal.offset === undefined || this.configuration === undefined) return false
     const { node } = this.parts.terms
@@ -267,14 +273,12 @@
       linked,
       unlinkedMs: this.unlinkedMs,
       heardMs: this.heardMs,
-      readMs: this.readMs,
       left: owner !== undefined && this.ownerLeft === owner.epoch,
       vacant: owner === undefined || owner.node === node
-    }, rank, this.parts.clock.now())
+    }, rank, nowMs)
   }
 
   private async claim (): Promise<void> {
-    this.claiming = true
     const epoch = (this.table.owner?.epoch ?? 0) + 1
     const sequence = Math.floor(Math.random() * SEQUENCE_MAX)
     const record = encodeRecord(Subject.Owner, 'cell', { epoch, node: this.parts.terms.node, incarnation: this.incarnation })
@@ -283,7 +287,6 @@
     this.parts.log.event('claim', { epoch, outcome, before: this.table.owner?.node })
     if (outcome === 'held') await this.takeOwnership(epoch, sequence + 1)
     else await this.journal.catchUp()
-    this.claiming = false
   }
 
   private async appendClaim (record: KeyedRecord, epoch: number, sequence: number): Promise<string> {
--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -63,6 +63,7 @@
   readonly urgency: number
   /** Time that is left until the step has to start for its job to meet its objective. */
   readonly slackMs: number
+  readonly objectiveMs: number
 }
 
 /** Decides. Keeps between rounds only what urgent tasks use. */
@@ -106,7 +107,7 @@
         chainMs: demand.chainMs,
         overShare: this.parts.excess.has(demand.entry.job.id)
       }, nowMs)
-      ranked.push({ demand, queue, urgency, slackMs })
+      ranked.push({ demand, queue, urgency, slackMs, objectiveMs })
     }
     return ranked.sort((left, right) => left.urgency - right.urgency)
   }
@@ -173,7 +174,8 @@
     const { demand, queue } = ranked
     const charge = chargeOf(demand.step)
     const urgent = queue !== undefined && queue.priority <= pool.urgentPriority && !this.parts.excess.has(demand.entry.job.id)
-    const able = sites.filter((site) => mayHold(demand.step.lasting, urgent, charge, site.capacity))
+    const task = { lasting: demand.step.lasting, urgent, charge, slackMs: ranked.slackMs }
+    const able = sites.filter((site) => mayHold(task, site.capacity, this.parts.sessions.get(site.id)!.drainMs()))
     for (const site of chooseHeld(demand.step, charge, missing, able)) {
       if (pool.holdsLeft <= 0) return
       const session = this.parts.sessions.get(site.id)!
@@ -263,6 +265,7 @@
   /** True for urgent and lasting tasks, and for those that would otherwise miss their objective. */
   private mayUseReserve ({ demand, queue, slackMs }: Ranked, pool: Pool): boolean {
     if (demand.step.lasting || queue === undefined || queue.priority <= pool.urgentPriority) return true
+    if (demand.step.estimateMs <= pool.urgentSlackMs) return true
     return slackMs > 0 && slackMs < PRESSING_MS
   }
 
@@ -276,14 +279,17 @@
     for (const run of this.parts.ledger.all()) {
       if (priorities.get(run.entry.job.queue) === urgentPriority && !run.step.lasting) used = addResources(used, run.charge)
     }
-    for (const { demand } of order) {
+    const slacks: number[] = []
+    for (const { demand, objectiveMs } of order) {
       if (priorities.get(demand.entry.job.queue) !== urgentPriority || demand.step.lasting) continue
       used = addResources(used, scaleResources(chargeOf(demand.step), demand.waiting.length))
+      slacks.push(objectiveMs - chainMsOf(demand.entry.job.steps))
     }
     let use = this.urgentUse.get(upstream)
     if (use === undefined) this.urgentUse.set(upstream, use = new UrgentUse())
-    use.note(used, this.parts.clock.now())
-    return new Pool(this.sitesOf(upstream), urgentPriority, use.reserve(totalOf(this.parts.sessions.values(), upstream)))
+    use.note(used, slacks.length === 0 ? undefined : sum(slacks) / slacks.length, this.parts.clock.now())
+    const reserve = use.reserve(totalOf(this.parts.sessions.values(), upstream))
+    return new Pool(this.sitesOf(upstream), urgentPriority, use.slackMs, reserve)
   }
 
   private upstreamOf ({ demand, queue }: Ranked): string {
@@ -315,3 +321,7 @@
     return sites
   }
 }
+
+function sum (values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0)
+}
--- a/packages/control/src/owner/pool.ts
+++ b/packages/control/src/owner/pool.ts
@@ -11,7 +11,13 @@
   free = NO_RESOURCES
   /** Workers that may still be held for large tasks in this round. */
   holdsLeft: number
-  constructor (readonly sites: ReadonlyMap<string, Site>, readonly urgentPriority: number, readonly reserve: Resources) {
+  constructor (
+    readonly sites: ReadonlyMap<string, Site>,
+    readonly urgentPriority: number,
+    /** How long urgent tasks can wait: shorter tasks of others need not keep out of the reserve. */
+    readonly urgentSlackMs: number,
+    readonly reserve: Resources
+  ) {
     this.holdsLeft = holdsOf(sites.size)
     for (const site of sites.values()) this.free = addResources(this.free, site.free)
   }
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -104,6 +104,16 @@
     return this.adopted && this.reachable && !this.worker.draining && nowMs >= this.coolUntilMs && this.strangers.size === 0
   }
 
+  /** Time after which all that runs here should have ended, by its callers' estimates; lasting tasks do not count. */
+  drainMs (): number {
+    const nowMs = this.host.clock.now()
+    let longestMs = 0
+    for (const run of this.runs.values()) {
+      if (!run.step.lasting) longestMs = Math.max(longestMs, run.step.estimateMs - (nowMs - run.assignedMs))
+    }
+    return longestMs
+  }
+
   /** Least time that a draining worker has left; undefined for others. */
   remainingMs (): number | undefined {
     if (!this.worker.draining) return undefined
@@ -149,7 +159,8 @@
         await sleep(RETRY_MIN_MS, signal)
         continue
       }
-      await this.renew(this.settling === undefined ? RENEW_WAIT_MS : 0)
+      // A worker that is not known to be there is asked for a prompt answer.
+      await this.renew(this.reachable && this.adopted && this.settling === undefined ? RENEW_WAIT_MS : 0)
       if (!this.reachable) {
         this.checkLapse()
         await sleep(this.retryMs, signal)
--- a/packages/control/src/place/hold.ts
+++ b/packages/control/src/place/hold.ts
@@ -9,6 +9,8 @@
 
 /** A task of at least this part of a worker is large. */
 const LARGE_PART = 0.25
+/** Added to the time that a worker takes to become empty: tasks run longer than estimated. */
+const HOLD_RESERVE_MS = 1000
 /** Largest part of a pool that is held at once. */
 const HELD_PART = 0.25
 
@@ -20,15 +22,27 @@
   readonly wasteMs: number
 }
 
+/** A task that found no room. */
+export interface Unplaced {
+  /** Runs until its job is cancelled. */
+  readonly lasting: boolean
+  /** No queue of the upstream comes before the task's. */
+  readonly urgent: boolean
+  readonly charge: Resources
+  /** Time that is left until the task has to start. */
+  readonly slackMs: number
+}
+
 /**
- * Tells whether workers may be held for a task.
+ * Tells whether a worker may be held for a task: for lasting ones at once, for large urgent ones as late as possible.
  *
- * @param lasting the task runs until its job is cancelled
- * @param urgent no queue of the upstream comes before the task's
+ * @param capacity all of the worker's room
+ * @param drainMs time after which the worker is empty if nothing more is placed on it
  */
-export function mayHold (lasting: boolean, urgent: boolean, charge: Resources, capacity: Resources): boolean {
-  if (lasting) return true
-  return urgent && dominantShareOf(charge, capacity) >= LARGE_PART
+export function mayHold (task: Unplaced, capacity: Resources, drainMs: number): boolean {
+  if (task.lasting) return true
+  if (!task.urgent || task.slackMs > drainMs + HOLD_RESERVE_MS) return false
+  return dominantShareOf(task.charge, capacity) >= LARGE_PART
 }
 
 /** How many workers of a pool may be held at once. */
--- a/packages/control/test/fakes.ts
+++ b/packages/control/test/fakes.ts
@@ -7,7 +7,7 @@
 import type { Report, Worker } from '../src/model/worker.js'
 import { Fleet, WorkerFailure, type RenewOrder, type RunOrder, type StartOrder } from '../src/ports/fleet.js'
 import {
-  StoreFailure, StorePort, Topic, type KeyedRecord, type StoreAnswer, type StoreCall, type StoredRecord
+  StoreFailure, StorePort, Topic, type Fence, type KeyedRecord, type StoreAnswer, type StoreCall, type StoredRecord
 } from '../src/ports/store.js'
 
 /** A clock that tests set. */
@@ -75,7 +75,8 @@
     return ok({ records: kept, end: records.length, next: undefined })
   }
 
-  private append (topic: Topic, { records, fence }: { records: readonly KeyedRecord[], fence?: { epoch: number, sequence: number } }) {
+  private append (topic: Topic, call: { records: readonly KeyedRecord[], fence?: Fence }): Result<StoreAnswer, StoreFailure> {
+    const { records, fence } = call
     if (fence !== undefined) {
       if (fence.epoch < this.epoch) return err(StoreFailure.Fenced)
       if (fence.epoch === this.epoch) {
