Spread advice by the length of calls, and learn of lost workers from the list of machines

Long calls now use part of the nodes; checkpointed tasks of later queues make room for urgent ones; a machine that is down, or has another worker, proves that a silent worker is gone.

--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -21,6 +21,7 @@
 import { AdviceFailure, type Advisor, type Tickets } from './ports/advisor.js'
 import type { Fleet } from './ports/fleet.js'
 import type { Formats } from './ports/formats.js'
+import type { Machines } from './ports/machines.js'
 import { StoreFailure, Topic, type KeyedRecord, type StoreAnswer, type StoreCall, type StorePort, type StoredRecord } from './ports/store.js'
 import type { Log } from './report/log.js'
 import type { Metrics } from './report/metrics.js'
@@ -62,6 +63,7 @@
   readonly store: StorePort
   readonly fleet: Fleet
   readonly advisor: Advisor
+  readonly machines: Machines
   readonly formats: Formats
   readonly clock: Clock
   readonly log: Log
@@ -308,7 +310,7 @@
       if (read.isErr()) await sleep(REGISTER_RETRY_MS, this.stop.signal)
     }
     if (this.table.owner.epoch !== epoch || this.table.owner.incarnation !== this.incarnation) return
-    const { terms, fleet, formats, clock, log, metrics } = this.parts
+    const { terms, fleet, machines, formats, clock, log, metrics } = this.parts
     const owner = new Owner({
       epoch,
       sequence,
@@ -316,6 +318,7 @@
       table: this.table,
       store: this.access,
       fleet,
+      machines,
       formats,
       clock,
       configuration: () => this.configuration!,
--- a/packages/control/src/owner/advice.ts
+++ b/packages/control/src/owner/advice.ts
@@ -9,8 +9,14 @@
 
 /** Subtracted from a ticket's time for the way of the answer and of the start. */
 const TICKET_MARGIN_MS = 250
-/** Calls that may wait at the advisor for one machine: one being served and one behind it. */
-const CALLS_A_NODE = 2
+/** Calls that take longer than this are long: a short call behind one would wait for many times its own time. */
+const LONG_CALL_MS = 120
+/** Part of the nodes that may wait for long calls at once. */
+const LONG_PART = 0.6
+/** Less work than this is none: sums of durations are not exact. */
+const IDLE_WORK_MS = 1
+/** Work that may wait at the advisor for one machine before a short call goes elsewhere or waits here. */
+const SHORT_WORK_MS = 60
 /** Longest time for an answer, beside what the advisor needs for the calls ahead. */
 const ANSWER_SLACK_MS = 800
 /** Most workers that one call may name. */
@@ -64,6 +70,7 @@
 export class AdviceDesk {
   private readonly steps = new Map<string, Knowledge>()
   private readonly queue: Inquiry[] = []
+  /** Work that waits at the advisor, by node that asked. */
   private readonly load = new Map<string, number>()
 
   constructor (
@@ -122,25 +129,26 @@
 
   /** Sends waiting inquiries to nodes with little to wait for. */
   advance (): void {
-    while (this.queue.length > 0) {
-      const node = this.leastLoaded()
-      if (node === undefined) return
-      let first = 0
-      for (let index = 1; index < this.queue.length; index++) {
-        if (this.queue[index]!.urgency < this.queue[first]!.urgency) first = index
+    this.queue.sort((left, right) => left.urgency - right.urgency)
+    for (let index = 0; index < this.queue.length;) {
+      const inquiry = this.queue[index]!
+      const node = this.chooseNode(inquiry.costMs)
+      if (node === undefined) {
+        index++
+        continue
       }
-      const [inquiry] = this.queue.splice(first, 1)
-      detach(this.send(node, inquiry!))
+      this.queue.splice(index, 1)
+      detach(this.send(node, inquiry))
     }
   }
 
   private async send (node: string, inquiry: Inquiry): Promise<void> {
     const { step, candidates, costMs } = inquiry
-    this.load.set(node, (this.load.get(node) ?? 0) + 1)
+    this.load.set(node, (this.load.get(node) ?? 0) + costMs)
     const sentMs = this.clock.now()
     const ids = candidates.map((candidate) => candidate.id)
-    const advice = await this.ask(node, step, ids, CALLS_A_NODE * Math.max(costMs, ANSWER_SLACK_MS) + ANSWER_SLACK_MS)
-    this.load.set(node, this.load.get(node)! - 1)
+    const advice = await this.ask(node, step, ids, 2 * costMs + ANSWER_SLACK_MS)
+    this.load.set(node, this.load.get(node)! - costMs)
     const known = this.steps.get(step)
     if (known !== undefined) {
       known.pending = false
@@ -160,15 +168,21 @@
     }
   }
 
-  private leastLoaded (): string | undefined {
+  /** The node with the least work waiting; none if the call would wait too long, or make short calls wait. */
+  private chooseNode (costMs: number): string | undefined {
+    const nodes = this.nodes()
+    const long = costMs > LONG_CALL_MS
+    const most = long ? IDLE_WORK_MS : SHORT_WORK_MS
     let best: string | undefined
-    let least = CALLS_A_NODE
-    for (const node of this.nodes()) {
+    let least = Infinity
+    let busy = 0
+    for (const node of nodes) {
       const load = this.load.get(node) ?? 0
-      if (load >= least) continue
+      if (load > LONG_CALL_MS) busy++
+      if (load > most || load >= least) continue
       best = node
       least = load
     }
-    return best
+    return long && busy >= Math.ceil(LONG_PART * nodes.length) ? undefined : best
   }
 }
--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -7,7 +7,7 @@
 import { chainMsOf } from '../model/job.js'
 import type { Configuration, Queue } from '../model/configuration.js'
 import { fitGang, fitTask, isEligible, type FitTerms, type Site } from '../place/fit.js'
-import { chooseHeld, chooseStopped, mayHold, type Occupant } from '../place/hold.js'
+import { chooseHeld, chooseStopped, mayHold, mayPreempt, type Occupant } from '../place/hold.js'
 import { headroomOf } from '../place/limit.js'
 import { UrgentUse } from '../place/reserve.js'
 import { urgencyOf } from '../place/order.js'
@@ -41,6 +41,12 @@
   readonly preemptions: Run[]
 }
 
+/** Figures that decisions are made with. */
+export interface DispatchTerms extends FitTerms {
+  /** Longest time that a stop takes at a worker. */
+  readonly stopMs: number
+}
+
 /** What decisions are made from. */
 export interface DispatchParts {
   readonly ledger: Ledger
@@ -49,7 +55,7 @@
   readonly sessions: ReadonlyMap<string, Session>
   readonly configuration: () => Configuration
   readonly clock: Clock
-  readonly terms: FitTerms
+  readonly terms: DispatchTerms
   /** Tasks that may not start before this steady time, by name. */
   readonly backoff: ReadonlyMap<string, number>
   /** Jobs beyond the rate of their workspace. */
@@ -126,12 +132,11 @@
     }
     const admitted = this.admit(ranked, sites)
     if (admitted.length === 0) return
-    const chosen = step.gang
-      ? fitGang(step, charge, step.count, admitted, this.parts.terms)
-      : this.fitTasks(demand, charge, allowed, admitted)
+    const valid = admitted.filter((site) => this.admission(ranked, site) === Admission.Valid)
+    const chosen = this.fit(demand, charge, allowed, valid) ?? this.fit(demand, charge, allowed, admitted)
     const missing = allowed - (chosen?.length ?? 0)
-    if (missing > 0) this.holdRoom(ranked, missing, pool, admitted.filter((site) => chosen?.includes(site) !== true), decisions)
-    if (chosen === undefined || chosen.length === 0) return
+    if (missing > 0) this.makeRoom(ranked, missing, pool, admitted.filter((site) => chosen?.includes(site) !== true), decisions)
+    if (chosen === undefined) return
     const renew = chosen.filter((site) => this.admission(ranked, site) === Admission.Expired)
     if (renew.length > 0) this.renewTickets(ranked, renew, admitted)
     const complete = renew.length === 0 || !step.gang
@@ -151,6 +156,13 @@
     }
   }
 
+  /** Chooses workers for all tasks of a gang, or for as many tasks as find room; undefined if none does. */
+  private fit (demand: Demand, charge: Resources, count: number, sites: readonly Site[]): Site[] | undefined {
+    if (demand.step.gang) return fitGang(demand.step, charge, count, sites, this.parts.terms)
+    const chosen = this.fitTasks(demand, charge, count, sites)
+    return chosen.length === 0 ? undefined : chosen
+  }
+
   private fitTasks (demand: Demand, charge: Resources, count: number, sites: readonly Site[]): Site[] {
     const { step } = demand
     const taken = new Map<string, number>()
@@ -169,20 +181,37 @@
     return chosen
   }
 
-  /** Holds workers for tasks that are too large for what is free, and empties them of what loses nothing by a stop. */
-  private holdRoom (ranked: Ranked, missing: number, pool: Pool, sites: readonly Site[], decisions: Decisions): void {
-    const { demand, queue } = ranked
+  /** Makes room for tasks that found none: holds workers for large ones, and stops what loses nothing by it. */
+  private makeRoom (ranked: Ranked, missing: number, pool: Pool, sites: readonly Site[], decisions: Decisions): void {
+    const { demand, queue, slackMs } = ranked
     const charge = chargeOf(demand.step)
     const urgent = queue !== undefined && queue.priority <= pool.urgentPriority && !this.parts.excess.has(demand.entry.job.id)
-    const task = { lasting: demand.step.lasting, urgent, charge, slackMs: ranked.slackMs }
+    const task = { lasting: demand.step.lasting, urgent, charge, slackMs }
+    const preempts = mayPreempt(task, this.parts.terms.stopMs)
     const able = sites.filter((site) => mayHold(task, site.capacity, this.parts.sessions.get(site.id)!.drainMs()))
-    for (const site of chooseHeld(demand.step, charge, missing, able)) {
-      if (pool.holdsLeft <= 0) return
-      const session = this.parts.sessions.get(site.id)!
-      const leaving = [...session.runs.values()].some((run) => run.stopping !== undefined)
-      if (!leaving) decisions.preemptions.push(...chooseStopped(charge, site.free, this.occupantsOf(session, queue)))
+    const held = pool.holdsLeft > 0 ? chooseHeld(demand.step, charge, missing, able).slice(0, pool.holdsLeft) : []
+    for (const site of held) {
+      if (preempts) this.preempt(ranked, site, charge, decisions)
       pool.hold(site)
     }
+    if (held.length > 0 || !urgent || !preempts) return
+    let rest = missing
+    for (const site of sites) {
+      if (rest <= 0 || pool.emptied.has(site.id)) continue
+      if (this.preempt(ranked, site, charge, decisions)) rest--
+      pool.emptied.add(site.id)
+    }
+  }
+
+  /** Stops runs on a worker to make room for a task, unless some are leaving it already. Returns true if it will have room. */
+  private preempt (ranked: Ranked, site: Site, charge: Resources, decisions: Decisions): boolean {
+    const session = this.parts.sessions.get(site.id)!
+    for (const run of session.runs.values()) {
+      if (run.stopping !== undefined) return true
+    }
+    const stopped = chooseStopped(charge, site.free, this.occupantsOf(session, ranked.queue))
+    decisions.preemptions.push(...stopped)
+    return stopped.length > 0
   }
 
   /** Runs of later queues that resume from a checkpoint, or that only use what is idle. */
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -14,7 +14,8 @@
 import type { Configuration } from '../model/configuration.js'
 import { isFinal, Phase } from '../model/job.js'
 import { Ending, splitTask, type EndedRun, type Worker } from '../model/worker.js'
-import type { Fleet, WorkerFailure } from '../ports/fleet.js'
+import { WorkerFailure, type Fleet } from '../ports/fleet.js'
+import type { Machines } from '../ports/machines.js'
 import type { Formats } from '../ports/formats.js'
 import { Topic, type Store } from '../ports/store.js'
 import type { Log } from '../report/log.js'
@@ -22,8 +23,9 @@
 import { RateBook } from '../place/rate.js'
 import { SpeedBook } from '../place/speed.js'
 import type { QueuePressure } from '../entry/gate.js'
-import { AdviceDesk, type Ask } from './advice.js'
+import { Admission, AdviceDesk, type Ask } from './advice.js'
 import { Caretaker } from './caretaker.js'
+import { Census } from './census.js'
 import { Demands } from './demand.js'
 import { Dispatcher, type Assignment } from './dispatcher.js'
 import { Ledger, chargeOf } from './ledger.js'
@@ -65,6 +67,7 @@
   readonly table: Table
   readonly store: Store
   readonly fleet: Fleet
+  readonly machines: Machines
   readonly formats: Formats
   readonly clock: Clock
   readonly configuration: () => Configuration
@@ -92,6 +95,7 @@
   private readonly excess = new Set<string>()
   private readonly speeds = new SpeedBook()
   private readonly caretaker: Caretaker
+  private readonly census: Census
   private readonly backoff = new Map<string, number>()
   private readonly stop = new AbortController()
   private readonly host: SessionHost
@@ -129,11 +133,12 @@
       sessions: this.sessions,
       configuration: parts.configuration,
       clock,
-      terms: { farFactor: parts.terms.farFactor },
+      terms: parts.terms,
       backoff: this.backoff,
       excess: this.excess,
       slownessOf: (session) => this.speeds.slownessOf(session.id)
     })
+    this.census = new Census(parts.machines, clock)
     this.caretaker = new Caretaker({
       table,
       ledger: this.ledger,
@@ -382,7 +387,7 @@
 
   private onGone (run: Run, reason: string): void {
     this.parts.log.decision('run did not begin', { task: run.name, run: run.number, worker: run.session.id, reason })
-    if (reason === 'no-ticket') this.advice.expire(run.stepName, run.session.id)
+    if (reason === WorkerFailure.NoTicket) this.advice.expire(run.stepName, run.session.id)
     else this.holdBack(run.name)
     const entry = this.giveBack(run, Ending.Stopped)
     if (!entry.over()) this.breakGang(entry, run.task)
@@ -452,6 +457,11 @@
     for (const entry of changed) this.demands.refresh(entry)
     if (!await this.commit([...changed])) return
     for (const run of runs) {
+      // The journal can take longer than a ticket is valid.
+      if (run.ticket !== '' && this.advice.admission(run.stepName, run.session) !== Admission.Valid) {
+        this.onGone(run, WorkerFailure.NoTicket)
+        continue
+      }
       this.parts.log.decision('start', {
         task: run.name, run: run.number, worker: run.session.id, waitedMs: this.parts.clock.wall() - run.entry.job.acceptedMs
       })
@@ -493,6 +503,7 @@
       await sleep(TICK_MS, signal)
       this.sweepSessions()
       this.sweepBackoff()
+      detach(this.census.tick(this.sessions.values()))
       if (this.mayAct()) this.caretaker.tick()
       this.advice.advance()
       this.requestRound()
--- a/packages/control/src/owner/pool.ts
+++ b/packages/control/src/owner/pool.ts
@@ -11,6 +11,8 @@
   free = NO_RESOURCES
   /** Workers that may still be held for large tasks in this round. */
   holdsLeft: number
+  /** Workers on which runs are stopped for urgent tasks in this round. */
+  readonly emptied = new Set<string>()
   constructor (
     readonly sites: ReadonlyMap<string, Site>,
     readonly urgentPriority: number,
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -59,6 +59,8 @@
   /** A renewal under this owner's fence was answered: orders of earlier owners have no effect any more. */
   adopted = false
   reachable = false
+  /** Steady time of the last answer, or of the session's begin. */
+  private heardMs: number
   born: number
   /** Steady time until which nothing is placed here. */
   coolUntilMs = 0
@@ -82,6 +84,7 @@
     this.clockMs = worker.clockMs
     this.clockAtMs = host.clock.now()
     this.updatedMs = this.clockAtMs
+    this.heardMs = this.clockAtMs
     // Every order that waits listens to the one signal.
     setMaxListeners(0, this.stop.signal)
   }
@@ -104,6 +107,11 @@
     return this.adopted && this.reachable && !this.worker.draining && nowMs >= this.coolUntilMs && this.strangers.size === 0
   }
 
+  /** How long the worker has not answered; 0 while it does. */
+  silentMs (): number {
+    return this.reachable ? 0 : this.host.clock.now() - this.heardMs
+  }
+
   /** Time after which all that runs here should have ended, by its callers' estimates; lasting tasks do not count. */
   drainMs (): number {
     const nowMs = this.host.clock.now()
@@ -289,6 +297,7 @@
     if (report.born < this.born) return
     if (report.born > this.born) this.rebirth(report.born, report.clockMs, 'The worker has started anew.')
     this.retryMs = RETRY_MIN_MS
+    this.heardMs = this.host.clock.now()
     if (!this.reachable) {
       this.reachable = true
       this.host.onReachable(this, true, undefined)
--- a/packages/control/src/place/hold.ts
+++ b/packages/control/src/place/hold.ts
@@ -11,6 +11,8 @@
 const LARGE_PART = 0.25
 /** Added to the time that a worker takes to become empty: tasks run longer than estimated. */
 const HOLD_RESERVE_MS = 1000
+/** Urgent tasks with more slack than this many stops wait for room to become free by itself. */
+const PREEMPT_SLACK_FACTOR = 3
 /** Largest part of a pool that is held at once. */
 const HELD_PART = 0.25
 
@@ -50,6 +52,17 @@
   return Math.max(1, Math.floor(HELD_PART * sites))
 }
 
+/**
+ * Tells whether tasks of later queues are stopped for a task: only while the stop ends before the task has to start, or for
+ * tasks that must not wait at all.
+ *
+ * @param stopMs longest time that a stop takes
+ */
+export function mayPreempt (task: Unplaced, stopMs: number): boolean {
+  if (task.lasting) return true
+  return task.urgent && task.slackMs < PREEMPT_SLACK_FACTOR * stopMs + HOLD_RESERVE_MS
+}
+
 /**
  * Chooses workers to hold: those with the largest part of the needed room free.
  *
--- /dev/null
+++ b/packages/control/test/owner/advice.spec.ts
@@ -0,0 +1,83 @@
+import { err, ok, type Result } from 'neverthrow'
+import { describe, expect, it } from 'vitest'
+import { Admission, AdviceDesk } from '../../src/owner/advice.js'
+import { AdviceFailure, type Tickets } from '../../src/ports/advisor.js'
+import { FakeClock } from '../fakes.js'
+
+const SHORT = { callMs: 18.57, workerMs: 0.19, validMs: 2000 }
+const LONG = { callMs: 614.29, workerMs: 6.1, validMs: 2000 }
+const NODES = ['n1', 'n2', 'n3']
+
+interface Call {
+  readonly node: string
+  readonly step: string
+  readonly answer: (result: Result<Tickets, AdviceFailure>) => Promise<void>
+}
+
+function createScene (): { desk: AdviceDesk, clock: FakeClock, calls: Call[] } {
+  const clock = new FakeClock()
+  const calls: Call[] = []
+  const desk = new AdviceDesk((node, step) => new Promise((resolve) => {
+    calls.push({ node, step, answer: async (result) => { resolve(result); await settle() } })
+  }), () => NODES, clock, () => {})
+  return { desk, clock, calls }
+}
+
+async function settle (): Promise<void> {
+  for (let turn = 0; turn < 5; turn++) await Promise.resolve()
+}
+
+const WORKERS = [{ id: 'w1', born: 1 }, { id: 'w2', born: 1 }]
+
+describe('the advice desk', () => {
+  it('keeps a node free of long calls, so that short ones need not wait behind them', () => {
+    const { desk, calls } = createScene()
+    for (const step of ['a', 'b', 'c', 'd']) desk.request(step, WORKERS, LONG, 1)
+    desk.request('quick', WORKERS, SHORT, 2)
+    expect(calls.map((call) => call.step)).toEqual(['a', 'b', 'quick'])
+    expect(new Set(calls.map((call) => call.node)).size).toBe(3)
+  })
+
+  it('goes on with long calls after any number of short ones, though sums of their costs are not exact', async () => {
+    const { desk, calls } = createScene()
+    for (let round = 0; round < 50; round++) {
+      for (let short = 0; short < 6; short++) {
+        desk.request(`q${round}.${short}`, WORKERS, { ...SHORT, workerMs: 0.19 + (round + short) / 11 }, 1)
+      }
+      desk.request(`s${round}`, WORKERS, LONG, 1)
+      while (calls.length > 0) await calls.shift()!.answer(ok([]))
+      expect(desk.pending(`s${round}`)).toBe(false)
+    }
+  })
+
+  it('asks for the most urgent step first', async () => {
+    const { desk, calls } = createScene()
+    for (const step of ['a', 'b']) desk.request(step, WORKERS, LONG, 1)
+    desk.request('late', WORKERS, LONG, 9)
+    desk.request('early', WORKERS, LONG, 3)
+    await calls[0]!.answer(ok([]))
+    expect(calls.map((call) => call.step)).toEqual(['a', 'b', 'early'])
+  })
+
+  it.each([
+    ['a worker with a ticket', 'w1', 1, 0, Admission.Valid],
+    ['a ticket that has run out', 'w1', 1, 1800, Admission.Expired],
+    ['a worker that has started anew', 'w1', 2, 0, Admission.Expired],
+    ['a worker that was not granted', 'w2', 1, 0, Admission.Forbidden],
+    ['a worker that nobody asked about', 'w3', 1, 0, Admission.Unknown]
+  ])('tells of %s', async (_, id, born, passedMs, admission) => {
+    const { desk, clock, calls } = createScene()
+    desk.request('a', WORKERS, LONG, 1)
+    await calls[0]!.answer(ok([['w1', 'ticket']]))
+    clock.pass(passedMs)
+    expect(desk.admission('a', { id, born })).toBe(admission)
+  })
+
+  it('can ask again after a call that was not answered', async () => {
+    const { desk, calls } = createScene()
+    desk.request('a', WORKERS, LONG, 1)
+    await calls[0]!.answer(err(AdviceFailure.NoAnswer))
+    desk.request('a', WORKERS, LONG, 1)
+    expect(calls).toHaveLength(2)
+  })
+})
