Append callers' records with the owner's own

The owner's one append now carries them, and hedges wait for four times the store's recent pace. Now a record is withdrawn before the caller is told that it did not run; where that is not possible its fate is unknown. Tests of the writer cover both, and fail without withdrawal.

--- a/packages/control/src/entry/desk.ts
+++ b/packages/control/src/entry/desk.ts
@@ -17,6 +17,8 @@
 const LOOKUP_TIMEOUT_MS = 400
 /** Time kept of a caller's deadline for the way of the answer. */
 const ANSWER_RESERVE_MS = 150
+/** Longest time for the owner to append a record. */
+const HAND_OVER_MS = 900
 /** First and longest pause between two tries to append. */
 const RETRY_MIN_MS = 30
 const RETRY_MAX_MS = 300
@@ -59,8 +61,10 @@
   readonly catchUp: () => Promise<void>
   /** When the journal was last read to its end. */
   readonly journalFreshAt: () => Stamp
-  /** Tells the owner of appended records; resolves at once. */
-  readonly notify: (records: readonly KeyedRecord[]) => void
+  /** Has the owner append a record together with its own, and tells whether the store has it. */
+  readonly handOver: (record: KeyedRecord, timeoutMs: number) => Promise<Execution>
+  /** Tells the owner, and this node's own table, of a record that this node has appended; resolves at once. */
+  readonly notify: (record: KeyedRecord) => void
   /** Asks the owner for a job's phase; null if it knows no such job, undefined without an answer. */
   readonly askPhase: (job: string, timeoutMs: number) => Promise<Phase | null | undefined>
   readonly gate: Gate
@@ -169,18 +173,22 @@
     }
   }
 
-  /** Appends until the store has the record or the caller's time is over. Appending a record twice changes nothing. */
+  /**
+   * Appends by way of the owner, whose one append carries many records however slow the store is; else by this node itself, until
+   * the store has the record or the caller's time is over. Appending a record twice changes nothing.
+   */
   private async append (record: KeyedRecord, budgetMs: number): Promise<Result<void, Refusal>> {
     const { clock } = this.parts
     const startedMs = clock.now()
     const endMs = startedMs + budgetMs - ANSWER_RESERVE_MS
-    let execution = Execution.NotRun
+    let execution = await this.parts.handOver(record, Math.min(HAND_OVER_MS, budgetMs / 2))
+    if (execution === Execution.Run) return ok(undefined)
     let retryMs = RETRY_MIN_MS
     let failure: StoreFailure
     do {
       const appended = await this.parts.store.append(Topic.Journal, [record])
       if (appended.isOk()) {
-        this.parts.notify([record])
+        this.parts.notify(record)
         return ok(undefined)
       }
       failure = appended.error
--- a/packages/control/src/journal/writer.ts
+++ b/packages/control/src/journal/writer.ts
@@ -21,6 +21,14 @@
   readonly resolve: (result: Result<void, Superseded>) => void
 }
 
+/** What became of one append. */
+enum Outcome {
+  Written,
+  /** Provably not written. */
+  Refused,
+  Superseded
+}
+
 /** Encodes what a key is to hold at the time of the append. */
 export type Encoder = () => KeyedRecord
 
@@ -31,6 +39,7 @@
   private dirty = new Map<string, Encoder>()
   private waiters: Waiter[] = []
   private wake: (() => void) | undefined
+  private retryMs = RETRY_MIN_MS
   private over = false
 
   constructor (
@@ -78,17 +87,34 @@
     this.wake = undefined
   }
 
+  /**
+   * Takes keys out of what is to be written.
+   *
+   * @returns true if none of them has been sent since it was committed, so that none is written; false leaves all as they are
+   */
+  withdraw (keys: readonly string[]): boolean {
+    if (!keys.every((key) => this.dirty.has(key))) return false
+    for (const key of keys) this.dirty.delete(key)
+    return true
+  }
+
   /** Returns false if the epoch is fenced. */
   private async appendPending (signal: AbortSignal): Promise<boolean> {
     const encoders = this.dirty
     const waiters = this.waiters
     this.dirty = new Map()
     this.waiters = []
-    const records: KeyedRecord[] = []
-    for (const encoder of encoders.values()) records.push(encoder())
-    if (records.length === 0) records.push(encodeRecord(Subject.Beat, 'owner', this.epoch))
-    for (const batch of splitBatches(records)) {
-      if (await this.append(batch, signal)) continue
+    for (const batch of splitBatches(encoders, this.epoch)) {
+      const outcome = await this.append(batch.records, signal)
+      if (outcome === Outcome.Written) {
+        for (const key of batch.keys) encoders.delete(key)
+        continue
+      }
+      if (outcome === Outcome.Refused) {
+        this.putBack(encoders, waiters)
+        await this.pause(signal)
+        return true
+      }
       for (const waiter of waiters) waiter.resolve(err(new Superseded()))
       return false
     }
@@ -96,36 +122,60 @@
     return true
   }
 
-  /** Repeats one append under its sequence number until the store has it. */
-  private async append (records: readonly KeyedRecord[], signal: AbortSignal): Promise<boolean> {
-    let retryMs = RETRY_MIN_MS
+  /** Returns what the store provably did not take to what is to be written; newer content of a key stays. */
+  private putBack (encoders: ReadonlyMap<string, Encoder>, waiters: readonly Waiter[]): void {
+    for (const [key, encoder] of encoders) {
+      if (!this.dirty.has(key)) this.dirty.set(key, encoder)
+    }
+    this.waiters.unshift(...waiters)
+  }
+
+  private async pause (signal: AbortSignal): Promise<void> {
+    await sleep(this.retryMs * (0.5 + Math.random()), signal)
+    this.retryMs = Math.min(2 * this.retryMs, RETRY_MAX_MS)
+  }
+
+  /** Appends under one sequence number; repeats the same bytes once they may have reached the store. */
+  private async append (records: readonly KeyedRecord[], signal: AbortSignal): Promise<Outcome> {
+    let uncertain = false
     while (!signal.aborted) {
       const sentAt = this.clock.stamp()
       const appended = await this.store.append(Topic.Journal, records, { epoch: this.epoch, sequence: this.sequence })
       if (appended.isOk()) {
         this.confirmedAt = sentAt
         this.sequence++
+        this.retryMs = RETRY_MIN_MS
         this.onAppended(sizeOf(records), this.clock.now() - sentAt.steadyMs)
-        return true
+        return Outcome.Written
       }
-      if (appended.error !== StoreFailure.Refused && appended.error !== StoreFailure.NoAnswer) return false
-      await sleep(retryMs * (0.5 + Math.random()), signal)
-      retryMs = Math.min(2 * retryMs, RETRY_MAX_MS)
+      if (appended.error !== StoreFailure.Refused && appended.error !== StoreFailure.NoAnswer) return Outcome.Superseded
+      uncertain ||= appended.error === StoreFailure.NoAnswer
+      if (!uncertain) return Outcome.Refused
+      await this.pause(signal)
     }
-    return false
+    return Outcome.Superseded
   }
 }
 
-function splitBatches (records: readonly KeyedRecord[]): KeyedRecord[][] {
-  const batches: KeyedRecord[][] = [[]]
+interface Batch {
+  readonly keys: string[]
+  readonly records: KeyedRecord[]
+}
+
+/** Encodes what is to be written, in appends of a bounded size; a sign of life if there is nothing. */
+function splitBatches (encoders: ReadonlyMap<string, Encoder>, epoch: number): Batch[] {
+  if (encoders.size === 0) return [{ keys: [], records: [encodeRecord(Subject.Beat, 'owner', epoch)] }]
+  const batches: Batch[] = [{ keys: [], records: [] }]
   let bytes = 0
-  for (const record of records) {
+  for (const [key, encoder] of encoders) {
+    const record = encoder()
     const size = sizeOf([record])
     if (bytes + size > APPEND_BYTES && bytes > 0) {
-      batches.push([])
+      batches.push({ keys: [], records: [] })
       bytes = 0
     }
-    batches.at(-1)!.push(record)
+    batches.at(-1)!.keys.push(key)
+    batches.at(-1)!.records.push(record)
     bytes += size
   }
   return batches
--- a/packages/control/src/membership/access.ts
+++ b/packages/control/src/membership/access.ts
@@ -13,6 +13,10 @@
 const PATIENCE_MAX_MS = 8000
 /** Without a direct answer for this long the call is also made through another node: many times a sound store's answer. */
 const HEDGE_AFTER_MS = 250
+/** The same as a multiple of recent answers: a store that is slow for all is not helped by more calls. */
+const HEDGE_FACTOR = 4
+/** Weight of one answer in the mean time of answers. */
+const ANSWER_WEIGHT = 0.3
 /** How often the direct way is tried while the store does not serve this node. */
 const PROBE_INTERVAL_MS = 700
 
@@ -26,6 +30,8 @@
   private patienceMs = PATIENCE_MIN_MS
   private failingSinceMs: number | undefined
   private probedMs = -Infinity
+  /** Mean time of recent direct answers, without the time that calls let them wait. */
+  private answerMs = 0
 
   constructor (
     private readonly port: StorePort,
@@ -51,7 +57,9 @@
   /** Makes a call directly, for this node or another. */
   async direct (call: StoreCall): Promise<Result<StoreAnswer, StoreFailure>> {
     this.probedMs = this.clock.now()
+    const startedMs = this.clock.now()
     const answer = await this.port.call(call, this.patienceMs)
+    if (answer.isOk() && waitOf(call) === 0) this.answerMs += ANSWER_WEIGHT * (this.clock.now() - startedMs - this.answerMs)
     this.note(answer.isErr() ? answer.error : undefined)
     return answer
   }
@@ -69,7 +77,7 @@
     const probing = this.clock.now() - this.probedMs >= PROBE_INTERVAL_MS
     if (!this.served() && !probing) return await this.relay(call, this.patienceMs)
     const direct = this.direct(call)
-    const hedgeMs = this.served() ? HEDGE_AFTER_MS + waitOf(call) : 0
+    const hedgeMs = this.served() ? Math.max(HEDGE_AFTER_MS, HEDGE_FACTOR * this.answerMs) + waitOf(call) : 0
     const early = await Promise.race([direct, sleep(hedgeMs)])
     if (early !== undefined && (early.isOk() || !isOutage(early.error))) return early
     const relayed = this.relay(call, this.patienceMs)
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -3,7 +3,7 @@
  */
 import { detach } from './detach.js'
 import { setMaxListeners } from 'node:events'
-import { Kind, type Relay, type Request } from '@fireflymount/protocol/message'
+import { Kind, type Notice, type Relay, type Request } from '@fireflymount/protocol/message'
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
 import { sleep, type Clock } from './clock.js'
@@ -35,8 +35,10 @@
 /** Least time between two reads of the configuration. */
 const CONFIGURATION_READ_MS = 50
 const REGISTER_RETRY_MS = 100
-/** Longest time for the owner to take a notice; it reads the journal as well. */
-const NOTICE_TIMEOUT_MS = 500
+/** Added to the time that another node is given, for the way of its answer. */
+const LINK_RESERVE_MS = 200
+/** Longest time for a node to take an announcement; the next one replaces it. */
+const ANNOUNCE_TIMEOUT_MS = 500
 /** Tries of one claim under one sequence number. */
 const CLAIM_TRIES = 4
 /** Random first sequence numbers tell two claims of one epoch apart. */
@@ -46,6 +48,8 @@
 /** Nodes through which a call to the store is tried. */
 const RELAYS_MAX = 3
 
+type NoticedRecord = Notice['records'][number]
+
 /** Settings of a node. */
 export interface NodeTerms extends OwnerTerms {
   readonly node: string
@@ -175,7 +179,8 @@
       store: this.access,
       catchUp: async () => { await this.journal.catchUp() },
       journalFreshAt: () => this.journal.freshAt,
-      notify: (records) => { this.notify(records) },
+      handOver: (record, timeoutMs) => this.handOver(record, timeoutMs),
+      notify: (record) => { this.notify(record) },
       askPhase: (job, timeoutMs) => this.askPhase(job, timeoutMs),
       gate: this.gate,
       clock,
@@ -346,22 +351,25 @@
 
   private announce (epoch: number, pressures: readonly QueuePressure[]): void {
     this.gate.announce(pressures)
-    detach(this.links.broadcast({ kind: Kind.Pressure, epoch, queues: [...pressures] }, NOTICE_TIMEOUT_MS))
+    detach(this.links.broadcast({ kind: Kind.Pressure, epoch, queues: [...pressures] }, ANNOUNCE_TIMEOUT_MS))
   }
 
-  private notify (records: readonly KeyedRecord[]): void {
-    if (this.owner !== undefined) {
-      this.takeNotice(records)
-      return
-    }
-    for (const record of records) this.table.apply({ ...record, offset: -1 })
+  /** Has the owner append a record of a caller, and tells whether it did. */
+  private async handOver (record: KeyedRecord, timeoutMs: number): Promise<Execution> {
+    if (this.owner !== undefined) return await this.owner.append([record], timeoutMs)
     const { owner } = this.table
-    if (owner === undefined || !this.links.has(owner.node)) return
-    detach(this.links.ask(owner.node, { kind: Kind.Notice, records: [...records] as never }, NOTICE_TIMEOUT_MS))
+    if (owner === undefined || !this.links.has(owner.node)) return Execution.NotRun
+    const request: Notice = { kind: Kind.Notice, records: [record as NoticedRecord], timeoutMs }
+    const answer = await this.links.ask(owner.node, request, timeoutMs + LINK_RESERVE_MS)
+    if (answer.isErr()) return answer.error.execution
+    this.table.apply({ ...record, offset: -1 })
+    return Execution.Run
   }
 
-  private takeNotice (records: readonly KeyedRecord[]): void {
-    for (const record of records) this.applyRecord({ ...record, offset: -1 })
+  /** The owner reads the journal as well; the notice only spares it the wait. */
+  private notify (record: KeyedRecord): void {
+    if (this.owner === undefined) this.table.apply({ ...record, offset: -1 })
+    else this.applyRecord({ ...record, offset: -1 })
   }
 
   private async askPhase (job: string, timeoutMs: number): Promise<Phase | null | undefined> {
@@ -404,8 +412,7 @@
     switch (request.kind) {
       case Kind.Notice:
         if (this.owner === undefined) return err(refuse(Reason.NotOwner, 'This node does not own the cell.'))
-        this.takeNotice(request.records)
-        return ok(true)
+        return await this.serveNotice(this.owner, request)
       case Kind.Lookup:
         if (this.owner === undefined) return err(refuse(Reason.NotOwner, 'This node does not own the cell.'))
         return ok(this.table.jobs.get(request.job)?.visiblePhase() ?? null)
@@ -425,6 +432,12 @@
     }
   }
 
+  private async serveNotice (owner: Owner, request: Notice): Promise<Result<true, Refusal>> {
+    const execution = await owner.append(request.records as KeyedRecord[], request.timeoutMs)
+    if (execution === Execution.Run) return ok(true)
+    return err({ reason: Reason.LogUnavailable, detail: 'The store has not taken the records in time.', execution, retryAfterMs: 0 })
+  }
+
   private async serveRelay (request: Relay): Promise<Result<unknown, Refusal>> {
     if (!this.access.served()) return err(refuse(Reason.LogUnavailable, 'The store does not serve this node either.', 0))
     const { kind, ...call } = request
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -5,10 +5,11 @@
  * A successor therefore knows each run that may exist, and each worker repeats what the journal does not hold.
  */
 import { setMaxListeners } from 'node:events'
+import { Execution } from '@fireflymount/protocol/refusal'
 import { detach } from '../detach.js'
 import { sleep, type Clock, type Stamp } from '../clock.js'
 import { Follower } from '../journal/follower.js'
-import { Stage, encodeRecord, Subject } from '../journal/record.js'
+import { Stage, encodeRecord, splitKey, Subject } from '../journal/record.js'
 import type { JobEntry, Table, TaskEntry } from '../journal/table.js'
 import { Writer, progressKeyOf, type Encoder } from '../journal/writer.js'
 import type { Configuration } from '../model/configuration.js'
@@ -17,7 +18,7 @@
 import { WorkerFailure, type Fleet } from '../ports/fleet.js'
 import type { Machines } from '../ports/machines.js'
 import type { Formats } from '../ports/formats.js'
-import { Topic, type Store } from '../ports/store.js'
+import { Topic, type KeyedRecord, type Store } from '../ports/store.js'
 import type { Log } from '../report/log.js'
 import type { Metrics } from '../report/metrics.js'
 import { RateBook } from '../place/rate.js'
@@ -34,6 +35,9 @@
 import { Session, type SessionHost } from './session.js'
 import { finish, membersOf, settleEnd } from './settlement.js'
 
+/** Tries to withdraw a record of a caller while an append that has it is open, and the pause between them. */
+const WITHDRAW_TRIES = 5
+const WITHDRAW_PAUSE_MS = 30
 /** Longest time that the owner acts without the store. Bounds what a successor has to wait for. */
 export const AUTHORITY_MS = 11_000
 /** Decisions that come due within this time are made in one round. */
@@ -91,6 +95,8 @@
   private readonly advice: AdviceDesk
   private readonly dispatcher: Dispatcher
   private readonly rates = new RateBook()
+  /** How many callers wait for a key to be written. */
+  private readonly offered = new Map<string, number>()
   private readonly counted = new Set<string>()
   private readonly excess = new Set<string>()
   private readonly speeds = new SpeedBook()
@@ -178,6 +184,40 @@
     return !this.stop.signal.aborted && this.parts.clock.ageOf(this.writer.confirmedAt) < AUTHORITY_MS
   }
 
+  /**
+   * Appends records of callers with the owner's own.
+   *
+   * @param timeoutMs time after which the records are withdrawn, if that is still possible
+   * @returns Run once the store has them and the owner acts on them; NotRun if they provably never will be there
+   */
+  async append (records: readonly KeyedRecord[], timeoutMs: number): Promise<Execution> {
+    const changes = new Map<string, Encoder>()
+    const keys = records.map((record) => record.key)
+    for (const record of records) changes.set(record.key, () => record)
+    for (const key of keys) this.offered.set(key, (this.offered.get(key) ?? 0) + 1)
+    const committing = this.writer.commit(changes)
+    let committed = await Promise.race([committing, sleep(timeoutMs)])
+    let withdrawn = false
+    for (let attempt = 0; attempt < WITHDRAW_TRIES && committed === undefined && !withdrawn; attempt++) {
+      withdrawn = keys.every((key) => this.offered.get(key) === 1) && this.writer.withdraw(keys)
+      if (!withdrawn) committed = await Promise.race([committing, sleep(WITHDRAW_PAUSE_MS)])
+    }
+    for (const key of keys) this.withdrawOffer(key)
+    if (withdrawn) return Execution.NotRun
+    if (committed === undefined || committed.isErr()) return Execution.Unknown
+    for (const record of records) {
+      this.parts.table.apply({ ...record, offset: -1 }, this.epoch)
+      this.onJob(splitKey(record.key).name)
+    }
+    return Execution.Run
+  }
+
+  private withdrawOffer (key: string): void {
+    const left = this.offered.get(key)! - 1
+    if (left === 0) this.offered.delete(key)
+    else this.offered.set(key, left)
+  }
+
   /** A job was accepted, or cancelled: the table has it. */
   onJob (id: string): void {
     const entry = this.parts.table.jobs.get(id)
--- /dev/null
+++ b/packages/control/test/journal/follower.spec.ts
@@ -0,0 +1,53 @@
+import { err } from 'neverthrow'
+import { describe, expect, it } from 'vitest'
+import { Follower } from '../../src/journal/follower.js'
+import { StoreAccess } from '../../src/membership/access.js'
+import { StoreFailure, Topic } from '../../src/ports/store.js'
+import { FakeClock, FakeStore } from '../fakes.js'
+
+function createScene (): { store: FakeStore, follower: Follower, seen: string[] } {
+  const clock = new FakeClock()
+  const store = new FakeStore()
+  const access = new StoreAccess(store, async () => err(StoreFailure.Refused), clock, () => {})
+  const seen: string[] = []
+  const follower = new Follower(access, Topic.Journal, {
+    onRecord: (record) => { seen.push(`${record.key}${record.offset}`) },
+    onReset: () => { seen.push('reset') }
+  }, clock, 100)
+  return { store, follower, seen }
+}
+
+function put (store: FakeStore, key: string): void {
+  store.put(Topic.Journal, { key, value: Buffer.from('x') })
+}
+
+describe('a follower', () => {
+  it.each([
+    ['begins with the newest record of each key', ['a', 'b', 'a'], [], 0, ['reset', 'a2', 'b1']],
+    ['hands later records on once, in order', ['a'], ['b', 'c'], 0, ['reset', 'a0', 'b1', 'c2']],
+    ['begins anew when records it has not read have expired', ['a'], ['b', 'c'], 2, ['reset', 'a0', 'reset', 'a0', 'b1', 'c2']]
+  ])('%s', async (_, before, after, first, expected) => {
+    const { store, follower, seen } = createScene()
+    for (const key of before) put(store, key)
+    await follower.catchUp()
+    for (const key of after) put(store, key)
+    store.first = first
+    await follower.catchUp()
+    expect(seen).toEqual(expected)
+  })
+
+  it('hands each record on once when two reads overlap', async () => {
+    const { store, follower, seen } = createScene()
+    await follower.catchUp()
+    put(store, 'a')
+    await Promise.all([follower.catchUp(), follower.catchUp()])
+    expect(seen).toEqual(['reset', 'a0'])
+  })
+
+  it('does not count as fresh while the store does not answer', async () => {
+    const { store, follower } = createScene()
+    store.fault = () => StoreFailure.NoAnswer
+    expect((await follower.catchUp()).isErr()).toBe(true)
+    expect(follower.freshAt.steadyMs).toBe(-Infinity)
+  })
+})
--- /dev/null
+++ b/packages/control/test/journal/writer.spec.ts
@@ -0,0 +1,101 @@
+import { describe, expect, it, vi, beforeEach, afterEach } from 'vitest'
+import { decodeValue, encodeRecord, Subject } from '../../src/journal/record.js'
+import { Writer, type Encoder } from '../../src/journal/writer.js'
+import { StoreAccess } from '../../src/membership/access.js'
+import { StoreFailure, Topic } from '../../src/ports/store.js'
+import { SystemClock, type Clock } from '../../src/clock.js'
+import { FakeStore } from '../fakes.js'
+import { err } from 'neverthrow'
+
+function createScene (): { store: FakeStore, access: StoreAccess, clock: Clock, stop: AbortController } {
+  const clock = new SystemClock()
+  const store = new FakeStore()
+  const access = new StoreAccess(store, async () => err(StoreFailure.Refused), clock, () => {})
+  return { store, access, clock, stop: new AbortController() }
+}
+
+function change (name: string, value: () => unknown): ReadonlyMap<string, Encoder> {
+  return new Map([[`p/${name}`, () => encodeRecord(Subject.Progress, name, value())]])
+}
+
+function valuesOf (store: FakeStore): unknown[] {
+  return store.records[Topic.Journal].map((record) => decodeValue(record.value!)._unsafeUnwrap())
+}
+
+beforeEach(() => { vi.useFakeTimers() })
+afterEach(() => { vi.useRealTimers() })
+
+describe('the writer of the owner', () => {
+  it('writes commits that come while an append is open with one append', async () => {
+    const { store, access, clock, stop } = createScene()
+    const writer = new Writer(access, clock, 1, 5, clock.stamp(), () => {})
+    const running = writer.run(stop.signal)
+    const commits = [writer.commit(change('a', () => 1)), writer.commit(change('b', () => 2)), writer.commit(change('c', () => 3))]
+    await vi.advanceTimersByTimeAsync(50)
+    expect((await Promise.all(commits)).every((commit) => commit.isOk())).toBe(true)
+    expect(valuesOf(store)).toEqual([1, 2, 3])
+    expect(store.calls).toBeLessThan(3)
+    stop.abort()
+    await running
+  })
+
+  it.each([
+    ['the store refused', false],
+    ['the answer was lost after the append', true]
+  ])('repeats an append under its number, and writes it once, when %s', async (_, loseAnswers) => {
+    const { store, access, clock, stop } = createScene()
+    let faults = 3
+    store.loseAnswers = loseAnswers
+    store.fault = () => faults-- > 0 ? (loseAnswers ? StoreFailure.NoAnswer : StoreFailure.Refused) : undefined
+    const writer = new Writer(access, clock, 1, 5, clock.stamp(), () => {})
+    const running = writer.run(stop.signal)
+    const commit = writer.commit(change('a', () => 'content'))
+    await vi.advanceTimersByTimeAsync(3000)
+    expect((await commit).isOk()).toBe(true)
+    expect(valuesOf(store).filter((value) => value === 'content')).toHaveLength(1)
+    stop.abort()
+    await running
+  })
+
+  it.each([
+    ['that the store refuses can be withdrawn, and is never written', StoreFailure.Refused, true, 0],
+    ['that may have reached the store cannot be withdrawn', StoreFailure.NoAnswer, false, 1]
+  ])('makes a record %s', async (_, failure, withdrawn, written) => {
+    const { store, access, clock, stop } = createScene()
+    store.fault = () => failure
+    const writer = new Writer(access, clock, 1, 5, clock.stamp(), () => {})
+    const running = writer.run(stop.signal)
+    const commit = writer.commit(change('a', () => 'content'))
+    await vi.advanceTimersByTimeAsync(1000)
+    expect(writer.withdraw(['p/a'])).toBe(withdrawn)
+    store.fault = undefined
+    await vi.advanceTimersByTimeAsync(3000)
+    await commit
+    expect(valuesOf(store).filter((value) => value === 'content')).toHaveLength(written)
+    stop.abort()
+    await running
+  })
+
+  it('ends when a higher epoch has written, and fails all commits', async () => {
+    const { store, access, clock, stop } = createScene()
+    await store.call({ topic: Topic.Journal, append: { records: [], fence: { epoch: 2, sequence: 9 } } })
+    const writer = new Writer(access, clock, 1, 5, clock.stamp(), () => {})
+    const running = writer.run(stop.signal)
+    const commit = writer.commit(change('a', () => 1))
+    await vi.advanceTimersByTimeAsync(50)
+    await running
+    expect((await commit).isErr()).toBe(true)
+    expect((await writer.commit(change('b', () => 2))).isErr()).toBe(true)
+    expect(store.records[Topic.Journal]).toEqual([])
+  })
+
+  it('shows a sign of life when nothing changes', async () => {
+    const { store, access, clock, stop } = createScene()
+    const writer = new Writer(access, clock, 1, 5, clock.stamp(), () => {})
+    const running = writer.run(stop.signal)
+    await vi.advanceTimersByTimeAsync(1100)
+    expect(store.records[Topic.Journal].map((record) => record.key)).toEqual(['b/owner', 'b/owner', 'b/owner'])
+    stop.abort()
+    await running
+  })
+})
--- /dev/null
+++ b/packages/control/test/membership/election.spec.ts
@@ -0,0 +1,28 @@
+import { describe, expect, it } from 'vitest'
+import { isClaimDue, rankOf, SILENCE_BEFORE_CLAIM_MS, type OwnerView } from '../../src/membership/election.js'
+
+const NOW_MS = 100_000
+const LOST: OwnerView = { linked: false, unlinkedMs: NOW_MS - 5000, heardMs: NOW_MS - 5000, left: false, vacant: false }
+
+describe('a candidate', () => {
+  it.each([
+    ['claims when neither link nor journal show the owner', LOST, 0, true],
+    ['waits while it is linked to the owner', { ...LOST, linked: true }, 0, false],
+    ['waits while the owner writes to the journal', { ...LOST, heardMs: NOW_MS - 200 }, 0, false],
+    ['waits for the silence after the link was lost', { ...LOST, unlinkedMs: NOW_MS - SILENCE_BEFORE_CLAIM_MS + 1 }, 0, false],
+    ['lets candidates before it go first', { ...LOST, unlinkedMs: NOW_MS - SILENCE_BEFORE_CLAIM_MS - 50 }, 2, false],
+    ['claims at once when the owner has said that it leaves', { ...LOST, linked: true, left: true, unlinkedMs: NOW_MS }, 0, true],
+    ['claims at once when there is no owner', { ...LOST, vacant: true, unlinkedMs: NOW_MS, heardMs: -Infinity }, 0, true]
+  ])('%s', (_, view, rank, due) => {
+    expect(isClaimDue(view, rank, NOW_MS)).toBe(due)
+  })
+
+  it.each([
+    ['the node after the owner is first', 'c', ['a', 'b', 'c'], 'b', 0],
+    ['the order goes round', 'a', ['a', 'b', 'c'], 'c', 0],
+    ['others follow', 'a', ['a', 'b', 'c'], 'b', 1],
+    ['a node that is not listed yet is first', 'z', ['a', 'b'], 'a', 0]
+  ])('is ranked: %s', (_, node, nodes, owner, rank) => {
+    expect(rankOf(node, nodes, owner)).toBe(rank)
+  })
+})
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -40,7 +40,7 @@
   Drain = 'drain',
   /** Gives up a synchronous request whose caller has gone, if it still waits. */
   Abandon = 'abandon',
-  /** Entry to owner: records that the entry has appended to the journal. */
+  /** Entry to owner: append records of callers to the journal. */
   Notice = 'notice',
   /** Returns the phase of a job of dependent steps. */
   Lookup = 'lookup',
@@ -130,8 +130,8 @@
 })
 const record = Codec.interface({ key: string, value: optional(bytes) })
 
-/** Records that have been appended. Answered with true. */
-export const NoticeCodec = Codec.interface({ kind: exactly(Kind.Notice), records: array(record) })
+/** Records to append. Answered with true once the store has them. */
+export const NoticeCodec = Codec.interface({ kind: exactly(Kind.Notice), records: array(record), timeoutMs: number })
 /** Answered with the phase, or with null if the owner knows no such job. */
 export const LookupCodec = Codec.interface({ kind: exactly(Kind.Lookup), job: string })
 /** Answered with rows of worker and ticket. */
