--- a/packages/control/src/owner/advice.ts
+++ b/packages/control/src/owner/advice.ts
@@ -121,8 +121,8 @@
   }
 
   /** Forgets a job that has ended. */
-  forget (job: string, steps: Iterable<string>): void {
-    for (const step of steps) {
+  forget (job: string): void {
+    for (const step of this.steps.keys()) {
       if (step.startsWith(job)) this.steps.delete(step)
     }
   }
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -9,7 +9,7 @@
 import { detach } from '../detach.js'
 import { sleep, type Clock, type Stamp } from '../clock.js'
 import { Follower } from '../journal/follower.js'
-import { Stage, encodeRecord, splitKey, Subject } from '../journal/record.js'
+import { Stage, encodeRecord, keyOf, splitKey, Subject } from '../journal/record.js'
 import type { JobEntry, Table, TaskEntry } from '../journal/table.js'
 import { Writer, progressKeyOf, type Encoder } from '../journal/writer.js'
 import type { Configuration } from '../model/configuration.js'
@@ -35,6 +35,11 @@
 import { Session, type SessionHost } from './session.js'
 import { finish, membersOf, settleEnd } from './settlement.js'
 
+/** Records are kept for this many times the time that is promised: clocks differ, and callers are slow. */
+const KEPT_FACTOR = 1.5
+const SWEEP_INTERVAL_MS = 1000
+/** Records that one sweep drops at most. */
+const SWEEP_RECORDS = 600
 /** Tries to withdraw a record of a caller while an append that has it is open, and the pause between them. */
 const WITHDRAW_TRIES = 5
 const WITHDRAW_PAUSE_MS = 30
@@ -106,6 +111,7 @@
   private readonly stop = new AbortController()
   private readonly host: SessionHost
   private roundDue = false
+  private sweptMs = -Infinity
   private registryRead = false
   private followedRegistry: Follower
 
@@ -257,6 +263,7 @@
       const session = this.sessionOf(task.worker, task.born, entry.job.upstream)
       const run = new Run(entry, task, task.run, session, chargeOf(entry.job.steps[task.step]!), '', this.parts.clock.now())
       run.state = RunState.Uncertain
+      run.inherited = true
       this.ledger.add(run)
       if (entry.over()) run.stopping = StopReason.Cancelled
     }
@@ -547,6 +554,9 @@
       if (this.mayAct()) this.caretaker.tick()
       this.advice.advance()
       this.requestRound()
+      if (this.parts.clock.now() - this.sweptMs < SWEEP_INTERVAL_MS) continue
+      this.sweptMs = this.parts.clock.now()
+      this.sweepJobs()
     }
   }
 
@@ -566,6 +576,29 @@
     }
   }
 
+  /** Drops the records of jobs that ended longer ago than callers may ask for them. */
+  private sweepJobs (): void {
+    const nowMs = this.parts.clock.wall()
+    const changes = new Map<string, Encoder>()
+    for (const [id, entry] of this.parts.table.jobs) {
+      if (!isFinal(entry.shown) || nowMs - entry.endedMs < KEPT_FACTOR * this.parts.terms.keptMs) continue
+      for (const subject of [Subject.Job, Subject.Cancellation, Subject.Progress]) {
+        const key = keyOf(subject, id)
+        changes.set(key, () => ({ key, value: undefined }))
+      }
+      this.forgetJob(entry)
+      if (changes.size >= SWEEP_RECORDS) break
+    }
+    if (changes.size > 0) detach(this.writer.commit(changes))
+  }
+
+  private forgetJob ({ job }: JobEntry): void {
+    this.parts.table.jobs.delete(job.id)
+    this.counted.delete(job.id)
+    this.excess.delete(job.id)
+    this.advice.forget(job.id)
+  }
+
   private sweepBackoff (): void {
     const nowMs = this.parts.clock.now()
     for (const [task, untilMs] of this.backoff) {
--- a/packages/control/src/owner/run.ts
+++ b/packages/control/src/owner/run.ts
@@ -38,6 +38,8 @@
 /** A run from its assignment until its end is known. */
 export class Run {
   state = RunState.Committing
+  /** Assigned by an earlier owner: a report under this owner's fence that does not list it proves that it will never begin. */
+  inherited = false
   stopping: StopReason | undefined
   /** The worker's clock when it confirmed a stop; a later report without the run proves that it is gone. */
   stoppedClockMs: number | undefined
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -309,13 +309,13 @@
     const first = !this.adopted
     this.adopted = true
     // Responses can overtake each other: an older one says nothing about what runs now.
-    if (report.clockMs > this.newestReportMs) this.compare(report, first)
+    if (report.clockMs > this.newestReportMs) this.compare(report)
     this.settle(report.ended)
     if (first) this.host.onAdopted(this)
   }
 
   /** Compares the runs that the worker reports with those that the owner knows. */
-  private compare (report: Report, first: boolean): void {
+  private compare (report: Report): void {
     this.newestReportMs = report.clockMs
     const listed = new Set<string>()
     for (const active of report.running) {
@@ -339,7 +339,7 @@
     }
     for (const run of [...this.runs.values()]) {
       if (listed.has(run.name)) continue
-      const neverBegan = first && run.state === RunState.Uncertain
+      const neverBegan = run.inherited && run.state === RunState.Uncertain
       const stopped = run.stoppedClockMs !== undefined && report.clockMs > run.stoppedClockMs
       if (neverBegan || stopped) this.host.onGone(run, neverBegan ? 'never began under an earlier owner' : 'stop confirmed')
     }
--- /dev/null
+++ b/packages/control/test/owner/owner.spec.ts
@@ -0,0 +1,266 @@
+import { Execution } from '@fireflymount/protocol/refusal'
+import { err, ok } from 'neverthrow'
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { SystemClock } from '../../src/clock.js'
+import { encodeJob, encodeRecord, Stage, Subject } from '../../src/journal/record.js'
+import { Table } from '../../src/journal/table.js'
+import { StoreAccess } from '../../src/membership/access.js'
+import type { Configuration } from '../../src/model/configuration.js'
+import { Phase, type Job } from '../../src/model/job.js'
+import { Ending, type ActiveRun, type EndedRun, type Worker } from '../../src/model/worker.js'
+import { Owner } from '../../src/owner/owner.js'
+import { AdviceFailure } from '../../src/ports/advisor.js'
+import { Formats } from '../../src/ports/formats.js'
+import { MachineFailure, Machines } from '../../src/ports/machines.js'
+import { StoreFailure, Topic } from '../../src/ports/store.js'
+import { SilentLog } from '../../src/report/log.js'
+import { Metrics } from '../../src/report/metrics.js'
+import { FakeFleet, FakeStore, createJob, createStep, createWorker } from '../fakes.js'
+
+class PlainFormats extends Formats {
+  override readonly configurationKey = 'config'
+  override decodeConfiguration (): ReturnType<Formats['decodeConfiguration']> { return err('unused') }
+  override decodeWorker (_: string, value: Buffer): ReturnType<Formats['decodeWorker']> { return ok(JSON.parse(value.toString()) as Worker) }
+}
+
+class NoMachines extends Machines {
+  override async list (): ReturnType<Machines['list']> { return err(MachineFailure.NoAnswer) }
+  override async move (): ReturnType<Machines['move']> { return err(MachineFailure.NoAnswer) }
+  override async upkeep (): ReturnType<Machines['upkeep']> { return err(MachineFailure.NoAnswer) }
+}
+
+const CONFIGURATION: Configuration = {
+  version: 1,
+  queues: [{
+    name: 'preview',
+    host: 'h',
+    pathPrefix: '/',
+    upstream: 'planner',
+    priority: 0,
+    attempts: 2,
+    stretch: 2,
+    targetMs: 500,
+    timeoutMs: 3000,
+    open: false,
+    advice: undefined
+  }],
+  upstreams: [{ name: 'planner', checksRoom: false, spare: false }],
+  workspaces: [{ name: 'guild', keys: [], weight: 100, upperLimit: { cpuMilli: 3000, memoryMb: 0, accelerators: 0 } }],
+  limits: { bodyBytes: 1, headerMs: 1, idleMs: 1 }
+}
+const ID = '00000000000000aa'
+
+/** One worker that runs what it is told until a test ends it. */
+class Scene {
+  readonly clock = new SystemClock()
+  readonly store = new FakeStore()
+  readonly fleet = new FakeFleet()
+  readonly table = new Table()
+  readonly running: ActiveRun[] = []
+  readonly ended: EndedRun[] = []
+  private owner: Owner | undefined
+
+  constructor () {
+    this.fleet.onStart = (order) => {
+      this.running.push({ task: order.task, run: order.run, checkpoint: '', percent: 100, load: 0 })
+      return ok(this.workerClock())
+    }
+    this.fleet.onStop = (order) => {
+      this.end(order.task, Ending.Stopped)
+      return ok(this.workerClock())
+    }
+    this.fleet.onRenew = async (order) => {
+      const fresh = this.ended.filter((end) => end.position > order.acknowledged)
+      if (fresh.length === 0) await new Promise((resolve) => setTimeout(resolve, Math.min(order.waitMs, 20)))
+      return ok({
+        born: 10,
+        clockMs: this.workerClock(),
+        running: [...this.running],
+        ended: this.ended.filter((end) => end.position > order.acknowledged)
+      })
+    }
+    this.store.put(Topic.Workers, { key: 'w1', value: Buffer.from(JSON.stringify(createWorker())) })
+  }
+
+  /** Begins an ownership on what the table holds. */
+  own (epoch: number): Owner {
+    const owner = new Owner({
+      epoch,
+      sequence: 1,
+      claimedAt: this.clock.stamp(),
+      table: this.table,
+      store: new StoreAccess(this.store, async () => err(StoreFailure.Refused), this.clock, () => {}),
+      fleet: this.fleet,
+      machines: new NoMachines(),
+      formats: new PlainFormats(),
+      clock: this.clock,
+      configuration: () => CONFIGURATION,
+      ask: async () => err(AdviceFailure.NoAnswer),
+      nodes: () => [],
+      terms: { leaseMs: 6000, farFactor: 2, keptMs: 120_000, stopMs: 200 },
+      announce: () => {},
+      log: new SilentLog(),
+      metrics: new Metrics()
+    })
+    this.owner = owner
+    owner.run().catch((error: unknown) => { throw error })
+    return owner
+  }
+
+  async accept (job: Partial<Job>): Promise<Execution> {
+    const accepting = this.owner!.append([encodeJob(createJob({ id: ID, acceptedMs: this.clock.wall(), ...job }))], 500)
+    await vi.advanceTimersByTimeAsync(300)
+    return await accepting
+  }
+
+  /** Ends a task at the worker. */
+  end (task: string, ending: Ending): void {
+    const index = this.running.findIndex((run) => run.task === task)
+    if (index < 0) return
+    const [run] = this.running.splice(index, 1)
+    this.ended.push({ position: this.ended.length + 1, task, run: run!.run, ending, checkpoint: '' })
+  }
+
+  tasks (): string[] {
+    return this.running.map((run) => `${run.task.slice(ID.length + 1)}#${run.run}`)
+  }
+
+  phase (): Phase | undefined {
+    return this.table.jobs.get(ID)?.visiblePhase()
+  }
+
+  close (): void {
+    this.owner?.close()
+  }
+
+  private workerClock (): number {
+    return 5000 + Math.floor(performance.now())
+  }
+}
+
+let scene: Scene
+beforeEach(() => {
+  vi.useFakeTimers()
+  scene = new Scene()
+})
+afterEach(async () => {
+  scene.close()
+  await vi.advanceTimersByTimeAsync(5000)
+  vi.useRealTimers()
+})
+
+async function pass (ms: number): Promise<void> {
+  await vi.advanceTimersByTimeAsync(ms)
+}
+
+describe('the owner of the cell', () => {
+  it('runs the steps of a job in their order, each task once, and shows it as completed', async () => {
+    scene.own(1)
+    await pass(200)
+    expect(await scene.accept({ steps: [createStep({ count: 2 }), createStep({ after: [0] })] })).toBe(Execution.Run)
+    await pass(100)
+    expect(scene.tasks()).toEqual(['0.0.0#1', '0.0.1#1'])
+    scene.end(`${ID}.0.0.0`, Ending.Done)
+    await pass(200)
+    expect(scene.tasks()).toEqual(['0.0.1#1'])
+    scene.end(`${ID}.0.0.1`, Ending.Done)
+    await pass(200)
+    expect(scene.tasks()).toEqual(['0.1.0#1'])
+    scene.end(`${ID}.0.1.0`, Ending.Done)
+    await pass(200)
+    expect([scene.phase(), scene.fleet.started.length]).toEqual([Phase.Completed, 3])
+  })
+
+  it.each([
+    ['fails a job after as many failed runs as its queue allows', Ending.Failed, 2, Phase.Failed],
+    ['does not count runs that were stopped', Ending.Stopped, 4, Phase.Active]
+  ])('%s', async (_, ending, runs, phase) => {
+    scene.own(1)
+    await pass(200)
+    await scene.accept({})
+    for (let run = 0; run < runs; run++) {
+      await pass(500)
+      scene.end(`${ID}.0.0.0`, ending)
+    }
+    await pass(1000)
+    expect(scene.phase()).toBe(phase)
+  })
+
+  it('restarts a lasting task however it ends', async () => {
+    scene.own(1)
+    await pass(200)
+    await scene.accept({ steps: [createStep({ lasting: true })] })
+    for (const ending of [Ending.Failed, Ending.Failed, Ending.Failed, Ending.Done]) {
+      await pass(500)
+      scene.end(`${ID}.0.0.0`, ending)
+    }
+    await pass(500)
+    expect([scene.tasks(), scene.phase()]).toEqual([['0.0.0#5'], Phase.Active])
+  })
+
+  it('stops all tasks of a cancelled job and starts no more', async () => {
+    const owner = scene.own(1)
+    await pass(200)
+    await scene.accept({ steps: [createStep({ count: 3 })] })
+    await pass(200)
+    const cancelling = owner.append([encodeRecord(Subject.Cancellation, ID, { atMs: 1 })], 500)
+    await pass(1000)
+    expect([await cancelling, scene.tasks(), scene.phase(), scene.fleet.started.length]).toEqual([Execution.Run, [], Phase.Cancelled, 3])
+  })
+
+  it('keeps a workspace within its upper limit', async () => {
+    scene.own(1)
+    await pass(200)
+    await scene.accept({ steps: [createStep({ count: 5 })] })
+    await pass(500)
+    expect(scene.tasks()).toHaveLength(3)
+  })
+
+  it('sends no start that the journal does not hold', async () => {
+    scene.own(1)
+    await pass(200)
+    await scene.accept({ steps: [createStep({ count: 2 }), createStep({ after: [0] })] })
+    await pass(100)
+    const before = scene.fleet.started.length
+    scene.store.fault = (call) => 'append' in call ? StoreFailure.NoAnswer : undefined
+    scene.end(`${ID}.0.0.0`, Ending.Done)
+    scene.end(`${ID}.0.0.1`, Ending.Done)
+    await pass(2000)
+    expect(scene.fleet.started.length).toBe(before)
+    scene.store.fault = undefined
+    await pass(3000)
+    expect(scene.fleet.started.length).toBe(before + 1)
+  })
+
+  it.each([
+    ['adopts a run that the worker still has', [{ task: `${ID}.0.0.0`, run: 1, checkpoint: '', percent: 100, load: 0 }], ['0.0.0#1'], 0],
+    ['runs again what never began', [], ['0.0.0#2'], 1],
+    ['stops a run that the journal does not know', [{ task: `${ID}.0.0.0`, run: 7, checkpoint: '', percent: 100, load: 0 }], ['0.0.0#2'], 1]
+  ])('after a takeover %s', async (_, running, tasks, starts) => {
+    scene.table.apply({ ...encodeJob(createJob({ id: ID, acceptedMs: scene.clock.wall() })), offset: 0 })
+    scene.table.apply({
+      ...encodeRecord(Subject.Progress, ID, {
+        phase: Phase.Active, endedMs: 0, tasks: [['0.0.0', Stage.Assigned, 1, 'w1', 10, 0, '']]
+      }),
+      offset: 1
+    })
+    scene.running.push(...running)
+    scene.own(2)
+    await pass(1500)
+    expect([scene.tasks(), scene.fleet.started.length]).toEqual([tasks, starts])
+  })
+
+  it('drops the records of jobs that ended long ago', async () => {
+    scene.own(1)
+    await pass(200)
+    await scene.accept({})
+    await pass(200)
+    scene.end(`${ID}.0.0.0`, Ending.Done)
+    await pass(1000)
+    expect(scene.phase()).toBe(Phase.Completed)
+    await pass(190_000)
+    expect(scene.table.jobs.size).toBe(0)
+    const last = scene.store.records[Topic.Journal].findLast((record) => record.key === `j/${ID}`)
+    expect(last?.value).toBeUndefined()
+  })
+})
--- a/packages/control/test/owner/session.spec.ts
+++ b/packages/control/test/owner/session.spec.ts
@@ -93,6 +93,7 @@
   ])('concludes of an uncertain run that %s', async (_, answer, state, gone) => {
     const scene = createScene()
     scene.run.state = RunState.Uncertain
+    scene.run.inherited = true
     scene.fleet.onRenew = async () => ok(answer)
     await scene.session.look()
     expect([scene.run.state, scene.gone]).toEqual([state, gone])
