Do not take a refused relay for proof that a call was not made

A call to the store went through one node, which did not answer, and then through another, which was refused; the answer was 'refused'. The owner took that for proof, wrote other records under the same sequence number, and the store answered with its first response: the cancellation was acknowledged and never written. Ruled out: takeover, strangers, leases (another owner would have stopped the run). The outcome now stays open once any node may have passed the call on.

--- a/packages/control/src/membership/relay.ts
+++ b/packages/control/src/membership/relay.ts
@@ -5,7 +5,7 @@
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
 import { StoreFailure, type StoreAnswer, type StoreCall } from '../ports/store.js'
-import type { StoreAccess } from './access.js'
+import { isOutage, type StoreAccess } from './access.js'
 import type { Links } from './links.js'
 
 /** Nodes through which a call to the store is tried. */
@@ -22,7 +22,7 @@
   /** Node through which the store was last reached. */
   private last = ''
 
-  constructor (private readonly links: Links, private readonly node: string, private readonly others: () => readonly string[]) {}
+  constructor (private readonly links: Pick<Links, 'ask' | 'connected'>, private readonly node: string, private readonly others: () => readonly string[]) {}
 
   /** Makes a call through the node that last could, then through others. */
   async call (call: StoreCall, timeoutMs: number): Promise<Result<StoreAnswer, StoreFailure>> {
@@ -35,12 +35,18 @@
       if (tries++ >= RELAYS_MAX) break
       const waitMs = 'read' in call ? call.read.waitMs : 0
       const answer = await this.links.ask(name, { kind: Kind.Relay, ...call } as Relay, timeoutMs + waitMs)
-      if (answer.isOk()) {
+      if (answer.isErr()) {
+        if (answer.error.execution !== Execution.NotRun) failure = StoreFailure.NoAnswer
+        continue
+      }
+      const relayed = answer.value as Relayed
+      if (relayed.failure === undefined) {
         this.last = name
-        const relayed = answer.value as Relayed
-        return relayed.failure === undefined ? ok(relayed.answer!) : err(relayed.failure)
+        return ok(relayed.answer!)
       }
-      if (answer.error.execution !== Execution.NotRun) failure = StoreFailure.NoAnswer
+      if (!isOutage(relayed.failure)) return err(relayed.failure)
+      // That this node was refused does not tell what became of the call at the nodes before it.
+      if (relayed.failure === StoreFailure.NoAnswer) failure = StoreFailure.NoAnswer
     }
     return err(failure)
   }
