--- a/packages/control/src/model/configuration.ts
+++ b/packages/control/src/model/configuration.ts
@@ -17,7 +17,8 @@
 export interface Queue {
   readonly name: string
   readonly host: string
-  readonly pathPrefix: string
+  /** Beginning of the paths that lead to the queue. */
+  readonly prefix: string
   readonly upstream: string
   /** 0 comes first. */
   readonly priority: number
@@ -79,8 +80,8 @@
   const name = host.toLowerCase()
   let found: Queue | undefined
   for (const queue of configuration.queues) {
-    if (queue.host.toLowerCase() !== name || !path.startsWith(queue.pathPrefix)) continue
-    if (found === undefined || queue.pathPrefix.length > found.pathPrefix.length) found = queue
+    if (queue.host.toLowerCase() !== name || !path.startsWith(queue.prefix)) continue
+    if (found === undefined || queue.prefix.length > found.prefix.length) found = queue
   }
   return found
 }
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -34,7 +34,7 @@
   queues: [{
     name: 'preview',
     host: 'h',
-    pathPrefix: '/',
+    prefix: '/',
     upstream: 'planner',
     priority: 0,
     attempts: 2,
