--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -79,7 +79,12 @@
         ended: this.ended.filter((end) => end.position > order.acknowledged)
       })
     }
-    this.store.put(Topic.Workers, { key: 'w1', value: Buffer.from(JSON.stringify(createWorker())) })
+    this.register({})
+  }
+
+  /** Writes the worker's entry. */
+  register (fields: Partial<Worker>): void {
+    this.store.put(Topic.Workers, { key: 'w1', value: Buffer.from(JSON.stringify(createWorker(fields))) })
   }
 
   /** Begins an ownership on what the table holds. */
@@ -209,6 +214,77 @@
     expect([scene.tasks(), scene.phase(), scene.fleet.started.length]).toEqual([[], Phase.Cancelled, 3])
   })
 
+  it('starts a gang whole, with one number, and again whole after a member failed', async () => {
+    scene.own(1)
+    await pass(200)
+    await scene.accept({ steps: [createStep({ count: 3, gang: true })] })
+    await pass(200)
+    expect(scene.tasks()).toEqual(['0.0.0#1', '0.0.1#1', '0.0.2#1'])
+    scene.end(`${ID}.0.0.1`, Ending.Failed)
+    await pass(1000)
+    expect(scene.tasks()).toEqual(['0.0.0#2', '0.0.1#2', '0.0.2#2'])
+    scene.end(`${ID}.0.0.0`, Ending.Done)
+    await pass(200)
+    expect(scene.phase()).toBe(Phase.Completed)
+  })
+
+  it('places no gang that its workspace may not run whole', async () => {
+    scene.own(1)
+    await pass(200)
+    await scene.accept({ steps: [createStep({ count: 4, gang: true })] })
+    await pass(1000)
+    expect(scene.fleet.started).toEqual([])
+  })
+
+  it.each([
+    ['a label that no worker has', { label: 'z' }, 0],
+    ['a bound of one task on a worker', { count: 3, perWorker: 1 }, 1],
+    ['more than any worker has', { size: { cpuMilli: 99_000, memoryMb: 0, accelerators: 0 } }, 0]
+  ])('keeps to %s', async (_, fields, tasks) => {
+    scene.own(1)
+    await pass(200)
+    await scene.accept({ steps: [createStep(fields)] })
+    await pass(500)
+    expect(scene.tasks()).toHaveLength(tasks)
+  })
+
+  it.each([
+    ['a lasting task', { lasting: true }, []],
+    ['a task that ends by itself', {}, ['0.0.0#1']]
+  ])('starts nothing on a draining worker, and treats %s there as it should', async (_, fields, tasks) => {
+    scene.own(1)
+    await pass(200)
+    await scene.accept({ steps: [createStep(fields)] })
+    await pass(200)
+    scene.register({ draining: true, remainingMs: 4000 })
+    await pass(1500)
+    expect([scene.tasks(), scene.fleet.started.length]).toEqual([tasks, 1])
+  })
+
+  it('stops a checkpointed task on a draining worker only when its time is nearly over', async () => {
+    scene.own(1)
+    await pass(200)
+    await scene.accept({ steps: [createStep({ checkpoints: true, estimateMs: 60_000 })] })
+    await pass(200)
+    scene.register({ draining: true, remainingMs: 4000 })
+    await pass(2500)
+    expect(scene.tasks()).toEqual(['0.0.0#1'])
+    await pass(2000)
+    expect(scene.tasks()).toEqual([])
+  })
+
+  it('starts an occurrence of a schedule when it is due, not before', async () => {
+    scene.own(1)
+    await pass(200)
+    await scene.accept({ occurrences: 2, firstDueMs: scene.clock.wall() + 2000, intervalMs: 3000 })
+    await pass(1000)
+    expect(scene.tasks()).toEqual([])
+    await pass(1500)
+    expect(scene.tasks()).toEqual(['0.0.0#1'])
+    await pass(3000)
+    expect(scene.tasks()).toEqual(['0.0.0#1', '1.0.0#1'])
+  })
+
   it('keeps a workspace within its upper limit', async () => {
     scene.own(1)
     await pass(200)
