--- a/packages/control/test/fakes.ts
+++ b/packages/control/test/fakes.ts
@@ -57,6 +57,13 @@
     return Promise.resolve(this.answer(call))
   }
 
+  /** Raises the epoch without an append, as a claim does. */
+  claim (epoch: number, sequence: number): void {
+    this.epoch = epoch
+    this.expected = sequence + 1
+    this.answers = new Map()
+  }
+
   /** Appends as another writer. */
   put (topic: Topic, record: KeyedRecord): void {
     this.records[topic].push({ ...record, offset: this.records[topic].length })
