Remove dead members of the control package, and work a job's chain out in one way

Never read: the time of the store's last direct answer, the node's accessor for its configuration, an allowance of 0 before a schedule's time. The longest chain of a job stood twice, summed forwards and backwards.

--- a/packages/control/src/membership/access.ts
+++ b/packages/control/src/membership/access.ts
@@ -2,7 +2,7 @@
  * The way to the store: directly, or through another node while the store does not serve this one.
  */
 import type { Result } from 'neverthrow'
-import { NEVER, sleep, type Clock, type Stamp } from '../clock.js'
+import { sleep, type Clock } from '../clock.js'
 import {
   Store, StoreFailure, type Fence, type KeyedRecord, type NewestPage, type RecordPage, type StoreAnswer, type StoreCall,
   type StorePort, type Topic
@@ -25,8 +25,6 @@
 
 /** Reaches the store. */
 export class StoreAccess extends Store {
-  /** When the store last answered this node directly. */
-  heardAt: Stamp = NEVER
   private patienceMs = PATIENCE_MIN_MS
   private failingSinceMs: number | undefined
   private probedMs = -Infinity
@@ -89,7 +87,6 @@
       if (this.failingSinceMs !== undefined) this.onDependency(true, undefined)
       this.failingSinceMs = undefined
       this.patienceMs = Math.max(PATIENCE_MIN_MS, this.patienceMs / 2)
-      this.heardAt = this.clock.stamp()
       return
     }
     if (this.failingSinceMs === undefined) {
--- a/packages/control/src/model/job.ts
+++ b/packages/control/src/model/job.ts
@@ -109,7 +109,7 @@
  * @returns the length in milliseconds by the caller's estimates
  */
 export function chainMsOf (steps: readonly Step[]): number {
-  return Math.max(0, ...chainsOf(steps, (step) => step.after))
+  return Math.max(0, ...remainingChainsOf(steps))
 }
 
 /**
@@ -129,16 +129,6 @@
   return longest
 }
 
-function chainsOf (steps: readonly Step[], before: (step: Step) => readonly number[]): number[] {
-  const lengths: number[] = []
-  for (const step of steps) {
-    let start = 0
-    for (const earlier of before(step)) start = Math.max(start, lengths[earlier] ?? 0)
-    lengths.push(start + step.estimateMs)
-  }
-  return lengths
-}
-
 /**
  * Finds what makes a job impossible to run.
  *
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -164,11 +164,6 @@
     this.links.close()
   }
 
-  /** Newest configuration that this node knows. */
-  currentConfiguration (): Configuration | undefined {
-    return this.configuration
-  }
-
   private createDesk (): Desk {
     const { clock, terms, log, metrics } = this.parts
     return new Desk({
--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -18,8 +18,6 @@
 import { RunState, type Run } from './run.js'
 import type { Session } from './session.js'
 
-/** How long before its time a scheduled occurrence may start. */
-const EARLY_MS = 0
 /** Lower priorities may use the room kept for urgent tasks when they must start within this time. */
 const PRESSING_MS = 1500
 /** Objective of a job whose queue has been removed. */
@@ -100,7 +98,7 @@
     for (const queue of this.parts.configuration().queues) queues.set(queue.name, queue)
     const ranked: Ranked[] = []
     for (const demand of this.parts.demands.list()) {
-      if (demand.entry.job.occurrences > 0 && demand.dueMs - EARLY_MS > nowMs) continue
+      if (demand.entry.job.occurrences > 0 && demand.dueMs > nowMs) continue
       const queue = queues.get(demand.entry.job.queue)
       const stretch = queue?.stretch ?? DEFAULT_STRETCH
       const objectiveMs = stretch * chainMsOf(demand.entry.job.steps) + (queue?.targetMs ?? 0)
