--- a/packages/control/test/fakes.ts
+++ b/packages/control/test/fakes.ts
@@ -6,6 +6,8 @@
 import type { Job, Step } from '../src/model/job.js'
 import type { Report, Worker } from '../src/model/worker.js'
 import { Fleet, WorkerFailure, type RenewOrder, type RunOrder, type StartOrder } from '../src/ports/fleet.js'
+import { Formats } from '../src/ports/formats.js'
+import { MachineFailure, Machines } from '../src/ports/machines.js'
 import {
   StoreFailure, StorePort, Topic, type Fence, type KeyedRecord, type StoreAnswer, type StoreCall, type StoredRecord
 } from '../src/ports/store.js'
@@ -193,3 +195,19 @@
     ...fields
   }
 }
+
+/** Reads workers' entries as JSON. */
+export class PlainFormats extends Formats {
+  override readonly configurationKey = 'config'
+  override decodeConfiguration (): ReturnType<Formats['decodeConfiguration']> { return err('unused') }
+  override decodeWorker (_: string, value: Buffer): ReturnType<Formats['decodeWorker']> {
+    return ok(JSON.parse(value.toString()) as Worker)
+  }
+}
+
+/** A list of machines that does not answer. */
+export class NoMachines extends Machines {
+  override async list (): ReturnType<Machines['list']> { return err(MachineFailure.NoAnswer) }
+  override async move (): ReturnType<Machines['move']> { return err(MachineFailure.NoAnswer) }
+  override async upkeep (): ReturnType<Machines['upkeep']> { return err(MachineFailure.NoAnswer) }
+}
--- a/packages/control/test/owner/fuzz.spec.ts
+++ b/packages/control/test/owner/fuzz.spec.ts
@@ -15,12 +15,10 @@
 import { Owner } from '../../src/owner/owner.js'
 import { AdviceFailure } from '../../src/ports/advisor.js'
 import { Fleet, WorkerFailure, type RenewOrder, type RunOrder, type StartOrder } from '../../src/ports/fleet.js'
-import { Formats } from '../../src/ports/formats.js'
-import { MachineFailure, Machines } from '../../src/ports/machines.js'
 import { StoreFailure, Topic } from '../../src/ports/store.js'
 import { SilentLog } from '../../src/report/log.js'
 import { Metrics } from '../../src/report/metrics.js'
-import { FakeStore, createJob, createStep, createWorker } from '../fakes.js'
+import { FakeStore, createJob, createStep, createWorker, NoMachines, PlainFormats } from '../fakes.js'
 
 const CONFIGURATION: Configuration = {
   version: 1,
@@ -167,20 +165,6 @@
   }
 }
 
-class PlainFormats extends Formats {
-  override readonly configurationKey = 'config'
-  override decodeConfiguration (): ReturnType<Formats['decodeConfiguration']> { return err('unused') }
-  override decodeWorker (_: string, value: Buffer): ReturnType<Formats['decodeWorker']> {
-    return ok(JSON.parse(value.toString()) as Worker)
-  }
-}
-
-class NoMachines extends Machines {
-  override async list (): ReturnType<Machines['list']> { return err(MachineFailure.NoAnswer) }
-  override async move (): ReturnType<Machines['move']> { return err(MachineFailure.NoAnswer) }
-  override async upkeep (): ReturnType<Machines['upkeep']> { return err(MachineFailure.NoAnswer) }
-}
-
 /** Workers, a store, and owners one after the other. An earlier owner is not told that it was superseded. */
 class Cell {
   readonly violations: string[] = []
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -10,24 +10,10 @@
 import { Ending, type ActiveRun, type EndedRun, type Worker } from '../../src/model/worker.js'
 import { Owner } from '../../src/owner/owner.js'
 import { AdviceFailure } from '../../src/ports/advisor.js'
-import { Formats } from '../../src/ports/formats.js'
-import { MachineFailure, Machines } from '../../src/ports/machines.js'
 import { StoreFailure, Topic } from '../../src/ports/store.js'
 import { SilentLog } from '../../src/report/log.js'
 import { Metrics } from '../../src/report/metrics.js'
-import { FakeFleet, FakeStore, createJob, createStep, createWorker } from '../fakes.js'
-
-class PlainFormats extends Formats {
-  override readonly configurationKey = 'config'
-  override decodeConfiguration (): ReturnType<Formats['decodeConfiguration']> { return err('unused') }
-  override decodeWorker (_: string, value: Buffer): ReturnType<Formats['decodeWorker']> { return ok(JSON.parse(value.toString()) as Worker) }
-}
-
-class NoMachines extends Machines {
-  override async list (): ReturnType<Machines['list']> { return err(MachineFailure.NoAnswer) }
-  override async move (): ReturnType<Machines['move']> { return err(MachineFailure.NoAnswer) }
-  override async upkeep (): ReturnType<Machines['upkeep']> { return err(MachineFailure.NoAnswer) }
-}
+import { FakeFleet, FakeStore, createJob, createStep, createWorker, NoMachines, PlainFormats } from '../fakes.js'
 
 const CONFIGURATION: Configuration = {
   version: 1,
