Keep a run whose start can have reached a later incarnation of its worker

Orders name a worker by its id, so the new incarnation carries the start out. The registry then shows the later start, and the owner gave all runs assigned before it up as lost and began them elsewhere: two copies at once. Traced with each order and renewal of w2 printed: start at 1247 ms on incarnation 30, 'worker lost' at 1250 ms from the registry, start on w3 at 1257 ms. Ruled out: a fault of the test's worker.

Only runs that a report has listed end with an incarnation. The others stay until the new one lists them, or has confirmed a stop. Orders that were meant for the earlier incarnation are bound to the longest lease there, so its lapse and the proof for workers that were never reached count from its start. The model worker's clock now begins with each incarnation and leases are capped at starts too.

--- a/packages/control/src/owner/lease.ts
+++ b/packages/control/src/owner/lease.ts
@@ -8,6 +8,9 @@
 /** Added to the end of a lease before it counts as lapsed. */
 const LAPSE_MARGIN_MS = 150
 
+/** Longest time after which an order without an answer is still carried out. */
+const LATE_ORDER_MS = 12_000
+
 /** What has been granted, and when it has certainly ended. */
 export class Lease {
   /** Steady time at which the newest reading of the worker's clock was received. */
@@ -25,11 +28,16 @@
     this.readAtMs = this.clock.now()
   }
 
-  /** Begins anew for a worker that has started anew. */
-  reset (clockMs: number): void {
+  /**
+   * Begins anew for a worker that has started anew. Orders that were meant for the earlier incarnation can still reach this one;
+   * their deadlines, on the earlier clock, count here as the longest lease.
+   *
+   * @param leaseMs longest lease that a worker grants
+   */
+  reset (clockMs: number, leaseMs: number): void {
     this.clockMs = clockMs
     this.readAtMs = this.clock.now()
-    this.lastDeadlineMs = 0
+    this.lastDeadlineMs = clockMs + LATE_ORDER_MS + leaseMs
   }
 
   /**
--- a/packages/control/src/owner/run.ts
+++ b/packages/control/src/owner/run.ts
@@ -40,6 +40,8 @@
   state = RunState.Committing
   /** Assigned by an earlier owner: a report under this owner's fence that does not list it proves that it will never begin. */
   inherited = false
+  /** A report of the worker listed it: it began in the incarnation that is known, and ends with that one. */
+  listed = false
   stopping: StopReason | undefined
   /** The worker's clock when it confirmed a stop; a later report without the run proves that it is gone. */
   stoppedClockMs: number | undefined
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -4,6 +4,7 @@
 import { setMaxListeners } from 'node:events'
 import { NO_RESOURCES, addResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
 import { sleep, type Clock } from '../clock.js'
+import { detach } from '../detach.js'
 import { rackOf, type EndedRun, type Report, type Worker } from '../model/worker.js'
 import { WorkerFailure, type Fleet } from '../ports/fleet.js'
 import { Lease } from './lease.js'
@@ -59,6 +60,8 @@
   /** Steady time of the last answer, or of the session's begin. */
   private heardMs: number
   born: number
+  /** Steady time at which the worker was seen to have started anew. */
+  rebornMs = -Infinity
   /** Steady time until which nothing is placed here. */
   coolUntilMs = 0
   /** Runs that the worker reports and the owner does not know; they take room that is not charged. */
@@ -295,7 +298,12 @@
     // Responses can overtake each other: an older one says nothing about what runs now.
     if (report.clockMs > this.newestReportMs) this.compare(report)
     this.settle(report.ended)
-    if (first) this.host.onAdopted(this)
+    if (!first) return
+    for (const run of this.runs.values()) {
+      const doubtful = !run.listed && !run.inherited && run.assignedMs <= this.rebornMs
+      if (doubtful) detach(this.stopRun(run, StopReason.Uncertain))
+    }
+    this.host.onAdopted(this)
   }
 
   /** Compares the runs that the worker reports with those that the owner knows. */
@@ -310,6 +318,7 @@
         continue
       }
       this.confirm(run)
+      run.listed = true
       run.percent = active.percent
       run.load = active.load
       if (active.checkpoint !== '' && active.checkpoint !== run.checkpoint) {
@@ -373,21 +382,35 @@
    * Everything that ran here has ended.
    *
    * @param reason how that is known
-   * @param before only runs of incarnations that started before this Unix time
    */
-  lose (reason: string, before = Infinity): void {
-    const runs = [...this.runs.values()].filter((run) => run.task.born < before)
+  lose (reason: string): void {
     this.strangers.clear()
+    this.giveUp([...this.runs.values()], reason)
+  }
+
+  private giveUp (runs: readonly Run[], reason: string): void {
     if (runs.length > 0) this.host.onLost(this, runs, reason)
   }
 
+  /**
+   * The worker has started anew. What it listed before has ended. A start that was under way can have reached the new
+   * incarnation: its run is lost only when that one is seen not to have it.
+   */
   private rebirth (born: number, clockMs: number, reason: string): void {
-    this.lose(reason, born)
+    const ended: Run[] = []
+    for (const run of this.runs.values()) {
+      if (run.listed || run.state === RunState.Committing) ended.push(run)
+      run.stoppedClockMs = undefined
+      run.state = RunState.Uncertain
+    }
+    this.strangers.clear()
+    this.giveUp(ended, reason)
     this.born = born
+    this.rebornMs = this.host.clock.now()
     this.received = 0
     this.acknowledged = 0
     this.settling = undefined
-    this.lease.reset(clockMs)
+    this.lease.reset(clockMs, this.host.leaseMs)
     this.newestReportMs = -1
     this.failuresInRow = 0
     this.adopted = false
--- a/packages/control/src/owner/sweeper.ts
+++ b/packages/control/src/owner/sweeper.ts
@@ -59,7 +59,8 @@
     for (const session of this.parts.sessions.values()) {
       const missingMs = this.parts.missingMs(session.id)
       if (missingMs > MISSING_MS) session.coolUntilMs = Math.max(session.coolUntilMs, clock.now() + CLOSE_MS)
-      if (!session.adopted && session.runs.size > 0 && clock.now() - claimedAt.steadyMs > orphanMs) {
+      const orphanedMs = clock.now() - Math.max(claimedAt.steadyMs, session.rebornMs)
+      if (!session.adopted && session.runs.size > 0 && orphanedMs > orphanMs) {
         session.lose('The worker has not been reached, and no earlier owner can have renewed its lease.')
       }
       if (missingMs > FORGET_MS && !session.reachable && session.runs.size === 0) {
--- a/packages/control/test/owner/fuzz.spec.ts
+++ b/packages/control/test/owner/fuzz.spec.ts
@@ -59,12 +59,14 @@
   private positions = 0
   private fence = 0
   private deadlineMs = 0
+  private begunMs = performance.now() - 1000
   private readonly highest = new Map<string, number>()
 
   constructor (readonly id: string, private readonly cell: Cell) {}
 
+  /** Time since this incarnation's start. */
   clockMs (): number {
-    return Math.floor(performance.now())
+    return Math.floor(performance.now() - this.begunMs)
   }
 
   start (order: StartOrder): Result<number, WorkerFailure> {
@@ -73,7 +75,7 @@
     if (this.clockMs() > order.deadlineMs) return err(WorkerFailure.Late)
     if (order.run <= (this.highest.get(order.task) ?? 0)) return err(WorkerFailure.Superseded)
     if (this.running.get(order.task)?.run === order.run) return ok(this.clockMs())
-    this.deadlineMs = Math.max(this.deadlineMs, order.deadlineMs)
+    this.deadlineMs = Math.max(this.deadlineMs, Math.min(order.deadlineMs, this.clockMs() + LEASE_MS))
     this.cell.onStart(this, order.task)
     this.running.set(order.task, { run: order.run, untilMs: this.clockMs() + TASK_MS })
     return ok(this.clockMs())
@@ -113,6 +115,7 @@
     this.positions = 0
     this.fence = 0
     this.deadlineMs = 0
+    this.begunMs = performance.now()
     this.highest.clear()
     this.cell.register(this)
   }
--- a/packages/control/test/owner/session.spec.ts
+++ b/packages/control/test/owner/session.spec.ts
@@ -151,6 +151,34 @@
     expect(lost).toHaveLength(count)
   })
 
+  it.each([
+    ['has it', [RUNNING], RunState.Running, []],
+    ['does not have it', [], RunState.Uncertain, ['stop confirmed']]
+  ])('keeps a run whose start can have reached a later incarnation until that one %s', async (_, running, state, confirmed) => {
+    vi.useFakeTimers()
+    const { fleet, session, run, lost, gone } = createScene()
+    fleet.onStart = () => ok(6001)
+    await session.start(run)
+    session.update(createWorker({ born: 20, clockMs: 5 }))
+    expect([lost, gone]).toEqual([[], []])
+    let clockMs = 6
+    fleet.onStop = () => ok(clockMs)
+    fleet.onRenew = async () => ok(report({ born: 20, clockMs: ++clockMs, running }))
+    await session.look()
+    await vi.advanceTimersByTimeAsync(1000)
+    expect([lost, gone, run.state]).toEqual([[], confirmed, state])
+    session.close()
+    await vi.advanceTimersByTimeAsync(1000)
+  })
+
+  it('gives up what a worker listed before it started anew', async () => {
+    const { fleet, session, lost } = createScene()
+    fleet.onRenew = async () => ok(report({ running: [RUNNING] }))
+    await session.look()
+    session.update(createWorker({ born: 20, clockMs: 5 }))
+    expect(lost).toHaveLength(1)
+  })
+
   it.each([
     ['fails all it starts', [true, true, true, true], false],
     ['fails now and then', [true, true, true, false, true], true]
