Send a store call again when its connection has gone silent

Calls without an answer are made again each second on another connection, the first one stays open for a slow store. A call that got lost does not mark the store as lost if it has answered others since. The log's field 'node' of advice hid the node that wrote the line.

Before: the three new cases fail. After: 81 tests of owner and membership pass.

--- a/packages/control/src/membership/access.ts
+++ b/packages/control/src/membership/access.ts
@@ -1,7 +1,7 @@
 /**
  * The way to the store: directly, or through another node while the store does not serve this one.
  */
-import type { Result } from 'neverthrow'
+import { err, type Result } from 'neverthrow'
 import { sleep, type Clock } from '../clock.js'
 import {
   Store, StoreFailure, type Fence, type KeyedRecord, type NewestPage, type RecordPage, type StoreAnswer, type StoreCall,
@@ -11,6 +11,11 @@
 /** Shortest and longest time for an answer; doubles while answers fail to come, so that a slow store is still heard. */
 const PATIENCE_MIN_MS = 1000
 const PATIENCE_MAX_MS = 8000
+/**
+ * Without an answer for this long a call is made again on another connection: one on which an answer was lost stays silent, also
+ * after the store has recovered.
+ */
+const RESEND_MS = 1000
 /** Without a direct answer for this long the call is also made through another node: many times a sound store's answer. */
 const HEDGE_AFTER_MS = 250
 /** The same as a multiple of recent answers: a store that is slow for all is not helped by more calls. */
@@ -30,6 +35,8 @@
   private probedMs = -Infinity
   /** Mean time of recent direct answers, without the time that calls let them wait. */
   private answerMs = 0
+  /** Steady time of the newest direct answer. */
+  private answeredMs = -Infinity
 
   constructor (
     private readonly port: StorePort,
@@ -56,12 +63,34 @@
   async direct (call: StoreCall): Promise<Result<StoreAnswer, StoreFailure>> {
     this.probedMs = this.clock.now()
     const startedMs = this.clock.now()
-    const answer = await this.port.call(call, this.patienceMs)
-    if (answer.isOk() && waitOf(call) === 0) this.answerMs += ANSWER_WEIGHT * (this.clock.now() - startedMs - this.answerMs)
-    this.note(answer.isErr() ? answer.error : undefined)
+    const answer = await this.persist(call)
+    const failure = answer.isErr() ? answer.error : undefined
+    // A call that got lost says little of a store that has answered others since it was sent.
+    if (failure !== StoreFailure.NoAnswer || this.answeredMs < startedMs) this.note(failure)
+    if (failure === StoreFailure.NoAnswer) return answer
+    this.answeredMs = this.clock.now()
+    if (failure === undefined && waitOf(call) === 0) this.answerMs += ANSWER_WEIGHT * (this.answeredMs - startedMs - this.answerMs)
     return answer
   }
 
+  /** Makes a call until it is answered, the store turns it away, or patience ends. Earlier tries stay open for a slow store. */
+  private async persist (call: StoreCall): Promise<Result<StoreAnswer, StoreFailure>> {
+    const endMs = this.clock.now() + this.patienceMs + waitOf(call)
+    const resendMs = Math.max(RESEND_MS, HEDGE_FACTOR * this.answerMs) + waitOf(call)
+    const open = [this.port.call(call, this.patienceMs)]
+    for (;;) {
+      const answer = await Promise.race([...open, sleep(Math.min(resendMs, Math.max(0, endMs - this.clock.now())))])
+      if (answer !== undefined) {
+        const settled = open.length === 1 || answer.isOk() || !isOutage(answer.error)
+        // An earlier try that is open can still be carried out.
+        return settled ? answer : err(StoreFailure.NoAnswer)
+      }
+      const leftMs = endMs - this.clock.now()
+      if (leftMs <= 0) return err(StoreFailure.NoAnswer)
+      open.push(this.port.call(call, Math.min(2 * resendMs, leftMs)).then(async (again) => await unlessLost(again)))
+    }
+  }
+
   /** True if the store serves this node directly, as far as it knows. */
   served (): boolean {
     return this.failingSinceMs === undefined
@@ -106,6 +135,11 @@
   return 'read' in call ? call.read.waitMs : 0
 }
 
+/** A try without an answer decides nothing: the call ends with the first try or with patience. */
+async function unlessLost (answer: Result<StoreAnswer, StoreFailure>): Promise<Result<StoreAnswer, StoreFailure>> {
+  return answer.isErr() && answer.error === StoreFailure.NoAnswer ? await new Promise(() => {}) : answer
+}
+
 /** The first answer that is no outage. Of two outages the one that leaves open what happened. */
 async function firstUseful (
   left: Promise<Result<StoreAnswer, StoreFailure>>, right: Promise<Result<StoreAnswer, StoreFailure>>
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -121,7 +121,7 @@
       onCaughtUp: () => { this.onRegistryRead() }
     }, clock, REGISTRY_INTERVAL_MS)
     this.advice = new AdviceDesk(parts.ask, parts.nodes, clock, (step, granted, asked, tookMs, node) => {
-      log.decision('advice', { step, granted, asked, tookMs: Math.round(tookMs), node })
+      log.decision('advice', { step, granted, asked, tookMs: Math.round(tookMs), through: node })
       this.requestRound()
     })
     this.commits = new Commits(this.writer)
--- a/packages/control/test/membership/access.spec.ts
+++ b/packages/control/test/membership/access.spec.ts
@@ -2,19 +2,22 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { SystemClock } from '../../src/clock.js'
 import { StoreAccess } from '../../src/membership/access.js'
-import { StoreFailure, StorePort, Topic, type StoreAnswer } from '../../src/ports/store.js'
+import { StoreFailure, StorePort, Topic, type StoreAnswer, type StoreCall } from '../../src/ports/store.js'
 
 type Answer = Result<StoreAnswer, StoreFailure>
 
 /** Answers after a time, as a test says. */
 class TimedPort extends StorePort {
   afterMs = 5
+  /** Times for the next calls, before `afterMs` counts; Infinity loses the answer. */
+  delays: number[] = []
   answer: Answer = ok(1)
   calls = 0
-  override async call (): Promise<Answer> {
+  override async call (_: StoreCall, timeoutMs: number): Promise<Answer> {
     this.calls++
-    await new Promise((resolve) => setTimeout(resolve, this.afterMs))
-    return this.answer
+    const delayMs = this.delays.shift() ?? this.afterMs
+    await new Promise((resolve) => setTimeout(resolve, Math.min(delayMs, timeoutMs)))
+    return delayMs <= timeoutMs ? this.answer : err(StoreFailure.NoAnswer)
   }
 }
 
@@ -69,6 +72,44 @@
     expect([learned < 4, relayed() - learned]).toEqual([true, 0])
   })
 
+  it.each([
+    ['the first connection has gone silent', [Infinity, 5], ok(1), [1500, 1]],
+    ['the store needs longer than a call waits before it is made again', [3500, 3500, 3500, 3500, 3500], ok(1), [8000, 1]],
+    ['the store is silent for seconds and then back', [Infinity, Infinity, Infinity, 5], ok(1), [3600, 1]]
+  ])('hears the answer soon when %s', async (_, delays, answer: Answer, [withinMs, value]) => {
+    const { port, access, relay } = createScene()
+    relay.answer = err(StoreFailure.Refused)
+    // Patience grows with each call that is lost, as in an outage.
+    port.afterMs = Infinity
+    for (let call = 0; call < 3; call++) await append(access)
+    port.delays = [...delays]
+    Object.assign(port, { answer, afterMs: Infinity })
+    let appended: Result<number, StoreFailure> | undefined
+    access.append(Topic.Journal, []).then((result) => { appended = result }).catch(() => {})
+    await vi.advanceTimersByTimeAsync(withinMs!)
+    expect(appended?.unwrapOr(0)).toBe(value)
+  })
+
+  it('leaves open what happened when a later try is turned away', async () => {
+    const { port, access, relay } = createScene()
+    relay.answer = err(StoreFailure.Refused)
+    port.delays = [Infinity, 5]
+    port.answer = err(StoreFailure.Refused)
+    expect((await append(access))._unsafeUnwrapErr()).toBe(StoreFailure.NoAnswer)
+  })
+
+  it('goes on with a store that has answered since a call got lost', async () => {
+    const { port, access, dependency } = createScene()
+    port.delays = [Infinity, 5]
+    const lost = access.append(Topic.Journal, [])
+    await vi.advanceTimersByTimeAsync(10)
+    const answered = access.append(Topic.Journal, [])
+    port.afterMs = Infinity
+    await vi.advanceTimersByTimeAsync(12_000)
+    await Promise.all([lost, answered])
+    expect(dependency).toEqual([])
+  })
+
   it('asks this node\'s own way again while it goes through others, and returns to it', async () => {
     const { port, access, relayed, dependency } = createScene()
     port.answer = err(StoreFailure.Refused)
