--- a/packages/control/src/membership/access.ts
+++ b/packages/control/src/membership/access.ts
@@ -69,7 +69,8 @@
     if (failure !== StoreFailure.NoAnswer || this.answeredMs < startedMs) this.note(failure)
     if (failure === StoreFailure.NoAnswer) return answer
     this.answeredMs = this.clock.now()
-    if (failure === undefined && waitOf(call) === 0) this.answerMs += ANSWER_WEIGHT * (this.answeredMs - startedMs - this.answerMs)
+    const tookMs = this.answeredMs - startedMs
+    if (failure === undefined && waitOf(call) === 0) this.answerMs += ANSWER_WEIGHT * (tookMs - this.answerMs)
     return answer
   }
 
