Ask first about steps that have room, and keep none for jobs that may not run

Room was kept for urgent jobs of a workspace that was at its limit or beyond its rate, so that later queues had none. A step with a valid ticket for one worker asked for no other until that worker was full.

Inquiries now carry whether room waits for them, and take over newer standings while they wait. Long calls may use three quarters of the nodes, those about steps without room two fifths. What a limit or a rate holds back counts in no reserve. Tasks go to workers with valid tickets first, and new tickets are asked for where the rest finds room. place() is split.

--- a/packages/control/src/owner/advice.ts
+++ b/packages/control/src/owner/advice.ts
@@ -11,8 +11,10 @@
 const TICKET_MARGIN_MS = 250
 /** Calls that take longer than this are long: a short call behind one would wait for many times its own time. */
 const LONG_CALL_MS = 120
-/** Part of the nodes that may wait for long calls at once. */
-const LONG_PART = 0.6
+/** Part of the nodes that may wait for long calls at once: the others are left to short ones. */
+const LONG_PART = 0.75
+/** The same for long calls about steps that have no room yet, which would keep those waiting that have. */
+const EARLY_PART = 0.4
 /** Less work than this is none: sums of durations are not exact. */
 const IDLE_WORK_MS = 1
 /** Work that may wait at the advisor for one machine before a short call goes elsewhere or waits here. */
@@ -43,6 +45,7 @@
 class Knowledge {
   readonly tickets = new Map<string, Ticket>()
   readonly asked = new Set<string>()
+  /** An answer is on its way, or the inquiry waits to be sent. */
   pending = false
 }
 
@@ -52,7 +55,9 @@
   readonly costMs: number
   readonly validMs: number
   /** Smaller goes first. */
-  readonly urgency: number
+  urgency: number
+  /** There is room that waits for the answer: goes before all inquiries that have none. */
+  ready: boolean
 }
 
 /** Where a worker stands with a step. */
@@ -101,15 +106,25 @@
     return this.steps.get(step)?.pending ?? false
   }
 
-  /** Asks about workers, unless an answer for the step is on its way. */
-  request (step: string, workers: readonly Candidate[], terms: AdviceTerms, urgency: number): void {
+  /**
+   * Asks about workers, unless an answer for the step is on its way. An inquiry that still waits takes over the newer standing.
+   *
+   * @param urgency smaller goes first
+   * @param ready one of the workers has room for the step now
+   */
+  request (step: string, workers: readonly Candidate[], terms: AdviceTerms, urgency: number, ready: boolean): void {
     let known = this.steps.get(step)
     if (known === undefined) this.steps.set(step, known = new Knowledge())
-    if (known.pending || workers.length === 0) return
+    if (known.pending) {
+      const waiting = this.queue.find((inquiry) => inquiry.step === step)
+      if (waiting !== undefined) Object.assign(waiting, { urgency, ready })
+      return
+    }
+    if (workers.length === 0) return
     known.pending = true
     const candidates = workers.slice(0, WORKERS_A_CALL)
     const costMs = terms.callMs + terms.workerMs * candidates.length
-    this.queue.push({ step, candidates, costMs, validMs: terms.validMs, urgency })
+    this.queue.push({ step, candidates, costMs, validMs: terms.validMs, urgency, ready })
     this.advance()
   }
 
@@ -129,10 +144,10 @@
 
   /** Sends waiting inquiries to nodes with little to wait for. */
   advance (): void {
-    this.queue.sort((left, right) => left.urgency - right.urgency)
+    this.queue.sort((left, right) => Number(right.ready) - Number(left.ready) || left.urgency - right.urgency)
     for (let index = 0; index < this.queue.length;) {
       const inquiry = this.queue[index]!
-      const node = this.chooseNode(inquiry.costMs)
+      const node = this.chooseNode(inquiry)
       if (node === undefined) {
         index++
         continue
@@ -169,7 +184,7 @@
   }
 
   /** The node with the least work waiting; none if the call would wait too long, or make short calls wait. */
-  private chooseNode (costMs: number): string | undefined {
+  private chooseNode ({ costMs, ready }: Inquiry): string | undefined {
     const nodes = this.nodes()
     const long = costMs > LONG_CALL_MS
     const most = long ? IDLE_WORK_MS : SHORT_WORK_MS
@@ -183,6 +198,7 @@
       best = node
       least = load
     }
-    return long && busy >= Math.ceil(LONG_PART * nodes.length) ? undefined : best
+    const longMost = Math.max(1, Math.floor((ready ? LONG_PART : EARLY_PART) * nodes.length))
+    return long && busy >= longMost ? undefined : best
   }
 }
--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -1,7 +1,7 @@
 /**
  * One round of decisions: which waiting tasks go to which workers now, and about which steps to ask the advisor.
  */
-import { addResources, NO_RESOURCES, scaleResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
+import { addResources, fitsResources, NO_RESOURCES, scaleResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
 import type { Clock } from '../clock.js'
 import type { TaskEntry } from '../journal/table.js'
 import { chainMsOf } from '../model/job.js'
@@ -130,45 +130,51 @@
     }
     const admitted = this.admit(ranked, sites)
     if (admitted.length === 0) return
-    const valid = admitted.filter((site) => this.admission(ranked, site) === Admission.Valid)
-    const chosen = this.fit(demand, charge, allowed, valid) ?? this.fit(demand, charge, allowed, admitted)
-    const missing = allowed - (chosen?.length ?? 0)
-    if (missing > 0) this.makeRoom(ranked, missing, pool, admitted.filter((site) => chosen?.includes(site) !== true), decisions)
-    if (chosen === undefined) return
+    const chosen = this.choose(ranked, charge, allowed, admitted)
+    const missing = allowed - chosen.length
+    if (missing > 0) this.makeRoom(ranked, missing, pool, admitted.filter((site) => !chosen.includes(site)), decisions)
+    if (chosen.length > 0) this.occupy(ranked, waiting, chosen, admitted, pool, decisions)
+    claimRoom(reserved, demand, chosen.length)
+  }
+
+  /** Assigns tasks to the chosen workers, or asks for new tickets where they have run out. */
+  private occupy (
+    ranked: Ranked,
+    waiting: readonly TaskEntry[],
+    chosen: readonly Site[],
+    admitted: readonly Site[],
+    pool: Pool,
+    decisions: Decisions
+  ): void {
+    const { demand, queue } = ranked
+    const charge = chargeOf(demand.step)
     const renew = chosen.filter((site) => this.admission(ranked, site) === Admission.Expired)
     if (renew.length > 0) this.renewTickets(ranked, renew, admitted)
-    const complete = renew.length === 0 || !step.gang
+    const complete = renew.length === 0 || !demand.step.gang
     let next = 0
     for (const site of chosen) {
       // Room for tasks that wait for a ticket is kept for them in this round.
       pool.take(site, charge)
       if (!complete || renew.includes(site)) continue
       const session = this.parts.sessions.get(site.id)!
-      const ticket = ranked.queue?.advice === undefined ? '' : this.parts.advice.ticketOf(demand.name, site.id)
+      const ticket = queue?.advice === undefined ? '' : this.parts.advice.ticketOf(demand.name, site.id)
       decisions.assignments.push({ demand, task: waiting[next++]!, session, charge, ticket })
     }
-    const { workspace } = demand.entry.job
-    for (const [dimension, amount] of Object.entries(step.size)) {
-      const key = `${workspace} ${dimension}`
-      reserved.set(key, (reserved.get(key) ?? 0) + chosen.length * amount)
-    }
-  }
-
-  /** Chooses workers for all tasks of a gang, or for as many tasks as find room; undefined if none does. */
-  private fit (demand: Demand, charge: Resources, count: number, sites: readonly Site[]): Site[] | undefined {
-    if (demand.step.gang) return fitGang(demand.step, charge, count, sites, this.parts.terms)
-    const chosen = this.fitTasks(demand, charge, count, sites)
-    return chosen.length === 0 ? undefined : chosen
   }
 
-  private fitTasks (demand: Demand, charge: Resources, count: number, sites: readonly Site[]): Site[] {
+  /** Chooses workers for all tasks of a gang, or for as many tasks as find room; those with a valid ticket first. */
+  private choose (ranked: Ranked, charge: Resources, count: number, admitted: readonly Site[]): Site[] {
+    const { demand } = ranked
     const { step } = demand
+    const { terms } = this.parts
+    const valid = admitted.filter((site) => this.admission(ranked, site) === Admission.Valid)
+    if (step.gang) return fitGang(step, charge, count, valid, terms) ?? fitGang(step, charge, count, admitted, terms) ?? []
     const taken = new Map<string, number>()
     if (step.perWorker > 0) this.countTaken(demand, taken)
     const before = new Map<Site, Resources>()
     const chosen: Site[] = []
     for (let index = 0; index < count; index++) {
-      const site = fitTask(step, charge, sites, taken, this.parts.terms)
+      const site = fitTask(step, charge, valid, taken, terms) ?? fitTask(step, charge, admitted, taken, terms)
       if (site === undefined) break
       if (!before.has(site)) before.set(site, site.free)
       site.free = subtractResources(site.free, charge)
@@ -236,8 +242,10 @@
       if (admission === Admission.Unknown) unknown.push(site)
       else if (admission !== Admission.Forbidden) admitted.push(site)
     }
-    if (unknown.length > 0 && !this.parts.advice.pending(demand.name)) {
-      this.parts.advice.request(demand.name, this.candidates(unknown), queue.advice, urgency)
+    if (unknown.length > 0) {
+      const charge = chargeOf(demand.step)
+      const ready = unknown.some((site) => fitsResources(charge, site.free))
+      this.parts.advice.request(demand.name, this.candidates(unknown), queue.advice, urgency, ready)
     }
     return admitted
   }
@@ -250,13 +258,13 @@
   /** Asks for new tickets of the workers that are about to be used, and of others with room beside them. */
   private renewTickets (ranked: Ranked, chosen: readonly Site[], admitted: readonly Site[]): void {
     const { demand, queue, urgency } = ranked
-    if (queue?.advice === undefined || this.parts.advice.pending(demand.name)) return
+    if (queue?.advice === undefined) return
     const workers = new Set(chosen)
     for (const site of admitted) {
       if (workers.size >= 2 * chosen.length + 2) break
       workers.add(site)
     }
-    this.parts.advice.request(demand.name, this.candidates([...workers]), queue.advice, urgency)
+    this.parts.advice.request(demand.name, this.candidates([...workers]), queue.advice, urgency, true)
   }
 
   private candidates (sites: readonly Site[]): Array<{ id: string, born: number }> {
@@ -307,9 +315,15 @@
       if (priorities.get(run.entry.job.queue) === urgentPriority && !run.step.lasting) used = addResources(used, run.charge)
     }
     const slacks: number[] = []
+    const reserved = new Map<string, number>()
     for (const { demand, objectiveMs } of order) {
       if (priorities.get(demand.entry.job.queue) !== urgentPriority || demand.step.lasting) continue
-      used = addResources(used, scaleResources(chargeOf(demand.step), demand.waiting.length))
+      // No room is kept for what its workspace's limit or rate holds back.
+      if (this.parts.excess.has(demand.entry.job.id)) continue
+      const count = Math.min(demand.waiting.length, this.headroom(demand, reserved))
+      if (count === 0) continue
+      claimRoom(reserved, demand, count)
+      used = addResources(used, scaleResources(chargeOf(demand.step), count))
       slacks.push(objectiveMs - chainMsOf(demand.entry.job.steps))
     }
     let use = this.urgentUse.get(upstream)
@@ -349,6 +363,14 @@
   }
 }
 
+/** Counts tasks that are to start against the room of their workspace. */
+function claimRoom (reserved: Map<string, number>, { entry, step }: Demand, count: number): void {
+  for (const [dimension, amount] of Object.entries(step.size)) {
+    const key = `${entry.job.workspace} ${dimension}`
+    reserved.set(key, (reserved.get(key) ?? 0) + count * amount)
+  }
+}
+
 function sum (values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0)
 }
--- a/packages/control/test/owner/advice.spec.ts
+++ b/packages/control/test/owner/advice.spec.ts
@@ -32,8 +32,8 @@
 describe('the advice desk', () => {
   it('keeps a node free of long calls, so that short ones need not wait behind them', () => {
     const { desk, calls } = createScene()
-    for (const step of ['a', 'b', 'c', 'd']) desk.request(step, WORKERS, LONG, 1)
-    desk.request('quick', WORKERS, SHORT, 2)
+    for (const step of ['a', 'b', 'c', 'd']) desk.request(step, WORKERS, LONG, 1, true)
+    desk.request('quick', WORKERS, SHORT, 2, true)
     expect(calls.map((call) => call.step)).toEqual(['a', 'b', 'quick'])
     expect(new Set(calls.map((call) => call.node)).size).toBe(3)
   })
@@ -42,9 +42,9 @@
     const { desk, calls } = createScene()
     for (let round = 0; round < 50; round++) {
       for (let short = 0; short < 6; short++) {
-        desk.request(`q${round}.${short}`, WORKERS, { ...SHORT, workerMs: 0.19 + (round + short) / 11 }, 1)
+        desk.request(`q${round}.${short}`, WORKERS, { ...SHORT, workerMs: 0.19 + (round + short) / 11 }, 1, true)
       }
-      desk.request(`s${round}`, WORKERS, LONG, 1)
+      desk.request(`s${round}`, WORKERS, LONG, 1, true)
       while (calls.length > 0) await calls.shift()!.answer(ok([]))
       expect(desk.pending(`s${round}`)).toBe(false)
     }
@@ -52,13 +52,32 @@
 
   it('asks for the most urgent step first', async () => {
     const { desk, calls } = createScene()
-    for (const step of ['a', 'b']) desk.request(step, WORKERS, LONG, 1)
-    desk.request('late', WORKERS, LONG, 9)
-    desk.request('early', WORKERS, LONG, 3)
+    for (const step of ['a', 'b']) desk.request(step, WORKERS, LONG, 1, true)
+    desk.request('late', WORKERS, LONG, 9, true)
+    desk.request('early', WORKERS, LONG, 3, true)
     await calls[0]!.answer(ok([]))
     expect(calls.map((call) => call.step)).toEqual(['a', 'b', 'early'])
   })
 
+  it.each<[string, ReadonlyArray<[string, number, boolean]>, string[]]>([
+    ['a step with room before a more urgent one without', [['none', 1, false], ['room', 5, true]], ['room']],
+    ['the more urgent of two steps with room', [['later', 5, true], ['sooner', 1, true]], ['sooner']],
+    ['a step that has found room while it waited', [['first', 1, false], ['second', 2, false], ['second', 2, true]], ['second']]
+  ])('asks next about %s', async (_, requests, expected) => {
+    const { desk, calls } = createScene()
+    for (const step of ['a', 'b']) desk.request(step, WORKERS, LONG, 0, true)
+    for (const [step, urgency, ready] of requests) desk.request(step, WORKERS, LONG, urgency, ready)
+    await calls[0]!.answer(ok([]))
+    expect(calls.slice(2).map((call) => call.step)).toEqual(expected)
+  })
+
+  it('leaves nodes to steps with room while it asks about others early', () => {
+    const { desk, calls } = createScene()
+    for (const step of ['a', 'b', 'c']) desk.request(step, WORKERS, LONG, 1, false)
+    desk.request('room', WORKERS, LONG, 9, true)
+    expect(calls.map((call) => call.step)).toEqual(['a', 'room'])
+  })
+
   it.each([
     ['a worker with a ticket', 'w1', 1, 0, Admission.Valid],
     ['a ticket that has run out', 'w1', 1, 1800, Admission.Expired],
@@ -67,7 +86,7 @@
     ['a worker that nobody asked about', 'w3', 1, 0, Admission.Unknown]
   ])('tells of %s', async (_, id, born, passedMs, admission) => {
     const { desk, clock, calls } = createScene()
-    desk.request('a', WORKERS, LONG, 1)
+    desk.request('a', WORKERS, LONG, 1, true)
     await calls[0]!.answer(ok([['w1', 'ticket']]))
     clock.pass(passedMs)
     expect(desk.admission('a', { id, born })).toBe(admission)
@@ -75,9 +94,9 @@
 
   it('can ask again after a call that was not answered', async () => {
     const { desk, calls } = createScene()
-    desk.request('a', WORKERS, LONG, 1)
+    desk.request('a', WORKERS, LONG, 1, true)
     await calls[0]!.answer(err(AdviceFailure.NoAnswer))
-    desk.request('a', WORKERS, LONG, 1)
+    desk.request('a', WORKERS, LONG, 1, true)
     expect(calls).toHaveLength(2)
   })
 })
--- /dev/null
+++ b/packages/control/test/owner/dispatcher.spec.ts
@@ -0,0 +1,166 @@
+import { ok, type Result } from 'neverthrow'
+import { beforeEach, describe, expect, it } from 'vitest'
+import { JobEntry } from '../../src/journal/table.js'
+import type { Configuration, Queue } from '../../src/model/configuration.js'
+import { Phase, type Job } from '../../src/model/job.js'
+import { AdviceDesk } from '../../src/owner/advice.js'
+import { Demands } from '../../src/owner/demand.js'
+import { Dispatcher, type Decisions } from '../../src/owner/dispatcher.js'
+import { Ledger } from '../../src/owner/ledger.js'
+import { Session, type SessionHost } from '../../src/owner/session.js'
+import { finish } from '../../src/owner/settlement.js'
+import type { AdviceFailure, Tickets } from '../../src/ports/advisor.js'
+import { FakeClock, FakeFleet, createJob, createStep, createWorker } from '../fakes.js'
+
+const ADVICE = { callMs: 10, workerMs: 1, validMs: 1500 }
+/** Time between two rounds. */
+const ROUND_MS = 100
+const ROOM = { cpuMilli: 4000, memoryMb: 4000, accelerators: 0 }
+const TASK = { cpuMilli: 1000, memoryMb: 1000, accelerators: 0 }
+
+function createQueue (name: string, priority: number): Queue {
+  return {
+    name,
+    host: 'h',
+    prefix: '/',
+    upstream: 'planner',
+    priority,
+    attempts: 3,
+    stretch: 2,
+    targetMs: 500,
+    timeoutMs: 3000,
+    open: true,
+    advice: name === 'advised' ? ADVICE : undefined
+  }
+}
+
+const CONFIGURATION: Configuration = {
+  version: 1,
+  queues: [createQueue('urgent', 0), createQueue('advised', 0), createQueue('later', 1)],
+  upstreams: [{ name: 'planner', checksRoom: false, spare: false }],
+  workspaces: [{ name: 'limited', keys: [], weight: 0, upperLimit: { cpuMilli: 1, memoryMb: 0, accelerators: 0 } }],
+  limits: { bodyBytes: 1, headerMs: 1, idleMs: 1 }
+}
+
+/** A dispatcher over workers that are all there, and an advisor that answers when told. */
+class Scene {
+  readonly clock = new FakeClock()
+  readonly excess = new Set<string>()
+  readonly asked: string[][] = []
+  private readonly ledger = new Ledger()
+  private readonly demands = new Demands(this.ledger)
+  private readonly sessions = new Map<string, Session>()
+  private readonly desk: AdviceDesk
+  private answer: ((tickets: Result<Tickets, AdviceFailure>) => void) | undefined
+  private readonly dispatcher: Dispatcher
+  private jobs = 0
+
+  constructor () {
+    this.desk = new AdviceDesk((_, __, workers) => new Promise((resolve) => {
+      this.asked.push([...workers])
+      this.answer = resolve
+    }), () => ['n1'], this.clock, () => {})
+    this.dispatcher = new Dispatcher({
+      ledger: this.ledger,
+      demands: this.demands,
+      advice: this.desk,
+      sessions: this.sessions,
+      configuration: () => CONFIGURATION,
+      clock: this.clock,
+      terms: { farFactor: 2, stopMs: 200 },
+      backoff: new Map(),
+      excess: this.excess,
+      slownessOf: () => 1
+    })
+  }
+
+  async addWorkers (count: number): Promise<void> {
+    const fleet = new FakeFleet()
+    fleet.onRenew = async () => ok({ born: 10, clockMs: 6000, running: [], ended: [] })
+    const ignore = (): void => {}
+    const host: SessionHost = {
+      fence: 1,
+      leaseMs: 6000,
+      fleet,
+      clock: this.clock,
+      mayAct: () => true,
+      onEnds: async () => true,
+      onStranger: ignore,
+      onAdopted: ignore,
+      onLost: ignore,
+      onGone: ignore,
+      onStarted: ignore,
+      onFenced: ignore,
+      onReachable: ignore,
+      onLook: ignore
+    }
+    for (let index = 1; index <= count; index++) {
+      const session = new Session(createWorker({ id: `w${index}`, capacity: ROOM }), host)
+      await session.look()
+      this.sessions.set(session.id, session)
+    }
+  }
+
+  accept (job: Partial<Job>, tasks: number): JobEntry {
+    const id = String(++this.jobs).padStart(16, '0')
+    const entry = new JobEntry(createJob({
+      id, workspace: '', acceptedMs: this.clock.wall(), steps: [createStep({ count: tasks, size: TASK })], ...job
+    }))
+    this.demands.refresh(entry)
+    return entry
+  }
+
+  cancel (entry: JobEntry): void {
+    finish(entry, Phase.Cancelled, this.clock.wall())
+    this.demands.refresh(entry)
+  }
+
+  async grant (workers: readonly string[]): Promise<void> {
+    this.answer!(ok(workers.map((worker) => [worker, `ticket of ${worker}`])))
+    await new Promise((resolve) => setImmediate(resolve))
+  }
+
+  rounds (count: number): Decisions {
+    let decisions: Decisions = { assignments: [], preemptions: [] }
+    for (let round = 0; round < count; round++) {
+      this.clock.pass(ROUND_MS)
+      decisions = this.dispatcher.round()
+    }
+    return decisions
+  }
+}
+
+let scene: Scene
+beforeEach(() => { scene = new Scene() })
+
+describe('a burst of urgent jobs that may not run', () => {
+  it.each([
+    ['its workspace is at its upper limit', 'limited', false],
+    ['it goes beyond the rate of its workspace', '', true]
+  ])('keeps no room from other queues when %s', async (_, workspace, beyondRate) => {
+    await scene.addWorkers(4)
+    const burst = scene.accept({ queue: 'urgent', workspace }, 100)
+    if (beyondRate) scene.excess.add(burst.job.id)
+    scene.rounds(50)
+    scene.cancel(burst)
+    // Longer than urgent jobs can wait: such tasks keep out of the room for them.
+    scene.accept({ queue: 'later', steps: [createStep({ count: 16, size: TASK, estimateMs: 60_000 })] }, 16)
+    expect(scene.rounds(1).assignments).toHaveLength(16)
+  })
+})
+
+describe('a step that has tickets for some of its workers', () => {
+  it('starts tasks with them, and asks for new ones where more tasks have room', async () => {
+    await scene.addWorkers(2)
+    scene.accept({ queue: 'advised' }, 8)
+    scene.rounds(1)
+    await scene.grant(['w1', 'w2'])
+    scene.clock.pass(ADVICE.validMs)
+    scene.rounds(1)
+    await scene.grant(['w1'])
+    const { assignments } = scene.rounds(1)
+    expect(assignments.map((assignment) => assignment.session.id)).toEqual(['w1', 'w1', 'w1', 'w1'])
+    expect(scene.asked.at(-1)).toContain('w2')
+    expect(scene.asked).toHaveLength(3)
+  })
+})
