Take over soon from an owner whose address refuses connections

A process that was killed leaves an address at which nothing listens, which a candidate learns from its first try to reconnect. Links and election have cases for it, which fail without the change.

--- a/packages/control/src/membership/election.ts
+++ b/packages/control/src/membership/election.ts
@@ -4,6 +4,11 @@
 
 /** Sign of life that candidates wait for in the journal before they claim: two beats of the owner. */
 export const SILENCE_BEFORE_CLAIM_MS = 700
+/**
+ * The same when the owner's address refuses connections: its process is gone, unless only the way from here is cut. Several times
+ * an append of an owner with work to do.
+ */
+export const REFUSED_SILENCE_MS = 150
 /** Head start of each rank over the next, above the time of a claim. */
 const RANK_STEP_MS = 120
 /** Ranks beyond this claim together with it. */
@@ -17,6 +22,8 @@
   readonly unlinkedMs: number
   /** Steady time at which a record of the owner was last read from the journal. */
   readonly heardMs: number
+  /** The owner's address refused the last connection: nothing listens there. */
+  readonly refused: boolean
   /** The owner announced that it leaves. */
   readonly left: boolean
   /** There has never been an owner, or it is an earlier process of this node. */
@@ -37,7 +44,7 @@
   if (view.left) return unlinkedMs >= headStartMs
   if (view.linked) return false
   if (view.vacant) return unlinkedMs >= headStartMs
-  const silenceMs = SILENCE_BEFORE_CLAIM_MS + headStartMs
+  const silenceMs = (view.refused ? REFUSED_SILENCE_MS : SILENCE_BEFORE_CLAIM_MS) + headStartMs
   return unlinkedMs >= silenceMs && nowMs - view.heardMs >= silenceMs
 }
 
--- a/packages/control/src/membership/links.ts
+++ b/packages/control/src/membership/links.ts
@@ -35,6 +35,7 @@
 export class Links {
   private readonly connections = new Map<string, Connection>()
   private readonly dials = new Map<string, Promise<Result<Connection, string>>>()
+  private readonly refusing = new Set<string>()
   private readonly terms: Terms
   private server: Server | undefined
   private sockets: WebSocketServer | undefined
@@ -72,6 +73,11 @@
     return this.connections.get(node)?.usable() ?? false
   }
 
+  /** True if the node's address refused the last connection, so that no process listens there. */
+  refuses (node: string): boolean {
+    return this.refusing.has(node)
+  }
+
   /** Connects to a node, if there is no connection. */
   async connect (node: string): Promise<Result<Connection, string>> {
     const known = this.connections.get(node)
@@ -115,7 +121,11 @@
     const socket = new WebSocket(url, {
       handshakeTimeout: DIAL_TIMEOUT_MS, perMessageDeflate: false, maxPayload: FRAME_LIMIT_BYTES
     })
+    let refused = false
+    socket.on('error', (error: NodeJS.ErrnoException) => { refused = error.code === 'ECONNREFUSED' })
     const opened = await Connection.open(socket, this.terms, this.parts.handler)
+    if (refused) this.refusing.add(node)
+    else this.refusing.delete(node)
     if (opened.isOk()) this.keep(opened.value)
     return opened
   }
@@ -129,6 +139,7 @@
     const { node } = connection.peer
     const known = this.connections.get(node)
     this.connections.set(node, connection)
+    this.refusing.delete(node)
     if (known?.usable() !== true) this.parts.onLink(node, true)
     connection.onClose(() => {
       if (this.connections.get(node) !== connection) return
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -275,6 +275,7 @@
       linked,
       unlinkedMs: this.unlinkedMs,
       heardMs: this.heardMs,
+      refused: owner !== undefined && this.links.refuses(owner.node),
       left: owner !== undefined && this.ownerLeft === owner.epoch,
       vacant: owner === undefined || owner.node === node
     }, rank, nowMs)
--- a/packages/control/test/membership/election.spec.ts
+++ b/packages/control/test/membership/election.spec.ts
@@ -2,7 +2,9 @@
 import { isClaimDue, rankOf, SILENCE_BEFORE_CLAIM_MS, type OwnerView } from '../../src/membership/election.js'
 
 const NOW_MS = 100_000
-const LOST: OwnerView = { linked: false, unlinkedMs: NOW_MS - 5000, heardMs: NOW_MS - 5000, left: false, vacant: false }
+const LOST: OwnerView = {
+  linked: false, unlinkedMs: NOW_MS - 5000, heardMs: NOW_MS - 5000, refused: false, left: false, vacant: false
+}
 
 describe('a candidate', () => {
   it.each([
@@ -10,6 +12,9 @@
     ['waits while it is linked to the owner', { ...LOST, linked: true }, 0, false],
     ['waits while the owner writes to the journal', { ...LOST, heardMs: NOW_MS - 200 }, 0, false],
     ['waits for the silence after the link was lost', { ...LOST, unlinkedMs: NOW_MS - SILENCE_BEFORE_CLAIM_MS + 1 }, 0, false],
+    ['claims soon when nothing listens at the owner\'s address', { ...LOST, refused: true, heardMs: NOW_MS - 160 }, 0, true],
+    ['waits while an owner writes that refuses connections', { ...LOST, refused: true, heardMs: NOW_MS - 100 }, 0, false],
+    ['lets candidates before it go first when nothing listens', { ...LOST, refused: true, unlinkedMs: NOW_MS - 200 }, 2, false],
     ['lets candidates before it go first', { ...LOST, unlinkedMs: NOW_MS - SILENCE_BEFORE_CLAIM_MS - 50 }, 2, false],
     ['claims at once when the owner has said that it leaves', { ...LOST, linked: true, left: true, unlinkedMs: NOW_MS }, 0, true],
     ['claims at once when there is no owner', { ...LOST, vacant: true, unlinkedMs: NOW_MS, heardMs: -Infinity }, 0, true]
--- /dev/null
+++ b/packages/control/test/membership/links.spec.ts
@@ -0,0 +1,40 @@
+import { createServer, type AddressInfo } from 'node:net'
+import { ok } from 'neverthrow'
+import { afterEach, describe, expect, it } from 'vitest'
+import { Links } from '../../src/membership/links.js'
+import type { NodeAddress } from '../../src/journal/record.js'
+
+const HOST = '127.0.0.1'
+
+async function findPort (): Promise<number> {
+  const server = createServer()
+  await new Promise<void>((resolve) => { server.listen(0, HOST, resolve) })
+  const { port } = server.address() as AddressInfo
+  await new Promise((resolve) => { server.close(resolve) })
+  return port
+}
+
+const opened: Links[] = []
+
+function createLinks (node: string, port: number, peer: NodeAddress | undefined): Links {
+  const links = new Links({
+    node, zone: 'z', host: HOST, port, addressOf: () => peer, handler: async () => ok(undefined), onLink: () => {}
+  })
+  opened.push(links)
+  return links
+}
+
+afterEach(() => { for (const links of opened.splice(0)) links.close() })
+
+describe('the links of a node', () => {
+  it('tell an address at which nothing listens, until something does', async () => {
+    const port = await findPort()
+    const links = createLinks('a', await findPort(), { node: 'b', incarnation: '1', host: HOST, port, zone: 'z' })
+    expect((await links.connect('b')).isErr()).toBe(true)
+    expect(links.refuses('b')).toBe(true)
+    const peer = createLinks('b', port, undefined)
+    expect((await peer.listen()).isOk()).toBe(true)
+    expect((await links.connect('b')).isOk()).toBe(true)
+    expect([links.refuses('b'), links.has('b')]).toEqual([false, true])
+  })
+})
