Run a failed task again at once, on another worker

The pause is kept for tasks that could not start or were stopped. Two new cases fail without the change.

--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -130,7 +130,7 @@
     }
     const admitted = this.admit(ranked, sites)
     if (admitted.length === 0) return
-    const chosen = this.choose(ranked, charge, allowed, admitted)
+    const chosen = this.choose(ranked, waiting, charge, allowed, admitted)
     const missing = allowed - chosen.length
     if (missing > 0) this.makeRoom(ranked, missing, pool, admitted.filter((site) => !chosen.includes(site)), decisions)
     if (chosen.length > 0) this.occupy(ranked, waiting, chosen, admitted, pool, decisions)
@@ -162,19 +162,27 @@
     }
   }
 
-  /** Chooses workers for all tasks of a gang, or for as many tasks as find room; those with a valid ticket first. */
-  private choose (ranked: Ranked, charge: Resources, count: number, admitted: readonly Site[]): Site[] {
+  /**
+   * Chooses workers for all tasks of a gang, or for as many tasks as find room: those with a valid ticket first, and among them
+   * those on which none of the tasks has failed.
+   */
+  private choose (
+    ranked: Ranked, waiting: readonly TaskEntry[], charge: Resources, count: number, admitted: readonly Site[]
+  ): Site[] {
     const { demand } = ranked
     const { step } = demand
     const { terms } = this.parts
     const valid = admitted.filter((site) => this.admission(ranked, site) === Admission.Valid)
     if (step.gang) return fitGang(step, charge, count, valid, terms) ?? fitGang(step, charge, count, admitted, terms) ?? []
+    const failedOn = new Set(waiting.filter((task) => task.failures > 0).map((task) => task.worker))
+    const sound = valid.filter((site) => !failedOn.has(site.id))
     const taken = new Map<string, number>()
     if (step.perWorker > 0) this.countTaken(demand, taken)
     const before = new Map<Site, Resources>()
     const chosen: Site[] = []
     for (let index = 0; index < count; index++) {
-      const site = fitTask(step, charge, valid, taken, terms) ?? fitTask(step, charge, admitted, taken, terms)
+      let site: Site | undefined
+      for (const sites of [sound, valid, admitted]) site ??= fitTask(step, charge, sites, taken, terms)
       if (site === undefined) break
       if (!before.has(site)) before.set(site, site.free)
       site.free = subtractResources(site.free, charge)
--- a/packages/control/src/owner/ends.ts
+++ b/packages/control/src/owner/ends.ts
@@ -19,7 +19,7 @@
 import type { Session } from './session.js'
 import { membersOf, settleEnd } from './settlement.js'
 
-/** How long a task that could not start, or that failed, waits for its next run. */
+/** How long a task that could not start, or was stopped, waits for its next run. */
 const BACKOFF_MS = 150
 /** Attempts of a job whose queue has been removed. */
 const DEFAULT_ATTEMPTS = 3
@@ -74,7 +74,8 @@
     this.noteEnd(session, entry, end, run, phase)
     if (own && end.ending === Ending.Done) this.noteSpeed(run)
     if (end.ending === Ending.Failed || end.ending === Ending.Done) session.noteOutcome(end.ending === Ending.Failed)
-    if (end.ending !== Ending.Done) this.holdBack(end.task)
+    // Failed tasks go to another worker at once; attempts bound how often.
+    if (end.ending !== Ending.Done && end.ending !== Ending.Failed) this.holdBack(end.task)
     if (end.ending !== Ending.Done && !entry.over()) this.breakGang(entry, task)
     if (entry.over()) this.parts.stopJob(entry, entry.phase === Phase.Cancelled ? StopReason.Cancelled : StopReason.JobFailed)
     this.parts.demands.refresh(entry)
--- a/packages/control/test/owner/dispatcher.spec.ts
+++ b/packages/control/test/owner/dispatcher.spec.ts
@@ -164,3 +164,16 @@
     expect(scene.asked).toHaveLength(3)
   })
 })
+
+describe('a task that has failed', () => {
+  it.each([
+    ['goes to another worker', 1, ['w2']],
+    ['goes where it was if nothing else has room', 8, ['w1', 'w1', 'w1', 'w1', 'w2', 'w2', 'w2', 'w2']]
+  ])('%s', async (_, tasks, expected) => {
+    await scene.addWorkers(2)
+    const entry = scene.accept({ queue: 'urgent' }, tasks)
+    for (let index = 0; index < tasks; index++) Object.assign(entry.task(0, 0, index), { failures: 1, worker: 'w1' })
+    const { assignments } = scene.rounds(1)
+    expect(assignments.map((assignment) => assignment.session.id).sort()).toEqual(expected)
+  })
+})
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -177,6 +177,18 @@
     expect(scene.phase()).toBe(phase)
   })
 
+  it.each([
+    ['at once when it failed', Ending.Failed, ['0.0.0#2']],
+    ['after a while when it was stopped', Ending.Stopped, []]
+  ])('starts a task again %s', async (_, ending, tasks) => {
+    scene.own(1)
+    await pass(200)
+    await scene.accept({})
+    scene.end(`${ID}.0.0.0`, ending)
+    await pass(80)
+    expect(scene.tasks()).toEqual(tasks)
+  })
+
   it('restarts a lasting task however it ends', async () => {
     scene.own(1)
     await pass(200)
