Refuse records of callers at once while the store is away, and write alone in batches

What a living owner cannot append in time is refused as not run. Records of callers never try out a store that is away; reads do, without letting it wait. Candidates wait longer while the store's answers are slow.

--- a/packages/control/src/entry/desk.ts
+++ b/packages/control/src/entry/desk.ts
@@ -3,14 +3,15 @@
  */
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
-import { sleep, type Clock, type Stamp } from '../clock.js'
+import type { Clock, Stamp } from '../clock.js'
 import { Subject, encodeJob, encodeRecord } from '../journal/record.js'
 import type { Table } from '../journal/table.js'
 import { findQueueByPath, findWorkspaceByKey, type Configuration, type Queue } from '../model/configuration.js'
 import { findJobMistake, isFinal, Phase, type Job, type Step } from '../model/job.js'
-import { StoreFailure, Topic, type KeyedRecord, type Store } from '../ports/store.js'
+import type { KeyedRecord, Store } from '../ports/store.js'
 import type { Log } from '../report/log.js'
 import type { Metrics } from '../report/metrics.js'
+import { Appender } from './appender.js'
 import type { Gate } from './gate.js'
 
 /** Longest wait for the owner's answer to a look-up, before this node's own copy of the journal is used. */
@@ -19,11 +20,6 @@
 const ANSWER_RESERVE_MS = 150
 /** Longest time for the owner to append a record. */
 const HAND_OVER_MS = 900
-/** First and longest pause between two tries to append. */
-const RETRY_MIN_MS = 30
-const RETRY_MAX_MS = 300
-/** A record that the store provably did not take is tried again for this long; then the caller is told to come back. */
-const REFUSED_PATIENCE_MS = 400
 /** When to come back while the store or the configuration cannot be reached. */
 const AWAY_RETRY_MS = 1000
 /** Longest time for an unknown job to be looked for in the journal. */
@@ -61,8 +57,8 @@
   readonly catchUp: () => Promise<void>
   /** When the journal was last read to its end. */
   readonly journalFreshAt: () => Stamp
-  /** Has the owner append a record together with its own, and tells whether the store has it. */
-  readonly handOver: (record: KeyedRecord, timeoutMs: number) => Promise<Execution>
+  /** Has the owner append a record together with its own, and tells whether the store has it; undefined if no owner can be asked. */
+  readonly handOver: (record: KeyedRecord, timeoutMs: number) => Promise<Execution | undefined>
   /** Tells the owner, and this node's own table, of a record that this node has appended; resolves at once. */
   readonly notify: (record: KeyedRecord) => void
   /** Asks the owner for a job's phase; null if it knows no such job, undefined without an answer. */
@@ -75,7 +71,11 @@
 
 /** Serves callers. */
 export class Desk {
-  constructor (private readonly parts: DeskParts) {}
+  private readonly appender: Appender
+
+  constructor (private readonly parts: DeskParts) {
+    this.appender = new Appender(parts.store, parts.clock)
+  }
 
   /**
    * Lets a call in, or refuses it.
@@ -113,7 +113,7 @@
     const refusal = this.parts.gate.check(queue.name)
     if (refusal !== undefined) return err(refusal)
     const job = this.createJob(access, submission)
-    const appended = await this.append(encodeJob(job), budgetMs)
+    const appended = await this.append(encodeJob(job), budgetMs, () => this.parts.table().jobs.has(job.id))
     if (appended.isErr()) return err(appended.error)
     this.parts.log.decision('job accepted', {
       job: job.id, queue: queue.name, workspace: job.workspace, version: access.version, steps: job.steps.length
@@ -138,7 +138,7 @@
     if (known === undefined || known.job.queue !== access.queue.name) return err(noSuchJob(id))
     if (known.over()) return ok(undefined)
     const record = encodeRecord(Subject.Cancellation, id, { atMs: this.parts.clock.wall() })
-    const appended = await this.append(record, budgetMs)
+    const appended = await this.append(record, budgetMs, () => (this.parts.table().jobs.get(id)?.cancelledMs ?? 0) > 0)
     if (appended.isErr()) return err(appended.error)
     this.parts.log.decision('cancellation accepted', { job: id, version: access.version })
     return ok(undefined)
@@ -174,33 +174,26 @@
   }
 
   /**
-   * Appends by way of the owner, whose one append carries many records however slow the store is; else by this node itself, until
-   * the store has the record or the caller's time is over. Appending a record twice changes nothing.
+   * Appends by way of the owner, whose one append carries many records however slow the store is. Without an owner this node appends
+   * by itself, until the store has the record or the caller's time is over.
+   *
+   * @param isWritten tells whether the journal, as far as it was read, has the record
    */
-  private async append (record: KeyedRecord, budgetMs: number): Promise<Result<void, Refusal>> {
-    const { clock } = this.parts
-    const startedMs = clock.now()
-    const endMs = startedMs + budgetMs - ANSWER_RESERVE_MS
-    let execution = await this.parts.handOver(record, Math.min(HAND_OVER_MS, budgetMs / 2))
-    if (execution === Execution.Run) return ok(undefined)
-    let retryMs = RETRY_MIN_MS
-    let failure: StoreFailure
-    do {
-      const appended = await this.parts.store.append(Topic.Journal, [record])
-      if (appended.isOk()) {
-        this.parts.notify(record)
-        return ok(undefined)
-      }
-      failure = appended.error
-      if (failure === StoreFailure.NoAnswer) execution = Execution.Unknown
-      if (failure === StoreFailure.Invalid) break
-      if (execution === Execution.NotRun && clock.now() - startedMs > REFUSED_PATIENCE_MS) break
-      await sleep(retryMs * (0.5 + Math.random()))
-      retryMs = Math.min(2 * retryMs, RETRY_MAX_MS)
-    } while (clock.now() + retryMs < endMs)
-    return err({
-      reason: Reason.LogUnavailable, detail: `The store did not take the record: ${failure}.`, execution, retryAfterMs: AWAY_RETRY_MS
-    })
+  private async append (record: KeyedRecord, budgetMs: number, isWritten: () => boolean): Promise<Result<void, Refusal>> {
+    const handed = await this.parts.handOver(record, Math.min(HAND_OVER_MS, budgetMs / 2))
+    if (handed === Execution.Run) return ok(undefined)
+    // What the owner cannot append, with all ways to the store, this node would only leave in doubt.
+    if (handed === Execution.NotRun) return err(refuse(Reason.LogUnavailable, 'The store takes no records.', AWAY_RETRY_MS))
+    const handedMs = Math.min(HAND_OVER_MS, budgetMs / 2)
+    const leftMs = budgetMs - (handed === undefined ? 0 : handedMs) - ANSWER_RESERVE_MS
+    const execution = await this.appender.append(record, leftMs, handed ?? Execution.NotRun)
+    if (execution === Execution.Run) {
+      this.parts.notify(record)
+      return ok(undefined)
+    }
+    // An owner can have appended it although its answer was lost.
+    if (execution === Execution.Unknown && isWritten()) return ok(undefined)
+    return err({ reason: Reason.LogUnavailable, detail: 'The store did not take the record.', execution, retryAfterMs: AWAY_RETRY_MS })
   }
 }
 
--- a/packages/control/src/journal/writer.ts
+++ b/packages/control/src/journal/writer.ts
@@ -10,7 +10,7 @@
 const RETRY_MIN_MS = 20
 const RETRY_MAX_MS = 250
 /** Most bytes of one append, below the smallest bound on a call that the platform gives. */
-const APPEND_BYTES = 1024 * 1024
+export const APPEND_BYTES = 1024 * 1024
 /** Time without an append after which the owner shows a sign of life. Candidates take over after several of these. */
 export const BEAT_MS = 350
 
--- a/packages/control/src/membership/access.ts
+++ b/packages/control/src/membership/access.ts
@@ -34,7 +34,7 @@
   private failingSinceMs: number | undefined
   private probedMs = -Infinity
   /** Mean time of recent direct answers, without the time that calls let them wait. */
-  private answerMs = 0
+  answerMs = 0
   /** Steady time of the newest direct answer. */
   private answeredMs = -Infinity
 
@@ -102,10 +102,11 @@
    * without harm, since records are keyed and fenced appends carry a sequence number.
    */
   private async reach (call: StoreCall): Promise<Result<StoreAnswer, StoreFailure>> {
-    const probing = this.clock.now() - this.probedMs >= PROBE_INTERVAL_MS
-    if (!this.served() && !probing) return await this.relay(call, this.patienceMs)
-    const direct = this.direct(call)
-    const hedgeMs = this.served() ? Math.max(HEDGE_AFTER_MS, HEDGE_FACTOR * this.answerMs) + waitOf(call) : 0
+    const served = this.served()
+    const probing = this.clock.now() - this.probedMs >= PROBE_INTERVAL_MS && mayProbe(call)
+    if (!served && !probing) return await this.relay(call, this.patienceMs)
+    const direct = this.direct(served ? call : withoutWait(call))
+    const hedgeMs = served ? Math.max(HEDGE_AFTER_MS, HEDGE_FACTOR * this.answerMs) + waitOf(call) : 0
     const early = await Promise.race([direct, sleep(hedgeMs)])
     if (early !== undefined && (early.isOk() || !isOutage(early.error))) return early
     const relayed = this.relay(call, this.patienceMs)
@@ -132,6 +133,16 @@
   return failure === StoreFailure.Refused || failure === StoreFailure.NoAnswer
 }
 
+/** Records of callers do not try out a store that may be away: what became of them would be left in doubt. */
+function mayProbe (call: StoreCall): boolean {
+  return !('append' in call) || call.append.fence !== undefined
+}
+
+/** A store that may be away is asked for a prompt answer. */
+function withoutWait (call: StoreCall): StoreCall {
+  return 'read' in call ? { topic: call.topic, read: { ...call.read, waitMs: 0 } } : call
+}
+
 function waitOf (call: StoreCall): number {
   return 'read' in call ? call.read.waitMs : 0
 }
--- a/packages/control/src/membership/election.ts
+++ b/packages/control/src/membership/election.ts
@@ -11,6 +11,8 @@
 export const REFUSED_SILENCE_MS = 150
 /** Head start of each rank over the next, above the time of a claim. */
 const RANK_STEP_MS = 120
+/** Answers of a slow store that are added to each wait: an owner's append, and the read that shows it. */
+const SLOW_ANSWERS = 3
 /** Ranks beyond this claim together with it. */
 const RANK_MAX = 4
 
@@ -28,6 +30,8 @@
   readonly left: boolean
   /** There has never been an owner, or it is an earlier process of this node. */
   readonly vacant: boolean
+  /** Mean time of the store's answers. */
+  readonly answerMs: number
 }
 
 /**
@@ -39,12 +43,13 @@
  * @returns true to claim
  */
 export function isClaimDue (view: OwnerView, rank: number, nowMs: number): boolean {
-  const headStartMs = Math.min(rank, RANK_MAX) * RANK_STEP_MS
+  const slowMs = SLOW_ANSWERS * view.answerMs
+  const headStartMs = Math.min(rank, RANK_MAX) * (RANK_STEP_MS + slowMs)
   const unlinkedMs = nowMs - view.unlinkedMs
   if (view.left) return unlinkedMs >= headStartMs
   if (view.linked) return false
   if (view.vacant) return unlinkedMs >= headStartMs
-  const silenceMs = (view.refused ? REFUSED_SILENCE_MS : SILENCE_BEFORE_CLAIM_MS) + headStartMs
+  const silenceMs = (view.refused ? REFUSED_SILENCE_MS : SILENCE_BEFORE_CLAIM_MS) + slowMs + headStartMs
   return unlinkedMs >= silenceMs && nowMs - view.heardMs >= silenceMs
 }
 
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -277,7 +277,8 @@
       heardMs: this.heardMs,
       refused: owner !== undefined && this.links.refuses(owner.node),
       left: owner !== undefined && this.ownerLeft === owner.epoch,
-      vacant: owner === undefined || owner.node === node
+      vacant: owner === undefined || owner.node === node,
+      answerMs: this.access.answerMs
     }, rank, nowMs)
   }
 
@@ -350,14 +351,17 @@
     detach(this.links.broadcast({ kind: Kind.Pressure, epoch, queues: [...pressures] }, ANNOUNCE_TIMEOUT_MS))
   }
 
-  /** Has the owner append a record of a caller, and tells whether it did. */
-  private async handOver (record: KeyedRecord, timeoutMs: number): Promise<Execution> {
+  /** Has the owner append a record of a caller, and tells whether it did; undefined if no owner can be asked. */
+  private async handOver (record: KeyedRecord, timeoutMs: number): Promise<Execution | undefined> {
     if (this.owner !== undefined) return await this.owner.append([record], timeoutMs)
     const { owner } = this.table
-    if (owner === undefined || !this.links.has(owner.node)) return Execution.NotRun
+    if (owner === undefined || !this.links.has(owner.node)) return undefined
     const request: Notice = { kind: Kind.Notice, records: [record as NoticedRecord], timeoutMs }
     const answer = await this.links.ask(owner.node, request, timeoutMs + LINK_RESERVE_MS)
-    if (answer.isErr()) return answer.error.execution
+    if (answer.isErr()) {
+      const { reason, execution } = answer.error
+      return execution === Execution.NotRun && reason !== Reason.LogUnavailable ? undefined : execution
+    }
     this.table.apply({ ...record, offset: -1 })
     return Execution.Run
   }
--- /dev/null
+++ b/packages/control/test/entry/desk.spec.ts
@@ -0,0 +1,138 @@
+import { Execution, type Refusal } from '@fireflymount/protocol/refusal'
+import { err, ok, type Result } from 'neverthrow'
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { SystemClock } from '../../src/clock.js'
+import { Desk, type Access } from '../../src/entry/desk.js'
+import { Gate } from '../../src/entry/gate.js'
+import { encodeJob } from '../../src/journal/record.js'
+import { Table } from '../../src/journal/table.js'
+import type { Configuration } from '../../src/model/configuration.js'
+import { Store, StoreFailure, Topic, type KeyedRecord, type NewestPage, type RecordPage } from '../../src/ports/store.js'
+import { SilentLog } from '../../src/report/log.js'
+import { Metrics } from '../../src/report/metrics.js'
+import { createJob, createStep } from '../fakes.js'
+
+const BUDGET_MS = 3000
+const CONFIGURATION: Configuration = {
+  version: 1,
+  queues: [{
+    name: 'preview',
+    host: 'h',
+    prefix: '/',
+    upstream: 'planner',
+    priority: 0,
+    attempts: 3,
+    stretch: 2,
+    targetMs: 500,
+    timeoutMs: 3000,
+    open: true,
+    advice: undefined
+  }],
+  upstreams: [],
+  workspaces: [],
+  limits: { bodyBytes: 1, headerMs: 1, idleMs: 1 }
+}
+
+/** Answers appends as a test says; reads never. */
+class ScriptedStore extends Store {
+  appends = 0
+  constructor (private readonly answer: () => Promise<Result<number, StoreFailure>>) {
+    super()
+  }
+
+  /** Records of each append. */
+  readonly sizes: number[] = []
+  override async append (_: Topic, records: readonly KeyedRecord[]): Promise<Result<number, StoreFailure>> {
+    this.appends++
+    this.sizes.push(records.length)
+    return await this.answer()
+  }
+
+  override async read (): Promise<Result<RecordPage, StoreFailure>> {
+    return err(StoreFailure.NoAnswer)
+  }
+
+  override async newest (): Promise<Result<NewestPage, StoreFailure>> {
+    return err(StoreFailure.NoAnswer)
+  }
+}
+
+function createDesk (store: Store, handed: Execution | undefined, table = new Table()): Desk {
+  const clock = new SystemClock()
+  return new Desk({
+    configuration: () => CONFIGURATION,
+    configurationFreshAt: () => clock.stamp(),
+    configurationAgeMaxMs: 3500,
+    table: () => table,
+    store,
+    catchUp: async () => {},
+    journalFreshAt: () => clock.stamp(),
+    handOver: async () => handed,
+    notify: () => {},
+    askPhase: async () => undefined,
+    gate: new Gate(clock),
+    clock,
+    log: new SilentLog(),
+    metrics: new Metrics()
+  })
+}
+
+function idOf (index: number): string {
+  return String(index).padStart(16, '0')
+}
+
+function submit (desk: Desk, index: number, onResult: (result: Result<void, Refusal>) => void): void {
+  const access: Access = desk.admit('h', '/', '')._unsafeUnwrap()
+  const submission = { id: idOf(index), payload: 'text', steps: [createStep()], occurrences: 0, firstDueMs: 0, intervalMs: 0 }
+  desk.submit(access, submission, BUDGET_MS).then(onResult).catch(() => {})
+}
+
+beforeEach(() => { vi.useFakeTimers() })
+afterEach(() => { vi.useRealTimers() })
+
+const silent = (): Promise<Result<number, StoreFailure>> => new Promise(() => {})
+
+describe('a job that is handed in', () => {
+  it.each([
+    ['is accepted once the owner has written it', Execution.Run, silent, undefined, 0, 0],
+    ['is refused at once, as not run, when the owner cannot write it', Execution.NotRun, silent, Execution.NotRun, 50, 0],
+    ['is written by this node when no owner can be asked', undefined, async () => ok(1), undefined, 50, 1],
+    ['is written by this node when the owner\'s answer was lost', Execution.Unknown, async () => ok(1), undefined, 50, 1],
+    ['is refused soon when nobody may write', undefined, async () => err(StoreFailure.Refused), Execution.NotRun, 1200, undefined],
+    ['gets its answer before its caller leaves when the store is silent', undefined, silent, Execution.Unknown, BUDGET_MS - 100, 1],
+    ['stays in doubt when the owner\'s answer was lost and the store refuses', Execution.Unknown, async () => err(StoreFailure.Refused),
+      Execution.Unknown, BUDGET_MS - 100, undefined]
+  ])('%s', async (_, handed, answer: () => Promise<Result<number, StoreFailure>>, execution, withinMs, appends) => {
+    const store = new ScriptedStore(answer)
+    const desk = createDesk(store, handed)
+    let outcome: Result<void, Refusal> | undefined
+    submit(desk, 1, (result) => { outcome = result })
+    await vi.advanceTimersByTimeAsync(withinMs)
+    expect(outcome === undefined ? 'open' : outcome.isOk() ? undefined : outcome.error.execution).toBe(execution)
+    if (appends !== undefined) expect(store.appends).toBe(appends)
+  })
+
+  it('shares one append with all that wait while the store is slow', async () => {
+    const store = new ScriptedStore(async () => {
+      await new Promise((resolve) => setTimeout(resolve, 500))
+      return ok(1)
+    })
+    const desk = createDesk(store, undefined)
+    const outcomes: boolean[] = []
+    for (let index = 0; index < 20; index++) submit(desk, index, (result) => { outcomes.push(result.isOk()) })
+    await vi.advanceTimersByTimeAsync(1100)
+    expect([store.sizes, outcomes.length, outcomes.every(Boolean)]).toEqual([[1, 19], 20, true])
+  })
+
+  it('is accepted if the journal shows it although the answer to its append was lost', async () => {
+    const store = new ScriptedStore(silent)
+    const table = new Table()
+    const desk = createDesk(store, Execution.Unknown, table)
+    let accepted = false
+    submit(desk, 1, (result) => { accepted = result.isOk() })
+    await vi.advanceTimersByTimeAsync(500)
+    table.apply({ ...encodeJob(createJob({ id: idOf(1) })), offset: 1 })
+    await vi.advanceTimersByTimeAsync(BUDGET_MS)
+    expect(accepted).toBe(true)
+  })
+})
--- a/packages/control/test/entry/shutdown.spec.ts
+++ b/packages/control/test/entry/shutdown.spec.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
-import { serveOut } from '../src/entry/shutdown.js'
+import { serveOut } from '../../src/entry/shutdown.js'
 
 beforeEach(() => { vi.useFakeTimers() })
 afterEach(() => { vi.useRealTimers() })
--- a/packages/control/test/membership/access.spec.ts
+++ b/packages/control/test/membership/access.spec.ts
@@ -6,6 +6,8 @@
 
 type Answer = Result<StoreAnswer, StoreFailure>
 
+const FENCE = { epoch: 1, sequence: 1 }
+
 /** Answers after a time, as a test says. */
 class TimedPort extends StorePort {
   afterMs = 5
@@ -13,8 +15,11 @@
   delays: number[] = []
   answer: Answer = ok(1)
   calls = 0
-  override async call (_: StoreCall, timeoutMs: number): Promise<Answer> {
+  /** How long each call lets the store wait for records. */
+  readonly waits: number[] = []
+  override async call (call: StoreCall, timeoutMs: number): Promise<Answer> {
     this.calls++
+    this.waits.push('read' in call ? call.read.waitMs : 0)
     const delayMs = this.delays.shift() ?? this.afterMs
     await new Promise((resolve) => setTimeout(resolve, Math.min(delayMs, timeoutMs)))
     return delayMs <= timeoutMs ? this.answer : err(StoreFailure.NoAnswer)
@@ -41,8 +46,9 @@
   return { port, access, relayed: () => relays, relay, dependency }
 }
 
+/** Appends as the owner. */
 async function append (access: StoreAccess): Promise<Result<number, StoreFailure>> {
-  const appending = access.append(Topic.Journal, [])
+  const appending = access.append(Topic.Journal, [], FENCE)
   await vi.advanceTimersByTimeAsync(12_000)
   return await appending
 }
@@ -85,7 +91,7 @@
     port.delays = [...delays]
     Object.assign(port, { answer, afterMs: Infinity })
     let appended: Result<number, StoreFailure> | undefined
-    access.append(Topic.Journal, []).then((result) => { appended = result }).catch(() => {})
+    access.append(Topic.Journal, [], FENCE).then((result) => { appended = result }).catch(() => {})
     await vi.advanceTimersByTimeAsync(withinMs!)
     expect(appended?.unwrapOr(0)).toBe(value)
   })
@@ -110,6 +116,28 @@
     expect(dependency).toEqual([])
   })
 
+  it('does not try out a store that is away with the records of callers', async () => {
+    const { port, access, relay } = createScene()
+    relay.answer = err(StoreFailure.Refused)
+    port.afterMs = Infinity
+    await append(access)
+    const { calls } = port
+    const appending = access.append(Topic.Journal, [])
+    await vi.advanceTimersByTimeAsync(10)
+    expect([(await appending)._unsafeUnwrapErr(), port.calls - calls]).toEqual([StoreFailure.Refused, 0])
+  })
+
+  it('asks a store that was away for prompt answers', async () => {
+    const { port, access, relay } = createScene()
+    relay.answer = err(StoreFailure.Refused)
+    port.afterMs = Infinity
+    await append(access)
+    const reading = access.read(Topic.Journal, 0, 1000)
+    await vi.advanceTimersByTimeAsync(20_000)
+    await reading
+    expect(port.waits.at(-1)).toBe(0)
+  })
+
   it('asks this node\'s own way again while it goes through others, and returns to it', async () => {
     const { port, access, relayed, dependency } = createScene()
     port.answer = err(StoreFailure.Refused)
--- a/packages/control/test/membership/election.spec.ts
+++ b/packages/control/test/membership/election.spec.ts
@@ -3,7 +3,7 @@
 
 const NOW_MS = 100_000
 const LOST: OwnerView = {
-  linked: false, unlinkedMs: NOW_MS - 5000, heardMs: NOW_MS - 5000, refused: false, left: false, vacant: false
+  linked: false, unlinkedMs: NOW_MS - 5000, heardMs: NOW_MS - 5000, refused: false, left: false, vacant: false, answerMs: 0
 }
 
 describe('a candidate', () => {
@@ -13,6 +13,7 @@
     ['waits while the owner writes to the journal', { ...LOST, heardMs: NOW_MS - 200 }, 0, false],
     ['waits for the silence after the link was lost', { ...LOST, unlinkedMs: NOW_MS - SILENCE_BEFORE_CLAIM_MS + 1 }, 0, false],
     ['claims soon when nothing listens at the owner\'s address', { ...LOST, refused: true, heardMs: NOW_MS - 160 }, 0, true],
+    ['waits longer when the store is slow', { ...LOST, refused: true, heardMs: NOW_MS - 300, answerMs: 100 }, 0, false],
     ['waits while an owner writes that refuses connections', { ...LOST, refused: true, heardMs: NOW_MS - 100 }, 0, false],
     ['lets candidates before it go first when nothing listens', { ...LOST, refused: true, unlinkedMs: NOW_MS - 200 }, 2, false],
     ['lets candidates before it go first', { ...LOST, unlinkedMs: NOW_MS - SILENCE_BEFORE_CLAIM_MS - 50 }, 2, false],
