--- a/packages/control/src/entry/desk.ts
+++ b/packages/control/src/entry/desk.ts
@@ -12,7 +12,6 @@
 import type { Log } from '../report/log.js'
 import type { Metrics } from '../report/metrics.js'
 import { Appender } from './appender.js'
-import type { Gate } from './gate.js'
 
 /** Longest wait for the owner's answer to a look-up, before this node's own copy of the journal is used. */
 const LOOKUP_TIMEOUT_MS = 400
@@ -57,13 +56,12 @@
   readonly catchUp: () => Promise<void>
   /** When the journal was last read to its end. */
   readonly journalFreshAt: () => Stamp
-  /** Has the owner append a record together with its own, and tells whether the store has it; undefined if no owner can be asked. */
-  readonly handOver: (record: KeyedRecord, timeoutMs: number) => Promise<Execution | undefined>
+  /** Has the owner append a record together with its own; undefined if no owner can be asked. */
+  readonly handOver: (record: KeyedRecord, timeoutMs: number) => Promise<Result<void, Refusal> | undefined>
   /** Tells the owner, and this node's own table, of a record that this node has appended; resolves at once. */
   readonly notify: (record: KeyedRecord) => void
   /** Asks the owner for a job's phase; null if it knows no such job, undefined without an answer. */
   readonly askPhase: (job: string, timeoutMs: number) => Promise<Phase | null | undefined>
-  readonly gate: Gate
   readonly clock: Clock
   readonly log: Log
   readonly metrics: Metrics
@@ -110,11 +108,13 @@
     }
     const mistake = findJobMistake(submission.steps)
     if (mistake !== undefined) return err(refuse(Reason.BadRequest, mistake))
-    const refusal = this.parts.gate.check(queue.name)
-    if (refusal !== undefined) return err(refusal)
     const job = this.createJob(access, submission)
     const appended = await this.append(encodeJob(job), budgetMs, () => this.parts.table().jobs.has(job.id))
-    if (appended.isErr()) return err(appended.error)
+    if (appended.isErr()) {
+      const { reason, execution, retryAfterMs } = appended.error
+      this.parts.log.decision('job refused', { job: job.id, queue: queue.name, workspace: job.workspace, reason, execution, retryAfterMs })
+      return err(appended.error)
+    }
     this.parts.log.decision('job accepted', {
       job: job.id, queue: queue.name, workspace: job.workspace, version: access.version, steps: job.steps.length
     })
@@ -181,12 +181,11 @@
    */
   private async append (record: KeyedRecord, budgetMs: number, isWritten: () => boolean): Promise<Result<void, Refusal>> {
     const handed = await this.parts.handOver(record, Math.min(HAND_OVER_MS, budgetMs / 2))
-    if (handed === Execution.Run) return ok(undefined)
     // What the owner cannot append, with all ways to the store, this node would only leave in doubt.
-    if (handed === Execution.NotRun) return err(refuse(Reason.LogUnavailable, 'The store takes no records.', AWAY_RETRY_MS))
+    if (handed !== undefined && (handed.isOk() || handed.error.execution === Execution.NotRun)) return handed
     const handedMs = Math.min(HAND_OVER_MS, budgetMs / 2)
     const leftMs = budgetMs - (handed === undefined ? 0 : handedMs) - ANSWER_RESERVE_MS
-    const execution = await this.appender.append(record, leftMs, handed ?? Execution.NotRun)
+    const execution = await this.appender.append(record, leftMs, handed === undefined ? Execution.NotRun : Execution.Unknown)
     if (execution === Execution.Run) {
       this.parts.notify(record)
       return ok(undefined)
--- a/packages/control/src/membership/election.ts
+++ b/packages/control/src/membership/election.ts
@@ -2,17 +2,21 @@
  * Decides when this node claims the cell. The store's fence makes claims safe; this makes them rare and quick.
  */
 
-/** Sign of life that candidates wait for in the journal before they claim: two beats of the owner. */
+/** Silence in the journal that candidates wait for before they claim: two beats of the owner. */
 export const SILENCE_BEFORE_CLAIM_MS = 700
 /**
  * The same when the owner's address refuses connections: its process is gone, unless only the way from here is cut. Several times
  * an append of an owner with work to do.
  */
 export const REFUSED_SILENCE_MS = 150
+/** Least time without a connection to the owner before a claim: time to connect. */
+export const UNLINKED_MS = 150
 /** Head start of each rank over the next, above the time of a claim. */
 const RANK_STEP_MS = 120
-/** Answers of a slow store that are added to each wait: an owner's append, and the read that shows it. */
-const SLOW_ANSWERS = 3
+/** Answers of a slow store that are added to the silence: an owner's append, and the read that shows it. */
+const SLOW_ANSWERS = 2
+/** Longest answer that counts: a cell without an owner waits no longer for a slow store. */
+const ANSWER_MAX_MS = 300
 /** Ranks beyond this claim together with it. */
 const RANK_MAX = 4
 
@@ -43,14 +47,15 @@
  * @returns true to claim
  */
 export function isClaimDue (view: OwnerView, rank: number, nowMs: number): boolean {
-  const slowMs = SLOW_ANSWERS * view.answerMs
-  const headStartMs = Math.min(rank, RANK_MAX) * (RANK_STEP_MS + slowMs)
+  const answerMs = Math.min(view.answerMs, ANSWER_MAX_MS)
+  const slowMs = SLOW_ANSWERS * answerMs
+  const headStartMs = Math.min(rank, RANK_MAX) * (RANK_STEP_MS + answerMs)
   const unlinkedMs = nowMs - view.unlinkedMs
   if (view.left) return unlinkedMs >= headStartMs
   if (view.linked) return false
   if (view.vacant) return unlinkedMs >= headStartMs
-  const silenceMs = (view.refused ? REFUSED_SILENCE_MS : SILENCE_BEFORE_CLAIM_MS) + slowMs + headStartMs
-  return unlinkedMs >= silenceMs && nowMs - view.heardMs >= silenceMs
+  const silenceMs = view.refused ? REFUSED_SILENCE_MS : SILENCE_BEFORE_CLAIM_MS
+  return unlinkedMs >= UNLINKED_MS + headStartMs && nowMs - view.heardMs >= silenceMs + slowMs + headStartMs
 }
 
 /**
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -8,7 +8,6 @@
 import { err, ok, type Result } from 'neverthrow'
 import { sleep, type Clock } from './clock.js'
 import { Desk } from './entry/desk.js'
-import { Gate, type QueuePressure } from './entry/gate.js'
 import { Follower } from './journal/follower.js'
 import { Subject, encodeRecord, splitKey, type NodeAddress } from './journal/record.js'
 import { Table } from './journal/table.js'
@@ -38,8 +37,6 @@
 const REGISTER_RETRY_MS = 100
 /** Added to the time that another node is given, for the way of its answer. */
 const LINK_RESERVE_MS = 200
-/** Longest time for a node to take an announcement; the next one replaces it. */
-const ANNOUNCE_TIMEOUT_MS = 500
 /** Tries of one claim under one sequence number. */
 const CLAIM_TRIES = 4
 /** Random first sequence numbers tell two claims of one epoch apart. */
@@ -47,6 +44,9 @@
 /** Longest time that a planned stop tells others to take over. */
 const SUCCEED_TIMEOUT_MS = 300
 
+/** Refusals that only an owner gives. Others say that no owner was reached. */
+const OWNERS_REASONS: ReadonlySet<Reason> = new Set([Reason.LogUnavailable, Reason.DeadlineUnreachable])
+
 type NoticedRecord = Notice['records'][number]
 
 /** Settings of a node. */
@@ -81,7 +81,6 @@
   private readonly links: Links
   private readonly relays: Relays
   private readonly access: StoreAccess
-  private readonly gate: Gate
   private readonly journal: Follower
   private readonly settings: Follower
   private table = new Table()
@@ -114,7 +113,6 @@
     this.access = new StoreAccess(parts.store, relay, clock, (reachable, failure) => {
       log.event(reachable ? 'store regained' : 'store lost', { failure })
     })
-    this.gate = new Gate(clock)
     this.journal = new Follower(this.access, Topic.Journal, {
       onRecord: (record) => { this.applyRecord(record) },
       onReset: () => { if (this.owner === undefined) this.nextTable = new Table() },
@@ -177,7 +175,6 @@
       handOver: (record, timeoutMs) => this.handOver(record, timeoutMs),
       notify: (record) => { this.notify(record) },
       askPhase: (job, timeoutMs) => this.askPhase(job, timeoutMs),
-      gate: this.gate,
       clock,
       log,
       metrics
@@ -327,7 +324,6 @@
       ask: (node, step, workers, timeoutMs) => this.askAdvice(node, step, workers, timeoutMs),
       nodes: () => [terms.node, ...this.links.connected()],
       terms,
-      announce: (pressures) => { this.announce(epoch, pressures) },
       log,
       metrics
     })
@@ -346,24 +342,19 @@
     this.journal.hurry()
   }
 
-  private announce (epoch: number, pressures: readonly QueuePressure[]): void {
-    this.gate.announce(pressures)
-    detach(this.links.broadcast({ kind: Kind.Pressure, epoch, queues: [...pressures] }, ANNOUNCE_TIMEOUT_MS))
-  }
-
-  /** Has the owner append a record of a caller, and tells whether it did; undefined if no owner can be asked. */
-  private async handOver (record: KeyedRecord, timeoutMs: number): Promise<Execution | undefined> {
-    if (this.owner !== undefined) return await this.owner.append([record], timeoutMs)
+  /** Has the owner take a record of a caller; undefined if no owner can be asked. */
+  private async handOver (record: KeyedRecord, timeoutMs: number): Promise<Result<void, Refusal> | undefined> {
+    if (this.owner !== undefined) return await this.owner.take(record, timeoutMs)
     const { owner } = this.table
     if (owner === undefined || !this.links.has(owner.node)) return undefined
     const request: Notice = { kind: Kind.Notice, records: [record as NoticedRecord], timeoutMs }
     const answer = await this.links.ask(owner.node, request, timeoutMs + LINK_RESERVE_MS)
     if (answer.isErr()) {
       const { reason, execution } = answer.error
-      return execution === Execution.NotRun && reason !== Reason.LogUnavailable ? undefined : execution
+      return execution === Execution.NotRun && !OWNERS_REASONS.has(reason) ? undefined : err(answer.error)
     }
     this.table.apply({ ...record, offset: -1 })
-    return Execution.Run
+    return ok(undefined)
   }
 
   /** The owner reads the journal as well; the notice only spares it the wait. */
@@ -401,9 +392,6 @@
         return advice.mapErr((failure) => refuse(Reason.Overloaded, `The advisor did not answer: ${failure}.`, 0))
       }
       case Kind.Relay: return await serveRelay(this.access, request)
-      case Kind.Pressure:
-        this.gate.announce(request.queues)
-        return ok(true)
       case Kind.Succeed:
         this.ownerLeft = request.epoch
         this.unlinkedMs = this.parts.clock.now()
@@ -413,8 +401,10 @@
   }
 
   private async serveNotice (owner: Owner, request: Notice): Promise<Result<true, Refusal>> {
-    const execution = await owner.append(request.records as KeyedRecord[], request.timeoutMs)
-    if (execution === Execution.Run) return ok(true)
-    return err({ reason: Reason.LogUnavailable, detail: 'The store has not taken the records in time.', execution, retryAfterMs: 0 })
+    for (const record of request.records) {
+      const taken = await owner.take(record as KeyedRecord, request.timeoutMs)
+      if (taken.isErr()) return err(taken.error)
+    }
+    return ok(true)
   }
 }
--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -4,11 +4,12 @@
 import { addResources, fitsResources, NO_RESOURCES, scaleResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
 import type { Clock } from '../clock.js'
 import type { TaskEntry } from '../journal/table.js'
-import { chainMsOf } from '../model/job.js'
+import { chainMsOf, Phase, type Job } from '../model/job.js'
 import type { Configuration, Queue } from '../model/configuration.js'
+import type { Lack } from '../place/admission.js'
 import { fitGang, fitTask, isEligible, type FitTerms, type Site } from '../place/fit.js'
 import { chooseHeld, chooseStopped, mayHold, mayPreempt, type Occupant } from '../place/hold.js'
-import { headroomOf } from '../place/limit.js'
+import { dominantShareOf, headroomOf } from '../place/limit.js'
 import { UrgentUse } from '../place/reserve.js'
 import { urgencyOf } from '../place/order.js'
 import { Admission, type AdviceDesk } from './advice.js'
@@ -70,9 +71,10 @@
   readonly objectiveMs: number
 }
 
-/** Decides. Keeps between rounds only what urgent tasks use. */
+/** Decides. Keeps between rounds only what urgent tasks use, and what found no room. */
 export class Dispatcher {
   private readonly urgentUse = new Map<string, UrgentUse>()
+  private readonly lacks = new Map<string, Lack[]>()
 
   constructor (private readonly parts: DispatchParts) {}
 
@@ -82,6 +84,7 @@
     const pools = new Map<string, Pool>()
     const reserved = new Map<string, number>()
     const order = this.rank()
+    this.lacks.clear()
     for (const ranked of order) {
       const upstream = this.upstreamOf(ranked)
       let pool = pools.get(upstream)
@@ -91,6 +94,30 @@
     return decisions
   }
 
+  /**
+   * What found no room in the last round and is placed before a job that comes now.
+   *
+   * @param beyondRate the job goes beyond the rate of its workspace
+   */
+  lacksOf (queue: string, beyondRate: boolean): readonly Lack[] {
+    const lacks = this.lacks.get(queue) ?? []
+    return beyondRate ? lacks : lacks.filter((lack) => !lack.beyondRate)
+  }
+
+  /** Tells whether there is room now for all tasks with which a job begins. */
+  hasRoom (job: Job): boolean {
+    const nowMs = this.parts.clock.now()
+    const first = job.steps.find((step) => step.after.length === 0)!
+    const charge = chargeOf(first)
+    let room = 0
+    for (const session of this.parts.sessions.values()) {
+      if (session.worker.upstream !== job.upstream || !session.open(nowMs)) continue
+      room += headroomOf(session.worker.capacity, session.used, charge)
+      if (room >= first.count) return true
+    }
+    return false
+  }
+
   /** Demands in the order in which they are placed. */
   rank (): Ranked[] {
     const nowMs = this.parts.clock.wall()
@@ -109,6 +136,7 @@
         sinceMs: demand.dueMs,
         objectiveMs,
         chainMs: demand.chainMs,
+        begun: demand.entry.job.occurrences === 0 && demand.entry.phase === Phase.Active,
         overShare: this.parts.excess.has(demand.entry.job.id)
       }, nowMs)
       ranked.push({ demand, queue, urgency, slackMs, objectiveMs })
@@ -132,11 +160,27 @@
     if (admitted.length === 0) return
     const chosen = this.choose(ranked, waiting, charge, allowed, admitted)
     const missing = allowed - chosen.length
+    if (missing > 0) this.noteLack(ranked, missing, charge)
     if (missing > 0) this.makeRoom(ranked, missing, pool, admitted.filter((site) => !chosen.includes(site)), decisions)
     if (chosen.length > 0) this.occupy(ranked, waiting, chosen, admitted, pool, decisions)
     claimRoom(reserved, demand, chosen.length)
   }
 
+  private noteLack ({ demand, queue, slackMs, objectiveMs }: Ranked, missing: number, charge: Resources): void {
+    const { job } = demand.entry
+    if (queue === undefined) return
+    const share = dominantShareOf(charge, totalOf(this.parts.sessions.values(), queue.upstream))
+    const lack = {
+      slackMs,
+      wholeSlackMs: objectiveMs - chainMsOf(job.steps),
+      workMs: missing * demand.step.estimateMs * share,
+      beyondRate: this.parts.excess.has(job.id)
+    }
+    const lacks = this.lacks.get(queue.name)
+    if (lacks === undefined) this.lacks.set(queue.name, [lack])
+    else lacks.push(lack)
+  }
+
   /** Assigns tasks to the chosen workers, or asks for new tickets where they have run out. */
   private occupy (
     ranked: Ranked,
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -5,15 +5,16 @@
  * A successor therefore knows each run that may exist, and each worker repeats what the journal does not hold.
  */
 import { setMaxListeners } from 'node:events'
-import { Execution } from '@fireflymount/protocol/refusal'
+import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
+import { err, ok, type Result } from 'neverthrow'
 import { detach } from '../detach.js'
 import { sleep, type Clock, type Stamp } from '../clock.js'
 import { Follower } from '../journal/follower.js'
-import { Stage, splitKey } from '../journal/record.js'
+import { Stage, Subject, decodeValue, splitKey } from '../journal/record.js'
 import type { JobEntry, Table, TaskEntry } from '../journal/table.js'
 import { Writer } from '../journal/writer.js'
 import type { Configuration } from '../model/configuration.js'
-import { isFinal, Phase } from '../model/job.js'
+import { isFinal, Phase, type Job } from '../model/job.js'
 import type { Worker } from '../model/worker.js'
 import { WorkerFailure, type Fleet } from '../ports/fleet.js'
 import type { Machines } from '../ports/machines.js'
@@ -21,9 +22,9 @@
 import { Topic, type KeyedRecord, type Store } from '../ports/store.js'
 import type { Log } from '../report/log.js'
 import type { Metrics } from '../report/metrics.js'
+import { findReturnMs } from '../place/admission.js'
 import { RateBook } from '../place/rate.js'
 import { SpeedBook } from '../place/speed.js'
-import type { QueuePressure } from '../entry/gate.js'
 import { Admission, AdviceDesk, type Ask } from './advice.js'
 import { AUTHORITY_MS } from './authority.js'
 import { Caretaker } from './caretaker.js'
@@ -43,6 +44,8 @@
 const ROUND_GATHER_MS = 4
 const TICK_MS = 100
 const REGISTRY_INTERVAL_MS = 400
+/** When to come back while the store takes no records. */
+export const AWAY_RETRY_MS = 1000
 
 /** Figures that the owner works with. */
 export interface OwnerTerms {
@@ -69,8 +72,6 @@
   readonly ask: Ask
   readonly nodes: () => readonly string[]
   readonly terms: OwnerTerms
-  /** Tells all nodes which queues are to refuse. */
-  readonly announce: (pressures: readonly QueuePressure[]) => void
   readonly log: Log
   readonly metrics: Metrics
 }
@@ -165,14 +166,12 @@
     })
     this.census = new Census(parts.machines, clock)
     this.caretaker = new Caretaker({
-      table,
       ledger: this.ledger,
       sessions: this.sessions,
       speeds: this.speeds,
       configuration: parts.configuration,
       clock,
       stopMs: parts.terms.stopMs,
-      announce: parts.announce,
       log
     })
     this.host = this.createHost()
@@ -203,6 +202,31 @@
     return !this.stop.signal.aborted && this.parts.clock.ageOf(this.writer.confirmedAt) < AUTHORITY_MS
   }
 
+  /**
+   * Takes a record of a caller: refuses a job that would end too late, and appends all others.
+   *
+   * @param timeoutMs time after which the record is withdrawn, if that is still possible
+   */
+  async take (record: KeyedRecord, timeoutMs: number): Promise<Result<void, Refusal>> {
+    const refusal = this.findRefusal(record)
+    if (refusal !== undefined) return err(refusal)
+    const execution = await this.append([record], timeoutMs)
+    if (execution === Execution.Run) return ok(undefined)
+    return err({ reason: Reason.LogUnavailable, detail: 'The store takes no records.', execution, retryAfterMs: AWAY_RETRY_MS })
+  }
+
+  private findRefusal (record: KeyedRecord): Refusal | undefined {
+    const { subject, name } = splitKey(record.key)
+    if (subject !== Subject.Job || record.value === undefined || this.parts.table.jobs.has(name)) return undefined
+    const job = decodeValue<Job>(record.value)
+    if (job.isErr() || job.value.occurrences > 0 || job.value.steps.some((step) => step.lasting)) return undefined
+    const { queue, workspace, acceptedMs } = job.value
+    const beyondRate = this.rates.exceeds(workspace, this.weightOf(workspace), acceptedMs)
+    const returnMs = findReturnMs(this.dispatcher.lacksOf(queue, beyondRate))
+    if (returnMs === undefined || this.dispatcher.hasRoom(job.value)) return undefined
+    return refuse(Reason.DeadlineUnreachable, 'The jobs before it take longer than this one can wait.', returnMs)
+  }
+
   /**
    * Appends records of callers, and acts on them.
    *
@@ -233,12 +257,17 @@
   private countRate ({ job }: JobEntry): void {
     if (this.counted.has(job.id)) return
     this.counted.add(job.id)
-    const weight = this.parts.configuration().workspaces.find((workspace) => workspace.name === job.workspace)?.weight ?? 0
+    const weight = this.weightOf(job.workspace)
     if (!this.rates.count(job.workspace, weight, job.acceptedMs)) return
     this.excess.add(job.id)
     this.parts.log.decision('beyond rate', { job: job.id, workspace: job.workspace, weight })
   }
 
+  /** Jobs a second that the share of a workspace covers; 0 for no bound. */
+  private weightOf (name: string): number {
+    return this.parts.configuration().workspaces.find((workspace) => workspace.name === name)?.weight ?? 0
+  }
+
   private cancel (entry: JobEntry): void {
     finish(entry, Phase.Cancelled, this.parts.clock.wall())
     this.stopJob(entry, StopReason.Cancelled)
--- a/packages/control/src/place/order.ts
+++ b/packages/control/src/place/order.ts
@@ -1,6 +1,8 @@
 /**
  * The order in which waiting steps are placed. Answers the pattern of an upstream that is full: what can still meet its
- * objective goes first, by the time that is left; what can no longer earn anything goes last but is never dropped.
+ * objective goes first, jobs that have begun before others, and among them by the time that is left; what can no longer earn
+ * anything goes last but is never dropped. Without the rule for jobs that have begun, each new job takes room from the last steps
+ * of earlier ones, and all of them end late.
  */
 
 /** What the order looks at. Times are Unix time in milliseconds. */
@@ -15,6 +17,8 @@
   readonly objectiveMs: number
   /** Longest chain of steps from this one on. */
   readonly chainMs: number
+  /** Tasks of the job run or have run. */
+  readonly begun: boolean
   /** The workspace uses more than its share while others wait. */
   readonly overShare: boolean
 }
@@ -35,6 +39,7 @@
 const BAND_STEP = 1e16
 const PRIORITY_STEP = 1e14
 const LATE_STEP = 1e13
+const NEW_STEP = 5e12
 
 /**
  * Computes the sort key of a step.
@@ -47,7 +52,8 @@
   const { sinceMs, objectiveMs, chainMs, priority } = standing
   const latestStartMs = sinceMs + objectiveMs - chainMs - OVERHEAD_MS
   const late = latestStartMs < nowMs
-  return bandOf(standing, nowMs) * BAND_STEP + Math.min(priority, 99) * PRIORITY_STEP + (late ? LATE_STEP : 0) + latestStartMs
+  const group = bandOf(standing, nowMs) * BAND_STEP + Math.min(priority, 99) * PRIORITY_STEP
+  return group + (late ? LATE_STEP : 0) + (standing.begun ? 0 : NEW_STEP) + latestStartMs
 }
 
 function bandOf (standing: Standing, nowMs: number): Band {
--- a/packages/control/src/place/rate.ts
+++ b/packages/control/src/place/rate.ts
@@ -23,6 +23,14 @@
    * @returns true if the job goes beyond the rate
    */
   count (workspace: string, weight: number, atMs: number): boolean {
+    if (this.exceeds(workspace, weight, atMs)) return true
+    const bucket = this.buckets.get(workspace)
+    if (bucket !== undefined) bucket.tokens--
+    return false
+  }
+
+  /** Tells whether a job would go beyond the rate, without counting it. */
+  exceeds (workspace: string, weight: number, atMs: number): boolean {
     if (workspace === '' || weight <= 0) return false
     const most = Math.max(1, weight * BURST_S)
     let bucket = this.buckets.get(workspace)
@@ -30,8 +38,6 @@
     const elapsedMs = Math.max(0, atMs - bucket.filledMs)
     bucket.tokens = Math.min(most, bucket.tokens + weight * elapsedMs / 1000)
     bucket.filledMs = Math.max(bucket.filledMs, atMs)
-    if (bucket.tokens < 1) return true
-    bucket.tokens--
-    return false
+    return bucket.tokens < 1
   }
 }
--- a/packages/control/test/entry/desk.spec.ts
+++ b/packages/control/test/entry/desk.spec.ts
@@ -1,9 +1,8 @@
-import { Execution, type Refusal } from '@fireflymount/protocol/refusal'
+import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { SystemClock } from '../../src/clock.js'
 import { Desk, type Access } from '../../src/entry/desk.js'
-import { Gate } from '../../src/entry/gate.js'
 import { encodeJob } from '../../src/journal/record.js'
 import { Table } from '../../src/journal/table.js'
 import type { Configuration } from '../../src/model/configuration.js'
@@ -57,7 +56,13 @@
   }
 }
 
-function createDesk (store: Store, handed: Execution | undefined, table = new Table()): Desk {
+type Handed = Result<void, Refusal> | undefined
+const TAKEN: Handed = ok(undefined)
+const LATE: Handed = err(refuse(Reason.DeadlineUnreachable, 'late', 4000))
+const AWAY: Handed = err(refuse(Reason.LogUnavailable, 'away', 1000))
+const LOST: Handed = err({ reason: Reason.ConnectionLost, detail: 'lost', execution: Execution.Unknown })
+
+function createDesk (store: Store, handed: Handed, table = new Table()): Desk {
   const clock = new SystemClock()
   return new Desk({
     configuration: () => CONFIGURATION,
@@ -70,7 +75,6 @@
     handOver: async () => handed,
     notify: () => {},
     askPhase: async () => undefined,
-    gate: new Gate(clock),
     clock,
     log: new SilentLog(),
     metrics: new Metrics()
@@ -94,15 +98,16 @@
 
 describe('a job that is handed in', () => {
   it.each([
-    ['is accepted once the owner has written it', Execution.Run, silent, undefined, 0, 0],
-    ['is refused at once, as not run, when the owner cannot write it', Execution.NotRun, silent, Execution.NotRun, 50, 0],
+    ['is accepted once the owner has written it', TAKEN, silent, undefined, 0, 0],
+    ['is refused at once, as not run, when the owner has no room for it in time', LATE, silent, Execution.NotRun, 50, 0],
+    ['is refused at once, as not run, when the owner cannot write it', AWAY, silent, Execution.NotRun, 50, 0],
     ['is written by this node when no owner can be asked', undefined, async () => ok(1), undefined, 50, 1],
-    ['is written by this node when the owner\'s answer was lost', Execution.Unknown, async () => ok(1), undefined, 50, 1],
+    ['is written by this node when the owner\'s answer was lost', LOST, async () => ok(1), undefined, 50, 1],
     ['is refused soon when nobody may write', undefined, async () => err(StoreFailure.Refused), Execution.NotRun, 1200, undefined],
     ['gets its answer before its caller leaves when the store is silent', undefined, silent, Execution.Unknown, BUDGET_MS - 100, 1],
-    ['stays in doubt when the owner\'s answer was lost and the store refuses', Execution.Unknown, async () => err(StoreFailure.Refused),
+    ['stays in doubt when the owner\'s answer was lost and the store refuses', LOST, async () => err(StoreFailure.Refused),
       Execution.Unknown, BUDGET_MS - 100, undefined]
-  ])('%s', async (_, handed, answer: () => Promise<Result<number, StoreFailure>>, execution, withinMs, appends) => {
+  ])('%s', async (_, handed: Handed, answer: () => Promise<Result<number, StoreFailure>>, execution, withinMs, appends) => {
     const store = new ScriptedStore(answer)
     const desk = createDesk(store, handed)
     let outcome: Result<void, Refusal> | undefined
@@ -127,7 +132,7 @@
   it('is accepted if the journal shows it although the answer to its append was lost', async () => {
     const store = new ScriptedStore(silent)
     const table = new Table()
-    const desk = createDesk(store, Execution.Unknown, table)
+    const desk = createDesk(store, LOST, table)
     let accepted = false
     submit(desk, 1, (result) => { accepted = result.isOk() })
     await vi.advanceTimersByTimeAsync(500)
--- a/packages/control/test/owner/dispatcher.spec.ts
+++ b/packages/control/test/owner/dispatcher.spec.ts
@@ -8,6 +8,7 @@
 import { Dispatcher, type Decisions } from '../../src/owner/dispatcher.js'
 import { Ledger } from '../../src/owner/ledger.js'
 import { Session, type SessionHost } from '../../src/owner/session.js'
+import type { Lack } from '../../src/place/admission.js'
 import { finish } from '../../src/owner/settlement.js'
 import type { AdviceFailure, Tickets } from '../../src/ports/advisor.js'
 import { FakeClock, FakeFleet, createJob, createStep, createWorker } from '../fakes.js'
@@ -115,6 +116,14 @@
     this.demands.refresh(entry)
   }
 
+  lacks (queue: string, beyondRate: boolean): readonly Lack[] {
+    return this.dispatcher.lacksOf(queue, beyondRate)
+  }
+
+  hasRoom (tasks: number): boolean {
+    return this.dispatcher.hasRoom(createJob({ steps: [createStep({ count: tasks, size: TASK })] }))
+  }
+
   async grant (workers: readonly string[]): Promise<void> {
     this.answer!(ok(workers.map((worker) => [worker, `ticket of ${worker}`])))
     await new Promise((resolve) => setImmediate(resolve))
@@ -149,6 +158,32 @@
   })
 })
 
+describe('more urgent jobs than there is room for', () => {
+  it.each([
+    ['a queue whose steps wait for room', 20, 500, false, 1],
+    ['a queue whose steps have most of their time left', 20, 100, false, 0],
+    ['a queue that has room', 7, 500, false, 0],
+    ['jobs beyond the rate of their workspace, by others', 0, 500, false, 0],
+    ['jobs beyond the rate of their workspace, by more of them', 0, 500, true, 1]
+  ])('are seen in %s', async (_, tasks, waitedMs, beyondRate, lacking) => {
+    await scene.addWorkers(2)
+    const excess = scene.accept({ queue: 'urgent', steps: [createStep({ count: tasks === 0 ? 20 : 1, size: TASK, estimateMs: 500 })] }, 1)
+    if (tasks === 0) scene.excess.add(excess.job.id)
+    else scene.accept({ queue: 'urgent', steps: [createStep({ count: tasks, size: TASK, estimateMs: 500 })] }, tasks)
+    scene.clock.pass(waitedMs)
+    scene.rounds(1)
+    expect(scene.lacks('urgent', beyondRate).filter((lack) => lack.slackMs < lack.wholeSlackMs / 2)).toHaveLength(lacking)
+  })
+
+  it.each([
+    ['is there for a job that fits now', 8, true],
+    ['is missing for a job that does not', 9, false]
+  ])('room %s', async (_, tasks, room) => {
+    await scene.addWorkers(2)
+    expect(scene.hasRoom(tasks)).toBe(room)
+  })
+})
+
 describe('a step that has tickets for some of its workers', () => {
   it('starts tasks with them, and asks for new ones where more tasks have room', async () => {
     await scene.addWorkers(2)
--- a/packages/control/test/owner/fuzz.spec.ts
+++ b/packages/control/test/owner/fuzz.spec.ts
@@ -236,7 +236,6 @@
       ask: async () => err(AdviceFailure.NoAnswer),
       nodes: () => [],
       terms: { leaseMs: LEASE_MS, farFactor: 2, keptMs: 1e9, stopMs: 200 },
-      announce: () => {},
       log: new SilentLog(),
       metrics: new Metrics()
     })
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -1,4 +1,4 @@
-import { Execution } from '@fireflymount/protocol/refusal'
+import { Execution, Reason } from '@fireflymount/protocol/refusal'
 import { err, ok } from 'neverthrow'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { SystemClock } from '../../src/clock.js'
@@ -89,7 +89,6 @@
       ask: async () => err(AdviceFailure.NoAnswer),
       nodes: () => [],
       terms: { leaseMs: 6000, farFactor: 2, keptMs: 120_000, stopMs: 200 },
-      announce: () => {},
       log: new SilentLog(),
       metrics: new Metrics()
     })
@@ -291,6 +290,21 @@
     expect(scene.tasks()).toHaveLength(3)
   })
 
+  it('refuses a job that would start too late, but none that it knows', async () => {
+    const owner = scene.own(1)
+    await pass(200)
+    const steps = [createStep({ count: 16 })]
+    const take = async (id: string): Promise<string> => {
+      const taking = owner.take(encodeJob(createJob({ id, workspace: '', acceptedMs: scene.clock.wall(), steps })), 500)
+      await pass(100)
+      return (await taking).match(() => 'taken', ({ reason, execution }) => `${reason} ${execution}`)
+    }
+    const [running, waiting, late] = ['1'.repeat(16), '2'.repeat(16), '3'.repeat(16)]
+    expect([await take(running), await take(waiting)]).toEqual(['taken', 'taken'])
+    await pass(900)
+    expect([await take(late), await take(waiting)]).toEqual([`${Reason.DeadlineUnreachable} ${Execution.NotRun}`, 'taken'])
+  })
+
   it('sends no start that the journal does not hold', async () => {
     scene.own(1)
     await pass(200)
--- a/packages/control/test/place/decisions.spec.ts
+++ b/packages/control/test/place/decisions.spec.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { findPressures } from '../../src/place/backlog.js'
+import { findReturnMs } from '../../src/place/admission.js'
 import { fitGang, fitTask, isEligible, type Site } from '../../src/place/fit.js'
 import { chooseStopped, mayHold, mayPreempt } from '../../src/place/hold.js'
 import { headroomOf } from '../../src/place/limit.js'
@@ -11,7 +11,9 @@
 import { createStep } from '../fakes.js'
 
 const NOW_MS = 1_700_000_000_000
-const STANDING: Standing = { lasting: false, priority: 1, sinceMs: NOW_MS, objectiveMs: 5000, chainMs: 2000, overShare: false }
+const STANDING: Standing = {
+  lasting: false, priority: 1, sinceMs: NOW_MS, objectiveMs: 5000, chainMs: 2000, begun: false, overShare: false
+}
 const TERMS = { farFactor: 2 }
 
 function site (id: string, fields: Partial<Site> = {}): Site {
@@ -28,6 +30,8 @@
     ['a lasting task before an urgent one', { lasting: true, priority: 2 }, { priority: 0 }],
     ['the more urgent queue', { priority: 0 }, { priority: 2, sinceMs: NOW_MS - 1000 }],
     ['the job with less time left', { sinceMs: NOW_MS - 1000 }, {}],
+    ['a job that has begun before a new one with less time', { begun: true }, { sinceMs: NOW_MS - 1000 }],
+    ['what can still be in time before what has begun and is late', {}, { begun: true, sinceMs: NOW_MS - 4000 }],
     ['what can still be in time before what is late', {}, { sinceMs: NOW_MS - 4000 }],
     ['what is late before what is of no use any more', { sinceMs: NOW_MS - 4000 }, { sinceMs: NOW_MS - 40_000, priority: 0 }],
     ['work within its workspace\'s rate before work beyond it', { priority: 2 }, { priority: 0, overShare: true }]
@@ -179,14 +183,18 @@
   })
 })
 
-describe('a backlog that cannot be worked off in time', () => {
-  const load = { queue: 'preview', priority: 0, workMs: 1000, objectiveMs: 2000, chainMs: 1000 }
+describe('more urgent jobs than there is room for', () => {
+  const waiting = { slackMs: 800, wholeSlackMs: 1000, workMs: 400, beyondRate: false }
+  const pressing = { ...waiting, slackMs: 300 }
   it.each([
-    ['a short one', [load], []],
-    ['a long one of its own', [{ ...load, workMs: 9000 }], ['preview']],
-    ['a long one of a queue before it', [load, { ...load, queue: 'first', workMs: 9000, objectiveMs: 99_000 }], ['preview']],
-    ['a long one of a queue behind it', [load, { ...load, queue: 'last', priority: 2, workMs: 9000, objectiveMs: 99_000 }], []]
-  ])('makes a queue refuse: %s', (_, loads, refusing) => {
-    expect(findPressures(loads, 1).map((pressure) => pressure.queue)).toEqual(refusing)
+    ['takes jobs while nothing waits', [], undefined],
+    ['takes jobs while those that wait have most of their slack left', [waiting, waiting], undefined],
+    ['refuses when one has little of its slack left', [waiting, pressing], 1000],
+    ['tells callers to come back when those that wait have had their turn', [pressing, { ...waiting, workMs: 3600 }], 5000],
+    ['does not send callers away for long', [{ ...pressing, workMs: 900_000 }], 20_000],
+    ['takes jobs though others are late already: they are placed after those', [{ ...pressing, slackMs: -5 }], undefined],
+    ['does not count what is late', [pressing, { ...pressing, slackMs: -5, workMs: 90_000 }], 1000]
+  ])('%s', (_, lacks, returnMs) => {
+    expect(findReturnMs(lacks)).toBe(returnMs)
   })
 })
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -48,8 +48,6 @@
   Advise = 'advise',
   /** Makes a call to the store for a node that the store does not serve. */
   Relay = 'relay',
-  /** Owner to entries: which queues are to refuse new jobs. */
-  Pressure = 'pressure',
   /** Owner to all nodes before a planned stop: take over now. */
   Succeed = 'succeed'
 }
@@ -148,12 +146,6 @@
   read: optional(Codec.interface({ from: number, waitMs: number })),
   newest: optional(Codec.interface({ after: optional(string) }))
 })
-/** Queues that refuse new jobs, with the time after which coming back helps. */
-export const PressureCodec = Codec.interface({
-  kind: exactly(Kind.Pressure),
-  epoch: number,
-  queues: array(Codec.interface({ queue: string, backlogMs: number, drainMs: number }))
-})
 export const SucceedCodec = Codec.interface({ kind: exactly(Kind.Succeed), epoch: number })
 
 /** The codec of each kind of request. */
@@ -176,7 +168,6 @@
   [Kind.Lookup]: LookupCodec,
   [Kind.Advise]: AdviseCodec,
   [Kind.Relay]: RelayCodec,
-  [Kind.Pressure]: PressureCodec,
   [Kind.Succeed]: SucceedCodec
 }
 
@@ -217,11 +208,10 @@
 export type Lookup = GetType<typeof LookupCodec>
 export type Advise = GetType<typeof AdviseCodec>
 export type Relay = GetType<typeof RelayCodec>
-export type Pressure = GetType<typeof PressureCodec>
 export type Succeed = GetType<typeof SucceedCodec>
 export type Abandon = GetType<typeof AbandonCodec>
 export type Request = Call | Submit | Status | Cancel | Explain | Survey | Watch | Pledge | Handover |
-  Transfer | Borrow | Records | Drain | Abandon | Notice | Lookup | Advise | Relay | Pressure | Succeed
+  Transfer | Borrow | Records | Drain | Abandon | Notice | Lookup | Advise | Relay | Succeed
 
 /** States of a durable job. */
 export enum JobState {
