--- a/packages/control/src/journal/writer.ts
+++ b/packages/control/src/journal/writer.ts
@@ -11,6 +11,8 @@
 const RETRY_MAX_MS = 250
 /** Most bytes of one append, below the smallest bound on a call that the platform gives. */
 export const APPEND_BYTES = 1024 * 1024
+/** Least time between the beginnings of two appends: what comes meanwhile shares one, which every append is priced for. */
+const APPEND_INTERVAL_MS = 20
 /** Time without an append after which the owner shows a sign of life. Candidates take over after several of these. */
 export const BEAT_MS = 350
 
@@ -40,6 +42,8 @@
   private waiters: Waiter[] = []
   private wake: (() => void) | undefined
   private retryMs = RETRY_MIN_MS
+  /** Steady time at which the last append began. */
+  private begunMs = -Infinity
   private over = false
 
   constructor (
@@ -72,6 +76,7 @@
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       if (this.dirty.size === 0 && this.waiters.length === 0) await this.idle(signal)
+      await sleep(Math.max(0, this.begunMs + APPEND_INTERVAL_MS - this.clock.now()), signal)
       if (signal.aborted) break
       if (!await this.appendPending(signal)) break
     }
@@ -100,6 +105,7 @@
 
   /** Returns false if the epoch is fenced. */
   private async appendPending (signal: AbortSignal): Promise<boolean> {
+    this.begunMs = this.clock.now()
     const encoders = this.dirty
     const waiters = this.waiters
     this.dirty = new Map()
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -19,8 +19,8 @@
 const RETRY_MAX_MS = 400
 /** Pause before an unconfirmed stop is sent again. */
 const STOP_RETRY_MS = 250
-/** Ends that come within this time are acknowledged by one renewal. */
-const GATHER_MS = 12
+/** Ends that come within this time are acknowledged by one renewal: each look at a worker is priced. */
+const GATHER_MS = 30
 /** How long a worker that refused or lost a start gets no other. */
 const COOL_OFF_MS = 600
 /** Failed runs in a row after which a worker is left alone for a while. */
--- a/packages/control/src/report/log.ts
+++ b/packages/control/src/report/log.ts
@@ -3,8 +3,8 @@
  */
 import { destination, pino, type Logger } from 'pino'
 
-/** Decisions that are logged in one second; more are counted and reported as one line. Events are not bounded. */
-const DECISIONS_A_SECOND = 400
+/** Lines of each kind that are logged in one second; more are counted and reported as one line. */
+const LINES_A_SECOND = 400
 /** Lines are written together once they reach this size, or after FLUSH_MS. */
 const BUFFER_BYTES = 8192
 const FLUSH_MS = 500
@@ -15,7 +15,7 @@
 export abstract class Log {
   /** Something that touches a request. Bounded: what exceeds the bound is counted. */
   abstract decision (name: string, fields: Record<string, unknown>): void
-  /** A change of what the process believes: start, stop, a dependency, ownership, configuration. */
+  /** A change of what the process believes: start, stop, a dependency, ownership, configuration. Bounded by itself. */
   abstract event (name: string, fields: Record<string, unknown>): void
 }
 
@@ -30,30 +30,29 @@
   private readonly logger: Logger
   private readonly output: ReturnType<typeof destination>
   private windowMs = 0
-  private written = 0
+  private decisions = 0
+  private events = 0
   private dropped = 0
 
-  constructor (node: string, level: string) {
+  /**
+   * @param file descriptor to write to
+   */
+  constructor (node: string, level: string, file = 1) {
     super()
-    this.output = destination({ fd: 1, sync: false, minLength: BUFFER_BYTES, maxLength: BACKLOG_BYTES })
+    this.output = destination({ fd: file, sync: false, minLength: BUFFER_BYTES, maxLength: BACKLOG_BYTES })
     this.output.on('drop', () => { this.dropped++ })
     this.logger = pino({ level, base: { node } }, this.output)
     setInterval(() => { this.output.flush() }, FLUSH_MS).unref()
   }
 
   override decision (name: string, fields: Record<string, unknown>): void {
-    const nowMs = performance.now()
-    if (nowMs - this.windowMs >= 1000) this.openWindow(nowMs)
-    if (this.written >= DECISIONS_A_SECOND) {
-      this.dropped++
-      return
-    }
-    this.written++
-    this.logger.info(fields, name)
+    this.openWindow()
+    this.write(++this.decisions, name, fields)
   }
 
   override event (name: string, fields: Record<string, unknown>): void {
-    this.logger.info(fields, name)
+    this.openWindow()
+    this.write(++this.events, name, fields)
   }
 
   /** Writes what is buffered, before the process exits. */
@@ -61,10 +60,18 @@
     this.output.flushSync()
   }
 
-  private openWindow (nowMs: number): void {
+  private write (count: number, name: string, fields: Record<string, unknown>): void {
+    if (count <= LINES_A_SECOND) this.logger.info(fields, name)
+    else this.dropped++
+  }
+
+  private openWindow (): void {
+    const nowMs = performance.now()
+    if (nowMs - this.windowMs < 1000) return
     if (this.dropped > 0) this.logger.warn({ dropped: this.dropped }, 'log lines dropped')
     this.windowMs = nowMs
-    this.written = 0
+    this.decisions = 0
+    this.events = 0
     this.dropped = 0
   }
 }
--- a/packages/control/test/journal/writer.spec.ts
+++ b/packages/control/test/journal/writer.spec.ts
@@ -39,6 +39,22 @@
     await running
   })
 
+  it('shares an append with commits that come soon after the last one', async () => {
+    const { store, access, clock, stop } = createScene()
+    const writer = new Writer(access, clock, 1, 5, clock.stamp(), () => {})
+    const running = writer.run(stop.signal)
+    const commits = []
+    for (let index = 0; index < 30; index++) {
+      commits.push(writer.commit(change(`${index}`, () => index)))
+      await vi.advanceTimersByTimeAsync(2)
+    }
+    await vi.advanceTimersByTimeAsync(50)
+    expect((await Promise.all(commits)).every((commit) => commit.isOk())).toBe(true)
+    expect(store.calls).toBeLessThanOrEqual(5)
+    stop.abort()
+    await running
+  })
+
   it.each([
     ['the store refused', false],
     ['the answer was lost after the append', true]
