--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -206,6 +206,7 @@
       this.table = this.nextTable
       this.nextTable = undefined
       this.ownerRecords = 0
+      this.parts.log.event('journal read', { offset: this.journal.offset, jobs: this.table.jobs.size, owner: this.table.owner?.node })
     }
     const nowMs = this.parts.clock.now()
     this.readMs = nowMs
