Never call a job not run while an append may still write it, and split the owner's intake off

Cause, found by reading: a caller whose first try got no answer (its node was killed, say) tries again. While the owner's append that carries the first record is open, the second was withdrawn from what waits to be sent, or refused for want of room, and the caller was told that the job had not run; then the open append wrote it. The writer knows what an open append carries. Such a record is neither withdrawn nor refused. Rates, refusals and appends of callers' records are in owner/intake.ts. Two new cases fail without the change.

--- a/packages/control/src/journal/writer.ts
+++ b/packages/control/src/journal/writer.ts
@@ -39,6 +39,8 @@
   /** The last moment at which the store was known to accept this epoch. */
   confirmedAt: Stamp
   private dirty = new Map<string, Encoder>()
+  /** What the open append, or one that may still be carried out, has. */
+  private sending: ReadonlyMap<string, Encoder> = new Map()
   private waiters: Waiter[] = []
   private wake: (() => void) | undefined
   private retryMs = RETRY_MIN_MS
@@ -95,19 +97,25 @@
   /**
    * Takes keys out of what is to be written.
    *
-   * @returns true if none of them has been sent since it was committed, so that none is written; false leaves all as they are
+   * @returns true if none of them has been sent, so that none is written; false leaves all as they are
    */
   withdraw (keys: readonly string[]): boolean {
-    if (!keys.every((key) => this.dirty.has(key))) return false
+    if (!keys.every((key) => this.dirty.has(key) && !this.sending.has(key))) return false
     for (const key of keys) this.dirty.delete(key)
     return true
   }
 
+  /** True if a key is to be written, or may be by an append that is open. */
+  holds (key: string): boolean {
+    return this.dirty.has(key) || this.sending.has(key)
+  }
+
   /** Returns false if the epoch is fenced. */
   private async appendPending (signal: AbortSignal): Promise<boolean> {
     this.begunMs = this.clock.now()
     const encoders = this.dirty
     const waiters = this.waiters
+    this.sending = encoders
     this.dirty = new Map()
     this.waiters = []
     for (const batch of splitBatches(encoders, this.epoch)) {
@@ -118,12 +126,14 @@
       }
       if (outcome === Outcome.Refused) {
         this.putBack(encoders, waiters)
+        this.sending = new Map()
         await this.pause(signal)
         return true
       }
       for (const waiter of waiters) waiter.resolve(err(new Superseded()))
       return false
     }
+    this.sending = new Map()
     for (const waiter of waiters) waiter.resolve(ok(undefined))
     return true
   }
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -5,16 +5,16 @@
  * A successor therefore knows each run that may exist, and each worker repeats what the journal does not hold.
  */
 import { setMaxListeners } from 'node:events'
-import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
-import { err, ok, type Result } from 'neverthrow'
+import type { Execution, Refusal } from '@fireflymount/protocol/refusal'
+import type { Result } from 'neverthrow'
 import { detach } from '../detach.js'
 import { sleep, type Clock, type Stamp } from '../clock.js'
 import { Follower } from '../journal/follower.js'
-import { Stage, Subject, decodeValue, splitKey } from '../journal/record.js'
+import { Stage, splitKey } from '../journal/record.js'
 import type { JobEntry, Table, TaskEntry } from '../journal/table.js'
 import { Writer } from '../journal/writer.js'
 import type { Configuration } from '../model/configuration.js'
-import { isFinal, Phase, type Job } from '../model/job.js'
+import { isFinal, Phase } from '../model/job.js'
 import type { Worker } from '../model/worker.js'
 import { WorkerFailure, type Fleet } from '../ports/fleet.js'
 import type { Machines } from '../ports/machines.js'
@@ -22,8 +22,6 @@
 import { Topic, type KeyedRecord, type Store } from '../ports/store.js'
 import type { Log } from '../report/log.js'
 import type { Metrics } from '../report/metrics.js'
-import { findReturnMs } from '../place/admission.js'
-import { RateBook } from '../place/rate.js'
 import { SpeedBook } from '../place/speed.js'
 import { Admission, AdviceDesk, type Ask } from './advice.js'
 import { AUTHORITY_MS } from './authority.js'
@@ -33,6 +31,7 @@
 import { Demands } from './demand.js'
 import { Dispatcher, type Assignment } from './dispatcher.js'
 import { Ends } from './ends.js'
+import { Intake } from './intake.js'
 import { Ledger, chargeOf } from './ledger.js'
 import { Registry } from './registry.js'
 import { Run, RunState, StopReason } from './run.js'
@@ -44,8 +43,6 @@
 const ROUND_GATHER_MS = 4
 const TICK_MS = 100
 const REGISTRY_INTERVAL_MS = 400
-/** When to come back while the store takes no records. */
-export const AWAY_RETRY_MS = 1000
 
 /** Figures that the owner works with. */
 export interface OwnerTerms {
@@ -86,12 +83,11 @@
   private readonly registry: Registry
   private readonly advice: AdviceDesk
   private readonly dispatcher: Dispatcher
-  private readonly rates = new RateBook()
-  private readonly counted = new Set<string>()
   private readonly excess = new Set<string>()
   private readonly speeds = new SpeedBook()
   private readonly commits: Commits
   private readonly ends: Ends
+  private readonly intake: Intake
   private readonly caretaker: Caretaker
   private readonly sweeper: Sweeper
   private readonly census: Census
@@ -153,6 +149,15 @@
       excess: this.excess,
       slownessOf: (session) => this.speeds.slownessOf(session.id)
     })
+    this.intake = new Intake({
+      table,
+      writer: this.writer,
+      commits: this.commits,
+      dispatcher: this.dispatcher,
+      configuration: parts.configuration,
+      onWritten: (record) => { this.onWritten(record) },
+      log
+    }, this.excess)
     this.sweeper = new Sweeper({
       table,
       sessions: this.sessions,
@@ -177,7 +182,7 @@
     this.host = this.createHost()
     const entries = [...table.jobs.values()].sort((left, right) => left.job.acceptedMs - right.job.acceptedMs)
     for (const entry of entries) {
-      this.countRate(entry)
+      this.intake.count(entry)
       this.adoptJob(entry)
     }
   }
@@ -208,66 +213,29 @@
    * @param timeoutMs time after which the record is withdrawn, if that is still possible
    */
   async take (record: KeyedRecord, timeoutMs: number): Promise<Result<void, Refusal>> {
-    const refusal = this.findRefusal(record)
-    if (refusal !== undefined) return err(refusal)
-    const execution = await this.append([record], timeoutMs)
-    if (execution === Execution.Run) return ok(undefined)
-    return err({ reason: Reason.LogUnavailable, detail: 'The store takes no records.', execution, retryAfterMs: AWAY_RETRY_MS })
+    return await this.intake.take(record, timeoutMs)
   }
 
-  private findRefusal (record: KeyedRecord): Refusal | undefined {
-    const { subject, name } = splitKey(record.key)
-    if (subject !== Subject.Job || record.value === undefined || this.parts.table.jobs.has(name)) return undefined
-    const job = decodeValue<Job>(record.value)
-    if (job.isErr() || job.value.occurrences > 0 || job.value.steps.some((step) => step.lasting)) return undefined
-    const { queue, workspace, acceptedMs } = job.value
-    const beyondRate = this.rates.exceeds(workspace, this.weightOf(workspace), acceptedMs)
-    const returnMs = findReturnMs(this.dispatcher.lacksOf(queue, beyondRate))
-    if (returnMs === undefined || this.dispatcher.hasRoom(job.value)) return undefined
-    return refuse(Reason.DeadlineUnreachable, 'The jobs before it take longer than this one can wait.', returnMs)
+  /** Appends records of callers, and acts on them. Tells what has become of them. */
+  async append (records: readonly KeyedRecord[], timeoutMs: number): Promise<Execution> {
+    return await this.intake.append(records, timeoutMs)
   }
 
-  /**
-   * Appends records of callers, and acts on them.
-   *
-   * @param timeoutMs time after which the records are withdrawn, if that is still possible
-   * @returns what has become of the records
-   */
-  async append (records: readonly KeyedRecord[], timeoutMs: number): Promise<Execution> {
-    const execution = await this.commits.offer(records, timeoutMs)
-    if (execution !== Execution.Run) return execution
-    for (const record of records) {
-      this.parts.table.apply({ ...record, offset: -1 }, this.epoch)
-      this.onJob(splitKey(record.key).name)
-    }
-    return execution
+  private onWritten (record: KeyedRecord): void {
+    this.parts.table.apply({ ...record, offset: -1 }, this.epoch)
+    this.onJob(splitKey(record.key).name)
   }
 
   /** A job was accepted, or cancelled: the table has it. */
   onJob (id: string): void {
     const entry = this.parts.table.jobs.get(id)
     if (entry === undefined || isFinal(entry.phase)) return
-    this.countRate(entry)
+    this.intake.count(entry)
     if (entry.cancelledMs > 0) this.cancel(entry)
     this.demands.refresh(entry)
     this.requestRound()
   }
 
-  /** Counts a job once against the rate of its workspace. */
-  private countRate ({ job }: JobEntry): void {
-    if (this.counted.has(job.id)) return
-    this.counted.add(job.id)
-    const weight = this.weightOf(job.workspace)
-    if (!this.rates.count(job.workspace, weight, job.acceptedMs)) return
-    this.excess.add(job.id)
-    this.parts.log.decision('beyond rate', { job: job.id, workspace: job.workspace, weight })
-  }
-
-  /** Jobs a second that the share of a workspace covers; 0 for no bound. */
-  private weightOf (name: string): number {
-    return this.parts.configuration().workspaces.find((workspace) => workspace.name === name)?.weight ?? 0
-  }
-
   private cancel (entry: JobEntry): void {
     finish(entry, Phase.Cancelled, this.parts.clock.wall())
     this.stopJob(entry, StopReason.Cancelled)
@@ -296,8 +264,7 @@
   }
 
   private forgetJob (job: string): void {
-    this.counted.delete(job)
-    this.excess.delete(job)
+    this.intake.forget(job)
     this.advice.forget(job)
   }
 
--- a/packages/control/test/journal/writer.spec.ts
+++ b/packages/control/test/journal/writer.spec.ts
@@ -92,6 +92,23 @@
     await running
   })
 
+  it('does not withdraw a record while an earlier append may still write it', async () => {
+    const { store, access, clock, stop } = createScene()
+    store.fault = () => StoreFailure.NoAnswer
+    const writer = new Writer(access, clock, 1, 5, clock.stamp(), () => {})
+    const running = writer.run(stop.signal)
+    const first = writer.commit(change('a', () => 'content'))
+    await vi.advanceTimersByTimeAsync(1000)
+    const again = writer.commit(change('a', () => 'content'))
+    expect([writer.holds('p/a'), writer.withdraw(['p/a'])]).toEqual([true, false])
+    store.fault = undefined
+    await vi.advanceTimersByTimeAsync(3000)
+    await Promise.all([first, again])
+    expect([valuesOf(store).includes('content'), writer.holds('p/a')]).toEqual([true, false])
+    stop.abort()
+    await running
+  })
+
   it('ends when a higher epoch has written, and fails all commits', async () => {
     const { store, access, clock, stop } = createScene()
     await store.call({ topic: Topic.Journal, append: { records: [], fence: { epoch: 2, sequence: 9 } } })
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -10,7 +10,7 @@
 import { Ending, type ActiveRun, type EndedRun, type Worker } from '../../src/model/worker.js'
 import { Owner } from '../../src/owner/owner.js'
 import { AdviceFailure } from '../../src/ports/advisor.js'
-import { StoreFailure, Topic } from '../../src/ports/store.js'
+import { StoreFailure, Topic, type KeyedRecord } from '../../src/ports/store.js'
 import { SilentLog } from '../../src/report/log.js'
 import { Metrics } from '../../src/report/metrics.js'
 import { FakeFleet, FakeStore, createJob, createStep, createWorker, NoMachines, PlainFormats } from '../fakes.js'
@@ -305,6 +305,25 @@
     expect([await take(late), await take(waiting)]).toEqual([`${Reason.DeadlineUnreachable} ${Execution.NotRun}`, 'taken'])
   })
 
+  it('refuses no job that an append without an answer may have written', async () => {
+    const owner = scene.own(1)
+    await pass(200)
+    const create = (id: string): KeyedRecord => encodeJob(createJob({
+      id, workspace: '', acceptedMs: scene.clock.wall(), steps: [createStep({ count: 16 })]
+    }))
+    const taking = [owner.take(create('1'.repeat(16)), 500), owner.take(create('2'.repeat(16)), 500)]
+    await pass(1000)
+    await Promise.all(taking)
+    scene.store.fault = (call) => 'append' in call ? StoreFailure.NoAnswer : undefined
+    scene.store.loseAnswers = true
+    const lost = create('3'.repeat(16))
+    const first = owner.append([lost], 100)
+    await pass(1000)
+    const again = owner.take(lost, 100)
+    await pass(1000)
+    expect([await first, (await again)._unsafeUnwrapErr().execution]).toEqual([Execution.Unknown, Execution.Unknown])
+  })
+
   it('sends no start that the journal does not hold', async () => {
     scene.own(1)
     await pass(200)
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -10,6 +10,7 @@
 import { Quality } from './quality.js'
 import { runPart } from './report.js'
 import { Standby } from './standby.js'
+import { Takeovers } from './takeover.js'
 import { Wire } from './wire.js'
 
 const SEED = '7'
@@ -21,6 +22,7 @@
   new Quality(),
   new Journals(),
   new Standby(),
+  new Takeovers(),
   new Wire(PROFILES),
   new Control()
 ]
