--- a/packages/control/test/report/log.spec.ts
+++ b/packages/control/test/report/log.spec.ts
@@ -1,26 +1,27 @@
 import { mkdtempSync, openSync, readFileSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { StandardLog } from '../../src/report/log.js'
 
 let folder: string
-beforeEach(() => { folder = mkdtempSync(join(tmpdir(), 'log-')) })
-afterEach(() => { rmSync(folder, { recursive: true }) })
-
-async function sleep (ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms))
-}
+beforeEach(() => {
+  folder = mkdtempSync(join(tmpdir(), 'log-'))
+  vi.useFakeTimers({ toFake: ['performance'] })
+})
+afterEach(() => {
+  vi.useRealTimers()
+  rmSync(folder, { recursive: true })
+})
 
 describe('the log', () => {
-  it('bounds its lines a second by kind, and tells how many it dropped', async () => {
+  it('bounds its lines a second by kind, and tells how many it dropped', () => {
     const file = join(folder, 'out')
     const log = new StandardLog('n1', 'info', openSync(file, 'w'))
     for (let line = 0; line < 1000; line++) log.decision('start', { line })
     for (let line = 0; line < 500; line++) log.event('worker adopted', { line })
-    await sleep(1050)
+    vi.advanceTimersByTime(1000)
     log.event('node stopped', {})
-    await sleep(50)
     log.close()
     const lines = readFileSync(file, 'utf8').trim().split('\n').map((line) => JSON.parse(line) as Record<string, unknown>)
     const count = (message: string): number => lines.filter((line) => line.msg === message).length
