Share one queue between the specs of control

desk, fuzz, owner and dispatcher each wrote the same queue out. createQueue in the test fakes makes it, with what a test says otherwise; no assertion changed, no runtime code touched.

--- a/packages/control/test/entry/desk.spec.ts
+++ b/packages/control/test/entry/desk.spec.ts
@@ -9,24 +9,12 @@
 import { Store, StoreFailure, Topic, type KeyedRecord, type NewestPage, type RecordPage } from '../../src/ports/store.js'
 import { SilentLog } from '../../src/report/log.js'
 import { Metrics } from '../../src/report/metrics.js'
-import { createJob, createStep } from '../fakes.js'
+import { createJob, createQueue, createStep } from '../fakes.js'
 
 const BUDGET_MS = 3000
 const CONFIGURATION: Configuration = {
   version: 1,
-  queues: [{
-    name: 'preview',
-    host: 'h',
-    prefix: '/',
-    upstream: 'planner',
-    priority: 0,
-    attempts: 3,
-    stretch: 2,
-    targetMs: 500,
-    timeoutMs: 3000,
-    open: true,
-    advice: undefined
-  }],
+  queues: [createQueue()],
   upstreams: [],
   workspaces: [],
   limits: { bodyBytes: 1, headerMs: 1, idleMs: 1 }
--- a/packages/control/test/fakes.ts
+++ b/packages/control/test/fakes.ts
@@ -3,6 +3,7 @@
  */
 import { err, ok, type Result } from 'neverthrow'
 import { Clock } from '../src/clock.js'
+import type { Queue } from '../src/model/configuration.js'
 import type { Job, Step } from '../src/model/job.js'
 import type { Report, Worker } from '../src/model/worker.js'
 import { Fleet, WorkerFailure, type RenewOrder, type RunOrder, type StartOrder } from '../src/ports/fleet.js'
@@ -161,6 +162,24 @@
   }
 }
 
+/** A queue that anyone may use, with what a test says otherwise. */
+export function createQueue (fields: Partial<Queue> = {}): Queue {
+  return {
+    name: 'preview',
+    host: 'h',
+    prefix: '/',
+    upstream: 'planner',
+    priority: 0,
+    attempts: 3,
+    stretch: 2,
+    targetMs: 500,
+    timeoutMs: 3000,
+    open: true,
+    advice: undefined,
+    ...fields
+  }
+}
+
 /** A job of one step, with what a test says otherwise. */
 export function createJob (fields: Partial<Job> = {}): Job {
   return {
--- a/packages/control/test/owner/dispatcher.spec.ts
+++ b/packages/control/test/owner/dispatcher.spec.ts
@@ -1,7 +1,7 @@
 import { ok, type Result } from 'neverthrow'
 import { beforeEach, describe, expect, it } from 'vitest'
 import { JobEntry } from '../../src/journal/table.js'
-import type { Configuration, Queue } from '../../src/model/configuration.js'
+import type { Configuration } from '../../src/model/configuration.js'
 import { Phase, type Job } from '../../src/model/job.js'
 import { AdviceDesk } from '../../src/owner/advice.js'
 import { Demands } from '../../src/owner/demand.js'
@@ -11,7 +11,7 @@
 import type { Lack } from '../../src/place/admission.js'
 import { finish } from '../../src/owner/settlement.js'
 import type { AdviceFailure, Tickets } from '../../src/ports/advisor.js'
-import { FakeClock, FakeFleet, createJob, createStep, createWorker } from '../fakes.js'
+import { FakeClock, FakeFleet, createJob, createQueue, createStep, createWorker } from '../fakes.js'
 
 const ADVICE = { callMs: 10, workerMs: 1, validMs: 1500 }
 /** Time between two rounds. */
@@ -19,25 +19,11 @@
 const ROOM = { cpuMilli: 4000, memoryMb: 4000, accelerators: 0 }
 const TASK = { cpuMilli: 1000, memoryMb: 1000, accelerators: 0 }
 
-function createQueue (name: string, priority: number): Queue {
-  return {
-    name,
-    host: 'h',
-    prefix: '/',
-    upstream: 'planner',
-    priority,
-    attempts: 3,
-    stretch: 2,
-    targetMs: 500,
-    timeoutMs: 3000,
-    open: true,
-    advice: name === 'advised' ? ADVICE : undefined
-  }
-}
-
 const CONFIGURATION: Configuration = {
   version: 1,
-  queues: [createQueue('urgent', 0), createQueue('advised', 0), createQueue('later', 1)],
+  queues: [
+    createQueue({ name: 'urgent' }), createQueue({ name: 'advised', advice: ADVICE }), createQueue({ name: 'later', priority: 1 })
+  ],
   upstreams: [{ name: 'planner', checksRoom: false, spare: false }],
   workspaces: [{ name: 'limited', keys: [], weight: 0, upperLimit: { cpuMilli: 1, memoryMb: 0, accelerators: 0 } }],
   limits: { bodyBytes: 1, headerMs: 1, idleMs: 1 }
--- a/packages/control/test/owner/fuzz.spec.ts
+++ b/packages/control/test/owner/fuzz.spec.ts
@@ -18,23 +18,11 @@
 import { StoreFailure, Topic } from '../../src/ports/store.js'
 import { SilentLog } from '../../src/report/log.js'
 import { Metrics } from '../../src/report/metrics.js'
-import { FakeStore, createJob, createStep, createWorker, NoMachines, PlainFormats } from '../fakes.js'
+import { FakeStore, createJob, createQueue, createStep, createWorker, NoMachines, PlainFormats } from '../fakes.js'
 
 const CONFIGURATION: Configuration = {
   version: 1,
-  queues: [{
-    name: 'preview',
-    host: 'h',
-    prefix: '/',
-    upstream: 'planner',
-    priority: 0,
-    attempts: 3,
-    stretch: 2,
-    targetMs: 500,
-    timeoutMs: 3000,
-    open: true,
-    advice: undefined
-  }],
+  queues: [createQueue()],
   upstreams: [{ name: 'planner', checksRoom: false, spare: false }],
   workspaces: [],
   limits: { bodyBytes: 1, headerMs: 1, idleMs: 1 }
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -13,23 +13,11 @@
 import { StoreFailure, Topic, type KeyedRecord } from '../../src/ports/store.js'
 import { SilentLog } from '../../src/report/log.js'
 import { Metrics } from '../../src/report/metrics.js'
-import { FakeFleet, FakeStore, createJob, createStep, createWorker, NoMachines, PlainFormats } from '../fakes.js'
+import { FakeFleet, FakeStore, createJob, createQueue, createStep, createWorker, NoMachines, PlainFormats } from '../fakes.js'
 
 const CONFIGURATION: Configuration = {
   version: 1,
-  queues: [{
-    name: 'preview',
-    host: 'h',
-    prefix: '/',
-    upstream: 'planner',
-    priority: 0,
-    attempts: 2,
-    stretch: 2,
-    targetMs: 500,
-    timeoutMs: 3000,
-    open: false,
-    advice: undefined
-  }],
+  queues: [createQueue({ attempts: 2, open: false })],
   upstreams: [{ name: 'planner', checksRoom: false, spare: false }],
   workspaces: [{ name: 'guild', keys: [], weight: 100, upperLimit: { cpuMilli: 3000, memoryMb: 0, accelerators: 0 } }],
   limits: { bodyBytes: 1, headerMs: 1, idleMs: 1 }
