--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -24,6 +24,7 @@
 import type { Formats } from './ports/formats.js'
 import type { Machines } from './ports/machines.js'
 import { StoreFailure, Topic, type KeyedRecord, type StoreClient, type StoredRecord } from './ports/store.js'
+import { observeEventLoop } from './report/event-loop.js'
 import type { Log } from './report/log.js'
 import type { Metrics } from './report/metrics.js'
 
@@ -155,11 +156,13 @@
     const listening = await this.links.listen()
     if (listening.isErr()) return listening
     const { signal } = this.stopController
+    const { metrics, log, clock } = this.options
+    observeEventLoop(metrics, log, clock, signal)
     detach(this.configurationFollower.run(signal))
     detach(this.journal.run(signal))
     detach(this.register())
     detach(this.elect())
-    this.options.log.event('node started', { incarnation: this.incarnation, ...this.options.settings })
+    log.event('node started', { incarnation: this.incarnation, ...this.options.settings })
     return ok(undefined)
   }
 
@@ -274,6 +277,7 @@
     let watched: string | undefined
     while (!signal.aborted) {
       await sleep(ELECTION_INTERVAL_MS, signal)
+      this.reportJournalAge()
       const { ownerClaim } = this.journalState
       if (ownerClaim?.incarnation !== watched) {
         watched = ownerClaim?.incarnation
@@ -291,6 +295,11 @@
     }
   }
 
+  private reportJournalAge (): void {
+    if (this.journalReadMs === -Infinity) return
+    this.options.metrics.journalAgeSeconds.set((this.options.clock.now() - this.journalReadMs) / 1000)
+  }
+
   /** Reads the journal once more and claims the cell unless it has new records of the owner. */
   private async confirmAndClaim (connected: boolean): Promise<void> {
     const read = await this.journal.catchUp()
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -249,9 +249,13 @@
   }
 
   private cancel (entry: JobEntry): void {
-    endJob(entry, Phase.Cancelled, this.options.clock.wall())
+    const nowMs = this.options.clock.wall()
+    const runs = [...this.ledger.runsOf(entry)].length
+    const ageMs = nowMs - entry.cancelledMs
+    endJob(entry, Phase.Cancelled, nowMs)
     this.stopJob(entry, StopReason.Cancelled)
-    this.options.log.decision('job cancelled', { job: entry.job.id })
+    this.options.metrics.cancellationSeconds.observe(Math.max(0, ageMs) / 1000)
+    this.options.log.decision('job cancelled', { job: entry.job.id, ageMs, runs })
     detach(this.committer.commitJobs([entry]))
   }
 
@@ -351,7 +355,13 @@
         this.close()
       },
       onReachabilityChange: (session, reachable, failure) => { this.onReachabilityChange(session, reachable, failure) },
-      onReportRequest: () => { options.metrics.reportRequests.inc() }
+      onReportRequest: () => { options.metrics.reportRequests.inc() },
+      onStopConfirmed: (run, tookMs) => {
+        options.metrics.stopSeconds.observe(tookMs / 1000)
+        options.log.decision('stop confirmed', {
+          task: run.name, run: run.number, worker: run.session.id, reason: run.stopping, tookMs: Math.round(tookMs)
+        })
+      }
     }
   }
 
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -64,6 +64,8 @@
   readonly onReachabilityChange: (session: Session, reachable: boolean, failure: WorkerFailure | undefined) => void
   /** Called before each report request, whether or not it renews the lease. */
   readonly onReportRequest: () => void
+  /** Called when the worker has confirmed the stop of a run. */
+  readonly onStopConfirmed: (run: Run, tookMs: number) => void
 }
 
 /** The owner's session with one worker. */
@@ -254,6 +256,7 @@
     // A run whose assignment is still being written will not be started.
     if (run.state === RunState.Committing) return
     const { signal } = this.stopController
+    const decidedMs = this.host.clock.now()
     while (this.runs.get(run.name) === run && !signal.aborted) {
       if (!this.host.mayAct()) {
         await sleep(STOP_RETRY_DELAY_MS, signal)
@@ -261,6 +264,7 @@
       }
       const stopped = await this.host.fleet.stop(this.worker, { task: run.name, run: run.number, fence: this.host.fence })
       if (stopped.isOk()) {
+        if (run.stoppedClockMs === undefined) this.host.onStopConfirmed(run, this.host.clock.now() - decidedMs)
         run.stoppedClockMs = stopped.value
         if (run.state !== RunState.Running) await this.requestReportNow()
       } else if (stopped.error === WorkerFailure.Fenced) {
--- a/packages/control/src/report/metrics.ts
+++ b/packages/control/src/report/metrics.ts
@@ -1,14 +1,30 @@
 /**
  * Counters and latency histograms of a node.
  */
-import { Counter, Histogram, Registry } from 'prom-client'
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 /** Upper bounds of the latency buckets in seconds, from a fast call to the longest objective. */
 const LATENCY_BUCKETS = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30]
 
-/** All metrics of a node. Their names start with `fireflymount_`. */
+/** Upper bounds in seconds of the buckets for delays that only matter once they are long. */
+const DELAY_BUCKETS = [0.02, 0.1, 0.5, 1, 4]
+
+/**
+ * All metrics of a node. Their names start with `fireflymount_`. They are served in the order of their declaration; the ones that
+ * show whether the node and the owner keep up come first, since scrapers may truncate a long answer.
+ */
 export class Metrics {
   readonly registry = new Registry()
+  readonly eventLoopSeconds = this.histogram('event_loop_delay_seconds', 'Delay of timers in this process', [], DELAY_BUCKETS)
+  readonly journalAgeSeconds = this.gauge('journal_age_seconds', 'Time since the journal was last read to its end')
+  readonly cancellationSeconds = this.histogram(
+    'cancellation_seconds', 'Time from a caller\'s cancellation of a job until the owner has read it', [], DELAY_BUCKETS)
+
+  readonly stopSeconds = this.histogram(
+    'stop_seconds', 'Time from the decision to stop a run until its worker has confirmed the stop', [], DELAY_BUCKETS)
+
+  readonly workerCalls = this.counter('worker_calls_total', 'Calls to workers, by call and outcome', ['call', 'outcome'])
+  readonly workerSeconds = this.histogram('worker_seconds', 'Time of calls to workers, by call', ['call'], DELAY_BUCKETS)
   readonly requests = this.counter('requests_total', 'Requests of callers, by call and status', ['call', 'status'])
   readonly requestSeconds = this.histogram('request_seconds', 'Time to answer callers, by call', ['call'])
   readonly refusals = this.counter('refusals_total', 'Refused requests, by reason', ['reason'])
@@ -35,7 +51,13 @@
     return new Counter({ name: `fireflymount_${name}`, help, labelNames, registers: [this.registry] })
   }
 
-  private histogram<T extends string> (name: string, help: string, labelNames: T[]): Histogram<T> {
-    return new Histogram({ name: `fireflymount_${name}`, help, labelNames, buckets: LATENCY_BUCKETS, registers: [this.registry] })
+  private gauge (name: string, help: string): Gauge {
+    return new Gauge({ name: `fireflymount_${name}`, help, registers: [this.registry] })
+  }
+
+  private histogram<T extends string> (
+    name: string, help: string, labelNames: T[], buckets: readonly number[] = LATENCY_BUCKETS
+  ): Histogram<T> {
+    return new Histogram({ name: `fireflymount_${name}`, help, labelNames, buckets: [...buckets], registers: [this.registry] })
   }
 }
--- a/packages/control/test/owner/dispatcher.spec.ts
+++ b/packages/control/test/owner/dispatcher.spec.ts
@@ -79,7 +79,8 @@
       onStarted: ignore,
       onFenced: ignore,
       onReachabilityChange: ignore,
-      onReportRequest: ignore
+      onReportRequest: ignore,
+      onStopConfirmed: ignore
     }
     for (let index = 1; index <= count; index++) {
       const session = new Session(createWorker({ id: `w${index}`, capacity: CAPACITY }), host)
--- a/packages/control/test/owner/session.spec.ts
+++ b/packages/control/test/owner/session.spec.ts
@@ -46,7 +46,8 @@
     onStarted: () => {},
     onFenced: () => {},
     onReachabilityChange: () => {},
-    onReportRequest: () => {}
+    onReportRequest: () => {},
+    onStopConfirmed: () => {}
   }
   const session = new Session(createWorker(), host)
   const entry = new JobEntry(createJob())
