Reproduce the incident of the saturated owner in tests that fail

Callers saw cancelled jobs that ran on (UNASKED), most jobs late (SHORT) and accepted jobs denied (LOST).

No logic changes.

--- /dev/null
+++ b/packages/control/test/cluster/cluster.ts
@@ -0,0 +1,147 @@
+/**
+ * A cluster of real nodes in this process, connected over loopback, with a store in memory and simulated workers.
+ */
+import { createServer } from 'node:net'
+import { err, ok, type Result } from 'neverthrow'
+import { SystemClock } from '../../src/clock.js'
+import type { AuthorizedRequest } from '../../src/entry/job-service.js'
+import type { Configuration } from '../../src/model/configuration.js'
+import type { Worker } from '../../src/model/worker.js'
+import { Node } from '../../src/node.js'
+import { AdviceFailure } from '../../src/ports/advisor.js'
+import { Formats } from '../../src/ports/formats.js'
+import { StoreClient, Topic, type StoreAnswer, type StoreCall, type StoreFailure } from '../../src/ports/store.js'
+import { SilentLog } from '../../src/report/log.js'
+import { Metrics } from '../../src/report/metrics.js'
+import { FakeStore, NoMachines, createQueue, createStep } from '../fakes.js'
+import { Processor } from './processor.js'
+import { ProcessorBoundFleet, SimulatedWorkers } from './workers.js'
+
+const STORE_ANSWER_MS = 4
+const QUEUE = createQueue({ attempts: 3, stretch: 2, targetMs: 500 })
+const CONFIGURATION: Configuration = {
+  version: 1,
+  queues: [QUEUE],
+  upstreams: [{ name: 'planner', checksRoom: false, spare: false }],
+  workspaces: [],
+  limits: { bodyBytes: 1, headerMs: 1, idleMs: 1 }
+}
+const REQUEST: AuthorizedRequest = { queue: QUEUE, workspace: '', version: 1 }
+const BUDGET_MS = 3000
+
+/** Adds the time of a round trip to each call. */
+class RemoteStore extends StoreClient {
+  constructor (private readonly store: FakeStore) {
+    super()
+  }
+
+  override async call (call: StoreCall): Promise<Result<StoreAnswer, StoreFailure>> {
+    await sleep(STORE_ANSWER_MS)
+    return await this.store.call(call)
+  }
+}
+
+/** Decodes the configuration and the registry entries from JSON. */
+class ClusterFormats extends Formats {
+  override readonly configurationKey = 'config'
+
+  override decodeConfiguration (value: Buffer): Result<Configuration, string> {
+    return ok(JSON.parse(value.toString()) as Configuration)
+  }
+
+  override decodeWorker (_: string, value: Buffer): Result<Worker, string> {
+    return ok(JSON.parse(value.toString()) as Worker)
+  }
+}
+
+/** Name of a node, and the processor time of one call to a worker there. */
+export interface NodeSpecification {
+  readonly name: string
+  readonly callMs: number
+}
+
+/** Real nodes with simulated surroundings. */
+export class Cluster {
+  readonly workers: SimulatedWorkers
+  readonly store = new FakeStore()
+  readonly nodes: Node[] = []
+
+  constructor (workerCount: number) {
+    this.workers = new SimulatedWorkers(workerCount)
+    this.store.put(Topic.Configuration, { key: 'config', value: encode(CONFIGURATION) })
+    for (const entry of this.workers.entries()) this.store.put(Topic.Workers, { key: entry.id, value: encode(entry) })
+  }
+
+  async start (specifications: readonly NodeSpecification[]): Promise<void> {
+    for (const { name, callMs } of specifications) {
+      const node = new Node({
+        settings: {
+          node: name,
+          zone: 'z',
+          host: '127.0.0.1',
+          port: await findFreePort(),
+          leaseMs: 6000,
+          farFactor: 2,
+          keptMs: 120_000,
+          stopMs: 200,
+          configurationAgeMaxMs: 3500
+        },
+        store: new RemoteStore(this.store),
+        fleet: new ProcessorBoundFleet(this.workers, name, new Processor(callMs)),
+        advisor: { advise: async () => err(AdviceFailure.NoAnswer) },
+        machines: new NoMachines(),
+        formats: new ClusterFormats(),
+        clock: new SystemClock(),
+        log: new SilentLog(),
+        metrics: new Metrics()
+      })
+      this.nodes.push(node)
+      const started = await node.start()
+      if (started.isErr()) throw new Error(started.error)
+    }
+  }
+
+  /** Submits a job of one step of equal tasks. Resolves to true if it was accepted. */
+  async submit (node: Node, id: string, tasks: number, payload: string, lasting = false): Promise<boolean> {
+    const step = createStep({ count: tasks, estimateMs: lasting ? 1000 : Number(payload), lasting })
+    const submission = { id, payload, steps: [step], occurrences: 0, firstDueMs: 0, intervalMs: 0 }
+    return (await node.jobService.submit(REQUEST, submission, BUDGET_MS)).isOk()
+  }
+
+  /** Cancels a job. Resolves to true once the cancellation is stored. */
+  async cancel (node: Node, id: string): Promise<boolean> {
+    return (await node.jobService.cancel(REQUEST, id, BUDGET_MS)).isOk()
+  }
+
+  close (): void {
+    for (const node of this.nodes) node.close()
+  }
+}
+
+/** Resolves to true once the condition holds, or to false after the timeout. */
+export async function waitFor (condition: () => boolean, timeoutMs: number): Promise<boolean> {
+  const startedMs = performance.now()
+  while (performance.now() - startedMs < timeoutMs) {
+    if (condition()) return true
+    await sleep(20)
+  }
+  return condition()
+}
+
+export async function sleep (ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms))
+}
+
+async function findFreePort (): Promise<number> {
+  return await new Promise((resolve) => {
+    const server = createServer()
+    server.listen(0, '127.0.0.1', () => {
+      const address = server.address()
+      server.close(() => { resolve(typeof address === 'object' && address !== null ? address.port : 0) })
+    })
+  })
+}
+
+function encode (value: unknown): Buffer {
+  return Buffer.from(JSON.stringify(value))
+}
--- a/packages/control/test/entry/job-service.spec.ts
+++ b/packages/control/test/entry/job-service.spec.ts
@@ -1,8 +1,8 @@
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
-import { SystemClock } from '../../src/clock.js'
-import { JobService, type AuthorizedRequest } from '../../src/entry/job-service.js'
+import { NEVER, SystemClock, type Stamp } from '../../src/clock.js'
+import { JobService, type AuthorizedRequest, type JobServiceOptions } from '../../src/entry/job-service.js'
 import { encodeJob } from '../../src/journal/record.js'
 import { JournalState } from '../../src/journal/journal-state.js'
 import type { Configuration } from '../../src/model/configuration.js'
@@ -49,7 +49,9 @@
 const UNAVAILABLE: Forwarded = err(refuse(Reason.LogUnavailable, 'unavailable', 1000))
 const LOST: Forwarded = err({ reason: Reason.ConnectionLost, detail: 'lost', execution: Execution.Unknown })
 
-function createJobService (store: Store, forwarded: Forwarded, journalState = new JournalState()): JobService {
+function createJobService (
+  store: Store, forwarded: Forwarded, journalState = new JournalState(), options: Partial<JobServiceOptions> = {}
+): JobService {
   const clock = new SystemClock()
   return new JobService({
     configuration: () => CONFIGURATION,
@@ -63,7 +65,8 @@
     applyAppended: () => {},
     askPhase: async () => undefined,
     clock,
-    log: new SilentLog()
+    log: new SilentLog(),
+    ...options
   })
 }
 
@@ -130,3 +133,28 @@
     expect(accepted).toBe(true)
   })
 })
+
+describe('a job that this node does not know', () => {
+  // Guards against LOST of the incident: nodes that had not read the journal after a restart denied accepted jobs.
+  it.each([
+    { call: 'lookup', journal: 'was never read', freshAt: () => NEVER, reason: Reason.LogUnavailable },
+    { call: 'cancel', journal: 'was never read', freshAt: () => NEVER, reason: Reason.LogUnavailable },
+    { call: 'lookup', journal: 'was read before the request', freshAt: staleStamp, reason: Reason.LogUnavailable },
+    { call: 'cancel', journal: 'was read before the request', freshAt: staleStamp, reason: Reason.LogUnavailable },
+    { call: 'lookup', journal: 'is current', freshAt: () => new SystemClock().stamp(), reason: Reason.NoSuchJob },
+    { call: 'cancel', journal: 'is current', freshAt: () => new SystemClock().stamp(), reason: Reason.NoSuchJob }
+  ])('has the reason $reason on a $call if the journal $journal', async ({ call, freshAt, reason }) => {
+    const store = new ScriptedStore(neverAnswer)
+    const jobService = createJobService(store, undefined, new JournalState(), { journalFreshAt: freshAt })
+    const authorized = jobService.authorize('h', '/', '')._unsafeUnwrap()
+    const answer = call === 'lookup'
+      ? await jobService.lookup(authorized, idOf(1))
+      : await jobService.cancel(authorized, idOf(1), BUDGET_MS)
+    expect(answer._unsafeUnwrapErr()).toMatchObject({ reason, execution: Execution.NotRun })
+  })
+})
+
+function staleStamp (): Stamp {
+  const { steadyMs, wallMs } = new SystemClock().stamp()
+  return { steadyMs: steadyMs - 1000, wallMs: wallMs - 1000 }
+}
