--- a/packages/control/src/entry/job-service.ts
+++ b/packages/control/src/entry/job-service.ts
@@ -3,9 +3,9 @@
  */
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
-import type { Clock, Stamp } from '../clock.js'
+import { sleep, type Clock, type Stamp } from '../clock.js'
 import { Subject, encodeJob, encodeRecord } from '../journal/record.js'
-import type { JournalState } from '../journal/journal-state.js'
+import type { JobEntry, JournalState } from '../journal/journal-state.js'
 import { findQueueByPath, findWorkspaceByKey, type Configuration, type Queue } from '../model/configuration.js'
 import { findJobError, isFinal, Phase, type Job, type Step } from '../model/job.js'
 import type { KeyedRecord, Store } from '../ports/store.js'
@@ -20,8 +20,16 @@
 const OWNER_APPEND_TIMEOUT_MS = 900
 /** Retry time given to callers while the store or the configuration is unavailable. */
 const UNAVAILABLE_RETRY_AFTER_MS = 1000
-/** The journal is read again for an unknown job if the last complete read of the journal is older than this. */
+/**
+ * A job counts as unknown only if the journal was read to its end by a read that started at most this long before the request. An
+ * older journal is read again.
+ */
 const MAX_JOURNAL_AGE_MS = 20
+/** Age of the journal from which it is read again before jobs are counted, and from which they are not counted at all. */
+const COUNT_REFRESH_AGE_MS = 2000
+const MAX_COUNT_AGE_MS = 3000
+/** How long a request waits for the journal to be read. A node that has just started may need seconds. */
+const CATCH_UP_TIMEOUT_MS = 400
 
 /** A request whose queue and key have been checked. */
 export interface AuthorizedRequest {
@@ -132,12 +140,13 @@
 
   /** Returns the phase of a job as callers see it. */
   async lookup (request: AuthorizedRequest, id: string): Promise<Result<Phase, Refusal>> {
-    const entry = this.options.journalState().jobs.get(id)
-    if (entry !== undefined && isFinal(entry.visiblePhase())) return this.lookupLocally(request, id)
-    const phase = await this.options.askPhase(id, LOOKUP_TIMEOUT_MS)
-    if (phase !== undefined && phase !== null) return ok(phase)
-    if (!this.options.journalState().jobs.has(id)) await this.catchUp()
-    return this.lookupLocally(request, id)
+    const since = this.options.clock.stamp()
+    const known = this.options.journalState().jobs.get(id)
+    if (known === undefined || !isFinal(known.visiblePhase())) {
+      const phase = await this.options.askPhase(id, LOOKUP_TIMEOUT_MS)
+      if (phase !== undefined && phase !== null) return ok(phase)
+    }
+    return (await this.findJob(request, id, since)).map((entry) => entry.visiblePhase())
   }
 
   /**
@@ -146,10 +155,9 @@
    * @param budgetMs time for which the caller still waits
    */
   async cancel (request: AuthorizedRequest, id: string, budgetMs: number): Promise<Result<void, Refusal>> {
-    if (!this.options.journalState().jobs.has(id)) await this.catchUp()
-    const entry = this.options.journalState().jobs.get(id)
-    if (entry === undefined || entry.job.queue !== request.queue.name) return err(noSuchJob(id))
-    if (entry.isFinishedOrCancelled()) return ok(undefined)
+    const found = await this.findJob(request, id, this.options.clock.stamp())
+    if (found.isErr()) return err(found.error)
+    if (found.value.isFinishedOrCancelled()) return ok(undefined)
     const record = encodeRecord(Subject.Cancellation, id, { atMs: this.options.clock.wall() })
     const appended = await this.append(record, budgetMs, () => (this.options.journalState().jobs.get(id)?.cancelledMs ?? 0) > 0)
     if (appended.isErr()) return err(appended.error)
@@ -157,23 +165,48 @@
     return ok(undefined)
   }
 
-  /** Counts the jobs of a queue that are pending: none of their tasks has been assigned. */
-  countPending (request: AuthorizedRequest): number {
+  /** Counts the jobs of a queue that are pending: none of their tasks has been assigned. Refuses with a journal that is too old. */
+  async countPending (request: AuthorizedRequest): Promise<Result<number, Refusal>> {
+    if (this.journalAgeMs() > COUNT_REFRESH_AGE_MS) await this.catchUp()
+    if (this.journalAgeMs() > MAX_COUNT_AGE_MS) {
+      return err(this.refuseStaleJournal({ queue: request.queue.name }, 'The jobs of the queue cannot be counted.'))
+    }
     let count = 0
     for (const entry of this.options.journalState().jobs.values()) {
       if (entry.job.queue === request.queue.name && entry.visiblePhase() === Phase.Pending) count++
     }
-    return count
+    return ok(count)
   }
 
-  private lookupLocally (request: AuthorizedRequest, id: string): Result<Phase, Refusal> {
+  /**
+   * Finds a job of the request's queue. A job that is not in this node's copy of the journal exists or not only by a read that is
+   * newer than the request: the node may have just started, or may not reach the store.
+   *
+   * @param since time of the request
+   */
+  private async findJob (request: AuthorizedRequest, id: string, since: Stamp): Promise<Result<JobEntry, Refusal>> {
+    if (!this.options.journalState().jobs.has(id)) {
+      if (this.journalAgeMs() > MAX_JOURNAL_AGE_MS) await this.catchUp()
+      const entry = this.options.journalState().jobs.get(id)
+      if (entry === undefined && this.journalAgeMs() > this.options.clock.ageOf(since) + MAX_JOURNAL_AGE_MS) {
+        return err(this.refuseStaleJournal({ job: id }, `It is not known whether job ${id} exists.`))
+      }
+    }
     const entry = this.options.journalState().jobs.get(id)
-    if (entry === undefined || entry.job.queue !== request.queue.name) return err(noSuchJob(id))
-    return ok(entry.visiblePhase())
+    return entry === undefined || entry.job.queue !== request.queue.name ? err(noSuchJob(id)) : ok(entry)
+  }
+
+  private journalAgeMs (): number {
+    return this.options.clock.ageOf(this.options.journalFreshAt())
   }
 
   private async catchUp (): Promise<void> {
-    if (this.options.clock.ageOf(this.options.journalFreshAt()) > MAX_JOURNAL_AGE_MS) await this.options.catchUp()
+    await Promise.race([this.options.catchUp(), sleep(CATCH_UP_TIMEOUT_MS)])
+  }
+
+  private refuseStaleJournal (subject: { readonly job: string } | { readonly queue: string }, detail: string): Refusal {
+    this.options.log.decision('request refused', { ...subject, reason: 'journal-stale', ageMs: Math.round(this.journalAgeMs()) })
+    return refuse(Reason.LogUnavailable, `${detail} This node has not read the journal lately.`, UNAVAILABLE_RETRY_AFTER_MS)
   }
 
   private createJob (request: AuthorizedRequest, submission: Submission): Job {
--- a/packages/control/test/entry/job-service.spec.ts
+++ b/packages/control/test/entry/job-service.spec.ts
@@ -154,7 +154,37 @@
   })
 })
 
-function staleStamp (): Stamp {
+describe('a request that needs the journal', () => {
+  it.each([
+    { call: 'lookup', freshAt: staleStamp, withinMs: 450 },
+    { call: 'count', freshAt: () => NEVER, withinMs: 450 }
+  ])('is refused within $withinMs ms while the journal is being read: $call', async ({ call, freshAt, withinMs }) => {
+    const jobService = createJobService(new ScriptedStore(neverAnswer), undefined, new JournalState(), {
+      journalFreshAt: freshAt, catchUp: () => new Promise(() => {})
+    })
+    const authorized = jobService.authorize('h', '/', '')._unsafeUnwrap()
+    let reason: Reason | undefined
+    const answering = call === 'lookup' ? jobService.lookup(authorized, idOf(1)) : jobService.countPending(authorized)
+    answering.then((answer) => { reason = answer._unsafeUnwrapErr().reason }).catch(() => {})
+    await vi.advanceTimersByTimeAsync(withinMs)
+    expect(reason).toBe(Reason.LogUnavailable)
+  })
+
+  it.each([
+    { age: 'as old as visible counts may be', ageMs: 2900, waiting: 1 },
+    { age: 'older', ageMs: 3100, waiting: Reason.LogUnavailable }
+  ])('counts the pending jobs of a queue only with a journal that is recent enough: $age', async ({ ageMs, waiting }) => {
+    const journalState = new JournalState()
+    journalState.apply({ ...encodeJob(createJob({ id: idOf(1) })), offset: 1 })
+    const jobService = createJobService(new ScriptedStore(neverAnswer), undefined, journalState, {
+      journalFreshAt: () => staleStamp(ageMs)
+    })
+    const counted = await jobService.countPending(jobService.authorize('h', '/', '')._unsafeUnwrap())
+    expect(counted.isOk() ? counted.value : counted.error.reason).toBe(waiting)
+  })
+})
+
+function staleStamp (ageMs = 1000): Stamp {
   const { steadyMs, wallMs } = new SystemClock().stamp()
-  return { steadyMs: steadyMs - 1000, wallMs: wallMs - 1000 }
+  return { steadyMs: steadyMs - ageMs, wallMs: wallMs - ageMs }
 }
