Limit the silence of the store's answers instead of their time

The timeout of StoreClient.call is now the longest time without any data of the answer, and onData reports each arrival. Calls to workers, the advisor and the machine service keep a timeout of the whole answer: their answers are small, and one that trickles is a sign of a sick peer.

--- a/packages/control/src/ports/store.ts
+++ b/packages/control/src/ports/store.ts
@@ -100,7 +100,8 @@
    * Makes a call.
    *
    * @param call the call
-   * @param timeoutMs timeout of the answer, not counting the call's long-poll time
+   * @param timeoutMs longest time without any data of the answer; the call's long-poll time is added until the first data
+   * @param onData called whenever data of the answer arrives. A client that does not report data may leave it out
    */
-  abstract call (call: StoreCall, timeoutMs: number): Promise<Result<StoreAnswer, StoreFailure>>
+  abstract call (call: StoreCall, timeoutMs: number, onData?: () => void): Promise<Result<StoreAnswer, StoreFailure>>
 }
