Count the times for a store's answer from its last data

Resends, hedges, the answer timeout and outages now count from the last data of the answer. A repeated attempt whose answer arrives is not cut by the loss of the first one. Pages of the newest records, and answers that have begun, are relayed after the resend delay instead of the hedge delay, since relaying transfers them over two more links. The mean answer time, which sets the delays and the patience of candidates, ends with the first data.

The earlier cases of access.spec.ts are unchanged.

--- a/packages/control/src/membership/access.ts
+++ b/packages/control/src/membership/access.ts
@@ -7,16 +7,20 @@
   Store, StoreFailure, type Fence, type KeyedRecord, type NewestPage, type RecordPage, type StoreAnswer, type StoreCall,
   type StoreClient, type Topic
 } from '../ports/store.js'
+import { Transfer } from './transfer.js'
 
 /** Bounds of the answer timeout. It doubles with each lost answer, so that a slow store can still answer in time. */
 const MIN_ANSWER_TIMEOUT_MS = 1000
 const MAX_ANSWER_TIMEOUT_MS = 8000
 /**
- * Minimum time without an answer after which a call is sent again on another connection. A connection on which an answer was lost
- * delivers no further answers, even after the store has recovered.
+ * Minimum time without data of an answer after which a call is sent again on another connection. A connection on which an answer was
+ * lost delivers no further answers, even after the store has recovered.
  */
 const MIN_RESEND_DELAY_MS = 1000
-/** Minimum time without a direct answer after which the call is also relayed: many times the answer time of a healthy store. */
+/**
+ * Minimum time until the first data of a direct answer after which the call is also relayed: many times the answer time of a healthy
+ * store.
+ */
 const MIN_HEDGE_DELAY_MS = 250
 /** Both delays are at least this many mean answer times: more calls would only add load to a store that is slow for all nodes. */
 const SLOW_ANSWER_FACTOR = 4
@@ -33,10 +37,10 @@
   private answerTimeoutMs = MIN_ANSWER_TIMEOUT_MS
   private unavailableSinceMs: number | undefined
   private lastDirectCallMs = -Infinity
-  /** Moving average of the time of direct answers, without long polls. */
+  /** Moving average of the time until the first data of direct answers, without long polls. */
   meanAnswerMs = 0
-  /** Steady time of the latest direct answer. */
-  private lastAnswerMs = -Infinity
+  /** Steady time at which data of any direct answer last arrived. */
+  private lastDataMs = -Infinity
 
   constructor (
     private readonly port: StoreClient,
@@ -60,43 +64,73 @@
   }
 
   /** Makes a direct call, for this node or another one. */
-  async callDirect (call: StoreCall): Promise<Result<StoreAnswer, StoreFailure>> {
+  async callDirect (call: StoreCall, transfer = this.startTransfer(call)): Promise<Result<StoreAnswer, StoreFailure>> {
     this.lastDirectCallMs = this.clock.now()
-    const startedMs = this.clock.now()
-    const answer = await this.callWithResends(call)
+    const answer = await this.callWithResends(call, transfer)
     const failure = answer.isErr() ? answer.error : undefined
-    // A lost call is no sign of an outage if the store has answered other calls since it was sent.
-    if (failure !== StoreFailure.NoAnswer || this.lastAnswerMs < startedMs) this.recordOutcome(failure)
+    // A lost call is no sign of an outage if the store has sent data of other answers since this one fell silent.
+    if (failure !== StoreFailure.NoAnswer || this.lastDataMs <= transfer.latestMs) this.recordOutcome(failure)
     if (failure === StoreFailure.NoAnswer) return answer
-    this.lastAnswerMs = this.clock.now()
-    const tookMs = this.lastAnswerMs - startedMs
-    if (failure === undefined && longPollMsOf(call) === 0) this.meanAnswerMs += ANSWER_WEIGHT * (tookMs - this.meanAnswerMs)
+    this.recordData(transfer, 1)
+    if (failure === undefined && longPollMsOf(call) === 0) {
+      this.meanAnswerMs += ANSWER_WEIGHT * (transfer.firstDataAfterMs! - this.meanAnswerMs)
+    }
     return answer
   }
 
   /**
-   * Repeats a call until it is answered or refused, or until the timeout. The first attempt stays in flight until the timeout,
-   * since a slow store may still answer it.
+   * Repeats a call until it is answered or refused, or until no data has arrived for the timeout. The first attempt stays in flight
+   * until then, since a slow store may still answer it.
    */
-  private async callWithResends (call: StoreCall): Promise<Result<StoreAnswer, StoreFailure>> {
-    const deadlineMs = this.clock.now() + this.answerTimeoutMs + longPollMsOf(call)
-    const resendDelayMs = Math.max(MIN_RESEND_DELAY_MS, SLOW_ANSWER_FACTOR * this.meanAnswerMs) + longPollMsOf(call)
-    const attempts = [this.port.call(call, this.answerTimeoutMs)]
+  private async callWithResends (call: StoreCall, transfer: Transfer): Promise<Result<StoreAnswer, StoreFailure>> {
+    const timeoutMs = this.answerTimeoutMs
+    const longPollMs = longPollMsOf(call)
+    const resendDelayMs = this.resendDelayMs()
+    const attempts = [this.attempt(call, timeoutMs, transfer)]
+    let resentMs = -Infinity
     for (;;) {
-      const answer = await Promise.race([...attempts, sleep(Math.min(resendDelayMs, Math.max(0, deadlineMs - this.clock.now())))])
-      if (answer !== undefined) {
-        const settled = attempts.length === 1 || answer.isOk() || !isOutage(answer.error)
-        // An earlier attempt that is still in flight may take effect.
-        return settled ? answer : err(StoreFailure.NoAnswer)
+      const nowMs = this.clock.now()
+      const deadlineMs = transfer.silentFromMs + timeoutMs
+      const resendAtMs = Math.max(transfer.silentFromMs, resentMs + longPollMs) + resendDelayMs
+      if (nowMs >= deadlineMs) return err(StoreFailure.NoAnswer)
+      if (nowMs >= resendAtMs) {
+        resentMs = nowMs
+        // A repeated attempt waits for at most two resend delays, so that only the first and two repeated attempts are in flight.
+        attempts.push(this.attempt(call, Math.min(2 * (resendDelayMs + longPollMs), deadlineMs - nowMs), transfer))
+        continue
       }
-      const remainingMs = deadlineMs - this.clock.now()
-      if (remainingMs <= 0) return err(StoreFailure.NoAnswer)
-      // A repeated attempt waits for at most two resend delays, so that only the first and two repeated attempts are in flight.
-      attempts.push(this.port.call(call, Math.min(2 * resendDelayMs, remainingMs))
-        .then(async (result) => await ignoreLostAnswer(result)))
+      const answer = await Promise.race([...attempts, sleep(Math.min(resendAtMs, deadlineMs) - nowMs)])
+      if (answer !== undefined) return answer
     }
   }
 
+  /**
+   * Sends a call once. Does not resolve if other attempts or the timeout decide instead: if a repeated attempt was lost, or if any
+   * attempt failed after the answer to another one had begun to arrive.
+   */
+  private async attempt (call: StoreCall, timeoutMs: number, transfer: Transfer): Promise<Result<StoreAnswer, StoreFailure>> {
+    const number = ++transfer.attempts
+    const answer = await this.port.call(call, timeoutMs, () => { this.recordData(transfer, number) })
+    if (transfer.attempts === 1 || answer.isOk() || !isOutage(answer.error)) return answer
+    const lost = number > 1 && answer.error === StoreFailure.NoAnswer
+    if (lost || transfer.hasBegunElsewhere(number)) return await new Promise(() => {})
+    // An earlier attempt that is still in flight may take effect.
+    return err(StoreFailure.NoAnswer)
+  }
+
+  private startTransfer (call: StoreCall): Transfer {
+    return new Transfer(this.clock.now(), longPollMsOf(call))
+  }
+
+  private recordData (transfer: Transfer, attempt: number): void {
+    this.lastDataMs = this.clock.now()
+    transfer.recordData(this.lastDataMs, attempt)
+  }
+
+  private resendDelayMs (): number {
+    return Math.max(MIN_RESEND_DELAY_MS, SLOW_ANSWER_FACTOR * this.meanAnswerMs)
+  }
+
   /** True if the store is available to this node, according to its latest direct calls. */
   isAvailable (): boolean {
     return this.unavailableSinceMs === undefined
@@ -110,14 +144,37 @@
     const available = this.isAvailable()
     const probing = this.clock.now() - this.lastDirectCallMs >= PROBE_INTERVAL_MS && mayProbe(call)
     if (!available && !probing) return await this.relay(call, this.answerTimeoutMs)
-    const direct = this.callDirect(available ? call : withoutLongPoll(call))
-    const hedgeDelayMs = available ? Math.max(MIN_HEDGE_DELAY_MS, SLOW_ANSWER_FACTOR * this.meanAnswerMs) + longPollMsOf(call) : 0
-    const early = await Promise.race([direct, sleep(hedgeDelayMs)])
+    const directCall = available ? call : withoutLongPoll(call)
+    const transfer = this.startTransfer(directCall)
+    const direct = this.callDirect(directCall, transfer)
+    const early = await this.answerBeforeHedge(direct, transfer, call, available)
     if (early !== undefined && (early.isOk() || !isOutage(early.error))) return early
     const relayed = this.relay(call, this.answerTimeoutMs)
     return await firstConclusive(direct, relayed)
   }
 
+  /** Returns the direct answer, or undefined once it has been silent for so long that the call is also relayed. */
+  private async answerBeforeHedge (
+    direct: Promise<Result<StoreAnswer, StoreFailure>>, transfer: Transfer, call: StoreCall, available: boolean
+  ): Promise<Result<StoreAnswer, StoreFailure> | undefined> {
+    const remainingMs = (): number => transfer.silentFromMs + this.hedgeDelayMs(call, transfer, available) - this.clock.now()
+    for (;;) {
+      const early = await Promise.race([direct, sleep(Math.max(0, remainingMs()))])
+      if (early !== undefined) return early
+      if (remainingMs() <= 0) return undefined
+    }
+  }
+
+  /**
+   * Returns how long an answer may be silent before its call is also relayed. A page of the newest records, and an answer that has
+   * begun to arrive, are given more time, since relaying them transfers them again over the links of two nodes.
+   */
+  private hedgeDelayMs (call: StoreCall, transfer: Transfer, available: boolean): number {
+    if (transfer.begun || ('newest' in call && available)) return this.resendDelayMs()
+    if (available) return Math.max(MIN_HEDGE_DELAY_MS, SLOW_ANSWER_FACTOR * this.meanAnswerMs)
+    return 'newest' in call ? MIN_HEDGE_DELAY_MS : 0
+  }
+
   private recordOutcome (failure: StoreFailure | undefined): void {
     if (failure === undefined || !isOutage(failure)) {
       if (this.unavailableSinceMs !== undefined) this.onAvailabilityChange(true, undefined)
@@ -155,11 +212,6 @@
   return 'read' in call ? call.read.waitMs : 0
 }
 
-/** Never resolves if the answer of a repeated attempt was lost: the first attempt or the timeout then decides. */
-async function ignoreLostAnswer (answer: Result<StoreAnswer, StoreFailure>): Promise<Result<StoreAnswer, StoreFailure>> {
-  return answer.isErr() && answer.error === StoreFailure.NoAnswer ? await new Promise(() => {}) : answer
-}
-
 /**
  * Returns the first answer that is not an outage failure. If both are, NoAnswer takes precedence, since the call may
  * have taken effect.
--- a/packages/control/test/membership/access.spec.ts
+++ b/packages/control/test/membership/access.spec.ts
@@ -161,3 +161,104 @@
     expect((await append(access))._unsafeUnwrapErr()).toBe(expected)
   })
 })
+
+/** The parts of one answer: the delay before each of them; Infinity stalls the transfer. */
+type Parts = readonly number[]
+
+/** Transfers answers in parts. The timeout counts from the last part. */
+class TransferPort extends StoreClient {
+  /** Parts of the answers to the next calls; further calls never get data. */
+  transfers: Parts[] = []
+  calls = 0
+  override async call (_: StoreCall, timeoutMs: number, onData?: () => void): Promise<Answer> {
+    this.calls++
+    for (const delayMs of this.transfers.shift() ?? [Infinity]) {
+      await new Promise((resolve) => setTimeout(resolve, Math.min(delayMs, timeoutMs)))
+      if (delayMs > timeoutMs) return err(StoreFailure.NoAnswer)
+      onData?.()
+    }
+    return ok({ records: [], end: 1, next: undefined })
+  }
+}
+
+interface TransferFixture {
+  readonly port: TransferPort
+  readonly access: StoreAccess
+  readonly events: string[]
+}
+
+/** The relay never answers, so that only the direct calls do. */
+function createTransferFixture (): TransferFixture {
+  const port = new TransferPort()
+  const events: string[] = []
+  const access = new StoreAccess(port, async () => {
+    events.push(`relayed at ${Math.round(performance.now() - startedMs)}`)
+    return err(StoreFailure.Refused)
+  }, new SystemClock(), (available) => {
+    events.push(`${available ? 'available' : 'unavailable'} at ${Math.round(performance.now() - startedMs)}`)
+  })
+  const startedMs = performance.now()
+  return { port, access, events }
+}
+
+const CHUNK_MS = 240
+const LONG_TRANSFER: Parts = Array.from({ length: 40 }, () => CHUNK_MS)
+const READS: Array<[string, (access: StoreAccess) => Promise<Result<unknown, StoreFailure>>]> = [
+  ['a page of the newest records', async (access) => await access.newest(Topic.Journal, undefined)],
+  ['new records', async (access) => await access.read(Topic.Journal, 0, 0)],
+  ['new records with a long poll', async (access) => await access.read(Topic.Journal, 0, 1000)]
+]
+
+describe('the transfer of', () => {
+  // Guards against the incident of the saturated owner: transfers over a narrow link were repeated, relayed and counted as outages.
+  it.each(READS)('%s is neither repeated nor relayed nor an outage while data arrives', async (_, read) => {
+    const { port, access, events } = createTransferFixture()
+    port.transfers = [LONG_TRANSFER]
+    const reading = read(access)
+    await vi.advanceTimersByTimeAsync(LONG_TRANSFER.length * CHUNK_MS + 1)
+    expect([(await reading).isOk(), port.calls, events]).toEqual([true, 1, []])
+    expect(access.meanAnswerMs).toBeLessThan(CHUNK_MS)
+  })
+
+  it.each(READS)('%s is given up, relayed and counted as an outage soon after it stalls', async (_, read) => {
+    const { port, access, events } = createTransferFixture()
+    port.transfers = [[CHUNK_MS, CHUNK_MS, Infinity]]
+    const reading = read(access)
+    await vi.advanceTimersByTimeAsync(2 * CHUNK_MS + 1001)
+    expect((await reading)._unsafeUnwrapErr()).toBe(StoreFailure.NoAnswer)
+    expect(events.sort()).toEqual(['relayed at 1480', 'unavailable at 1480'])
+  })
+
+  it('a page is not relayed while an unavailable store is probed and its answer has begun', async () => {
+    const { port, access, events } = createTransferFixture()
+    const lost = access.append(Topic.Journal, [], FENCE)
+    await vi.advanceTimersByTimeAsync(3000)
+    await lost
+    port.transfers = [LONG_TRANSFER]
+    events.length = 0
+    const reading = access.newest(Topic.Journal, undefined)
+    await vi.advanceTimersByTimeAsync(LONG_TRANSFER.length * CHUNK_MS + 1)
+    expect([(await reading).isOk(), events]).toEqual([true, [`available at ${3000 + LONG_TRANSFER.length * CHUNK_MS}`]])
+  })
+
+  it('a page on a second connection is completed although the first connection stays silent', async () => {
+    const { port, access } = createTransferFixture()
+    // The answer timeout doubles with each lost call, so that the next call is repeated before it.
+    const lost = access.append(Topic.Journal, [], FENCE)
+    await vi.advanceTimersByTimeAsync(3000)
+    await lost
+    port.transfers = [[Infinity], LONG_TRANSFER]
+    const reading = access.newest(Topic.Journal, undefined)
+    await vi.advanceTimersByTimeAsync(1000 + LONG_TRANSFER.length * CHUNK_MS + 1)
+    expect([(await reading).isOk(), port.calls]).toEqual([true, 3])
+  })
+
+  it('a page shows that the store is available when another call is lost meanwhile', async () => {
+    const { port, access, events } = createTransferFixture()
+    port.transfers = [LONG_TRANSFER, [Infinity]]
+    const reading = access.newest(Topic.Journal, undefined)
+    const lost = access.read(Topic.Journal, 0, 0)
+    await vi.advanceTimersByTimeAsync(LONG_TRANSFER.length * CHUNK_MS + 1)
+    expect([(await reading).isOk(), (await lost).isOk(), events]).toEqual([true, false, ['relayed at 250']])
+  })
+})
