Bound relayed reads so that they arrive over narrow links

A frame of 1 MB also blocks the heartbeats of its connection for longer than the second after which the connection is closed.

Relayed reads now have time for the transfer of a page; a node that stops answering is still noticed by the heartbeats. A relayed page is cut to 256 KB; its reader continues after the records that it got. A node relays one page of newest records at a time, and the owner is asked for them last.

--- a/packages/control/src/membership/relay.ts
+++ b/packages/control/src/membership/relay.ts
@@ -10,6 +10,15 @@
 
 /** Maximum number of nodes that are tried for one call. */
 const MAX_RELAY_ATTEMPTS = 3
+/**
+ * Added to the timeout of a relayed read: time for a page of the store over the link of a node that may be narrow. A node that stops
+ * answering is noticed earlier, by the heartbeats of its connection.
+ */
+const PAGE_TRANSFER_MS = 3000
+/** Maximum size of the records in a relayed answer. While one is transferred, no heartbeat arrives on its connection. */
+const MAX_RELAYED_BYTES = 256 * 1024
+/** Maximum number of calls for newest records that a node makes for others at a time, since each may fill its link for a second. */
+const MAX_NEWEST_CALLS = 1
 
 /** A node's answer to a relayed call. Exactly one of the two fields is set. */
 interface Relayed {
@@ -29,17 +38,19 @@
     private readonly relayNodes: () => readonly string[]
   ) {}
 
-  /** Tries the node that relayed the last successful call, then the owner, the connected nodes and all others. */
+  /**
+   * Relays a call through the first node that can make it.
+   *
+   * @param call the call
+   * @param timeoutMs timeout of each node's answer, not counting the call's long-poll time and the transfer of a page
+   */
   async call (call: StoreCall, timeoutMs: number): Promise<Result<StoreAnswer, StoreFailure>> {
-    const names = new Set([this.lastRelayNode, ...this.relayNodes().slice(0, 1), ...this.links.connected(), ...this.relayNodes()])
-    names.delete(this.node)
-    names.delete('')
     let attempts = 0
     let failure = StoreFailure.Refused
-    for (const name of names) {
+    const totalTimeoutMs = timeoutMs + ('read' in call ? call.read.waitMs : 0) + ('append' in call ? 0 : PAGE_TRANSFER_MS)
+    for (const name of this.candidates(call)) {
       if (attempts++ >= MAX_RELAY_ATTEMPTS) break
-      const waitMs = 'read' in call ? call.read.waitMs : 0
-      const answer = await this.links.ask(name, { kind: MessageKind.Relay, ...call } as Relay, timeoutMs + waitMs)
+      const answer = await this.links.ask(name, { kind: MessageKind.Relay, ...call } as Relay, totalTimeoutMs)
       if (answer.isErr()) {
         if (answer.error.execution !== Execution.NotRun) failure = StoreFailure.NoAnswer
         continue
@@ -55,16 +66,64 @@
     }
     return err(failure)
   }
+
+  /**
+   * Returns the node that relayed the last successful call, then the owner, the connected nodes and all others. The owner is the last
+   * one for the newest records, whose pages would delay its own calls.
+   */
+  private candidates (call: StoreCall): Set<string> {
+    const nodes = this.relayNodes()
+    const owner = nodes[0] ?? ''
+    const names = new Set([this.lastRelayNode, owner, ...this.links.connected(), ...nodes])
+    if ('newest' in call) {
+      names.delete(owner)
+      names.add(owner)
+    }
+    names.delete(this.node)
+    names.delete('')
+    return names
+  }
 }
 
-/**
- * Makes a call for another node, unless the store is unavailable to this one too.
- *
- * @returns the store's answer, or a refusal if the store is unavailable to this node
- */
-export async function serveRelay (access: StoreAccess, request: Relay): Promise<Result<Relayed, Refusal>> {
-  if (!access.isAvailable()) return err(refuse(Reason.LogUnavailable, 'The store is unavailable to this node too.', 0))
-  const { kind, ...call } = request
-  const answer = await access.callDirect(call as unknown as StoreCall)
-  return ok(answer.isOk() ? { answer: answer.value } : { failure: answer.error })
+/** Serves the calls to the store that other nodes relay through this one. */
+export class RelayServer {
+  private newestCalls = 0
+
+  constructor (private readonly access: Pick<StoreAccess, 'isAvailable' | 'callDirect'>) {}
+
+  /**
+   * Makes a call for another node, unless the store is unavailable to this one too. A page that is too large for the link to the
+   * other node is cut; its reader continues after the records that it got.
+   *
+   * @returns the store's answer, or a refusal if this node does not make the call
+   */
+  async serve (request: Relay): Promise<Result<Relayed, Refusal>> {
+    if (!this.access.isAvailable()) return err(refuse(Reason.LogUnavailable, 'The store is unavailable to this node too.', 0))
+    const { kind, ...fields } = request
+    const call = fields as unknown as StoreCall
+    if (!('newest' in call)) return await this.makeCall(call)
+    if (this.newestCalls >= MAX_NEWEST_CALLS) return err(refuse(Reason.QueueFull, 'This node relays other pages already.', 0))
+    this.newestCalls++
+    const answer = await this.makeCall(call)
+    this.newestCalls--
+    return answer
+  }
+
+  private async makeCall (call: StoreCall): Promise<Result<Relayed, Refusal>> {
+    const answer = await this.access.callDirect(call)
+    return ok(answer.isOk() ? { answer: cutPage(answer.value) } : { failure: answer.error })
+  }
+}
+
+/** Limits a page to its first records, at least one. */
+function cutPage (answer: StoreAnswer): StoreAnswer {
+  if (typeof answer === 'number') return answer
+  let bytes = 0
+  for (const [index, { key, value }] of answer.records.entries()) {
+    bytes += Buffer.byteLength(key) + (value?.length ?? 0)
+    if (bytes <= MAX_RELAYED_BYTES || index === 0) continue
+    const records = answer.records.slice(0, index)
+    return 'next' in answer ? { ...answer, records, next: records.at(-1)!.key } : { ...answer, records }
+  }
+  return answer
 }
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -15,7 +15,7 @@
 import { StoreAccess, type RelayCall } from './membership/access.js'
 import { isClaimDue, rankOf } from './membership/election.js'
 import { Links } from './membership/links.js'
-import { StoreRelay, serveRelay } from './membership/relay.js'
+import { RelayServer, StoreRelay } from './membership/relay.js'
 import type { Configuration } from './model/configuration.js'
 import { Phase } from './model/job.js'
 import { Owner, type OwnerSettings } from './owner/owner.js'
@@ -90,6 +90,7 @@
   /** Connections to other nodes. */
   private readonly links: Links
   private readonly storeRelay: StoreRelay
+  private readonly relayServer: RelayServer
   private readonly storeAccess: StoreAccess
   private readonly journal: Follower
   private readonly configurationFollower: Follower
@@ -136,6 +137,7 @@
     this.storeAccess = new StoreAccess(options.store, relay, clock, (available, failure) => {
       log.event(available ? 'store available again' : 'store unavailable', { failure })
     })
+    this.relayServer = new RelayServer(this.storeAccess)
     this.journal = new Follower(this.storeAccess, Topic.Journal, {
       onRecord: (record) => { this.applyRecord(record) },
       onReset: () => { if (this.owner === undefined) this.nextJournalState = new JournalState() },
@@ -438,7 +440,7 @@
         const advice = await this.options.advisor.advise(request.step, request.workers, request.timeoutMs)
         return advice.mapErr((failure) => refuse(Reason.Overloaded, `The advisor returned no tickets: ${failure}.`, 0))
       }
-      case MessageKind.Relay: return await serveRelay(this.storeAccess, request)
+      case MessageKind.Relay: return await this.relayServer.serve(request)
       case MessageKind.Succeed:
         this.leavingEpoch = request.epoch
         this.delayStartMs = this.options.clock.now()
--- a/packages/control/test/membership/relay.spec.ts
+++ b/packages/control/test/membership/relay.spec.ts
@@ -1,10 +1,13 @@
+import { MessageKind, type Relay } from '@fireflymount/protocol/message'
 import { Execution, Reason, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
 import { describe, expect, it } from 'vitest'
-import { StoreRelay } from '../../src/membership/relay.js'
-import { StoreFailure, Topic, type StoreCall } from '../../src/ports/store.js'
+import { RelayServer, StoreRelay } from '../../src/membership/relay.js'
+import { StoreFailure, Topic, type StoreAnswer, type StoreCall, type StoredRecord } from '../../src/ports/store.js'
 
 const CALL: StoreCall = { topic: Topic.Journal, append: { records: [] } }
+const READ: StoreCall = { topic: Topic.Journal, read: { from: 0, waitMs: 1000 } }
+const NEWEST: StoreCall = { topic: Topic.Journal, newest: {} }
 const WRITTEN = ok({ answer: 7 })
 const REFUSED = ok({ failure: StoreFailure.Refused })
 const UNANSWERED = ok({ failure: StoreFailure.NoAnswer })
@@ -16,16 +19,24 @@
   return err({ reason: Reason.ConnectionLost, detail: '', execution, retryAfterMs: 0 })
 }
 
-function createRelay (answers: ReadonlyArray<Result<unknown, Refusal>>): { relays: StoreRelay, asked: string[] } {
+interface RelayFixture {
+  readonly relays: StoreRelay
+  readonly asked: string[]
+  readonly timeoutsMs: number[]
+}
+
+function createRelay (answers: ReadonlyArray<Result<unknown, Refusal>>, owner = 'me'): RelayFixture {
   const asked: string[] = []
+  const timeoutsMs: number[] = []
   const links = {
     connected: () => [],
-    ask: async (node: string) => {
+    ask: async (node: string, _: unknown, timeoutMs: number) => {
       asked.push(node)
+      timeoutsMs.push(timeoutMs)
       return answers[(asked.length - 1) % answers.length]!
     }
   }
-  return { relays: new StoreRelay(links, 'me', () => ['me', 'a', 'b', 'c', 'd']), asked }
+  return { relays: new StoreRelay(links, 'me', () => [owner, 'me', 'a', 'b', 'c', 'd']), asked, timeoutsMs }
 }
 
 describe('a call to the store through other nodes', () => {
@@ -50,4 +61,92 @@
     await relays.call(CALL, 100)
     expect(asked).toEqual(['a', 'b', 'b', 'a'])
   })
+
+  it.each([
+    ['the owner first for an append', CALL, ['owner', 'a', 'b']],
+    ['the owner first for new records', READ, ['owner', 'a', 'b']],
+    ['other nodes first for the newest records, whose pages would fill the owner\'s link', NEWEST, ['a', 'b', 'c']]
+  ])('tries %s', async (_, call, expected) => {
+    const { relays, asked } = createRelay([REFUSED], 'owner')
+    await relays.call(call, 100)
+    expect(asked).toEqual(expected)
+  })
+
+  // Guards against relayed pages that are cut and asked for again for ever: a page takes 1.2 s on a link of 7 Mbit/s.
+  it.each([
+    ['an append only for its timeout', CALL, 100, 100],
+    ['new records also for the long poll and the transfer', READ, 2500, 6000],
+    ['the newest records also for the transfer', NEWEST, 1500, 6000]
+  ])('waits for %s', async (_, call, minMs, maxMs) => {
+    const { relays, timeoutsMs } = createRelay([WRITTEN])
+    await relays.call(call, 100)
+    expect(timeoutsMs[0]).toBeGreaterThanOrEqual(minMs)
+    expect(timeoutsMs[0]).toBeLessThanOrEqual(maxMs)
+  })
+})
+
+const LINK_BYTES_PER_MS = 875
+/** Time without a heartbeat after which a connection between nodes is closed. */
+const SILENCE_TIMEOUT_MS = 1000
+
+function createRecords (count: number, bytes: number): StoredRecord[] {
+  return Array.from({ length: count }, (_, offset) => ({ key: `k${offset}`, value: Buffer.alloc(bytes), offset }))
+}
+
+describe('a node that makes calls for others', () => {
+  const READ_REQUEST = { kind: MessageKind.Relay, ...READ } as Relay
+  const NEWEST_REQUEST = { kind: MessageKind.Relay, ...NEWEST } as Relay
+
+  function createServer (answer: () => Promise<StoreAnswer>, available = true): RelayServer {
+    return new RelayServer({ isAvailable: () => available, callDirect: async () => ok(await answer()) })
+  }
+
+  async function serve (server: RelayServer, request: Relay): Promise<StoreAnswer | undefined> {
+    const served = await server.serve(request)
+    return served.isOk() ? served.value.answer : undefined
+  }
+
+  it('refuses them while the store is unavailable to it too', async () => {
+    expect(await serve(createServer(async () => 7, false), READ_REQUEST)).toBeUndefined()
+  })
+
+  it.each([
+    ['a small page of newest records as it is', NEWEST_REQUEST, { records: createRecords(3, 10), end: 9, next: undefined }],
+    ['a last page of new records as it is', READ_REQUEST, { records: createRecords(3, 10), end: 9 }],
+    ['the offset of an append', READ_REQUEST, 7]
+  ])('passes on %s', async (_, request, answer: StoreAnswer) => {
+    expect(await serve(createServer(async () => answer), request)).toEqual(answer)
+  })
+
+  // A frame that takes longer than the timeout for silence would end the connection to the other node.
+  it.each([
+    ['newest records, which continue after its last key', NEWEST_REQUEST, { records: createRecords(10, 100_000), end: 10, next: undefined }],
+    ['new records, which continue at its last offset', READ_REQUEST, { records: createRecords(10, 100_000), end: 10 }]
+  ])('cuts a large page of %s', async (_, request, page) => {
+    const answer = await serve(createServer(async () => page), request) as typeof page
+    const bytes = answer.records.reduce((sum, record) => sum + record.value!.length, 0)
+    expect(answer.records).toEqual(page.records.slice(0, answer.records.length))
+    expect([answer.records.length > 0, bytes / LINK_BYTES_PER_MS < SILENCE_TIMEOUT_MS / 2, answer.end]).toEqual([true, true, 10])
+    if ('next' in page) expect(answer).toMatchObject({ next: `k${answer.records.length - 1}` })
+  })
+
+  it('passes on at least one record, however large it is', async () => {
+    const answer = await serve(createServer(async () => ({ records: createRecords(2, 900_000), end: 2 })), READ_REQUEST)
+    expect((answer as { records: readonly StoredRecord[] }).records.map((record) => record.offset)).toEqual([0])
+  })
+
+  it('reads one page of newest records at a time, since each may fill its link', async () => {
+    let finish = (): void => {}
+    const server = createServer(async () => {
+      await new Promise<void>((resolve) => { finish = resolve })
+      return { records: [], end: 0, next: undefined }
+    })
+    const first = serve(server, NEWEST_REQUEST)
+    expect((await server.serve(NEWEST_REQUEST))._unsafeUnwrapErr()).toMatchObject({ execution: Execution.NotRun })
+    finish()
+    expect(await first).toBeDefined()
+    const second = serve(server, NEWEST_REQUEST)
+    finish()
+    expect(await second).toBeDefined()
+  })
 })
