--- a/packages/control/src/journal/journal-state.ts
+++ b/packages/control/src/journal/journal-state.ts
@@ -146,6 +146,7 @@
   private applyJob (id: string, record: StoredRecord): void {
     if (record.value === undefined) {
       this.jobs.delete(id)
+      this.deferred.delete(id)
       return
     }
     if (this.jobs.has(id)) return
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -384,8 +384,7 @@
     this.owner?.close()
     this.owner = undefined
     this.nextJournalState = new JournalState()
-    this.journal.offset = undefined
-    this.journal.readNow()
+    this.journal.restart()
   }
 
   /** Sends a caller's record to the owner, which appends it; undefined if the owner was not reached. */
--- a/packages/control/test/journal/journal-state.spec.ts
+++ b/packages/control/test/journal/journal-state.spec.ts
@@ -37,6 +37,12 @@
     expect(applyAll([ACCEPTED, { key: ACCEPTED.key, value: undefined }]).jobs.size).toBe(0)
   })
 
+  // Guards against a cancellation that was read on an earlier page than the tombstone of its job, and applied to a new job of that id.
+  it('forgets a cancellation whose job is removed before its record was read', () => {
+    const records = [CANCELLED, { key: ACCEPTED.key, value: undefined }, ACCEPTED]
+    expect(applyAll(records).jobs.get(ID)?.visiblePhase()).toBe(Phase.Pending)
+  })
+
   it('restores runs, failures and checkpoints of tasks', () => {
     const journalState = applyAll([
       ACCEPTED, progress(Phase.Active, { tasks: [['0.0.0', Stage.Assigned, 3, 'w1', 10, 2, 'saved']] })
