--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -161,7 +161,7 @@
     const { metrics, log, clock } = this.options
     observeEventLoop(metrics, log, clock, signal)
     detach(this.configurationFollower.run(signal))
-    detach(this.journal.run(signal))
+    detach(this.followJournal())
     detach(this.register())
     detach(this.elect())
     log.event('node started', { incarnation: this.incarnation, ...this.options.settings })
@@ -211,6 +211,15 @@
     })
   }
 
+  /**
+   * Follows the journal once the first attempt to read the configuration has ended. The pages of the journal may fill the node's link
+   * for seconds, and the node refuses all requests until it has a configuration.
+   */
+  private async followJournal (): Promise<void> {
+    await this.configurationFollower.catchUp()
+    await this.journal.run(this.stopController.signal)
+  }
+
   /** Writes this node's address to the journal. */
   private async register (): Promise<void> {
     const { node, host, port, zone } = this.options.settings
