--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -15,7 +15,7 @@
 import { StoreAccess, type RelayCall } from './membership/access.js'
 import { isClaimDue, rankOf } from './membership/election.js'
 import { Links } from './membership/links.js'
-import { StoreRelay, serveRelay } from './membership/relay.js'
+import { RelayServer, StoreRelay } from './membership/relay.js'
 import type { Configuration } from './model/configuration.js'
 import { Phase } from './model/job.js'
 import { Owner, type OwnerSettings } from './owner/owner.js'
@@ -90,6 +90,7 @@
   /** Connections to other nodes. */
   private readonly links: Links
   private readonly storeRelay: StoreRelay
+  private readonly relayServer: RelayServer
   private readonly storeAccess: StoreAccess
   private readonly journal: Follower
   private readonly configurationFollower: Follower
@@ -136,6 +137,7 @@
     this.storeAccess = new StoreAccess(options.store, relay, clock, (available, failure) => {
       log.event(available ? 'store available again' : 'store unavailable', { failure })
     })
+    this.relayServer = new RelayServer(this.storeAccess)
     this.journal = new Follower(this.storeAccess, Topic.Journal, {
       onRecord: (record) => { this.applyRecord(record) },
       onReset: () => { if (this.owner === undefined) this.nextJournalState = new JournalState() },
@@ -159,7 +161,7 @@
     const { metrics, log, clock } = this.options
     observeEventLoop(metrics, log, clock, signal)
     detach(this.configurationFollower.run(signal))
-    detach(this.journal.run(signal))
+    detach(this.followJournal())
     detach(this.register())
     detach(this.elect())
     log.event('node started', { incarnation: this.incarnation, ...this.options.settings })
@@ -209,6 +211,15 @@
     })
   }
 
+  /**
+   * Follows the journal once the first attempt to read the configuration has ended. The pages of the journal may fill the node's link
+   * for seconds, and the node refuses all requests until it has a configuration.
+   */
+  private async followJournal (): Promise<void> {
+    await this.configurationFollower.catchUp()
+    await this.journal.run(this.stopController.signal)
+  }
+
   /** Writes this node's address to the journal. */
   private async register (): Promise<void> {
     const { node, host, port, zone } = this.options.settings
@@ -382,8 +393,7 @@
     this.owner?.close()
     this.owner = undefined
     this.nextJournalState = new JournalState()
-    this.journal.offset = undefined
-    this.journal.readNow()
+    this.journal.restart()
   }
 
   /** Sends a caller's record to the owner, which appends it; undefined if the owner was not reached. */
@@ -438,7 +448,7 @@
         const advice = await this.options.advisor.advise(request.step, request.workers, request.timeoutMs)
         return advice.mapErr((failure) => refuse(Reason.Overloaded, `The advisor returned no tickets: ${failure}.`, 0))
       }
-      case MessageKind.Relay: return await serveRelay(this.storeAccess, request)
+      case MessageKind.Relay: return await this.relayServer.serve(request)
       case MessageKind.Succeed:
         this.leavingEpoch = request.epoch
         this.delayStartMs = this.options.clock.now()
