--- a/packages/control/src/journal/journal-state.ts
+++ b/packages/control/src/journal/journal-state.ts
@@ -3,9 +3,12 @@
  */
 import { isFinal, occurrencesOf, taskKeyOf, Phase, type Job } from '../model/job.js'
 import type { StoredRecord } from '../ports/store.js'
+import { JobChanges, type Encoder } from './job-changes.js'
 import {
-  Stage, Subject, decodeValue, splitKey, type Cancellation, type NodeAddress, type OwnerClaim, type Progress, type TaskProgress
+  Stage, Subject, decodeProgress, decodeValue, splitKey, type Cancellation, type JobEnd, type NodeAddress, type OwnerClaim,
+  type Progress
 } from './record.js'
+import { splitBlockKey } from './task-record.js'
 
 /** State of a task. The owner changes it and writes the changes to the journal. */
 export interface TaskEntry {
@@ -34,9 +37,17 @@
   cancelledMs = 0
   /** The phase that is in the journal. Callers are shown this phase, or Cancelled once the cancellation is in the journal. */
   committedPhase = Phase.Pending
-  readonly tasks = new Map<string, TaskEntry>()
+  private readonly taskEntries = new Map<string, TaskEntry>()
+  private readonly changes = new JobChanges(this)
 
-  constructor (readonly job: Job) {}
+  /** @param job the job; once the job has ended, only a summary of it may be left */
+  constructor (public job: Job) {}
+
+  /** Tasks that were used at least once, by key. Records of tasks that were read from the journal are decoded here on first use. */
+  get tasks (): ReadonlyMap<string, TaskEntry> {
+    if (this.changes.hasUnread) this.changes.decodeUnread()
+    return this.taskEntries
+  }
 
   /** Returns a task; its entry is created on first use. */
   task (occurrence: number, step: number, index: number): TaskEntry {
@@ -59,7 +70,7 @@
       failures: 0,
       checkpoint: ''
     }
-    this.tasks.set(key, task)
+    this.taskEntries.set(key, task)
     return task
   }
 
@@ -84,26 +95,65 @@
     return true
   }
 
-  /** Returns the job's progress as it is written to the journal. */
-  progress (): Progress {
-    const tasks: TaskProgress[] = []
+  /** True if a task has a run that may exist. */
+  hasAssignedTask (): boolean {
     for (const task of this.tasks.values()) {
-      if (task.run === 0) continue
-      tasks.push([task.key, task.stage, task.run, task.worker, task.born, task.failures, task.checkpoint])
+      if (task.stage === Stage.Assigned) return true
     }
-    return { phase: this.phase, endedMs: this.endedMs, tasks }
+    return false
   }
 
-  /** Restores the state from a progress record of the journal. */
+  /** Notes a change of a task, so that the next commit writes it. */
+  markChanged (task: TaskEntry): void {
+    this.changes.mark(task)
+  }
+
+  /** Returns encoders of the records that a commit of the job has to write, by key, and forgets the changes. */
+  takeChanges (): Map<string, Encoder> {
+    return this.changes.take()
+  }
+
+  /** Returns the keys of all records of the job that the journal may hold, in the order in which they are to be deleted. */
+  storedKeys (): string[] {
+    return this.changes.storedKeys()
+  }
+
+  /** Applies a record of tasks that was read from the journal. */
+  restoreTasks (key: string, value: Buffer | undefined): void {
+    this.changes.read(key, value)
+    if (value === undefined || this.phase !== Phase.Pending) return
+    this.phase = Phase.Active
+    this.committedPhase = Phase.Active
+  }
+
+  /** Restores the end of the job from the journal. */
+  restoreEnd ({ phase, endedMs }: JobEnd): void {
+    this.changes.readEnd()
+    this.phase = phase
+    this.committedPhase = phase
+    this.endedMs = endedMs
+  }
+
+  /** Restores the state from a progress record of an earlier build. The next commit writes the tasks as this build does. */
   restore (progress: Progress): void {
     this.phase = progress.phase
     this.committedPhase = progress.phase
     this.endedMs = progress.endedMs
     for (const [key, stage, run, worker, born, failures, checkpoint] of progress.tasks) {
-      Object.assign(this.taskByKey(key), { stage, run, worker, born, failures, checkpoint })
+      const task = this.taskByKey(key)
+      Object.assign(task, { stage, run, worker, born, failures, checkpoint })
+      this.changes.mark(task)
     }
   }
 
+  /** Drops what is not needed of a job that has ended and has no runs. */
+  dropDetails (): void {
+    if (this.job.steps.length === 0) return
+    this.changes.dropTasks()
+    this.job = summaryOf(this.job)
+    this.taskEntries.clear()
+  }
+
   /** Returns the phase that callers see. */
   visiblePhase (): Phase {
     if (isFinal(this.committedPhase)) return this.committedPhase
@@ -111,6 +161,13 @@
   }
 }
 
+/** Returns a job without what only its tasks need. */
+function summaryOf ({ id, queue, workspace, acceptedMs }: Pick<Job, 'id' | 'queue' | 'workspace' | 'acceptedMs'>): Job {
+  return {
+    id, queue, upstream: '', workspace, payload: '', steps: [], occurrences: 0, firstDueMs: 0, intervalMs: 0, acceptedMs
+  }
+}
+
 /** State of the cell according to the journal. */
 export class JournalState {
   readonly jobs = new Map<string, JobEntry>()
@@ -121,7 +178,7 @@
   ownerRecordCount = 0
   /** Number of records that could not be decoded. */
   undecodableCount = 0
-  /** Cancellations and progress of jobs whose job record has not been read yet, by job id. */
+  /** Cancellations and progress of jobs that are not known yet, by job id. */
   private readonly deferred = new Map<string, StoredRecord[]>()
 
   /**
@@ -134,30 +191,44 @@
   apply (record: StoredRecord, ownEpoch = 0): void {
     const { subject, name } = splitKey(record.key)
     switch (subject) {
-      case Subject.Job: return this.applyJob(name, record)
+      case Subject.Job: return this.applyJob(name, record, ownEpoch)
       case Subject.Cancellation: return this.applyCancellation(name, record)
       case Subject.Progress: return this.applyProgress(name, record, ownEpoch)
+      case Subject.Runs:
+      case Subject.Done: return this.applyTasks(record, ownEpoch)
       case Subject.Node: return this.applyNode(name, record)
       case Subject.Owner: return this.applyOwner(record)
       case Subject.Heartbeat: this.ownerRecordCount++
     }
   }
 
-  private applyJob (id: string, record: StoredRecord): void {
+  private applyJob (id: string, record: StoredRecord, ownEpoch: number): void {
     if (record.value === undefined) {
-      this.jobs.delete(id)
+      if (ownEpoch === 0) this.deleteJobRecord(id)
       return
     }
     if (this.jobs.has(id)) return
     const job = this.decode<Job>(record.value)
-    if (job === undefined) return
-    this.jobs.set(id, new JobEntry(job))
+    if (job !== undefined) this.addJob(new JobEntry(job))
+  }
+
+  private addJob (entry: JobEntry): void {
+    const { id } = entry.job
+    this.jobs.set(id, entry)
     const deferred = this.deferred.get(id)
     if (deferred === undefined) return
     this.deferred.delete(id)
     for (const waiting of deferred) this.apply(waiting)
   }
 
+  /** The record of a job that has ended is deleted before the record of its end, which remains for callers. */
+  private deleteJobRecord (id: string): void {
+    const entry = this.jobs.get(id)
+    if (entry === undefined) return
+    if (isFinal(entry.phase)) entry.dropDetails()
+    else this.jobs.delete(id)
+  }
+
   private applyCancellation (id: string, record: StoredRecord): void {
     if (record.value === undefined) return
     const entry = this.jobs.get(id)
@@ -168,12 +239,35 @@
 
   private applyProgress (id: string, record: StoredRecord, ownEpoch: number): void {
     this.ownerRecordCount++
-    if (record.value === undefined || ownEpoch > 0) return
+    if (ownEpoch > 0) return
+    if (record.value === undefined) {
+      this.jobs.delete(id)
+      this.deferred.delete(id)
+      return
+    }
     const entry = this.jobs.get(id)
-    if (entry === undefined) return this.defer(id, record)
-    if (isFinal(entry.phase)) return
-    const progress = this.decode<Progress>(record.value)
-    if (progress !== undefined) entry.restore(progress)
+    if (entry !== undefined && isFinal(entry.phase)) return
+    const decoded = decodeProgress(record.value)
+    if (decoded.isErr()) this.undecodableCount++
+    else if ('queue' in decoded.value) this.applyEnd(id, decoded.value)
+    else if (entry === undefined) this.defer(id, record)
+    else entry.restore(decoded.value)
+  }
+
+  private applyEnd (id: string, end: JobEnd): void {
+    const known = this.jobs.get(id)
+    const entry = known ?? new JobEntry(summaryOf({ id, ...end }))
+    entry.restoreEnd(end)
+    if (known === undefined) this.addJob(entry)
+  }
+
+  private applyTasks (record: StoredRecord, ownEpoch: number): void {
+    this.ownerRecordCount++
+    if (ownEpoch > 0) return
+    const { job } = splitBlockKey(record.key)
+    const entry = this.jobs.get(job)
+    if (entry !== undefined) entry.restoreTasks(record.key, record.value)
+    else if (record.value !== undefined || this.deferred.has(job)) this.defer(job, record)
   }
 
   private applyNode (name: string, record: StoredRecord): void {
--- a/packages/control/src/journal/record.ts
+++ b/packages/control/src/journal/record.ts
@@ -1,9 +1,27 @@
 /**
  * The records of the journal: their keys, their contents and their encoding.
+ *
+ * The newest record of each key gives the whole state. Keys are read in their order, so that the record of a job is read before
+ * the records that describe its progress. ID is the id of a job, BLOCK the number of a block of its tasks; see task-record.ts.
+ *
+ * | Key | Content | Written |
+ * | --- | --- | --- |
+ * | `b/owner` | epoch of the owner | by the owner when it has nothing else to write |
+ * | `c/ID` | Cancellation | when a caller cancels the job |
+ * | `j/ID` | Job | when the job is accepted; deleted when the job has ended and none of its tasks is assigned any more |
+ * | `n/NAME` | NodeAddress | when the node starts |
+ * | `o/cell` | OwnerClaim | when a node claims the cell |
+ * | `p/ID` | JobEnd | when the job ends; deleted at the end of the retention |
+ * | `r/ID.BLOCK` | runs of 4 tasks | when one of them is assigned or its run ends; deleted when all of them are done |
+ * | `t/ID.BLOCK` | which of 512 tasks are done | when one of them is done; deleted with the record of the job |
+ *
+ * A job without a record `p` is active if one of its tasks has been assigned, and pending otherwise. Entry nodes may append the
+ * record of a job once more after it has ended; `p` shows that it has. Earlier builds wrote a `Progress` as the record `p`, at
+ * each change of a task, and none of the kinds `r` and `t`; it is still read.
  */
 import { Packr } from 'msgpackr'
 import { err, ok, type Result } from 'neverthrow'
-import type { Job, Phase } from '../model/job.js'
+import { Phase, type Job } from '../model/job.js'
 import type { KeyedRecord } from '../ports/store.js'
 
 /** Kind of a record: the first character of its key. */
@@ -16,8 +34,12 @@
   Job = 'j',
   /** A caller's cancellation of a job. */
   Cancellation = 'c',
-  /** The progress of a job. */
+  /** The end of a job. */
   Progress = 'p',
+  /** The runs of a block of a job's tasks. */
+  Runs = 'r',
+  /** The tasks of a block that are done. */
+  Done = 't',
   /** A heartbeat of the owner. */
   Heartbeat = 'b'
 }
@@ -30,12 +52,12 @@
   Done = 2
 }
 
-/** Progress of a task that has been assigned at least once. */
+/** Progress of a task that has been assigned at least once, as earlier builds wrote it. */
 export type TaskProgress = readonly [
   key: string, stage: Stage, run: number, worker: string, born: number, failures: number, checkpoint: string
 ]
 
-/** Progress of a job. Each record replaces the previous one. */
+/** Progress of a job, as earlier builds wrote it. Each record replaces the previous one. */
 export interface Progress {
   readonly phase: Phase
   /** Unix time at which the job ended; 0 if it has not. */
@@ -43,6 +65,18 @@
   readonly tasks: readonly TaskProgress[]
 }
 
+/** The end of a job, with what is kept of the job itself until the end of the retention. */
+export interface JobEnd {
+  readonly queue: string
+  readonly workspace: string
+  /** Unix time at which the job was accepted. */
+  readonly acceptedMs: number
+  /** A final phase. */
+  readonly phase: Phase
+  /** Unix time at which the job ended. */
+  readonly endedMs: number
+}
+
 /** A claim of ownership. It is valid unless a claim of the same or a higher epoch precedes it in the journal. */
 export interface OwnerClaim {
   readonly epoch: number
@@ -69,6 +103,12 @@
 /** Offset of a record that was applied before it was read from the journal. */
 export const UNKNOWN_OFFSET = -1
 
+/** Final phases by their number in a record. Numbers must not change. */
+const FINAL_PHASES: readonly Phase[] = [Phase.Completed, Phase.Failed, Phase.Cancelled]
+
+/** A JobEnd in its encoded form. */
+type JobEndRow = readonly [phase: number, queue: string, workspace: string, acceptedMs: number, tookMs: number]
+
 const packr = new Packr({ useRecords: false })
 
 /**
@@ -87,6 +127,13 @@
   return { subject: key.slice(0, 1), name: key.slice(2) }
 }
 
+/** Returns the id of the job that a record is about. For a record that is not about a job, it is a part of the key. */
+export function jobOf (key: string): string {
+  const { name } = splitKey(key)
+  const dot = name.indexOf('.')
+  return dot < 0 ? name : name.slice(0, dot)
+}
+
 /**
  * Encodes a record.
  *
@@ -96,7 +143,12 @@
  * @returns the record
  */
 export function encodeRecord (subject: Subject, name: string, value: unknown): KeyedRecord {
-  return { key: keyOf(subject, name), value: packr.pack(value) }
+  return { key: keyOf(subject, name), value: encodeValue(value) }
+}
+
+/** Encodes the value of a record. */
+export function encodeValue (value: unknown): Buffer {
+  return packr.pack(value)
 }
 
 /**
@@ -117,3 +169,41 @@
 export function encodeJob (job: Job): KeyedRecord {
   return encodeRecord(Subject.Job, job.id, job)
 }
+
+/** Encodes the record of a job's end. */
+export function encodeJobEnd (id: string, { queue, workspace, acceptedMs, phase, endedMs }: JobEnd): KeyedRecord {
+  const row: JobEndRow = [FINAL_PHASES.indexOf(phase), queue, workspace, acceptedMs, endedMs - acceptedMs]
+  return encodeRecord(Subject.Progress, id, row)
+}
+
+/**
+ * Decodes the record `p` of a job.
+ *
+ * @param value bytes of the value
+ * @returns the end of the job, or its progress if an earlier build wrote the record, or a sentence that explains why the value
+ *   cannot be decoded
+ */
+export function decodeProgress (value: Buffer): Result<JobEnd | Progress, string> {
+  return decodeValue<JobEndRow | Progress>(value).map((decoded) => {
+    if (!isJobEndRow(decoded)) return decoded
+    const [phase, queue, workspace, acceptedMs, tookMs] = decoded
+    return { phase: FINAL_PHASES[phase]!, queue, workspace, acceptedMs, endedMs: acceptedMs + tookMs }
+  })
+}
+
+/**
+ * Returns the place of a record in an append. If an append has to be split, its parts are written in this order, so that the state
+ * is consistent after each part: the end of a job before the tasks that ended it, done tasks before their runs are dropped, and
+ * the end of the retention last.
+ *
+ * @returns 0 for the records that come first
+ */
+export function appendRankOf ({ key, value }: KeyedRecord): number {
+  const { subject } = splitKey(key)
+  if (subject === Subject.Progress) return value === undefined ? 3 : 0
+  return subject === Subject.Done && value !== undefined ? 1 : 2
+}
+
+function isJobEndRow (decoded: JobEndRow | Progress): decoded is JobEndRow {
+  return Array.isArray(decoded)
+}
--- a/packages/control/src/journal/writer.ts
+++ b/packages/control/src/journal/writer.ts
@@ -4,13 +4,14 @@
 import { err, ok, type Result } from 'neverthrow'
 import { sleep, type Clock, type Stamp } from '../clock.js'
 import { StoreFailure, Topic, type KeyedRecord, type Store } from '../ports/store.js'
-import { Subject, encodeRecord, keyOf } from './record.js'
+import type { Encoder } from './job-changes.js'
+import { Subject, appendRankOf, encodeRecord, jobOf } from './record.js'
 
 /** Bounds of the exponential backoff after a failed append. */
 const MIN_RETRY_DELAY_MS = 20
 const MAX_RETRY_DELAY_MS = 250
 /**
- * Maximum size of one append, unless a single record is larger. It is below the platform's smallest limit on the size of a call.
+ * Maximum size of one append, unless a single record, or the records of one job, are larger. It is below the platform's smallest limit on the size of a call.
  */
 export const MAX_APPEND_BYTES = 1024 * 1024
 /** Minimum interval between the starts of two appends. Each append costs a call to the store, so changes in between share one. */
@@ -37,9 +38,6 @@
   Abandoned
 }
 
-/** Encodes the record of a key. It is called at the time of the append. */
-export type Encoder = () => KeyedRecord
-
 /** Writes to the journal for one epoch of ownership. */
 export class Writer {
   /** The last time at which the store was known to accept this epoch. */
@@ -191,19 +189,25 @@
   readonly records: KeyedRecord[]
 }
 
-/** Encodes the pending changes and splits them into appends of bounded size. Without changes, there is one append of a heartbeat. */
+/**
+ * Encodes the pending changes and splits them into appends of bounded size, in the order of `appendRankOf`. The records of one rank
+ * and job stay together, because all members of a gang change together. Without changes, there is one append of a heartbeat.
+ */
 function splitBatches (encoders: ReadonlyMap<string, Encoder>, epoch: number): Batch[] {
   if (encoders.size === 0) return [{ keys: [], records: [encodeRecord(Subject.Heartbeat, 'owner', epoch)] }]
+  const records = [...encoders.values()].map((encoder) => encoder())
+  records.sort((left, right) => appendRankOf(left) - appendRankOf(right) || (left.key < right.key ? -1 : 1))
   const batches: Batch[] = [{ keys: [], records: [] }]
   let bytes = 0
-  for (const [key, encoder] of encoders) {
-    const record = encoder()
+  let job: string | undefined
+  for (const record of records) {
     const size = sizeOf([record])
-    if (bytes + size > MAX_APPEND_BYTES && bytes > 0) {
+    if (bytes + size > MAX_APPEND_BYTES && bytes > 0 && jobOf(record.key) !== job) {
       batches.push({ keys: [], records: [] })
       bytes = 0
     }
-    batches.at(-1)!.keys.push(key)
+    job = jobOf(record.key)
+    batches.at(-1)!.keys.push(record.key)
     batches.at(-1)!.records.push(record)
     bytes += size
   }
@@ -215,8 +219,3 @@
   for (const record of records) bytes += record.key.length + (record.value?.length ?? 0)
   return bytes
 }
-
-/** Returns the key of a job's progress record. */
-export function progressKeyOf (job: string): string {
-  return keyOf(Subject.Progress, job)
-}
--- a/packages/control/src/owner/garbage-collector.ts
+++ b/packages/control/src/owner/garbage-collector.ts
@@ -4,9 +4,9 @@
  */
 import type { Clock, Stamp } from '../clock.js'
 import { detach } from '../detach.js'
-import { keyOf, Subject } from '../journal/record.js'
+import type { Encoder } from '../journal/job-changes.js'
 import type { JobEntry, JournalState } from '../journal/journal-state.js'
-import type { Encoder, Writer } from '../journal/writer.js'
+import type { Writer } from '../journal/writer.js'
 import { isFinal } from '../model/job.js'
 import { MAX_UNCONFIRMED_OWNERSHIP_MS } from './ownership.js'
 import { MIN_CLOCK_RATE } from './lease.js'
@@ -38,6 +38,8 @@
   readonly settings: { readonly leaseMs: number, readonly keptMs: number }
   /** How long a worker has had no entry in the registry. */
   readonly missingMs: (worker: string) => number
+  /** True if a run of the job may exist. */
+  readonly hasRuns: (entry: JobEntry) => boolean
   /** Called when a job has been removed. */
   readonly forgetJob: (job: string) => void
 }
@@ -81,16 +83,15 @@
     }
   }
 
-  /** Removes the records of jobs that ended so long ago that callers may no longer ask for them. */
+  /** Drops the details of jobs that ended, and removes the records of those that callers may no longer ask for. */
   private collectJobs (): void {
     const nowMs = this.options.clock.wall()
     const changes = new Map<string, Encoder>()
-    for (const [id, entry] of this.options.journalState.jobs) {
-      if (!isFinal(entry.committedPhase) || nowMs - entry.endedMs < RETENTION_FACTOR * this.options.settings.keptMs) continue
-      for (const subject of [Subject.Job, Subject.Cancellation, Subject.Progress]) {
-        const key = keyOf(subject, id)
-        changes.set(key, () => ({ key, value: undefined }))
-      }
+    for (const entry of this.options.journalState.jobs.values()) {
+      if (!isFinal(entry.committedPhase)) continue
+      if (!this.options.hasRuns(entry)) entry.dropDetails()
+      if (nowMs - entry.endedMs < RETENTION_FACTOR * this.options.settings.keptMs) continue
+      for (const key of entry.storedKeys()) changes.set(key, () => ({ key, value: undefined }))
       this.forgetJob(entry)
       if (changes.size >= MAX_RECORDS_PER_COLLECTION) break
     }
--- a/packages/control/src/owner/journal-committer.ts
+++ b/packages/control/src/owner/journal-committer.ts
@@ -3,9 +3,9 @@
  */
 import { Execution } from '@fireflymount/protocol/refusal'
 import { sleep } from '../clock.js'
-import { encodeRecord, Subject } from '../journal/record.js'
+import type { Encoder } from '../journal/job-changes.js'
 import type { JobEntry } from '../journal/journal-state.js'
-import { progressKeyOf, type Encoder, type Writer } from '../journal/writer.js'
+import type { Writer } from '../journal/writer.js'
 import type { Phase } from '../model/job.js'
 import type { KeyedRecord } from '../ports/store.js'
 
@@ -23,15 +23,17 @@
 
   constructor (private readonly writer: Writer) {}
 
-  /** Commits the progress of jobs. Resolves to false if the owner was superseded or closed. */
+  /** Commits the changes of jobs. Resolves to false if the owner was superseded or closed. */
   async commitJobs (entries: readonly JobEntry[]): Promise<boolean> {
     const changes = new Map<string, Encoder>()
     const written = new Map<JobEntry, Phase>()
     for (const entry of entries) {
-      changes.set(progressKeyOf(entry.job.id), () => {
-        written.set(entry, entry.phase)
-        return encodeRecord(Subject.Progress, entry.job.id, entry.progress())
-      })
+      for (const [key, encode] of entry.takeChanges()) {
+        changes.set(key, () => {
+          written.set(entry, entry.phase)
+          return encode()
+        })
+      }
     }
     const committed = await this.writer.commit(changes)
     if (committed.isErr()) return false
--- a/packages/control/src/owner/ledger.ts
+++ b/packages/control/src/owner/ledger.ts
@@ -51,6 +51,10 @@
     return this.byJob.get(entry.job.id) ?? []
   }
 
+  hasRuns (entry: JobEntry): boolean {
+    return this.byJob.has(entry.job.id)
+  }
+
   all (): Iterable<Run> {
     return this.byName.values()
   }
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -176,6 +176,7 @@
       claimedAt: options.claimedAt,
       settings: options.settings,
       missingMs: (worker) => this.registryRead ? this.registry.missingMs(worker) : 0,
+      hasRuns: (entry) => this.ledger.hasRuns(entry),
       forgetJob: (job) => { this.forgetJob(job) }
     })
     this.workerLossDetector = new WorkerLossDetector(options.machines, clock)
@@ -418,6 +419,7 @@
       task.stage = Stage.Assigned
       task.worker = session.id
       task.born = session.born
+      entry.markChanged(task)
       if (entry.phase === Phase.Pending) entry.phase = Phase.Active
       const run = new Run(entry, task, task.run, session, charge, ticket, nowMs)
       this.ledger.add(run)
--- a/packages/control/src/owner/run-end.ts
+++ b/packages/control/src/owner/run-end.ts
@@ -37,11 +37,13 @@
 export function applyRunEnd (
   entry: JobEntry, task: TaskEntry, end: RunEnd, maxAttempts: number, nowMs: number
 ): boolean {
-  if (task.stage === Stage.Done || end.run !== task.run) return false
-  const step = entry.job.steps[task.step]!
+  const step = entry.job.steps[task.step]
+  // Without steps, the job has ended and its details have been dropped.
+  if (step === undefined || task.stage === Stage.Done || end.run !== task.run) return false
   const members = membersOf(entry, task)
   if (end.ending === RunOutcome.Done && !step.lasting) {
     for (const member of members) member.stage = Stage.Done
+    for (const member of members) entry.markChanged(member)
     if (!entry.isFinishedOrCancelled() && isComplete(entry)) endJob(entry, Phase.Completed, nowMs)
     return true
   }
@@ -50,6 +52,7 @@
     member.stage = Stage.Waiting
     if (end.checkpoint !== '') member.checkpoint = end.checkpoint
     if (end.ending === RunOutcome.Failed) member.failures++
+    entry.markChanged(member)
   }
   const exhausted = end.ending === RunOutcome.Failed && !step.lasting && task.failures >= maxAttempts
   if (exhausted && !entry.isFinishedOrCancelled()) endJob(entry, Phase.Failed, nowMs)
--- a/packages/control/test/journal/journal-state.spec.ts
+++ b/packages/control/test/journal/journal-state.spec.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
-import { encodeJob, encodeRecord, Stage, Subject, type Progress } from '../../src/journal/record.js'
-import { JournalState } from '../../src/journal/journal-state.js'
+import { encodeJob, encodeJobEnd, encodeRecord, Stage, Subject, type Progress } from '../../src/journal/record.js'
+import { JobEntry, JournalState, type TaskEntry } from '../../src/journal/journal-state.js'
 import { Phase } from '../../src/model/job.js'
 import type { KeyedRecord } from '../../src/ports/store.js'
 import { createJob } from '../fakes.js'
@@ -9,10 +9,25 @@
 const ACCEPTED = encodeJob(createJob({ id: ID }))
 const CANCELLED = encodeRecord(Subject.Cancellation, ID, { atMs: 5 })
 
+const DELETED = { key: ACCEPTED.key, value: undefined }
+const RUNNING = { stage: Stage.Assigned, run: 3, worker: 'w1', born: 10 }
+
+/** A record of an earlier build. */
 function progress (phase: Phase, fields: Partial<Progress> = {}): KeyedRecord {
   return encodeRecord(Subject.Progress, ID, { phase, endedMs: 0, tasks: [], ...fields })
 }
 
+/** The records that an owner commits after a change of the first task. */
+function changed (fields: Partial<TaskEntry>): KeyedRecord[] {
+  const entry = new JobEntry(createJob({ id: ID }))
+  entry.markChanged(Object.assign(entry.task(0, 0, 0), fields))
+  return [...entry.takeChanges().values()].map((encode) => encode())
+}
+
+function ended (phase: Phase): KeyedRecord {
+  return encodeJobEnd(ID, { ...createJob({ id: ID }), phase, endedMs: 1_700_000_000_900 })
+}
+
 function applyAll (records: readonly KeyedRecord[], ownEpoch = 0): JournalState {
   const journalState = new JournalState()
   for (const [offset, record] of records.entries()) journalState.apply({ ...record, offset }, ownEpoch)
@@ -28,7 +43,15 @@
     ['progress that was read before the acceptance', [progress(Phase.Active), ACCEPTED], Phase.Active],
     ['a job that was completed before it was cancelled', [ACCEPTED, progress(Phase.Completed), CANCELLED], Phase.Completed],
     ['a completed job whose older progress record is read again',
-      [ACCEPTED, progress(Phase.Completed), progress(Phase.Active)], Phase.Completed]
+      [ACCEPTED, progress(Phase.Completed), progress(Phase.Active)], Phase.Completed],
+    ['a job with a task that has been assigned', [ACCEPTED, ...changed(RUNNING)], Phase.Active],
+    ['runs that were read before the acceptance', [...changed(RUNNING), ACCEPTED], Phase.Active],
+    ['an ended job whose record was deleted', [ACCEPTED, ...changed(RUNNING), ended(Phase.Failed), DELETED], Phase.Failed],
+    ['an ended job of which only the end is left', [ended(Phase.Completed)], Phase.Completed],
+    ['an ended job that was accepted once more', [ACCEPTED, ended(Phase.Completed), DELETED, ACCEPTED], Phase.Completed],
+    ['an ended job that was accepted once more, read from scratch', [ACCEPTED, ended(Phase.Completed)], Phase.Completed],
+    ['the end of a job that was read before the acceptance', [ended(Phase.Completed), ACCEPTED], Phase.Completed],
+    ['the end of a cancelled job, read from scratch', [CANCELLED, ended(Phase.Cancelled)], Phase.Cancelled]
   ])('shows %s', (_, records, phase) => {
     expect(applyAll(records).jobs.get(ID)?.visiblePhase()).toBe(phase)
   })
@@ -37,6 +60,36 @@
     expect(applyAll([ACCEPTED, { key: ACCEPTED.key, value: undefined }]).jobs.size).toBe(0)
   })
 
+  it.each([
+    ['a job and its end', [ACCEPTED, ended(Phase.Completed), DELETED]],
+    ['a job that was accepted once more after its end', [ended(Phase.Completed), ACCEPTED, DELETED]],
+    ['a job that ended under an earlier build', [ACCEPTED, progress(Phase.Completed), DELETED]]
+  ])('keeps %s until the tombstone of its end is read', (_, records) => {
+    const deletedEnd = { key: `p/${ID}`, value: undefined }
+    expect([applyAll(records).jobs.size, applyAll([...records, deletedEnd]).jobs.size]).toEqual([1, 0])
+  })
+
+  it('keeps of an ended job what callers and the rate of its workspace need', () => {
+    const { job, endedMs } = applyAll([ACCEPTED, ended(Phase.Completed), DELETED]).jobs.get(ID)!
+    expect({ ...job, endedMs }).toMatchObject({
+      id: ID, queue: 'preview', workspace: 'guild', acceptedMs: 1_700_000_000_000, endedMs: 1_700_000_000_900, payload: '', steps: []
+    })
+    expect(applyAll([ended(Phase.Completed)]).jobs.get(ID)?.job).toEqual(job)
+  })
+
+  it.each<[string, Partial<TaskEntry>]>([
+    ['an assigned run', RUNNING],
+    ['a run on a worker that started long ago', { ...RUNNING, born: 1_400_000_000_123 }],
+    ['a task whose run failed', { stage: Stage.Waiting, run: 2, worker: 'w2', born: 1_700_000_000_010, failures: 1 }],
+    ['a task with a checkpoint', { ...RUNNING, checkpoint: 'saved' }],
+    ['a done task', { stage: Stage.Done }]
+  ])('restores %s from the records of tasks, also after a record of an earlier build', (_, fields) => {
+    const earlier = progress(Phase.Active, { tasks: [['0.0.0', Stage.Assigned, 1, 'w9', 9, 0, 'old']] })
+    for (const records of [[ACCEPTED, ...changed(fields)], [ACCEPTED, earlier, ...changed(fields)]]) {
+      expect(applyAll(records).jobs.get(ID)?.tasks.get('0.0.0')).toMatchObject(fields)
+    }
+  })
+
   it('restores runs, failures and checkpoints of tasks', () => {
     const journalState = applyAll([
       ACCEPTED, progress(Phase.Active, { tasks: [['0.0.0', Stage.Assigned, 3, 'w1', 10, 2, 'saved']] })
@@ -48,6 +101,15 @@
 
   it('does not apply progress records on the owner, which wrote them', () => {
     expect(applyAll([ACCEPTED, progress(Phase.Completed)], 4).jobs.get(ID)?.visiblePhase()).toBe(Phase.Pending)
+    expect(applyAll([ACCEPTED, ...changed(RUNNING)], 4).jobs.get(ID)?.visiblePhase()).toBe(Phase.Pending)
+  })
+
+  it('keeps a job on the owner that reads the tombstone of its record', () => {
+    const journalState = applyAll([ACCEPTED])
+    const entry = journalState.jobs.get(ID)!
+    Object.assign(entry, { phase: Phase.Completed })
+    journalState.apply({ ...DELETED, offset: 1 }, 4)
+    expect([journalState.jobs.get(ID) === entry, entry.job.steps.length]).toEqual([true, 1])
   })
 
   it.each([
--- a/packages/control/test/journal/writer.spec.ts
+++ b/packages/control/test/journal/writer.spec.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it, vi, beforeEach, afterEach } from 'vitest'
 import { decodeValue, encodeRecord, Subject } from '../../src/journal/record.js'
-import { Writer, type Encoder } from '../../src/journal/writer.js'
+import type { Encoder } from '../../src/journal/job-changes.js'
+import { Writer } from '../../src/journal/writer.js'
 import { StoreAccess } from '../../src/membership/access.js'
 import { StoreFailure, Topic } from '../../src/ports/store.js'
 import { SystemClock, type Clock } from '../../src/clock.js'
@@ -111,6 +112,31 @@
     await running
   })
 
+  // Guards against a successor that finds all tasks of a job done, or their runs deleted, but not the record that says so, and
+  // against one that finds only some members of a gang changed.
+  it('splits a large append in an order that keeps the state consistent, and never between the tasks of a job', async () => {
+    const { store, access, clock, stop } = createFixture()
+    const writer = new Writer(access, clock, 1, 5, clock.stamp(), () => {})
+    const running = writer.run(stop.signal)
+    const large = Buffer.alloc(600_000, 1)
+    const records = [
+      { key: 'p/b', value: undefined }, { key: 'r/a.1', value: undefined }, { key: 'j/b', value: undefined },
+      { key: 'r/c.0', value: large }, { key: 't/d.0', value: large }, { key: 't/a.1', value: large }, { key: 'p/a', value: large },
+      { key: 't/d.1', value: large }
+    ]
+    const appends: string[][] = []
+    store.fault = (call) => {
+      if ('append' in call) appends.push(call.append.records.map((record) => record.key))
+      return undefined
+    }
+    const commit = writer.commit(new Map(records.map((record) => [record.key, () => record])))
+    await vi.advanceTimersByTimeAsync(100)
+    expect((await commit).isOk()).toBe(true)
+    expect(appends.slice(0, 3)).toEqual([['p/a', 't/a.1'], ['t/d.0', 't/d.1'], ['j/b', 'r/a.1', 'r/c.0', 'p/b']])
+    stop.abort()
+    await running
+  })
+
   it('stops and fails all commits when a higher epoch has written', async () => {
     const { store, access, clock, stop } = createFixture()
     await store.call({ topic: Topic.Journal, append: { records: [], fence: { epoch: 2, sequence: 9 } } })
--- a/packages/control/test/owner/fuzz.spec.ts
+++ b/packages/control/test/owner/fuzz.spec.ts
@@ -1,7 +1,8 @@
 /**
  * Random faults of owners, workers and the store. At every start on a worker, this test checks the task against the other workers
  * and the journal. The task must not be running already, must not be done, and must not start before the steps it depends on are
- * done. At the end every job must have ended and no task may still be running.
+ * done. At the end every job must have ended and no task may still be running. After each record of the journal, a node that reads
+ * the newest records must have the same state as one that has followed the journal.
  */
 import { err, ok, type Result } from 'neverthrow'
 import * as fc from 'fast-check'
@@ -19,6 +20,7 @@
 import { StoreFailure, Topic } from '../../src/ports/store.js'
 import { SilentLog } from '../../src/report/log.js'
 import { Metrics } from '../../src/report/metrics.js'
+import { describeState, newestOf, stateOf } from '../journal/steady-cell.js'
 import { FakeStore, createJob, createQueue, createStep, createWorker, NoMachines, PlainFormats } from '../fakes.js'
 
 const CONFIGURATION: Configuration = {
@@ -214,6 +216,18 @@
     return journalState
   }
 
+  /** Compares, after each record of the journal, a node that reads the newest records with one that has followed the journal. */
+  compareReaders (): void {
+    const records = this.store.records[Topic.Journal]
+    for (const [index, { key }] of records.entries()) {
+      const followed = records.slice(0, index + 1)
+      if (key.startsWith(Subject.Heartbeat)) continue
+      if (describeState(stateOf(newestOf(followed))) === describeState(stateOf(followed))) continue
+      this.violations.push(`the state read from scratch differs after record ${index}`)
+      return
+    }
+  }
+
   startOwner (): void {
     this.epoch++
     this.store.put(Topic.Journal, encodeRecord(Subject.Owner, 'cell', { epoch: this.epoch, node: 'n', incarnation: `${this.epoch}` }))
@@ -322,6 +336,7 @@
   }
   cell.close()
   await advance(cell, 2000)
+  cell.compareReaders()
   return cell.violations
 }
 
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -2,7 +2,7 @@
 import { err, ok } from 'neverthrow'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { SystemClock } from '../../src/clock.js'
-import { encodeJob, encodeRecord, Stage, Subject } from '../../src/journal/record.js'
+import { encodeJob, encodeJobEnd, encodeRecord, Stage, Subject } from '../../src/journal/record.js'
 import { JournalState } from '../../src/journal/journal-state.js'
 import { StoreAccess } from '../../src/membership/access.js'
 import type { Configuration } from '../../src/model/configuration.js'
@@ -13,6 +13,7 @@
 import { StoreFailure, Topic, type KeyedRecord } from '../../src/ports/store.js'
 import { SilentLog } from '../../src/report/log.js'
 import { Metrics } from '../../src/report/metrics.js'
+import { newestOf, stateOf } from '../journal/steady-cell.js'
 import { FakeFleet, FakeStore, createJob, createQueue, createStep, createWorker, NoMachines, PlainFormats } from '../fakes.js'
 
 const CONFIGURATION: Configuration = {
@@ -312,6 +313,21 @@
     expect([await first, (await again)._unsafeUnwrapErr().execution]).toEqual([Execution.Unknown, Execution.Unknown])
   })
 
+  it('has each assignment in the journal when the start arrives at the worker', async () => {
+    const found: unknown[] = []
+    harness.fleet.onStart = ({ task, run }) => {
+      const entry = stateOf(harness.store.records[Topic.Journal]).jobs.get(ID)
+      const { stage, run: written, worker, born } = entry!.taskByKey(task.slice(ID.length + 1))
+      found.push({ stage, isWritten: written === run, worker, born })
+      return ok(1)
+    }
+    harness.startOwner(1)
+    await advance(200)
+    await harness.accept({ steps: [createStep({ count: 2 }), createStep({ gang: true })] })
+    await advance(200)
+    expect(found).toEqual(new Array(3).fill({ stage: Stage.Assigned, isWritten: true, worker: 'w1', born: 10 }))
+  })
+
   it('sends no start for an assignment that is not in the journal', async () => {
     harness.startOwner(1)
     await advance(200)
@@ -346,6 +362,39 @@
     expect([harness.tasks(), harness.fleet.started.length]).toEqual([tasks, starts])
   })
 
+  // Guards against a job that runs again, or a crash, when only the end of the job is left in the journal.
+  it('after a takeover stops the runs of an ended job and ignores the ends that workers report for it', async () => {
+    const end = encodeJobEnd(ID, { ...createJob({ id: ID }), phase: Phase.Completed, endedMs: harness.clock.wall() })
+    harness.journalState.apply({ ...end, offset: 0 })
+    harness.running.push({ task: `${ID}.0.0.0`, run: 1, checkpoint: '', percent: 100, load: 0 })
+    harness.ended.push({ position: 1, task: `${ID}.0.0.1`, run: 1, ending: RunOutcome.Done, checkpoint: '' })
+    harness.startOwner(2)
+    await advance(1500)
+    expect([harness.tasks(), harness.fleet.started, harness.phase()]).toEqual([[], [], Phase.Completed])
+    expect(harness.fleet.reportCommands.at(-1)!.acknowledged).toBeGreaterThanOrEqual(1)
+  })
+
+  it('after a takeover ends a job whose progress an earlier build wrote, and leaves only its end in the journal', async () => {
+    const accepted = encodeJob(createJob({ id: ID, acceptedMs: harness.clock.wall(), steps: [createStep({ count: 2 })] }))
+    const progress = encodeRecord(Subject.Progress, ID, {
+      phase: Phase.Active,
+      endedMs: 0,
+      tasks: [['0.0.0', Stage.Done, 1, 'w1', 10, 0, ''], ['0.0.1', Stage.Assigned, 1, 'w1', 10, 0, '']]
+    })
+    for (const record of [accepted, progress]) {
+      harness.store.put(Topic.Journal, record)
+      harness.journalState.apply({ ...record, offset: 0 })
+    }
+    harness.running.push({ task: `${ID}.0.0.1`, run: 1, checkpoint: '', percent: 100, load: 0 })
+    harness.startOwner(2)
+    await advance(500)
+    harness.endRun(`${ID}.0.0.1`, RunOutcome.Done)
+    await advance(500)
+    const newest = newestOf(harness.store.records[Topic.Journal]).filter((record) => record.key.includes(ID))
+    expect(newest.map((record) => record.key)).toEqual([`p/${ID}`])
+    expect([harness.phase(), stateOf(newest).jobs.get(ID)?.visiblePhase()]).toEqual([Phase.Completed, Phase.Completed])
+  })
+
   it('deletes the job record of a job that ended long ago', async () => {
     harness.startOwner(1)
     await advance(200)
