Do not append the record of a job that the owner knows

Callers send a submission again after a lost answer. The entry node answers by itself if it knows the job; otherwise it forwarded the record, and the owner appended it again in full, also after the job had ended. The test failed before: the job's record was back beside its end. An entry node that reaches no owner can still append the record after the end; the test also shows that the retention deletes it and that nothing runs again.

--- a/packages/control/src/owner/admission-controller.ts
+++ b/packages/control/src/owner/admission-controller.ts
@@ -40,11 +40,12 @@
   constructor (private readonly options: AdmissionControllerOptions, private readonly overRateJobs: Set<string>) {}
 
   /**
-   * Refuses a job that would miss its objective, and appends any other record.
+   * Refuses a job that would miss its objective, and appends any other record. The record of a known job is not appended again.
    *
    * @param timeoutMs time after which the record is withdrawn if that is still possible
    */
   async admit (record: KeyedRecord, timeoutMs: number): Promise<Result<void, Refusal>> {
+    if (this.isKnownJob(record)) return ok(undefined)
     const refusal = this.findRefusal(record)
     if (refusal !== undefined) return err(refusal)
     const execution = await this.append([record], timeoutMs)
@@ -85,15 +86,21 @@
     this.overRateJobs.delete(job)
   }
 
+  /** True if the record is that of a job whose record, or whose end, is in the journal. */
+  private isKnownJob ({ key }: KeyedRecord): boolean {
+    const { subject, name } = splitKey(key)
+    return subject === Subject.Job && this.options.journalState.jobs.has(name)
+  }
+
   /**
    * Returns the reason to refuse a job, or undefined. Jobs with a schedule or with long-running steps are never refused. A job that
    * may already have been written is never refused either, because a refusal states that the job did not run.
    */
   private findRefusal (record: KeyedRecord): Refusal | undefined {
-    const { journalState, writer, dispatcher } = this.options
-    const { subject, name } = splitKey(record.key)
+    const { writer, dispatcher } = this.options
+    const { subject } = splitKey(record.key)
     if (subject !== Subject.Job || record.value === undefined) return undefined
-    if (journalState.jobs.has(name) || writer.isUncommitted(record.key)) return undefined
+    if (writer.isUncommitted(record.key)) return undefined
     const decoded = decodeValue<Job>(record.value)
     if (decoded.isErr()) return undefined
     const job = decoded.value
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -395,6 +395,23 @@
     expect([harness.phase(), stateOf(newest).jobs.get(ID)?.visiblePhase()]).toEqual([Phase.Completed, Phase.Completed])
   })
 
+  it('does not append the record of an ended job again, and deletes one that another node has appended', async () => {
+    const owner = harness.startOwner(1)
+    await advance(200)
+    await harness.accept({})
+    harness.endRun(`${ID}.0.0.0`, RunOutcome.Done)
+    await advance(2000)
+    const records = harness.store.records[Topic.Journal]
+    const accepted = encodeJob(createJob({ id: ID, acceptedMs: harness.clock.wall() }))
+    const admitting = owner.admit(accepted, 500)
+    await advance(500)
+    expect([(await admitting).isOk(), newestOf(records).map((record) => record.key)]).toEqual([true, ['b/owner', `p/${ID}`]])
+    harness.store.put(Topic.Journal, accepted)
+    harness.journalState.apply({ ...accepted, offset: 0 }, 1)
+    await advance(190_000)
+    expect([harness.fleet.started.length, newestOf(records).map((record) => record.key)]).toEqual([1, ['b/owner']])
+  })
+
   it('deletes the job record of a job that ended long ago', async () => {
     harness.startOwner(1)
     await advance(200)
