Measure a takeover with the records that the owner writes now

The part "takeover" built progress records of the build before. It now takes the records of an open job from its entry, and writes only the end of a completed one. No logic changes.

--- a/packages/measure/src/takeover.ts
+++ b/packages/measure/src/takeover.ts
@@ -4,17 +4,17 @@
  * before it can own the cell. (The other parts measure the daemons and their scheduling policy, where each shard has an owner
  * and a stream in the log.)
  */
-import { encodeJob, encodeRecord, Stage, Subject, type TaskProgress } from '@fireflymount/control/journal/record'
-import { JournalState } from '@fireflymount/control/journal/journal-state'
+import { encodeJob, encodeJobEnd, Stage, type JobEnd } from '@fireflymount/control/journal/record'
+import { JobEntry, JournalState } from '@fireflymount/control/journal/journal-state'
 import { Phase, type Job, type Step } from '@fireflymount/control/model/job'
 import { ReadySteps } from '@fireflymount/control/owner/ready-step'
 import { Ledger } from '@fireflymount/control/owner/ledger'
-import type { StoredRecord } from '@fireflymount/control/ports/store'
+import type { KeyedRecord, StoredRecord } from '@fireflymount/control/ports/store'
 import { Part, type Report } from './report.js'
 
 /** Numbers of jobs in the store. The largest exceeds the 42,500 jobs that arrive in six hours at 170,000 jobs a day. */
 const JOB_COUNTS: readonly number[] = [500, 5000, 50_000]
-/** One job in this many is open; the store keeps completed jobs so that callers can read their results. */
+/** One job in this many is open; the store keeps the ends of completed jobs for callers. */
 const JOBS_PER_OPEN_JOB = 10
 const STEPS_PER_JOB = 2
 const TASKS_PER_STEP = 6
@@ -75,21 +75,27 @@
 function createRecords (jobs: number): StoredRecord[] {
   const records: StoredRecord[] = []
   for (let index = 0; index < jobs; index++) {
-    const id = index.toString(16).padStart(16, '0')
-    const open = index % JOBS_PER_OPEN_JOB === 0
-    records.push({ ...encodeJob(createJob(id, index)), offset: records.length })
-    const tasks: TaskProgress[] = []
-    for (let step = 0; step < (open ? 1 : STEPS_PER_JOB); step++) {
-      for (let task = 0; task < TASKS_PER_STEP; task++) {
-        tasks.push([`0.${step}.${task}`, Stage.Done, 1, WORKER_ID, TASK_STARTED_MS, 0, ''])
-      }
-    }
-    const progress = { phase: open ? Phase.Active : Phase.Completed, endedMs: open ? 0 : TASK_STARTED_MS + index, tasks }
-    records.push({ ...encodeRecord(Subject.Progress, id, progress), offset: records.length })
+    const job = createJob(index.toString(16).padStart(16, '0'), index)
+    const recordsOfJob = index % JOBS_PER_OPEN_JOB === 0 ? openJobOf(job) : [encodeJobEnd(job.id, endOf(job, index))]
+    for (const record of recordsOfJob) records.push({ ...record, offset: records.length })
   }
   return records
 }
 
+/** Returns the records of a job whose first step is done. */
+function openJobOf (job: Job): KeyedRecord[] {
+  const entry = new JobEntry(job)
+  for (let task = 0; task < TASKS_PER_STEP; task++) {
+    const done = { stage: Stage.Done, run: 1, worker: WORKER_ID, born: TASK_STARTED_MS }
+    entry.markChanged(Object.assign(entry.task(0, 0, task), done))
+  }
+  return [encodeJob(job), ...[...entry.takeChanges().values()].map((encode) => encode())]
+}
+
+function endOf (job: Job, index: number): JobEnd {
+  return { ...job, phase: Phase.Completed, endedMs: TASK_STARTED_MS + index }
+}
+
 function createJob (id: string, index: number): Job {
   const steps: Step[] = []
   for (let step = 0; step < STEPS_PER_JOB; step++) {
