--- /dev/null
+++ b/packages/control/src/journal/job-record.ts
@@ -0,0 +1,105 @@
+/**
+ * The compact form of a job's record, in which fields are told apart by their place. Entry nodes send jobs to the owner with named
+ * fields, as earlier builds read them; the owner writes the compact form. Both are read.
+ */
+import type { Result } from 'neverthrow'
+import type { Job, Step } from '../model/job.js'
+import type { KeyedRecord } from '../ports/store.js'
+import { Subject, decodeValue, encodeValue, splitKey } from './record.js'
+
+/** Flags of a step, each with its bit in `StepRow`. */
+enum StepFlag {
+  Checkpoints = 1,
+  Gang = 2,
+  SameRack = 4,
+  Speculative = 8,
+  Lasting = 16,
+  BestEffort = 32
+}
+
+type StepRow = readonly [
+  count: number, cpuMilli: number, memoryMb: number, accelerators: number, estimateMs: number, after: readonly number[],
+  flags: number, label: string, rack: string, perWorker: number, image: string, latencyTargetMs: number, disruptionBudget: number
+]
+
+/** A job without its id. The last three fields are missing for a job without a schedule. */
+type JobRow = readonly [
+  queue: string, upstream: string, workspace: string, payload: string, acceptedMs: number, steps: readonly StepRow[],
+  occurrences?: number, firstDueMs?: number, intervalMs?: number
+]
+
+/** Returns the record of a job in its compact form; any other record, and one that cannot be decoded, as it is. */
+export function compactJob (record: KeyedRecord): KeyedRecord {
+  if (splitKey(record.key).subject !== Subject.Job || record.value === undefined) return record
+  const decoded = decodeValue<Job | JobRow>(record.value)
+  if (decoded.isErr() || isRow(decoded.value)) return record
+  return { key: record.key, value: encodeValue(rowOf(decoded.value)) }
+}
+
+/**
+ * Decodes the record of a job, in either form.
+ *
+ * @param key key of the record
+ * @param value bytes of the value
+ * @returns the job, or a sentence that explains why it cannot be decoded
+ */
+export function decodeJob (key: string, value: Buffer): Result<Job, string> {
+  return decodeValue<Job | JobRow>(value).map((decoded) => isRow(decoded) ? jobOfRow(splitKey(key).name, decoded) : decoded)
+}
+
+function isRow (decoded: Job | JobRow): decoded is JobRow {
+  return Array.isArray(decoded)
+}
+
+function rowOf ({ queue, upstream, workspace, payload, acceptedMs, steps, occurrences, firstDueMs, intervalMs }: Job): JobRow {
+  const rows = steps.map(rowOfStep)
+  if (occurrences === 0) return [queue, upstream, workspace, payload, acceptedMs, rows]
+  return [queue, upstream, workspace, payload, acceptedMs, rows, occurrences, firstDueMs, intervalMs]
+}
+
+function jobOfRow (id: string, row: JobRow): Job {
+  const [queue, upstream, workspace, payload, acceptedMs, steps, occurrences = 0, firstDueMs = 0, intervalMs = 0] = row
+  return {
+    id, queue, upstream, workspace, payload, steps: steps.map(stepOf), occurrences, firstDueMs, intervalMs, acceptedMs
+  }
+}
+
+function rowOfStep (step: Step): StepRow {
+  let flags = 0
+  if (step.checkpoints) flags |= StepFlag.Checkpoints
+  if (step.gang) flags |= StepFlag.Gang
+  if (step.sameRack) flags |= StepFlag.SameRack
+  if (step.speculative) flags |= StepFlag.Speculative
+  if (step.lasting) flags |= StepFlag.Lasting
+  if (step.bestEffort) flags |= StepFlag.BestEffort
+  const { cpuMilli, memoryMb, accelerators } = step.size
+  return [
+    step.count, cpuMilli, memoryMb, accelerators, step.estimateMs, step.after, flags, step.label, step.rack, step.perWorker,
+    step.image, step.latencyTargetMs, step.disruptionBudget
+  ]
+}
+
+function stepOf (row: StepRow): Step {
+  const [
+    count, cpuMilli, memoryMb, accelerators, estimateMs, after, flags, label, rack, perWorker, image, latencyTargetMs,
+    disruptionBudget
+  ] = row
+  return {
+    count,
+    size: { cpuMilli, memoryMb, accelerators },
+    estimateMs,
+    after,
+    checkpoints: (flags & StepFlag.Checkpoints) !== 0,
+    gang: (flags & StepFlag.Gang) !== 0,
+    sameRack: (flags & StepFlag.SameRack) !== 0,
+    label,
+    rack,
+    perWorker,
+    speculative: (flags & StepFlag.Speculative) !== 0,
+    lasting: (flags & StepFlag.Lasting) !== 0,
+    image,
+    latencyTargetMs,
+    bestEffort: (flags & StepFlag.BestEffort) !== 0,
+    disruptionBudget
+  }
+}
--- a/packages/control/src/journal/journal-state.ts
+++ b/packages/control/src/journal/journal-state.ts
@@ -4,6 +4,7 @@
 import { isFinal, occurrencesOf, taskKeyOf, Phase, type Job } from '../model/job.js'
 import type { StoredRecord } from '../ports/store.js'
 import { JobChanges, type Encoder } from './job-changes.js'
+import { decodeJob } from './job-record.js'
 import {
   Stage, Subject, decodeProgress, decodeValue, splitKey, type Cancellation, type JobEnd, type NodeAddress, type OwnerClaim,
   type Progress
@@ -208,8 +209,9 @@
       return
     }
     if (this.jobs.has(id)) return
-    const job = this.decode<Job>(record.value)
-    if (job !== undefined) this.addJob(new JobEntry(job))
+    const job = decodeJob(record.key, record.value)
+    if (job.isOk()) this.addJob(new JobEntry(job.value))
+    else this.undecodableCount++
   }
 
   private addJob (entry: JobEntry): void {
--- a/packages/control/src/owner/admission-controller.ts
+++ b/packages/control/src/owner/admission-controller.ts
@@ -4,11 +4,11 @@
  */
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
-import { Subject, decodeValue, splitKey } from '../journal/record.js'
+import { compactJob, decodeJob } from '../journal/job-record.js'
+import { Subject, splitKey } from '../journal/record.js'
 import type { JobEntry, JournalState } from '../journal/journal-state.js'
 import type { Writer } from '../journal/writer.js'
 import type { Configuration } from '../model/configuration.js'
-import type { Job } from '../model/job.js'
 import { findRetryAfterMs } from '../place/admission.js'
 import { RateTracker } from '../place/rate.js'
 import type { KeyedRecord } from '../ports/store.js'
@@ -64,7 +64,7 @@
    * @returns Run, NotRun or Unknown, see `JournalCommitter.appendRecords`
    */
   async append (records: readonly KeyedRecord[], timeoutMs: number): Promise<Execution> {
-    const execution = await this.options.committer.appendRecords(records, timeoutMs)
+    const execution = await this.options.committer.appendRecords(records.map(compactJob), timeoutMs)
     if (execution !== Execution.Run) return execution
     for (const record of records) this.options.onWritten(record)
     return execution
@@ -101,7 +101,7 @@
     const { subject } = splitKey(record.key)
     if (subject !== Subject.Job || record.value === undefined) return undefined
     if (writer.isUncommitted(record.key)) return undefined
-    const decoded = decodeValue<Job>(record.value)
+    const decoded = decodeJob(record.key, record.value)
     if (decoded.isErr()) return undefined
     const job = decoded.value
     if (job.occurrences > 0 || job.steps.some((step) => step.lasting)) return undefined
