--- a/packages/control/src/owner/admission-controller.ts
+++ b/packages/control/src/owner/admission-controller.ts
@@ -4,11 +4,11 @@
  */
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
-import { Subject, decodeValue, splitKey } from '../journal/record.js'
+import { compactJob, decodeJob } from '../journal/job-record.js'
+import { Subject, splitKey } from '../journal/record.js'
 import type { JobEntry, JournalState } from '../journal/journal-state.js'
 import type { Writer } from '../journal/writer.js'
 import type { Configuration } from '../model/configuration.js'
-import type { Job } from '../model/job.js'
 import { findRetryAfterMs } from '../place/admission.js'
 import { RateTracker } from '../place/rate.js'
 import type { KeyedRecord } from '../ports/store.js'
@@ -40,11 +40,12 @@
   constructor (private readonly options: AdmissionControllerOptions, private readonly overRateJobs: Set<string>) {}
 
   /**
-   * Refuses a job that would miss its objective, and appends any other record.
+   * Refuses a job that would miss its objective, and appends any other record. The record of a known job is not appended again.
    *
    * @param timeoutMs time after which the record is withdrawn if that is still possible
    */
   async admit (record: KeyedRecord, timeoutMs: number): Promise<Result<void, Refusal>> {
+    if (this.isKnownJob(record)) return ok(undefined)
     const refusal = this.findRefusal(record)
     if (refusal !== undefined) return err(refusal)
     const execution = await this.append([record], timeoutMs)
@@ -63,7 +64,7 @@
    * @returns Run, NotRun or Unknown, see `JournalCommitter.appendRecords`
    */
   async append (records: readonly KeyedRecord[], timeoutMs: number): Promise<Execution> {
-    const execution = await this.options.committer.appendRecords(records, timeoutMs)
+    const execution = await this.options.committer.appendRecords(records.map(compactJob), timeoutMs)
     if (execution !== Execution.Run) return execution
     for (const record of records) this.options.onWritten(record)
     return execution
@@ -85,16 +86,22 @@
     this.overRateJobs.delete(job)
   }
 
+  /** True if the record is that of a job whose record, or whose end, is in the journal. */
+  private isKnownJob ({ key }: KeyedRecord): boolean {
+    const { subject, name } = splitKey(key)
+    return subject === Subject.Job && this.options.journalState.jobs.has(name)
+  }
+
   /**
    * Returns the reason to refuse a job, or undefined. Jobs with a schedule or with long-running steps are never refused. A job that
    * may already have been written is never refused either, because a refusal states that the job did not run.
    */
   private findRefusal (record: KeyedRecord): Refusal | undefined {
-    const { journalState, writer, dispatcher } = this.options
-    const { subject, name } = splitKey(record.key)
+    const { writer, dispatcher } = this.options
+    const { subject } = splitKey(record.key)
     if (subject !== Subject.Job || record.value === undefined) return undefined
-    if (journalState.jobs.has(name) || writer.isUncommitted(record.key)) return undefined
-    const decoded = decodeValue<Job>(record.value)
+    if (writer.isUncommitted(record.key)) return undefined
+    const decoded = decodeJob(record.key, record.value)
     if (decoded.isErr()) return undefined
     const job = decoded.value
     if (job.occurrences > 0 || job.steps.some((step) => step.lasting)) return undefined
