Count each failed run of a task once, whenever its end is reported

The workers of a gang report its end one after the other. The first report, of a member that was broken off, made the whole gang wait again; the report of the member that had failed then found no assigned run and was dropped, so the attempt was not counted. The same held for a run that was given up before it was reported as failed.

A job whose attempts are used up fails once no run of the task is assigned any more.

--- a/packages/control/src/journal/job-changes.ts
+++ b/packages/control/src/journal/job-changes.ts
@@ -14,7 +14,7 @@
 export type Encoder = () => KeyedRecord
 
 /** A task that is done. Its runs do not matter any more. */
-const DONE_TASK = { stage: Stage.Done, run: 0, worker: '', born: 0, failures: 0, checkpoint: '' }
+const DONE_TASK = { stage: Stage.Done, run: 0, worker: '', born: 0, failures: 0, failedRun: 0, checkpoint: '' }
 
 /** Records and changes of one job. */
 export class JobChanges {
--- a/packages/control/src/journal/journal-state.ts
+++ b/packages/control/src/journal/journal-state.ts
@@ -25,6 +25,8 @@
   born: number
   /** Number of failed runs; for a member of a gang, of all its members. */
   failures: number
+  /** Number of the last run that is counted in `failures`; 0 if there is none. */
+  failedRun: number
   /** Checkpoint from which the next run resumes; empty if there is none. */
   checkpoint: string
 }
@@ -69,6 +71,7 @@
       worker: '',
       born: 0,
       failures: 0,
+      failedRun: 0,
       checkpoint: ''
     }
     this.taskEntries.set(key, task)
@@ -142,7 +145,7 @@
     this.endedMs = progress.endedMs
     for (const [key, stage, run, worker, born, failures, checkpoint] of progress.tasks) {
       const task = this.taskByKey(key)
-      Object.assign(task, { stage, run, worker, born, failures, checkpoint })
+      Object.assign(task, { stage, run, worker, born, failures, failedRun: lastFailedRunOf(stage, run, failures), checkpoint })
       this.changes.mark(task)
     }
   }
@@ -162,6 +165,12 @@
   }
 }
 
+/** Records of earlier builds do not contain the last failed run. A run that is not assigned any more was counted if it failed. */
+function lastFailedRunOf (stage: Stage, run: number, failures: number): number {
+  if (failures === 0) return 0
+  return stage === Stage.Assigned ? run - 1 : run
+}
+
 /** Returns a job without what only its tasks need. */
 function summaryOf ({ id, queue, workspace, acceptedMs }: Pick<Job, 'id' | 'queue' | 'workspace' | 'acceptedMs'>): Job {
   return {
--- a/packages/control/src/journal/task-record.ts
+++ b/packages/control/src/journal/task-record.ts
@@ -18,7 +18,7 @@
 
 /** A task that has been assigned. The time at which the worker started is counted from the time at which the job was accepted. */
 type RunRow = readonly [
-  stage: Stage, run: number, worker: string, bornOffsetMs: number, failures?: number, checkpoint?: string
+  stage: Stage, run: number, worker: string, bornOffsetMs: number, checkpoint?: string, failures?: number, failedRun?: number
 ]
 
 /** A row of a record of runs. A task without a run has 0, a done task only its stage. */
@@ -88,7 +88,8 @@
 }
 
 /** The state of a task in a record of runs: undefined for a task that was never assigned. */
-export type DecodedRun = Pick<TaskEntry, 'stage'> & Partial<Pick<TaskEntry, 'run' | 'worker' | 'born' | 'failures' | 'checkpoint'>>
+export type DecodedRun = Pick<TaskEntry, 'stage'> &
+  Partial<Pick<TaskEntry, 'run' | 'worker' | 'born' | 'failures' | 'failedRun' | 'checkpoint'>>
 
 /**
  * Decodes a record of runs.
@@ -101,8 +102,8 @@
   return rows.map((row) => {
     if (row === Stage.Done) return { stage: Stage.Done }
     if (row === 0) return undefined
-    const [stage, run, worker, bornOffsetMs, failures = 0, checkpoint = ''] = row
-    return { stage, run, worker, born: bornOffsetMs + baseMsOf(job), failures, checkpoint }
+    const [stage, run, worker, bornOffsetMs, checkpoint = '', failures = 0, failedRun = 0] = row
+    return { stage, run, worker, born: bornOffsetMs + baseMsOf(job), failures, failedRun, checkpoint }
   })
 }
 
@@ -138,10 +139,10 @@
 function rowOf (job: Job, task: TaskEntry | undefined): Row {
   if (task === undefined || (task.run === 0 && task.stage === Stage.Waiting)) return 0
   if (task.stage === Stage.Done) return Stage.Done
-  const { stage, run, worker, born, failures, checkpoint } = task
+  const { stage, run, worker, born, failures, failedRun, checkpoint } = task
   const bornOffsetMs = born - baseMsOf(job)
-  if (checkpoint !== '') return [stage, run, worker, bornOffsetMs, failures, checkpoint]
-  return failures > 0 ? [stage, run, worker, bornOffsetMs, failures] : [stage, run, worker, bornOffsetMs]
+  if (failures > 0) return [stage, run, worker, bornOffsetMs, checkpoint, failures, failedRun]
+  return checkpoint === '' ? [stage, run, worker, bornOffsetMs] : [stage, run, worker, bornOffsetMs, checkpoint]
 }
 
 /** Rounded, so that times of workers, which are whole numbers, are restored exactly. */
--- a/packages/control/src/owner/run-end-handler.ts
+++ b/packages/control/src/owner/run-end-handler.ts
@@ -77,18 +77,18 @@
     const run = this.options.ledger.find(ended.task)
     const isCurrent = run !== undefined && run.number === ended.run && run.session === session
     if (isCurrent) this.options.ledger.remove(run)
-    // A run that is no longer in the ledger counts only if it completed and no other run of its task has been assigned.
-    else if (run !== undefined || ended.ending !== RunOutcome.Done) return undefined
+    // A run that is no longer in the ledger counts only if it failed, or completed and no other run of its task has been assigned.
+    else if (ended.ending !== RunOutcome.Failed && (run !== undefined || ended.ending !== RunOutcome.Done)) return undefined
     const phase = entry.phase
     const changed = applyRunEnd(entry, task, ended, this.maxAttemptsOf(entry), this.options.clock.wall())
-    this.recordRunEnd(session, entry, ended, run, phase)
+    this.recordRunEnd(session, entry, ended, isCurrent ? run : undefined, phase)
     if (isCurrent && ended.ending === RunOutcome.Done) this.recordDuration(run)
     if (ended.ending === RunOutcome.Failed || ended.ending === RunOutcome.Done) {
       session.recordOutcome(ended.ending === RunOutcome.Failed)
     }
     // A failed task is placed again without delay, on another worker if possible; the number of attempts is limited.
     if (ended.ending !== RunOutcome.Done && ended.ending !== RunOutcome.Failed) this.delayTask(ended.task)
-    if (ended.ending !== RunOutcome.Done && !entry.isFinishedOrCancelled()) this.stopGang(entry, task)
+    if (ended.run === task.run && ended.ending !== RunOutcome.Done && !entry.isFinishedOrCancelled()) this.stopGang(entry, task)
     if (entry.isFinishedOrCancelled()) {
       this.options.stopJob(entry, entry.phase === Phase.Cancelled ? StopReason.Cancelled : StopReason.JobEnded)
     }
@@ -100,7 +100,10 @@
     const ranMs = run === undefined || run.startedMs === 0 ? undefined : Math.round(this.options.clock.now() - run.startedMs)
     this.options.log.decision('run ended', { task: ended.task, run: ended.run, worker: session.id, ending: ended.ending, ranMs })
     this.options.metrics.runEnds.inc({ ending: ended.ending })
-    if (entry.phase === before) return
+    if (entry.phase !== before) this.recordJobEnd(entry)
+  }
+
+  private recordJobEnd (entry: JobEntry): void {
     const tookMs = entry.endedMs - entry.job.acceptedMs
     this.options.log.decision('job ended', { job: entry.job.id, queue: entry.job.queue, phase: entry.phase, tookMs })
     this.options.metrics.jobsEnded.inc({ queue: entry.job.queue, phase: entry.phase })
@@ -150,8 +153,14 @@
   private endRun (run: Run, ending: RunOutcome): JobEntry {
     const { entry, task } = run
     this.options.ledger.remove(run)
+    const { phase } = entry
     const end = { run: run.number, ending, checkpoint: run.checkpoint }
     applyRunEnd(entry, task, end, this.maxAttemptsOf(entry), this.options.clock.wall())
+    // The last attempt may have been reported as failed before this run was given up.
+    if (entry.phase !== phase) {
+      this.recordJobEnd(entry)
+      this.options.stopJob(entry, StopReason.JobEnded)
+    }
     this.options.readySteps.refresh(entry)
     return entry
   }
--- a/packages/control/src/owner/run-end.ts
+++ b/packages/control/src/owner/run-end.ts
@@ -28,37 +28,46 @@
 }
 
 /**
- * Applies the end of a run.
+ * Applies the end of a run. A failed run counts as an attempt once, whenever its end is reported: the end of another member of its
+ * gang may have been applied before, or the run may have been given up.
  *
  * @param maxAttempts number of failed runs of a task after which its job fails
  * @param nowMs Unix time
- * @returns true if anything changed; the ends of earlier runs change nothing
+ * @returns true if anything changed
  */
 export function applyRunEnd (
   entry: JobEntry, task: TaskEntry, end: RunEnd, maxAttempts: number, nowMs: number
 ): boolean {
   const step = entry.job.steps[task.step]
   // Without steps, the job has ended and its details have been dropped.
-  if (step === undefined || task.stage === Stage.Done || end.run !== task.run) return false
+  if (step === undefined || task.stage === Stage.Done || end.run > task.run) return false
   const members = membersOf(entry, task)
   if (end.ending === RunOutcome.Done && !step.lasting) {
+    if (end.run !== task.run) return false
     for (const member of members) member.stage = Stage.Done
     for (const member of members) entry.markChanged(member)
     if (!entry.isFinishedOrCancelled() && isComplete(entry)) endJob(entry, Phase.Completed, nowMs)
     return true
   }
-  if (task.stage !== Stage.Assigned) return false
+  const releases = task.stage === Stage.Assigned && end.run === task.run
+  const counts = end.ending === RunOutcome.Failed && end.run > task.failedRun
+  if (!releases && !counts) return false
   for (const member of members) {
-    member.stage = Stage.Waiting
-    if (end.checkpoint !== '') member.checkpoint = end.checkpoint
-    if (end.ending === RunOutcome.Failed) member.failures++
+    if (releases) member.stage = Stage.Waiting
+    if (releases && end.checkpoint !== '') member.checkpoint = end.checkpoint
+    if (counts) countFailure(member, end.run)
     entry.markChanged(member)
   }
-  const exhausted = end.ending === RunOutcome.Failed && !step.lasting && task.failures >= maxAttempts
+  const exhausted = !step.lasting && task.stage === Stage.Waiting && task.failures >= maxAttempts
   if (exhausted && !entry.isFinishedOrCancelled()) endJob(entry, Phase.Failed, nowMs)
   return true
 }
 
+function countFailure (task: TaskEntry, run: number): void {
+  task.failures++
+  task.failedRun = run
+}
+
 /** Sets the final phase and the end time of a job, unless it has ended. */
 export function endJob (entry: JobEntry, phase: Phase, nowMs: number): void {
   if (isFinal(entry.phase)) return
--- a/packages/control/test/journal/journal-state.spec.ts
+++ b/packages/control/test/journal/journal-state.spec.ts
@@ -86,7 +86,7 @@
   it.each<[string, Partial<TaskEntry>]>([
     ['an assigned run', RUNNING],
     ['a run on a worker that started long ago', { ...RUNNING, born: 1_400_000_000_123 }],
-    ['a task whose run failed', { stage: Stage.Waiting, run: 2, worker: 'w2', born: 1_700_000_000_010, failures: 1 }],
+    ['a task whose run failed', { stage: Stage.Waiting, run: 2, worker: 'w2', born: 1_700_000_000_010, failures: 1, failedRun: 2 }],
     ['a task with a checkpoint', { ...RUNNING, checkpoint: 'saved' }],
     ['a done task', { stage: Stage.Done }]
   ])('restores %s from the records of tasks, also after a record of an earlier build', (_, fields) => {
