Give requests between nodes a validity, and define commands to workers

What callers see: nothing yet. A node that is suspended, or lacks processor, would execute a command long after the owner has given it up; after a restart of the worker neither its fence nor the deadline on its clock rejects it.

A request can now carry a deadline on the clocks of the node that receives it, which refuses the request as not run after it. Each end of a connection sends a reading of its clocks in its hello frame and in its pings; the wall clock counts a suspension, the steady clock is immune to steps. Requests without a validity are unchanged. Command and Disconnect are the messages to a gateway.

--- a/packages/protocol/src/connection.ts
+++ b/packages/protocol/src/connection.ts
@@ -5,6 +5,7 @@
 import type { WebSocket } from 'ws'
 import { decodeFrame, decodeRequest, encodeFrame } from './frame.js'
 import { MessageKind, PROTOCOL_VERSION, type Answer, type Ask, type Frame, type Hello, type Request } from './message.js'
+import { PeerClock, decodeReading, encodeReading, hasPassed, readClocks } from './peer-clock.js'
 import { Execution, Reason, refuse, type Refusal } from './refusal.js'
 
 /** Handles the requests of the peer. `from` is the peer node's name. */
@@ -69,6 +70,7 @@
   /** Number of requests of the peer that the handler is working on. */
   private incomingRequests = 0
   private lastReceivedAtMs = performance.now()
+  private readonly peerClock = new PeerClock()
   /** True once the peer has announced that it takes no new requests. */
   private peerIsLeaving = false
   private isClosed = false
@@ -80,10 +82,11 @@
     private readonly settings: ConnectionSettings,
     private readonly handler: Handler
   ) {
+    if (peer.clock !== undefined) this.peerClock.update(peer.clock)
     this.heartbeatTimer = setInterval(() => { this.checkHeartbeat() }, settings.heartbeatMs)
     socket.on('message', (data: Buffer) => { this.handleFrame(data) })
     socket.on('pong', () => { this.lastReceivedAtMs = performance.now() })
-    socket.on('ping', () => { this.lastReceivedAtMs = performance.now() })
+    socket.on('ping', (data: Buffer) => { this.handlePing(data) })
     socket.on('close', () => { this.handleClose() })
     socket.on('error', () => { socket.terminate() })
   }
@@ -101,9 +104,8 @@
    * const connection = await Connection.open(socket, settings, handler)
    */
   static async open (socket: WebSocket, settings: ConnectionSettings, handler: Handler): Promise<Result<Connection, string>> {
-    const hello = encodeFrame({ frame: 'hello', version: PROTOCOL_VERSION, node: settings.node, zone: settings.zone })
-    if (socket.readyState === socket.OPEN) socket.send(hello)
-    else socket.once('open', () => { socket.send(hello) })
+    if (socket.readyState === socket.OPEN) sendHello(socket, settings)
+    else socket.once('open', () => { sendHello(socket, settings) })
     // The connection is created inside the listener for the hello frame. Frames that follow in the same chunk are emitted right
     // after it, so the listeners of the connection must exist by then.
     const opened = await receiveHello(socket, settings.silenceMs, (peer) => new Connection(socket, peer, settings, handler))
@@ -132,16 +134,22 @@
    *
    * @param request the request
    * @param timeoutMs how long to wait for the answer
+   * @param validMs how long the request is valid: a peer that comes to it later refuses it with Execution.NotRun. Without it the
+   *   peer handles the request whenever it comes to it
    * @returns the value; or a refusal, with Execution.Unknown if the request was sent and no answer arrived
    *
    * @example
    * const answer = await connection.ask({ kind: MessageKind.Watch, shard }, 500)
    */
-  ask (request: Request, timeoutMs: number): Promise<Result<unknown, Refusal>> {
+  ask (request: Request, timeoutMs: number, validMs?: number): Promise<Result<unknown, Refusal>> {
     this.lastUsedAtMs = performance.now()
     if (!this.isUsable()) {
       return Promise.resolve(err(refuse(Reason.ConnectionLost, 'The connection is closed or the peer takes no new requests.', 0)))
     }
+    const notAfter = validMs === undefined ? undefined : this.peerClock.after(validMs)
+    if (validMs !== undefined && notAfter === undefined) {
+      return Promise.resolve(err(refuse(Reason.ConnectionLost, `The clocks of node ${this.peer.node} are unknown.`, 0)))
+    }
     if (this.pendingRequests.size >= this.settings.openRequests || this.socket.bufferedAmount > MAX_SEND_BUFFER_BYTES) {
       return Promise.resolve(err(
         refuse(Reason.QueueFull, `Too many requests to node ${this.peer.node} are in flight.`, RETRY_AFTER_MS)
@@ -154,7 +162,7 @@
         resolve(err(connectionLost(`Node ${this.peer.node} did not answer in time.`)))
       }, timeoutMs)
       this.pendingRequests.set(id, { kind: request.kind, resolve, timer })
-      this.send({ frame: 'ask', id, request }, request.kind)
+      this.send(notAfter === undefined ? { frame: 'ask', id, request } : { frame: 'ask', id, request, notAfter }, request.kind)
     })
   }
 
@@ -175,7 +183,13 @@
       this.close()
       return
     }
-    if (this.socket.readyState === this.socket.OPEN) this.socket.ping()
+    if (this.socket.readyState === this.socket.OPEN) this.socket.ping(encodeReading(readClocks()))
+  }
+
+  private handlePing (data: Buffer): void {
+    this.lastReceivedAtMs = performance.now()
+    const reading = decodeReading(data)
+    if (reading !== undefined) this.peerClock.update(reading)
   }
 
   private send (frame: Frame, kind?: unknown): void {
@@ -236,6 +250,9 @@
 
   private async runHandler (ask: Ask): Promise<Result<unknown, Refusal>> {
     this.lastUsedAtMs = performance.now()
+    if (ask.notAfter !== undefined && hasPassed(ask.notAfter)) {
+      return err(refuse(Reason.DeadlinePassed, 'The request has waited too long at this node.', 0))
+    }
     const request = decodeRequest(ask.request)
     if (request.isErr()) {
       this.frameCounts.malformed++
@@ -289,6 +306,10 @@
   return { reason: Reason.ConnectionLost, detail, execution: Execution.Unknown, retryAfterMs: 0 }
 }
 
+function sendHello (socket: WebSocket, { node, zone }: ConnectionSettings): void {
+  socket.send(encodeFrame({ frame: 'hello', version: PROTOCOL_VERSION, node, zone, clock: readClocks() }))
+}
+
 function receiveHello<T> (socket: WebSocket, timeoutMs: number, accept: (hello: Hello) => T): Promise<Result<T, string>> {
   return new Promise((resolve) => {
     const timer = setTimeout(() => { finish(err('The peer did not send a hello frame in time.')) }, timeoutMs)
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -7,6 +7,7 @@
  */
 import { Codec, array, boolean, enumeration, exactly, nullType, number, oneOf, optional, string, unknown, type GetType } from 'purify-ts/Codec'
 import { Left, Right } from 'purify-ts/Either'
+import { ClockReadingCodec, type ClockReading } from './peer-clock.js'
 import type { Epoch } from './epoch.js'
 import type { Resources } from './resources.js'
 import { Execution, Reason, type Refusal } from './refusal.js'
@@ -17,7 +18,7 @@
 /**
  * The kinds of request that one daemon sends to another.
  *
- * Only packages/control uses Notice, Lookup, Advise, Relay and Succeed. Its epochs are numbers, and its journal is the topic of
+ * Only packages/control uses Notice, Lookup, Advise, Relay, Succeed, Command and Disconnect. Its epochs are numbers, and its journal is the topic of
  * jobs, nodes and ownership. In the other kinds of request epochs are encoded by EpochCodec.
  */
 export enum MessageKind {
@@ -67,7 +68,11 @@
   /** Calls the store on behalf of a node that the store does not answer. */
   Relay = 'relay',
   /** Owner to all nodes before a planned shutdown: start to take over now. */
-  Succeed = 'succeed'
+  Succeed = 'succeed',
+  /** Owner to any node, which is then a gateway: send a command to a worker on behalf of the owner. */
+  Command = 'command',
+  /** Owner to a gateway: close its connections to a worker. */
+  Disconnect = 'disconnect'
 }
 
 export const EpochCodec = Codec.interface({ counter: number, node: string })
@@ -181,6 +186,26 @@
 })
 export const SucceedCodec = Codec.interface({ kind: exactly(MessageKind.Succeed), epoch: number })
 
+/** What a gateway needs to know of a worker. `born` is the start time of the incarnation that the owner knows. */
+const workerAddress = Codec.interface({ id: string, address: string, zone: string, born: number })
+/**
+ * Contains exactly one of the commands `start`, `stop`, `throttle` and `report`, see Fleet in packages/control. `fence` is the
+ * epoch of the owner; other deadlines than `notAfter` of the frame are on the worker's clock. Answered with the result of the
+ * call to the worker. A refusal with Execution.NotRun means that the gateway has not made the call.
+ */
+export const CommandCodec = Codec.interface({
+  kind: exactly(MessageKind.Command),
+  worker: workerAddress,
+  start: optional(Codec.interface({
+    task: string, run: number, payload: string, deadlineMs: number, fence: number, checkpoint: string, ticket: string
+  })),
+  stop: optional(Codec.interface({ task: string, run: number, fence: number })),
+  throttle: optional(Codec.interface({ task: string, run: number, fence: number, percent: number })),
+  report: optional(Codec.interface({ fence: number, acknowledged: number, deadlineMs: optional(number), waitMs: number }))
+})
+/** Answered with true. */
+export const DisconnectCodec = Codec.interface({ kind: exactly(MessageKind.Disconnect), worker: workerAddress })
+
 /** The codec of each kind of request. */
 export const REQUEST_CODECS = {
   [MessageKind.Call]: CallCodec,
@@ -201,7 +226,9 @@
   [MessageKind.Lookup]: LookupCodec,
   [MessageKind.Advise]: AdviseCodec,
   [MessageKind.Relay]: RelayCodec,
-  [MessageKind.Succeed]: SucceedCodec
+  [MessageKind.Succeed]: SucceedCodec,
+  [MessageKind.Command]: CommandCodec,
+  [MessageKind.Disconnect]: DisconnectCodec
 }
 
 export interface Call {
@@ -242,9 +269,31 @@
 export type Advise = GetType<typeof AdviseCodec>
 export type Relay = GetType<typeof RelayCodec>
 export type Succeed = GetType<typeof SucceedCodec>
+export interface Command {
+  readonly kind: MessageKind.Command
+  readonly worker: GetType<typeof workerAddress>
+  readonly start?: {
+    readonly task: string
+    readonly run: number
+    readonly payload: string
+    readonly deadlineMs: number
+    readonly fence: number
+    readonly checkpoint: string
+    readonly ticket: string
+  }
+  readonly stop?: { readonly task: string, readonly run: number, readonly fence: number }
+  readonly throttle?: { readonly task: string, readonly run: number, readonly fence: number, readonly percent: number }
+  readonly report?: {
+    readonly fence: number
+    readonly acknowledged: number
+    readonly deadlineMs?: number | undefined
+    readonly waitMs: number
+  }
+}
+export type Disconnect = GetType<typeof DisconnectCodec>
 export type Abandon = GetType<typeof AbandonCodec>
 export type Request = Call | Submit | Status | Cancel | Explain | Survey | Watch | Pledge | Handover |
-  Transfer | Borrow | Records | Drain | Abandon | Notice | Lookup | Advise | Relay | Succeed
+  Transfer | Borrow | Records | Drain | Abandon | Notice | Lookup | Advise | Relay | Succeed | Command | Disconnect
 
 /** States of a durable job. */
 export enum JobState {
@@ -322,10 +371,17 @@
   readonly detail?: string
 }
 
-/** The first frame that each end sends on a connection. */
-export const HelloCodec = Codec.interface({ frame: exactly('hello'), version: number, node: string, zone: string })
-/** A request with its id. */
-export const AskCodec = Codec.interface({ frame: exactly('ask'), id: number, request: unknown })
+/** The first frame that each end sends on a connection. `clock` is a reading of the sender's clocks. */
+export const HelloCodec = Codec.interface({
+  frame: exactly('hello'), version: number, node: string, zone: string, clock: optional(ClockReadingCodec)
+})
+/**
+ * A request with its id. `notAfter` is a moment on the clocks of the receiver, after which it refuses the request; absent if the
+ * request has no such deadline.
+ */
+export const AskCodec = Codec.interface({
+  frame: exactly('ask'), id: number, request: unknown, notAfter: optional(ClockReadingCodec)
+})
 /** An answer with the id of its request, and either a value or a refusal. */
 export const AnswerCodec = Codec.interface({
   frame: exactly('answer'),
@@ -343,8 +399,19 @@
   drained: boolean
 })
 
-export type Hello = GetType<typeof HelloCodec>
-export type Ask = GetType<typeof AskCodec>
+export interface Hello {
+  readonly frame: 'hello'
+  readonly version: number
+  readonly node: string
+  readonly zone: string
+  readonly clock?: ClockReading
+}
+export interface Ask {
+  readonly frame: 'ask'
+  readonly id: number
+  readonly request: unknown
+  readonly notAfter?: ClockReading
+}
 export interface Answer {
   readonly frame: 'answer'
   readonly id: number
--- a/packages/protocol/src/refusal.ts
+++ b/packages/protocol/src/refusal.ts
@@ -44,7 +44,7 @@
   Cancelled = 'cancelled',
   /** An object of the configuration has changed since the revision that the publication is based on. */
   Conflict = 'conflict',
-  /** The node is stopping. It is mapped to an HTTP status and retried, but no code creates it at present. */
+  /** The node is stopping. Gateways of packages/control refuse commands with it. */
   Leaving = 'leaving',
   /** The idempotency key was used before for different work. */
   KeyReused = 'key-reused',
--- a/packages/protocol/test/connection.spec.ts
+++ b/packages/protocol/test/connection.spec.ts
@@ -7,6 +7,7 @@
 import { Connection, type Handler, type ConnectionSettings } from '@fireflymount/protocol/connection'
 import { decodeFrame, decodeRequest, encodeFrame } from '@fireflymount/protocol/frame'
 import { MessageKind, PROTOCOL_VERSION, type Request } from '@fireflymount/protocol/message'
+import { encodeReading, readClocks } from '@fireflymount/protocol/peer-clock'
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 
 const WATCH: Request = { kind: MessageKind.Watch, shard: 'bee-planner' }
@@ -152,3 +153,59 @@
   expect([frameCounts.requestBytesSent, frameCounts.requestBytesReceived]).toEqual(expected)
   connection.close()
 })
+
+// Guards against a command that is executed long after it was sent, because the node that should have executed it was suspended.
+test.each<{ says: string, validMs: number | undefined, expected: string[], isHandled: boolean }>([
+  { says: 'is refused as not run if it is no longer valid', validMs: 50, expected: [Reason.DeadlinePassed, Execution.NotRun], isHandled: false },
+  { says: 'is handled if it is still valid', validMs: 2000, expected: [], isHandled: true },
+  { says: 'is handled if it is valid without limit', validMs: undefined, expected: [], isHandled: true }
+])('a request that waits at the peer for a while $says', async ({ validMs, expected, isHandled }) => {
+  let serverSocket: WebSocket | undefined
+  let handled = 0
+  const socket = await serve((incoming) => {
+    serverSocket = incoming
+    Connection.open(incoming, createSettings('server', { silenceMs: 5000 }), async () => ok(++handled)).catch(() => {})
+  })
+  const connection = (await Connection.open(socket, createSettings('client', { silenceMs: 5000 }), async () => ok(null)))._unsafeUnwrap()
+  serverSocket!.pause()
+  const answering = connection.ask(WATCH, 1000, validMs)
+  await new Promise((resolve) => setTimeout(resolve, 90))
+  serverSocket!.resume()
+  const answer = await answering
+  expect(answer.isOk() ? [] : [answer.error.reason, answer.error.execution]).toEqual(expected)
+  expect(handled > 0).toBe(isHandled)
+  connection.close()
+})
+
+test.each([
+  { says: 'is not sent to a peer that has not sent its clocks', clock: false, pings: false, isSent: false },
+  { says: 'is sent to a peer whose first frame had its clocks', clock: true, pings: false, isSent: true },
+  { says: 'is sent to a peer that has sent its clocks with a ping', clock: false, pings: true, isSent: true }
+])('a request with a limited validity $says', async ({ clock, pings, isSent }) => {
+  const received: string[] = []
+  const socket = await serve((incoming) => {
+    incoming.on('message', (data: Buffer) => { received.push(decodeFrame(data)._unsafeUnwrap().frame) })
+    const hello = { frame: 'hello' as const, version: PROTOCOL_VERSION, node: 'server', zone: 'z' }
+    incoming.send(encodeFrame(clock ? { ...hello, clock: readClocks() } : hello))
+    if (pings) incoming.ping(encodeReading(readClocks()))
+  })
+  const connection = (await Connection.open(socket, createSettings('client'), async () => ok(null)))._unsafeUnwrap()
+  await new Promise((resolve) => setTimeout(resolve, 20))
+  const answer = (await connection.ask(WATCH, 30, 1000))._unsafeUnwrapErr()
+  expect(answer.execution).toBe(isSent ? Execution.Unknown : Execution.NotRun)
+  expect(received.includes('ask')).toBe(isSent)
+  connection.close()
+})
+
+const COMMANDED = { kind: MessageKind.Command, worker: { id: 'w', address: '10.0.0.1:80', zone: 'z', born: 1764800000000 } } as const
+test.each<{ says: string, request: Request }>([
+  { says: 'start', request: { ...COMMANDED, start: { task: 'a.0.0.0', run: 1, payload: 'p', deadlineMs: 5, fence: 3, checkpoint: '', ticket: '' } } },
+  { says: 'stop', request: { ...COMMANDED, stop: { task: 'a.0.0.0', run: 1, fence: 3 } } },
+  { says: 'throttle', request: { ...COMMANDED, throttle: { task: 'a.0.0.0', run: 1, fence: 3, percent: 40 } } },
+  { says: 'report without a deadline', request: { ...COMMANDED, report: { fence: 3, acknowledged: 7, deadlineMs: undefined, waitMs: 1900 } } },
+  { says: 'report with a deadline', request: { ...COMMANDED, report: { fence: 3, acknowledged: 7, deadlineMs: 6000, waitMs: 0 } } },
+  { says: 'disconnect', request: { kind: MessageKind.Disconnect, worker: COMMANDED.worker } }
+])('a message with the command $says is unchanged after encoding and decoding', ({ request }) => {
+  const frame = decodeFrame(encodeFrame({ frame: 'ask', id: 1, request }))._unsafeUnwrap()
+  expect(decodeRequest((frame as { request: unknown }).request)._unsafeUnwrap()).toEqual(request)
+})
