--- a/packages/control/src/model/worker.ts
+++ b/packages/control/src/model/worker.ts
@@ -3,21 +3,25 @@
  */
 import type { Resources } from '@fireflymount/protocol/resources'
 
-/** A worker's registry entry. */
-export interface Worker {
+/** What a call to a worker needs to know of it. */
+export interface WorkerAddress {
   readonly id: string
-  readonly upstream: string
   /** Host and port. */
   readonly address: string
   readonly zone: string
+  /** Unix time at which the worker started. An incarnation with a later time replaces an earlier one with the same id. */
+  readonly born: number
+}
+
+/** A worker's registry entry. */
+export interface Worker extends WorkerAddress {
+  readonly upstream: string
   readonly draining: boolean
   /** Minimum time left until a draining worker stops; undefined if the worker is not draining. */
   readonly remainingMs: number | undefined
   readonly capacity: Resources
   /** Labels for the machine's kind and rack. */
   readonly labels: readonly string[]
-  /** Unix time at which the worker started. An incarnation with a later time replaces an earlier one with the same id. */
-  readonly born: number
   /** The worker's own steady clock at the time when it wrote the entry. */
   readonly clockMs: number
   /** Machine on which this incarnation runs; empty if unknown. */
