Keep the connections to workers when an ownership ends

What callers saw: after each change of owner the new one opened connections to all workers, which cost it processor and the platform charges for. A session that ends with its owner therefore leaves them open; the session with a worker that is gone closes them.

Evidence: a table of three cases in session.spec.ts; the first one fails if close() closes the connections.

--- a/packages/control/src/owner/garbage-collector.ts
+++ b/packages/control/src/owner/garbage-collector.ts
@@ -75,7 +75,7 @@
         session.declareLost('The worker was not adopted before the timeout for leases of an earlier owner.')
       }
       if (missingMs > FORGET_AFTER_MS && !session.reachable && session.runs.size === 0) {
-        session.close()
+        session.discard()
         this.options.sessions.delete(session.id)
       }
     }
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -207,9 +207,14 @@
     }
   }
 
-  /** Closes the session. */
+  /** Closes the session. The connections to the worker stay open for the next owner, whose calls go through the same nodes. */
   close (): void {
     this.stopController.abort()
+  }
+
+  /** Closes the session with a worker that is gone, and the connections to it. */
+  discard (): void {
+    this.close()
     this.host.fleet.closeConnections(this.worker)
   }
 
--- a/packages/control/test/fakes.ts
+++ b/packages/control/test/fakes.ts
@@ -5,7 +5,7 @@
 import { Clock } from '../src/clock.js'
 import type { Queue } from '../src/model/configuration.js'
 import type { Job, Step } from '../src/model/job.js'
-import type { Report, Worker } from '../src/model/worker.js'
+import type { Report, Worker, WorkerAddress } from '../src/model/worker.js'
 import { Fleet, WorkerFailure, type ReportCommand, type RunCommand, type StartCommand } from '../src/ports/fleet.js'
 import { Formats } from '../src/ports/formats.js'
 import { MachineFailure, Machines } from '../src/ports/machines.js'
@@ -112,6 +112,7 @@
   readonly stopped: RunCommand[] = []
   readonly throttled: Array<{ command: RunCommand, percent: number }> = []
   readonly reportCommands: ReportCommand[] = []
+  readonly closedAddresses: string[] = []
   onStart: (command: StartCommand) => Result<number, WorkerFailure> = () => ok(1)
   onStop: (command: RunCommand) => Result<number, WorkerFailure> = () => ok(1)
   onReportRequest: (command: ReportCommand) => Promise<Result<Report, WorkerFailure>> = async () => err(WorkerFailure.NoAnswer)
@@ -136,7 +137,9 @@
     return await this.onReportRequest(command)
   }
 
-  override closeConnections (): void {}
+  override closeConnections (worker: WorkerAddress): void {
+    this.closedAddresses.push(worker.address)
+  }
 }
 
 /** Creates a step of one small task; `fields` override the defaults. */
--- a/packages/control/test/owner/session.spec.ts
+++ b/packages/control/test/owner/session.spec.ts
@@ -211,6 +211,21 @@
     expect(fleet.reportCommands.map((request) => request.acknowledged)).toEqual([0, 0, 7])
   })
 
+  // Guards against a new owner that has to open the connections to all workers again.
+  it.each([
+    { says: 'keeps the connections to the worker for the next owner when it ends', end: (session: Session) => { session.close() }, closed: 0 },
+    { says: 'closes the connections to a worker that is gone', end: (session: Session) => { session.discard() }, closed: 1 },
+    {
+      says: 'closes the connections to an address that the worker has left',
+      end: (session: Session) => { session.update(createWorker({ address: '10.0.0.2:80' })) },
+      closed: 1
+    }
+  ])('$says', ({ end, closed }) => {
+    const { fleet, session } = createHarness()
+    end(session)
+    expect(fleet.closedAddresses).toEqual(Array.from({ length: closed }, () => '10.0.0.1:80'))
+  })
+
   it('ignores the running tasks of a report that arrives out of order', async () => {
     const { fleet, session, unknownRuns } = createHarness()
     fleet.onReportRequest = async () => ok(report({ clockMs: 9000 }))
