Make the owner's calls to workers through other nodes

FleetGateways sends each command to the node that is chosen for the worker; GatewayServer makes the call there with its own fleet and returns the result. A command that was certainly not executed goes to the next node at once, one without an answer fails as NoAnswer and its node is passed over for the worker (5 to 40 s), or for all workers if the node itself did not answer. A report request of a worker that answered before is repeated at once through another node, so that a cut link of one node does not make workers unreachable. The owner calls directly while fewer than three other nodes are connected.

Commands are valid for 1 s at the gateway. The only place that assumes how late a command is executed is the lease after a restart of the worker: 12 s become 13 s. Starts keep their deadline on the worker's clock, stops and renewals have no effect when late, and a start that is resolved by a stop cannot begin later.

--- /dev/null
+++ b/packages/control/src/membership/fleet-gateways.ts
@@ -0,0 +1,203 @@
+/**
+ * Makes the owner's calls to workers through other nodes, so that a small owner keeps its processor for the decisions. Nothing is
+ * decided there: a gateway makes the call and returns the result.
+ */
+import { MessageKind, type Command } from '@fireflymount/protocol/message'
+import { Execution, type Refusal } from '@fireflymount/protocol/refusal'
+import { err, ok, type Result } from 'neverthrow'
+import { sleep, type Clock } from '../clock.js'
+import { detach } from '../detach.js'
+import type { Report, WorkerAddress } from '../model/worker.js'
+import {
+  COMMAND_TIMEOUT_MS, COMMAND_VALIDITY_MS, Fleet, WorkerFailure, type ReportCommand, type RunCommand, type StartCommand
+} from '../ports/fleet.js'
+import type { Log } from '../report/log.js'
+import type { Metrics } from '../report/metrics.js'
+import { expandReport, type Commanded, type CompactReport } from './gateway-server.js'
+import { GatewayRoutes } from './gateway-routes.js'
+import type { Links } from './links.js'
+
+/** Added to the time that a call may take, for the transfer to the gateway and back. */
+const TRANSFER_MS = 200
+/** Timeout of a repeated report request: a healthy worker and a healthy gateway answer within milliseconds. */
+const REPEAT_TIMEOUT_MS = 400
+const DISCONNECT_TIMEOUT_MS = 1000
+/** Number of other nodes that are asked to make one call before this node makes it. */
+const MAX_GATEWAYS_TRIED = 3
+/**
+ * How long calls wait while fewer than half of the other nodes are connected: after a takeover, and after all connections were
+ * lost, they connect within this time. Without the wait the first node to connect would get the calls to all workers.
+ */
+const GATEWAY_WAIT_MS = 400
+const GATEWAY_POLL_INTERVAL_MS = 20
+
+/** What the fleet needs of its node. */
+export interface FleetGatewaysOptions {
+  /** This node, which is the owner. */
+  readonly node: string
+  /** Number of other nodes that the cell is known to have. Some of them may be gone. */
+  readonly countOthers: () => number
+  readonly links: Pick<Links, 'ask' | 'connected' | 'has'>
+  /** `processorShare` is the processor of the node, in cores. */
+  readonly addressOf: (node: string) => { readonly zone: string, readonly processorShare?: number } | undefined
+  /** Calls workers from this node. */
+  readonly direct: Fleet
+  readonly clock: Clock
+  readonly log: Log
+  readonly metrics: Metrics
+}
+
+/** One call, in the form for another node and in the form for this one. */
+interface Call<T> {
+  readonly worker: WorkerAddress
+  readonly request: Omit<Command, 'kind' | 'worker'>
+  /** Time within which a gateway answers even if the worker does not. */
+  readonly timeoutMs: number
+  /** Makes the call from this node. */
+  readonly callDirectly: () => Promise<Result<T, WorkerFailure>>
+  readonly decode: (answer: Exclude<Commanded, WorkerFailure>) => T
+}
+
+/** Sends commands to workers through other nodes, and from this node while there is no other. */
+export class FleetGateways extends Fleet {
+  private readonly routes: GatewayRoutes
+  /** Time on the steady clock at which at least half of the other nodes were last connected, or this fleet was created. */
+  private connectedMs: number
+  private waiting: Promise<void> | undefined
+
+  constructor (private readonly options: FleetGatewaysOptions) {
+    super()
+    const { node, links, addressOf, clock, log } = options
+    this.connectedMs = clock.now()
+    this.routes = new GatewayRoutes({
+      node,
+      connected: () => links.connected(),
+      isConnected: (name) => links.has(name),
+      addressOf,
+      clock,
+      onChange: (worker, gateway, before) => { log.event('worker gateway changed', { worker, gateway, before }) }
+    })
+  }
+
+  override async start (worker: WorkerAddress, command: StartCommand): Promise<Result<number, WorkerFailure>> {
+    return await this.send(commandCall(worker, { start: command }, () => this.options.direct.start(worker, command)))
+  }
+
+  override async stop (worker: WorkerAddress, command: RunCommand): Promise<Result<number, WorkerFailure>> {
+    return await this.send(commandCall(worker, { stop: command }, () => this.options.direct.stop(worker, command)))
+  }
+
+  override async throttle (worker: WorkerAddress, command: RunCommand, percent: number): Promise<Result<number, WorkerFailure>> {
+    const request = { throttle: { ...command, percent } }
+    return await this.send(commandCall(worker, request, () => this.options.direct.throttle(worker, command, percent)))
+  }
+
+  /**
+   * Requests a report. If the worker answered before and does not answer through one node now, the request is repeated at once
+   * through another one, without a long poll: the lease and the acknowledgement in it are the same.
+   */
+  override async requestReport (worker: WorkerAddress, command: ReportCommand): Promise<Result<Report, WorkerFailure>> {
+    const wasFailing = this.routes.isFailing(worker)
+    const tried = new Set<string>()
+    const report = await this.send(this.reportCall(worker, command, COMMAND_TIMEOUT_MS + command.waitMs + TRANSFER_MS), tried)
+    if (report.isOk() || report.error !== WorkerFailure.NoAnswer || wasFailing) return report
+    if (tried.has(this.routes.choose(worker, tried))) return report
+    return await this.send(this.reportCall(worker, { ...command, waitMs: 0 }, REPEAT_TIMEOUT_MS), tried)
+  }
+
+  override closeConnections (worker: WorkerAddress): void {
+    const { direct, links, node } = this.options
+    direct.closeConnections(worker)
+    const { id, address, zone, born } = worker
+    for (const gateway of this.routes.forget(worker)) {
+      if (gateway === node || !links.has(gateway)) continue
+      detach(links.ask(gateway, { kind: MessageKind.Disconnect, worker: { id, address, zone, born } }, DISCONNECT_TIMEOUT_MS))
+    }
+  }
+
+  private reportCall (worker: WorkerAddress, command: ReportCommand, timeoutMs: number): Call<Report> {
+    return {
+      worker,
+      request: { report: command },
+      timeoutMs,
+      callDirectly: () => this.options.direct.requestReport(worker, command),
+      decode: (answer) => expandReport(answer as CompactReport)
+    }
+  }
+
+  /**
+   * Makes a call through the best node, and through the next one if a node has certainly not made it.
+   *
+   * @param tried nodes that must not be asked; the nodes that are asked are added
+   */
+  private async send<T> (call: Call<T>, tried = new Set<string>()): Promise<Result<T, WorkerFailure>> {
+    this.routes.add(call.worker)
+    // Workers that become known together are added before the first of them is called.
+    await this.waitForGateways()
+    for (let refusals = 0; ; refusals++) {
+      const gateway = refusals < MAX_GATEWAYS_TRIED ? this.routes.choose(call.worker, tried) : this.options.node
+      tried.add(gateway)
+      if (gateway === this.options.node) return await this.callDirectly(call)
+      const answer = await this.ask(gateway, call)
+      if (answer.isOk()) return this.handleAnswer(gateway, call, answer.value as Commanded)
+      if (answer.error.execution !== Execution.NotRun) {
+        this.options.metrics.gatewayCalls.inc({ outcome: 'unanswered' })
+        // A repeated report request times out before the gateway gives up.
+        if (call.timeoutMs > COMMAND_TIMEOUT_MS) this.routes.onSilent(gateway)
+        this.routes.onUnanswered(call.worker, gateway)
+        return err(WorkerFailure.NoAnswer)
+      }
+      this.options.metrics.gatewayCalls.inc({ outcome: 'refused' })
+      this.routes.onRefused(gateway, answer.error.reason)
+    }
+  }
+
+  private async ask<T> (gateway: string, { worker, request, timeoutMs }: Call<T>): Promise<Result<unknown, Refusal>> {
+    const { id, address, zone, born } = worker
+    const command: Command = { kind: MessageKind.Command, worker: { id, address, zone, born }, ...request }
+    return await this.options.links.ask(gateway, command, timeoutMs, COMMAND_VALIDITY_MS)
+  }
+
+  private handleAnswer<T> (gateway: string, call: Call<T>, answer: Commanded): Result<T, WorkerFailure> {
+    this.options.metrics.gatewayCalls.inc({ outcome: 'answered' })
+    if (answer === WorkerFailure.NoAnswer) this.routes.onUnanswered(call.worker, gateway)
+    else this.routes.onAnswered(call.worker, gateway)
+    return typeof answer === 'string' ? err(answer) : ok(call.decode(answer))
+  }
+
+  private async callDirectly<T> (call: Call<T>): Promise<Result<T, WorkerFailure>> {
+    this.options.metrics.gatewayCalls.inc({ outcome: 'direct' })
+    const result = await call.callDirectly()
+    if (result.isErr() && result.error === WorkerFailure.NoAnswer) this.routes.onUnanswered(call.worker, this.options.node)
+    else this.routes.onAnswered(call.worker, this.options.node)
+    return result
+  }
+
+  /** Resolves at once while at least half of the other nodes are connected, or if that has not been so for a while. */
+  private async waitForGateways (): Promise<void> {
+    if (this.areGatewaysConnected() || this.hasWaited()) return
+    this.waiting ??= this.pollForGateways().finally(() => { this.waiting = undefined })
+    await this.waiting
+  }
+
+  private async pollForGateways (): Promise<void> {
+    while (!this.areGatewaysConnected() && !this.hasWaited()) await sleep(GATEWAY_POLL_INTERVAL_MS)
+  }
+
+  private areGatewaysConnected (): boolean {
+    const { links, countOthers, clock } = this.options
+    if (2 * links.connected().length < countOthers()) return false
+    this.connectedMs = clock.now()
+    return true
+  }
+
+  private hasWaited (): boolean {
+    return this.options.clock.now() - this.connectedMs >= GATEWAY_WAIT_MS
+  }
+}
+
+function commandCall (
+  worker: WorkerAddress, request: Call<number>['request'], callDirectly: Call<number>['callDirectly']
+): Call<number> {
+  return { worker, request, timeoutMs: COMMAND_TIMEOUT_MS + TRANSFER_MS, callDirectly, decode: (answer) => answer as number }
+}
--- a/packages/control/src/membership/links.ts
+++ b/packages/control/src/membership/links.ts
@@ -97,11 +97,15 @@
     return connection
   }
 
-  /** Sends a request to a node, connecting first if needed, and returns its answer. */
-  async ask (node: string, request: Request, timeoutMs: number): Promise<Result<unknown, Refusal>> {
+  /**
+   * Sends a request to a node, connecting first if needed, and returns its answer.
+   *
+   * @param validMs how long the request is valid, see `Connection.ask`
+   */
+  async ask (node: string, request: Request, timeoutMs: number, validMs?: number): Promise<Result<unknown, Refusal>> {
     const connection = await this.connect(node)
     if (connection.isErr()) return err(refuse(Reason.ConnectionLost, connection.error, 0))
-    return await connection.value.ask(request, timeoutMs)
+    return await connection.value.ask(request, timeoutMs, validMs)
   }
 
   /** Sends a request to every connected node and returns all answers. */
--- a/packages/control/src/owner/lease.ts
+++ b/packages/control/src/owner/lease.ts
@@ -2,14 +2,17 @@
  * The lease under which all runs on one worker execute, measured on the worker's own clock.
  */
 import type { Clock } from '../clock.js'
+import { COMMAND_VALIDITY_MS } from '../ports/fleet.js'
 
 /** Lowest rate at which a worker's clock may run, relative to true time. */
 export const MIN_CLOCK_RATE = 0.98
 /** Added to the deadline of a lease before it counts as expired. */
 const EXPIRY_MARGIN_MS = 150
 
-/** Longest time from sending a command to its execution by a worker. */
-const MAX_COMMAND_DELAY_MS = 12_000
+/** Longest time from the call of a worker to its execution by the worker. */
+const MAX_CALL_DELAY_MS = 12_000
+/** Longest time from when the owner sends a command to its execution by a worker. */
+const MAX_COMMAND_DELAY_MS = COMMAND_VALIDITY_MS + MAX_CALL_DELAY_MS
 
 /** Tracks the deadlines granted to a worker and determines when all of them have certainly passed. */
 export class Lease {
--- a/packages/control/src/ports/fleet.ts
+++ b/packages/control/src/ports/fleet.ts
@@ -2,7 +2,13 @@
  * Port to the platform's workers: the commands that the owner sends to them.
  */
 import type { Result } from 'neverthrow'
-import type { Report, Worker } from '../model/worker.js'
+import type { Report, WorkerAddress } from '../model/worker.js'
+
+/** Timeout of a command to a worker, beside the long-poll time of a report. A healthy worker answers within milliseconds. */
+export const COMMAND_TIMEOUT_MS = 900
+
+/** Longest time from when the owner sends a command to when the call to the worker starts, which may be on another node. */
+export const COMMAND_VALIDITY_MS = 1000
 
 /** Why a command to a worker failed. */
 export enum WorkerFailure {
@@ -66,12 +72,12 @@
 
 /** Sends commands to workers. Each successful answer carries the worker's clock in milliseconds. */
 export abstract class Fleet {
-  abstract start (worker: Worker, command: StartCommand): Promise<Result<number, WorkerFailure>>
-  abstract stop (worker: Worker, command: RunCommand): Promise<Result<number, WorkerFailure>>
+  abstract start (worker: WorkerAddress, command: StartCommand): Promise<Result<number, WorkerFailure>>
+  abstract stop (worker: WorkerAddress, command: RunCommand): Promise<Result<number, WorkerFailure>>
   /** Throttles a run to a percentage of full speed, 0 to 100. */
-  abstract throttle (worker: Worker, command: RunCommand, percent: number): Promise<Result<number, WorkerFailure>>
+  abstract throttle (worker: WorkerAddress, command: RunCommand, percent: number): Promise<Result<number, WorkerFailure>>
   /** Requests a report, and renews the lease if the command has a deadline. */
-  abstract requestReport (worker: Worker, command: ReportCommand): Promise<Result<Report, WorkerFailure>>
+  abstract requestReport (worker: WorkerAddress, command: ReportCommand): Promise<Result<Report, WorkerFailure>>
   /** Closes the connections to a worker. */
-  abstract closeConnections (worker: Worker): void
+  abstract closeConnections (worker: WorkerAddress): void
 }
--- a/packages/control/src/report/metrics.ts
+++ b/packages/control/src/report/metrics.ts
@@ -25,6 +25,9 @@
 
   readonly workerCalls = this.counter('worker_calls_total', 'Calls to workers, by call and outcome', ['call', 'outcome'])
   readonly workerSeconds = this.histogram('worker_seconds', 'Time of calls to workers, by call', ['call'], DELAY_BUCKETS)
+  readonly gatewayCalls = this.counter(
+    'gateway_calls_total', 'Attempts of the owner to call workers through other nodes, or directly, by outcome', ['outcome'])
+
   readonly requests = this.counter('requests_total', 'Requests of callers, by call and status', ['call', 'status'])
   readonly requestSeconds = this.histogram('request_seconds', 'Time to answer callers, by call', ['call'])
   readonly refusals = this.counter('refusals_total', 'Refused requests, by reason', ['reason'])
--- /dev/null
+++ b/packages/control/test/membership/fleet-gateways.spec.ts
@@ -0,0 +1,322 @@
+import { MessageKind, type Command, type Request } from '@fireflymount/protocol/message'
+import { Execution, Reason, type Refusal } from '@fireflymount/protocol/refusal'
+import { err, ok, type Result } from 'neverthrow'
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { FleetGateways } from '../../src/membership/fleet-gateways.js'
+import { compactReport } from '../../src/membership/gateway-server.js'
+import type { Report, Worker } from '../../src/model/worker.js'
+import { WorkerFailure, type StartCommand } from '../../src/ports/fleet.js'
+import { Log } from '../../src/report/log.js'
+import { Metrics } from '../../src/report/metrics.js'
+import { FakeClock, FakeFleet, createWorker } from '../fakes.js'
+
+const SELF = 'owner'
+const WORKER = createWorker()
+const START: StartCommand = { task: 'aa.0.0.0', run: 1, payload: '', deadlineMs: 7000, fence: 3, checkpoint: '', ticket: '' }
+const RUN = { task: 'aa.0.0.0', run: 1, fence: 3 }
+const POLL = { fence: 3, acknowledged: 5, deadlineMs: 9000, waitMs: 1900 }
+const REPORT: Report = { born: 10, clockMs: 6000, running: [], ended: [] }
+const SILENT = WorkerFailure.NoAnswer
+
+/** A call that was made through a node, or directly by the owner. */
+interface Call {
+  readonly through: string
+  readonly request?: Request
+  readonly timeoutMs?: number
+  readonly validMs?: number | undefined
+}
+
+class EventLog extends Log {
+  readonly events: Array<Record<string, unknown>> = []
+  override decision (): void {}
+  override event (name: string, fields: Record<string, unknown>): void { this.events.push({ name, ...fields }) }
+}
+
+function lost (reason: Reason, execution: Execution): Result<unknown, Refusal> {
+  return err({ reason, detail: '', execution, retryAfterMs: 0 })
+}
+const NOT_SENT = lost(Reason.ConnectionLost, Execution.NotRun)
+const UNANSWERED = lost(Reason.ConnectionLost, Execution.Unknown)
+const LEAVING = lost(Reason.Leaving, Execution.NotRun)
+const TOO_LATE = lost(Reason.DeadlinePassed, Execution.NotRun)
+
+class Harness {
+  readonly clock = new FakeClock()
+  readonly calls: Call[] = []
+  readonly log = new EventLog()
+  readonly direct = new FakeFleet()
+  connected: string[]
+  /** Result of a call through a node; the worker answers unless a test replaces it. */
+  answer: (through: string, command: Command) => Result<unknown, Refusal> = (_, command) => answered(command)
+  readonly fleet: FleetGateways
+
+  constructor (others: number) {
+    this.connected = Array.from({ length: others }, (_, index) => `n${index}`)
+    this.direct.onStart = () => { this.calls.push({ through: SELF }); return ok(1) }
+    this.direct.onReportRequest = async () => { this.calls.push({ through: SELF }); return ok(REPORT) }
+    this.fleet = new FleetGateways({
+      node: SELF,
+      countOthers: () => others,
+      links: {
+        connected: () => [...this.connected],
+        has: (node) => this.connected.includes(node),
+        ask: async (through, request, timeoutMs, validMs) => {
+          this.calls.push({ through, request, timeoutMs, validMs })
+          return request.kind === MessageKind.Command ? this.answer(through, request) : ok(true)
+        }
+      },
+      addressOf: () => undefined,
+      direct: this.direct,
+      clock: this.clock,
+      log: this.log,
+      metrics: new Metrics()
+    })
+  }
+
+  /** Sends a start and returns the names of the nodes that were asked to make the call. */
+  async start (worker: Worker = WORKER): Promise<string[]> {
+    const before = this.calls.length
+    await this.fleet.start(worker, START)
+    return this.calls.slice(before).map((call) => call.through)
+  }
+
+  /** Lets no call through a node reach the workers. */
+  cut (...nodes: string[]): void {
+    this.answer = (through, command) => nodes.includes(through) ? ok(SILENT) : answered(command)
+  }
+}
+
+function answered (command: Command): Result<unknown, Refusal> {
+  return ok(command.report === undefined ? 6000 : compactReport(REPORT))
+}
+
+const WORKERS = Array.from({ length: 60 }, (_, index) => createWorker({ id: `w${index}` }))
+
+/** The nodes through which the workers are called. */
+async function nodesUsed (harness: Harness): Promise<Set<string>> {
+  const used = new Set<string>()
+  for (const worker of WORKERS) for (const node of await harness.start(worker)) used.add(node)
+  return used
+}
+
+beforeEach(() => { vi.useFakeTimers() })
+afterEach(() => { vi.useRealTimers() })
+
+describe('the choice of the node that calls a worker', () => {
+  it.each([
+    { says: 'only the owner while no other node is connected', others: 0, owner: true },
+    { says: 'the owner too while few others are connected', others: 2, owner: true },
+    { says: 'only other nodes once there are enough', others: 3, owner: false },
+    { says: 'only other nodes in a large cell', others: 12, owner: false }
+  ])('is $says', async ({ others, owner }) => {
+    const harness = new Harness(others)
+    const expected = owner ? [...harness.connected, SELF] : harness.connected
+    expect([...await nodesUsed(harness)].sort()).toEqual([...expected].sort())
+  })
+
+  it('stays the same from call to call', async () => {
+    const harness = new Harness(5)
+    const [first] = await harness.start()
+    harness.clock.advance(10_000)
+    expect(await harness.start()).toEqual([first])
+  })
+
+  it('falls back on the owner when the last connection is closed', async () => {
+    const harness = new Harness(1)
+    harness.connected = []
+    harness.clock.advance(1000)
+    expect(await harness.start()).toEqual([SELF])
+  })
+
+  // Guards against an owner that makes the calls to all workers itself, or through the first node to connect, after a takeover.
+  it.each([
+    { says: 'waits until half of the other nodes are connected', connected: ['n0', 'n1', 'n2'], elapsedMs: 0, waits: false },
+    { says: 'waits while fewer are', connected: ['n0', 'n1'], elapsedMs: 0, waits: true },
+    { says: 'waits while none is', connected: [], elapsedMs: 0, waits: true },
+    { says: 'waits only for a short time', connected: [], elapsedMs: 400, waits: false }
+  ])('$says', async ({ connected, elapsedMs, waits }) => {
+    const harness = new Harness(6)
+    harness.connected = []
+    const starting = harness.start()
+    await vi.advanceTimersByTimeAsync(100)
+    expect(harness.calls).toEqual([])
+    harness.connected = [...connected]
+    harness.clock.advance(elapsedMs)
+    await vi.advanceTimersByTimeAsync(100)
+    expect(harness.calls.length).toBe(waits ? 0 : 1)
+    harness.clock.advance(400)
+    await vi.advanceTimersByTimeAsync(100)
+    await starting
+  })
+})
+
+describe('a call through another node', () => {
+  it.each([
+    { says: 'start', call: (fleet: FleetGateways) => fleet.start(WORKER, START), timeoutMs: 1100 },
+    { says: 'stop', call: (fleet: FleetGateways) => fleet.stop(WORKER, RUN), timeoutMs: 1100 },
+    { says: 'throttle', call: (fleet: FleetGateways) => fleet.throttle(WORKER, RUN, 40), timeoutMs: 1100 },
+    { says: 'report with a long poll', call: (fleet: FleetGateways) => fleet.requestReport(WORKER, POLL), timeoutMs: 3000 }
+  ])('names only what the call needs of the worker, and has its timeout and its validity: $says', async ({ call, timeoutMs }) => {
+    const harness = new Harness(4)
+    expect((await call(harness.fleet)).isOk()).toBe(true)
+    expect(harness.calls).toMatchObject([{ timeoutMs, validMs: 1000 }])
+    const { worker } = harness.calls[0]!.request as Command
+    expect(worker).toEqual({ id: WORKER.id, address: WORKER.address, zone: WORKER.zone, born: WORKER.born })
+  })
+
+  it.each([
+    { says: 'a number is the worker\'s clock', answer: ok(6000), expected: ok(6000) },
+    ...Object.values(WorkerFailure).map((failure) => ({ says: `the failure ${failure}`, answer: ok(failure), expected: err(failure) })),
+    { says: 'no answer of the node means that the worker may execute the command', answer: UNANSWERED, expected: err(SILENT) }
+  ])('has the result of the call: $says', async ({ answer, expected }) => {
+    const harness = new Harness(4)
+    harness.answer = () => answer
+    expect(await harness.fleet.start(WORKER, START)).toEqual(expected)
+    expect(harness.calls.length).toBe(1)
+  })
+
+  it.each([
+    { says: 'the connection was closed before it was sent', refusal: NOT_SENT },
+    { says: 'the node is stopping', refusal: LEAVING },
+    { says: 'the node came to it too late', refusal: TOO_LATE }
+  ])('is made through the next node at once if $says', async ({ refusal }) => {
+    const harness = new Harness(4)
+    const [first] = await harness.start()
+    harness.answer = (through, command) => through === first ? refusal : answered(command)
+    const asked = await harness.start()
+    expect([asked.length, asked[0]]).toEqual([2, first])
+    expect(asked[1]).not.toBe(first)
+  })
+
+  it('is made by the owner if three nodes refuse it', async () => {
+    const harness = new Harness(6)
+    harness.answer = () => NOT_SENT
+    const asked = await harness.start()
+    expect([asked.length, asked[3], harness.direct.started.length]).toEqual([4, SELF, 1])
+  })
+
+  it.each([
+    { says: 'a node that is stopping', refusal: LEAVING },
+    { says: 'a node that does not know the command', refusal: lost(Reason.Malformed, Execution.NotRun) },
+    { says: 'a node that does not answer', refusal: UNANSWERED },
+    { says: 'a node that comes to its commands too late', refusal: TOO_LATE }
+  ])('does not go through $says, for any worker, for some seconds', async ({ refusal }) => {
+    const harness = new Harness(5)
+    const [first] = await harness.start()
+    harness.answer = (through, command) => through === first ? refusal : answered(command)
+    await harness.start()
+    expect([...await nodesUsed(harness)]).not.toContain(first)
+    harness.answer = (_, command) => answered(command)
+    harness.clock.advance(6000)
+    expect([...await nodesUsed(harness)]).toContain(first)
+  })
+
+  // Guards against an owner that calls all workers itself after it was held up and all its calls timed out together.
+  it('still goes through other nodes if all of them seemed silent', async () => {
+    const harness = new Harness(5)
+    harness.answer = () => UNANSWERED
+    for (const worker of WORKERS) await harness.fleet.start(worker, START)
+    harness.answer = (_, command) => answered(command)
+    expect([...await nodesUsed(harness)]).not.toContain(SELF)
+  })
+})
+
+describe('a node that cannot reach a worker which others reach', () => {
+  // Guards against a worker that is declared unreachable because the node that calls it is cut off from it.
+  it('does not fail a report request of a worker that answered before', async () => {
+    const harness = new Harness(4)
+    const [first] = await harness.start()
+    harness.cut(first!)
+    expect((await harness.fleet.requestReport(WORKER, POLL))._unsafeUnwrap()).toEqual(REPORT)
+    const [, cut, other] = harness.calls
+    expect(cut!.through).toBe(first)
+    expect(other!.through).not.toBe(first)
+    expect((other!.request as Command).report).toEqual({ ...POLL, waitMs: 0 })
+    expect(other!.timeoutMs).toBe(400)
+  })
+
+  it('is passed over for this worker for longer after each failure, and used again afterwards', async () => {
+    const harness = new Harness(4)
+    const [first] = await harness.start()
+    harness.cut(first!)
+    await harness.start()
+    const [second] = await harness.start()
+    expect(second).not.toBe(first)
+    harness.clock.advance(5001)
+    expect(await harness.start()).toEqual([first])
+    harness.clock.advance(5001)
+    expect(await harness.start()).toEqual([second])
+    harness.clock.advance(5001)
+    harness.cut()
+    expect(await harness.start()).toEqual([first])
+    harness.clock.advance(60_000)
+    expect(await harness.start()).toEqual([first])
+  })
+
+  it('is passed over only for this worker', async () => {
+    const harness = new Harness(4)
+    const [first] = await harness.start()
+    harness.cut(first!)
+    await harness.start()
+    harness.cut()
+    expect([...await nodesUsed(harness)]).toContain(first)
+  })
+
+  it('is logged once when the worker answers through another node', async () => {
+    const harness = new Harness(4)
+    const [first] = await harness.start()
+    harness.cut(first!)
+    for (let call = 0; call < 5; call++) await harness.fleet.requestReport(WORKER, POLL)
+    expect(harness.log.events).toMatchObject([{ name: 'worker gateway changed', worker: 'w1', before: first }])
+  })
+
+  it.each([
+    { says: 'a start', call: (fleet: FleetGateways) => fleet.start(WORKER, START) },
+    { says: 'a stop', call: (fleet: FleetGateways) => fleet.stop(WORKER, RUN) }
+  ])('fails $says, whose repetition is for its sender to decide', async ({ call }) => {
+    const harness = new Harness(4)
+    harness.answer = () => ok(SILENT)
+    expect(await call(harness.fleet)).toEqual(err(SILENT))
+    expect(harness.calls.length).toBe(1)
+  })
+})
+
+describe('a worker that answers through no node', () => {
+  it('is called through three nodes by turns, and no change of the node is logged', async () => {
+    const harness = new Harness(8)
+    harness.answer = () => ok(SILENT)
+    const asked = new Set<string>()
+    for (let call = 0; call < 20; call++) for (const node of await harness.start()) asked.add(node)
+    expect([asked.size, harness.log.events]).toEqual([3, []])
+  })
+
+  it('fails each further report request after one call', async () => {
+    const harness = new Harness(8)
+    harness.answer = () => ok(SILENT)
+    await harness.fleet.requestReport(WORKER, POLL)
+    const before = harness.calls.length
+    expect(await harness.fleet.requestReport(WORKER, { ...POLL, waitMs: 0 })).toEqual(err(SILENT))
+    expect([before, harness.calls.length]).toEqual([2, 3])
+  })
+})
+
+describe('the connections to a worker', () => {
+  it('are closed by the nodes through which it was called, and by no other', async () => {
+    const harness = new Harness(8)
+    const [first] = await harness.start()
+    harness.fleet.closeConnections(WORKER)
+    expect(harness.calls.slice(1)).toMatchObject([{ through: first, request: { kind: MessageKind.Disconnect } }])
+  })
+
+  it('of an earlier address do not count as a failure of the new one', async () => {
+    const harness = new Harness(8)
+    const [first] = await harness.start()
+    harness.fleet.closeConnections(WORKER)
+    const moved = createWorker({ address: '10.0.0.2:80' })
+    await harness.start(moved)
+    harness.cut(first!)
+    await harness.fleet.start(WORKER, START)
+    harness.cut()
+    expect(await harness.start(moved)).toEqual([first])
+  })
+})
