--- a/packages/control/src/entry/shutdown.ts
+++ b/packages/control/src/entry/shutdown.ts
@@ -19,7 +19,7 @@
  *
  * @param server the callers' server, which already closes each connection after its answer
  * @param graceMs time between the stop signal and the kill signal
- * @param openRequests returns the number of requests in flight
+ * @param openRequests returns the number of requests in flight, of callers and of other nodes
  */
 export async function drainServer (server: Server, graceMs: number, openRequests: () => number): Promise<void> {
   const startedMs = performance.now()
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -14,6 +14,8 @@
 import { JournalState } from './journal/journal-state.js'
 import { StoreAccess, type RelayCall } from './membership/access.js'
 import { isClaimDue, rankOf } from './membership/election.js'
+import { FleetGateways } from './membership/fleet-gateways.js'
+import { GatewayServer } from './membership/gateway-server.js'
 import { Links } from './membership/links.js'
 import { StoreRelay, serveRelay } from './membership/relay.js'
 import type { Configuration } from './model/configuration.js'
@@ -91,6 +93,7 @@
   private readonly links: Links
   private readonly storeRelay: StoreRelay
   private readonly storeAccess: StoreAccess
+  private readonly gatewayServer: GatewayServer
   private readonly journal: Follower
   private readonly configurationFollower: Follower
   private journalState = new JournalState()
@@ -129,6 +132,7 @@
       handler: (request) => this.handle(request),
       onLink: (node, up) => { this.onLink(node, up) }
     })
+    this.gatewayServer = new GatewayServer(options.fleet, () => this.draining)
     this.storeRelay = new StoreRelay(this.links, settings.node, () => [
       this.journalState.ownerClaim?.node ?? '', ...this.journalState.nodes.keys()
     ])
@@ -172,7 +176,12 @@
     return this.options.clock.ageOf(this.configurationFollower.freshAt) < this.options.settings.configurationAgeMaxMs
   }
 
-  /** Makes the node not ready for new callers and asks other nodes to take over the ownership. Requests in flight continue. */
+  /** Number of calls to workers that this node is making for the owner on another node. */
+  get openCommands (): number {
+    return this.gatewayServer.open
+  }
+
+  /** Makes the node not ready for new callers, takes no new commands of the owner on another node, and asks other nodes to take over the ownership. Requests in flight continue. */
   async drain (): Promise<void> {
     this.draining = true
     const { owner } = this
@@ -347,20 +356,21 @@
 
   private async takeOwnership (epoch: number, sequence: number): Promise<void> {
     const claimedAt = this.options.clock.stamp()
+    this.connectGateways()
     while (this.journalState.ownerClaim === undefined || this.journalState.ownerClaim.epoch < epoch) {
       const read = await this.journal.catchUp()
       if (this.stopController.signal.aborted) return
       if (read.isErr()) await sleep(JOURNAL_RETRY_DELAY_MS, this.stopController.signal)
     }
     if (this.journalState.ownerClaim.epoch !== epoch || this.journalState.ownerClaim.incarnation !== this.incarnation) return
-    const { settings, fleet, machines, formats, clock, log, metrics } = this.options
+    const { settings, machines, formats, clock, log, metrics } = this.options
     const owner = new Owner({
       epoch,
       sequence,
       claimedAt,
       journalState: this.journalState,
       store: this.storeAccess,
-      fleet,
+      fleet: this.createFleet(),
       machines,
       formats,
       clock,
@@ -376,6 +386,27 @@
     owner.run().then(() => { if (this.owner === owner) this.dropOwnership('superseded') }, (error: unknown) => { throw error })
   }
 
+  /** Connects to the nodes that are to call the workers, without waiting until they notice the new owner. */
+  private connectGateways (): void {
+    for (const node of this.journalState.nodes.keys()) {
+      if (node !== this.options.settings.node) detach(this.links.connect(node))
+    }
+  }
+
+  private createFleet (): FleetGateways {
+    const { settings, fleet, clock, log, metrics } = this.options
+    return new FleetGateways({
+      node: settings.node,
+      countOthers: () => this.journalState.nodes.size - 1,
+      links: this.links,
+      addressOf: (node) => this.journalState.nodes.get(node),
+      direct: fleet,
+      clock,
+      log,
+      metrics
+    })
+  }
+
   /** Stops the owner, discards its state and reads the journal from scratch. */
   private dropOwnership (reason: string): void {
     this.options.log.event('ownership lost', { epoch: this.owner?.epoch, reason })
@@ -439,6 +470,8 @@
         return advice.mapErr((failure) => refuse(Reason.Overloaded, `The advisor returned no tickets: ${failure}.`, 0))
       }
       case MessageKind.Relay: return await serveRelay(this.storeAccess, request)
+      case MessageKind.Command: return await this.gatewayServer.command(request)
+      case MessageKind.Disconnect: return this.gatewayServer.disconnect(request)
       case MessageKind.Succeed:
         this.leavingEpoch = request.epoch
         this.delayStartMs = this.options.clock.now()
--- a/packages/control/test/cluster/cluster.ts
+++ b/packages/control/test/cluster/cluster.ts
@@ -11,7 +11,7 @@
 import { AdviceFailure } from '../../src/ports/advisor.js'
 import { Formats } from '../../src/ports/formats.js'
 import { StoreClient, Topic, type StoreAnswer, type StoreCall, type StoreFailure } from '../../src/ports/store.js'
-import { SilentLog } from '../../src/report/log.js'
+import { Log } from '../../src/report/log.js'
 import { Metrics } from '../../src/report/metrics.js'
 import { FakeStore, NoMachines, createQueue, createStep } from '../fakes.js'
 import { Processor } from './processor.js'
@@ -54,6 +54,25 @@
   }
 }
 
+/** An event that a node logged. */
+export interface LoggedEvent {
+  readonly node: string
+  readonly name: string
+  readonly fields: Record<string, unknown>
+}
+
+/** Collects the events of all nodes. */
+class CollectingLog extends Log {
+  constructor (private readonly node: string, private readonly events: LoggedEvent[]) {
+    super()
+  }
+
+  override decision (): void {}
+  override event (name: string, fields: Record<string, unknown>): void {
+    this.events.push({ node: this.node, name, fields })
+  }
+}
+
 /** Name of a node, and the processor time of one call to a worker there. */
 export interface NodeSpecification {
   readonly name: string
@@ -65,6 +84,7 @@
   readonly workers: SimulatedWorkers
   readonly store = new FakeStore()
   readonly nodes: Node[] = []
+  readonly events: LoggedEvent[] = []
 
   constructor (workerCount: number) {
     this.workers = new SimulatedWorkers(workerCount)
@@ -92,7 +112,7 @@
         machines: new NoMachines(),
         formats: new ClusterFormats(),
         clock: new SystemClock(),
-        log: new SilentLog(),
+        log: new CollectingLog(name, this.events),
         metrics: new Metrics()
       })
       this.nodes.push(node)
--- a/packages/control/test/cluster/workers.ts
+++ b/packages/control/test/cluster/workers.ts
@@ -10,6 +10,8 @@
 /** Payload of tasks that run until they are stopped. Any other payload is the duration of a task in milliseconds. */
 export const LASTING = 'lasting'
 const STOP_MS = 20
+/** Time after which a call over a cut link fails. */
+const CUT_LINK_TIMEOUT_MS = 900
 
 /** One worker: fences commands, runs tasks for the time in their payload, and lists ends until they are acknowledged. */
 class SimulatedWorker {
@@ -69,6 +71,8 @@
   private readonly workers = new Map<string, SimulatedWorker>()
   /** Number of calls by the node that made them. */
   readonly callsByNode = new Map<string, number>()
+  /** Links that carry nothing, as the name of a node and the id of a worker. */
+  private readonly cuts = new Set<string>()
 
   constructor (count: number) {
     for (let index = 0; index < count; index++) {
@@ -81,6 +85,15 @@
     return [...this.workers.values()].map((worker) => worker.entry)
   }
 
+  /** Cuts the link between a node and a worker. */
+  cut (node: string, worker: string): void {
+    this.cuts.add(`${node} ${worker}`)
+  }
+
+  isCut (node: string, worker: string): boolean {
+    return this.cuts.has(`${node} ${worker}`)
+  }
+
   find (id: string): SimulatedWorker | undefined {
     return this.workers.get(id)
   }
@@ -124,7 +137,9 @@
 
   override async requestReport (worker: Worker, command: ReportCommand): Promise<Result<Report, WorkerFailure>> {
     const target = await this.reach(worker, command.fence)
-    return target.isOk() ? ok(await target.value.report(command)) : err(target.error)
+    if (target.isErr()) return err(target.error)
+    const report = await target.value.report(command)
+    return this.workers.isCut(this.node, worker.id) ? err(WorkerFailure.NoAnswer) : ok(report)
   }
 
   override closeConnections (): void {}
@@ -141,6 +156,10 @@
   private async reach (worker: Worker, fence: number): Promise<Result<SimulatedWorker, WorkerFailure>> {
     await this.processor.use()
     this.workers.callsByNode.set(this.node, (this.workers.callsByNode.get(this.node) ?? 0) + 1)
+    if (this.workers.isCut(this.node, worker.id)) {
+      await new Promise((resolve) => setTimeout(resolve, CUT_LINK_TIMEOUT_MS))
+      return err(WorkerFailure.NoAnswer)
+    }
     const target = this.workers.find(worker.id)
     if (target === undefined) return err(WorkerFailure.NoAnswer)
     return target.isFenced(fence) ? err(WorkerFailure.Fenced) : ok(target)
