Let the node with the most processor own the cell

Callers of the larger cells saw cancelled jobs run on and jobs fail: the owner was a node with 0.324 cores beside six with 1.35.

Cause: candidates were ranked by name only. At the very first start, each node also saw only itself among the candidates, so that all claimed at once and the fastest append won.

If no node has ever claimed the cell, candidates wait 1 s after their start. An earlier owner that restarted is ranked like the others, before nodes of equal size.

The call of rankOf in its table takes candidates instead of names; the cases are the same.

--- a/packages/control/src/journal/record.ts
+++ b/packages/control/src/journal/record.ts
@@ -58,6 +58,8 @@
   readonly host: string
   readonly port: number
   readonly zone: string
+  /** Number of processor cores that the node may use; undefined if it is unknown, as in records of earlier versions. */
+  readonly processorShare?: number | undefined
 }
 
 /** A caller's cancellation of a job. */
--- a/packages/control/src/membership/election.ts
+++ b/packages/control/src/membership/election.ts
@@ -17,6 +17,11 @@
  * the owner announced a planned stop, or if `vacant` is true.
  */
 export const MIN_DISCONNECTED_MS = 150
+/**
+ * Minimum time from the start of a node to its claim if no node has ever claimed the cell. All nodes start at the same time then,
+ * and need this time to register, so that the ranks are known.
+ */
+export const FIRST_CLAIM_DELAY_MS = 1000
 /** Delay between the claims of consecutive ranks, longer than a claim takes. */
 const RANK_DELAY_MS = 120
 /** Number of mean answer times added to the silence timeout: for the owner's append and for the read that shows it. */
@@ -41,12 +46,21 @@
   readonly refused: boolean
   /** True if the owner announced a planned stop. */
   readonly left: boolean
-  /** True if there has never been an owner, or the last owner was this node, in this or an earlier incarnation. */
+  /** True if the last owner was this node, in this or an earlier incarnation. */
   readonly vacant: boolean
+  /** True if no node has ever claimed the cell. */
+  readonly unclaimed: boolean
   /** Mean answer time of the store. */
   readonly answerMs: number
 }
 
+/** A node that may claim the cell. */
+export interface Candidate {
+  readonly node: string
+  /** Number of processor cores that the node may use; undefined if it is unknown. */
+  readonly processorShare?: number | undefined
+}
+
 /**
  * Decides whether to claim the cell now.
  *
@@ -60,6 +74,7 @@
   const slowStoreMs = SLOW_ANSWER_COUNT * answerMs
   const rankDelayMs = Math.min(rank, MAX_RANK) * (RANK_DELAY_MS + answerMs)
   const delayedForMs = nowMs - view.unlinkedMs
+  if (view.unclaimed) return delayedForMs >= FIRST_CLAIM_DELAY_MS + rankDelayMs
   if (view.left) return delayedForMs >= rankDelayMs
   if (view.linked) return false
   if (view.vacant) return delayedForMs >= rankDelayMs
@@ -68,15 +83,28 @@
 }
 
 /**
- * Ranks this node among the candidates. They are ordered by name, starting after the owner's name and wrapping around.
+ * Ranks this node among the candidates. The owner calls every worker, so the candidate with the most processor comes first; one
+ * whose processor is unknown comes last. Candidates with the same processor are ordered by name, starting after the owner's name and
+ * wrapping around.
  *
  * @param node this node
- * @param nodes all known nodes
- * @param owner the unavailable owner; empty if there was none
+ * @param candidates all known nodes
+ * @param owner the unavailable owner, which is only ranked if it is this node; empty if there was none
  * @returns this node's rank, from 0
  */
-export function rankOf (node: string, nodes: Iterable<string>, owner: string): number {
-  const names = [...nodes].filter((name) => name !== owner).sort()
-  const after = [...names.filter((name) => name > owner), ...names.filter((name) => name < owner)]
-  return Math.max(0, after.indexOf(node))
+export function rankOf (node: string, candidates: Iterable<Candidate>, owner: string): number {
+  const ranked = [...candidates].filter((candidate) => candidate.node !== owner || candidate.node === node)
+  ranked.sort((left, right) => shareOf(right) - shareOf(left) || compareNames(left.node, right.node, owner))
+  return Math.max(0, ranked.findIndex((candidate) => candidate.node === node))
+}
+
+function shareOf (candidate: Candidate): number {
+  return candidate.processorShare ?? 0
+}
+
+/** Orders names starting with the owner's. */
+function compareNames (left: string, right: string, owner: string): number {
+  const wraps = Number(left < owner) - Number(right < owner)
+  if (wraps !== 0) return wraps
+  return left < right ? -1 : 1
 }
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -65,6 +65,8 @@
   readonly host: string
   /** Port for connections from other nodes. */
   readonly port: number
+  /** Number of processor cores that the process may use; undefined if it is unknown. */
+  readonly processorShare?: number | undefined
   /** Maximum age of the configuration. With an older one the node refuses requests, since their keys may have been revoked. */
   readonly configurationAgeMaxMs: number
 }
@@ -211,8 +213,8 @@
 
   /** Writes this node's address to the journal. */
   private async register (): Promise<void> {
-    const { node, host, port, zone } = this.options.settings
-    const address: NodeAddress = { node, incarnation: this.incarnation, host, port, zone }
+    const { node, host, port, zone, processorShare } = this.options.settings
+    const address: NodeAddress = { node, incarnation: this.incarnation, host, port, zone, processorShare }
     const record = encodeRecord(Subject.Node, node, address)
     while (!this.stopController.signal.aborted) {
       const appended = await this.storeAccess.append(Topic.Journal, [record])
@@ -310,14 +312,15 @@
     const { ownerClaim } = this.journalState
     if (this.journal.offset === undefined || this.configuration === undefined) return false
     const { node } = this.options.settings
-    const rank = rankOf(node, this.journalState.nodes.keys(), ownerClaim?.node ?? '')
+    const rank = rankOf(node, this.journalState.nodes.values(), ownerClaim?.node ?? '')
     return isClaimDue({
       linked: connected,
       unlinkedMs: this.delayStartMs,
       heardMs: this.heardMs,
       refused: ownerClaim !== undefined && this.links.refusesConnections(ownerClaim.node),
       left: ownerClaim !== undefined && this.leavingEpoch === ownerClaim.epoch,
-      vacant: ownerClaim === undefined || ownerClaim.node === node,
+      vacant: ownerClaim?.node === node,
+      unclaimed: ownerClaim === undefined,
       answerMs: this.storeAccess.meanAnswerMs
     }, rank, nowMs)
   }
--- a/packages/control/test/cluster/cluster.ts
+++ b/packages/control/test/cluster/cluster.ts
@@ -60,6 +60,9 @@
   readonly callMs: number
 }
 
+/** Processor time of one call to a worker on a node that may use one core. */
+const CORE_CALL_MS = 2
+
 /** Real nodes with simulated surroundings. */
 export class Cluster {
   readonly workers: SimulatedWorkers
@@ -80,6 +83,7 @@
           zone: 'z',
           host: '127.0.0.1',
           port: await findFreePort(),
+          processorShare: CORE_CALL_MS / callMs,
           leaseMs: 6000,
           farFactor: 2,
           keptMs: 120_000,
--- a/packages/control/test/membership/election.spec.ts
+++ b/packages/control/test/membership/election.spec.ts
@@ -1,10 +1,20 @@
 import { describe, expect, it } from 'vitest'
-import { isClaimDue, rankOf, OWNER_SILENCE_TIMEOUT_MS, MIN_DISCONNECTED_MS, type OwnerView } from '../../src/membership/election.js'
+import {
+  FIRST_CLAIM_DELAY_MS, MIN_DISCONNECTED_MS, OWNER_SILENCE_TIMEOUT_MS, isClaimDue, rankOf, type Candidate, type OwnerView
+} from '../../src/membership/election.js'
 
 const NOW_MS = 100_000
 const LOST: OwnerView = {
-  linked: false, unlinkedMs: NOW_MS - 5000, heardMs: NOW_MS - 5000, refused: false, left: false, vacant: false, answerMs: 0
+  linked: false,
+  unlinkedMs: NOW_MS - 5000,
+  heardMs: NOW_MS - 5000,
+  refused: false,
+  left: false,
+  vacant: false,
+  unclaimed: false,
+  answerMs: 0
 }
+const UNCLAIMED: OwnerView = { ...LOST, unclaimed: true, heardMs: -Infinity }
 
 describe('a candidate', () => {
   it.each([
@@ -25,7 +35,14 @@
     ['lets candidates with a smaller rank number claim first', { ...LOST, unlinkedMs: NOW_MS - MIN_DISCONNECTED_MS - 50 }, 2, false],
     ['claims at once when the owner has announced a planned stop',
       { ...LOST, linked: true, left: true, unlinkedMs: NOW_MS }, 0, true],
-    ['claims at once when there is no owner', { ...LOST, vacant: true, unlinkedMs: NOW_MS, heardMs: -Infinity }, 0, true]
+    ['claims at once when there is no owner', { ...LOST, vacant: true, unlinkedMs: NOW_MS, heardMs: -Infinity }, 0, true],
+    // Guards against the incident of the saturated owner: all nodes claimed before they knew each other, and a small one won.
+    ['waits for the other nodes to register when the cell was never claimed',
+      { ...UNCLAIMED, unlinkedMs: NOW_MS - FIRST_CLAIM_DELAY_MS + 1 }, 0, false],
+    ['claims once they had time to register when the cell was never claimed',
+      { ...UNCLAIMED, unlinkedMs: NOW_MS - FIRST_CLAIM_DELAY_MS }, 0, true],
+    ['lets candidates with a smaller rank number claim first when the cell was never claimed',
+      { ...UNCLAIMED, unlinkedMs: NOW_MS - FIRST_CLAIM_DELAY_MS }, 1, false]
   ])('%s', (_, view, rank, due) => {
     expect(isClaimDue(view, rank, NOW_MS)).toBe(due)
   })
@@ -36,6 +53,25 @@
     ['the further nodes follow in order', 'a', ['a', 'b', 'c'], 'b', 1],
     ['a node that is not in the journal yet is first', 'z', ['a', 'b'], 'a', 0]
   ])('is ranked: %s', (_, node, nodes, owner, rank) => {
-    expect(rankOf(node, nodes, owner)).toBe(rank)
+    expect(rankOf(node, nodes.map((name) => ({ node: name })), owner)).toBe(rank)
+  })
+
+  const SMALL = 0.324
+  const LARGE = 1.35
+  // Guards against the incident of the saturated owner: the first node by name owned the cell, whatever its processor.
+  it.each<[string, string, Candidate[], string, number]>([
+    ['a large node is before a small one with an earlier name', 'b',
+      [{ node: 'a', processorShare: SMALL }, { node: 'b', processorShare: LARGE }], '', 0],
+    ['a small node is after all large ones', 'a',
+      [{ node: 'a', processorShare: SMALL }, { node: 'b', processorShare: LARGE }, { node: 'c', processorShare: LARGE }], '', 2],
+    ['large nodes are ordered by name after the owner', 'c',
+      [{ node: 'a', processorShare: LARGE }, { node: 'b', processorShare: LARGE }, { node: 'c', processorShare: LARGE }], 'b', 0],
+    ['a node with an unknown processor is last', 'a', [{ node: 'a' }, { node: 'b', processorShare: SMALL }], '', 1],
+    ['an earlier owner that restarted is after a larger node', 'a',
+      [{ node: 'a', processorShare: SMALL }, { node: 'b', processorShare: LARGE }], 'a', 1],
+    ['an earlier owner that restarted is before equal nodes', 'b',
+      [{ node: 'a', processorShare: LARGE }, { node: 'b', processorShare: LARGE }, { node: 'c', processorShare: LARGE }], 'b', 0]
+  ])('is ranked by its processor: %s', (_, node, candidates, owner, rank) => {
+    expect(rankOf(node, candidates, owner)).toBe(rank)
   })
 })
