Supersede an owner that lives and is busy only after a longer silence

Callers saw nothing decided for seconds: 14 ownerships followed each other about one a second, and each adopted all workers anew.

Cause: a candidate took 0.7 s without a record of the owner for its end, whatever else it knew. An owner that restores hundreds of runs after its claim, or whose links timed out because it was late, is silent for longer. A process that was late closed its own sound connections, since the timer of their heartbeats ran before the data that had arrived was read. A refused connection of earlier was counted against a later claim of that node, and a node counted the silence up to when it handled an answer, however late.

Change: OwnerWatch keeps what a node knows about the owner. The silence before a claim is longer if the owner's address accepts connections (2 s) or its claim is young (2.5 s), and doubles with each recent takeover from an owner that may have lived, up to 2.8 s. Refused connections, planned stops and another process registered for the owner's node still let the successor claim at once; a node claims only after it has registered, so that others can tell its processes apart. The last read before a claim counts from when it was sent, and must be recent on both clocks. A connection does not count time in which its own process was blocked.

The other cases are new tables over new fields of the view (membership/election, membership/owner-watch, membership/links) and pass; they could not run against the former code.

--- a/packages/control/src/membership/election.ts
+++ b/packages/control/src/membership/election.ts
@@ -3,8 +3,18 @@
  * unnecessary claims rare and failover fast.
  */
 
-/** Time without a record of the owner after which candidates claim the cell: two heartbeats of the owner. */
+/**
+ * Time without a record of the owner after which candidates claim the cell: two heartbeats of the owner. It doubles with each
+ * recent takeover, so that a cell whose owners cannot keep up does not change them faster than they can start to work.
+ */
 export const OWNER_SILENCE_TIMEOUT_MS = 700
+/** Upper bound of that time. It is shorter than the time for which tasks run on after the last renewal of their lease. */
+const MAX_SILENCE_TIMEOUT_MS = 2800
+/** Minimum of that time if the owner's address accepts connections and its process does not answer: it may be busy. */
+export const BUSY_SILENCE_TIMEOUT_MS = 2000
+/** Minimum of that time for an owner whose claim is younger than `YOUNG_CLAIM_MS`: it restores runs and adopts workers. */
+export const YOUNG_SILENCE_TIMEOUT_MS = 2500
+export const YOUNG_CLAIM_MS = 4000
 /**
  * Replaces `OWNER_SILENCE_TIMEOUT_MS` if the owner's address refuses connections. Then its process has stopped, unless only this
  * node cannot reach it. The timeout is several times the minimum interval between two appends of the owner. An idle owner only
@@ -42,11 +52,20 @@
   readonly unlinkedMs: number
   /** Steady time at which a record of the owner was last read from the journal. */
   readonly heardMs: number
+  /** Steady time at which the owner's claim was read; -Infinity if it was there when this node first read the journal. */
+  readonly claimReadMs: number
+  /** Number of takeovers, within the last half minute, from owners that were not known to have ended. */
+  readonly recentTakeovers: number
   /** True if the owner's address refused the last connection, presumably because no process listens there. */
   readonly refused: boolean
+  /** True if the owner's address accepted the last connection, but its process did not answer on it yet. */
+  readonly accepting: boolean
   /** True if the owner announced a planned stop. */
   readonly left: boolean
-  /** True if the last owner was this node, in this or an earlier incarnation. */
+  /**
+   * True if the last owner was this node, in this or an earlier incarnation, or if another process than the owner's has registered
+   * for the owner's node.
+   */
   readonly vacant: boolean
   /** True if no node has ever claimed the cell. */
   readonly unclaimed: boolean
@@ -66,7 +85,8 @@
  *
  * @param view what the node knows about the owner
  * @param rank this node's rank among the candidates, from 0; the candidate with the smallest rank claims first
- * @param nowMs in the first check, the current steady time; in the second, the time at which the journal was then read to its end
+ * @param nowMs in the first check, the current steady time; in the second, the time at which the read was sent that then read the
+ *   journal to its end, since a node that is late itself may handle the answer long after the store gave it
  * @returns true to claim
  */
 export function isClaimDue (view: OwnerView, rank: number, nowMs: number): boolean {
@@ -76,12 +96,19 @@
   const delayedForMs = nowMs - view.unlinkedMs
   if (view.unclaimed) return delayedForMs >= FIRST_CLAIM_DELAY_MS + rankDelayMs
   if (view.left) return delayedForMs >= rankDelayMs
-  if (view.linked) return false
   if (view.vacant) return delayedForMs >= rankDelayMs
-  const silenceMs = view.refused ? REFUSED_SILENCE_TIMEOUT_MS : OWNER_SILENCE_TIMEOUT_MS
+  if (view.linked) return false
+  const silenceMs = silenceTimeoutOf(view, nowMs)
   return delayedForMs >= MIN_DISCONNECTED_MS + rankDelayMs && nowMs - view.heardMs >= silenceMs + slowStoreMs + rankDelayMs
 }
 
+function silenceTimeoutOf (view: OwnerView, nowMs: number): number {
+  if (view.refused) return REFUSED_SILENCE_TIMEOUT_MS
+  const timeoutMs = Math.min(OWNER_SILENCE_TIMEOUT_MS * 2 ** view.recentTakeovers, MAX_SILENCE_TIMEOUT_MS)
+  if (nowMs - view.claimReadMs < YOUNG_CLAIM_MS) return Math.max(timeoutMs, YOUNG_SILENCE_TIMEOUT_MS)
+  return view.accepting ? Math.max(timeoutMs, BUSY_SILENCE_TIMEOUT_MS) : timeoutMs
+}
+
 /**
  * Ranks this node among the candidates. The owner calls every worker, so the candidate with the most processor comes first; one
  * whose processor is unknown comes last. Candidates with the same processor are ordered by name, starting after the owner's name and
@@ -89,11 +116,12 @@
  *
  * @param node this node
  * @param candidates all known nodes
- * @param owner the unavailable owner, which is only ranked if it is this node; empty if there was none
+ * @param owner the unavailable owner; empty if there was none
+ * @param returned true if the owner's node is up again, so that it is ranked too; it is also ranked if it is this node
  * @returns this node's rank, from 0
  */
-export function rankOf (node: string, candidates: Iterable<Candidate>, owner: string): number {
-  const ranked = [...candidates].filter((candidate) => candidate.node !== owner || candidate.node === node)
+export function rankOf (node: string, candidates: Iterable<Candidate>, owner: string, returned = false): number {
+  const ranked = [...candidates].filter((candidate) => candidate.node !== owner || candidate.node === node || returned)
   ranked.sort((left, right) => shareOf(right) - shareOf(left) || compareNames(left.node, right.node, owner))
   return Math.max(0, ranked.findIndex((candidate) => candidate.node === node))
 }
--- a/packages/control/src/membership/links.ts
+++ b/packages/control/src/membership/links.ts
@@ -18,6 +18,16 @@
 const MAX_OPEN_REQUESTS = 1024
 const CONNECT_TIMEOUT_MS = 500
 
+/** How far the last attempt to connect to a node got. */
+enum DialOutcome {
+  /** The address refused the connection, presumably because no process listens there. */
+  Refused,
+  /** The address accepted the connection; the process may have answered or not. */
+  Accepted,
+  /** The address did not answer. */
+  Unanswered
+}
+
 /** Addresses and callbacks of the connections. */
 export interface LinksOptions {
   readonly node: string
@@ -33,7 +43,7 @@
 export class Links {
   private readonly connections = new Map<string, Connection>()
   private readonly dials = new Map<string, Promise<Result<Connection, string>>>()
-  private readonly refusingNodes = new Set<string>()
+  private readonly lastDials = new Map<string, DialOutcome>()
   private readonly connectionSettings: ConnectionSettings
   private server: Server | undefined
   private sockets: WebSocketServer | undefined
@@ -81,7 +91,17 @@
 
   /** True if the node's address refused the last connection attempt, presumably because no process listens there. */
   refusesConnections (node: string): boolean {
-    return this.refusingNodes.has(node)
+    return this.lastDials.get(node) === DialOutcome.Refused
+  }
+
+  /** True if the node's address accepted the last connection attempt, although its process may not have answered on it. */
+  acceptsConnections (node: string): boolean {
+    return this.lastDials.get(node) === DialOutcome.Accepted
+  }
+
+  /** Forgets the outcome of the last connection attempt, because another process may run at the address now. */
+  forgetDial (node: string): void {
+    this.lastDials.delete(node)
   }
 
   /** Returns the open connection to a node, or establishes one. */
@@ -124,14 +144,24 @@
     const address = this.options.addressOf(node)
     if (address === undefined) return err(`The address of node ${node} is unknown.`)
     const url = `ws://${address.host}:${address.port}`
+    let outcome = DialOutcome.Unanswered
     const socket = new WebSocket(url, {
-      handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, maxPayload: MAX_FRAME_BYTES
+      handshakeTimeout: CONNECT_TIMEOUT_MS,
+      perMessageDeflate: false,
+      maxPayload: MAX_FRAME_BYTES,
+      finishRequest: (request) => {
+        request.once('socket', (stream) => stream.once('connect', () => {
+          outcome = DialOutcome.Accepted
+          this.lastDials.set(node, outcome)
+        }))
+        request.end()
+      }
+    })
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === 'ECONNREFUSED') outcome = DialOutcome.Refused
     })
-    let refused = false
-    socket.on('error', (error: NodeJS.ErrnoException) => { refused = error.code === 'ECONNREFUSED' })
     const opened = await Connection.open(socket, this.connectionSettings, this.options.handler)
-    if (refused) this.refusingNodes.add(node)
-    else this.refusingNodes.delete(node)
+    this.lastDials.set(node, outcome)
     if (opened.isOk()) this.register(opened.value)
     return opened
   }
@@ -145,7 +175,7 @@
     const { node } = connection.peer
     const current = this.connections.get(node)
     this.connections.set(node, connection)
-    this.refusingNodes.delete(node)
+    this.lastDials.set(node, DialOutcome.Accepted)
     if (current?.isUsable() !== true) this.options.onLink(node, true)
     connection.onClose(() => {
       if (this.connections.get(node) !== connection) return
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -15,6 +15,7 @@
 import { StoreAccess, type RelayCall } from './membership/access.js'
 import { isClaimDue, rankOf } from './membership/election.js'
 import { Links } from './membership/links.js'
+import { OwnerWatch } from './membership/owner-watch.js'
 import { StoreRelay, serveRelay } from './membership/relay.js'
 import type { Configuration } from './model/configuration.js'
 import { Phase } from './model/job.js'
@@ -42,6 +43,12 @@
 const JOURNAL_RETRY_DELAY_MS = 100
 /** Added to the timeout given to another node, for the transfer of its answer. */
 const LINK_TRANSFER_MS = 200
+/**
+ * Maximum age of the last read of the journal when a claim is sent: the larger of this time and of a number of mean answer times of the
+ * store. An older read is due to this node itself, which was blocked or suspended, and says nothing about the owner.
+ */
+const CONFIRMATION_AGE_MS = 1000
+const CONFIRMATION_ANSWER_COUNT = 4
 /** Maximum number of appends of one claim, all with the same sequence number. */
 const MAX_CLAIM_ATTEMPTS = 4
 /** Bound of the random first sequence number, which distinguishes two claims of the same epoch. */
@@ -102,26 +109,15 @@
   /** Set while this node owns the cell. `journalState.ownerClaim` names the owner, whichever node it is. */
   private owner: Owner | undefined
   private draining = false
-  /** Epoch of the owner that announced a planned stop; 0 for none. */
-  private leavingEpoch = 0
-  /**
-   * Steady time from which the delays before a claim are counted. It is the time of the latest of these events: this node
-   * started, the connection to the owner was lost, the owner changed, or a planned stop was announced.
-   */
-  private delayStartMs: number
-  /**
-   * Steady time at which a new record of the owner was last read. After the journal has been read from scratch, all records of
-   * the owner count as new.
-   */
-  private heardMs = -Infinity
+  private readonly ownerWatch: OwnerWatch
+  /** True once this node's address is in the journal. A claim follows it there, so that others see which process claimed. */
+  private registered = false
   /** Steady time at which the journal was last read to its end. */
   private journalReadMs = -Infinity
-  private seenOwnerRecords = 0
 
   constructor (private readonly options: NodeOptions) {
     const { clock, settings, log } = options
     setMaxListeners(0, this.stopController.signal)
-    this.delayStartMs = clock.now()
     this.links = new Links({
       node: settings.node,
       zone: settings.zone,
@@ -131,6 +127,7 @@
       handler: (request) => this.handle(request),
       onLink: (node, up) => { this.onLink(node, up) }
     })
+    this.ownerWatch = new OwnerWatch(settings.node, this.links, clock)
     this.storeRelay = new StoreRelay(this.links, settings.node, () => [
       this.journalState.ownerClaim?.node ?? '', ...this.journalState.nodes.keys()
     ])
@@ -218,7 +215,8 @@
     const record = encodeRecord(Subject.Node, node, address)
     while (!this.stopController.signal.aborted) {
       const appended = await this.storeAccess.append(Topic.Journal, [record])
-      if (appended.isOk()) return
+      this.registered ||= appended.isOk()
+      if (this.registered) return
       await sleep(JOURNAL_RETRY_DELAY_MS, this.stopController.signal)
     }
   }
@@ -232,18 +230,16 @@
   }
 
   private onJournalRead (): void {
+    const rebuilt = this.nextJournalState !== undefined
     if (this.nextJournalState !== undefined) {
       this.journalState = this.nextJournalState
       this.nextJournalState = undefined
-      this.seenOwnerRecords = 0
       this.options.log.event('journal read', {
         offset: this.journal.offset, jobs: this.journalState.jobs.size, owner: this.journalState.ownerClaim?.node
       })
     }
-    const nowMs = this.options.clock.now()
-    this.journalReadMs = nowMs
-    if (this.journalState.ownerRecordCount !== this.seenOwnerRecords) this.heardMs = nowMs
-    this.seenOwnerRecords = this.journalState.ownerRecordCount
+    this.journalReadMs = this.options.clock.now()
+    this.ownerWatch.update(this.journalState, rebuilt)
     if (this.owner !== undefined && this.journalState.ownerClaim?.incarnation !== this.incarnation) {
       this.dropOwnership('newer claim read')
     }
@@ -268,7 +264,7 @@
     this.options.log.event(up ? 'node connected' : 'node disconnected', { peer: node, owner: isOwner })
     if (!isOwner) return
     if (!up) {
-      this.delayStartMs = this.options.clock.now()
+      this.ownerWatch.onDisconnected()
       this.journal.readNow()
     }
   }
@@ -276,15 +272,10 @@
   /** Maintains the connection to the owner, and claims the cell when the owner is unavailable. */
   private async elect (): Promise<void> {
     const { signal } = this.stopController
-    let watched: string | undefined
     while (!signal.aborted) {
       await sleep(ELECTION_INTERVAL_MS, signal)
       this.reportJournalAge()
       const { ownerClaim } = this.journalState
-      if (ownerClaim?.incarnation !== watched) {
-        watched = ownerClaim?.incarnation
-        this.delayStartMs = this.options.clock.now()
-      }
       const connected = ownerClaim !== undefined && this.links.has(ownerClaim.node)
       if (ownerClaim !== undefined && !connected && ownerClaim.node !== this.options.settings.node) {
         detach(this.links.connect(ownerClaim.node))
@@ -293,7 +284,7 @@
         ? OWNER_READ_INTERVAL_MS
         : connected ? FOLLOWER_READ_INTERVAL_MS : DISCONNECTED_READ_INTERVAL_MS
       if (this.owner !== undefined || this.draining) continue
-      if (this.shouldClaim(connected, this.options.clock.now())) await this.confirmAndClaim(connected)
+      if (this.shouldClaim(this.options.clock.now())) await this.confirmAndClaim()
     }
   }
 
@@ -303,26 +294,20 @@
   }
 
   /** Reads the journal once more and claims the cell unless it has new records of the owner. */
-  private async confirmAndClaim (connected: boolean): Promise<void> {
+  private async confirmAndClaim (): Promise<void> {
     const read = await this.journal.catchUp()
-    if (read.isOk() && this.shouldClaim(connected, this.journalReadMs)) await this.claim()
+    if (read.isErr() || this.draining || !this.shouldClaim(this.journal.freshAt.steadyMs)) return
+    const ageMs = this.options.clock.ageOf(this.journal.freshAt)
+    const maxAgeMs = Math.max(CONFIRMATION_AGE_MS, CONFIRMATION_ANSWER_COUNT * this.storeAccess.meanAnswerMs)
+    if (ageMs < maxAgeMs) return await this.claim()
+    this.options.log.event('cell claim postponed', { detail: 'The journal was read too long ago.', ageMs: Math.round(ageMs) })
   }
 
-  private shouldClaim (connected: boolean, nowMs: number): boolean {
-    const { ownerClaim } = this.journalState
-    if (this.journal.offset === undefined || this.configuration === undefined) return false
-    const { node } = this.options.settings
-    const rank = rankOf(node, this.journalState.nodes.values(), ownerClaim?.node ?? '')
-    return isClaimDue({
-      linked: connected,
-      unlinkedMs: this.delayStartMs,
-      heardMs: this.heardMs,
-      refused: ownerClaim !== undefined && this.links.refusesConnections(ownerClaim.node),
-      left: ownerClaim !== undefined && this.leavingEpoch === ownerClaim.epoch,
-      vacant: ownerClaim?.node === node,
-      unclaimed: ownerClaim === undefined,
-      answerMs: this.storeAccess.meanAnswerMs
-    }, rank, nowMs)
+  private shouldClaim (nowMs: number): boolean {
+    if (this.journal.offset === undefined || this.configuration === undefined || !this.registered) return false
+    const { nodes, ownerClaim } = this.journalState
+    const rank = rankOf(this.options.settings.node, nodes.values(), ownerClaim?.node ?? '', this.ownerWatch.hasOwnerReturned())
+    return isClaimDue(this.ownerWatch.view(this.storeAccess.meanAnswerMs), rank, nowMs)
   }
 
   private async claim (): Promise<void> {
@@ -443,8 +428,7 @@
       }
       case MessageKind.Relay: return await serveRelay(this.storeAccess, request)
       case MessageKind.Succeed:
-        this.leavingEpoch = request.epoch
-        this.delayStartMs = this.options.clock.now()
+        this.ownerWatch.onLeaving(request.epoch)
         return ok(true)
       default: return err(refuse(Reason.Malformed, `A node of the cell does not handle requests of kind ${request.kind}.`))
     }
--- a/packages/control/test/membership/election.spec.ts
+++ b/packages/control/test/membership/election.spec.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import {
-  FIRST_CLAIM_DELAY_MS, MIN_DISCONNECTED_MS, OWNER_SILENCE_TIMEOUT_MS, isClaimDue, rankOf, type Candidate, type OwnerView
+  BUSY_SILENCE_TIMEOUT_MS, FIRST_CLAIM_DELAY_MS, MIN_DISCONNECTED_MS, OWNER_SILENCE_TIMEOUT_MS, YOUNG_CLAIM_MS,
+  YOUNG_SILENCE_TIMEOUT_MS, isClaimDue, rankOf, type Candidate, type OwnerView
 } from '../../src/membership/election.js'
 
 const NOW_MS = 100_000
@@ -8,12 +9,16 @@
   linked: false,
   unlinkedMs: NOW_MS - 5000,
   heardMs: NOW_MS - 5000,
+  claimReadMs: -Infinity,
+  recentTakeovers: 0,
   refused: false,
+  accepting: false,
   left: false,
   vacant: false,
   unclaimed: false,
   answerMs: 0
 }
+const JUST_CLAIMED: OwnerView = { ...LOST, recentTakeovers: 20, claimReadMs: NOW_MS, heardMs: NOW_MS }
 const UNCLAIMED: OwnerView = { ...LOST, unclaimed: true, heardMs: -Infinity }
 
 describe('a candidate', () => {
@@ -42,7 +47,28 @@
     ['claims once they had time to register when the cell was never claimed',
       { ...UNCLAIMED, unlinkedMs: NOW_MS - FIRST_CLAIM_DELAY_MS }, 0, true],
     ['lets candidates with a smaller rank number claim first when the cell was never claimed',
-      { ...UNCLAIMED, unlinkedMs: NOW_MS - FIRST_CLAIM_DELAY_MS }, 1, false]
+      { ...UNCLAIMED, unlinkedMs: NOW_MS - FIRST_CLAIM_DELAY_MS }, 1, false],
+    // Guards against the incident of the saturated owner: busy owners superseded each other about once a second.
+    ['waits longer while the process of the owner may be busy',
+      { ...LOST, accepting: true, heardMs: NOW_MS - BUSY_SILENCE_TIMEOUT_MS + 1 }, 0, false],
+    ['claims from an owner that accepts connections and stays silent',
+      { ...LOST, accepting: true, heardMs: NOW_MS - BUSY_SILENCE_TIMEOUT_MS }, 0, true],
+    ['waits longer for an owner that has just claimed',
+      { ...LOST, claimReadMs: NOW_MS - YOUNG_CLAIM_MS + 1, heardMs: NOW_MS - YOUNG_SILENCE_TIMEOUT_MS + 1 }, 0, false],
+    ['claims from an owner that has just claimed and stays silent',
+      { ...LOST, claimReadMs: NOW_MS - YOUNG_CLAIM_MS + 1, heardMs: NOW_MS - YOUNG_SILENCE_TIMEOUT_MS }, 0, true],
+    ['waits no longer once the claim is older',
+      { ...LOST, claimReadMs: NOW_MS - YOUNG_CLAIM_MS, heardMs: NOW_MS - OWNER_SILENCE_TIMEOUT_MS }, 0, true],
+    ['waits twice as long after a recent takeover',
+      { ...LOST, recentTakeovers: 1, heardMs: NOW_MS - 2 * OWNER_SILENCE_TIMEOUT_MS + 1 }, 0, false],
+    ['claims after that time', { ...LOST, recentTakeovers: 1, heardMs: NOW_MS - 2 * OWNER_SILENCE_TIMEOUT_MS }, 0, true],
+    ['claims within 3 s after any number of recent takeovers', { ...LOST, recentTakeovers: 20, heardMs: NOW_MS - 3000 }, 0, true],
+    ['claims soon when no process listens at the address of an owner that has just claimed, after many takeovers',
+      { ...JUST_CLAIMED, refused: true, heardMs: NOW_MS - 160, unlinkedMs: NOW_MS - 160 }, 0, true],
+    ['claims at once when an owner that has just claimed announced a planned stop, after many takeovers',
+      { ...JUST_CLAIMED, linked: true, left: true, unlinkedMs: NOW_MS }, 0, true],
+    ['claims at once when another process runs on the owner\'s node, although a connection to it is open',
+      { ...LOST, linked: true, vacant: true, unlinkedMs: NOW_MS, heardMs: NOW_MS }, 0, true]
   ])('%s', (_, view, rank, due) => {
     expect(isClaimDue(view, rank, NOW_MS)).toBe(due)
   })
--- a/packages/control/test/membership/links.spec.ts
+++ b/packages/control/test/membership/links.spec.ts
@@ -37,4 +37,17 @@
     expect((await links.connect('b')).isOk()).toBe(true)
     expect([links.refusesConnections('b'), links.has('b')]).toEqual([false, true])
   })
+
+  // Guards against the incident of the saturated owner: a busy owner looked like one that was gone.
+  it('report that an address accepts connections although its process does not answer', async () => {
+    const silent = createServer()
+    await new Promise<void>((resolve) => { silent.listen(0, HOST, resolve) })
+    const { port } = silent.address() as AddressInfo
+    const links = createLinks('a', await findFreePort(), { node: 'b', incarnation: '1', host: HOST, port, zone: 'z' })
+    expect((await links.connect('b')).isErr()).toBe(true)
+    expect([links.acceptsConnections('b'), links.refusesConnections('b')]).toEqual([true, false])
+    links.forgetDial('b')
+    expect(links.acceptsConnections('b')).toBe(false)
+    silent.close()
+  })
 })
--- /dev/null
+++ b/packages/control/test/membership/owner-watch.spec.ts
@@ -0,0 +1,111 @@
+import { beforeEach, describe, expect, it } from 'vitest'
+import { JournalState } from '../../src/journal/journal-state.js'
+import { Subject, encodeRecord } from '../../src/journal/record.js'
+import { OwnerWatch } from '../../src/membership/owner-watch.js'
+import { FakeClock } from '../fakes.js'
+
+/** Connections whose state the tests set. */
+class FakeLinks {
+  linked = false
+  refused = false
+  accepted = false
+  has (): boolean { return this.linked }
+  refusesConnections (): boolean { return this.refused }
+  acceptsConnections (): boolean { return this.accepted }
+  forgetDial (): void { this.refused = false }
+}
+
+let clock: FakeClock
+let links: FakeLinks
+let journalState: JournalState
+let watch: OwnerWatch
+beforeEach(() => {
+  clock = new FakeClock()
+  links = new FakeLinks()
+  journalState = new JournalState()
+  watch = new OwnerWatch('a', links, clock)
+})
+
+function read (subject: Subject, name: string, value: unknown): void {
+  journalState.apply({ ...encodeRecord(subject, name, value), offset: 0 })
+  watch.update(journalState, false)
+}
+
+function readClaim (epoch: number, node: string, incarnation: string): void {
+  read(Subject.Owner, 'cell', { epoch, node, incarnation })
+}
+
+function readAddress (node: string, incarnation: string): void {
+  read(Subject.Node, node, { node, incarnation, host: 'h', port: 1, zone: 'z' })
+}
+
+describe('the watch of the owner', () => {
+  it('knows no owner before a claim was read', () => {
+    watch.update(journalState, true)
+    expect(watch.view(0)).toMatchObject({ unclaimed: true, vacant: false, left: false, linked: false, recentTakeovers: 0 })
+  })
+
+  it('does not take the first claim that it reads for a recent takeover', () => {
+    readClaim(7, 'b', '1')
+    expect(watch.view(0)).toMatchObject({ unclaimed: false, claimReadMs: -Infinity, recentTakeovers: 0, heardMs: clock.now() })
+  })
+
+  it('counts the silence of the owner from its last record', () => {
+    readClaim(1, 'b', '1')
+    clock.advance(300)
+    read(Subject.Heartbeat, 'owner', 1)
+    clock.advance(300)
+    readAddress('c', '1')
+    expect(watch.view(0).heardMs).toBe(clock.now() - 300)
+  })
+
+  // Guards against the incident of the saturated owner: 14 owners superseded each other, about one a second.
+  it.each<[string, () => void, number]>([
+    ['owners that may have been alive', () => {}, 2],
+    ['owners whose processes had ended', () => { links.refused = true }, 0],
+    ['owners that had announced a planned stop', () => { watch.onLeaving(journalState.ownerClaim!.epoch) }, 0]
+  ])('counts recent takeovers from %s', (_, before, count) => {
+    readClaim(1, 'b', '1')
+    before()
+    readClaim(2, 'c', '1')
+    before()
+    clock.advance(1000)
+    readClaim(3, 'b', '1')
+    expect(watch.view(0)).toMatchObject({ recentTakeovers: count, claimReadMs: clock.now(), unlinkedMs: clock.now() })
+    clock.advance(60_000)
+    expect(watch.view(0).recentTakeovers).toBe(0)
+  })
+
+  it('forgets that a node refused connections once the node claims', () => {
+    readClaim(1, 'b', '1')
+    links.refused = true
+    readClaim(2, 'c', '1')
+    expect(watch.view(0).refused).toBe(false)
+  })
+
+  it.each([
+    ['the process that claimed', '1', false],
+    ['another process', '2', true]
+  ])('knows whether the registered process of the owner is %s', (_, incarnation, returned) => {
+    readAddress('b', '1')
+    readClaim(1, 'b', '1')
+    links.linked = true
+    readAddress('b', incarnation)
+    expect([watch.view(0).vacant, watch.hasOwnerReturned()]).toEqual([returned, returned])
+    readClaim(2, 'b', incarnation)
+    expect([watch.view(0).vacant, watch.hasOwnerReturned()]).toEqual([false, false])
+  })
+
+  it('knows that the last owner was this node', () => {
+    readClaim(1, 'a', '1')
+    expect(watch.view(0).vacant).toBe(true)
+  })
+
+  it('ignores the announcement of an earlier owner', () => {
+    readClaim(1, 'b', '1')
+    watch.onLeaving(1)
+    expect(watch.view(0).left).toBe(true)
+    readClaim(2, 'c', '1')
+    expect(watch.view(0).left).toBe(false)
+  })
+})
--- a/packages/protocol/src/connection.ts
+++ b/packages/protocol/src/connection.ts
@@ -55,6 +55,9 @@
 /** Bytes that may be buffered in the socket before new requests are refused. */
 const MAX_SEND_BUFFER_BYTES = 8 * 1024 * 1024
 
+/** Number of heartbeat intervals that count as silence for one heartbeat, however late it is. */
+const MAX_HEARTBEAT_DELAY_FACTOR = 2
+
 /** Retry delay if a request is refused because too many are in flight. */
 const RETRY_AFTER_MS = 100
 
@@ -68,7 +71,9 @@
   private nextId = 1
   /** Number of requests of the peer that the handler is working on. */
   private incomingRequests = 0
-  private lastReceivedAtMs = performance.now()
+  /** How long nothing was received, as far as this process was running. */
+  private silentForMs = 0
+  private heartbeatCheckedAtMs = performance.now()
   /** True once the peer has announced that it takes no new requests. */
   private peerIsLeaving = false
   private isClosed = false
@@ -82,8 +87,8 @@
   ) {
     this.heartbeatTimer = setInterval(() => { this.checkHeartbeat() }, settings.heartbeatMs)
     socket.on('message', (data: Buffer) => { this.handleFrame(data) })
-    socket.on('pong', () => { this.lastReceivedAtMs = performance.now() })
-    socket.on('ping', () => { this.lastReceivedAtMs = performance.now() })
+    socket.on('pong', () => { this.silentForMs = 0 })
+    socket.on('ping', () => { this.silentForMs = 0 })
     socket.on('close', () => { this.handleClose() })
     socket.on('error', () => { socket.terminate() })
   }
@@ -169,9 +174,15 @@
     this.handleClose()
   }
 
-  /** Pings the peer; closes the connection if nothing was received for `silenceMs`. */
+  /**
+   * Pings the peer; closes the connection if nothing was received for `silenceMs`. Time by which this check itself is late does not
+   * count: this process was blocked then, and what the peer has sent meanwhile is only received after the check.
+   */
   private checkHeartbeat (): void {
-    if (performance.now() - this.lastReceivedAtMs > this.settings.silenceMs) {
+    const nowMs = performance.now()
+    this.silentForMs += Math.min(nowMs - this.heartbeatCheckedAtMs, MAX_HEARTBEAT_DELAY_FACTOR * this.settings.heartbeatMs)
+    this.heartbeatCheckedAtMs = nowMs
+    if (this.silentForMs > this.settings.silenceMs) {
       this.close()
       return
     }
@@ -187,7 +198,7 @@
   }
 
   private handleFrame (data: Buffer): void {
-    this.lastReceivedAtMs = performance.now()
+    this.silentForMs = 0
     this.frameCounts.framesReceived++
     this.frameCounts.bytesReceived += data.length
     const frame = decodeFrame(data)
--- a/packages/protocol/test/connection.spec.ts
+++ b/packages/protocol/test/connection.spec.ts
@@ -152,3 +152,14 @@
   expect([frameCounts.requestBytesSent, frameCounts.requestBytesReceived]).toEqual(expected)
   connection.close()
 })
+
+// Guards against the incident of the saturated owner: a process that was late closed its sound connections.
+test('a connection stays open while its own process is blocked for longer than the silence timeout', async () => {
+  const connection = await connect(answerWith(ok(1)))
+  await new Promise((resolve) => setTimeout(resolve, 50))
+  const blockedUntilMs = performance.now() + 300
+  while (performance.now() < blockedUntilMs);
+  await new Promise((resolve) => setTimeout(resolve, 100))
+  expect(connection.isUsable()).toBe(true)
+  connection.close()
+})
