Show that a new owner lives at once, and adopt workers in small groups

Callers saw nothing decided for seconds after a takeover, and further takeovers followed.

Cause: a new owner wrote its first heartbeat 0.35 s after it had restored all runs, and at the same time sent report requests to all 245 workers at once, so that heartbeats and connections were late.

Change: the owner appends a heartbeat as its first action.

--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -33,6 +33,7 @@
 import { ReadySteps } from './ready-step.js'
 import { Dispatcher, type Assignment } from './dispatcher.js'
 import { RunEndHandler } from './run-end-handler.js'
+import { Adoption } from './adoption.js'
 import { AdmissionController } from './admission-controller.js'
 import { Ledger, chargeOf } from './ledger.js'
 import { Registry } from './registry.js'
@@ -88,6 +89,7 @@
   readonly sessions = new Map<string, Session>()
   readonly readySteps: ReadySteps
   readonly epoch: number
+  private readonly adoption = new Adoption()
   private readonly registry: Registry
   private readonly advisorClient: AdvisorClient
   private readonly dispatcher: Dispatcher
@@ -200,6 +202,8 @@
     const { signal } = this.stopController
     detach(this.registryFollower.run(signal))
     detach(this.tickUntilStopped())
+    // Candidates see from this append, before any worker is adopted, that the owner lives.
+    detach(this.writer.commit(new Map()))
     await this.writer.run(signal)
     this.close()
   }
@@ -310,7 +314,7 @@
     if (known === undefined) {
       const session = new Session(worker, this.host)
       this.sessions.set(worker.id, session)
-      detach(session.run())
+      this.adoption.add(session)
       return
     }
     const hadNoEntry = known.worker.address === ''
@@ -318,7 +322,7 @@
       this.options.log.event('worker draining state changed', { worker: worker.id, draining: worker.draining, remainingMs: worker.remainingMs })
     }
     known.update(worker)
-    if (hadNoEntry) detach(known.run())
+    if (hadNoEntry) this.adoption.add(known)
   }
 
   private onRegistryRead (): void {
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -102,12 +102,16 @@
   private entryUpdatedMs: number
   private reportRetryDelayMs = MIN_REPORT_RETRY_DELAY_MS
   private readonly stopController = new AbortController()
+  /** Resolves when the first report request was answered or has failed, or the session was closed. */
+  readonly firstReport: Promise<void>
+  private resolveFirstReport: () => void = () => {}
 
   constructor (public worker: Worker, private readonly host: SessionHost) {
     this.born = worker.born
     this.lease = new Lease(host.clock, worker.clockMs)
     this.entryUpdatedMs = host.clock.now()
     this.lastAnswerMs = this.entryUpdatedMs
+    this.firstReport = new Promise((resolve) => { this.resolveFirstReport = resolve })
     // Every pending delay adds a listener to this one signal.
     setMaxListeners(0, this.stopController.signal)
   }
@@ -210,6 +214,7 @@
   /** Closes the session. */
   close (): void {
     this.stopController.abort()
+    this.resolveFirstReport()
     this.host.fleet.closeConnections(this.worker)
   }
 
@@ -307,6 +312,7 @@
     const report = await host.fleet.requestReport(worker, {
       fence: host.fence, acknowledged: this.acknowledgedThrough, deadlineMs, waitMs
     })
+    this.resolveFirstReport()
     if (this.stopController.signal.aborted) return
     if (report.isOk()) this.handleReport(report.value)
     else this.handleFailure(report.error)
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -132,6 +132,15 @@
 }
 
 describe('the owner of the cell', () => {
+  // Guards against the incident of the saturated owner: candidates claimed before the first heartbeat after a claim.
+  it('writes to the journal at once, and at least every 350 ms from then on', async () => {
+    harness.startOwner(1)
+    await advance(20)
+    expect(harness.store.records[Topic.Journal]).toHaveLength(1)
+    await advance(4 * 380)
+    expect(harness.store.records[Topic.Journal].length).toBeGreaterThanOrEqual(5)
+  })
+
   it('runs the steps of a job in dependency order, each task once, and reports the job as completed', async () => {
     harness.startOwner(1)
     await advance(200)
