--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -10,9 +10,10 @@
 import { sleep, type Clock } from './clock.js'
 import { JobService } from './entry/job-service.js'
 import { Follower } from './journal/follower.js'
-import { Subject, UNKNOWN_OFFSET, encodeRecord, splitKey, type NodeAddress } from './journal/record.js'
+import { Subject, UNKNOWN_OFFSET, splitKey, type NodeAddress } from './journal/record.js'
 import { JournalState } from './journal/journal-state.js'
 import { StoreAccess, type RelayCall } from './membership/access.js'
+import { ClaimProof, Claimant } from './membership/claimant.js'
 import { isClaimDue, rankOf } from './membership/election.js'
 import { Links } from './membership/links.js'
 import { OwnerWatch } from './membership/owner-watch.js'
@@ -25,7 +26,7 @@
 import type { Fleet } from './ports/fleet.js'
 import type { Formats } from './ports/formats.js'
 import type { Machines } from './ports/machines.js'
-import { StoreFailure, Topic, type KeyedRecord, type StoreClient, type StoredRecord } from './ports/store.js'
+import { Topic, type KeyedRecord, type StoreClient, type StoredRecord } from './ports/store.js'
 import { observeEventLoop } from './report/event-loop.js'
 import type { Log } from './report/log.js'
 import type { Metrics } from './report/metrics.js'
@@ -50,10 +51,6 @@
  */
 const CONFIRMATION_AGE_MS = 1000
 const CONFIRMATION_ANSWER_COUNT = 4
-/** Maximum number of appends of one claim, all with the same sequence number. */
-const MAX_CLAIM_ATTEMPTS = 4
-/** Bound of the random first sequence number, which distinguishes two claims of the same epoch. */
-const MAX_FIRST_SEQUENCE = 2 ** 30
 /** Timeout for asking the other nodes to take over during a planned stop. */
 const SUCCEED_TIMEOUT_MS = 300
 
@@ -111,6 +108,7 @@
   private owner: Owner | undefined
   private draining = false
   private readonly ownerWatch: OwnerWatch
+  private readonly claimant: Claimant
   private readonly registration: Registration
   private addressCollector: AddressCollector | undefined
   /** Steady time at which the journal was last read to its end. */
@@ -139,6 +137,7 @@
     const { node, zone, host, port, processorShare } = settings
     const address: NodeAddress = { node, incarnation: this.incarnation, host, port, zone, processorShare }
     this.registration = new Registration(this.storeAccess, address, this.stopController.signal)
+    this.claimant = new Claimant(this.storeAccess, settings.node, this.incarnation)
     this.journal = new Follower(this.storeAccess, Topic.Journal, {
       onRecord: (record) => { this.applyRecord(record) },
       onReset: () => { if (this.owner === undefined) this.nextJournalState = new JournalState() },
@@ -185,6 +184,11 @@
     const { epoch } = this.journalState.ownerClaim!
     this.owner = undefined
     owner.close()
+    await this.announceStop(epoch)
+  }
+
+  /** Asks the connected nodes to claim the cell at once. */
+  private async announceStop (epoch: number): Promise<void> {
     await this.links.broadcast({ kind: MessageKind.Succeed, epoch }, SUCCEED_TIMEOUT_MS)
   }
 
@@ -233,6 +237,7 @@
     this.journalReadMs = this.options.clock.now()
     this.ownerWatch.update(this.journalState, rebuilt)
     if (this.journal.offset !== undefined) this.registration.check(this.journalState, this.journal.offset)
+    if (this.journalState.ownerClaim !== undefined) this.claimant.onClaimRead(this.journalState.ownerClaim)
     if (this.owner !== undefined && this.journalState.ownerClaim?.incarnation !== this.incarnation) {
       this.dropOwnership('newer claim read')
     }
@@ -280,6 +285,11 @@
         this.collectAddresses(this.owner)
         continue
       }
+      if (ownerClaim !== undefined && this.claimant.holds(ownerClaim)) {
+        this.options.log.event('own claim read after its append had failed', { epoch: ownerClaim.epoch })
+        await this.takeOwnership(ownerClaim.epoch)
+        continue
+      }
       if (this.draining) continue
       if (this.shouldClaim(this.options.clock.now())) await this.confirmAndClaim()
     }
@@ -312,41 +322,32 @@
   private shouldClaim (nowMs: number): boolean {
     if (this.journal.offset === undefined || this.configuration === undefined || !this.registration.isWritten()) return false
     const { nodes, ownerClaim } = this.journalState
+    if (ownerClaim !== undefined && this.claimant.holds(ownerClaim)) return false
     const rank = rankOf(this.options.settings.node, nodes.values(), ownerClaim?.node ?? '', this.ownerWatch.hasOwnerReturned())
     return isClaimDue(this.ownerWatch.view(this.storeAccess.meanAnswerMs), rank, nowMs)
   }
 
   private async claim (): Promise<void> {
     const epoch = (this.journalState.ownerClaim?.epoch ?? 0) + 1
-    const sequence = Math.floor(Math.random() * MAX_FIRST_SEQUENCE)
-    const record = encodeRecord(Subject.Owner, 'cell', { epoch, node: this.options.settings.node, incarnation: this.incarnation })
-    const outcome = await this.appendClaim(record, epoch, sequence)
+    const outcome = await this.claimant.claim(epoch)
     this.options.metrics.claims.inc({ outcome })
     this.options.log.event('cell claim attempted', { epoch, outcome, before: this.journalState.ownerClaim?.node })
-    if (outcome === 'held') await this.takeOwnership(epoch, sequence + 1)
+    if (outcome === ClaimProof.Answered || outcome === ClaimProof.Read) await this.takeOwnership(epoch)
     else await this.journal.catchUp()
   }
 
-  /** Returns 'held' if the claim succeeded, otherwise the failure. */
-  private async appendClaim (record: KeyedRecord, epoch: number, sequence: number): Promise<string> {
-    let failure = StoreFailure.NoAnswer
-    for (let attempt = 0; attempt < MAX_CLAIM_ATTEMPTS; attempt++) {
-      const appended = await this.storeAccess.append(Topic.Journal, [record], { epoch, sequence })
-      if (appended.isOk()) return 'held'
-      failure = appended.error
-      if (failure !== StoreFailure.NoAnswer) break
-    }
-    return failure
-  }
-
-  private async takeOwnership (epoch: number, sequence: number): Promise<void> {
+  /** Becomes the owner under a claim that is held. */
+  private async takeOwnership (epoch: number): Promise<void> {
     const claimedAt = this.options.clock.stamp()
-    while (this.journalState.ownerClaim === undefined || this.journalState.ownerClaim.epoch < epoch) {
+    const sequence = this.claimant.take()
+    while ((this.journalState.ownerClaim?.epoch ?? 0) < epoch || this.nextJournalState !== undefined) {
       const read = await this.journal.catchUp()
       if (this.stopController.signal.aborted) return
       if (read.isErr()) await sleep(JOURNAL_RETRY_DELAY_MS, this.stopController.signal)
     }
-    if (this.journalState.ownerClaim.epoch !== epoch || this.journalState.ownerClaim.incarnation !== this.incarnation) return
+    const { ownerClaim } = this.journalState
+    if (ownerClaim?.epoch !== epoch || ownerClaim.incarnation !== this.incarnation) return
+    if (this.draining) return await this.announceStop(epoch)
     const { settings, fleet, machines, formats, clock, log, metrics } = this.options
     const owner = new Owner({
       epoch,
--- a/packages/control/test/cluster/takeover.spec.ts
+++ b/packages/control/test/cluster/takeover.spec.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { Subject, decodeValue, splitKey, type OwnerClaim } from '../../src/journal/record.js'
-import { Topic } from '../../src/ports/store.js'
+import { StoreFailure, Topic } from '../../src/ports/store.js'
 import { Cluster, waitFor, type NodeSpecification } from './cluster.js'
 
 const TASK_MS = '100'
@@ -45,4 +45,17 @@
     expect(await waitFor(() => hasStarted('00000000000000bb'), endedMs + FIRST_START_WITHIN_MS - performance.now())).toBe(true)
     expect(owners()).toEqual(['n2', 'n3'])
   })
+
+  // Guards against inc-bc7c: a claim whose answers were lost was followed by another one, or by seconds without an owner.
+  it('is owned by a node whose claim was written although all answers to it were lost', async () => {
+    cluster.store.loseAnswers = true
+    cluster.store.fault = (call) => {
+      const isClaim = 'append' in call && call.append.records.some((record) => splitKey(record.key).subject === Subject.Owner)
+      return isClaim ? StoreFailure.NoAnswer : undefined
+    }
+    await cluster.start(NODES)
+    expect(await cluster.submit(cluster.nodes[0]!, '00000000000000aa', 2, TASK_MS)).toBe(true)
+    expect(await waitFor(() => hasStarted('00000000000000aa'), 5000)).toBe(true)
+    expect(claims().map(({ epoch, node }) => [epoch, node])).toEqual([[1, 'n2']])
+  })
 })
