Hand the cell over from a small owner to a much larger node

Callers of the larger cells saw jobs fail for as long as a small node owned the cell: nothing but its end changed the owner, although large nodes had joined or come back.

Change: an owner with less than half of the processor of another node, which has been connected for 10 s of its ownership, gives the ownership up as in a planned stop (Succeed), provided that the store has accepted an append within the last second.

--- a/packages/control/src/membership/election.ts
+++ b/packages/control/src/membership/election.ts
@@ -134,8 +134,12 @@
   })
   ranked.sort((left, right) => shareOf(right) - shareOf(left) || compareNames(left.node, right.node, owner))
   const rank = Math.max(0, ranked.findIndex((candidate) => candidate.node === node))
-  const isMuchSmaller = rank > 0 && shareOf(ranked[rank]!) < MUCH_SMALLER_RATIO * shareOf(ranked[0]!)
-  return isMuchSmaller ? rank + MUCH_SMALLER_RANKS : rank
+  return rank > 0 && isMuchSmaller(ranked[rank]!, ranked[0]!) ? rank + MUCH_SMALLER_RANKS : rank
+}
+
+/** True if a candidate has much less processor than another one, so that a takeover by the other one is worth its cost. */
+export function isMuchSmaller (candidate: Candidate, other: Candidate): boolean {
+  return shareOf(candidate) < MUCH_SMALLER_RATIO * shareOf(other)
 }
 
 function shareOf (candidate: Candidate): number {
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -15,6 +15,7 @@
 import { StoreAccess, type RelayCall } from './membership/access.js'
 import { ClaimProof, Claimant } from './membership/claimant.js'
 import { isClaimDue, rankOf } from './membership/election.js'
+import { Handover } from './membership/handover.js'
 import { Links } from './membership/links.js'
 import { OwnerWatch } from './membership/owner-watch.js'
 import { AddressCollector, Registration } from './membership/registration.js'
@@ -110,7 +111,9 @@
   private readonly ownerWatch: OwnerWatch
   private readonly claimant: Claimant
   private readonly registration: Registration
+  /** Both are set while this node owns the cell. */
   private addressCollector: AddressCollector | undefined
+  private handover: Handover | undefined
   /** Steady time at which the journal was last read to its end. */
   private journalReadMs = -Infinity
 
@@ -184,11 +187,11 @@
     const { epoch } = this.journalState.ownerClaim!
     this.owner = undefined
     owner.close()
-    await this.announceStop(epoch)
+    await this.askForSuccessor(epoch)
   }
 
   /** Asks the connected nodes to claim the cell at once. */
-  private async announceStop (epoch: number): Promise<void> {
+  private async askForSuccessor (epoch: number): Promise<void> {
     await this.links.broadcast({ kind: MessageKind.Succeed, epoch }, SUCCEED_TIMEOUT_MS)
   }
 
@@ -283,6 +286,7 @@
         : connected ? FOLLOWER_READ_INTERVAL_MS : DISCONNECTED_READ_INTERVAL_MS
       if (this.owner !== undefined) {
         this.collectAddresses(this.owner)
+        this.handOver(this.owner)
         continue
       }
       if (ownerClaim !== undefined && this.claimant.holds(ownerClaim)) {
@@ -304,6 +308,20 @@
     detach(owner.writer.commit(tombstones))
   }
 
+  /**
+   * Hands the cell over to a much larger node, if there is one and the store has lately accepted an append. This node is a candidate
+   * like the others afterwards.
+   */
+  private handOver ({ epoch, writer }: Owner): void {
+    const { clock, settings } = this.options
+    const successor = this.handover!.findSuccessor(settings, this.journalState.nodes.values(), this.links.connected())
+    if (successor === undefined || clock.ageOf(writer.confirmedAt) > CONFIRMATION_AGE_MS) return
+    this.options.log.event('cell handed over', { epoch, successor })
+    this.dropOwnership('handed over')
+    this.ownerWatch.onLeaving(epoch)
+    detach(this.askForSuccessor(epoch))
+  }
+
   private reportJournalAge (): void {
     if (this.journalReadMs === -Infinity) return
     this.options.metrics.journalAgeSeconds.set((this.options.clock.now() - this.journalReadMs) / 1000)
@@ -347,7 +365,7 @@
     }
     const { ownerClaim } = this.journalState
     if (ownerClaim?.epoch !== epoch || ownerClaim.incarnation !== this.incarnation) return
-    if (this.draining) return await this.announceStop(epoch)
+    if (this.draining) return await this.askForSuccessor(epoch)
     const { settings, fleet, machines, formats, clock, log, metrics } = this.options
     const owner = new Owner({
       epoch,
@@ -368,6 +386,7 @@
     })
     this.owner = owner
     this.addressCollector = new AddressCollector(clock)
+    this.handover = new Handover(clock)
     log.event('ownership taken', { epoch, jobs: this.journalState.jobs.size, runs: owner.ledger.size })
     owner.run().then(() => { if (this.owner === owner) this.dropOwnership('superseded') }, (error: unknown) => { throw error })
   }
--- a/packages/control/test/cluster/takeover.spec.ts
+++ b/packages/control/test/cluster/takeover.spec.ts
@@ -1,7 +1,8 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { Subject, decodeValue, splitKey, type OwnerClaim } from '../../src/journal/record.js'
+import { HANDOVER_DELAY_MS } from '../../src/membership/handover.js'
 import { StoreFailure, Topic } from '../../src/ports/store.js'
-import { Cluster, waitFor, type NodeSpecification } from './cluster.js'
+import { Cluster, sleep, waitFor, type NodeSpecification } from './cluster.js'
 
 const TASK_MS = '100'
 /** Target for the time from the end of the owner's process to the first start by its successor. */
@@ -58,4 +59,15 @@
     expect(await waitFor(() => hasStarted('00000000000000aa'), 5000)).toBe(true)
     expect(claims().map(({ epoch, node }) => [epoch, node])).toEqual([[1, 'n2']])
   })
+
+  it('is handed over once to a large node that joins a cell of small ones', async () => {
+    await cluster.start(NODES.slice(0, 2))
+    expect(await waitFor(() => owners().length === 1, 5000)).toBe(true)
+    await cluster.start(NODES.slice(2))
+    expect(await waitFor(() => owners().length === 2, HANDOVER_DELAY_MS + 5000)).toBe(true)
+    expect(await cluster.submit(cluster.nodes[0]!, '00000000000000aa', 2, TASK_MS)).toBe(true)
+    expect(await waitFor(() => hasStarted('00000000000000aa'), FIRST_START_WITHIN_MS)).toBe(true)
+    await sleep(1000)
+    expect(owners().map((node) => NODES.findIndex(({ name }) => name === node) >= 2)).toEqual([false, true])
+  }, 30_000)
 })
