--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -347,9 +347,14 @@
 
   private async claim (): Promise<void> {
     const epoch = (this.journalState.ownerClaim?.epoch ?? 0) + 1
+    const before = this.journalState.ownerClaim?.node
+    const { heardMs, refused, accepting, left, vacant, recentTakeovers } = this.ownerWatch.view(this.storeAccess.meanAnswerMs)
+    const silentMs = Math.round(this.options.clock.now() - heardMs)
     const outcome = await this.claimant.claim(epoch)
     this.options.metrics.claims.inc({ outcome })
-    this.options.log.event('cell claim attempted', { epoch, outcome, before: this.journalState.ownerClaim?.node })
+    this.options.log.event('cell claim attempted', {
+      epoch, outcome, before, silentMs, refused, accepting, left, vacant, recentTakeovers
+    })
     if (outcome === ClaimProof.Answered || outcome === ClaimProof.Read) await this.takeOwnership(epoch)
     else await this.journal.catchUp()
   }
