Take only new attempts to connect for a sign of life of the owner

A candidate would have waited 2 s instead of 0.7 s for an owner that lost power: its last connection counted as accepted until the next attempt had timed out. The outcome of attempts is now forgotten once a connection is established.

--- a/packages/control/src/membership/links.ts
+++ b/packages/control/src/membership/links.ts
@@ -175,7 +175,8 @@
     const { node } = connection.peer
     const current = this.connections.get(node)
     this.connections.set(node, connection)
-    this.lastDials.set(node, DialOutcome.Accepted)
+    // Once the connection is lost, only an attempt made since then tells anything about the address.
+    this.forgetDial(node)
     if (current?.isUsable() !== true) this.options.onLink(node, true)
     connection.onClose(() => {
       if (this.connections.get(node) !== connection) return
--- a/packages/control/test/membership/links.spec.ts
+++ b/packages/control/test/membership/links.spec.ts
@@ -50,4 +50,14 @@
     expect(links.acceptsConnections('b')).toBe(false)
     silent.close()
   })
+
+  // Guards against a slow takeover from an owner without power: its last connection counted as a sign of life.
+  it('know nothing of an address whose last connection was established, until they connect again', async () => {
+    const port = await findFreePort()
+    const peer = createLinks('b', port, undefined)
+    expect((await peer.listen()).isOk()).toBe(true)
+    const links = createLinks('a', await findFreePort(), { node: 'b', incarnation: '1', host: HOST, port, zone: 'z' })
+    expect((await links.connect('b')).isOk()).toBe(true)
+    expect([links.has('b'), links.acceptsConnections('b'), links.refusesConnections('b')]).toEqual([true, false, false])
+  })
 })
