--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -10,13 +10,17 @@
 import { sleep, type Clock } from './clock.js'
 import { JobService } from './entry/job-service.js'
 import { Follower } from './journal/follower.js'
-import { Subject, UNKNOWN_OFFSET, encodeRecord, splitKey, type NodeAddress } from './journal/record.js'
+import { Subject, UNKNOWN_OFFSET, splitKey, type NodeAddress } from './journal/record.js'
 import { JournalState } from './journal/journal-state.js'
 import { StoreAccess, type RelayCall } from './membership/access.js'
+import { ClaimProof, Claimant } from './membership/claimant.js'
 import { isClaimDue, rankOf } from './membership/election.js'
 import { FleetGateways } from './membership/fleet-gateways.js'
 import { GatewayServer } from './membership/gateway-server.js'
+import { Handover } from './membership/handover.js'
 import { Links } from './membership/links.js'
+import { OwnerWatch } from './membership/owner-watch.js'
+import { AddressCollector, Registration } from './membership/registration.js'
 import { RelayServer, StoreRelay } from './membership/relay.js'
 import type { Configuration } from './model/configuration.js'
 import { Phase } from './model/job.js'
@@ -25,7 +29,7 @@
 import type { Fleet } from './ports/fleet.js'
 import type { Formats } from './ports/formats.js'
 import type { Machines } from './ports/machines.js'
-import { StoreFailure, Topic, type KeyedRecord, type StoreClient, type StoredRecord } from './ports/store.js'
+import { Topic, type KeyedRecord, type StoreClient, type StoredRecord } from './ports/store.js'
 import { observeEventLoop } from './report/event-loop.js'
 import type { Log } from './report/log.js'
 import type { Metrics } from './report/metrics.js'
@@ -44,10 +48,12 @@
 const JOURNAL_RETRY_DELAY_MS = 100
 /** Added to the timeout given to another node, for the transfer of its answer. */
 const LINK_TRANSFER_MS = 200
-/** Maximum number of appends of one claim, all with the same sequence number. */
-const MAX_CLAIM_ATTEMPTS = 4
-/** Bound of the random first sequence number, which distinguishes two claims of the same epoch. */
-const MAX_FIRST_SEQUENCE = 2 ** 30
+/**
+ * Maximum age of the last read of the journal when a claim is sent: the larger of this time and of a number of mean answer times of the
+ * store. An older read is due to this node itself, which was blocked or suspended, and says nothing about the owner.
+ */
+const CONFIRMATION_AGE_MS = 1000
+const CONFIRMATION_ANSWER_COUNT = 4
 /** Timeout for asking the other nodes to take over during a planned stop. */
 const SUCCEED_TIMEOUT_MS = 300
 
@@ -67,6 +73,8 @@
   readonly host: string
   /** Port for connections from other nodes. */
   readonly port: number
+  /** Number of processor cores that the process may use; undefined if it is unknown. */
+  readonly processorShare?: number | undefined
   /** Maximum age of the configuration. With an older one the node refuses requests, since their keys may have been revoked. */
   readonly configurationAgeMaxMs: number
 }
@@ -104,26 +112,18 @@
   /** Set while this node owns the cell. `journalState.ownerClaim` names the owner, whichever node it is. */
   private owner: Owner | undefined
   private draining = false
-  /** Epoch of the owner that announced a planned stop; 0 for none. */
-  private leavingEpoch = 0
-  /**
-   * Steady time from which the delays before a claim are counted. It is the time of the latest of these events: this node
-   * started, the connection to the owner was lost, the owner changed, or a planned stop was announced.
-   */
-  private delayStartMs: number
-  /**
-   * Steady time at which a new record of the owner was last read. After the journal has been read from scratch, all records of
-   * the owner count as new.
-   */
-  private heardMs = -Infinity
+  private readonly ownerWatch: OwnerWatch
+  private readonly claimant: Claimant
+  private readonly registration: Registration
+  /** Both are set while this node owns the cell. */
+  private addressCollector: AddressCollector | undefined
+  private handover: Handover | undefined
   /** Steady time at which the journal was last read to its end. */
   private journalReadMs = -Infinity
-  private seenOwnerRecords = 0
 
   constructor (private readonly options: NodeOptions) {
     const { clock, settings, log } = options
     setMaxListeners(0, this.stopController.signal)
-    this.delayStartMs = clock.now()
     this.links = new Links({
       node: settings.node,
       zone: settings.zone,
@@ -134,6 +134,7 @@
       onLink: (node, up) => { this.onLink(node, up) }
     })
     this.gatewayServer = new GatewayServer(options.fleet, () => this.draining)
+    this.ownerWatch = new OwnerWatch(settings.node, this.links, clock)
     this.storeRelay = new StoreRelay(this.links, settings.node, () => [
       this.journalState.ownerClaim?.node ?? '', ...this.journalState.nodes.keys()
     ])
@@ -142,6 +143,10 @@
       log.event(available ? 'store available again' : 'store unavailable', { failure })
     })
     this.relayServer = new RelayServer(this.storeAccess)
+    const { node, zone, host, port, processorShare } = settings
+    const address: NodeAddress = { node, incarnation: this.incarnation, host, port, zone, processorShare }
+    this.registration = new Registration(this.storeAccess, address, this.stopController.signal)
+    this.claimant = new Claimant(this.storeAccess, settings.node, this.incarnation)
     this.journal = new Follower(this.storeAccess, Topic.Journal, {
       onRecord: (record) => { this.applyRecord(record) },
       onReset: () => { if (this.owner === undefined) this.nextJournalState = new JournalState() },
@@ -166,7 +171,7 @@
     observeEventLoop(metrics, log, clock, signal)
     detach(this.configurationFollower.run(signal))
     detach(this.followJournal())
-    detach(this.register())
+    detach(this.registration.write())
     detach(this.elect())
     log.event('node started', { incarnation: this.incarnation, ...this.options.settings })
     return ok(undefined)
@@ -188,10 +193,16 @@
     this.draining = true
     const { owner } = this
     this.options.log.event('node draining', { owner: owner !== undefined })
+    detach(this.registration.announceStop())
     if (owner === undefined) return
     const { epoch } = this.journalState.ownerClaim!
     this.owner = undefined
     owner.close()
+    await this.askForSuccessor(epoch)
+  }
+
+  /** Asks the connected nodes to claim the cell at once. */
+  private async askForSuccessor (epoch: number): Promise<void> {
     await this.links.broadcast({ kind: MessageKind.Succeed, epoch }, SUCCEED_TIMEOUT_MS)
   }
 
@@ -229,18 +240,6 @@
     await this.journal.run(this.stopController.signal)
   }
 
-  /** Writes this node's address to the journal. */
-  private async register (): Promise<void> {
-    const { node, host, port, zone } = this.options.settings
-    const address: NodeAddress = { node, incarnation: this.incarnation, host, port, zone }
-    const record = encodeRecord(Subject.Node, node, address)
-    while (!this.stopController.signal.aborted) {
-      const appended = await this.storeAccess.append(Topic.Journal, [record])
-      if (appended.isOk()) return
-      await sleep(JOURNAL_RETRY_DELAY_MS, this.stopController.signal)
-    }
-  }
-
   private applyRecord (record: StoredRecord): void {
     const journalState = this.nextJournalState ?? this.journalState
     journalState.apply(record, this.owner === undefined ? 0 : this.owner.epoch)
@@ -250,18 +249,18 @@
   }
 
   private onJournalRead (): void {
+    const rebuilt = this.nextJournalState !== undefined
     if (this.nextJournalState !== undefined) {
       this.journalState = this.nextJournalState
       this.nextJournalState = undefined
-      this.seenOwnerRecords = 0
       this.options.log.event('journal read', {
         offset: this.journal.offset, jobs: this.journalState.jobs.size, owner: this.journalState.ownerClaim?.node
       })
     }
-    const nowMs = this.options.clock.now()
-    this.journalReadMs = nowMs
-    if (this.journalState.ownerRecordCount !== this.seenOwnerRecords) this.heardMs = nowMs
-    this.seenOwnerRecords = this.journalState.ownerRecordCount
+    this.journalReadMs = this.options.clock.now()
+    this.ownerWatch.update(this.journalState, rebuilt)
+    if (this.journal.offset !== undefined) this.registration.check(this.journalState, this.journal.offset)
+    if (this.journalState.ownerClaim !== undefined) this.claimant.onClaimRead(this.journalState.ownerClaim)
     if (this.owner !== undefined && this.journalState.ownerClaim?.incarnation !== this.incarnation) {
       this.dropOwnership('newer claim read')
     }
@@ -286,7 +285,7 @@
     this.options.log.event(up ? 'node connected' : 'node disconnected', { peer: node, owner: isOwner })
     if (!isOwner) return
     if (!up) {
-      this.delayStartMs = this.options.clock.now()
+      this.ownerWatch.onDisconnected()
       this.journal.readNow()
     }
   }
@@ -294,15 +293,10 @@
   /** Maintains the connection to the owner, and claims the cell when the owner is unavailable. */
   private async elect (): Promise<void> {
     const { signal } = this.stopController
-    let watched: string | undefined
     while (!signal.aborted) {
       await sleep(ELECTION_INTERVAL_MS, signal)
       this.reportJournalAge()
       const { ownerClaim } = this.journalState
-      if (ownerClaim?.incarnation !== watched) {
-        watched = ownerClaim?.incarnation
-        this.delayStartMs = this.options.clock.now()
-      }
       const connected = ownerClaim !== undefined && this.links.has(ownerClaim.node)
       if (ownerClaim !== undefined && !connected && ownerClaim.node !== this.options.settings.node) {
         detach(this.links.connect(ownerClaim.node))
@@ -310,70 +304,94 @@
       this.journal.intervalMs = this.owner !== undefined
         ? OWNER_READ_INTERVAL_MS
         : connected ? FOLLOWER_READ_INTERVAL_MS : DISCONNECTED_READ_INTERVAL_MS
-      if (this.owner !== undefined || this.draining) continue
-      if (this.shouldClaim(connected, this.options.clock.now())) await this.confirmAndClaim(connected)
+      if (this.owner !== undefined) {
+        this.collectAddresses(this.owner)
+        this.handOver(this.owner)
+        continue
+      }
+      if (ownerClaim !== undefined && this.claimant.holds(ownerClaim)) {
+        this.options.log.event('own claim read after its append had failed', { epoch: ownerClaim.epoch })
+        await this.takeOwnership(ownerClaim.epoch)
+        continue
+      }
+      if (this.draining) continue
+      if (this.shouldClaim(this.options.clock.now())) await this.confirmAndClaim()
     }
   }
 
+  /** Removes the addresses of nodes that are gone, so that they count neither as candidates nor as relays. */
+  private collectAddresses (owner: Owner): void {
+    const connected = [this.options.settings.node, ...this.links.connected()]
+    const tombstones = this.addressCollector!.collect(this.journalState.nodes.keys(), connected)
+    if (tombstones.size === 0) return
+    this.options.log.event('addresses of absent nodes removed', { addresses: [...tombstones.keys()].join(' ') })
+    detach(owner.writer.commit(tombstones))
+  }
+
+  /**
+   * Hands the cell over to a much larger node, if there is one and the store has lately accepted an append. This node is a candidate
+   * like the others afterwards.
+   */
+  private handOver ({ epoch, writer }: Owner): void {
+    const { clock, settings } = this.options
+    const successor = this.handover!.findSuccessor(settings, this.journalState.nodes.values(), this.links.connected())
+    if (successor === undefined || clock.ageOf(writer.confirmedAt) > CONFIRMATION_AGE_MS) return
+    this.options.log.event('cell handed over', { epoch, successor })
+    this.dropOwnership('handed over')
+    this.ownerWatch.onLeaving(epoch)
+    detach(this.askForSuccessor(epoch))
+  }
+
   private reportJournalAge (): void {
     if (this.journalReadMs === -Infinity) return
     this.options.metrics.journalAgeSeconds.set((this.options.clock.now() - this.journalReadMs) / 1000)
   }
 
   /** Reads the journal once more and claims the cell unless it has new records of the owner. */
-  private async confirmAndClaim (connected: boolean): Promise<void> {
+  private async confirmAndClaim (): Promise<void> {
     const read = await this.journal.catchUp()
-    if (read.isOk() && this.shouldClaim(connected, this.journalReadMs)) await this.claim()
+    if (read.isErr() || this.draining || !this.shouldClaim(this.journal.freshAt.steadyMs)) return
+    const ageMs = this.options.clock.ageOf(this.journal.freshAt)
+    const maxAgeMs = Math.max(CONFIRMATION_AGE_MS, CONFIRMATION_ANSWER_COUNT * this.storeAccess.meanAnswerMs)
+    if (ageMs < maxAgeMs) return await this.claim()
+    this.options.log.event('cell claim postponed', { detail: 'The journal was read too long ago.', ageMs: Math.round(ageMs) })
   }
 
-  private shouldClaim (connected: boolean, nowMs: number): boolean {
-    const { ownerClaim } = this.journalState
-    if (this.journal.offset === undefined || this.configuration === undefined) return false
-    const { node } = this.options.settings
-    const rank = rankOf(node, this.journalState.nodes.keys(), ownerClaim?.node ?? '')
-    return isClaimDue({
-      linked: connected,
-      unlinkedMs: this.delayStartMs,
-      heardMs: this.heardMs,
-      refused: ownerClaim !== undefined && this.links.refusesConnections(ownerClaim.node),
-      left: ownerClaim !== undefined && this.leavingEpoch === ownerClaim.epoch,
-      vacant: ownerClaim === undefined || ownerClaim.node === node,
-      answerMs: this.storeAccess.meanAnswerMs
-    }, rank, nowMs)
+  private shouldClaim (nowMs: number): boolean {
+    if (this.journal.offset === undefined || this.configuration === undefined || !this.registration.isWritten()) return false
+    const { nodes, ownerClaim } = this.journalState
+    if (ownerClaim !== undefined && this.claimant.holds(ownerClaim)) return false
+    const rank = rankOf(this.options.settings.node, nodes.values(), ownerClaim?.node ?? '', this.ownerWatch.hasOwnerReturned())
+    return isClaimDue(this.ownerWatch.view(this.storeAccess.meanAnswerMs), rank, nowMs)
   }
 
   private async claim (): Promise<void> {
     const epoch = (this.journalState.ownerClaim?.epoch ?? 0) + 1
-    const sequence = Math.floor(Math.random() * MAX_FIRST_SEQUENCE)
-    const record = encodeRecord(Subject.Owner, 'cell', { epoch, node: this.options.settings.node, incarnation: this.incarnation })
-    const outcome = await this.appendClaim(record, epoch, sequence)
+    const before = this.journalState.ownerClaim?.node
+    const { heardMs, refused, accepting, left, vacant, recentTakeovers } = this.ownerWatch.view(this.storeAccess.meanAnswerMs)
+    const silentMs = Math.round(this.options.clock.now() - heardMs)
+    const outcome = await this.claimant.claim(epoch)
     this.options.metrics.claims.inc({ outcome })
-    this.options.log.event('cell claim attempted', { epoch, outcome, before: this.journalState.ownerClaim?.node })
-    if (outcome === 'held') await this.takeOwnership(epoch, sequence + 1)
+    this.options.log.event('cell claim attempted', {
+      epoch, outcome, before, silentMs, refused, accepting, left, vacant, recentTakeovers
+    })
+    if (outcome === ClaimProof.Answered || outcome === ClaimProof.Read) await this.takeOwnership(epoch)
     else await this.journal.catchUp()
   }
 
-  /** Returns 'held' if the claim succeeded, otherwise the failure. */
-  private async appendClaim (record: KeyedRecord, epoch: number, sequence: number): Promise<string> {
-    let failure = StoreFailure.NoAnswer
-    for (let attempt = 0; attempt < MAX_CLAIM_ATTEMPTS; attempt++) {
-      const appended = await this.storeAccess.append(Topic.Journal, [record], { epoch, sequence })
-      if (appended.isOk()) return 'held'
-      failure = appended.error
-      if (failure !== StoreFailure.NoAnswer) break
-    }
-    return failure
-  }
-
-  private async takeOwnership (epoch: number, sequence: number): Promise<void> {
+  /** Becomes the owner under a claim that is held. */
+  private async takeOwnership (epoch: number): Promise<void> {
     const claimedAt = this.options.clock.stamp()
     this.connectGateways()
-    while (this.journalState.ownerClaim === undefined || this.journalState.ownerClaim.epoch < epoch) {
+    const sequence = this.claimant.take()
+    while ((this.journalState.ownerClaim?.epoch ?? 0) < epoch || this.nextJournalState !== undefined) {
       const read = await this.journal.catchUp()
       if (this.stopController.signal.aborted) return
       if (read.isErr()) await sleep(JOURNAL_RETRY_DELAY_MS, this.stopController.signal)
     }
-    if (this.journalState.ownerClaim.epoch !== epoch || this.journalState.ownerClaim.incarnation !== this.incarnation) return
+    const { ownerClaim } = this.journalState
+    if (ownerClaim?.epoch !== epoch || ownerClaim.incarnation !== this.incarnation) return
+    if (this.draining) return await this.askForSuccessor(epoch)
     const { settings, machines, formats, clock, log, metrics } = this.options
     const owner = new Owner({
       epoch,
@@ -393,6 +411,8 @@
       metrics
     })
     this.owner = owner
+    this.addressCollector = new AddressCollector(clock)
+    this.handover = new Handover(clock)
     log.event('ownership taken', { epoch, jobs: this.journalState.jobs.size, runs: owner.ledger.size })
     owner.run().then(() => { if (this.owner === owner) this.dropOwnership('superseded') }, (error: unknown) => { throw error })
   }
@@ -483,8 +503,7 @@
       case MessageKind.Command: return await this.gatewayServer.command(request)
       case MessageKind.Disconnect: return this.gatewayServer.disconnect(request)
       case MessageKind.Succeed:
-        this.leavingEpoch = request.epoch
-        this.delayStartMs = this.options.clock.now()
+        this.ownerWatch.onLeaving(request.epoch)
         return ok(true)
       default: return err(refuse(Reason.Malformed, `A node of the cell does not handle requests of kind ${request.kind}.`))
     }
--- a/packages/control/test/membership/links.spec.ts
+++ b/packages/control/test/membership/links.spec.ts
@@ -37,4 +37,27 @@
     expect((await links.connect('b')).isOk()).toBe(true)
     expect([links.refusesConnections('b'), links.has('b')]).toEqual([false, true])
   })
+
+  // Guards against the incident of the saturated owner: a busy owner looked like one that was gone.
+  it('report that an address accepts connections although its process does not answer', async () => {
+    const silent = createServer()
+    await new Promise<void>((resolve) => { silent.listen(0, HOST, resolve) })
+    const { port } = silent.address() as AddressInfo
+    const links = createLinks('a', await findFreePort(), { node: 'b', incarnation: '1', host: HOST, port, zone: 'z' })
+    expect((await links.connect('b')).isErr()).toBe(true)
+    expect([links.acceptsConnections('b'), links.refusesConnections('b')]).toEqual([true, false])
+    links.forgetDial('b')
+    expect(links.acceptsConnections('b')).toBe(false)
+    silent.close()
+  })
+
+  // Guards against a slow takeover from an owner without power: its last connection counted as a sign of life.
+  it('know nothing of an address whose last connection was established, until they connect again', async () => {
+    const port = await findFreePort()
+    const peer = createLinks('b', port, undefined)
+    expect((await peer.listen()).isOk()).toBe(true)
+    const links = createLinks('a', await findFreePort(), { node: 'b', incarnation: '1', host: HOST, port, zone: 'z' })
+    expect((await links.connect('b')).isOk()).toBe(true)
+    expect([links.has('b'), links.acceptsConnections('b'), links.refusesConnections('b')]).toEqual([true, false, false])
+  })
 })
--- a/packages/protocol/test/connection.spec.ts
+++ b/packages/protocol/test/connection.spec.ts
@@ -209,3 +209,14 @@
   const frame = decodeFrame(encodeFrame({ frame: 'ask', id: 1, request }))._unsafeUnwrap()
   expect(decodeRequest((frame as { request: unknown }).request)._unsafeUnwrap()).toEqual(request)
 })
+
+// Guards against the incident of the saturated owner: a process that was late closed its sound connections.
+test('a connection stays open while its own process is blocked for longer than the silence timeout', async () => {
+  const connection = await connect(answerWith(ok(1)))
+  await new Promise((resolve) => setTimeout(resolve, 50))
+  const blockedUntilMs = performance.now() + 300
+  while (performance.now() < blockedUntilMs);
+  await new Promise((resolve) => setTimeout(resolve, 100))
+  expect(connection.isUsable()).toBe(true)
+  connection.close()
+})
