Add a load model of the owner to the measurements

Nothing measured the owner's processor time per task without a network.

The part owner-load runs one owner with 245 simulated workers, a store and an advisor in one process, at 1, 2 and 3 times the usual rate of jobs.

--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -7,6 +7,7 @@
 import { ControlTrafficPart } from './control-traffic.js'
 import { DecisionsPart } from './decisions-part.js'
 import { RecoveryPart } from './recovery-part.js'
+import { OwnerLoadPart } from './owner-load-part.js'
 import { PolicyPart } from './policy-part.js'
 import { runPart } from './report.js'
 import { StandbyPart } from './standby.js'
@@ -24,7 +25,8 @@
   new StandbyPart(),
   new TakeoverPart(),
   new WirePart(PROFILE_DIRECTORY),
-  new ControlTrafficPart()
+  new ControlTrafficPart(),
+  new OwnerLoadPart()
 ]
 
 const program = new Command('measure').description('Measures fireflymount and writes docs/MEASUREMENTS.md')
