--- a/packages/measure/src/owner-load/workload.ts
+++ b/packages/measure/src/owner-load/workload.ts
@@ -14,6 +14,10 @@
 const LONG_ADVICE = { callMs: 100, workerMs: 3, validMs: 2000 }
 const MB_PER_MILLI_CPU = 1.5
 const WORKSPACES = 20
+/** Share of the steps that need a label that half of the workers have. */
+const LABEL_SHARE = 0.1
+/** Share of the steps with a limit of tasks per worker. */
+const SPREAD_SHARE = 0.1
 const NO_LIMIT: Resources = { cpuMilli: 0, memoryMb: 0, accelerators: 0 }
 
 interface Pool {
@@ -39,6 +43,7 @@
   readonly cpuMilli: number
   readonly accelerators: number
   readonly gangShare: number
+  readonly checkpoints: boolean
 }
 
 const LIMITS = { host: 'h', attempts: 3, timeoutMs: 3000, open: true }
@@ -52,7 +57,8 @@
     taskMs: 700,
     cpuMilli: 2700,
     accelerators: 0,
-    gangShare: 0
+    gangShare: 0,
+    checkpoints: false
   }, {
     queue: { ...LIMITS, name: 'estimate', prefix: '/e/', upstream: PLANNER, priority: 2, stretch: 4, targetMs: 3000, advice: LONG_ADVICE },
     jobsPerS: 1.5,
@@ -61,7 +67,8 @@
     taskMs: 5600,
     cpuMilli: 4500,
     accelerators: 0,
-    gangShare: 0.1
+    gangShare: 0.1,
+    checkpoints: true
   }, {
     queue: { ...LIMITS, name: 'render', prefix: '/r/', upstream: STUDIO, priority: 0, stretch: 2, targetMs: 1000, advice: LONG_ADVICE },
     jobsPerS: 2.8,
@@ -70,7 +77,8 @@
     taskMs: 3600,
     cpuMilli: 31_000,
     accelerators: 4,
-    gangShare: 0.3
+    gangShare: 0.3,
+    checkpoints: true
   }, {
     queue: { ...LIMITS, name: 'match', prefix: '/m/', upstream: STUDIO, priority: 1, stretch: 4, targetMs: 3000, advice: SHORT_ADVICE },
     jobsPerS: 3.2,
@@ -79,7 +87,8 @@
     taskMs: 2400,
     cpuMilli: 5600,
     accelerators: 1,
-    gangShare: 0
+    gangShare: 0,
+    checkpoints: true
   }
 ]
 
@@ -149,7 +158,7 @@
 }
 
 function createSteps (random: Random, jobClass: JobClass): Step[] {
-  const { tasks, taskMs, cpuMilli, accelerators, gangShare, secondStepShare } = jobClass
+  const { tasks, taskMs, cpuMilli, accelerators, gangShare, secondStepShare, checkpoints } = jobClass
   const spread = (mean: number): number => mean * (0.5 + random.uniform())
   const gang = random.uniform() < gangShare
   const create = (after: number[]): Step => createStep({
@@ -157,8 +166,11 @@
     size: sizeOf(Math.round(spread(cpuMilli)), accelerators),
     estimateMs: Math.round(spread(taskMs)),
     after,
+    checkpoints,
     gang,
-    sameRack: gang
+    sameRack: gang,
+    label: random.uniform() < LABEL_SHARE ? 'a' : '',
+    perWorker: random.uniform() < SPREAD_SHARE ? 2 : 0
   })
   const steps = [create([])]
   if (random.uniform() < secondStepShare) steps.push(create([0]))
