Make a scheduling round cost less without changing its decisions

Callers on the grown deployments saw jobs fail while the owner's processor was full. With 100 to 350 jobs waiting, a round walked all ready steps and all workers, looked up each ticket by two strings, added up the capacity of all workers for each step without room, and estimated for each step when each worker will be empty.

Now a round keeps the candidates and, for each step, the permitted workers until the workers, the advice or the step change; looks for workers only if one of them has room for the task; computes capacity, queues, workspaces and the time until a worker is empty once; and reads the demand of urgent runs from the ledger. The advice for a job is found by its job, and a queued request by its step.

--- a/packages/control/src/owner/advisor-client.ts
+++ b/packages/control/src/owner/advisor-client.ts
@@ -6,6 +6,7 @@
 import type { Result } from 'neverthrow'
 import type { Clock } from '../clock.js'
 import type { AdviceSettings } from '../model/configuration.js'
+import { splitTask } from '../model/worker.js'
 import type { AdviceFailure, Tickets } from '../ports/advisor.js'
 
 /** Subtracted from the validity of a ticket to cover the transit of the advisor's answer and of the start request. */
@@ -60,6 +61,10 @@
   readonly asked = new Set<string>()
   /** A request for the step is queued or in flight. */
   pending = false
+  /** The request while it is queued. */
+  queued: AdviceRequest | undefined
+  /** Number of answers received. */
+  revision = 0
 }
 
 interface AdviceRequest {
@@ -89,6 +94,8 @@
 /** Queues and sends requests to the advisor and caches the tickets that it grants. */
 export class AdvisorClient {
   private readonly steps = new Map<string, StepAdvice>()
+  /** Names of the steps in `steps`, by job. */
+  private readonly stepsByJob = new Map<string, string[]>()
   private readonly queue: AdviceRequest[] = []
   /** Expected duration of the calls in flight at the advisor, by node. */
   private readonly loadMsByNode = new Map<string, number>()
@@ -117,6 +124,21 @@
     return this.steps.get(step)?.tickets.get(worker)?.text ?? ''
   }
 
+  /** Returns true if the worker may run the step, whether or not its ticket is still valid. */
+  hasTicket (step: string, worker: string): boolean {
+    return this.steps.get(step)?.tickets.has(worker) ?? false
+  }
+
+  /** Returns true if the advisor has answered about a worker. */
+  wasAsked (step: string, worker: string): boolean {
+    return this.steps.get(step)?.asked.has(worker) ?? false
+  }
+
+  /** Returns a number that changes when more becomes known about which workers may run a step. */
+  revisionOf (step: string): number {
+    return this.steps.get(step)?.revision ?? 0
+  }
+
   /** Returns true while a request for the step is queued or in flight. */
   isPending (step: string): boolean {
     return this.steps.get(step)?.pending ?? false
@@ -132,18 +154,21 @@
   request (
     step: string, workers: readonly WorkerIncarnation[], settings: AdviceSettings, rank: number, placeable: boolean
   ): void {
-    let known = this.steps.get(step)
-    if (known === undefined) this.steps.set(step, known = new StepAdvice())
+    const known = this.steps.get(step) ?? this.addStep(step)
     if (known.pending) {
-      const waiting = this.queue.find((adviceRequest) => adviceRequest.step === step)
-      if (waiting !== undefined) Object.assign(waiting, { rank, placeable })
+      const { queued } = known
+      if (queued === undefined) return
+      queued.rank = rank
+      queued.placeable = placeable
       return
     }
     if (workers.length === 0) return
     known.pending = true
-    const named = workers.slice(0, MAX_WORKERS_PER_CALL)
+    // The answer applies to the incarnations of now.
+    const named = workers.slice(0, MAX_WORKERS_PER_CALL).map(({ id, born }) => ({ id, born }))
     const durationMs = settings.callMs + settings.workerMs * named.length
-    this.queue.push({ step, workers: named, durationMs, validMs: settings.validMs, rank, placeable })
+    known.queued = { step, workers: named, durationMs, validMs: settings.validMs, rank, placeable }
+    this.queue.push(known.queued)
     this.sendQueued()
   }
 
@@ -154,20 +179,30 @@
     if (ticket !== undefined) known!.tickets.set(worker, { ...ticket, untilMs: 0 })
   }
 
-  /** Drops the advice for a job whose records are deleted. */
+  /** Drops the advice and the queued requests for a job that has ended. */
   forget (job: string): void {
-    for (const step of this.steps.keys()) {
-      if (step.startsWith(job)) this.steps.delete(step)
+    for (const step of this.stepsByJob.get(job) ?? []) {
+      const queued = this.steps.get(step)?.queued
+      if (queued !== undefined) this.queue.splice(this.queue.indexOf(queued), 1)
+      this.steps.delete(step)
     }
+    this.stepsByJob.delete(job)
   }
 
   /** Sends queued requests through nodes whose load at the advisor permits it. */
   sendQueued (): void {
+    if (this.queue.length === 0) return
     this.queue.sort((left, right) => Number(right.placeable) - Number(left.placeable) || left.rank - right.rank)
+    const nodes = this.nodes()
+    // While requests are being sent, the loads of the nodes only grow. A request therefore finds no node either once one of the
+    // same kind has found none.
+    const withoutNode = new Set<string>()
     for (let index = 0; index < this.queue.length;) {
       const adviceRequest = this.queue[index]!
-      const node = this.chooseNode(adviceRequest)
+      const kind = `${isLong(adviceRequest)} ${adviceRequest.placeable}`
+      const node = withoutNode.has(kind) ? undefined : this.chooseNode(nodes, adviceRequest)
       if (node === undefined) {
+        withoutNode.add(kind)
         index++
         continue
       }
@@ -176,14 +211,25 @@
     }
   }
 
+  private addStep (step: string): StepAdvice {
+    const known = new StepAdvice()
+    this.steps.set(step, known)
+    const { job } = splitTask(step)
+    const steps = this.stepsByJob.get(job)
+    if (steps === undefined) this.stepsByJob.set(job, [step])
+    else steps.push(step)
+    return known
+  }
+
   private async send (node: string, adviceRequest: AdviceRequest): Promise<void> {
     const { step, workers, durationMs } = adviceRequest
+    const known = this.steps.get(step)
+    if (known !== undefined) known.queued = undefined
     this.loadMsByNode.set(node, (this.loadMsByNode.get(node) ?? 0) + durationMs)
     const sentMs = this.clock.now()
     const ids = workers.map((worker) => worker.id)
     const advice = await this.askAdvisor(node, step, ids, 2 * durationMs + ANSWER_TIMEOUT_MARGIN_MS)
     this.loadMsByNode.set(node, this.loadMsByNode.get(node)! - durationMs)
-    const known = this.steps.get(step)
     if (known !== undefined) {
       known.pending = false
       if (advice.isOk()) this.storeTickets(known, adviceRequest, advice.value)
@@ -194,6 +240,7 @@
 
   private storeTickets (known: StepAdvice, adviceRequest: AdviceRequest, tickets: Tickets): void {
     const untilMs = this.clock.now() + adviceRequest.validMs - TICKET_EXPIRY_MARGIN_MS
+    known.revision++
     const granted = new Map(tickets)
     for (const { id, born } of adviceRequest.workers) {
       known.asked.add(id)
@@ -203,10 +250,9 @@
   }
 
   /** Returns the node with the least load. Returns undefined if the call would wait too long or would delay short calls. */
-  private chooseNode ({ durationMs, placeable }: AdviceRequest): string | undefined {
-    const nodes = this.nodes()
-    const isLong = durationMs > MAX_SHORT_CALL_MS
-    const maxLoadMs = isLong ? MAX_IDLE_LOAD_MS : MAX_SHORT_CALL_LOAD_MS
+  private chooseNode (nodes: readonly string[], adviceRequest: AdviceRequest): string | undefined {
+    const long = isLong(adviceRequest)
+    const maxLoadMs = long ? MAX_IDLE_LOAD_MS : MAX_SHORT_CALL_LOAD_MS
     let best: string | undefined
     let leastLoadMs = Infinity
     let busyNodes = 0
@@ -217,7 +263,12 @@
       best = node
       leastLoadMs = loadMs
     }
-    const maxBusyNodes = Math.max(1, Math.floor((placeable ? LONG_CALL_NODE_SHARE : UNPLACEABLE_CALL_NODE_SHARE) * nodes.length))
-    return isLong && busyNodes >= maxBusyNodes ? undefined : best
+    const maxBusyShare = adviceRequest.placeable ? LONG_CALL_NODE_SHARE : UNPLACEABLE_CALL_NODE_SHARE
+    const maxBusyNodes = Math.max(1, Math.floor(maxBusyShare * nodes.length))
+    return long && busyNodes >= maxBusyNodes ? undefined : best
   }
 }
+
+function isLong ({ durationMs }: AdviceRequest): boolean {
+  return durationMs > MAX_SHORT_CALL_MS
+}
--- /dev/null
+++ b/packages/control/src/owner/candidates.ts
@@ -0,0 +1,121 @@
+/**
+ * The workers on which new runs may be placed, by upstream. They are kept from one scheduling round to the next, so that what
+ * depends only on the set of workers and their kinds is computed again only when those change.
+ */
+import { NO_RESOURCES, subtractResources, type Resources } from '@fireflymount/protocol/resources'
+import type { Candidate } from '../place/fit.js'
+import type { Session } from './session.js'
+
+/** A worker in scheduling rounds. */
+export class PoolCandidate implements Candidate {
+  readonly id: string
+  rack = ''
+  labels: readonly string[] = []
+  capacity: Resources = NO_RESOURCES
+  free: Resources = NO_RESOURCES
+  slowness = 1
+  /** The worker was already considered for preemption by urgent tasks in this round, with or without success. */
+  consideredForPreemption = false
+  private emptyMs: number | undefined
+
+  constructor (readonly session: Session) {
+    this.id = session.id
+  }
+
+  get hasServingTasks (): boolean {
+    for (const run of this.session.runs.values()) {
+      if (run.step.latencyTargetMs > 0) return true
+    }
+    return false
+  }
+
+  get bestEffortCount (): number {
+    let count = 0
+    for (const run of this.session.runs.values()) {
+      if (run.step.bestEffort) count++
+    }
+    return count
+  }
+
+  /** Estimated time until all runs on the worker have ended; see `Session.timeToEmptyMs`. */
+  timeToEmptyMs (): number {
+    this.emptyMs ??= this.session.timeToEmptyMs()
+    return this.emptyMs
+  }
+
+  /**
+   * Prepares for a round.
+   *
+   * @returns true if the labels or the capacity of the worker have changed
+   */
+  startRound (slowness: number): boolean {
+    const { worker } = this.session
+    this.free = this.session.freeCapacity()
+    this.slowness = slowness
+    this.consideredForPreemption = false
+    this.emptyMs = undefined
+    if (worker.labels === this.labels && worker.capacity === this.capacity) return false
+    const changed = !isSameKind(this, worker)
+    this.labels = worker.labels
+    this.capacity = worker.capacity
+    if (changed) this.rack = this.session.rack
+    return changed
+  }
+}
+
+/** The candidates of one upstream, in the order of their sessions. */
+export class CandidateSet {
+  candidates: PoolCandidate[] = []
+  /** Changes when a candidate comes or goes, or when its labels or capacity change. */
+  version = 0
+
+  /** Replaces the candidates of the round before. */
+  startRound (candidates: PoolCandidate[], changed: boolean): void {
+    const before = this.candidates
+    this.candidates = candidates
+    const sameLength = before.length === candidates.length
+    if (changed || !sameLength || candidates.some((candidate, index) => candidate !== before[index])) this.version++
+  }
+}
+
+/** Keeps the candidates of all upstreams. */
+export class Candidates {
+  private readonly sets = new Map<string, CandidateSet>()
+  private readonly bySession = new WeakMap<Session, PoolCandidate>()
+
+  constructor (
+    private readonly sessions: ReadonlyMap<string, Session>,
+    private readonly slownessOf: (session: Session) => number
+  ) {}
+
+  /** Collects the candidates of an upstream for a round. */
+  collect (upstream: string, nowMs: number): CandidateSet {
+    let set = this.sets.get(upstream)
+    if (set === undefined) this.sets.set(upstream, set = new CandidateSet())
+    const candidates: PoolCandidate[] = []
+    let changed = false
+    for (const session of this.sessions.values()) {
+      if (session.worker.upstream !== upstream || !session.acceptsRuns(nowMs)) continue
+      const candidate = this.candidateOf(session)
+      if (candidate.startRound(this.slownessOf(session))) changed = true
+      candidates.push(candidate)
+    }
+    set.startRound(candidates, changed)
+    return set
+  }
+
+  private candidateOf (session: Session): PoolCandidate {
+    let candidate = this.bySession.get(session)
+    if (candidate === undefined) this.bySession.set(session, candidate = new PoolCandidate(session))
+    return candidate
+  }
+}
+
+function isSameKind (
+  left: { readonly labels: readonly string[], readonly capacity: Resources },
+  right: { readonly labels: readonly string[], readonly capacity: Resources }
+): boolean {
+  const lacking = subtractResources(left.capacity, right.capacity)
+  if (lacking.cpuMilli !== 0 || lacking.memoryMb !== 0 || lacking.accelerators !== 0) return false
+  return left.labels.length === right.labels.length && left.labels.every((label, index) => label === right.labels[index])
+}
--- a/packages/control/src/owner/ledger.ts
+++ b/packages/control/src/owner/ledger.ts
@@ -2,7 +2,7 @@
  * Records which runs occupy which workers and how much each workspace uses. A run is charged from its assignment until it is
  * provably not running.
  */
-import { NO_RESOURCES, addResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
+import { NO_RESOURCES, addResources, scaleResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
 import type { JobEntry, TaskEntry } from '../journal/journal-state.js'
 import type { Step } from '../model/job.js'
 import type { Run } from './run.js'
@@ -12,6 +12,7 @@
   private readonly byName = new Map<string, Run>()
   private readonly byJob = new Map<string, Set<Run>>()
   private readonly usage = new Map<string, Resources>()
+  private readonly charges = new Map<string, Resources>()
 
   /** Adds a run and charges its worker and its workspace. */
   add (run: Run): void {
@@ -22,6 +23,7 @@
     run.session.addRun(run)
     const { workspace } = run.entry.job
     this.usage.set(workspace, addResources(this.usedBy(workspace), run.step.size))
+    this.charge(run, 1)
   }
 
   /** Removes a run that has provably ended or not started, and releases its charges. */
@@ -34,6 +36,7 @@
     run.session.removeRun(run)
     const { workspace } = run.entry.job
     this.usage.set(workspace, subtractResources(this.usedBy(workspace), run.step.size))
+    this.charge(run, -1)
   }
 
   /** Returns the current run of a task, by the task name that workers use. */
@@ -63,6 +66,17 @@
   usedBy (workspace: string): Resources {
     return this.usage.get(workspace) ?? NO_RESOURCES
   }
+
+  /** Resources that the runs of a queue are charged on all workers, except long-running ones. */
+  chargedFor (queue: string): Resources {
+    return this.charges.get(queue) ?? NO_RESOURCES
+  }
+
+  private charge (run: Run, sign: number): void {
+    if (run.step.lasting) return
+    const { queue } = run.entry.job
+    this.charges.set(queue, addResources(this.chargedFor(queue), scaleResources(run.charge, sign)))
+  }
 }
 
 /** Returns what a task is charged on its worker. A best-effort task is not charged for CPU. */
--- a/packages/control/src/owner/pool.ts
+++ b/packages/control/src/owner/pool.ts
@@ -2,43 +2,79 @@
  * The free capacity of one upstream during one scheduling round.
  */
 import { addResources, fitsResources, NO_RESOURCES, scaleResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
-import type { Candidate } from '../place/fit.js'
 import { maxHoldsOf } from '../place/hold.js'
+import type { CandidateSet, PoolCandidate } from './candidates.js'
 import type { Session } from './session.js'
 
 /** The state of one upstream in a round. */
 export class Pool {
+  readonly candidates: readonly PoolCandidate[]
+  /** Changes, from one round to the next, when a candidate comes or goes, or when its labels or capacity change. */
+  readonly version: number
   /** Free capacity of all candidates together. */
   totalFree = NO_RESOURCES
   /** Number of workers that may still be held in this round. */
   remainingHolds: number
-  /** Workers that were already considered for preemption by urgent tasks in this round, with or without success. */
-  readonly consideredForPreemption = new Set<string>()
+  /** Number of candidates that urgent tasks have not yet considered for preemption in this round. */
+  remainingForPreemption: number
+  /** The smallest capacity of any candidate, in each dimension. */
+  leastCapacity: Resources = { cpuMilli: Infinity, memoryMb: Infinity, accelerators: Infinity }
+  private longestMs: number | undefined
+  /** The largest free capacity of any candidate at the start of the round, in each dimension. */
+  private mostFree = NO_RESOURCES
+
   constructor (
-    readonly candidates: ReadonlyMap<string, Candidate>,
+    readonly upstream: string,
+    set: CandidateSet,
     /** Highest priority of the upstream's queues. Tasks of queues with this priority are urgent, also beyond the rate. */
     readonly urgentPriority: number,
     /** Mean total slack of urgent jobs. Tasks with at most this estimated duration may use the reserve. */
     readonly urgentTotalSlackMs: number,
     /** Capacity that is reserved for urgent tasks. */
-    readonly reserve: Resources
+    readonly reserve: Resources,
+    /** Total capacity of the upstream's reachable workers. */
+    readonly totalCapacity: Resources
   ) {
-    this.remainingHolds = maxHoldsOf(candidates.size)
-    for (const candidate of candidates.values()) this.totalFree = addResources(this.totalFree, candidate.free)
+    this.candidates = set.candidates
+    this.version = set.version
+    this.remainingHolds = maxHoldsOf(this.candidates.length)
+    this.remainingForPreemption = this.candidates.length
+    for (const { free, capacity } of this.candidates) {
+      this.totalFree = addResources(this.totalFree, free)
+      this.mostFree = combine(this.mostFree, free, Math.max)
+      this.leastCapacity = combine(this.leastCapacity, capacity, Math.min)
+    }
+  }
+
+  /** The longest time until one of the candidates is empty if nothing more is placed on it. */
+  longestToEmptyMs (): number {
+    this.longestMs ??= this.candidates.reduce((longestMs, candidate) => Math.max(longestMs, candidate.timeToEmptyMs()), 0)
+    return this.longestMs
+  }
+
+  /** Returns false if the task certainly fits on no candidate. */
+  mayFit (charge: Resources): boolean {
+    return fitsResources(charge, this.mostFree)
   }
 
   /** Holds a worker: withholds its free capacity from all other tasks for the rest of the round. */
-  hold (candidate: Candidate): void {
+  hold (candidate: PoolCandidate): void {
     this.remainingHolds--
     this.allocate(candidate, candidate.free)
   }
 
   /** Takes capacity of a worker for a task for the rest of the round. */
-  allocate (candidate: Candidate, charge: Resources): void {
+  allocate (candidate: PoolCandidate, charge: Resources): void {
     candidate.free = subtractResources(candidate.free, charge)
     this.totalFree = subtractResources(this.totalFree, charge)
   }
 
+  /** Records that urgent tasks have considered a worker for preemption. */
+  considerForPreemption (candidate: PoolCandidate): void {
+    candidate.consideredForPreemption = true
+    this.remainingForPreemption--
+  }
+
   /**
    * Returns how many tasks of a size, up to the limit, fit without using the reserve. They are compared with the free capacity of
    * all candidates together; whether they fit on single workers is not checked.
@@ -59,3 +95,11 @@
   }
   return total
 }
+
+function combine (left: Resources, right: Resources, combineValues: (left: number, right: number) => number): Resources {
+  return {
+    cpuMilli: combineValues(left.cpuMilli, right.cpuMilli),
+    memoryMb: combineValues(left.memoryMb, right.memoryMb),
+    accelerators: combineValues(left.accelerators, right.accelerators)
+  }
+}
--- a/packages/control/src/owner/run.ts
+++ b/packages/control/src/owner/run.ts
@@ -67,6 +67,11 @@
   percent = 100
   /** As in ActiveRun.load. */
   load = 0
+  /** The task's name as workers know it. */
+  readonly name: string
+  /** Job id, occurrence and step index, joined by dots. */
+  readonly stepName: string
+  readonly step: Step
 
   constructor (
     readonly entry: JobEntry,
@@ -78,19 +83,8 @@
     nowMs: number
   ) {
     this.assignedMs = nowMs
-  }
-
-  /** The task's name as workers know it. */
-  get name (): string {
-    return `${this.entry.job.id}.${this.task.key}`
-  }
-
-  /** Job id, occurrence and step index, joined by dots. */
-  get stepName (): string {
-    return `${this.entry.job.id}.${this.task.occurrence}.${this.task.step}`
-  }
-
-  get step (): Step {
-    return this.entry.job.steps[this.task.step]!
+    this.name = `${entry.job.id}.${task.key}`
+    this.stepName = `${entry.job.id}.${task.occurrence}.${task.step}`
+    this.step = entry.job.steps[task.step]!
   }
 }
--- /dev/null
+++ b/packages/control/src/owner/step-ranking.ts
@@ -0,0 +1,61 @@
+/**
+ * Ranks the ready steps: computes the order in which a scheduling round places them.
+ */
+import type { Clock } from '../clock.js'
+import type { Configuration, Queue } from '../model/configuration.js'
+import { Phase } from '../model/job.js'
+import { placementRankOf } from '../place/ranking.js'
+import type { ReadyStep, ReadySteps } from './ready-step.js'
+
+/** Stretch factor in the objective of a job whose queue has been removed. */
+const REMOVED_QUEUE_STRETCH = 4
+
+/** A ready step with its place in the order. */
+export interface RankedStep {
+  readonly readyStep: ReadyStep
+  readonly queue: Queue | undefined
+  /** The job is beyond the rate of its workspace. */
+  readonly overRate: boolean
+  /** Sort key; the smallest is placed first. */
+  readonly rank: number
+  /** Time until the step has to start so that its job meets its objective. */
+  readonly slackMs: number
+  /** The job's objective: the time from `dueMs` of the ready step within which it should complete. */
+  readonly objectiveMs: number
+}
+
+/** What the ranking depends on. */
+export interface StepRankingOptions {
+  readonly readySteps: ReadySteps
+  readonly configuration: () => Configuration
+  readonly clock: Clock
+  /** Ids of the jobs beyond the rate of their workspace. */
+  readonly overRateJobs: ReadonlySet<string>
+}
+
+/** Returns the ready steps that are due, in the order in which they are placed. */
+export function rankReadySteps ({ readySteps, configuration, clock, overRateJobs }: StepRankingOptions): RankedStep[] {
+  const wallNowMs = clock.wall()
+  const queues = new Map<string, Queue>()
+  for (const queue of configuration().queues) queues.set(queue.name, queue)
+  const ranked: RankedStep[] = []
+  for (const readyStep of readySteps.list()) {
+    const { entry: { job, phase }, dueMs, chainMs } = readyStep
+    if (job.occurrences > 0 && dueMs > wallNowMs) continue
+    const queue = queues.get(job.queue)
+    const overRate = overRateJobs.has(job.id)
+    const objectiveMs = (queue?.stretch ?? REMOVED_QUEUE_STRETCH) * readyStep.criticalPathMs + (queue?.targetMs ?? 0)
+    const rank = placementRankOf({
+      longRunning: readyStep.step.lasting,
+      // A job whose queue has been removed is ranked with the highest priority, but does not count as urgent.
+      priority: queue?.priority ?? 0,
+      dueMs,
+      objectiveMs,
+      chainMs,
+      started: job.occurrences === 0 && phase === Phase.Active,
+      overRate
+    }, wallNowMs)
+    ranked.push({ readyStep, queue, overRate, rank, slackMs: dueMs + objectiveMs - chainMs - wallNowMs, objectiveMs })
+  }
+  return ranked.sort((left, right) => left.rank - right.rank)
+}
--- a/packages/control/src/place/fit.ts
+++ b/packages/control/src/place/fit.ts
@@ -67,14 +67,14 @@
  * @param runsByWorker number of tasks of the same occurrence of the step, by worker
  * @returns the worker, or undefined if none has enough free capacity
  */
-export function fitTask (
+export function fitTask<C extends Candidate> (
   step: Step,
   charge: Resources,
-  candidates: readonly Candidate[],
+  candidates: readonly C[],
   runsByWorker: ReadonlyMap<string, number>,
   settings: PlacementSettings
-): Candidate | undefined {
-  let best: Candidate | undefined
+): C | undefined {
+  let best: C | undefined
   let lowestScore = Infinity
   for (const candidate of candidates) {
     if (!fitsResources(charge, candidate.free)) continue
@@ -93,11 +93,11 @@
  * @param count number of members
  * @returns a worker for each member, or undefined if not all fit; the candidates are left unchanged
  */
-export function fitGang (
-  step: Step, charge: Resources, count: number, candidates: readonly Candidate[], settings: PlacementSettings
-): Candidate[] | undefined {
+export function fitGang<C extends Candidate> (
+  step: Step, charge: Resources, count: number, candidates: readonly C[], settings: PlacementSettings
+): C[] | undefined {
   const groups = step.sameRack ? groupByRack(candidates) : []
-  let best: Candidate[] | undefined
+  let best: C[] | undefined
   let lowestScore = Infinity
   for (const group of groups) {
     const chosen = fitMembers(step, charge, count, group, settings)
@@ -110,12 +110,12 @@
   return best ?? fitMembers(step, charge, count, candidates, settings)
 }
 
-function fitMembers (
-  step: Step, charge: Resources, count: number, candidates: readonly Candidate[], settings: PlacementSettings
-): Candidate[] | undefined {
-  const before = new Map<Candidate, Resources>()
+function fitMembers<C extends Candidate> (
+  step: Step, charge: Resources, count: number, candidates: readonly C[], settings: PlacementSettings
+): C[] | undefined {
+  const before = new Map<C, Resources>()
   const runsByWorker = new Map<string, number>()
-  const chosen: Candidate[] = []
+  const chosen: C[] = []
   for (let member = 0; member < count; member++) {
     const candidate = fitTask(step, charge, candidates, runsByWorker, settings)
     if (candidate === undefined) break
@@ -130,17 +130,17 @@
 
 function scoreOf (step: Step, charge: Resources, candidate: Candidate, settings: PlacementSettings): number {
   const distanceFactor = step.rack !== '' && step.rack !== candidate.rack ? settings.farFactor : 1
-  const remaining = subtractResources(candidate.free, charge)
-  const cpu = remaining.cpuMilli / Math.max(1, candidate.capacity.cpuMilli)
-  const memory = remaining.memoryMb / Math.max(1, candidate.capacity.memoryMb)
-  const accelerators = candidate.capacity.accelerators === 0 ? 0 : remaining.accelerators / candidate.capacity.accelerators
+  const { free, capacity } = candidate
+  const cpu = (free.cpuMilli - charge.cpuMilli) / Math.max(1, capacity.cpuMilli)
+  const memory = (free.memoryMb - charge.memoryMb) / Math.max(1, capacity.memoryMb)
+  const accelerators = capacity.accelerators === 0 ? 0 : (free.accelerators - charge.accelerators) / capacity.accelerators
   const remainingScore = step.bestEffort ? -cpu : cpu + memory + accelerators + IMBALANCE_WEIGHT * Math.abs(cpu - memory)
   const interference = step.bestEffort ? candidate.bestEffortCount + (candidate.hasServingTasks ? SERVING_WEIGHT : 0) : 0
   return DURATION_WEIGHT * (distanceFactor * candidate.slowness - 1) + remainingScore + interference
 }
 
-function groupByRack (candidates: readonly Candidate[]): Candidate[][] {
-  const groups = new Map<string, Candidate[]>()
+function groupByRack<C extends Candidate> (candidates: readonly C[]): C[][] {
+  const groups = new Map<string, C[]>()
   for (const candidate of candidates) {
     const group = groups.get(candidate.rack)
     if (group === undefined) groups.set(candidate.rack, [candidate])
--- a/packages/control/src/place/hold.ts
+++ b/packages/control/src/place/hold.ts
@@ -52,8 +52,18 @@
  */
 export function mayHold (task: UnplacedTask, capacity: Resources, timeToEmptyMs: number): boolean {
   if (task.longRunning) return true
-  if (!task.urgentWithinRate || task.slackMs > timeToEmptyMs + HOLD_MARGIN_MS) return false
-  return dominantShareOf(task.charge, capacity) >= LARGE_TASK_SHARE
+  return task.urgentWithinRate && task.slackMs <= timeToEmptyMs + HOLD_MARGIN_MS && isLarge(task.charge, capacity)
+}
+
+/**
+ * Returns false if `mayHold` is certainly false for each of a group of workers.
+ *
+ * @param leastCapacity the smallest capacity of the workers in each dimension
+ * @param longestToEmptyMs the longest time until one of the workers is empty
+ */
+export function mayHoldAny (task: UnplacedTask, leastCapacity: Resources, longestToEmptyMs: () => number): boolean {
+  if (task.longRunning) return true
+  return task.urgentWithinRate && isLarge(task.charge, leastCapacity) && task.slackMs <= longestToEmptyMs() + HOLD_MARGIN_MS
 }
 
 /** Maximum number of workers of an upstream that may be held at once. */
@@ -80,13 +90,16 @@
  * @param count number of tasks that could not be placed
  * @param candidates workers that may run the step
  */
-export function chooseWorkersToHold (
-  step: Step, charge: Resources, count: number, candidates: readonly Candidate[]
-): Candidate[] {
-  const eligible = candidates.filter((candidate) => fitsResources(charge, candidate.capacity))
-  eligible.sort((left, right) => missingShareOf(charge, left) - missingShareOf(charge, right) || (left.id < right.id ? -1 : 1))
+export function chooseWorkersToHold<C extends Candidate> (
+  step: Step, charge: Resources, count: number, candidates: readonly C[]
+): C[] {
+  const eligible: Array<{ candidate: C, missingShare: number }> = []
+  for (const candidate of candidates) {
+    if (fitsResources(charge, candidate.capacity)) eligible.push({ candidate, missingShare: missingShareOf(charge, candidate) })
+  }
+  eligible.sort((left, right) => left.missingShare - right.missingShare || (left.candidate.id < right.candidate.id ? -1 : 1))
   // With at most one task per worker, each task needs a worker of its own. Otherwise one worker is held for two tasks, rounded up.
-  return eligible.slice(0, step.perWorker === 1 ? count : Math.ceil(count / 2))
+  return eligible.slice(0, step.perWorker === 1 ? count : Math.ceil(count / 2)).map(({ candidate }) => candidate)
 }
 
 /**
@@ -105,6 +118,10 @@
   return fitsResources(charge, available) ? chosen : []
 }
 
+function isLarge (charge: Resources, capacity: Resources): boolean {
+  return dominantShareOf(charge, capacity) >= LARGE_TASK_SHARE
+}
+
 /** Share of the needed capacity that a worker lacks, in its scarcest dimension. */
 function missingShareOf (charge: Resources, candidate: Candidate): number {
   return Math.max(
--- a/packages/control/src/place/speed.ts
+++ b/packages/control/src/place/speed.ts
@@ -34,6 +34,8 @@
   private readonly steps = new Map<string, Durations>()
   /** Natural logarithm of the slowness, by worker. */
   private readonly logSlowness = new Map<string, number>()
+  /** The slowness, by worker. */
+  private readonly slowness = new Map<string, number>()
 
   /**
    * Records the duration of a completed task.
@@ -47,7 +49,7 @@
     if (known.count > 0 && ranMs > 0) {
       const logRatio = Math.log(ranMs / (known.sumMs / known.count))
       const before = this.logSlowness.get(worker) ?? 0
-      this.logSlowness.set(worker, before + LEARNING_RATE * (logRatio - before))
+      this.setLogSlowness(worker, before + LEARNING_RATE * (logRatio - before))
     }
     known.sumMs += ranMs / this.slownessOf(worker)
     known.count++
@@ -59,17 +61,18 @@
 
   /** Records that a task stalled on a worker. */
   recordStall (worker: string): void {
-    this.logSlowness.set(worker, (this.logSlowness.get(worker) ?? 0) + STALL_PENALTY)
+    this.setLogSlowness(worker, (this.logSlowness.get(worker) ?? 0) + STALL_PENALTY)
   }
 
   /** Drops the estimate for a worker. It is not called: an estimate stays in use when its worker restarts under the same id. */
   forget (worker: string): void {
     this.logSlowness.delete(worker)
+    this.slowness.delete(worker)
   }
 
   /** Expected duration on a worker relative to that on a typical worker, from MIN_SLOWNESS to MAX_SLOWNESS. */
   slownessOf (worker: string): number {
-    return Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, Math.exp(this.logSlowness.get(worker) ?? 0)))
+    return this.slowness.get(worker) ?? 1
   }
 
   /**
@@ -85,4 +88,9 @@
     if (known !== undefined && known.count >= MIN_COMPLETED_TASKS) return elapsedMs > STALL_FACTOR * known.sumMs / known.count
     return elapsedMs > ESTIMATE_FACTOR * estimateMs
   }
+
+  private setLogSlowness (worker: string, value: number): void {
+    this.logSlowness.set(worker, value)
+    this.slowness.set(worker, Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, Math.exp(value))))
+  }
 }
