Run rounds at once when idle, and bound their share of the processor

An idle owner in turn waited 4 ms before it looked at a new job.

A round now runs in the next turn of the event loop if the last one is long enough ago. The pause after a round is three times its duration, at least 4 ms and at most 100 ms, so rounds take at most a quarter of the time, and a process that was paused during a round goes on soon. Decisions within a round are the same; fewer rounds run under a backlog.

The load model also reports the time from the submission of urgent jobs to the starts of their first tasks.

--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -6,6 +6,7 @@
 import type { TaskEntry } from '../journal/journal-state.js'
 import type { Job } from '../model/job.js'
 import type { Configuration, Queue, Workspace } from '../model/configuration.js'
+import { splitTask } from '../model/worker.js'
 import type { UnplacedStep } from '../place/admission.js'
 import { fitGang, fitTask, type PlacementSettings } from '../place/fit.js'
 import { dominantShareOf, headroomOf } from '../place/limit.js'
@@ -76,6 +77,8 @@
   readonly pools: Map<string, Pool>
   readonly assignments: Assignment[]
   readonly reclaimer: CapacityReclaimer
+  /** Ids of jobs with a task that may not start before some time. */
+  readonly delayedJobs: ReadonlySet<string>
 }
 
 /**
@@ -102,7 +105,7 @@
   }
 
   private startRound (): Round {
-    const { configuration, ledger, settings } = this.options
+    const { configuration, ledger, settings, notBeforeMs } = this.options
     const { queues, workspaces } = configuration()
     const queuesByName = new Map(queues.map((queue) => [queue.name, queue]))
     const workspacesByName = new Map(workspaces.map((workspace) => [workspace.name, workspace]))
@@ -113,7 +116,8 @@
       usage: new WorkspaceUsage(ledger, workspacesByName),
       pools: new Map(),
       assignments: [],
-      reclaimer: new CapacityReclaimer(queuesByName, settings.stopMs)
+      reclaimer: new CapacityReclaimer(queuesByName, settings.stopMs),
+      delayedJobs: new Set([...notBeforeMs.keys()].map((task) => splitTask(task).job))
     }
   }
 
@@ -157,7 +161,7 @@
   private place (ranked: RankedStep, pool: Pool, round: Round): void {
     const { readyStep } = ranked
     const { step, charge } = readyStep
-    const waiting = this.startableTasks(readyStep)
+    const waiting = this.startableTasks(readyStep, round)
     const withinLimit = Math.min(waiting.length, round.usage.headroom(readyStep))
     const allowed = mayUseReserve(ranked, pool) ? withinLimit : pool.countOutsideReserve(charge, withinLimit)
     if (allowed === 0 || (step.gang && allowed < step.count)) return
@@ -298,9 +302,9 @@
     this.options.advisorClient.request(readyStep.name, sessions, queue.advice, rank, true)
   }
 
-  private startableTasks (readyStep: ReadyStep): readonly TaskEntry[] {
+  private startableTasks (readyStep: ReadyStep, { delayedJobs }: Round): readonly TaskEntry[] {
+    if (!delayedJobs.has(readyStep.entry.job.id)) return readyStep.waiting
     const { notBeforeMs, clock } = this.options
-    if (notBeforeMs.size === 0) return readyStep.waiting
     const steadyNowMs = clock.now()
     return readyStep.waiting.filter((task) => (notBeforeMs.get(`${readyStep.entry.job.id}.${task.key}`) ?? 0) <= steadyNowMs)
   }
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -36,13 +36,12 @@
 import { AdmissionController } from './admission-controller.js'
 import { Ledger, chargeOf } from './ledger.js'
 import { Registry } from './registry.js'
+import { RoundPacer } from './round-pacer.js'
 import { Run, RunState, StopReason } from './run.js'
 import { Session, type SessionHost } from './session.js'
 import { endJob, membersOf } from './run-end.js'
 import { GarbageCollector } from './garbage-collector.js'
 
-/** Requests for a scheduling round within this time are combined into one round. */
-const ROUND_BATCH_MS = 4
 const TICK_INTERVAL_MS = 100
 const REGISTRY_POLL_INTERVAL_MS = 400
 
@@ -103,7 +102,7 @@
   private readonly notBeforeMs = new Map<string, number>()
   private readonly stopController = new AbortController()
   private readonly host: SessionHost
-  private roundDue = false
+  private readonly roundPacer: RoundPacer
   private registryRead = false
   private registryFollower: Follower
 
@@ -117,6 +116,7 @@
       metrics.appendSeconds.observe(tookMs / 1000)
     })
     this.readySteps = new ReadySteps(this.ledger)
+    this.roundPacer = new RoundPacer(clock, () => { this.decide() })
     this.registry = new Registry(options.formats, clock, {
       onWorker: (worker) => { this.onWorker(worker) },
       onUnreadable: (worker, reason) => { log.event('worker registry entry invalid', { worker, mistake: reason }) }
@@ -207,6 +207,7 @@
   /** Stops acting as the owner. Runs on the workers continue under their leases. */
   close (): void {
     this.stopController.abort()
+    this.roundPacer.close()
     for (const session of this.sessions.values()) session.close()
   }
 
@@ -384,14 +385,9 @@
     detach(session.stopUnknownRun(task, run))
   }
 
-  /** Schedules a round. Several requests in quick succession result in one round. */
+  /** Requests a round. Several requests in quick succession result in one round. */
   requestRound (): void {
-    if (this.roundDue || !this.registryRead) return
-    this.roundDue = true
-    setTimeout(() => {
-      this.roundDue = false
-      this.decide()
-    }, ROUND_BATCH_MS)
+    if (this.registryRead && !this.stopController.signal.aborted) this.roundPacer.request()
   }
 
   private decide (): void {
--- a/packages/measure/src/owner-load-part.ts
+++ b/packages/measure/src/owner-load-part.ts
@@ -24,11 +24,12 @@
       tables: [{
         title: 'One owner, 245 workers in two upstreams; the processor time includes the simulated workers, store and advisor',
         columns: [
-          'case', 'starts/s', 'runs', 'waiting jobs', 'processor share', 'µs/start', 'rounds/s', 'ms/round', 'share in rounds', 'decision lines/s'
+          'case', 'starts/s', 'runs', 'waiting jobs', 'urgent start p50 ms', 'p95 ms', 'processor share', 'µs/start',
+          'rounds/s', 'ms/round', 'share in rounds', 'decision lines/s'
         ],
         rows: results.map((result) => [
-          result.name, result.startsPerS, result.runs, result.waitingJobs, result.processorShare, result.usPerStart,
-          result.roundsPerS, result.msPerRound, result.roundShare, result.logLinesPerS
+          result.name, result.startsPerS, result.runs, result.waitingJobs, result.urgentStartP50Ms, result.urgentStartP95Ms,
+          result.processorShare, result.usPerStart, result.roundsPerS, result.msPerRound, result.roundShare, result.logLinesPerS
         ])
       }],
       charts: []
--- a/packages/measure/src/owner-load/load.ts
+++ b/packages/measure/src/owner-load/load.ts
@@ -9,13 +9,16 @@
 import { Owner } from '@fireflymount/control/owner/owner'
 import { StandardLog } from '@fireflymount/control/report/log'
 import { Metrics } from '@fireflymount/control/report/metrics'
+import type { Job } from '@fireflymount/control/model/job'
 import { Random } from '../random.js'
+import { quantile } from '../task-statistics.js'
 import { LoadAdvisor, LoadFleet, LoadFormats, LoadMachines, LoadStore, Wheel } from './platform.js'
 import { CONFIGURATION, createArrivals, createWorkers, type Arrival } from './workload.js'
 
 const WARM_UP_MS = 6000
 const MEASURED_MS = 12_000
 const COMMIT_TIMEOUT_MS = 900
+const URGENT_QUEUE = 'preview'
 const NODES = Array.from({ length: 31 }, (_, index) => `n${index}`)
 
 /** A case of the load model. */
@@ -34,6 +37,9 @@
   readonly runs: number
   /** Mean number of jobs with a step that waits. */
   readonly waitingJobs: number
+  /** Time from the submission of an urgent job to the starts of the tasks of its first step. */
+  readonly urgentStartP50Ms: number
+  readonly urgentStartP95Ms: number
   /** Share of a processor that the process used. */
   readonly processorShare: number
   readonly usPerStart: number
@@ -71,13 +77,11 @@
 export async function measureLoad (loadCase: LoadCase, seed: number): Promise<LoadResult> {
   const arrivals = createArrivals(new Random(seed), WARM_UP_MS + MEASURED_MS, loadCase.factor, Date.now())
   const jobs = new Map(arrivals.map(({ job }) => [job.id, job]))
-  const cell = new Cell((job, index) => {
-    const step = jobs.get(job)!.steps[index]!
-    return step.lasting ? Infinity : step.estimateMs
-  })
+  const cell = new Cell(jobs)
   const submitting = cell.submit(arrivals, loadCase.maxWaitingJobs)
   await cell.pass(WARM_UP_MS)
   const before = await cell.snapshot()
+  cell.urgentStartsMs.length = 0
   const samples: Array<{ runs: number, waiting: number }> = []
   for (let passedMs = 0; passedMs < MEASURED_MS; passedMs += 200) {
     await cell.pass(200)
@@ -86,7 +90,7 @@
   const after = await cell.snapshot()
   cell.close()
   await submitting
-  return summarize(loadCase.name, before, after, samples)
+  return summarize(loadCase.name, before, after, samples, cell.urgentStartsMs)
 }
 
 /** An owner with its fakes. */
@@ -98,9 +102,12 @@
   private readonly log = new CountingLog()
   private readonly clock = new SystemClock()
   private closed = false
+  /** Time from the submission of urgent jobs to the starts of the tasks of their first steps. */
+  readonly urgentStartsMs: number[] = []
+  private readonly submittedMs = new Map<string, number>()
 
-  constructor (durationOf: (job: string, step: number) => number) {
-    this.fleet = new LoadFleet(this.wheel, durationOf)
+  constructor (private readonly jobs: ReadonlyMap<string, Job>) {
+    this.fleet = new LoadFleet(this.wheel, (job, step) => this.begin(job, step))
     const advisor = new LoadAdvisor(this.wheel)
     const adviceByJob = new Map(CONFIGURATION.queues.map(({ name, advice }) => [name, advice]))
     const journalState = new JournalState()
@@ -134,12 +141,20 @@
       while (performance.now() - startedMs < atMs && !this.closed) await this.pass(Math.min(atMs, 10))
       while (this.isFull(maxWaitingJobs) && !this.closed) await this.pass(10)
       if (this.closed) return
+      this.submittedMs.set(job.id, performance.now())
       const record = encodeJob({ ...job, acceptedMs: Date.now() })
       if (maxWaitingJobs > 0) detach(this.owner.append([record], COMMIT_TIMEOUT_MS))
       else detach(this.owner.admit(record, COMMIT_TIMEOUT_MS))
     }
   }
 
+  private begin (id: string, index: number): number {
+    const { queue, steps } = this.jobs.get(id)!
+    if (queue === URGENT_QUEUE && index === 0) this.urgentStartsMs.push(performance.now() - this.submittedMs.get(id)!)
+    const step = steps[index]!
+    return step.lasting ? Infinity : step.estimateMs
+  }
+
   private isFull (maxWaitingJobs: number): boolean {
     return maxWaitingJobs > 0 && this.owner.readySteps.size >= maxWaitingJobs
   }
@@ -171,19 +186,26 @@
 }
 
 function summarize (
-  name: string, before: Snapshot, after: Snapshot, samples: ReadonlyArray<{ runs: number, waiting: number }>
+  name: string,
+  before: Snapshot,
+  after: Snapshot,
+  samples: ReadonlyArray<{ runs: number, waiting: number }>,
+  urgentStartsMs: readonly number[]
 ): LoadResult {
   const elapsedS = (after.atMs - before.atMs) / 1000
   const processorMs = after.processorMs - before.processorMs
   const starts = after.starts - before.starts
   const rounds = after.rounds - before.rounds
   const roundsMs = after.roundsMs - before.roundsMs
+  const sortedMs = [...urgentStartsMs].sort((left, right) => left - right)
   const mean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length
   return {
     name,
     startsPerS: starts / elapsedS,
     runs: mean(samples.map(({ runs }) => runs)),
     waitingJobs: mean(samples.map(({ waiting }) => waiting)),
+    urgentStartP50Ms: quantile(sortedMs, 0.5),
+    urgentStartP95Ms: quantile(sortedMs, 0.95),
     processorShare: processorMs / 1000 / elapsedS,
     usPerStart: processorMs * 1000 / starts,
     roundsPerS: rounds / elapsedS,
--- a/packages/measure/src/owner-load/platform.ts
+++ b/packages/measure/src/owner-load/platform.ts
@@ -64,15 +64,15 @@
   running = 0
   private readonly states = new Map<string, WorkerState>()
 
-  /** @param durationOf returns how long a task runs, Infinity for one that runs until it is stopped */
-  constructor (private readonly wheel: Wheel, private readonly durationOf: (job: string, step: number) => number) {
+  /** @param begin called when a task begins; returns how long it runs, Infinity for one that runs until it is stopped */
+  constructor (private readonly wheel: Wheel, private readonly begin: (job: string, step: number) => number) {
     super()
   }
 
   override start (worker: Worker, command: StartCommand): Promise<Result<number, WorkerFailure>> {
     return new Promise((resolve) => {
       this.wheel.after(START_MS, () => {
-        this.begin(worker, command)
+        this.run(worker, command)
         resolve(ok(this.clockMs()))
       })
     })
@@ -113,13 +113,13 @@
 
   override closeConnections (): void {}
 
-  private begin (worker: Worker, command: StartCommand): void {
+  private run (worker: Worker, command: StartCommand): void {
     const { task, run } = command
     this.starts++
     this.running++
     this.stateOf(worker).running.set(task, { task, run, checkpoint: '', percent: 100, load: 0, stopped: false })
     const { job, key } = splitTask(task)
-    const durationMs = this.durationOf(job, Number(key.split('.')[1]))
+    const durationMs = this.begin(job, Number(key.split('.')[1]))
     if (durationMs < Infinity) this.wheel.after(durationMs, () => { this.end(worker, task, run, RunOutcome.Done) })
   }
 
