Write log lines per step instead of per run

In the record of the incident, the owner's log of 64 KB covered 6 s, and at the load of the grown deployments the owner decides 1,400 to 2,400 lines a second, of which at most 400 are written: most starts and ends were lost.

The end of a run has a line of its own only if it is not done, belongs to a long-running task or was not expected; it names the owner's reason for a stop. step ended and job ended count starts and ends and name the slowest task and its worker. Lines about advisor calls are limited to the first of a step and to those that failed or granted nothing, and stop confirmed to stops that took 1 s or more; the histogram has the others.

The advice for a job is now dropped when the job ends, not when its records are deleted three minutes later, and its queued requests with it.

--- a/packages/control/src/owner/advisor-client.ts
+++ b/packages/control/src/owner/advisor-client.ts
@@ -46,6 +46,20 @@
   readonly born: number
 }
 
+/** A call of the advisor that has ended. */
+export interface FinishedCall {
+  readonly step: string
+  /** Number of workers that may run the step; -1 if the call failed. */
+  readonly granted: number
+  /** Number of workers that the call asked about. */
+  readonly asked: number
+  readonly tookMs: number
+  /** The node that made the call. */
+  readonly node: string
+  /** There was no advice for the step when the call was sent. */
+  readonly first: boolean
+}
+
 interface Ticket {
   /** The ticket as the advisor issued it, to be sent with a start request. */
   readonly text: string
@@ -104,8 +118,8 @@
     private readonly askAdvisor: AdvisorCall,
     private readonly nodes: () => readonly string[],
     private readonly clock: Clock,
-    /** Called after each call. `granted` is -1 if the call failed. */
-    private readonly onAdvice: (step: string, granted: number, asked: number, tookMs: number, node: string) => void
+    /** Called after each call. */
+    private readonly onAdvice: (call: FinishedCall) => void
   ) {}
 
   /** Returns the state of a worker's ticket for a step. */
@@ -225,6 +239,7 @@
     const { step, workers, durationMs } = adviceRequest
     const known = this.steps.get(step)
     if (known !== undefined) known.queued = undefined
+    const first = known?.revision === 0
     this.loadMsByNode.set(node, (this.loadMsByNode.get(node) ?? 0) + durationMs)
     const sentMs = this.clock.now()
     const ids = workers.map((worker) => worker.id)
@@ -234,7 +249,8 @@
       known.pending = false
       if (advice.isOk()) this.storeTickets(known, adviceRequest, advice.value)
     }
-    this.onAdvice(step, advice.isOk() ? advice.value.length : -1, workers.length, this.clock.now() - sentMs, node)
+    const granted = advice.isOk() ? advice.value.length : -1
+    this.onAdvice({ step, granted, asked: workers.length, tookMs: this.clock.now() - sentMs, node, first })
     this.sendQueued()
   }
 
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -13,25 +13,28 @@
 import { sleep, type Clock, type Stamp } from '../clock.js'
 import { Follower } from '../journal/follower.js'
 import { Stage, UNKNOWN_OFFSET, splitKey } from '../journal/record.js'
-import type { JobEntry, JournalState, TaskEntry } from '../journal/journal-state.js'
+import type { JobEntry, JournalState } from '../journal/journal-state.js'
 import { Writer } from '../journal/writer.js'
 import type { Configuration } from '../model/configuration.js'
 import { isFinal, Phase } from '../model/job.js'
 import type { Worker } from '../model/worker.js'
-import { WorkerFailure, type Fleet } from '../ports/fleet.js'
+import type { Fleet, WorkerFailure } from '../ports/fleet.js'
 import type { Machines } from '../ports/machines.js'
 import type { Formats } from '../ports/formats.js'
 import { Topic, type KeyedRecord, type Store } from '../ports/store.js'
+import { JobStatistics } from '../report/job-statistics.js'
+import { StartLog } from '../report/start-log.js'
 import type { Log } from '../report/log.js'
 import type { Metrics } from '../report/metrics.js'
 import { SpeedEstimator } from '../place/speed.js'
-import { TicketStatus, AdvisorClient, type AdvisorCall } from './advisor-client.js'
+import { AdvisorClient, type AdvisorCall, type FinishedCall } from './advisor-client.js'
 import { MAX_UNCONFIRMED_OWNERSHIP_MS } from './ownership.js'
 import { RunSupervisor } from './run-supervisor.js'
 import { WorkerLossDetector } from './worker-loss-detector.js'
 import { JournalCommitter } from './journal-committer.js'
 import { ReadySteps } from './ready-step.js'
-import { Dispatcher, type Assignment } from './dispatcher.js'
+import { Assigner } from './assigner.js'
+import { Dispatcher } from './dispatcher.js'
 import { RunEndHandler } from './run-end-handler.js'
 import { AdmissionController } from './admission-controller.js'
 import { Ledger, chargeOf } from './ledger.js'
@@ -39,9 +42,11 @@
 import { RoundPacer } from './round-pacer.js'
 import { Run, RunState, StopReason } from './run.js'
 import { Session, type SessionHost } from './session.js'
-import { endJob, membersOf } from './run-end.js'
+import { endJob } from './run-end.js'
 import { GarbageCollector } from './garbage-collector.js'
 
+/** Confirmations of stops are logged from this time after the decision on. The others are in the histogram. */
+const LOGGED_STOP_MS = 1000
 const TICK_INTERVAL_MS = 100
 const REGISTRY_POLL_INTERVAL_MS = 400
 
@@ -90,9 +95,12 @@
   private readonly registry: Registry
   private readonly advisorClient: AdvisorClient
   private readonly dispatcher: Dispatcher
+  private readonly assigner: Assigner
   private readonly overRateJobs = new Set<string>()
   private readonly speeds = new SpeedEstimator()
   private readonly committer: JournalCommitter
+  private readonly statistics = new JobStatistics()
+  private readonly startLog: StartLog
   private readonly runEndHandler: RunEndHandler
   private readonly admissionController: AdmissionController
   private readonly runSupervisor: RunSupervisor
@@ -116,6 +124,7 @@
       metrics.appendSeconds.observe(tookMs / 1000)
     })
     this.readySteps = new ReadySteps(this.ledger)
+    this.startLog = new StartLog(log, clock)
     this.roundPacer = new RoundPacer(clock, () => { this.decide() })
     this.registry = new Registry(options.formats, clock, {
       onWorker: (worker) => { this.onWorker(worker) },
@@ -126,10 +135,7 @@
       onReset: () => { this.registry.startReload() },
       onCaughtUp: () => { this.onRegistryRead() }
     }, clock, REGISTRY_POLL_INTERVAL_MS)
-    this.advisorClient = new AdvisorClient(options.askAdvisor, options.nodes, clock, (step, granted, asked, tookMs, node) => {
-      log.decision('advisor call finished', { step, granted, asked, tookMs: Math.round(tookMs), through: node })
-      this.requestRound()
-    })
+    this.advisorClient = new AdvisorClient(options.askAdvisor, options.nodes, clock, (call) => { this.onAdvice(call) })
     this.committer = new JournalCommitter(this.writer)
     this.runEndHandler = new RunEndHandler({
       journalState,
@@ -139,6 +145,7 @@
       speeds: this.speeds,
       notBeforeMs: this.notBeforeMs,
       committer: this.committer,
+      statistics: this.statistics,
       configuration: options.configuration,
       clock,
       log,
@@ -158,6 +165,16 @@
       overRateJobs: this.overRateJobs,
       slownessOf: (session) => this.speeds.slownessOf(session.id)
     })
+    this.assigner = new Assigner({
+      ledger: this.ledger,
+      readySteps: this.readySteps,
+      advisorClient: this.advisorClient,
+      committer: this.committer,
+      statistics: this.statistics,
+      clock,
+      startLog: this.startLog,
+      onRunReleased: (run, reason) => { this.runEndHandler.onRunReleased(run, reason) }
+    })
     this.admissionController = new AdmissionController({
       journalState,
       writer: this.writer,
@@ -208,6 +225,7 @@
   close (): void {
     this.stopController.abort()
     this.roundPacer.close()
+    this.startLog.close()
     for (const session of this.sessions.values()) session.close()
   }
 
@@ -256,13 +274,15 @@
     endJob(entry, Phase.Cancelled, nowMs)
     this.stopJob(entry, StopReason.Cancelled)
     this.options.metrics.cancellationSeconds.observe(Math.max(0, ageMs) / 1000)
-    this.options.log.decision('job cancelled', { job: entry.job.id, ageMs, runs })
+    const { starts, ends } = this.statistics.endJob(entry.job.id)
+    this.options.log.decision('job cancelled', { job: entry.job.id, ageMs, runs, starts, ends })
     detach(this.committer.commitJobs([entry]))
   }
 
   private stopJob (entry: JobEntry, reason: StopReason): void {
     for (const run of [...this.ledger.runsOf(entry)]) detach(run.session.stopRun(run, reason))
     this.readySteps.refresh(entry)
+    this.advisorClient.forget(entry.job.id)
   }
 
   /** Restores the runs and ready steps of a job from its state in the journal. */
@@ -283,6 +303,7 @@
   private forgetJob (job: string): void {
     this.admissionController.forget(job)
     this.advisorClient.forget(job)
+    this.statistics.endJob(job)
   }
 
   /** Returns the session of a worker, created if needed. A new session has no address until the registry contains the worker. */
@@ -322,6 +343,13 @@
     if (hadNoEntry) detach(known.run())
   }
 
+  private onAdvice ({ step, granted, asked, tookMs, node, first }: FinishedCall): void {
+    if (first || granted <= 0) {
+      this.options.log.decision('advisor call finished', { step, granted, asked, tookMs: Math.round(tookMs), through: node })
+    }
+    this.requestRound()
+  }
+
   private onRegistryRead (): void {
     this.registry.finishReload()
     if (!this.registryRead) this.options.log.event('worker registry read', { workers: this.registry.workers.size })
@@ -359,6 +387,7 @@
       onReportRequest: () => { options.metrics.reportRequests.inc() },
       onStopConfirmed: (run, tookMs) => {
         options.metrics.stopSeconds.observe(tookMs / 1000)
+        if (tookMs < LOGGED_STOP_MS) return
         options.log.decision('stop confirmed', {
           task: run.name, run: run.number, worker: run.session.id, reason: run.stopping, tookMs: Math.round(tookMs)
         })
@@ -399,53 +428,7 @@
       this.options.log.decision('preempt run', { task: run.name, run: run.number, worker: run.session.id })
       detach(run.session.stopRun(run, StopReason.Preempted))
     }
-    if (assignments.length > 0) detach(this.assign(assignments))
-  }
-
-  /** Writes assignments to the journal, then starts the runs. */
-  private async assign (assignments: readonly Assignment[]): Promise<void> {
-    const nowMs = this.options.clock.now()
-    const runs: Run[] = []
-    const changed = new Set<JobEntry>()
-    const runNumbers = this.chooseRunNumbers(assignments)
-    for (const { readyStep, task, session, charge, ticket } of assignments) {
-      const { entry } = readyStep
-      task.run = runNumbers.get(task)!
-      task.stage = Stage.Assigned
-      task.worker = session.id
-      task.born = session.born
-      if (entry.phase === Phase.Pending) entry.phase = Phase.Active
-      const run = new Run(entry, task, task.run, session, charge, ticket, nowMs)
-      this.ledger.add(run)
-      runs.push(run)
-      changed.add(entry)
-    }
-    for (const entry of changed) this.readySteps.refresh(entry)
-    if (!await this.committer.commitJobs([...changed])) return
-    for (const run of runs) {
-      // The ticket may have expired while the assignment was written to the journal.
-      if (run.ticket !== '' && this.advisorClient.ticketStatus(run.stepName, run.session) !== TicketStatus.Valid) {
-        this.runEndHandler.onRunReleased(run, WorkerFailure.NoTicket)
-        continue
-      }
-      // For a job with a schedule, `waitedMs` is also counted from the acceptance, not from the due time.
-      this.options.log.decision('start run', {
-        task: run.name, run: run.number, worker: run.session.id, waitedMs: this.options.clock.wall() - run.entry.job.acceptedMs
-      })
-      detach(run.session.start(run))
-    }
-  }
-
-  /** Returns the run number of each task. All members of a gang have the same run number. */
-  private chooseRunNumbers (assignments: readonly Assignment[]): Map<TaskEntry, number> {
-    const runNumbers = new Map<TaskEntry, number>()
-    for (const { readyStep, task } of assignments) {
-      if (runNumbers.has(task)) continue
-      const members = membersOf(readyStep.entry, task)
-      const number = Math.max(...members.map((member) => member.run)) + 1
-      for (const member of members) runNumbers.set(member, number)
-    }
-    return runNumbers
+    if (assignments.length > 0) detach(this.assigner.assign(assignments))
   }
 
   private async tickUntilStopped (): Promise<void> {
@@ -455,6 +438,7 @@
       this.garbageCollector.tick()
       detach(this.workerLossDetector.tick(this.sessions.values()))
       if (this.mayAct()) this.runSupervisor.tick()
+      this.startLog.writeDue()
       this.advisorClient.sendQueued()
       this.requestRound()
     }
--- a/packages/control/src/owner/run-end-handler.ts
+++ b/packages/control/src/owner/run-end-handler.ts
@@ -7,10 +7,11 @@
 import { detach } from '../detach.js'
 import type { JobEntry, JournalState, TaskEntry } from '../journal/journal-state.js'
 import type { Configuration } from '../model/configuration.js'
-import { Phase } from '../model/job.js'
+import { dueMsOf, isFinal, occurrencesOf, Phase } from '../model/job.js'
 import { RunOutcome, splitTask, type EndedRun } from '../model/worker.js'
 import type { SpeedEstimator } from '../place/speed.js'
 import { WorkerFailure } from '../ports/fleet.js'
+import type { JobStatistics } from '../report/job-statistics.js'
 import type { Log } from '../report/log.js'
 import type { Metrics } from '../report/metrics.js'
 import type { AdvisorClient } from './advisor-client.js'
@@ -44,6 +45,7 @@
   /** Time on the steady clock before which a task is not placed again, by task name. */
   readonly notBeforeMs: Map<string, number>
   readonly committer: JournalCommitter
+  readonly statistics: JobStatistics
   readonly configuration: () => Configuration
   readonly clock: Clock
   readonly log: Log
@@ -81,7 +83,9 @@
     else if (run !== undefined || ended.ending !== RunOutcome.Done) return undefined
     const phase = entry.phase
     const changed = applyRunEnd(entry, task, ended, this.maxAttemptsOf(entry), this.options.clock.wall())
-    this.recordRunEnd(session, entry, ended, run, phase)
+    this.recordRunEnd(session, ended, run, phase)
+    if (changed && ended.ending === RunOutcome.Done && !isFinal(phase)) this.recordStepEnd(entry, task)
+    if (entry.phase !== phase) this.recordJobEnd(entry)
     if (isCurrent && ended.ending === RunOutcome.Done) this.recordDuration(run)
     if (ended.ending === RunOutcome.Failed || ended.ending === RunOutcome.Done) {
       session.recordOutcome(ended.ending === RunOutcome.Failed)
@@ -96,17 +100,40 @@
     return changed ? entry : undefined
   }
 
-  private recordRunEnd (session: Session, entry: JobEntry, ended: EndedRun, run: Run | undefined, before: Phase): void {
-    const ranMs = run === undefined || run.startedMs === 0 ? undefined : Math.round(this.options.clock.now() - run.startedMs)
-    this.options.log.decision('run ended', { task: ended.task, run: ended.run, worker: session.id, ending: ended.ending, ranMs })
-    this.options.metrics.runEnds.inc({ ending: ended.ending })
-    if (entry.phase === before) return
-    const tookMs = entry.endedMs - entry.job.acceptedMs
-    this.options.log.decision('job ended', { job: entry.job.id, queue: entry.job.queue, phase: entry.phase, tookMs })
+  private recordRunEnd (session: Session, ended: EndedRun, run: Run | undefined, before: Phase): void {
+    const { log, clock, statistics } = this.options
+    const { task, ending } = ended
+    const ranMs = run === undefined || run.startedMs === 0 ? undefined : Math.round(clock.now() - run.startedMs)
+    // Most runs complete. They are counted in the line about their step.
+    if (ending !== RunOutcome.Done || run === undefined || run.step.lasting) {
+      log.decision('run ended', { task, run: ended.run, worker: session.id, ending, ranMs, stop: run?.stopping })
+    }
+    const step = task.slice(0, task.lastIndexOf('.'))
+    // A job that had ended before was counted then.
+    if (!isFinal(before)) statistics.recordEnd(step, { task, worker: session.id, ending, ranMs })
+    this.options.metrics.runEnds.inc({ ending })
+  }
+
+  private recordJobEnd (entry: JobEntry): void {
+    const { job, phase } = entry
+    const tookMs = entry.endedMs - job.acceptedMs
+    this.options.log.decision('job ended', {
+      job: job.id, queue: job.queue, phase, tookMs, ...this.options.statistics.endJob(job.id)
+    })
     this.options.metrics.jobsEnded.inc({ queue: entry.job.queue, phase: entry.phase })
     this.options.metrics.jobSeconds.observe({ queue: entry.job.queue }, tookMs / 1000)
   }
 
+  private recordStepEnd (entry: JobEntry, { occurrence, step }: TaskEntry): void {
+    // If there is only one step, the line about the job contains the same.
+    if (entry.job.steps.length * occurrencesOf(entry.job) === 1 || !entry.isStepDone(occurrence, step)) return
+    const { clock, log, statistics } = this.options
+    const { job } = entry
+    const name = `${job.id}.${occurrence}.${step}`
+    const tookMs = clock.wall() - dueMsOf(job, occurrence)
+    log.decision('step ended', { step: name, tasks: job.steps[step]!.count, tookMs, ...statistics.endStep(name) })
+  }
+
   private recordDuration (run: Run): void {
     const isComparable = run.task.checkpoint === '' && run.percent === 100 && !run.step.bestEffort
     if (isComparable && run.startedMs > 0) {
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -76,7 +76,7 @@
   adopted = false
   reachable = false
   /** Time on the steady clock of the last answer, or of the start of the session. */
-  private lastAnswerMs: number
+  lastAnswerMs: number
   /** Start time of the current incarnation of the worker. */
   born: number
   /** Time on the steady clock at which a restart of the worker was detected. */
