Allocate less in a scheduling round

The owner shares its processor with the garbage collector, which took 20 % of the busy time in the load model at the usual load. 40 % of what it collected came from three loops that add up the capacity of all workers in each round with a new object for each worker.

These loops now add plain numbers, and the free capacity of a worker is computed again only if its runs or its capacity have changed.

--- a/packages/control/src/owner/candidates.ts
+++ b/packages/control/src/owner/candidates.ts
@@ -17,6 +17,10 @@
   /** The worker was already considered for preemption by urgent tasks in this round, with or without success. */
   consideredForPreemption = false
   private emptyMs: number | undefined
+  /** The free capacity at the start of the round, and what it was computed from. */
+  private freeAtStart: Resources = NO_RESOURCES
+  private usedAtStart: Resources | undefined
+  private capacityAtStart: Resources | undefined
 
   constructor (readonly session: Session) {
     this.id = session.id
@@ -50,7 +54,12 @@
    */
   startRound (slowness: number): boolean {
     const { worker } = this.session
-    this.free = this.session.freeCapacity()
+    if (this.usedAtStart !== this.session.used || this.capacityAtStart !== worker.capacity) {
+      this.freeAtStart = this.session.freeCapacity()
+      this.usedAtStart = this.session.used
+      this.capacityAtStart = worker.capacity
+    }
+    this.free = this.freeAtStart
     this.slowness = slowness
     this.consideredForPreemption = false
     this.emptyMs = undefined
@@ -68,13 +77,21 @@
   candidates: PoolCandidate[] = []
   /** Changes when a candidate comes or goes, or when its labels or capacity change. */
   version = 0
+  /** The smallest capacity of any candidate, in each dimension. */
+  leastCapacity = NO_RESOURCES
 
   /** Replaces the candidates of the round before. */
   startRound (candidates: PoolCandidate[], changed: boolean): void {
     const before = this.candidates
     this.candidates = candidates
     const sameLength = before.length === candidates.length
-    if (changed || !sameLength || candidates.some((candidate, index) => candidate !== before[index])) this.version++
+    if (!changed && sameLength && candidates.every((candidate, index) => candidate === before[index])) return
+    this.version++
+    this.leastCapacity = {
+      cpuMilli: Math.min(...candidates.map(({ capacity }) => capacity.cpuMilli)),
+      memoryMb: Math.min(...candidates.map(({ capacity }) => capacity.memoryMb)),
+      accelerators: Math.min(...candidates.map(({ capacity }) => capacity.accelerators))
+    }
   }
 }
 
--- a/packages/control/src/owner/pool.ts
+++ b/packages/control/src/owner/pool.ts
@@ -1,7 +1,7 @@
 /**
  * The free capacity of one upstream during one scheduling round.
  */
-import { addResources, fitsResources, NO_RESOURCES, scaleResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
+import { fitsResources, scaleResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
 import { maxHoldsOf } from '../place/hold.js'
 import type { CandidateSet, PoolCandidate } from './candidates.js'
 import type { Session } from './session.js'
@@ -12,16 +12,16 @@
   /** Changes, from one round to the next, when a candidate comes or goes, or when its labels or capacity change. */
   readonly version: number
   /** Free capacity of all candidates together. */
-  totalFree = NO_RESOURCES
+  totalFree: Resources
   /** Number of workers that may still be held in this round. */
   remainingHolds: number
   /** Number of candidates that urgent tasks have not yet considered for preemption in this round. */
   remainingForPreemption: number
   /** The smallest capacity of any candidate, in each dimension. */
-  leastCapacity: Resources = { cpuMilli: Infinity, memoryMb: Infinity, accelerators: Infinity }
+  readonly leastCapacity: Resources
   private longestMs: number | undefined
   /** The largest free capacity of any candidate at the start of the round, in each dimension. */
-  private mostFree = NO_RESOURCES
+  private readonly mostFree: Resources
 
   constructor (
     readonly upstream: string,
@@ -39,11 +39,19 @@
     this.version = set.version
     this.remainingHolds = maxHoldsOf(this.candidates.length)
     this.remainingForPreemption = this.candidates.length
-    for (const { free, capacity } of this.candidates) {
-      this.totalFree = addResources(this.totalFree, free)
-      this.mostFree = combine(this.mostFree, free, Math.max)
-      this.leastCapacity = combine(this.leastCapacity, capacity, Math.min)
+    this.leastCapacity = set.leastCapacity
+    // Plain numbers: this runs for each candidate in each round.
+    let [cpuMilli, memoryMb, accelerators, mostCpuMilli, mostMemoryMb, mostAccelerators] = [0, 0, 0, 0, 0, 0]
+    for (const { free } of this.candidates) {
+      cpuMilli += free.cpuMilli
+      memoryMb += free.memoryMb
+      accelerators += free.accelerators
+      if (free.cpuMilli > mostCpuMilli) mostCpuMilli = free.cpuMilli
+      if (free.memoryMb > mostMemoryMb) mostMemoryMb = free.memoryMb
+      if (free.accelerators > mostAccelerators) mostAccelerators = free.accelerators
     }
+    this.totalFree = { cpuMilli, memoryMb, accelerators }
+    this.mostFree = { cpuMilli: mostCpuMilli, memoryMb: mostMemoryMb, accelerators: mostAccelerators }
   }
 
   /** The longest time until one of the candidates is empty if nothing more is placed on it. */
@@ -89,17 +97,12 @@
 
 /** Total capacity of an upstream's reachable workers. */
 export function totalCapacityOf (sessions: Iterable<Session>, upstream: string): Resources {
-  let total = NO_RESOURCES
-  for (const session of sessions) {
-    if (session.worker.upstream === upstream && session.reachable) total = addResources(total, session.worker.capacity)
-  }
-  return total
-}
-
-function combine (left: Resources, right: Resources, combineValues: (left: number, right: number) => number): Resources {
-  return {
-    cpuMilli: combineValues(left.cpuMilli, right.cpuMilli),
-    memoryMb: combineValues(left.memoryMb, right.memoryMb),
-    accelerators: combineValues(left.accelerators, right.accelerators)
+  let [cpuMilli, memoryMb, accelerators] = [0, 0, 0]
+  for (const { worker, reachable } of sessions) {
+    if (worker.upstream !== upstream || !reachable) continue
+    cpuMilli += worker.capacity.cpuMilli
+    memoryMb += worker.capacity.memoryMb
+    accelerators += worker.capacity.accelerators
   }
+  return { cpuMilli, memoryMb, accelerators }
 }
