Estimate when a worker will be empty only after its runs have changed

The estimate is kept until the worker's runs change.

Tests: what a round keeps from the round before (permitted workers, capacities) is refreshed when a worker joins, grows, gets a label or no longer drains and when the advisor permits another worker; an ended job's queued advisor requests are dropped; tickets belong to the incarnation at the time of the request.

--- a/packages/control/src/owner/candidates.ts
+++ b/packages/control/src/owner/candidates.ts
@@ -16,7 +16,10 @@
   slowness = 1
   /** The worker was already considered for preemption by urgent tasks in this round, with or without success. */
   consideredForPreemption = false
-  private emptyMs: number | undefined
+  private nowMs = 0
+  /** Estimated time on the steady clock at which all runs on the worker have ended, and the usage for which it was estimated. */
+  private emptyAtMs = 0
+  private usedWhenEstimated: Resources | undefined
   /** The free capacity at the start of the round, and what it was computed from. */
   private freeAtStart: Resources = NO_RESOURCES
   private usedAtStart: Resources | undefined
@@ -43,8 +46,11 @@
 
   /** Estimated time until all runs on the worker have ended; see `Session.timeToEmptyMs`. */
   timeToEmptyMs (): number {
-    this.emptyMs ??= this.session.timeToEmptyMs()
-    return this.emptyMs
+    if (this.usedWhenEstimated !== this.session.used) {
+      this.usedWhenEstimated = this.session.used
+      this.emptyAtMs = this.nowMs + this.session.timeToEmptyMs()
+    }
+    return Math.max(0, this.emptyAtMs - this.nowMs)
   }
 
   /**
@@ -52,7 +58,7 @@
    *
    * @returns true if the labels or the capacity of the worker have changed
    */
-  startRound (slowness: number): boolean {
+  startRound (slowness: number, nowMs: number): boolean {
     const { worker } = this.session
     if (this.usedAtStart !== this.session.used || this.capacityAtStart !== worker.capacity) {
       this.freeAtStart = this.session.freeCapacity()
@@ -62,7 +68,7 @@
     this.free = this.freeAtStart
     this.slowness = slowness
     this.consideredForPreemption = false
-    this.emptyMs = undefined
+    this.nowMs = nowMs
     if (worker.labels === this.labels && worker.capacity === this.capacity) return false
     const changed = !isSameKind(this, worker)
     this.labels = worker.labels
@@ -114,7 +120,7 @@
     for (const session of this.sessions.values()) {
       if (session.worker.upstream !== upstream || !session.acceptsRuns(nowMs)) continue
       const candidate = this.candidateOf(session)
-      if (candidate.startRound(this.slownessOf(session))) changed = true
+      if (candidate.startRound(this.slownessOf(session), nowMs)) changed = true
       candidates.push(candidate)
     }
     set.startRound(candidates, changed)
--- a/packages/control/test/owner/advisor-client.spec.ts
+++ b/packages/control/test/owner/advisor-client.spec.ts
@@ -99,4 +99,26 @@
     client.request('a', WORKERS, LONG, 1, true)
     expect(calls).toHaveLength(2)
   })
+
+  it.each([
+    ['sends no queued request', 'queued', ['a', 'b', 'next']],
+    ['keeps the requests of other jobs', 'other', ['a', 'b', 'queued']]
+  ])('%s of a job that has ended', async (_, job, expected) => {
+    const { client, calls } = createHarness()
+    for (const step of ['a', 'b']) client.request(step, WORKERS, LONG, 0, true)
+    client.request('queued.0.0', WORKERS, LONG, 1, true)
+    client.request('next.0.0', WORKERS, LONG, 2, true)
+    client.forget(job)
+    await calls[0]!.answer(ok([]))
+    expect(calls.map((call) => call.step.split('.')[0])).toEqual(expected)
+  })
+
+  it('requests tickets for the incarnations at the time of the request', async () => {
+    const { client, calls } = createHarness()
+    const worker = { id: 'w1', born: 1 }
+    client.request('a', [worker], LONG, 1, true)
+    worker.born = 2
+    await calls[0]!.answer(ok([['w1', 'ticket']]))
+    expect(client.ticketStatus('a', worker)).toBe(TicketStatus.Expired)
+  })
 })
--- a/packages/control/test/owner/dispatcher.spec.ts
+++ b/packages/control/test/owner/dispatcher.spec.ts
@@ -2,7 +2,8 @@
 import { beforeEach, describe, expect, it } from 'vitest'
 import { JobEntry } from '../../src/journal/journal-state.js'
 import type { Configuration } from '../../src/model/configuration.js'
-import { Phase, type Job } from '../../src/model/job.js'
+import { Phase, type Job, type Step } from '../../src/model/job.js'
+import type { Worker } from '../../src/model/worker.js'
 import { AdvisorClient } from '../../src/owner/advisor-client.js'
 import { ReadySteps } from '../../src/owner/ready-step.js'
 import { Dispatcher, type Decisions } from '../../src/owner/dispatcher.js'
@@ -89,6 +90,11 @@
     }
   }
 
+  /** Applies a newer registry entry of a worker. */
+  update (id: string, fields: Partial<Worker>): void {
+    this.sessions.get(id)!.update(createWorker({ id, capacity: CAPACITY, ...fields }))
+  }
+
   accept (job: Partial<Job>, tasks: number): JobEntry {
     const id = String(++this.jobs).padStart(16, '0')
     const entry = new JobEntry(createJob({
@@ -201,3 +207,40 @@
     expect(assignments.map((assignment) => assignment.session.id).sort()).toEqual(expected)
   })
 })
+
+describe('a step that found no worker in one round', () => {
+  const SMALL = { cpuMilli: 500, memoryMb: 500, accelerators: 0 }
+
+  it.each<[string, Partial<Step>, Partial<Worker>, Partial<Worker>, string[]]>([
+    ['is placed in the next one if the capacity of a worker has grown', {}, { capacity: SMALL }, { capacity: CAPACITY }, ['w1']],
+    ['is not placed in the next one if the capacity has not grown', {}, { capacity: SMALL }, { capacity: SMALL }, []],
+    ['is placed in the next one if a worker has got the label', { label: 'b' }, {}, { labels: ['b', 'r1'] }, ['w1']],
+    ['is placed in the next one if a worker no longer drains', {}, { draining: true }, { draining: false }, ['w1']]
+  ])('%s', async (_, fields, before, after, expected) => {
+    await harness.addWorkers(1)
+    harness.update('w1', before)
+    harness.accept({ queue: 'urgent', steps: [createStep({ size: TASK, ...fields })] }, 1)
+    expect(harness.runRounds(2).assignments).toEqual([])
+    harness.update('w1', after)
+    expect(harness.runRounds(1).assignments.map(({ session }) => session.id)).toEqual(expected)
+  })
+
+  it('is placed on a worker that has joined', async () => {
+    harness.accept({ queue: 'urgent' }, 1)
+    expect(harness.runRounds(2).assignments).toEqual([])
+    await harness.addWorkers(1)
+    expect(harness.runRounds(1).assignments).toHaveLength(1)
+  })
+
+  it('is placed on a worker that a later call of the advisor permits', async () => {
+    await harness.addWorkers(1)
+    harness.accept({ queue: 'advised' }, 1)
+    harness.runRounds(1)
+    await harness.grant([])
+    expect(harness.runRounds(1).assignments).toEqual([])
+    await harness.addWorkers(2)
+    harness.runRounds(1)
+    await harness.grant(['w2'])
+    expect(harness.runRounds(1).assignments.map(({ session }) => session.id)).toEqual(['w2'])
+  })
+})
