Show that a job submitted twice loses its worker at a takeover

Callers would see a task run twice, or run on after its cancellation, once a node becomes the owner whose copy of a job has another acceptance time than that of the owner before.

Cause: a record of runs gives the start of the worker as an offset from the time at which the job was accepted (task-record.ts, rowOf and decodeRuns). A successor with a later time restores a later start than the worker reports, and drops all of its reports (session.ts, handleReport).

No code changes.

--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -62,13 +62,13 @@
     this.store.put(Topic.Workers, { key: 'w1', value: Buffer.from(JSON.stringify(createWorker(fields))) })
   }
 
-  /** Starts an owner with the contents of the journal state. */
-  startOwner (epoch: number): Owner {
+  /** Starts an owner with the contents of the journal state, or of another one. */
+  startOwner (epoch: number, journalState = this.journalState): Owner {
     const owner = new Owner({
       epoch,
       sequence: 1,
       claimedAt: this.clock.stamp(),
-      journalState: this.journalState,
+      journalState,
       store: new StoreAccess(this.store, async () => err(StoreFailure.Refused), this.clock, () => {}),
       fleet: this.fleet,
       machines: new NoMachines(),
@@ -371,6 +371,49 @@
     expect([harness.tasks(), harness.fleet.started.length]).toEqual([tasks, starts])
   })
 
+  // Guards against a successor that knows another acceptance time of a job than the owner which wrote its runs: it takes the worker
+  // for a later incarnation, drops its reports, lets its tasks run on under its lease and starts them again elsewhere.
+  it.each<[string, (accept: (afterMs: number) => KeyedRecord) => Promise<JournalState>]>([
+    ['the owner wrote both acceptances in one append', async (accept) => {
+      const owner = harness.startOwner(1)
+      await advance(200)
+      const admitting = [owner.admit(accept(0), 500), owner.admit(accept(1500), 500)]
+      await advance(500)
+      await Promise.all(admitting)
+      return stateOf(newestOf(harness.store.records[Topic.Journal]))
+    }],
+    ['a node without an owner appended the second acceptance, and the successor has read the journal from scratch', async (accept) => {
+      const owner = harness.startOwner(1)
+      await advance(200)
+      const admitting = owner.admit(accept(0), 500)
+      await advance(500)
+      await admitting
+      harness.store.put(Topic.Journal, accept(1500))
+      return stateOf(newestOf(harness.store.records[Topic.Journal]))
+    }],
+    ['the successor took the second acceptance from its caller before it had read the first', async (accept) => {
+      const owner = harness.startOwner(1)
+      await advance(200)
+      const admitting = owner.admit(accept(0), 500)
+      await advance(500)
+      await admitting
+      return stateOf([{ ...accept(1500), offset: -1 }, ...harness.store.records[Topic.Journal]])
+    }]
+  ])('after a takeover keeps a run of a job that was submitted twice: %s', async (_, prepare) => {
+    const acceptedMs = harness.clock.wall()
+    const steps = [createStep({ estimateMs: 60_000 })]
+    const state = await prepare((afterMs) => encodeJob(createJob({ id: ID, acceptedMs: acceptedMs + afterMs, steps })))
+    expect(harness.tasks()).toEqual(['0.0.0#1'])
+    harness.close()
+    harness.startOwner(2, state)
+    await advance(25_000)
+    // Waiting would mean that the owner took the run for lost and places the task again, although the worker still runs it.
+    expect([harness.tasks(), state.jobs.get(ID)?.tasks.get('0.0.0')?.stage]).toEqual([['0.0.0#1'], Stage.Assigned])
+    harness.endRun(`${ID}.0.0.0`, RunOutcome.Done)
+    await advance(1000)
+    expect(state.jobs.get(ID)?.visiblePhase()).toBe(Phase.Completed)
+  })
+
   // Guards against a job that runs again, or a crash, when only the end of the job is left in the journal.
   it('after a takeover stops the runs of an ended job and ignores the ends that workers report for it', async () => {
     const end = encodeJobEnd(ID, { ...createJob({ id: ID }), phase: Phase.Completed, endedMs: harness.clock.wall() })
