Show that a cancellation is acknowledged without being stored

Callers get a 200 for the cancellation of a job whose end the owner has decided but not written: findJob returns the owner's entry, and isFinishedOrCancelled reads its phase instead of the committed one (job-service.ts, cancel). If the owner then ends and the worker that reported the end is lost, the successor goes on with the job.

No code changes.

--- a/packages/control/test/entry/job-service.spec.ts
+++ b/packages/control/test/entry/job-service.spec.ts
@@ -6,6 +6,7 @@
 import { encodeJob } from '../../src/journal/record.js'
 import { JournalState } from '../../src/journal/journal-state.js'
 import type { Configuration } from '../../src/model/configuration.js'
+import { Phase } from '../../src/model/job.js'
 import { Store, StoreFailure, Topic, type KeyedRecord, type NewestPage, type RecordPage } from '../../src/ports/store.js'
 import { SilentLog } from '../../src/report/log.js'
 import { createJob, createQueue, createStep } from '../fakes.js'
@@ -154,6 +155,24 @@
   })
 })
 
+describe('the cancellation of a job that this node knows', () => {
+  // Guards against UNASKED: a cancellation is acknowledged although neither it nor the end of the job is in the journal, and a successor
+  // goes on with the job.
+  it.each([
+    { job: 'is at work', phase: Phase.Active, committedPhase: Phase.Active, appends: 1 },
+    { job: 'has ended, but its end is not in the journal yet', phase: Phase.Failed, committedPhase: Phase.Active, appends: 1 },
+    { job: 'has ended, and its end is in the journal', phase: Phase.Failed, committedPhase: Phase.Failed, appends: 0 }
+  ])('takes $appends appends if the job $job', async ({ phase, committedPhase, appends }) => {
+    const store = new ScriptedStore(async () => ok(1))
+    const journalState = new JournalState()
+    journalState.apply({ ...encodeJob(createJob({ id: idOf(1) })), offset: 1 })
+    Object.assign(journalState.jobs.get(idOf(1))!, { phase, committedPhase })
+    const jobService = createJobService(store, undefined, journalState)
+    const answer = await jobService.cancel(jobService.authorize('h', '/', '')._unsafeUnwrap(), idOf(1), BUDGET_MS)
+    expect([answer.isOk(), store.appends]).toEqual([true, appends])
+  })
+})
+
 describe('a request that needs the journal', () => {
   it.each([
     { call: 'lookup', freshAt: staleStamp, withinMs: 450 },
