Show that a worker is never called through a fourth node

Callers would see tasks lapse, and their jobs late, on a worker that three nodes cannot reach although the others do: a third failure clears the nodes that are passed over for the worker (gateway-routes.ts, onUnanswered), so that its calls go through the same three in turn, and never through the owner itself.

No code changes.

--- a/packages/control/test/membership/fleet-gateways.spec.ts
+++ b/packages/control/test/membership/fleet-gateways.spec.ts
@@ -253,6 +253,30 @@
     expect(await harness.start()).toEqual([first])
   })
 
+  // Guards against a worker that stays unreachable, until its lease has expired, although most nodes reach it.
+  it.each([{ cut: 1 }, { cut: 2 }, { cut: 3 }, { cut: 4 }])(
+    'is one of $cut of eight: the worker is reached within six seconds', async ({ cut }) => {
+      const harness = new Harness(8)
+      const best: string[] = []
+      harness.answer = () => NOT_SENT
+      for (let tries = 0; best.length < cut; tries++) {
+        const [node] = await harness.start()
+        best.push(node!)
+        harness.connected = harness.connected.filter((name) => name !== node)
+        harness.clock.advance(200)
+      }
+      harness.connected = Array.from({ length: 8 }, (_, index) => `n${index}`)
+      harness.clock.advance(200)
+      harness.cut(...best)
+      const asked = new Set<string>()
+      for (let call = 0; call < 6; call++) {
+        for (const node of await harness.start()) asked.add(node)
+        harness.clock.advance(1000)
+      }
+      expect([...asked].some((node) => !best.includes(node))).toBe(true)
+    }
+  )
+
   it('is passed over only for this worker', async () => {
     const harness = new Harness(4)
     const [first] = await harness.start()
