Show with real nodes that a successor does not adopt a worker

A job is submitted at one node and, 20 ms later, again at the node that becomes the next owner.

No code changes.

--- a/packages/control/test/cluster/takeover.spec.ts
+++ b/packages/control/test/cluster/takeover.spec.ts
@@ -3,6 +3,7 @@
 import { HANDOVER_DELAY_MS } from '../../src/membership/handover.js'
 import { StoreFailure, Topic } from '../../src/ports/store.js'
 import { Cluster, sleep, waitFor, type NodeSpecification } from './cluster.js'
+import { LASTING } from './workers.js'
 
 const TASK_MS = '100'
 /** Target for the time from the end of the owner's process to the first start by its successor. */
@@ -60,6 +61,28 @@
     expect(claims().map(({ epoch, node }) => [epoch, node])).toEqual([[1, 'n2']])
   })
 
+  // Guards against a successor that drops all reports of a worker, since its copy of a job has another acceptance time than the
+  // journal.
+  it.each([
+    { says: 'once', again: false },
+    { says: 'once more at the successor, before it has read the job', again: true }
+  ])('is owned by a node that adopts all workers of a job which was submitted $says', async ({ again }) => {
+    await cluster.start(NODES)
+    expect(await waitFor(() => owners().length === 1 && cluster.nodes.every((node) => node.ready()), 5000)).toBe(true)
+    await sleep(1000)
+    const submitting = [cluster.submit(cluster.nodes[0]!, '00000000000000aa', 10, LASTING, true)]
+    await sleep(20)
+    if (again) submitting.push(cluster.submit(cluster.nodes[3]!, '00000000000000aa', 10, LASTING, true))
+    expect((await Promise.all(submitting)).every(Boolean)).toBe(true)
+    expect(await waitFor(() => cluster.workers.countRunning('00000000000000aa') === 10, 5000)).toBe(true)
+    await sleep(1500)
+    cluster.nodes[2]!.close()
+    await waitFor(() => owners().length === 2, 5000)
+    await sleep(3000)
+    const adopted = cluster.events.filter(({ node, name }) => node === 'n3' && name === 'worker adopted')
+    expect([owners(), adopted.length]).toEqual([['n2', 'n3'], 40])
+  }, 20_000)
+
   it('is handed over once to a large node that joins a cell of small ones', async () => {
     await cluster.start(NODES.slice(0, 2))
     expect(await waitFor(() => owners().length === 1, 5000)).toBe(true)
