--- a/packages/control/test/membership/fleet-gateways.spec.ts
+++ b/packages/control/test/membership/fleet-gateways.spec.ts
@@ -221,6 +221,25 @@
   })
 })
 
+describe('nodes that do not answer the owner', () => {
+  // Guards against workers that get no stop and no lease because most nodes, for example those with narrow links, are choked: the owner
+  // takes itself for held up and goes on asking them, although the other nodes answer.
+  it.each([{ silent: 1 }, { silent: 3 }, { silent: 4 }, { silent: 5 }, { silent: 6 }])(
+    'are $silent of eight: each worker is reached through another one within six seconds', async ({ silent }) => {
+      const harness = new Harness(8)
+      harness.answer = (through, command) => Number(through.slice(1)) < silent ? UNANSWERED : answered(command)
+      const unreached = new Set(WORKERS.map(({ id }) => id))
+      for (let round = 0; round < 6; round++) {
+        for (const worker of WORKERS) {
+          if ((await harness.fleet.stop(worker, RUN)).isOk()) unreached.delete(worker.id)
+        }
+        harness.clock.advance(1000)
+      }
+      expect([...unreached]).toEqual([])
+    }
+  )
+})
+
 describe('a node that cannot reach a worker which others reach', () => {
   // Guards against a worker that is declared unreachable because the node that calls it is cut off from it.
   it('does not fail a report request of a worker that answered before', async () => {
