Write the start time of a run's worker independently of the job

Callers would have seen a task run twice, or run on after its cancellation, if a job was submitted twice and the cell changed its owner.

Cause: a record of runs counted the start of the worker from the acceptance of the job. Two submissions of one job have different acceptance times, and nodes may keep different ones; the successor then restored a start later than the worker's and dropped all of its reports.

The expected row in job-changes.spec.ts has the time in place of the offset.

--- a/packages/control/src/journal/job-changes.ts
+++ b/packages/control/src/journal/job-changes.ts
@@ -128,7 +128,7 @@
 
   private markRuns (block: number): void {
     const { entry } = this
-    this.changed.set(blockKeyOf(Subject.Runs, entry.job.id, block), () => encodeRuns(entry.job, block, this.tasksOf(block)))
+    this.changed.set(blockKeyOf(Subject.Runs, entry.job.id, block), () => encodeRuns(entry.job.id, block, this.tasksOf(block)))
   }
 
   /** Deletes the record of a block of runs, if it may be in the journal. */
@@ -139,7 +139,7 @@
   }
 
   private applyRuns (block: number, value: Buffer): void {
-    for (const [index, run] of decodeRuns(this.entry.job, value).entries()) {
+    for (const [index, run] of decodeRuns(value).entries()) {
       const number = block * RUNS_BLOCK_TASKS + index
       const key = this.keyOf(number)
       if (run === undefined || key === undefined) continue
--- a/packages/control/src/journal/task-record.ts
+++ b/packages/control/src/journal/task-record.ts
@@ -16,9 +16,9 @@
 export const DONE_BLOCK_TASKS = 512
 const BITS_PER_BYTE = 8
 
-/** A task that has been assigned. The time at which the worker started is counted from the time at which the job was accepted. */
+/** A task that has been assigned. */
 type RunRow = readonly [
-  stage: Stage, run: number, worker: string, bornOffsetMs: number, checkpoint?: string, failures?: number, failedRun?: number
+  stage: Stage, run: number, worker: string, born: number, checkpoint?: string, failures?: number, failedRun?: number
 ]
 
 /** A row of a record of runs. A task without a run has 0, a done task only its stage. */
@@ -83,8 +83,8 @@
  *
  * @param tasks the tasks of the block in their order; undefined for one that was never assigned
  */
-export function encodeRuns (job: Job, block: number, tasks: ReadonlyArray<TaskEntry | undefined>): KeyedRecord {
-  return { key: blockKeyOf(Subject.Runs, job.id, block), value: encodeValue(tasks.map((task) => rowOf(job, task))) }
+export function encodeRuns (job: string, block: number, tasks: ReadonlyArray<TaskEntry | undefined>): KeyedRecord {
+  return { key: blockKeyOf(Subject.Runs, job, block), value: encodeValue(tasks.map(rowOf)) }
 }
 
 /** The state of a task in a record of runs: undefined for a task that was never assigned. */
@@ -97,13 +97,13 @@
  * @param value bytes of the value
  * @returns the states of the tasks of the block in their order; empty if the value cannot be decoded
  */
-export function decodeRuns (job: Job, value: Buffer): ReadonlyArray<DecodedRun | undefined> {
+export function decodeRuns (value: Buffer): ReadonlyArray<DecodedRun | undefined> {
   const rows = decodeValue<readonly Row[]>(value).unwrapOr([])
   return rows.map((row) => {
     if (row === Stage.Done) return { stage: Stage.Done }
     if (row === 0) return undefined
-    const [stage, run, worker, bornOffsetMs, checkpoint = '', failures = 0, failedRun = 0] = row
-    return { stage, run, worker, born: bornOffsetMs + baseMsOf(job), failures, failedRun, checkpoint }
+    const [stage, run, worker, born, checkpoint = '', failures = 0, failedRun = 0] = row
+    return { stage, run, worker, born, failures, failedRun, checkpoint }
   })
 }
 
@@ -136,16 +136,10 @@
   return numbers
 }
 
-function rowOf (job: Job, task: TaskEntry | undefined): Row {
+function rowOf (task: TaskEntry | undefined): Row {
   if (task === undefined || (task.run === 0 && task.stage === Stage.Waiting)) return 0
   if (task.stage === Stage.Done) return Stage.Done
   const { stage, run, worker, born, failures, failedRun, checkpoint } = task
-  const bornOffsetMs = born - baseMsOf(job)
-  if (failures > 0) return [stage, run, worker, bornOffsetMs, checkpoint, failures, failedRun]
-  return checkpoint === '' ? [stage, run, worker, bornOffsetMs] : [stage, run, worker, bornOffsetMs, checkpoint]
-}
-
-/** Rounded, so that times of workers, which are whole numbers, are restored exactly. */
-function baseMsOf (job: Job): number {
-  return Math.round(job.acceptedMs)
+  if (failures > 0) return [stage, run, worker, born, checkpoint, failures, failedRun]
+  return checkpoint === '' ? [stage, run, worker, born] : [stage, run, worker, born, checkpoint]
 }
--- a/packages/control/test/journal/job-changes.spec.ts
+++ b/packages/control/test/journal/job-changes.spec.ts
@@ -50,7 +50,7 @@
     assign(entry, 0, 0)
     const [encode] = [...entry.takeChanges().values()]
     change(entry, 0, 0, { stage: Stage.Waiting })
-    expect(decodeValue(encode!().value!)._unsafeUnwrap()).toEqual([[Stage.Waiting, 1, 'w1', 0], 0, 0, 0])
+    expect(decodeValue(encode!().value!)._unsafeUnwrap()).toEqual([[Stage.Waiting, 1, 'w1', 1_700_000_000_000], 0, 0, 0])
   })
 
   it('leave only the end of a job that has ended', () => {
