--- a/packages/control/src/entry/job-service.ts
+++ b/packages/control/src/entry/job-service.ts
@@ -157,7 +157,8 @@
   async cancel (request: AuthorizedRequest, id: string, budgetMs: number): Promise<Result<void, Refusal>> {
     const found = await this.findJob(request, id, this.options.clock.stamp())
     if (found.isErr()) return err(found.error)
-    if (found.value.isFinishedOrCancelled()) return ok(undefined)
+    // An end that is not in the journal yet may be lost with the owner that decided it.
+    if (isFinal(found.value.visiblePhase())) return ok(undefined)
     const record = encodeRecord(Subject.Cancellation, id, { atMs: this.options.clock.wall() })
     const appended = await this.append(record, budgetMs, () => (this.options.journalState().jobs.get(id)?.cancelledMs ?? 0) > 0)
     if (appended.isErr()) return err(appended.error)
