Try further nodes, one after the other, for a worker that does not answer

Callers would have seen tasks lapse on a worker that its three best nodes could not reach although the others did: a third failure cleared the nodes that were passed over for the worker, so its calls went through the same three in turn. Found by review.

Change: after two failures a further node is passed over at most each 0.9 s, and none is forgotten before its time. The cases with three and four of eight nodes in fleet-gateways.spec.ts failed before and pass.

--- a/packages/control/src/membership/gateway-routes.ts
+++ b/packages/control/src/membership/gateway-routes.ts
@@ -18,8 +18,12 @@
 /** How long a node through which a worker did not answer is passed over for this worker. Doubles with each further failure. */
 const MIN_AVOIDANCE_MS = 5000
 const MAX_AVOIDANCE_MS = 40_000
-/** Number of nodes that are passed over for one worker. If another one fails too, the worker itself is taken to be silent. */
-const MAX_AVOIDED = 2
+/**
+ * Number of nodes that are passed over for one worker without a pause in between. If another one fails too, the worker itself is
+ * probably silent, and a further node is tried only after this time, since each attempt may need a new connection.
+ */
+const MAX_AVOIDED_AT_ONCE = 2
+const FURTHER_ATTEMPT_INTERVAL_MS = 900
 /** Weight of a node whose processor is unknown, in cores. */
 const DEFAULT_WEIGHT = 1
 
@@ -52,6 +56,8 @@
   /** The gateway whose call was the first to fail since the worker last answered. */
   failedThrough: string | undefined
   changeReportedMs = -Infinity
+  /** Time on the steady clock at which a gateway was last passed over for this worker. */
+  avoidedMs = -Infinity
 
   constructor (readonly worker: WorkerAddress) {}
 
@@ -154,10 +160,9 @@
     // The call was sent before the node was passed over.
     if (route.isAvoided(node, nowMs)) return
     route.failedThrough ??= node
-    if (route.countAvoided(nowMs) >= MAX_AVOIDED) {
-      route.avoidances.clear()
-      return
-    }
+    const isPaused = nowMs - route.avoidedMs < FURTHER_ATTEMPT_INTERVAL_MS
+    if (isPaused && route.countAvoided(nowMs) >= MAX_AVOIDED_AT_ONCE) return
+    route.avoidedMs = nowMs
     const before = route.avoidances.get(node)
     const durationMs = before === undefined ? MIN_AVOIDANCE_MS : Math.min(2 * before.durationMs, MAX_AVOIDANCE_MS)
     route.avoidances.set(node, { untilMs: nowMs + durationMs, durationMs })
