Show commands that are sent later than a lease assumes

Callers would see nothing until a worker restarts and executes a command some 12 s late; then a run could be taken for lost while its lease still holds.

Cause: owner/lease.ts adds COMMAND_VALIDITY_MS for the time from the owner's command to the call of the worker, but FleetGateways gives each further node, and the repeated report request, the full validity again, and calls the worker itself without any (fleet-gateways.ts, send and requestReport).

The remedy may also be a larger bound in lease.ts, with the bound of these cases. No code changes.

--- a/packages/control/test/membership/fleet-gateways.spec.ts
+++ b/packages/control/test/membership/fleet-gateways.spec.ts
@@ -5,7 +5,7 @@
 import { FleetGateways } from '../../src/membership/fleet-gateways.js'
 import { compactReport } from '../../src/membership/gateway-server.js'
 import type { Report, Worker } from '../../src/model/worker.js'
-import { WorkerFailure, type StartCommand } from '../../src/ports/fleet.js'
+import { COMMAND_VALIDITY_MS, WorkerFailure, type StartCommand } from '../../src/ports/fleet.js'
 import { Log } from '../../src/report/log.js'
 import { Metrics } from '../../src/report/metrics.js'
 import { FakeClock, FakeFleet, createWorker } from '../fakes.js'
@@ -188,6 +188,25 @@
     expect(asked[1]).not.toBe(first)
   })
 
+  // Guards against a lease that is taken for expired while a command sent before it was reset can still be executed: the bound of
+  // owner/lease.ts assumes that no call starts later than COMMAND_VALIDITY_MS after the owner sent the command.
+  it.each([
+    { says: 'nodes that come to it too late', call: (fleet: FleetGateways) => fleet.start(WORKER, START), answer: TOO_LATE, answerMs: 1000 },
+    { says: 'a node that does not answer a report request', call: (fleet: FleetGateways) => fleet.requestReport(WORKER, POLL), answer: UNANSWERED, answerMs: 3000 }
+  ])('is not sent any more once its validity has passed: $says', async ({ call, answer, answerMs }) => {
+    const harness = new Harness(6)
+    const sentMs = harness.clock.now()
+    const latestMs: number[] = []
+    harness.answer = () => {
+      latestMs.push(harness.clock.now() - sentMs + (harness.calls.at(-1)!.validMs ?? 0))
+      harness.clock.advance(answerMs)
+      return answer
+    }
+    harness.direct.onStart = () => { latestMs.push(harness.clock.now() - sentMs); return ok(1) }
+    await call(harness.fleet)
+    expect(Math.max(...latestMs)).toBeLessThanOrEqual(COMMAND_VALIDITY_MS)
+  })
+
   it('is made by the owner if three nodes refuse it', async () => {
     const harness = new Harness(6)
     harness.answer = () => NOT_SENT
