Pass over silent nodes while others answer, however many they are

Found by review.

Change: the owner takes itself for held up only if no other node has answered lately either. The cases with five and six of eight silent nodes in fleet-gateways.spec.ts failed before and pass.

--- a/packages/control/src/membership/gateway-routes.ts
+++ b/packages/control/src/membership/gateway-routes.ts
@@ -24,6 +24,8 @@
  */
 const MAX_AVOIDED_AT_ONCE = 2
 const FURTHER_ATTEMPT_INTERVAL_MS = 900
+/** A node through which a worker answered within this time shows that this node itself is not held up. */
+const ANSWERED_RECENTLY_MS = 1000
 /** Weight of a node whose processor is unknown, in cores. */
 const DEFAULT_WEIGHT = 1
 
@@ -80,6 +82,8 @@
   private readonly refusingUntilMs = new Map<string, number>()
   /** The same for a node that did not answer in time, unless most nodes seem silent. */
   private readonly silentUntilMs = new Map<string, number>()
+  /** When a worker last answered through a node. */
+  private readonly answeredMs = new Map<string, number>()
   private gateways: readonly Gateway[] = []
   private gatewaysKey = ''
   private checkedMs = -Infinity
@@ -140,6 +144,7 @@
 
   /** Records that the worker answered a call through a node. */
   onAnswered (worker: WorkerAddress, node: string): void {
+    this.answeredMs.set(node, this.options.clock.now())
     const route = this.find(worker)
     if (route === undefined) return
     route.avoidances.delete(node)
@@ -207,8 +212,9 @@
     const { node: self, connected } = this.options
     const willing = connected().filter((node) => nowMs >= (this.refusingUntilMs.get(node) ?? 0)).sort()
     const answering = willing.filter((node) => nowMs >= (this.silentUntilMs.get(node) ?? 0))
-    // If most nodes seem silent, this node was probably held up itself.
-    const others = 2 * answering.length >= willing.length ? answering : willing
+    // If most nodes seem silent and none of the others has answered lately, this node was probably held up itself.
+    const isAnswered = answering.some((node) => nowMs - (this.answeredMs.get(node) ?? -Infinity) < ANSWERED_RECENTLY_MS)
+    const others = isAnswered || 2 * answering.length >= willing.length ? answering : willing
     const names = others.length < MIN_OTHER_GATEWAYS ? [...others, self] : others
     return names.map((node) => {
       const address = this.options.addressOf(node)
