Send a command to a worker no later than its validity allows

Callers would have seen nothing until a worker restarted and executed a command some 12 s late; then a run could have been taken for lost under a lease that still held: each further node got the full validity again. Found by review.

Change: the validity counts from the first attempt, for calls of the owner itself too, and a command that no node has taken by then counts as not executed. A timer of the owner that fires late no longer counts against the node that was asked.

--- a/packages/control/src/membership/fleet-gateways.ts
+++ b/packages/control/src/membership/fleet-gateways.ts
@@ -22,6 +22,8 @@
 /** Timeout of a repeated report request: a healthy worker and a healthy gateway answer within milliseconds. */
 const REPEAT_TIMEOUT_MS = 400
 const DISCONNECT_TIMEOUT_MS = 1000
+/** A timer that fires later than this after its time was held up, as was the reading of answers. */
+const LATE_TIMER_MS = 200
 /** Number of other nodes that are asked to make one call before this node makes it. */
 const MAX_GATEWAYS_TRIED = 3
 /**
@@ -93,8 +95,8 @@
   }
 
   /**
-   * Requests a report. If the worker answered before and does not answer through one node now, the request is repeated at once
-   * through another one, without a long poll: the lease and the acknowledgement in it are the same.
+   * Requests a report. If the worker answered before and does not answer through one node now, another node is asked at once for a
+   * report, without a long poll and without renewing the lease.
    */
   override async requestReport (worker: WorkerAddress, command: ReportCommand): Promise<Result<Report, WorkerFailure>> {
     const wasFailing = this.routes.isFailing(worker)
@@ -102,7 +104,7 @@
     const report = await this.send(this.reportCall(worker, command, COMMAND_TIMEOUT_MS + command.waitMs + TRANSFER_MS), tried)
     if (report.isOk() || report.error !== WorkerFailure.NoAnswer || wasFailing) return report
     if (tried.has(this.routes.choose(worker, tried))) return report
-    return await this.send(this.reportCall(worker, { ...command, waitMs: 0 }, REPEAT_TIMEOUT_MS), tried)
+    return await this.send(this.reportCall(worker, { ...command, deadlineMs: undefined, waitMs: 0 }, REPEAT_TIMEOUT_MS), tried)
   }
 
   override closeConnections (worker: WorkerAddress): void {
@@ -126,7 +128,7 @@
   }
 
   /**
-   * Makes a call through the best node, and through the next one if a node has certainly not made it.
+   * Makes a call through the best node, and through the next one if a node has certainly not made it and the command is still valid.
    *
    * @param tried nodes that must not be asked; the nodes that are asked are added
    */
@@ -134,16 +136,22 @@
     this.routes.add(call.worker)
     // Workers that become known together are added before the first of them is called.
     await this.waitForGateways()
+    const { clock } = this.options
+    const sentAt = clock.stamp()
     for (let refusals = 0; ; refusals++) {
+      const validMs = COMMAND_VALIDITY_MS - clock.ageOf(sentAt)
+      // No node has made the call.
+      if (validMs <= 0) return err(WorkerFailure.Unhealthy)
       const gateway = refusals < MAX_GATEWAYS_TRIED ? this.routes.choose(call.worker, tried) : this.options.node
       tried.add(gateway)
       if (gateway === this.options.node) return await this.callDirectly(call)
-      const answer = await this.ask(gateway, call)
+      const answer = await this.ask(gateway, call, validMs)
       if (answer.isOk()) return this.handleAnswer(gateway, call, answer.value as Commanded)
       if (answer.error.execution !== Execution.NotRun) {
         this.options.metrics.gatewayCalls.inc({ outcome: 'unanswered' })
-        // A repeated report request times out before the gateway gives up.
-        if (call.timeoutMs > COMMAND_TIMEOUT_MS) this.routes.onSilent(gateway)
+        // A repeated report request times out before the gateway gives up. A timer that fires late says nothing about the gateway.
+        const wasLate = clock.ageOf(sentAt) > call.timeoutMs + LATE_TIMER_MS
+        if (call.timeoutMs > COMMAND_TIMEOUT_MS && !wasLate) this.routes.onSilent(gateway)
         this.routes.onUnanswered(call.worker, gateway)
         return err(WorkerFailure.NoAnswer)
       }
@@ -152,10 +160,12 @@
     }
   }
 
-  private async ask<T> (gateway: string, { worker, request, timeoutMs }: Call<T>): Promise<Result<unknown, Refusal>> {
+  private async ask<T> (
+    gateway: string, { worker, request, timeoutMs }: Call<T>, validMs: number
+  ): Promise<Result<unknown, Refusal>> {
     const { id, address, zone, born } = worker
     const command: Command = { kind: MessageKind.Command, worker: { id, address, zone, born }, ...request }
-    return await this.options.links.ask(gateway, command, timeoutMs, COMMAND_VALIDITY_MS)
+    return await this.options.links.ask(gateway, command, timeoutMs, validMs)
   }
 
   private handleAnswer<T> (gateway: string, call: Call<T>, answer: Commanded): Result<T, WorkerFailure> {
