Fail only the request when a peer's message is malformed or its handler throws

What callers saw: a request `null` of a peer, or an unexpected error while another node's request was handled, rejected an awaited promise that nobody handles; the process ended, with all callers' connections and, on an owner, its ownership. Cause: the answer read the kind of an undecoded request, and the handler's errors were not contained at the request. Change: the handler's error is answered as a refusal with unknown execution (reason `internal`), the request is taken off the count of those in flight, and the node logs the error with the request's kind and the peer.

--- a/packages/control/src/membership/links.ts
+++ b/packages/control/src/membership/links.ts
@@ -3,7 +3,7 @@
  */
 import { detach } from '../detach.js'
 import { createServer, type Server } from 'node:http'
-import { Connection, type Handler, type ConnectionSettings } from '@fireflymount/protocol/connection'
+import { Connection, type ConnectionSettings, type Handler, type HandlerFailure } from '@fireflymount/protocol/connection'
 import { MAX_FRAME_BYTES } from '@fireflymount/protocol/frame'
 import type { Request } from '@fireflymount/protocol/message'
 import { Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
@@ -37,6 +37,8 @@
   readonly addressOf: (node: string) => NodeAddress | undefined
   readonly handler: Handler
   readonly onLink: (node: string, up: boolean) => void
+  /** Called with an unexpected error in the handling of another node's request. */
+  readonly onHandlerError: (failure: HandlerFailure) => void
 }
 
 /** All connections of this node to other nodes. */
@@ -54,7 +56,8 @@
       zone: options.zone,
       heartbeatMs: HEARTBEAT_INTERVAL_MS,
       silenceMs: SILENCE_TIMEOUT_MS,
-      openRequests: MAX_OPEN_REQUESTS
+      openRequests: MAX_OPEN_REQUESTS,
+      onHandlerError: options.onHandlerError
     }
   }
 
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -31,7 +31,7 @@
 import type { Machines } from './ports/machines.js'
 import { Topic, type KeyedRecord, type StoreClient, type StoredRecord } from './ports/store.js'
 import { observeEventLoop } from './report/event-loop.js'
-import type { Log } from './report/log.js'
+import { describeError, type Log } from './report/log.js'
 import type { Metrics } from './report/metrics.js'
 
 /** Interval at which a node checks whether to claim the cell. */
@@ -131,7 +131,8 @@
       port: settings.port,
       addressOf: (node) => this.journalState.nodes.get(node),
       handler: (request) => this.handle(request),
-      onLink: (node, up) => { this.onLink(node, up) }
+      onLink: (node, up) => { this.onLink(node, up) },
+      onHandlerError: ({ kind, from, error }) => { log.event('request of a node failed', { kind, from, error: describeError(error) }) }
     })
     this.gatewayServer = new GatewayServer(options.fleet, () => this.draining)
     this.ownerWatch = new OwnerWatch(settings.node, this.links, clock)
--- a/packages/control/src/report/log.ts
+++ b/packages/control/src/report/log.ts
@@ -10,6 +10,18 @@
 const FLUSH_INTERVAL_MS = 500
 /** Maximum number of buffered bytes while the reader is slow. Lines beyond it are dropped. */
 const MAX_BACKLOG_BYTES = 512 * 1024
+/** Number of lines of an error's stack, with its message, that a log line holds. */
+const ERROR_STACK_LINES = 4
+
+/**
+ * Describes an unexpected error for a log line: its message and where it was thrown.
+ *
+ * @param error whatever was thrown
+ */
+export function describeError (error: unknown): string {
+  if (!(error instanceof Error)) return String(error)
+  return (error.stack ?? error.message).split('\n').slice(0, ERROR_STACK_LINES).map((line) => line.trim()).join(' | ')
+}
 
 /** Log of a node. */
 export abstract class Log {
--- a/packages/control/test/membership/links.spec.ts
+++ b/packages/control/test/membership/links.spec.ts
@@ -18,7 +18,14 @@
 
 function createLinks (node: string, port: number, peer: NodeAddress | undefined): Links {
   const links = new Links({
-    node, zone: 'z', host: HOST, port, addressOf: () => peer, handler: async () => ok(undefined), onLink: () => {}
+    node,
+    zone: 'z',
+    host: HOST,
+    port,
+    addressOf: () => peer,
+    handler: async () => ok(undefined),
+    onLink: () => {},
+    onHandlerError: () => {}
   })
   opened.push(links)
   return links
--- a/packages/daemon/src/entry/problem.ts
+++ b/packages/daemon/src/entry/problem.ts
@@ -62,7 +62,8 @@
   [Reason.Leaving]: { status: 503, title: 'Node is stopping', retryAfterMs: 1000 },
   [Reason.KeyReused]: { status: 422, title: 'Idempotency key reused' },
   [Reason.Malformed]: { status: 502, title: 'Malformed message' },
-  [Reason.Overloaded]: { status: 503, title: 'Overloaded', retryAfterMs: 1000 }
+  [Reason.Overloaded]: { status: 503, title: 'Overloaded', retryAfterMs: 1000 },
+  [Reason.Internal]: { status: 500, title: 'Unexpected error' }
 }
 
 /** Problems that only the HTTP API raises. */
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -59,7 +59,8 @@
       metrics: this.metrics,
       clock: this.clock,
       zonesOf: (shard) => this.zonesOf(shard),
-      handler: (request) => this.handle(request)
+      handler: (request) => this.handle(request),
+      onHandlerError: ({ kind, from, error }) => { logger.error({ kind, from, err: error }, 'request of a node failed') }
     })
     this.configuration = new ReplicatedConfiguration({
       log,
--- a/packages/daemon/src/peer/peers.ts
+++ b/packages/daemon/src/peer/peers.ts
@@ -4,7 +4,9 @@
 import { createServer, type Server } from 'node:http'
 import { sleep, type Clock } from '@fireflymount/service-clients/clock'
 import { Meter, type ByteCounts } from '@fireflymount/service-clients/byte-counts'
-import { Connection, createFrameCounts, type Handler, type ConnectionSettings, type FrameCounts } from '@fireflymount/protocol/connection'
+import {
+  Connection, createFrameCounts, type ConnectionSettings, type FrameCounts, type Handler, type HandlerFailure
+} from '@fireflymount/protocol/connection'
 import { MAX_FRAME_BYTES } from '@fireflymount/protocol/frame'
 import { MessageKind, type Request } from '@fireflymount/protocol/message'
 import { Execution, Reason, refuse, withEarlierAttempts, type Refusal } from '@fireflymount/protocol/refusal'
@@ -37,6 +39,8 @@
   readonly clock: Clock
   readonly zonesOf: (shard: string) => readonly string[]
   readonly handler: Handler
+  /** Called with an unexpected error in the handling of another node's request. */
+  readonly onHandlerError: (failure: HandlerFailure) => void
 }
 
 /** All connections of this node to and from other nodes. */
@@ -60,7 +64,8 @@
       zone: settings.zone,
       heartbeatMs: settings.timing.heartbeatMs,
       silenceMs: settings.timing.silenceMs,
-      openRequests: MAX_OPEN_REQUESTS
+      openRequests: MAX_OPEN_REQUESTS,
+      onHandlerError: options.onHandlerError
     }
   }
 
--- a/packages/daemon/test/entry-api.spec.ts
+++ b/packages/daemon/test/entry-api.spec.ts
@@ -33,7 +33,8 @@
     { reason: Reason.Leaving, status: 503, retryAfter: '1' },
     { reason: Reason.KeyReused, status: 422, retryAfter: null },
     { reason: Reason.Malformed, status: 502, retryAfter: null },
-    { reason: Reason.Overloaded, status: 503, retryAfter: '1' }
+    { reason: Reason.Overloaded, status: 503, retryAfter: '1' },
+    { reason: Reason.Internal, status: 500, retryAfter: null }
   ])('a refusal with the reason $reason is answered with $status', async ({ reason, status, retryAfter }) => {
     for (const execution of Object.values(Execution)) {
       const { request, router } = createHarness()
@@ -47,7 +48,7 @@
   })
 
   test('there are as many reasons as rows in the table above', () => {
-    expect(Object.values(Reason)).toHaveLength(24)
+    expect(Object.values(Reason)).toHaveLength(25)
   })
 
   test('Retry-After is rounded up to whole seconds', async () => {
--- a/packages/protocol/src/connection.ts
+++ b/packages/protocol/src/connection.ts
@@ -20,6 +20,16 @@
   readonly silenceMs: number
   /** Maximum number of requests in flight in each direction. */
   readonly openRequests: number
+  /** Called with an unexpected error of the handler, which fails only its own request. */
+  readonly onHandlerError?: (failure: HandlerFailure) => void
+}
+
+/** An unexpected error in the handling of a peer's request. */
+export interface HandlerFailure {
+  readonly kind: MessageKind
+  /** Name of the peer. */
+  readonly from: string
+  readonly error: unknown
 }
 
 /** Traffic counters of a connection. */
@@ -254,7 +264,7 @@
   private async handleRequest (ask: Ask): Promise<void> {
     const result = await this.runHandler(ask)
     if (this.isClosed) return
-    const { kind } = ask.request as { kind?: unknown }
+    const kind = this.findKind(ask)
     if (result.isOk()) this.send({ frame: 'answer', id: ask.id, value: result.value }, kind)
     else this.send({ frame: 'answer', id: ask.id, refusal: result.error }, kind)
   }
@@ -273,9 +283,19 @@
       return err(refuse(Reason.QueueFull, 'This node has too many requests in flight.', RETRY_AFTER_MS))
     }
     this.incomingRequests++
-    const result = await this.handler(request.value, this.peer.node)
-    this.incomingRequests--
-    return result
+    try {
+      return await this.handler(request.value, this.peer.node)
+    } catch (error) {
+      this.settings.onHandlerError?.({ kind: request.value.kind, from: this.peer.node, error })
+      return err({
+        reason: Reason.Internal,
+        detail: `An unexpected error ended a request of kind ${request.value.kind}. The log of the node has the error.`,
+        execution: Execution.Unknown,
+        retryAfterMs: 0
+      })
+    } finally {
+      this.incomingRequests--
+    }
   }
 
   private handleClose (): void {
--- a/packages/protocol/src/refusal.ts
+++ b/packages/protocol/src/refusal.ts
@@ -52,7 +52,9 @@
   /**
    * The node or a queue has too many requests in progress, too many changes wait for the log, or the advisor returned no tickets.
    */
-  Overloaded = 'overloaded'
+  Overloaded = 'overloaded',
+  /** An unexpected error ended the handling of the request. The node's log has the error. */
+  Internal = 'internal'
 }
 
 /** A refusal or failure, as it is sent between processes and returned to the caller. */
--- a/packages/protocol/test/connection.spec.ts
+++ b/packages/protocol/test/connection.spec.ts
@@ -108,6 +108,49 @@
   connection.close()
 })
 
+// Guards against a process that ends because of one request of a peer: `request: null`, and a handler that throws.
+test.each<{ says: string, request: unknown, handler: Handler, expected: Partial<Refusal> }>([
+  {
+    says: 'that is null', request: null, handler: answerWith(ok(1)), expected: { reason: Reason.Malformed, execution: Execution.NotRun }
+  },
+  {
+    says: 'that is a string', request: 'watch', handler: answerWith(ok(1)), expected: { reason: Reason.Malformed, execution: Execution.NotRun }
+  },
+  {
+    says: 'whose handler throws',
+    request: WATCH,
+    handler: () => { throw new Error('unexpected') },
+    expected: { reason: Reason.Internal, execution: Execution.Unknown }
+  },
+  {
+    says: 'whose handler rejects',
+    request: WATCH,
+    handler: () => Promise.reject(new Error('unexpected')),
+    expected: { reason: Reason.Internal, execution: Execution.Unknown }
+  }
+])('a request $says is refused, and the next one is answered', async ({ request, handler, expected }) => {
+  const failures: unknown[] = []
+  const onHandlerError: ConnectionSettings['onHandlerError'] = (failure) => { failures.push(failure) }
+  const answered: unknown[] = []
+  const handlers = [handler, answerWith(ok('here'))]
+  const settings = createSettings('client', { openRequests: 1, onHandlerError })
+  const socket = await serve((incoming) => {
+    incoming.on('message', (data: Buffer) => { answered.push(decodeFrame(data)._unsafeUnwrap()) })
+    incoming.send(encodeFrame({ frame: 'hello', version: PROTOCOL_VERSION, node: 'server', zone: 'z' }))
+    incoming.send(encodeFrame({ frame: 'ask', id: 1, request }))
+  })
+  const connection = (await Connection.open(socket, settings, (message, from) => {
+    return (expected.reason === Reason.Internal ? handlers.shift()! : answerWith(ok('here')))(message, from)
+  }))._unsafeUnwrap()
+  await expect.poll(() => answered).toContainEqual(expect.objectContaining({ id: 1, refusal: expect.objectContaining(expected) }))
+  for (const client of servers.at(-1)!.clients) client.send(encodeFrame({ frame: 'ask', id: 2, request: WATCH }))
+  await expect.poll(() => answered).toContainEqual(expect.objectContaining({ id: 2, value: 'here' }))
+  expect(failures).toEqual(expected.reason === Reason.Internal
+    ? [{ kind: MessageKind.Watch, from: 'server', error: new Error('unexpected') }]
+    : [])
+  connection.close()
+})
+
 test('any bytes are decoded or rejected without an exception', () => {
   fc.assert(fc.property(fc.uint8Array({ maxLength: 200 }), (bytes) => {
     decodeFrame(bytes)
