--- a/packages/control/src/entry/job-service.ts
+++ b/packages/control/src/entry/job-service.ts
@@ -121,7 +121,7 @@
       if (entry.job.queue === queue.name) return ok(undefined)
       return err(refuse(Reason.BadRequest, `The id ${submission.id} is in use by a job on another queue. Choose another id.`))
     }
-    const validationError = findJobError(submission.steps)
+    const validationError = findJobError(submission)
     if (validationError !== undefined) return err(refuse(Reason.BadRequest, validationError))
     const job = this.createJob(request, submission)
     const appended = await this.append(encodeJob(job), budgetMs, () => this.options.journalState().jobs.has(job.id))
--- a/packages/control/src/model/job.ts
+++ b/packages/control/src/model/job.ts
@@ -133,20 +133,46 @@
   return longest
 }
 
+/** Maximum number of tasks of a job, all occurrences together. Every node keeps the state of all of them in memory. */
+export const MAX_JOB_TASKS = 100_000
+
 /**
- * Validates the steps of a job.
+ * Validates a job.
  *
- * @param steps the steps as they were submitted
+ * @param job the job as it was submitted
  * @returns the first validation error and how to fix it, or undefined if the job is valid
  */
-export function findJobError (steps: readonly Step[]): string | undefined {
+export function findJobError (job: Pick<Job, 'steps' | 'occurrences' | 'firstDueMs' | 'intervalMs'>): string | undefined {
+  const { steps, occurrences, firstDueMs, intervalMs } = job
   if (steps.length === 0) return 'The job has no steps. Submit at least one step.'
+  if (!isCount(occurrences)) return 'The number of occurrences is invalid. Set it to 0 or a positive whole number.'
+  if (!isAmount(firstDueMs) || !isAmount(intervalMs)) return 'A time of the schedule is invalid. Set it to 0 or more milliseconds.'
+  let taskCount = 0
   for (const [index, step] of steps.entries()) {
-    if (!Number.isInteger(step.count) || step.count < 1) return `Step ${index} has no tasks. Set its count to 1 or more.`
-    for (const earlier of step.after) {
-      if (!Number.isInteger(earlier) || earlier < 0 || earlier >= index) {
-        return `Step ${index} depends on step ${earlier}. A step can depend only on steps before it.`
-      }
-    }
+    const stepError = findStepError(step, index)
+    if (stepError !== undefined) return `Step ${index} ${stepError}`
+    taskCount += step.count * Math.max(1, occurrences)
+  }
+  if (taskCount > MAX_JOB_TASKS) return `The job has ${taskCount} tasks. Split it into jobs of at most ${MAX_JOB_TASKS} tasks.`
+}
+
+function findStepError (step: Step, index: number): string | undefined {
+  if (!isCount(step.count) || step.count < 1) return 'has no tasks. Set its count to 1 or more.'
+  for (const earlier of step.after) {
+    if (!isCount(earlier) || earlier >= index) return `depends on step ${earlier}. A step can depend only on steps before it.`
   }
+  const { cpuMilli, memoryMb, accelerators } = step.size
+  if (![cpuMilli, memoryMb, accelerators].every(isAmount)) return 'has an invalid size. Set each resource to 0 or more.'
+  if (!isAmount(step.estimateMs) || !isAmount(step.latencyTargetMs)) return 'has an invalid time. Set it to 0 or more milliseconds.'
+  if (!isCount(step.perWorker) || !isCount(step.disruptionBudget)) {
+    return 'has an invalid bound. Set it to 0 or a positive whole number.'
+  }
+}
+
+function isCount (value: number): boolean {
+  return Number.isSafeInteger(value) && value >= 0
+}
+
+function isAmount (value: number): boolean {
+  return Number.isFinite(value) && value >= 0
 }
