Stop extending the lease of a worker that never answered, and wait for it before its runs are lost

After a takeover, requests whose answers are lost extend the worker's lease again and again, while 17 s after the claim its runs are declared lost and start elsewhere: one task in two places. Cause: the time after which a run counts as lost covered the leases of the earlier owner, not those of this one. Change: a worker that was never adopted gets no longer lease than the earlier owner could have granted, and its runs are lost only once all leases that this owner granted have expired as well. Both ends meet at the same 17.1 s, so nothing is lost later than before.

--- a/packages/control/src/owner/garbage-collector.ts
+++ b/packages/control/src/owner/garbage-collector.ts
@@ -63,9 +63,7 @@
   private collectSessions (): void {
     const { clock, claimedAt, settings } = this.options
     // Time for which an earlier owner may act without confirmation, plus its last lease on the slowest clock. It is counted from
-    // the claim, or from the restart of the worker if this owner saw one. It does not cover leases that this owner has granted to
-    // a worker that is not adopted, nor commands that a worker executes late. A run under such a lease, or started by such a
-    // command, can therefore be declared lost while it runs.
+    // the claim, or from the restart of the worker if this owner saw one. The leases that this owner has granted are checked too.
     const maxEarlierLeaseMs = MAX_UNCONFIRMED_OWNERSHIP_MS + settings.leaseMs / MIN_CLOCK_RATE
     for (const session of this.options.sessions.values()) {
       const missingMs = this.options.missingMs(session.id)
@@ -73,7 +71,7 @@
         session.pausedUntilMs = Math.max(session.pausedUntilMs, clock.now() + MISSING_ENTRY_PAUSE_MS)
       }
       const unadoptedMs = clock.now() - Math.max(claimedAt.steadyMs, session.restartSeenMs)
-      if (!session.adopted && session.runs.size > 0 && unadoptedMs > maxEarlierLeaseMs) {
+      if (!session.adopted && session.runs.size > 0 && unadoptedMs > maxEarlierLeaseMs && session.hasLeaseExpired()) {
         session.declareLost('The worker was not adopted before the timeout for leases of an earlier owner.')
       }
       if (missingMs > FORGET_AFTER_MS && !session.reachable && session.runs.size === 0) {
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -1,6 +1,6 @@
 /**
  * The owner's session with one worker. Requests reports from the worker, receives the ends of its runs and sends commands. A
- * report request also renews the worker's lease, except while an adopted worker is unreachable.
+ * report request also renews the worker's lease, except while the worker is unreachable.
  */
 import { setMaxListeners } from 'node:events'
 import { NO_RESOURCES, addResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
@@ -9,6 +9,7 @@
 import { rackOf, type EndedRun, type Report, type Worker } from '../model/worker.js'
 import { WorkerFailure, type Fleet } from '../ports/fleet.js'
 import { Lease } from './lease.js'
+import { MAX_UNCONFIRMED_OWNERSHIP_MS } from './ownership.js'
 import { RunState, StopReason, type Run } from './run.js'
 
 /**
@@ -81,6 +82,8 @@
   born: number
   /** Time on the steady clock at which a restart of the worker was detected. */
   restartSeenMs = -Infinity
+  /** Time on the steady clock of the start of the session, or of the last restart of the worker. */
+  private incarnationSeenMs: number
   /** Time on the steady clock until which nothing is placed on the worker. */
   pausedUntilMs = 0
   /** Tasks whose reported runs the owner does not know. They use capacity that is not charged. */
@@ -110,6 +113,7 @@
     this.born = worker.born
     this.lease = new Lease(host.clock, worker.clockMs)
     this.entryUpdatedMs = host.clock.now()
+    this.incarnationSeenMs = this.entryUpdatedMs
     this.lastAnswerMs = this.entryUpdatedMs
     this.firstReport = new Promise((resolve) => { this.resolveFirstReport = resolve })
     // Every pending delay adds a listener to this one signal.
@@ -169,6 +173,8 @@
   /** Applies a newer registry entry. */
   update (worker: Worker): void {
     if (worker.address !== this.worker.address) this.host.fleet.closeConnections(this.worker)
+    // Without an entry, the owner had no reading of the worker's clock.
+    if (this.worker.address === '' && worker.born === this.born) this.lease.updateClock(worker.clockMs)
     this.worker = worker
     this.entryUpdatedMs = this.host.clock.now()
     if (worker.born > this.born) this.handleRestart(worker.born, worker.clockMs, 'The registry shows a newer incarnation of the worker.')
@@ -187,7 +193,8 @@
   }
 
   /**
-   * Requests reports until the session is closed. A request also renews the lease, except while an adopted worker is unreachable.
+   * Requests reports until the session is closed. A request also renews the lease, unless the worker is unreachable; see
+   * `mayExtendLease`.
    */
   async run (): Promise<void> {
     const { signal } = this.stopController
@@ -308,11 +315,7 @@
 
   private async requestReport (waitMs: number): Promise<void> {
     const { host, worker } = this
-    // A request that is not answered may still extend the lease. While an adopted worker is unreachable, requests therefore do not
-    // extend its lease, so that the time at which the lease expires is known. For a worker that is not adopted, every request may
-    // extend the lease, also while the worker does not answer.
-    const extending = this.reachable || !this.adopted
-    const deadlineMs = extending ? this.lease.grant(host.leaseMs) : undefined
+    const deadlineMs = this.mayExtendLease() ? this.lease.grant(host.leaseMs) : undefined
     host.onReportRequest()
     const report = await host.fleet.requestReport(worker, {
       fence: host.fence, acknowledged: this.acknowledgedThrough, deadlineMs, waitMs
@@ -323,6 +326,16 @@
     else this.handleFailure(report.error)
   }
 
+  /**
+   * A request that is not answered may still extend the lease. While a worker is unreachable, requests therefore do not extend its
+   * lease, so that the time at which the lease expires is known. A worker that was never adopted may hold a lease of an earlier
+   * owner anyway, so this owner may extend it for as long as that one may.
+   */
+  private mayExtendLease (): boolean {
+    if (this.reachable) return true
+    return !this.adopted && this.host.clock.now() - this.incarnationSeenMs < MAX_UNCONFIRMED_OWNERSHIP_MS
+  }
+
   private handleFailure (failure: WorkerFailure): void {
     if (failure === WorkerFailure.Fenced) {
       this.host.onFenced(this)
@@ -428,6 +441,11 @@
     await this.stopRun(run, StopReason.Uncertain)
   }
 
+  /** True once every lease that this owner has granted to the worker has certainly expired. */
+  hasLeaseExpired (): boolean {
+    return this.lease.hasExpired()
+  }
+
   private checkLeaseExpiry (): void {
     if (this.adopted && this.runs.size > 0 && this.lease.hasExpired()) this.declareLost('Every granted lease has expired.')
   }
@@ -464,6 +482,7 @@
     this.reportLost(lost, reason)
     this.born = born
     this.restartSeenMs = this.host.clock.now()
+    this.incarnationSeenMs = this.restartSeenMs
     this.receivedThrough = 0
     this.acknowledgedThrough = 0
     this.journaling = undefined
