Count an owner's confirmation from the request that showed its claim, not from its handling

What callers saw: nothing yet; found by reading for 'a process that had been paused acted on a permission that had run out'. A node that is suspended between the append of its claim and the handling of the answer took the claim as confirmed at that moment, and acted for up to 11 s longer than a successor assumes: it renewed leases of workers whose runs the successor had declared lost. Change: a claim carries the time of the request whose answer showed it; a claim that no answer showed is not taken. Evidence: the case 'answered' of the new test is red with the time of handling; 562 tests of control pass.

--- a/packages/control/src/membership/claimant.ts
+++ b/packages/control/src/membership/claimant.ts
@@ -2,6 +2,7 @@
  * Appends this process's claims of the cell. A claim is held once its append was answered, or once it was read in the journal: a store
  * that is slow or loses answers may show the claim long before it answers the append.
  */
+import type { Clock, Stamp } from '../clock.js'
 import { Subject, encodeRecord, type OwnerClaim } from '../journal/record.js'
 import { StoreFailure, Topic, type KeyedRecord, type Store } from '../ports/store.js'
 
@@ -24,6 +25,16 @@
   readonly sequence: number
   readonly onRead: () => void
   readonly read: Promise<ClaimProof>
+  /** When the request was sent whose answer showed that the claim is held; undefined if none has. */
+  heldAt: Stamp | undefined
+}
+
+/** A claim that is held. */
+export interface HeldClaim {
+  /** Sequence number of the owner's first append. */
+  readonly sequence: number
+  /** A time at which the claim was certainly the newest one: that of the request whose answer showed it. */
+  readonly heldAt: Stamp
 }
 
 /** The claims of one process. */
@@ -31,7 +42,12 @@
   /** The last claim, until the ownership is taken. */
   private attempt: Attempt | undefined
 
-  constructor (private readonly store: Store, private readonly node: string, private readonly incarnation: string) {}
+  constructor (
+    private readonly store: Store,
+    private readonly clock: Clock,
+    private readonly node: string,
+    private readonly incarnation: string
+  ) {}
 
   /**
    * Claims the cell. A claim of the same epoch as before is repeated under its sequence number, so that it takes effect once.
@@ -49,17 +65,27 @@
     const { epoch, sequence } = attempt
     let failure = StoreFailure.NoAnswer
     for (let count = 0; count < MAX_CLAIM_ATTEMPTS && this.attempt === attempt; count++) {
+      const sentAt = this.clock.stamp()
       const appended = await this.store.append(Topic.Journal, [record], { epoch, sequence })
-      if (appended.isOk()) return ClaimProof.Answered
+      if (appended.isOk()) {
+        attempt.heldAt ??= sentAt
+        return ClaimProof.Answered
+      }
       failure = appended.error
       if (failure !== StoreFailure.NoAnswer) break
     }
     return failure
   }
 
-  /** Notes the newest claim in the journal, whichever process made it. */
-  onClaimRead (claim: OwnerClaim): void {
-    if (this.holds(claim)) this.attempt?.onRead()
+  /**
+   * Notes the newest claim in the journal, whichever process made it.
+   *
+   * @param readAt when the read was sent
+   */
+  onClaimRead (claim: OwnerClaim, readAt: Stamp): void {
+    if (this.attempt === undefined || !this.holds(claim)) return
+    this.attempt.heldAt = readAt
+    this.attempt.onRead()
   }
 
   /** True if a claim in the journal is the last one of this process, and its ownership was not taken yet. */
@@ -68,19 +94,19 @@
   }
 
   /**
-   * Takes the ownership of the last claim, which must be held.
+   * Takes the ownership of the last claim.
    *
-   * @returns the sequence number of the owner's first append
+   * @returns the claim, or undefined if it is not known to be held
    */
-  take (): number {
-    const { sequence } = this.attempt!
+  take (): HeldClaim | undefined {
+    const { sequence, heldAt } = this.attempt ?? {}
     this.attempt = undefined
-    return sequence + 1
+    return sequence === undefined || heldAt === undefined ? undefined : { sequence: sequence + 1, heldAt }
   }
 }
 
 function createAttempt (epoch: number): Attempt {
   let onRead = (): void => {}
   const read = new Promise<ClaimProof>((resolve) => { onRead = () => { resolve(ClaimProof.Read) } })
-  return { epoch, sequence: Math.floor(Math.random() * MAX_FIRST_SEQUENCE), onRead, read }
+  return { epoch, sequence: Math.floor(Math.random() * MAX_FIRST_SEQUENCE), onRead, read, heldAt: undefined }
 }
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -147,7 +147,7 @@
     const { node, zone, host, port, processorShare } = settings
     const address: NodeAddress = { node, incarnation: this.incarnation, host, port, zone, processorShare }
     this.registration = new Registration(this.storeAccess, address, this.stopController.signal)
-    this.claimant = new Claimant(this.storeAccess, settings.node, this.incarnation)
+    this.claimant = new Claimant(this.storeAccess, clock, settings.node, this.incarnation)
     this.journal = new Follower(this.storeAccess, Topic.Journal, {
       onRecord: (record) => { this.applyRecord(record) },
       onReset: () => { if (this.owner === undefined) this.nextJournalState = new JournalState() },
@@ -261,7 +261,7 @@
     this.journalReadMs = this.options.clock.now()
     this.ownerWatch.update(this.journalState, rebuilt)
     if (this.journal.offset !== undefined) this.registration.check(this.journalState, this.journal.offset)
-    if (this.journalState.ownerClaim !== undefined) this.claimant.onClaimRead(this.journalState.ownerClaim)
+    if (this.journalState.ownerClaim !== undefined) this.claimant.onClaimRead(this.journalState.ownerClaim, this.journal.freshAt)
     if (this.owner !== undefined && this.journalState.ownerClaim?.incarnation !== this.incarnation) {
       this.dropOwnership('newer claim read')
     }
@@ -382,9 +382,9 @@
 
   /** Becomes the owner under a claim that is held. */
   private async takeOwnership (epoch: number): Promise<void> {
-    const claimedAt = this.options.clock.stamp()
+    const held = this.claimant.take()
+    if (held === undefined) return
     this.connectGateways()
-    const sequence = this.claimant.take()
     while ((this.journalState.ownerClaim?.epoch ?? 0) < epoch || this.nextJournalState !== undefined) {
       const read = await this.journal.catchUp()
       if (this.stopController.signal.aborted) return
@@ -396,8 +396,8 @@
     const { settings, machines, formats, clock, log, metrics } = this.options
     const owner = new Owner({
       epoch,
-      sequence,
-      claimedAt,
+      sequence: held.sequence,
+      claimedAt: held.heldAt,
       journalState: this.journalState,
       store: this.storeAccess,
       fleet: this.createFleet(),
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -68,7 +68,7 @@
   readonly epoch: number
   /** First sequence number for the owner's appends. */
   readonly sequence: number
-  /** When the claim was confirmed. */
+  /** A time at which the claim was certainly the newest one. */
   readonly claimedAt: Stamp
   readonly journalState: JournalState
   readonly store: Store
--- a/packages/control/test/membership/claimant.spec.ts
+++ b/packages/control/test/membership/claimant.spec.ts
@@ -4,33 +4,41 @@
 import { StoreAccess } from '../../src/membership/access.js'
 import { ClaimProof, Claimant } from '../../src/membership/claimant.js'
 import { StoreFailure, Topic, type StoreCall } from '../../src/ports/store.js'
-import { FakeStore } from '../fakes.js'
+import { FakeClock, FakeStore } from '../fakes.js'
+
+/** How long a process is suspended: longer than an owner may act without confirmation. */
+const SUSPENSION_MS = 15_000
 
 /** A store that executes claims at once and, while `silent`, never answers them. */
 class SilentStore extends FakeStore {
   silent = false
+  /** Called before a call is answered. */
+  answering = (): void => {}
 
   override async call (call: StoreCall): ReturnType<FakeStore['call']> {
     const answer = await super.call(call)
+    this.answering()
     return this.silent ? await new Promise(() => {}) : answer
   }
 }
 
 let store: SilentStore
 let access: StoreAccess
+let clock: FakeClock
 let claimant: Claimant
 beforeEach(() => {
   vi.useFakeTimers()
   store = new SilentStore()
+  clock = new FakeClock()
   access = new StoreAccess(store, async () => err(StoreFailure.NoAnswer), new SystemClock(), () => {})
-  claimant = new Claimant(access, 'a', 'process')
+  claimant = new Claimant(access, clock, 'a', 'process')
 })
 afterEach(() => { vi.useRealTimers() })
 
 async function appendAsOwner (epoch: number): Promise<boolean> {
   store.silent = false
   store.fault = undefined
-  return (await access.append(Topic.Journal, [], { epoch, sequence: claimant.take() })).isOk()
+  return (await access.append(Topic.Journal, [], { epoch, sequence: claimant.take()!.sequence })).isOk()
 }
 
 describe('the claims of a process', () => {
@@ -44,18 +52,43 @@
     store.silent = true
     const claiming = claimant.claim(3)
     await vi.advanceTimersByTimeAsync(100)
-    claimant.onClaimRead({ epoch: 3, node: 'a', incarnation: 'process' })
+    claimant.onClaimRead({ epoch: 3, node: 'a', incarnation: 'process' }, clock.stamp())
     expect(await claiming).toBe(ClaimProof.Read)
     expect(await appendAsOwner(3)).toBe(true)
   })
 
+  // Guards against an owner that is suspended while it waits for the answer to its claim, and then acts for as long as if the store
+  // had just confirmed the claim.
+  it.each([
+    ['answered', (suspend: () => void) => { store.answering = suspend }],
+    ['read', (suspend: () => void) => {
+      const readAt = clock.stamp()
+      store.silent = true
+      suspend()
+      claimant.onClaimRead({ epoch: 3, node: 'a', incarnation: 'process' }, readAt)
+    }]
+  ])('are as old as the request that showed them when they were %s', async (_, show) => {
+    const sentMs = clock.now()
+    const claiming = claimant.claim(3)
+    show(() => { clock.advance(SUSPENSION_MS) })
+    await claiming
+    expect(clock.now() - sentMs).toBeGreaterThanOrEqual(SUSPENSION_MS)
+    expect(claimant.take()!.heldAt.steadyMs - sentMs).toBeLessThan(100)
+  })
+
+  it('are not taken unless they are known to be held', async () => {
+    store.fault = () => StoreFailure.Refused
+    await claimant.claim(3)
+    expect(claimant.take()).toBeUndefined()
+  })
+
   it.each([
     ['another process', { epoch: 3, node: 'a', incarnation: 'other' }],
     ['another epoch', { epoch: 2, node: 'a', incarnation: 'process' }]
   ])('are not held because a claim of %s was read', async (_, claim) => {
     store.silent = true
     const claiming = claimant.claim(3)
-    claimant.onClaimRead(claim)
+    claimant.onClaimRead(claim, clock.stamp())
     await vi.advanceTimersByTimeAsync(100)
     expect(claimant.holds(claim)).toBe(false)
     expect(await Promise.race([claiming, 'waiting'])).toBe('waiting')
