Send no start once the ownership was not confirmed lately

What callers saw: nothing yet; found by reading for 'a process that had been paused acted on a permission that had run out'. Reports, stops and rounds check the ownership, the start after the write of an assignment did not: an owner suspended between the two sent it, and only the deadline on the worker's clock and the worker's fence stood against it. Change: the run is released instead. Evidence: the new case of the session's tests is red without the change.

--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -243,6 +243,10 @@
       this.host.onRunReleased(run, 'stopped before it was started')
       return
     }
+    if (!this.host.mayAct()) {
+      this.host.onRunReleased(run, 'ownership not confirmed lately')
+      return
+    }
     run.state = RunState.Starting
     // The deadline of a start also extends the lease.
     const deadlineMs = this.lease.grant(START_VALIDITY_MS)
--- a/packages/control/test/owner/session.spec.ts
+++ b/packages/control/test/owner/session.spec.ts
@@ -20,6 +20,8 @@
   readonly released: string[]
   readonly unknownRuns: string[]
   readonly endedRuns: EndedRun[]
+  /** Whether the store has confirmed the ownership lately. */
+  mayAct: boolean
   /** Result of writing ended runs to the journal; resolves immediately unless a test replaces it. */
   journal: Promise<boolean>
 }
@@ -37,7 +39,7 @@
     leaseMs: LEASE_MS,
     fleet,
     clock,
-    mayAct: () => true,
+    mayAct: () => harness.mayAct,
     onRunsEnded: async (_, ended) => { endedRuns.push(...ended); return await harness.journal },
     onUnknownRun: (_, task) => { unknownRuns.push(task) },
     onAdopted: () => {},
@@ -55,7 +57,9 @@
   Object.assign(task, { stage: Stage.Assigned, run: 1, worker: 'w1', born: 10 })
   const run = new Run(entry, task, 1, session, chargeOf(entry.job.steps[0]!), '', clock.now())
   ledger.add(run)
-  const harness: Harness = { clock, fleet, session, run, lost, released, unknownRuns, endedRuns, journal: Promise.resolve(true) }
+  const harness: Harness = {
+    clock, fleet, session, run, lost, released, unknownRuns, endedRuns, mayAct: true, journal: Promise.resolve(true)
+  }
   return harness
 }
 
@@ -141,6 +145,14 @@
     expect([fleet.started, released]).toEqual([[], ['stopped before it was started']])
   })
 
+  // Guards against an owner that is suspended after it has written an assignment, and sends the start when another node may own the cell.
+  it('does not start a run once its ownership was not confirmed lately', async () => {
+    const harness = createHarness()
+    harness.mayAct = false
+    await harness.session.start(harness.run)
+    expect([harness.fleet.started, harness.released]).toEqual([[], ['ownership not confirmed lately']])
+  })
+
   it.each([
     ['a later start time', 20, 1],
     ['the same start time', 10, 0],
