Find a node with the store past nodes that lack it too

Cause: a call is relayed through three nodes at most, always the same first ones; these were the three others without the store. Ruled out: the election. The owner was connected to all nodes, so none had reason to claim. Change: nodes whose last call failed are tried last, and up to eight refusals that come at once do not count as attempts.

--- a/packages/control/src/membership/relay.ts
+++ b/packages/control/src/membership/relay.ts
@@ -8,8 +8,10 @@
 import { isOutage, type StoreAccess } from './access.js'
 import type { Links } from './links.js'
 
-/** Maximum number of nodes that are tried for one call. */
+/** Maximum number of nodes that are tried for one call, without those that refuse at once. */
 const MAX_RELAY_ATTEMPTS = 3
+/** Maximum number of nodes that refuse one call at once, because the store is unavailable to them too or they are busy. */
+const MAX_RELAY_REFUSALS = 8
 /**
  * Added to the timeout of a relayed read: time for a page of the store over the link of a node that may be narrow. A node that stops
  * answering is noticed earlier, by the heartbeats of its connection.
@@ -30,6 +32,8 @@
 export class StoreRelay {
   /** Node that relayed the last successful call; empty if there is none. */
   private lastRelayNode = ''
+  /** Nodes whose last call failed, the oldest failure first. They are tried after all others. */
+  private readonly failedNodes = new Set<string>()
 
   constructor (
     private readonly links: Pick<Links, 'ask' | 'connected'>,
@@ -46,45 +50,65 @@
    */
   async call (call: StoreCall, timeoutMs: number): Promise<Result<StoreAnswer, StoreFailure>> {
     let attempts = 0
+    let refusals = 0
     let failure = StoreFailure.Refused
     const totalTimeoutMs = timeoutMs + ('read' in call ? call.read.waitMs : 0) + ('append' in call ? 0 : PAGE_TRANSFER_MS)
     for (const name of this.candidates(call)) {
-      if (attempts++ >= MAX_RELAY_ATTEMPTS) break
+      if (attempts >= MAX_RELAY_ATTEMPTS || refusals >= MAX_RELAY_REFUSALS) break
       const answer = await this.links.ask(name, { kind: MessageKind.Relay, ...call } as Relay, totalTimeoutMs)
       if (answer.isErr()) {
+        this.recordFailure(name)
+        const refusedAtOnce = answer.error.execution === Execution.NotRun && answer.error.reason !== Reason.ConnectionLost
+        if (refusedAtOnce) refusals++
+        else attempts++
         if (answer.error.execution !== Execution.NotRun) failure = StoreFailure.NoAnswer
         continue
       }
+      attempts++
       const relayed = answer.value as Relayed
       if (relayed.failure === undefined) {
+        this.failedNodes.delete(name)
         this.lastRelayNode = name
         return ok(relayed.answer!)
       }
       if (!isOutage(relayed.failure)) return err(relayed.failure)
+      this.recordFailure(name)
       // A refusal by the node just tried says nothing about the call's outcome on the nodes tried before.
       if (relayed.failure === StoreFailure.NoAnswer) failure = StoreFailure.NoAnswer
     }
     return err(failure)
   }
 
+  private recordFailure (name: string): void {
+    this.failedNodes.delete(name)
+    this.failedNodes.add(name)
+  }
+
   /**
-   * Returns the node that relayed the last successful call, then the owner, the connected nodes and all others. The owner is the last
-   * one for the newest records, whose pages would delay its own calls.
+   * Returns the node that relayed the last successful call, then the owner, the connected nodes, all others, and the nodes whose last
+   * call failed. The owner comes after them for the newest records, whose pages would delay its own calls.
    */
   private candidates (call: StoreCall): Set<string> {
     const nodes = this.relayNodes()
     const owner = nodes[0] ?? ''
     const names = new Set([this.lastRelayNode, owner, ...this.links.connected(), ...nodes])
-    if ('newest' in call) {
-      names.delete(owner)
-      names.add(owner)
+    for (const node of this.failedNodes) {
+      // A node that has left the cell is forgotten.
+      if (!names.has(node)) this.failedNodes.delete(node)
+      moveLast(names, node)
     }
+    if ('newest' in call) moveLast(names, owner)
     names.delete(this.node)
     names.delete('')
     return names
   }
 }
 
+/** Moves a name behind all others, if it is among them. */
+function moveLast (names: Set<string>, name: string): void {
+  if (names.delete(name)) names.add(name)
+}
+
 /** Serves the calls to the store that other nodes relay through this one. */
 export class RelayServer {
   private newestCalls = 0
