Ask the advisor first about workers that can start the step, and no more than its tasks need

What callers saw: on an upstream of 245 to 274 workers every step asked about the same first 100, in the order of their sessions. Best fit keeps these full, so a step waited for a second and third call (0.1 to 1.4 s each by the queue's settings) before it could start on the others; and it asked them even when the first answer already placed all of its tasks. Change: a call names workers with free capacity first, until they have six times what the waiting tasks need (30 workers at least); further workers are asked about only for tasks that found no place in the round.

--- a/packages/control/src/owner/advisor-client.ts
+++ b/packages/control/src/owner/advisor-client.ts
@@ -168,15 +168,8 @@
   request (
     step: string, workers: readonly WorkerIncarnation[], settings: AdviceSettings, rank: number, placeable: boolean
   ): void {
+    if (this.reprioritize(step, rank, placeable) || workers.length === 0) return
     const known = this.steps.get(step) ?? this.addStep(step)
-    if (known.pending) {
-      const { queued } = known
-      if (queued === undefined) return
-      queued.rank = rank
-      queued.placeable = placeable
-      return
-    }
-    if (workers.length === 0) return
     known.pending = true
     // The answer applies to the incarnations of now.
     const named = workers.slice(0, MAX_WORKERS_PER_CALL).map(({ id, born }) => ({ id, born }))
@@ -186,6 +179,18 @@
     this.sendQueued()
   }
 
+  /**
+   * Gives a queued request for a step a new rank and a new value of `placeable`.
+   *
+   * @returns true if a request for the step is queued or in flight, so that another one has no effect
+   */
+  reprioritize (step: string, rank: number, placeable: boolean): boolean {
+    const known = this.steps.get(step)
+    if (known?.pending !== true) return false
+    if (known.queued !== undefined) Object.assign(known.queued, { rank, placeable })
+    return true
+  }
+
   /** Marks a ticket as expired after a worker refused it, so that a new one is requested. */
   expire (step: string, worker: string): void {
     const known = this.steps.get(step)
--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -8,6 +8,7 @@
 import type { Configuration, Queue, Workspace } from '../model/configuration.js'
 import { splitTask } from '../model/worker.js'
 import type { UnplacedStep } from '../place/admission.js'
+import { chooseWorkersToAsk } from '../place/advice.js'
 import { fitGang, fitTask, type PlacementSettings } from '../place/fit.js'
 import { dominantShareOf, headroomOf } from '../place/limit.js'
 import { UrgentDemand } from '../place/reserve.js'
@@ -166,11 +167,11 @@
     const allowed = mayUseReserve(ranked, pool) ? withinLimit : pool.countOutsideReserve(charge, withinLimit)
     if (allowed === 0 || (step.gang && allowed < step.count)) return
     const workers = this.permittedWorkers.find(readyStep, pool, ranked.queue?.advice !== undefined)
-    this.askAboutUnknown(ranked, workers, pool)
     const { permitted } = workers
-    if (permitted.length === 0) return
-    const chosen = pool.mayFit(charge) ? this.choose(ranked, waiting, allowed, permitted) : []
+    const chosen = permitted.length > 0 && pool.mayFit(charge) ? this.choose(ranked, waiting, allowed, permitted) : []
     const unplaced = allowed - chosen.length
+    if (unplaced > 0) this.askAboutUnknown(ranked, unplaced, workers, pool)
+    if (permitted.length === 0) return
     if (unplaced > 0) {
       this.recordUnplaced(ranked, unplaced, pool)
       round.reclaimer.freeCapacityFor(ranked, unplaced, pool, permitted, chosen)
@@ -274,13 +275,16 @@
     return chosen
   }
 
-  /** Asks the advisor about the workers that it has not been asked about. */
-  private askAboutUnknown (ranked: RankedStep, { unknown, unknownWorkers }: PermittedWorkers, pool: Pool): void {
+  /** Asks the advisor about workers that it has not been asked about, for tasks that no permitted worker can take. */
+  private askAboutUnknown (ranked: RankedStep, unplaced: number, { unknown }: PermittedWorkers, pool: Pool): void {
+    const { advisorClient } = this.options
     const { readyStep, queue, rank } = ranked
     if (unknown.length === 0 || queue?.advice === undefined) return
     const { charge } = readyStep
     const hasFreeCapacity = pool.mayFit(charge) && unknown.some((candidate) => fitsResources(charge, candidate.free))
-    this.options.advisorClient.request(readyStep.name, unknownWorkers, queue.advice, rank, hasFreeCapacity)
+    if (advisorClient.reprioritize(readyStep.name, rank, hasFreeCapacity)) return
+    const sessions = chooseWorkersToAsk(charge, unplaced, unknown).map(({ session }) => session)
+    advisorClient.request(readyStep.name, sessions, queue.advice, rank, hasFreeCapacity)
   }
 
   private ticketStatus ({ readyStep, queue }: RankedStep, { session }: PoolCandidate): TicketStatus {
--- a/packages/control/src/owner/permitted-workers.ts
+++ b/packages/control/src/owner/permitted-workers.ts
@@ -4,7 +4,7 @@
  */
 import type { Step } from '../model/job.js'
 import { isEligible } from '../place/fit.js'
-import type { AdvisorClient, WorkerIncarnation } from './advisor-client.js'
+import type { AdvisorClient } from './advisor-client.js'
 import type { PoolCandidate } from './candidates.js'
 import type { Pool } from './pool.js'
 import type { ReadyStep } from './ready-step.js'
@@ -14,8 +14,6 @@
   readonly permitted: readonly PoolCandidate[]
   /** Candidates that the advisor has not been asked about. */
   readonly unknown: readonly PoolCandidate[]
-  /** The incarnations of the unknown candidates. */
-  readonly unknownWorkers: readonly WorkerIncarnation[]
 }
 
 interface Eligible {
@@ -29,7 +27,6 @@
   readonly revision: number
 }
 
-const NOTHING_UNKNOWN = { unknown: [], unknownWorkers: [] }
 /** Stands for the revision of the advice for a step that needs none. */
 const NO_ADVICE = -1
 
@@ -51,7 +48,7 @@
     const revision = advised ? this.advisorClient.revisionOf(readyStep.name) : NO_ADVICE
     const known = this.known.get(readyStep.identity)
     if (known !== undefined && known.eligible === eligible && known.revision === revision) return known
-    const found = advised ? this.findAdvised(readyStep.name, eligible) : { permitted: eligible.candidates, ...NOTHING_UNKNOWN }
+    const found = advised ? this.findAdvised(readyStep.name, eligible) : { permitted: eligible.candidates, unknown: [] }
     const result = { ...found, eligible, revision }
     this.known.set(readyStep.identity, result)
     return result
@@ -64,7 +61,7 @@
       if (this.advisorClient.hasTicket(step, candidate.id)) permitted.push(candidate)
       else if (!this.advisorClient.wasAsked(step, candidate.id)) unknown.push(candidate)
     }
-    return { permitted, unknown, unknownWorkers: unknown.map(({ session }) => session) }
+    return { permitted, unknown }
   }
 
   private eligibleOf (step: Step, pool: Pool): Eligible {
--- a/packages/control/test/owner/dispatcher.spec.ts
+++ b/packages/control/test/owner/dispatcher.spec.ts
@@ -8,6 +8,7 @@
 import { ReadySteps } from '../../src/owner/ready-step.js'
 import { Dispatcher, type Decisions } from '../../src/owner/dispatcher.js'
 import { Ledger } from '../../src/owner/ledger.js'
+import { Run } from '../../src/owner/run.js'
 import { Session, type SessionHost } from '../../src/owner/session.js'
 import type { UnplacedStep } from '../../src/place/admission.js'
 import { endJob } from '../../src/owner/run-end.js'
@@ -90,6 +91,13 @@
     }
   }
 
+  /** Fills a worker with a run. */
+  occupy (id: string): void {
+    const entry = new JobEntry(createJob({ id: `f${id}`.padStart(16, '0'), steps: [createStep({ size: CAPACITY })] }))
+    const session = this.sessions.get(id)!
+    this.ledger.add(new Run(entry, entry.task(0, 0, 0), 1, session, CAPACITY, '', this.clock.now()))
+  }
+
   /** Applies a newer registry entry of a worker. */
   update (id: string, fields: Partial<Worker>): void {
     this.sessions.get(id)!.update(createWorker({ id, capacity: CAPACITY, ...fields }))
@@ -195,6 +203,42 @@
   })
 })
 
+describe('a step on an upstream with more workers than one call of the advisor names', () => {
+  const names = (from: number, through: number): string[] => Array.from({ length: through - from + 1 }, (_, index) => `w${from + index}`)
+
+  // Guards against steps that all ask about the same first workers, which are full, while others have free capacity.
+  it.each([
+    ['about workers with free capacity only', 120, 2, [...names(121, 150)]],
+    ['about workers with free capacity first, and about full ones if there are not enough', 140, 2, [...names(141, 150), ...names(1, 90)]],
+    ['about more workers for more tasks', 0, 40, names(1, 60)],
+    ['about a bounded number of workers', 0, 2, names(1, 30)]
+  ])('asks %s', async (_, full, tasks, expected) => {
+    await harness.addWorkers(150)
+    for (const id of names(1, full)) harness.occupy(id)
+    harness.accept({ queue: 'advised' }, tasks)
+    harness.runRounds(1)
+    expect(harness.asked).toEqual([expected])
+  })
+
+  it('asks no second time if the permitted workers take all of its tasks', async () => {
+    await harness.addWorkers(150)
+    harness.accept({ queue: 'advised' }, 8)
+    harness.runRounds(1)
+    await harness.grant(['w1', 'w2'])
+    expect(harness.runRounds(1).assignments).toHaveLength(8)
+    expect(harness.asked).toHaveLength(1)
+  })
+
+  it('asks about further workers if the permitted ones do not take all of its tasks', async () => {
+    await harness.addWorkers(150)
+    harness.accept({ queue: 'advised' }, 8)
+    harness.runRounds(1)
+    await harness.grant(['w1'])
+    expect(harness.runRounds(1).assignments).toHaveLength(4)
+    expect(harness.asked.at(-1)).toEqual(names(31, 60))
+  })
+})
+
 describe('a task that has failed', () => {
   it.each([
     ['is placed on another worker', 1, ['w2']],
