Contain an unexpected error to one record, job, step, report or loop

What callers saw: nothing yet; found by reading for 'one malformed message or unexpected error took a whole process down'.

--- a/packages/control/src/journal/job-record.ts
+++ b/packages/control/src/journal/job-record.ts
@@ -2,8 +2,8 @@
  * The compact form of a job's record, in which fields are told apart by their place. Entry nodes send jobs to the owner with named
  * fields, as earlier builds read them; the owner writes the compact form. Both are read.
  */
-import type { Result } from 'neverthrow'
-import type { Job, Step } from '../model/job.js'
+import { err, ok, type Result } from 'neverthrow'
+import { findJobError, type Job, type Step } from '../model/job.js'
 import type { KeyedRecord } from '../ports/store.js'
 import { Subject, decodeValue, encodeValue, splitKey } from './record.js'
 
@@ -37,14 +37,22 @@
 }
 
 /**
- * Decodes the record of a job, in either form.
+ * Decodes the record of a job, in either form. The job is validated, since a job that cannot be handled would stop every owner.
  *
  * @param key key of the record
  * @param value bytes of the value
  * @returns the job, or a sentence that explains why it cannot be decoded
  */
 export function decodeJob (key: string, value: Buffer): Result<Job, string> {
-  return decodeValue<Job | JobRow>(value).map((decoded) => isRow(decoded) ? jobOfRow(splitKey(key).name, decoded) : decoded)
+  return decodeValue<Job | JobRow>(value).andThen((decoded) => {
+    try {
+      const job = isRow(decoded) ? jobOfRow(splitKey(key).name, decoded) : decoded
+      const mistake = findJobError(job)
+      return mistake === undefined ? ok(job) : err(mistake)
+    } catch (error) {
+      return err(`The value is not a job: ${String(error)}`)
+    }
+  })
 }
 
 function isRow (decoded: Job | JobRow): decoded is JobRow {
--- a/packages/control/src/journal/journal-state.ts
+++ b/packages/control/src/journal/journal-state.ts
@@ -186,11 +186,12 @@
   ownerClaim: OwnerClaim | undefined
   /** Number of records of any owner that have been read. Only its change is used; a deferred record counts twice. */
   ownerRecordCount = 0
-  /** Number of records that could not be decoded. */
-  undecodableCount = 0
   /** Cancellations and progress of jobs that are not known yet, by job id. */
   private readonly deferred = new Map<string, StoredRecord[]>()
 
+  /** @param onRejected called with the key of a record that cannot be applied, and the reason. The record is passed over */
+  constructor (private readonly onRejected: (key: string, reason: string) => void = () => {}) {}
+
   /**
    * Applies a record. Records may be applied more than once and out of order. A final phase does not change any more.
    * While the phase is not final, an older progress record replaces newer progress until the newer record is applied again.
@@ -199,6 +200,14 @@
    * @param ownEpoch epoch of this node's ownership, or 0. An owner does not apply progress records, since it wrote them itself
    */
   apply (record: StoredRecord, ownEpoch = 0): void {
+    try {
+      this.applyDecoded(record, ownEpoch)
+    } catch (error) {
+      this.onRejected(record.key, String(error))
+    }
+  }
+
+  private applyDecoded (record: StoredRecord, ownEpoch: number): void {
     const { subject, name } = splitKey(record.key)
     switch (subject) {
       case Subject.Job: return this.applyJob(name, record, ownEpoch)
@@ -220,7 +229,7 @@
     if (this.jobs.has(id)) return
     const job = decodeJob(record.key, record.value)
     if (job.isOk()) this.addJob(new JobEntry(job.value))
-    else this.undecodableCount++
+    else this.onRejected(record.key, job.error)
   }
 
   private addJob (entry: JobEntry): void {
@@ -244,7 +253,7 @@
     if (record.value === undefined) return
     const entry = this.jobs.get(id)
     if (entry === undefined) return this.defer(id, record)
-    const cancellation = this.decode<Cancellation>(record.value)
+    const cancellation = this.decode<Cancellation>(record.key, record.value)
     if (cancellation !== undefined) entry.cancelledMs ||= cancellation.atMs
   }
 
@@ -259,7 +268,7 @@
     const entry = this.jobs.get(id)
     if (entry !== undefined && isFinal(entry.phase)) return
     const decoded = decodeProgress(record.value)
-    if (decoded.isErr()) this.undecodableCount++
+    if (decoded.isErr()) this.onRejected(record.key, decoded.error)
     else if ('queue' in decoded.value) this.applyEnd(id, decoded.value)
     else if (entry === undefined) this.defer(id, record)
     else entry.restore(decoded.value)
@@ -286,13 +295,13 @@
       this.nodes.delete(name)
       return
     }
-    const address = this.decode<NodeAddress>(record.value)
+    const address = this.decode<NodeAddress>(record.key, record.value)
     if (address !== undefined) this.nodes.set(name, address)
   }
 
   private applyOwner (record: StoredRecord): void {
     if (record.value === undefined) return
-    const claim = this.decode<OwnerClaim>(record.value)
+    const claim = this.decode<OwnerClaim>(record.key, record.value)
     if (claim === undefined || (this.ownerClaim !== undefined && claim.epoch <= this.ownerClaim.epoch)) return
     this.ownerClaim = claim
     this.ownerRecordCount++
@@ -304,9 +313,9 @@
     this.deferred.set(id, deferred)
   }
 
-  private decode<T> (value: Buffer): T | undefined {
+  private decode<T> (key: string, value: Buffer): T | undefined {
     const decoded = decodeValue<T>(value)
     if (decoded.isOk()) return decoded.value
-    this.undecodableCount++
+    this.onRejected(key, decoded.error)
   }
 }
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -3,6 +3,7 @@
  * serves callers and follows the journal and the configuration. It owns the cell after a successful claim.
  */
 import { detach } from './detach.js'
+import { supervise } from './supervise.js'
 import { setMaxListeners } from 'node:events'
 import { MessageKind, type Notice, type Request } from '@fireflymount/protocol/message'
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
@@ -105,7 +106,7 @@
   private readonly gatewayServer: GatewayServer
   private readonly journal: Follower
   private readonly configurationFollower: Follower
-  private journalState = new JournalState()
+  private journalState = this.createJournalState()
   /** The state that is being rebuilt from the journal; it replaces `journalState` once it is complete. */
   private nextJournalState: JournalState | undefined
   private configuration: Configuration | undefined
@@ -150,7 +151,7 @@
     this.claimant = new Claimant(this.storeAccess, clock, settings.node, this.incarnation)
     this.journal = new Follower(this.storeAccess, Topic.Journal, {
       onRecord: (record) => { this.applyRecord(record) },
-      onReset: () => { if (this.owner === undefined) this.nextJournalState = new JournalState() },
+      onReset: () => { if (this.owner === undefined) this.nextJournalState = this.createJournalState() },
       onCaughtUp: () => { this.onJournalRead() }
     }, clock, FOLLOWER_READ_INTERVAL_MS)
     this.configurationFollower = new Follower(this.storeAccess, Topic.Configuration, {
@@ -170,10 +171,10 @@
     const { signal } = this.stopController
     const { metrics, log, clock } = this.options
     observeEventLoop(metrics, log, clock, signal)
-    detach(this.configurationFollower.run(signal))
-    detach(this.followJournal())
+    detach(supervise('configuration', () => this.configurationFollower.run(signal), signal, log))
+    detach(supervise('journal', () => this.followJournal(), signal, log))
     detach(this.registration.write())
-    detach(this.elect())
+    detach(supervise('election', () => this.elect(), signal, log))
     log.event('node started', { incarnation: this.incarnation, ...this.options.settings })
     return ok(undefined)
   }
@@ -189,6 +190,10 @@
     return this.gatewayServer.open
   }
 
+  private createJournalState (): JournalState {
+    return new JournalState((key, reason) => { this.options.log.event('journal record rejected', { key, mistake: reason }) })
+  }
+
   /** Makes the node not ready for new callers, takes no new commands of the owner on another node, and asks other nodes to take over the ownership. Requests in flight continue. */
   async drain (): Promise<void> {
     this.draining = true
@@ -415,7 +420,10 @@
     this.addressCollector = new AddressCollector(clock)
     this.handover = new Handover(clock)
     log.event('ownership taken', { epoch, jobs: this.journalState.jobs.size, runs: owner.ledger.size })
-    owner.run().then(() => { if (this.owner === owner) this.dropOwnership('superseded') }, (error: unknown) => { throw error })
+    owner.run().then(() => { if (this.owner === owner) this.dropOwnership('superseded') }, (error: unknown) => {
+      log.event('owner failed', { epoch, error: describeError(error) })
+      if (this.owner === owner) this.dropOwnership('failed')
+    })
   }
 
   /** Connects to the nodes that are to call the workers, without waiting until they notice the new owner. */
@@ -444,7 +452,7 @@
     this.options.log.event('ownership lost', { epoch: this.owner?.epoch, reason })
     this.owner?.close()
     this.owner = undefined
-    this.nextJournalState = new JournalState()
+    this.nextJournalState = this.createJournalState()
     this.journal.restart()
   }
 
--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -66,6 +66,8 @@
   /** Ids of the jobs beyond the rate of their workspace. */
   readonly overRateJobs: ReadonlySet<string>
   readonly slownessOf: (session: Session) => number
+  /** Called with an unexpected error in the placement of a step, which is passed over in this round. */
+  readonly onStepFailed: (step: string, error: unknown) => void
 }
 
 /** The state of one round. */
@@ -101,7 +103,13 @@
   round (): Decisions {
     const round = this.startRound()
     this.unplacedSteps.clear()
-    for (const ranked of round.rankedSteps) this.place(ranked, this.poolOf(ranked, round), round)
+    for (const ranked of round.rankedSteps) {
+      try {
+        this.place(ranked, this.poolOf(ranked, round), round)
+      } catch (error) {
+        this.options.onStepFailed(ranked.readyStep.name, error)
+      }
+    }
     return { assignments: round.assignments, preemptions: round.reclaimer.preemptions }
   }
 
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -10,6 +10,7 @@
 import type { Execution, Refusal } from '@fireflymount/protocol/refusal'
 import type { Result } from 'neverthrow'
 import { detach } from '../detach.js'
+import { supervise } from '../supervise.js'
 import { sleep, type Clock, type Stamp } from '../clock.js'
 import { Follower } from '../journal/follower.js'
 import { Stage, UNKNOWN_OFFSET, splitKey } from '../journal/record.js'
@@ -24,7 +25,7 @@
 import { Topic, type KeyedRecord, type Store } from '../ports/store.js'
 import { JobStatistics } from '../report/job-statistics.js'
 import { StartLog } from '../report/start-log.js'
-import type { Log } from '../report/log.js'
+import { describeError, type Log } from '../report/log.js'
 import type { Metrics } from '../report/metrics.js'
 import { SpeedEstimator } from '../place/speed.js'
 import { AdvisorClient, type AdvisorCall, type FinishedCall } from './advisor-client.js'
@@ -165,7 +166,8 @@
       settings: options.settings,
       notBeforeMs: this.notBeforeMs,
       overRateJobs: this.overRateJobs,
-      slownessOf: (session) => this.speeds.slownessOf(session.id)
+      slownessOf: (session) => this.speeds.slownessOf(session.id),
+      onStepFailed: (step, error) => { log.event('step failed unexpectedly', { step, error: describeError(error) }) }
     })
     this.assigner = new Assigner({
       ledger: this.ledger,
@@ -210,16 +212,19 @@
     this.host = this.createHost()
     const entries = [...journalState.jobs.values()].sort((left, right) => left.job.acceptedMs - right.job.acceptedMs)
     for (const entry of entries) {
-      this.admissionController.countAgainstRate(entry)
-      this.restoreJob(entry)
+      this.contain(entry, () => {
+        this.admissionController.countAgainstRate(entry)
+        this.restoreJob(entry)
+      })
     }
   }
 
   /** Runs until the owner is superseded or closed. */
   async run (): Promise<void> {
     const { signal } = this.stopController
-    detach(this.registryFollower.run(signal))
-    detach(this.tickUntilStopped())
+    const { log } = this.options
+    detach(supervise('worker registry', () => this.registryFollower.run(signal), signal, log))
+    detach(supervise('tick', () => this.tickUntilStopped(), signal, log))
     // Candidates see from this append, before any worker is adopted, that the owner lives.
     detach(this.writer.commit(new Map()))
     await this.writer.run(signal)
@@ -266,12 +271,23 @@
   onJob (id: string): void {
     const entry = this.options.journalState.jobs.get(id)
     if (entry === undefined || isFinal(entry.phase)) return
-    this.admissionController.countAgainstRate(entry)
-    if (entry.cancelledMs > 0) this.cancel(entry)
-    this.readySteps.refresh(entry)
+    this.contain(entry, () => {
+      this.admissionController.countAgainstRate(entry)
+      if (entry.cancelledMs > 0) this.cancel(entry)
+      this.readySteps.refresh(entry)
+    })
     this.requestRound()
   }
 
+  /** Limits an unexpected error to one job, whose tasks are not placed then. */
+  private contain ({ job }: JobEntry, handle: () => void): void {
+    try {
+      handle()
+    } catch (error) {
+      this.options.log.event('job failed unexpectedly', { job: job.id, error: describeError(error) })
+    }
+  }
+
   private cancel (entry: JobEntry): void {
     const nowMs = this.options.clock.wall()
     const runs = [...this.ledger.runsOf(entry)].length
@@ -390,6 +406,9 @@
       },
       onReachabilityChange: (session, reachable, failure) => { this.onReachabilityChange(session, reachable, failure) },
       onReportRequest: () => { options.metrics.reportRequests.inc() },
+      onReportFailed: (session, error) => {
+        options.log.event('report failed unexpectedly', { worker: session.id, error: describeError(error) })
+      },
       onStopConfirmed: (run, tookMs) => {
         options.metrics.stopSeconds.observe(tookMs / 1000)
         if (tookMs < LOGGED_STOP_MS) return
--- a/packages/control/src/owner/run-end-handler.ts
+++ b/packages/control/src/owner/run-end-handler.ts
@@ -12,7 +12,7 @@
 import type { SpeedEstimator } from '../place/speed.js'
 import { WorkerFailure } from '../ports/fleet.js'
 import type { JobStatistics } from '../report/job-statistics.js'
-import type { Log } from '../report/log.js'
+import { describeError, type Log } from '../report/log.js'
 import type { Metrics } from '../report/metrics.js'
 import type { AdvisorClient } from './advisor-client.js'
 import type { JournalCommitter } from './journal-committer.js'
@@ -59,16 +59,23 @@
 export class RunEndHandler {
   constructor (private readonly options: RunEndHandlerOptions) {}
 
-  /** Applies ended runs. Resolves to true once the changes are in the journal. */
+  /** Applies ended runs. Resolves to true once all changes are in the journal, and to false if one could not be applied or written. */
   async handleRunEnds (session: Session, endedRuns: readonly EndedRun[]): Promise<boolean> {
     const changed = new Set<JobEntry>()
+    let complete = true
     for (const endedRun of endedRuns) {
-      const entry = this.handleRunEnd(session, endedRun)
-      if (entry !== undefined) changed.add(entry)
+      try {
+        const entry = this.handleRunEnd(session, endedRun)
+        if (entry !== undefined) changed.add(entry)
+      } catch (error) {
+        complete = false
+        const { task, run } = endedRun
+        this.options.log.event('run end failed unexpectedly', { task, run, worker: session.id, error: describeError(error) })
+      }
     }
     this.options.requestRound()
-    if (changed.size === 0) return true
-    return await this.options.committer.commitJobs([...changed])
+    const written = changed.size === 0 || await this.options.committer.commitJobs([...changed])
+    return written && complete
   }
 
   private handleRunEnd (session: Session, ended: EndedRun): JobEntry | undefined {
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -65,6 +65,8 @@
   readonly onReachabilityChange: (session: Session, reachable: boolean, failure: WorkerFailure | undefined) => void
   /** Called before each report request, whether or not it renews the lease. */
   readonly onReportRequest: () => void
+  /** Called with an unexpected error in the handling of a report, which counts as not answered. */
+  readonly onReportFailed: (session: Session, error: unknown) => void
   /** Called when the worker has confirmed the stop of a run. */
   readonly onStopConfirmed: (run: Run, tookMs: number) => void
 }
@@ -326,8 +328,16 @@
     })
     this.resolveFirstReport()
     if (this.stopController.signal.aborted) return
-    if (report.isOk()) this.handleReport(report.value)
-    else this.handleFailure(report.error)
+    if (report.isErr()) {
+      this.handleFailure(report.error)
+      return
+    }
+    try {
+      this.handleReport(report.value)
+    } catch (error) {
+      this.host.onReportFailed(this, error)
+      this.handleFailure(WorkerFailure.Invalid)
+    }
   }
 
   /**
--- a/packages/control/test/cluster/cluster.ts
+++ b/packages/control/test/cluster/cluster.ts
@@ -6,6 +6,7 @@
 import { SystemClock } from '../../src/clock.js'
 import type { AuthorizedRequest } from '../../src/entry/job-service.js'
 import type { Configuration } from '../../src/model/configuration.js'
+import type { Phase } from '../../src/model/job.js'
 import type { Worker } from '../../src/model/worker.js'
 import { Node } from '../../src/node.js'
 import { AdviceFailure } from '../../src/ports/advisor.js'
@@ -132,6 +133,11 @@
     return (await node.jobService.submit(REQUEST, submission, BUDGET_MS)).isOk()
   }
 
+  /** Returns the phase of a job as callers see it; undefined if the lookup is refused. */
+  async phase (node: Node, id: string): Promise<Phase | undefined> {
+    return (await node.jobService.lookup(REQUEST, id)).unwrapOr(undefined)
+  }
+
   /** Cancels a job. Resolves to true once the cancellation is stored. */
   async cancel (node: Node, id: string): Promise<boolean> {
     return (await node.jobService.cancel(REQUEST, id, BUDGET_MS)).isOk()
--- a/packages/control/test/owner/adoption.spec.ts
+++ b/packages/control/test/owner/adoption.spec.ts
@@ -56,6 +56,7 @@
     onFenced: () => {},
     onReachabilityChange: () => {},
     onReportRequest: () => {},
+    onReportFailed: () => {},
     onStopConfirmed: () => {}
   }
   const session = new Session(createWorker({ id }), host)
--- a/packages/control/test/owner/dispatcher.spec.ts
+++ b/packages/control/test/owner/dispatcher.spec.ts
@@ -59,7 +59,8 @@
       settings: { farFactor: 2, stopMs: 200 },
       notBeforeMs: new Map(),
       overRateJobs: this.overRateJobs,
-      slownessOf: () => 1
+      slownessOf: () => 1,
+      onStepFailed: (_, error) => { throw error }
     })
   }
 
@@ -82,6 +83,7 @@
       onFenced: ignore,
       onReachabilityChange: ignore,
       onReportRequest: ignore,
+      onReportFailed: ignore,
       onStopConfirmed: ignore
     }
     for (let index = 1; index <= count; index++) {
--- a/packages/control/test/owner/garbage-collector.spec.ts
+++ b/packages/control/test/owner/garbage-collector.spec.ts
@@ -75,6 +75,7 @@
       onFenced: () => {},
       onReachabilityChange: () => {},
       onReportRequest: () => {},
+      onReportFailed: () => {},
       onStopConfirmed: () => {}
     }
     const session = new Session(createWorker({ clockMs: WORKER_CLOCK_MS }), host)
--- a/packages/control/test/owner/session.spec.ts
+++ b/packages/control/test/owner/session.spec.ts
@@ -22,6 +22,8 @@
   readonly endedRuns: EndedRun[]
   /** Whether the store has confirmed the ownership lately. */
   mayAct: boolean
+  /** Number of reports that could not be handled. */
+  failed: number
   /** Result of writing ended runs to the journal; resolves immediately unless a test replaces it. */
   journal: Promise<boolean>
 }
@@ -49,6 +51,7 @@
     onFenced: () => {},
     onReachabilityChange: () => {},
     onReportRequest: () => {},
+    onReportFailed: () => { harness.failed++ },
     onStopConfirmed: () => {}
   }
   const session = new Session(createWorker(), host)
@@ -58,7 +61,7 @@
   const run = new Run(entry, task, 1, session, chargeOf(entry.job.steps[0]!), '', clock.now())
   ledger.add(run)
   const harness: Harness = {
-    clock, fleet, session, run, lost, released, unknownRuns, endedRuns, mayAct: true, journal: Promise.resolve(true)
+    clock, fleet, session, run, lost, released, unknownRuns, endedRuns, mayAct: true, failed: 0, journal: Promise.resolve(true)
   }
   return harness
 }
@@ -145,6 +148,19 @@
     expect([fleet.started, released]).toEqual([[], ['stopped before it was started']])
   })
 
+  // Guards against a process that ends because the report of one worker cannot be handled.
+  it('treats a worker whose report cannot be handled as unreachable, until one can be', async () => {
+    const harness = createHarness()
+    const { fleet, session } = harness
+    let endedRuns: unknown = [null]
+    fleet.onReportRequest = async () => ok(report({ ended: endedRuns as EndedRun[] }))
+    await session.requestReportNow()
+    expect([session.reachable, harness.failed]).toEqual([false, 1])
+    endedRuns = []
+    await session.requestReportNow()
+    expect([session.reachable, harness.failed]).toEqual([true, 1])
+  })
+
   // Guards against an owner that is suspended after it has written an assignment, and sends the start when another node may own the cell.
   it('does not start a run once its ownership was not confirmed lately', async () => {
     const harness = createHarness()
