--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -32,6 +32,7 @@
 import type { Machines } from './ports/machines.js'
 import { Topic, type KeyedRecord, type StoreClient, type StoredRecord } from './ports/store.js'
 import { observeEventLoop } from './report/event-loop.js'
+import { applySettings, type SettingsChange } from './settings/settings-change.js'
 import { describeError, type Log } from './report/log.js'
 import type { Metrics } from './report/metrics.js'
 
@@ -80,8 +81,12 @@
   readonly configurationAgeMaxMs: number
 }
 
+/** Settings of a node that can change while it runs. */
+const CHANGEABLE_SETTINGS: ReadonlyArray<keyof NodeSettings> = ['farFactor', 'stopMs', 'keptMs', 'configurationAgeMaxMs']
+
 /** Dependencies and settings of a node. */
 export interface NodeOptions {
+  /** Changed by `Node.applySettings`. */
   readonly settings: NodeSettings
   readonly store: StoreClient
   readonly fleet: Fleet
@@ -179,6 +184,11 @@
     return ok(undefined)
   }
 
+  /** Applies new settings as far as they can change while the node runs. */
+  applySettings (settings: NodeSettings): SettingsChange {
+    return applySettings(this.options.settings, settings, CHANGEABLE_SETTINGS)
+  }
+
   /** True if the node can serve callers. */
   ready (): boolean {
     if (this.draining || this.configuration === undefined || this.journal.offset === undefined) return false
@@ -224,7 +234,7 @@
     return new JobService({
       configuration: () => this.configuration,
       configurationFreshAt: () => this.configurationFollower.freshAt,
-      configurationAgeMaxMs: settings.configurationAgeMaxMs,
+      get configurationAgeMaxMs () { return settings.configurationAgeMaxMs },
       journalState: () => this.journalState,
       store: this.storeAccess,
       catchUp: async () => { await this.journal.catchUp() },
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -206,7 +206,7 @@
       sessions: this.sessions,
       speeds: this.speeds,
       clock,
-      stopMs: options.settings.stopMs,
+      get stopMs () { return options.settings.stopMs },
       log
     })
     this.host = this.createHost()
--- a/packages/control/test/cluster/cluster.ts
+++ b/packages/control/test/cluster/cluster.ts
@@ -8,7 +8,7 @@
 import type { Configuration } from '../../src/model/configuration.js'
 import type { Phase } from '../../src/model/job.js'
 import type { Worker } from '../../src/model/worker.js'
-import { Node } from '../../src/node.js'
+import { Node, type NodeSettings } from '../../src/node.js'
 import { AdviceFailure } from '../../src/ports/advisor.js'
 import { Formats } from '../../src/ports/formats.js'
 import { StoreClient, Topic, type StoreAnswer, type StoreCall, type StoreFailure } from '../../src/ports/store.js'
@@ -88,6 +88,8 @@
   readonly workers: SimulatedWorkers
   readonly store = new FakeStore()
   readonly nodes: Node[] = []
+  /** Settings by node. */
+  readonly settings = new Map<string, NodeSettings>()
   readonly events: LoggedEvent[] = []
 
   constructor (workerCount: number) {
@@ -98,19 +100,21 @@
 
   async start (specifications: readonly NodeSpecification[]): Promise<void> {
     for (const { name, callMs } of specifications) {
+      const settings: NodeSettings = {
+        node: name,
+        zone: 'z',
+        host: '127.0.0.1',
+        port: await findFreePort(),
+        processorShare: CORE_CALL_MS / callMs,
+        leaseMs: 6000,
+        farFactor: 2,
+        keptMs: 120_000,
+        stopMs: 200,
+        configurationAgeMaxMs: 3500
+      }
+      this.settings.set(name, settings)
       const node = new Node({
-        settings: {
-          node: name,
-          zone: 'z',
-          host: '127.0.0.1',
-          port: await findFreePort(),
-          processorShare: CORE_CALL_MS / callMs,
-          leaseMs: 6000,
-          farFactor: 2,
-          keptMs: 120_000,
-          stopMs: 200,
-          configurationAgeMaxMs: 3500
-        },
+        settings,
         store: new RemoteStore(this.store),
         fleet: new ProcessorBoundFleet(this.workers, name, new Processor(callMs)),
         advisor: { advise: async () => err(AdviceFailure.NoAnswer) },
--- a/packages/control/test/cluster/start.spec.ts
+++ b/packages/control/test/cluster/start.spec.ts
@@ -1,4 +1,6 @@
+import { Reason } from '@fireflymount/protocol/refusal'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import type { Node } from '../../src/node.js'
 import { StoreFailure, Topic, type StoreCall } from '../../src/ports/store.js'
 import { Cluster, waitFor } from './cluster.js'
 
@@ -17,6 +19,26 @@
   return reads
 }
 
+/** Returns why a node refuses a request without a queue. */
+function refusalOf (node: Node): Reason {
+  return node.jobService.authorize('unknown.example', '/', '')._unsafeUnwrapErr().reason
+}
+
+describe('a node whose settings change', () => {
+  // Guards against settings that only new connections, or only the next owner, see after a reload.
+  it('uses those that can change at once, and names those that need a restart', async () => {
+    await cluster.start([{ name: 'a', callMs: 0 }])
+    const [node] = cluster.nodes
+    expect(await waitFor(() => node!.ready(), 5000)).toBe(true)
+    const settings = cluster.settings.get('a')!
+    const change = node!.applySettings({ ...settings, configurationAgeMaxMs: -1, leaseMs: settings.leaseMs + 1 })
+    expect(change).toEqual({ applied: ['configurationAgeMaxMs'], restartRequired: ['leaseMs'] })
+    expect([node!.ready(), refusalOf(node!)]).toEqual([false, Reason.ConfigurationStale])
+    node!.applySettings({ ...settings, configurationAgeMaxMs: 3500 })
+    expect([node!.ready(), refusalOf(node!)]).toEqual([true, Reason.NoSuchQueue])
+  })
+})
+
 describe('a node that starts', () => {
   // Guards against a configuration that waits on a narrow link behind the pages of the journal, while the node refuses all requests.
   it('reads the configuration before it begins to read the journal', async () => {
