Record the expiry of a lease in the stand-in worker at its time, however late it is checked

The stand-in ends the tasks of an expired lease by a timer every 20 ms and recorded the time of the check; the owner's margin is 100 ms. On a machine where that process gets no processor for 82 to 102 ms, its record shows a task for longer than its lease allows. Ruled out by reading: the owner's estimate, which counts from the receipt of the last report and adds the margin. Change: the record has the time of the expiry.

--- a/packages/standin/src/event-history.ts
+++ b/packages/standin/src/event-history.ts
@@ -74,8 +74,12 @@
   /** @param worker the worker's id */
   constructor (private readonly worker: string) {}
 
-  /** Adds an entry with the current time. */
-  add (event: Event, fields: EventFields, boot = this.boot): void {
+  /**
+   * Adds an entry.
+   *
+   * @param agoMs how long ago the event occurred
+   */
+  add (event: Event, fields: EventFields, boot = this.boot, agoMs = 0): void {
     if (this.entries.length >= MAX_ENTRIES) {
       this.dropped += 1
       return
@@ -85,8 +89,8 @@
       event,
       worker: this.worker,
       boot,
-      monotonicMs: Number(process.hrtime.bigint()) / NANOSECONDS_PER_MS,
-      wallMs: Date.now(),
+      monotonicMs: Number(process.hrtime.bigint()) / NANOSECONDS_PER_MS - agoMs,
+      wallMs: Date.now() - agoMs,
       ...fields
     })
   }
--- a/packages/standin/src/standin-worker.ts
+++ b/packages/standin/src/standin-worker.ts
@@ -195,11 +195,11 @@
     runningTask.timer = setTimeout(() => this.finish(runningTask, Event.End, state), remainingMs)
   }
 
-  private finish (runningTask: RunningTask, event: Event, state: TaskState, result?: unknown): void {
+  private finish (runningTask: RunningTask, event: Event, state: TaskState, result?: unknown, agoMs = 0): void {
     clearTimeout(runningTask.timer)
     this.running.delete(runningTask.task.id)
     this.capacityTracker.release(runningTask.task.size)
-    this.history.add(event, { ...this.describe(runningTask), outcome: state })
+    this.history.add(event, { ...this.describe(runningTask), outcome: state }, this.history.boot, agoMs)
     const { behaviour } = runningTask
     const successResult = behaviour.result ?? { echo: behaviour.echo, worker: this.options.id }
     this.reports.add(runningTask.report(state, this.now(), true, state === TaskState.Succeeded ? successResult : result))
@@ -219,11 +219,12 @@
     this.finish(runningTask, Event.Stop, TaskState.Stopped, { checkpoint })
   }
 
-  /** Stops the tasks whose leases have expired. */
+  /** Stops the tasks whose leases have expired, at the time of their expiry: the check may be late if this process was blocked. */
   private expireLeases (): void {
     const now = this.now()
     for (const runningTask of this.running.values()) {
-      if (runningTask.untilMs <= now) this.finish(runningTask, Event.Expire, TaskState.LeaseExpired)
+      const lateMs = now - runningTask.untilMs
+      if (lateMs >= 0) this.finish(runningTask, Event.Expire, TaskState.LeaseExpired, undefined, lateMs)
     }
     for (const [key, untilMs] of this.startedRuns) {
       if (untilMs <= now) this.startedRuns.delete(key)
