Spend less processor time on each node that waits: no rank while no claim is due, no abort signals between two reads

Change: the rank only delays a claim, so it is computed once a claim is due for the first candidate; the wait between reads needs no signal of its own.

--- a/packages/control/src/journal/follower.ts
+++ b/packages/control/src/journal/follower.ts
@@ -60,7 +60,8 @@
   private complete = false
   private rereading: Rereading | undefined
   private rereadInProgress: Promise<Result<void, StoreFailure>> | undefined
-  private intervalAbort: AbortController | undefined
+  /** Ends the wait between two reads. */
+  private endInterval: (() => void) | undefined
 
   constructor (
     private readonly store: Store,
@@ -96,7 +97,7 @@
 
   /** Starts the next read immediately if the follower is waiting between two reads. */
   readNow (): void {
-    this.intervalAbort?.abort()
+    this.endInterval?.()
   }
 
   /** Reads the topic from scratch. */
@@ -117,9 +118,8 @@
   }
 
   private async waitForInterval (ms: number, signal: AbortSignal): Promise<void> {
-    this.intervalAbort = new AbortController()
-    await sleep(ms, AbortSignal.any([signal, this.intervalAbort.signal]))
-    this.intervalAbort = undefined
+    await Promise.race([sleep(ms, signal), new Promise<void>((resolve) => { this.endInterval = resolve })])
+    this.endInterval = undefined
   }
 
   private async read (waitMs: number): Promise<Result<void, StoreFailure>> {
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -379,8 +379,11 @@
     if (this.journal.offset === undefined || this.configuration === undefined || !this.registration.isWritten()) return false
     const { nodes, ownerClaim } = this.journalState
     if (ownerClaim !== undefined && this.claimant.holds(ownerClaim)) return false
+    const view = this.ownerWatch.view(this.storeAccess.meanAnswerMs)
+    // The rank depends on all nodes of the cell, and a claim that is not due for the first candidate is due for none.
+    if (!isClaimDue(view, 0, nowMs)) return false
     const rank = rankOf(this.options.settings.node, nodes.values(), ownerClaim?.node ?? '', this.ownerWatch.hasOwnerReturned())
-    return isClaimDue(this.ownerWatch.view(this.storeAccess.meanAnswerMs), rank, nowMs)
+    return isClaimDue(view, rank, nowMs)
   }
 
   private async claim (): Promise<void> {
