Say in the checker's finding how each run of a task in two places ended

The record did not tell whether the first was stopped, expired or lost, which is what its hypotheses differ in: a stop with a checkpoint that counts as ended at its answer, or a lease whose end the owner computes to the millisecond.

--- a/packages/scenario/src/check/event-histories.ts
+++ b/packages/scenario/src/check/event-histories.ts
@@ -79,7 +79,7 @@
     const index = open.get(name)
     if (index === undefined || !END_EVENTS.has(entry.event)) continue
     open.delete(name)
-    runs[index] = { ...runs[index]!, endedMs: entry.monotonicMs }
+    runs[index] = { ...runs[index]!, endedMs: entry.monotonicMs, ending: entry.event }
   }
   return runs
 }
--- a/packages/scenario/src/check/evidence.ts
+++ b/packages/scenario/src/check/evidence.ts
@@ -5,6 +5,7 @@
  */
 import type { UpperLimit } from '@fireflymount/manifest/manifest'
 import type { Resources } from '@fireflymount/protocol/resources'
+import type { Event } from '@fireflymount/standin/event-history'
 
 /** One run on a worker, as the worker recorded it. */
 export interface Run {
@@ -23,6 +24,8 @@
   readonly startedMs: number
   /** Absent while the run is in progress. */
   readonly endedMs?: number
+  /** How the run ended; absent while it is in progress. */
+  readonly ending?: Event
 }
 
 /** The answer that a caller got for a job or request that it sent. */
--- a/packages/scenario/src/check/invariants.ts
+++ b/packages/scenario/src/check/invariants.ts
@@ -77,7 +77,7 @@
   for (const [task, runs] of groupBy(evidence.runs.filter((run) => !run.isRequest), (run) => run.task)) {
     const overlap = sweepRuns(runs).find((level) => level.count > 1)
     if (overlap === undefined) continue
-    const executions = runs.map((run) => `${run.worker}@${run.startedMs}-${run.endedMs ?? ''}`).join(', ')
+    const executions = runs.map(describeRun).join(', ')
     violations.push({ invariant: Invariant.OnePlace, detail: `${task} ran in two places at the same time: ${executions}` })
   }
   return violations
@@ -213,3 +213,7 @@
 function describeLevel (level: UsageLevel): string {
   return `${level.used.cpuMilli} mCPU, ${level.used.memoryMb} MB, ${level.used.accelerators} accelerators`
 }
+
+function describeRun ({ worker, attempt, startedMs, endedMs, ending }: Run): string {
+  return `${worker}@${startedMs}-${endedMs ?? ''} (attempt ${attempt}, ${ending ?? 'in progress'})`
+}
