Correct the time of a job that was accepted on a clock that has jumped

What callers saw: nothing traced; found by reading. The owner orders jobs by the time that the accepting node stamped. On a node whose clock is 5 s behind, every preview arrives late and is placed after all others while the upstream is full; on one that is ahead it looks early, and its workspace's rate gets no refill until the other clocks have caught up. Change: a job whose time differs from the owner's by more than 2 s gets the owner's time when it is admitted, with a log line; the rate counts no time in the future. Scheduled jobs keep theirs. The record is decoded once for the check and the correction.

--- a/packages/control/src/owner/admission-controller.ts
+++ b/packages/control/src/owner/admission-controller.ts
@@ -4,11 +4,13 @@
  */
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
+import type { Clock } from '../clock.js'
 import { compactJob, decodeJob } from '../journal/job-record.js'
-import { Subject, splitKey } from '../journal/record.js'
+import { Subject, encodeJob, splitKey } from '../journal/record.js'
 import type { JobEntry, JournalState } from '../journal/journal-state.js'
 import type { Writer } from '../journal/writer.js'
 import type { Configuration } from '../model/configuration.js'
+import type { Job } from '../model/job.js'
 import { findRetryAfterMs } from '../place/admission.js'
 import { RateTracker } from '../place/rate.js'
 import type { KeyedRecord } from '../ports/store.js'
@@ -19,6 +21,12 @@
 /** Time after which callers are told to retry while the store is unavailable. */
 const STORE_UNAVAILABLE_RETRY_AFTER_MS = 1000
 
+/**
+ * A job whose time of acceptance differs by more than this from the owner's clock was accepted on a clock that has jumped. A record
+ * that is forwarded takes less than a second to the owner.
+ */
+const MAX_CLOCK_DIFFERENCE_MS = 2000
+
 /** Dependencies of the admission controller. */
 export interface AdmissionControllerOptions {
   readonly journalState: JournalState
@@ -26,6 +34,7 @@
   readonly committer: JournalCommitter
   readonly dispatcher: Dispatcher
   readonly configuration: () => Configuration
+  readonly clock: Clock
   /** Called after the store has confirmed a record. */
   readonly onWritten: (record: KeyedRecord) => void
   readonly log: Log
@@ -42,12 +51,16 @@
   /**
    * Refuses a job that would miss its objective, and appends any other record. The record of a known job is not appended again.
    *
+   * @param submitted the record as the accepting node sent it
    * @param timeoutMs time after which the record is withdrawn if that is still possible
    */
-  async admit (record: KeyedRecord, timeoutMs: number): Promise<Result<void, Refusal>> {
-    if (this.isKnownJob(record)) return ok(undefined)
-    const refusal = this.findRefusal(record)
+  async admit (submitted: KeyedRecord, timeoutMs: number): Promise<Result<void, Refusal>> {
+    if (this.isKnownJob(submitted)) return ok(undefined)
+    const submittedJob = decodeSubmitted(submitted)
+    const job = submittedJob === undefined ? undefined : this.correctTime(submittedJob)
+    const refusal = job === undefined ? undefined : this.findRefusal(job, submitted.key)
     if (refusal !== undefined) return err(refusal)
+    const record = job === undefined || job === submittedJob ? submitted : encodeJob(job)
     const execution = await this.append([record], timeoutMs)
     if (execution === Execution.Run) return ok(undefined)
     return err({
@@ -75,7 +88,8 @@
     if (this.countedJobs.has(job.id)) return
     this.countedJobs.add(job.id)
     const weight = this.weightOf(job.workspace)
-    if (!this.rates.count(job.workspace, weight, job.acceptedMs)) return
+    // A job that an entry node appended itself may be from a clock that is ahead.
+    if (!this.rates.count(job.workspace, weight, Math.min(job.acceptedMs, this.options.clock.wall()))) return
     this.overRateJobs.add(job.id)
     this.options.log.decision('job exceeds workspace rate', { job: job.id, workspace: job.workspace, weight })
   }
@@ -86,6 +100,18 @@
     this.overRateJobs.delete(job)
   }
 
+  /**
+   * Returns a job with the owner's time if it was accepted on a clock that differs from the owner's, and any other job as it is. The
+   * order of placement and the rates compare times of acceptance from all nodes.
+   */
+  private correctTime (job: Job): Job {
+    const nowMs = this.options.clock.wall()
+    const differenceMs = Math.round(job.acceptedMs - nowMs)
+    if (job.occurrences > 0 || Math.abs(differenceMs) <= MAX_CLOCK_DIFFERENCE_MS) return job
+    this.options.log.decision('job accepted on another clock', { job: job.id, differenceMs })
+    return { ...job, acceptedMs: nowMs }
+  }
+
   /** True if the record is that of a job whose record, or whose end, is in the journal. */
   private isKnownJob ({ key }: KeyedRecord): boolean {
     const { subject, name } = splitKey(key)
@@ -95,15 +121,12 @@
   /**
    * Returns the reason to refuse a job, or undefined. Jobs with a schedule or with long-running steps are never refused. A job that
    * may already have been written is never refused either, because a refusal states that the job did not run.
+   *
+   * @param key key of the job's record
    */
-  private findRefusal (record: KeyedRecord): Refusal | undefined {
+  private findRefusal (job: Job, key: string): Refusal | undefined {
     const { writer, dispatcher } = this.options
-    const { subject } = splitKey(record.key)
-    if (subject !== Subject.Job || record.value === undefined) return undefined
-    if (writer.isUncommitted(record.key)) return undefined
-    const decoded = decodeJob(record.key, record.value)
-    if (decoded.isErr()) return undefined
-    const job = decoded.value
+    if (writer.isUncommitted(key)) return undefined
     if (job.occurrences > 0 || job.steps.some((step) => step.lasting)) return undefined
     const overRate = this.rates.exceeds(job.workspace, this.weightOf(job.workspace), job.acceptedMs)
     const limitedMs = findRetryAfterMs(dispatcher.limitedStepsOf(job.workspace, job.queue))
@@ -128,3 +151,9 @@
     return this.options.configuration().workspaces.find((workspace) => workspace.name === name)?.weight ?? 0
   }
 }
+
+/** Decodes the record of a job; undefined for any other record, and for one that cannot be decoded. */
+function decodeSubmitted ({ key, value }: KeyedRecord): Job | undefined {
+  if (splitKey(key).subject !== Subject.Job || value === undefined) return undefined
+  return decodeJob(key, value).unwrapOr(undefined)
+}
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -185,6 +185,7 @@
       committer: this.committer,
       dispatcher: this.dispatcher,
       configuration: options.configuration,
+      clock,
       onWritten: (record) => { this.onWritten(record) },
       log
     }, this.overRateJobs)
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -303,6 +303,23 @@
     expect([await admit(late), await admit(waiting)]).toEqual([`${Reason.DeadlineUnreachable} ${Execution.NotRun}`, 'admitted'])
   })
 
+  // Guards against jobs that rank as late, or as early, for as long as the clock of the node that accepted them has jumped.
+  it.each([
+    ['corrects the time of a job from a clock that is behind', -5000, 0],
+    ['corrects the time of a job from a clock that is ahead', 5000, 0],
+    ['keeps the time of a job that took a while to arrive', -800, -800]
+  ])('%s', async (_, differenceMs, expectedMs) => {
+    const owner = harness.startOwner(1)
+    await advance(200)
+    const acceptedMs = harness.clock.wall() + differenceMs
+    const admitting = owner.admit(encodeJob(createJob({ id: ID, acceptedMs })), 500)
+    const nowMs = harness.clock.wall()
+    await advance(300)
+    expect((await admitting).isOk()).toBe(true)
+    const { job } = stateOf(harness.store.records[Topic.Journal]).jobs.get(ID)!
+    expect(job.acceptedMs - nowMs).toBe(expectedMs)
+  })
+
   // Answers the pattern of one workspace that submits more than its upper limit lets run, while the workers have free capacity.
   it('refuses a job that would wait too long for the upper limit of its workspace, but no job of others', async () => {
     const owner = harness.startOwner(1)
