--- a/packages/control/src/entry/job-service.ts
+++ b/packages/control/src/entry/job-service.ts
@@ -9,7 +9,7 @@
 import { findQueueByPath, findWorkspaceByKey, type Configuration, type Queue } from '../model/configuration.js'
 import { findJobError, isFinal, Phase, type Job, type Step } from '../model/job.js'
 import type { KeyedRecord, Store } from '../ports/store.js'
-import type { Log } from '../report/log.js'
+import { describeError, type Log } from '../report/log.js'
 import { Appender } from './appender.js'
 
 /** Timeout of the owner's answer to a lookup; after it this node answers from its own copy of the journal. */
@@ -18,7 +18,7 @@
 const ANSWER_TRANSFER_MS = 150
 /** Timeout for the owner to append a record. */
 const OWNER_APPEND_TIMEOUT_MS = 900
-/** Retry time given to callers while the store or the configuration is unavailable. */
+/** Retry time given to callers while the store or the configuration is unavailable, and after an unexpected error. */
 const UNAVAILABLE_RETRY_AFTER_MS = 1000
 /**
  * A job counts as unknown only if the journal was read to its end by a read that started at most this long before the request. An
@@ -166,6 +166,21 @@
     return ok(undefined)
   }
 
+  /**
+   * Logs an unexpected error in the handling of a request.
+   *
+   * @returns the refusal for the caller: the error may have come after the request took effect
+   */
+  refuseAfterError (method: string, path: string, error: unknown): Refusal {
+    this.options.log.event('request failed unexpectedly', { method, path, error: describeError(error) })
+    return {
+      reason: Reason.Internal,
+      detail: 'An unexpected error ended the request. It may have taken effect. The log of the node has the error.',
+      execution: Execution.Unknown,
+      retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS
+    }
+  }
+
   /** Counts the jobs of a queue that are pending: none of their tasks has been assigned. Refuses with a journal that is too old. */
   async countPending (request: AuthorizedRequest): Promise<Result<number, Refusal>> {
     if (this.journalAgeMs() > COUNT_REFRESH_AGE_MS) await this.catchUp()
--- a/packages/control/test/fakes.ts
+++ b/packages/control/test/fakes.ts
@@ -6,6 +6,7 @@
 import type { Queue } from '../src/model/configuration.js'
 import type { Job, Step } from '../src/model/job.js'
 import type { Report, Worker, WorkerAddress } from '../src/model/worker.js'
+import type { SessionHost } from '../src/owner/session.js'
 import { Fleet, WorkerFailure, type ReportCommand, type RunCommand, type StartCommand } from '../src/ports/fleet.js'
 import { Formats } from '../src/ports/formats.js'
 import { MachineFailure, Machines } from '../src/ports/machines.js'
@@ -233,3 +234,25 @@
   override async move (): ReturnType<Machines['move']> { return err(MachineFailure.NoAnswer) }
   override async startMaintenance (): ReturnType<Machines['startMaintenance']> { return err(MachineFailure.NoAnswer) }
 }
+
+/** Creates the host of a session that ignores all callbacks; `fields` override the defaults. */
+export function createSessionHost (fields: Pick<SessionHost, 'fleet' | 'clock'> & Partial<SessionHost>): SessionHost {
+  const ignore = (): void => {}
+  return {
+    fence: 1,
+    leaseMs: 6000,
+    mayAct: () => true,
+    onRunsEnded: async () => true,
+    onUnknownRun: ignore,
+    onAdopted: ignore,
+    onRunsLost: ignore,
+    onRunReleased: ignore,
+    onStarted: ignore,
+    onFenced: ignore,
+    onReachabilityChange: ignore,
+    onReportRequest: ignore,
+    onReportFailed: ignore,
+    onStopConfirmed: ignore,
+    ...fields
+  }
+}
--- a/packages/control/test/owner/adoption.spec.ts
+++ b/packages/control/test/owner/adoption.spec.ts
@@ -4,9 +4,9 @@
 import { Adoption, MAX_PENDING_ADOPTIONS } from '../../src/owner/adoption.js'
 import { chargeOf } from '../../src/owner/ledger.js'
 import { Run } from '../../src/owner/run.js'
-import { Session, type SessionHost } from '../../src/owner/session.js'
+import { Session } from '../../src/owner/session.js'
 import { WorkerFailure } from '../../src/ports/fleet.js'
-import { FakeClock, FakeFleet, createJob, createWorker } from '../fakes.js'
+import { FakeClock, FakeFleet, createJob, createSessionHost, createWorker } from '../fakes.js'
 
 const WORKERS = 245
 
@@ -41,24 +41,7 @@
 })
 
 function createSession (id: string): Session {
-  const host: SessionHost = {
-    fence: 1,
-    leaseMs: 6000,
-    fleet,
-    clock: new FakeClock(),
-    mayAct: () => true,
-    onRunsEnded: async () => true,
-    onUnknownRun: () => {},
-    onAdopted: () => {},
-    onRunsLost: () => {},
-    onRunReleased: () => {},
-    onStarted: () => {},
-    onFenced: () => {},
-    onReachabilityChange: () => {},
-    onReportRequest: () => {},
-    onReportFailed: () => {},
-    onStopConfirmed: () => {}
-  }
+  const host = createSessionHost({ fleet, clock: new FakeClock() })
   const session = new Session(createWorker({ id }), host)
   sessions.push(session)
   return session
--- a/packages/control/test/owner/dispatcher.spec.ts
+++ b/packages/control/test/owner/dispatcher.spec.ts
@@ -9,11 +9,11 @@
 import { Dispatcher, type Decisions } from '../../src/owner/dispatcher.js'
 import { Ledger } from '../../src/owner/ledger.js'
 import { Run } from '../../src/owner/run.js'
-import { Session, type SessionHost } from '../../src/owner/session.js'
+import { Session } from '../../src/owner/session.js'
 import type { UnplacedStep } from '../../src/place/admission.js'
 import { endJob } from '../../src/owner/run-end.js'
 import type { AdviceFailure, Tickets } from '../../src/ports/advisor.js'
-import { FakeClock, FakeFleet, createJob, createQueue, createStep, createWorker } from '../fakes.js'
+import { FakeClock, FakeFleet, createJob, createQueue, createStep, createSessionHost, createWorker } from '../fakes.js'
 
 const ADVICE = { callMs: 10, workerMs: 1, validMs: 1500 }
 /** Time between two rounds. */
@@ -67,25 +67,7 @@
   async addWorkers (count: number): Promise<void> {
     const fleet = new FakeFleet()
     fleet.onReportRequest = async () => ok({ born: 10, clockMs: 6000, running: [], ended: [] })
-    const ignore = (): void => {}
-    const host: SessionHost = {
-      fence: 1,
-      leaseMs: 6000,
-      fleet,
-      clock: this.clock,
-      mayAct: () => true,
-      onRunsEnded: async () => true,
-      onUnknownRun: ignore,
-      onAdopted: ignore,
-      onRunsLost: ignore,
-      onRunReleased: ignore,
-      onStarted: ignore,
-      onFenced: ignore,
-      onReachabilityChange: ignore,
-      onReportRequest: ignore,
-      onReportFailed: ignore,
-      onStopConfirmed: ignore
-    }
+    const host = createSessionHost({ fleet, clock: this.clock })
     for (let index = 1; index <= count; index++) {
       const session = new Session(createWorker({ id: `w${index}`, capacity: CAPACITY }), host)
       await session.requestReportNow()
--- a/packages/control/test/owner/garbage-collector.spec.ts
+++ b/packages/control/test/owner/garbage-collector.spec.ts
@@ -8,10 +8,10 @@
 import { Ledger, chargeOf } from '../../src/owner/ledger.js'
 import { MAX_UNCONFIRMED_OWNERSHIP_MS } from '../../src/owner/ownership.js'
 import { Run, RunState } from '../../src/owner/run.js'
-import { Session, type SessionHost } from '../../src/owner/session.js'
+import { Session } from '../../src/owner/session.js'
 import { StoreFailure } from '../../src/ports/store.js'
 import { WorkerFailure } from '../../src/ports/fleet.js'
-import { FakeClock, FakeFleet, FakeStore, createJob, createWorker } from '../fakes.js'
+import { FakeClock, FakeFleet, FakeStore, createJob, createSessionHost, createWorker } from '../fakes.js'
 
 const LEASE_MS = 6000
 const TICK_MS = 50
@@ -57,27 +57,16 @@
       if (executes) worker.execute(deadlineMs)
       return err(WorkerFailure.NoAnswer)
     }
-    const host: SessionHost = {
+    const host = createSessionHost({
       fence: 3,
       leaseMs: LEASE_MS,
       fleet,
       clock,
-      mayAct: () => true,
-      onRunsEnded: async () => true,
-      onUnknownRun: () => {},
-      onAdopted: () => {},
       onRunsLost: (_, runs) => {
         lostWhileRunning.push(worker.isRunning())
         for (const run of runs) ledger.remove(run)
-      },
-      onRunReleased: () => {},
-      onStarted: () => {},
-      onFenced: () => {},
-      onReachabilityChange: () => {},
-      onReportRequest: () => {},
-      onReportFailed: () => {},
-      onStopConfirmed: () => {}
-    }
+      }
+    })
     const session = new Session(createWorker({ clockMs: WORKER_CLOCK_MS }), host)
     const entry = new JobEntry(createJob())
     Object.assign(entry.task(0, 0, 0), { stage: Stage.Assigned, run: 1, worker: 'w1', born: 10 })
--- a/packages/control/test/owner/session.spec.ts
+++ b/packages/control/test/owner/session.spec.ts
@@ -5,9 +5,9 @@
 import { RunOutcome, type EndedRun, type Report } from '../../src/model/worker.js'
 import { Ledger, chargeOf } from '../../src/owner/ledger.js'
 import { Run, RunState, StopReason } from '../../src/owner/run.js'
-import { Session, type SessionHost } from '../../src/owner/session.js'
+import { Session } from '../../src/owner/session.js'
 import { WorkerFailure } from '../../src/ports/fleet.js'
-import { FakeClock, FakeFleet, createJob, createWorker } from '../fakes.js'
+import { FakeClock, FakeFleet, createJob, createSessionHost, createWorker } from '../fakes.js'
 
 const LEASE_MS = 6000
 
@@ -36,7 +36,7 @@
   const unknownRuns: string[] = []
   const endedRuns: EndedRun[] = []
   const ledger = new Ledger()
-  const host: SessionHost = {
+  const host = createSessionHost({
     fence: 3,
     leaseMs: LEASE_MS,
     fleet,
@@ -44,16 +44,10 @@
     mayAct: () => harness.mayAct,
     onRunsEnded: async (_, ended) => { endedRuns.push(...ended); return await harness.journal },
     onUnknownRun: (_, task) => { unknownRuns.push(task) },
-    onAdopted: () => {},
     onRunsLost: (_, runs, reason) => { for (const run of runs) { lost.push(`${run.name}: ${reason}`); ledger.remove(run) } },
     onRunReleased: (run, reason) => { released.push(reason); ledger.remove(run) },
-    onStarted: () => {},
-    onFenced: () => {},
-    onReachabilityChange: () => {},
-    onReportRequest: () => {},
-    onReportFailed: () => { harness.failed++ },
-    onStopConfirmed: () => {}
-  }
+    onReportFailed: () => { harness.failed++ }
+  })
   const session = new Session(createWorker(), host)
   const entry = new JobEntry(createJob())
   const task = entry.task(0, 0, 0)
