Revert "Refuse a job at once that would wait too long for the upper limit of its workspace"

Cause: jobs that can be in time are placed before late ones, so a backlog under the limit does not delay new jobs; a refused caller comes back after Retry-After and is late by then. What is refused has to be what cannot be served even late; that is not known from the slack of the steps that wait.

--- a/packages/control/src/owner/admission-controller.ts
+++ b/packages/control/src/owner/admission-controller.ts
@@ -129,14 +129,6 @@
     if (writer.isUncommitted(key)) return undefined
     if (job.occurrences > 0 || job.steps.some((step) => step.lasting)) return undefined
     const overRate = this.rates.exceeds(job.workspace, this.weightOf(job.workspace), job.acceptedMs)
-    const limitedMs = findRetryAfterMs(dispatcher.limitedStepsOf(job.workspace, job.queue))
-    if (limitedMs !== undefined && !dispatcher.isWithinLimit(job)) {
-      return refuse(
-        Reason.LimitReached,
-        'The workspace is at its upper limit, and its waiting jobs take too long for this job to meet its objective. Retry later.',
-        limitedMs
-      )
-    }
     const retryAfterMs = findRetryAfterMs(dispatcher.unplacedStepsOf(job.queue, overRate))
     if (retryAfterMs === undefined || dispatcher.hasCapacityFor(job)) return undefined
     return refuse(
--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -10,7 +10,7 @@
 import type { UnplacedStep } from '../place/admission.js'
 import { chooseWorkersToAsk } from '../place/advice.js'
 import { fitGang, fitTask, type PlacementSettings } from '../place/fit.js'
-import { dominantShareOf, headroomOf, limitShareOf } from '../place/limit.js'
+import { dominantShareOf, headroomOf } from '../place/limit.js'
 import { UrgentDemand } from '../place/reserve.js'
 import { TicketStatus, type AdvisorClient } from './advisor-client.js'
 import { Candidates, type PoolCandidate } from './candidates.js'
@@ -91,8 +91,6 @@
 export class Dispatcher {
   private readonly urgentDemand = new Map<string, UrgentDemand>()
   private readonly unplacedSteps = new Map<string, UnplacedStep[]>()
-  /** Steps with tasks that wait for the upper limit of their workspace, by workspace and queue. */
-  private readonly limitedSteps = new Map<string, UnplacedStep[]>()
   private readonly candidates: Candidates
   private readonly permittedWorkers: PermittedWorkersFinder
 
@@ -105,7 +103,6 @@
   round (): Decisions {
     const round = this.startRound()
     this.unplacedSteps.clear()
-    this.limitedSteps.clear()
     for (const ranked of round.rankedSteps) {
       try {
         this.place(ranked, this.poolOf(ranked, round), round)
@@ -153,19 +150,6 @@
     return overRate ? unplacedSteps : unplacedSteps.filter((unplacedStep) => !unplacedStep.overRate)
   }
 
-  /** Returns the steps of a workspace's jobs on a queue with tasks that the upper limit of the workspace held back in the last round. */
-  limitedStepsOf (workspace: string, queue: string): readonly UnplacedStep[] {
-    return this.limitedSteps.get(limitedKeyOf(workspace, queue)) ?? []
-  }
-
-  /** Returns true if the tasks of the job's first step fit into what is left of the upper limit of its workspace now. */
-  isWithinLimit (job: Job): boolean {
-    const limit = this.options.configuration().workspaces.find(({ name }) => name === job.workspace)?.upperLimit
-    if (limit === undefined) return true
-    const first = job.steps.find((step) => step.after.length === 0)!
-    return headroomOf(limit, this.options.ledger.usedBy(job.workspace), first.size) >= first.count
-  }
-
   /**
    * Returns true if the tasks of the job's first step fit into the free capacity now. It may return true although they cannot be
    * placed: labels are not checked, nor a dimension in which a worker has no capacity (see `headroomOf`).
@@ -188,7 +172,6 @@
     const { step, charge } = readyStep
     const waiting = this.startableTasks(readyStep, round)
     const withinLimit = Math.min(waiting.length, round.usage.headroom(readyStep))
-    if (withinLimit < waiting.length) this.recordLimited(ranked, waiting.length - withinLimit, round)
     const allowed = mayUseReserve(ranked, pool) ? withinLimit : pool.countOutsideReserve(charge, withinLimit)
     if (allowed === 0 || (step.gang && allowed < step.count)) return
     const workers = this.permittedWorkers.find(readyStep, pool, ranked.queue?.advice !== undefined)
@@ -205,19 +188,18 @@
     round.usage.add(readyStep, chosen.length)
   }
 
-  private recordUnplaced (ranked: RankedStep, unplaced: number, pool: Pool): void {
-    if (ranked.queue === undefined) return
-    const { step, charge } = ranked.readyStep
-    const workMs = unplaced * step.estimateMs * dominantShareOf(charge, pool.totalCapacity)
-    addTo(this.unplacedSteps, ranked.queue.name, unplacedStepOf(ranked, workMs))
-  }
-
-  private recordLimited (ranked: RankedStep, limited: number, { workspaces }: Round): void {
-    const { step, entry: { job: { workspace } } } = ranked.readyStep
-    const limit = workspaces.get(workspace)?.upperLimit
-    if (ranked.queue === undefined || limit === undefined) return
-    const workMs = limited * step.estimateMs * limitShareOf(step.size, limit)
-    addTo(this.limitedSteps, limitedKeyOf(workspace, ranked.queue.name), unplacedStepOf(ranked, workMs))
+  private recordUnplaced ({ readyStep, queue, overRate, slackMs, objectiveMs }: RankedStep, unplaced: number, pool: Pool): void {
+    if (queue === undefined) return
+    const { step, charge, criticalPathMs } = readyStep
+    const unplacedStep = {
+      slackMs,
+      totalSlackMs: objectiveMs - criticalPathMs,
+      workMs: unplaced * step.estimateMs * dominantShareOf(charge, pool.totalCapacity),
+      overRate
+    }
+    const unplacedSteps = this.unplacedSteps.get(queue.name)
+    if (unplacedSteps === undefined) this.unplacedSteps.set(queue.name, [unplacedStep])
+    else unplacedSteps.push(unplacedStep)
   }
 
   /** Assigns tasks to the chosen workers, and requests new tickets for workers whose tickets have expired. */
@@ -396,17 +378,3 @@
   if (readyStep.step.estimateMs <= pool.urgentTotalSlackMs) return true
   return slackMs > 0 && slackMs < MAX_SLACK_FOR_RESERVE_MS
 }
-
-function unplacedStepOf ({ readyStep, overRate, slackMs, objectiveMs }: RankedStep, workMs: number): UnplacedStep {
-  return { slackMs, totalSlackMs: objectiveMs - readyStep.criticalPathMs, workMs, overRate }
-}
-
-function limitedKeyOf (workspace: string, queue: string): string {
-  return `${workspace} ${queue}`
-}
-
-function addTo<T> (lists: Map<string, T[]>, key: string, item: T): void {
-  const list = lists.get(key)
-  if (list === undefined) lists.set(key, [item])
-  else list.push(item)
-}
--- a/packages/control/src/place/limit.ts
+++ b/packages/control/src/place/limit.ts
@@ -36,23 +36,6 @@
   )
 }
 
-/**
- * Computes the share of an upper limit that an amount takes, in the dimension with the highest share.
- *
- * @param limit upper limit; a dimension in which it is 0 is not limited
- */
-export function limitShareOf (size: Resources, limit: Resources): number {
-  return Math.max(
-    shareOf(size.cpuMilli, limit.cpuMilli),
-    shareOf(size.memoryMb, limit.memoryMb),
-    shareOf(size.accelerators, limit.accelerators)
-  )
-}
-
-function shareOf (amount: number, limit: number): number {
-  return limit <= 0 ? 0 : amount / limit
-}
-
 function tasksWithin (limit: number, used: number, size: number): number {
   if (limit <= 0 || size <= 0) return Infinity
   return Math.max(0, Math.floor((limit - used) / size))
--- a/packages/control/test/owner/dispatcher.spec.ts
+++ b/packages/control/test/owner/dispatcher.spec.ts
@@ -105,10 +105,6 @@
     return this.dispatcher.unplacedStepsOf(queue, overRate)
   }
 
-  limitedSteps (workspace: string, queue: string): readonly UnplacedStep[] {
-    return this.dispatcher.limitedStepsOf(workspace, queue)
-  }
-
   hasCapacityFor (tasks: number): boolean {
     return this.dispatcher.hasCapacityFor(createJob({ steps: [createStep({ count: tasks, size: TASK })] }))
   }
@@ -165,20 +161,6 @@
   })
 })
 
-describe('the steps of a workspace that wait for its upper limit', () => {
-  it.each([
-    ['are those of its own jobs on the queue', 'limited', 'urgent', 1],
-    ['do not count for another queue', 'limited', 'later', 0],
-    ['do not count for another workspace', 'other', 'urgent', 0]
-  ])('%s', async (_, workspace, queue, expected) => {
-    await harness.addWorkers(4)
-    harness.accept({ queue: 'urgent', workspace: 'limited' }, 8)
-    harness.runRounds(1)
-    expect(harness.limitedSteps(workspace, queue)).toHaveLength(expected)
-    expect(harness.unplacedSteps('urgent', false)).toEqual([])
-  })
-})
-
 describe('the check for free capacity', () => {
   it.each([
     ['finds capacity for a job that fits now', 8, true],
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -320,25 +320,6 @@
     expect(job.acceptedMs - nowMs).toBe(expectedMs)
   })
 
-  // Answers the pattern of one workspace that submits more than its upper limit lets run, while the workers have free capacity.
-  it('refuses a job that would wait too long for the upper limit of its workspace, but no job of others', async () => {
-    const owner = harness.startOwner(1)
-    await advance(200)
-    const admit = async (id: string, workspace: string): Promise<string> => {
-      const job = createJob({ id, workspace, acceptedMs: harness.clock.wall(), steps: [createStep({ count: 3 })] })
-      const admitting = owner.admit(encodeJob(job), 500)
-      await advance(100)
-      return (await admitting).match(() => 'admitted', ({ reason, execution, retryAfterMs }) => `${reason} ${execution} ${retryAfterMs}`)
-    }
-    const [running, waiting, late, other] = ['1', '2', '3', '4'].map((digit) => digit.repeat(16))
-    const { workspace } = createJob()
-    expect([await admit(running!, workspace), await admit(waiting!, workspace)]).toEqual(['admitted', 'admitted'])
-    await advance(900)
-    // The limit lets three tasks of a second run: the waiting job needs it whole for 1 s, of which 0.8 are usable.
-    expect([await admit(late!, workspace), await admit(other!, '')])
-      .toEqual([`${Reason.LimitReached} ${Execution.NotRun} 1250`, 'admitted'])
-  })
-
   it('does not refuse a job that an unanswered append may have written', async () => {
     const owner = harness.startOwner(1)
     await advance(200)
