--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+. "$(dirname "$0")/../lib/run.sh"
