Owner: a report that omits ended runs proves nothing about runs

Cause: a report contains at most 500 ended runs. The session took it for complete and released inherited runs, and runs whose stop was confirmed, that it did not list. The end that arrived later was dropped and acknowledged.

Change: Fleet.maxReportedEnds states the limit; a report that reaches it is not used to reconcile runs that it does not list. The next reports list the other ends once the first ones are acknowledged.

Unknown runs had the same cause and share the fix.

--- a/packages/control/src/membership/fleet-gateways.ts
+++ b/packages/control/src/membership/fleet-gateways.ts
@@ -81,6 +81,10 @@
     })
   }
 
+  override get maxReportedEnds (): number {
+    return this.options.direct.maxReportedEnds
+  }
+
   override async start (worker: WorkerAddress, command: StartCommand): Promise<Result<number, WorkerFailure>> {
     return await this.send(commandCall(worker, { start: command }, () => this.options.direct.start(worker, command)))
   }
--- a/packages/control/src/model/worker.ts
+++ b/packages/control/src/model/worker.ts
@@ -74,7 +74,7 @@
   /** The worker's own steady clock at the time of the answer. */
   readonly clockMs: number
   readonly running: readonly ActiveRun[]
-  /** Ended runs that have not been acknowledged. */
+  /** Ended runs that have not been acknowledged, in the order of their positions; at most `Fleet.maxReportedEnds` of them. */
   readonly ended: readonly EndedRun[]
 }
 
--- a/packages/control/src/owner/run.ts
+++ b/packages/control/src/owner/run.ts
@@ -41,8 +41,8 @@
 export class Run {
   state = RunState.Committing
   /**
-   * Assigned by a previous owner. If a report under this owner's fence does not list the run, the run is not running and can
-   * no longer start.
+   * Assigned by a previous owner. If a report under this owner's fence contains all ended runs, and the run is neither among
+   * them nor running, it can no longer start.
    */
   inherited = false
   /** The current incarnation of the worker has reported the run. The run therefore ends with that incarnation. */
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -385,7 +385,10 @@
     this.host.onAdopted(this)
   }
 
-  /** Reconciles the reported runs with the runs that the owner knows. */
+  /**
+   * Reconciles the reported runs with the runs that the owner knows. Only a report that contains all ended runs shows that a run
+   * does not exist.
+   */
   private reconcileRuns (report: Report): void {
     this.newestReportClockMs = report.clockMs
     const listed = new Set<string>()
@@ -405,6 +408,8 @@
         run.checkpointChangedMs = this.host.clock.now()
       }
     }
+    // A run that is not running may have ended and be omitted from a full report.
+    if (report.ended.length >= this.host.fleet.maxReportedEnds) return
     for (const ended of report.ended) listed.add(ended.task)
     for (const task of this.unknownRuns) {
       if (!listed.has(task)) this.unknownRuns.delete(task)
@@ -482,8 +487,7 @@
    * Handles a restart of the worker. Runs that the previous incarnation reported have ended, and runs whose start request was not
    * sent can no longer start: both are reported as lost. A start request in flight may have reached the new incarnation. Its run
    * is stopped if the first report of the new incarnation does not list it, and released once the stop is confirmed. A run
-   * inherited from an earlier owner is released without a stop: a report under this owner's fence that does not list it proves
-   * that it is not running and can no longer start.
+   * inherited from an earlier owner is released without a stop: see `Run.inherited`.
    */
   private handleRestart (born: number, clockMs: number, reason: string): void {
     const lost: Run[] = []
--- a/packages/control/src/ports/fleet.ts
+++ b/packages/control/src/ports/fleet.ts
@@ -72,6 +72,8 @@
 
 /** Sends commands to workers. Each successful answer carries the worker's clock in milliseconds. */
 export abstract class Fleet {
+  /** Maximum number of ended runs in a report. A report with as many may omit others, which later reports contain. */
+  abstract readonly maxReportedEnds: number
   abstract start (worker: WorkerAddress, command: StartCommand): Promise<Result<number, WorkerFailure>>
   abstract stop (worker: WorkerAddress, command: RunCommand): Promise<Result<number, WorkerFailure>>
   /** Throttles a run to a percentage of full speed, 0 to 100. */
--- a/packages/control/test/cluster/workers.ts
+++ b/packages/control/test/cluster/workers.ts
@@ -117,6 +117,7 @@
 
 /** One node's client. Each call costs the node's processor time, before it is sent. */
 export class ProcessorBoundFleet extends Fleet {
+  override readonly maxReportedEnds = Infinity
   constructor (
     private readonly workers: SimulatedWorkers, private readonly node: string, private readonly processor: Processor
   ) {
--- a/packages/control/test/fakes.ts
+++ b/packages/control/test/fakes.ts
@@ -109,6 +109,7 @@
 
 /** Workers with scripted answers. Records the commands that it receives. */
 export class FakeFleet extends Fleet {
+  override maxReportedEnds = 500
   readonly started: StartCommand[] = []
   readonly stopped: RunCommand[] = []
   readonly throttled: Array<{ command: RunCommand, percent: number }> = []
--- a/packages/control/test/journal/steady-cell.ts
+++ b/packages/control/test/journal/steady-cell.ts
@@ -53,6 +53,7 @@
 
 /** Delivers starts at once, and reports as soon as a run has ended. */
 class SteadyFleet extends Fleet {
+  override readonly maxReportedEnds = Infinity
   readonly workers = new Map<string, SteadyWorker>()
 
   override async start (worker: Worker, command: StartCommand): Promise<Result<number, WorkerFailure>> {
--- a/packages/control/test/owner/fuzz.spec.ts
+++ b/packages/control/test/owner/fuzz.spec.ts
@@ -41,6 +41,8 @@
 /** Time after which a worker executes a command whose answer is lost. It is longer than the timeout of the command. */
 const LATE_EXECUTION_MS = 1500
 const LEASE_MS = 3000
+/** Small, so that reports omit ended runs. */
+const MAX_REPORTED_ENDS = 2
 /** Longer than an owner acts without confirmation plus a lease, so that the cell has recovered from every fault by then. */
 const RECOVERY_MS = 40_000
 
@@ -93,7 +95,7 @@
     this.deadlineMs = Math.max(this.deadlineMs, granted)
     this.ended = this.ended.filter((end) => end.position > command.acknowledged)
     const running = [...this.running].map(([task, { run }]) => ({ task, run, checkpoint: '', percent: 100, load: 0 }))
-    return ok({ born: this.born, clockMs: this.clockMs(), running, ended: [...this.ended] })
+    return ok({ born: this.born, clockMs: this.clockMs(), running, ended: this.ended.slice(0, MAX_REPORTED_ENDS) })
   }
 
   /** Ends completed tasks, and all tasks once the lease has expired. */
@@ -127,6 +129,8 @@
 
 /** Delivers commands, loses them, or executes them only after their timeout. */
 class ModelFleet extends Fleet {
+  override readonly maxReportedEnds = MAX_REPORTED_ENDS
+
   constructor (private readonly workers: ReadonlyMap<string, ModelWorker>) {
     super()
   }
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -46,12 +46,13 @@
     }
     this.fleet.onReportRequest = async (request) => {
       const fresh = this.ended.filter((end) => end.position > request.acknowledged)
+      const { maxReportedEnds } = this.fleet
       if (fresh.length === 0) await new Promise((resolve) => setTimeout(resolve, Math.min(request.waitMs, 20)))
       return ok({
         born: 10,
         clockMs: this.workerClock(),
         running: [...this.running],
-        ended: this.ended.filter((end) => end.position > request.acknowledged)
+        ended: this.ended.filter((end) => end.position > request.acknowledged).slice(0, maxReportedEnds)
       })
     }
     this.register({})
@@ -431,6 +432,26 @@
     expect(state.jobs.get(ID)?.visiblePhase()).toBe(Phase.Completed)
   })
 
+  // Guards against tasks that run twice after a takeover because the first report of their worker omits most of their ends.
+  it('after one or more takeovers starts no task again whose end the worker reports only later', async () => {
+    harness.fleet.maxReportedEnds = 2
+    const count = 9
+    harness.startOwner(1)
+    await advance(300)
+    await harness.accept({ workspace: '', steps: [createStep({ count })] })
+    harness.close()
+    await advance(100)
+    for (const task of [...harness.running]) harness.endRun(task.task, RunOutcome.Done)
+    const read = (): JournalState => stateOf(newestOf(harness.store.records[Topic.Journal]))
+    harness.startOwner(2, read())
+    await advance(70)
+    harness.close()
+    const last = read()
+    harness.startOwner(3, last)
+    await advance(3000)
+    expect([harness.fleet.started.length, last.jobs.get(ID)?.visiblePhase()]).toEqual([count, Phase.Completed])
+  })
+
   // Guards against a job that runs again, or a crash, when only the end of the job is left in the journal.
   it('after a takeover stops the runs of an ended job and ignores the ends that workers report for it', async () => {
     const end = encodeJobEnd(ID, { ...createJob({ id: ID }), phase: Phase.Completed, endedMs: harness.clock.wall() })
--- a/packages/control/test/owner/session.spec.ts
+++ b/packages/control/test/owner/session.spec.ts
@@ -1,5 +1,6 @@
 import { err, ok } from 'neverthrow'
 import { afterEach, describe, expect, it, vi } from 'vitest'
+import { detach } from '../../src/detach.js'
 import { JobEntry } from '../../src/journal/journal-state.js'
 import { Stage } from '../../src/journal/record.js'
 import { RunOutcome, type EndedRun, type Report } from '../../src/model/worker.js'
@@ -101,6 +102,40 @@
     expect([harness.run.state, harness.released]).toEqual([state, released])
   })
 
+  // Guards against tasks that run twice because a run is taken for not started while a full report omits its end.
+  it.each<[string, (harness: Harness) => Promise<void>]>([
+    ['an inherited run', async ({ run }) => {
+      run.state = RunState.Uncertain
+      run.inherited = true
+    }],
+    ['a run whose stop is confirmed', async ({ fleet, session, run }) => {
+      run.state = RunState.Running
+      fleet.onStop = () => ok(6000)
+      detach(session.stopRun(run, StopReason.Preempted))
+      await vi.advanceTimersByTimeAsync(1)
+    }]
+  ])('does not release %s until the worker has reported all ended runs', async (_, prepare) => {
+    vi.useFakeTimers()
+    const harness = createHarness()
+    const { fleet, session, released, endedRuns } = harness
+    fleet.maxReportedEnds = 2
+    const ended = ['cc', 'bb', 'aa'].map((job, index) => (
+      { position: index + 1, task: `00000000000000${job}.0.0.0`, run: 1, ending: RunOutcome.Done, checkpoint: '' }
+    ))
+    let clockMs = 6000
+    fleet.onReportRequest = async ({ acknowledged }) => (
+      ok(report({ clockMs: ++clockMs, ended: ended.filter((end) => end.position > acknowledged).slice(0, 2) }))
+    )
+    await prepare(harness)
+    await session.requestReportNow()
+    expect(released).toEqual([])
+    await vi.advanceTimersByTimeAsync(100)
+    await session.requestReportNow()
+    expect([released, endedRuns.at(-1)?.task]).toEqual([[], RUNNING.task])
+    session.close()
+    await vi.advanceTimersByTimeAsync(1000)
+  })
+
   it('treats a run whose start was not answered as running once the worker reports it', async () => {
     const { fleet, session, run, released } = createHarness()
     fleet.onStart = () => err(WorkerFailure.NoAnswer)
--- a/packages/measure/src/owner-load/platform.ts
+++ b/packages/measure/src/owner-load/platform.ts
@@ -60,6 +60,7 @@
 
 /** Workers that run each task for its estimated duration. */
 export class LoadFleet extends Fleet {
+  override readonly maxReportedEnds = Infinity
   starts = 0
   running = 0
   private readonly states = new Map<string, WorkerState>()
