Owner: jobs keep the settings of a queue or workspace that is removed

Cause: attempts, objective, priority and advice were read from the newest configuration, with fixed values for a queue that it does not name.

Change: a job's record holds the settings that its queue and its workspace had when it was accepted. JobSettings takes the newest configuration first, and these where the configuration has none. Earlier builds read the records and ignore the settings.

--- a/packages/control/src/entry/job-service.ts
+++ b/packages/control/src/entry/job-service.ts
@@ -6,7 +6,9 @@
 import { sleep, type Clock, type Stamp } from '../clock.js'
 import { Subject, encodeJob, encodeRecord } from '../journal/record.js'
 import type { JobEntry, JournalState } from '../journal/journal-state.js'
-import { findQueueByPath, findWorkspaceByKey, type Configuration, type Queue } from '../model/configuration.js'
+import {
+  findQueueByPath, findWorkspaceByKey, type Configuration, type Queue, type WorkspaceSettings
+} from '../model/configuration.js'
 import { findJobError, isFinal, Phase, type Job, type Step } from '../model/job.js'
 import type { KeyedRecord, Store } from '../ports/store.js'
 import { describeError, type Log } from '../report/log.js'
@@ -36,6 +38,8 @@
   readonly queue: Queue
   /** Empty for a request without a known key on an open queue. */
   readonly workspace: string
+  /** Undefined if there is no workspace. */
+  readonly workspaceSettings?: WorkspaceSettings | undefined
   /** Version of the configuration by which the request was authorized. */
   readonly version: number
 }
@@ -106,7 +110,8 @@
     if (queue === undefined) return err(refuse(Reason.NoSuchQueue, `There is no queue at ${host}${path}.`))
     const workspace = key === '' ? undefined : findWorkspaceByKey(configuration, key)
     if (workspace === undefined && !queue.open) return err(refuse(Reason.BadKey, 'The key is missing or unknown.'))
-    return ok({ queue, workspace: workspace?.name ?? '', version: configuration.version })
+    const workspaceSettings = workspace && { weight: workspace.weight, upperLimit: workspace.upperLimit }
+    return ok({ queue, workspace: workspace?.name ?? '', workspaceSettings, version: configuration.version })
   }
 
   /**
@@ -225,13 +230,16 @@
     return refuse(Reason.LogUnavailable, `${detail} This node has not read the journal lately.`, UNAVAILABLE_RETRY_AFTER_MS)
   }
 
-  private createJob (request: AuthorizedRequest, submission: Submission): Job {
+  private createJob ({ queue, workspace, workspaceSettings }: AuthorizedRequest, submission: Submission): Job {
+    const { priority, attempts, stretch, targetMs, advice } = queue
     return {
       ...submission,
-      queue: request.queue.name,
-      upstream: request.queue.upstream,
-      workspace: request.workspace,
-      acceptedMs: this.options.clock.wall()
+      queue: queue.name,
+      upstream: queue.upstream,
+      workspace,
+      acceptedMs: this.options.clock.wall(),
+      queueSettings: { priority, attempts, stretch, targetMs, advice },
+      workspaceSettings
     }
   }
 
--- a/packages/control/src/journal/job-record.ts
+++ b/packages/control/src/journal/job-record.ts
@@ -3,7 +3,8 @@
  * fields, as earlier builds read them; the owner writes the compact form. Both are read.
  */
 import { err, ok, type Result } from 'neverthrow'
-import { findJobError, type Job, type Step } from '../model/job.js'
+import type { QueueSettings, WorkspaceSettings } from '../model/configuration.js'
+import { findJobError, findSettingsError, type Job, type Step } from '../model/job.js'
 import type { KeyedRecord } from '../ports/store.js'
 import { Subject, decodeValue, encodeValue, splitKey } from './record.js'
 
@@ -22,10 +23,20 @@
   flags: number, label: string, rack: string, perWorker: number, image: string, latencyTargetMs: number, disruptionBudget: number
 ]
 
-/** A job without its id. The last three fields are missing for a job without a schedule. */
+/** The last three fields are missing for a queue without advice. */
+type QueueRow = readonly [
+  priority: number, attempts: number, stretch: number, targetMs: number, callMs?: number, workerMs?: number, validMs?: number
+]
+
+type WorkspaceRow = readonly [weight: number, cpuMilli: number, memoryMb: number, accelerators: number]
+
+/**
+ * A job without its id. The fields of the schedule are 0, or missing, for a job without one. The settings are missing in records of
+ * earlier builds, which ignore them.
+ */
 type JobRow = readonly [
   queue: string, upstream: string, workspace: string, payload: string, acceptedMs: number, steps: readonly StepRow[],
-  occurrences?: number, firstDueMs?: number, intervalMs?: number
+  occurrences?: number, firstDueMs?: number, intervalMs?: number, queueSettings?: QueueRow, workspaceSettings?: WorkspaceRow
 ]
 
 /** Returns the record of a job in its compact form; any other record, and one that cannot be decoded, as it is. */
@@ -47,7 +58,7 @@
   return decodeValue<Job | JobRow>(value).andThen((decoded) => {
     try {
       const job = isRow(decoded) ? jobOfRow(splitKey(key).name, decoded) : decoded
-      const mistake = findJobError(job)
+      const mistake = findJobError(job) ?? findSettingsError(job)
       return mistake === undefined ? ok(job) : err(mistake)
     } catch (error) {
       return err(`The value is not a job: ${String(error)}`)
@@ -59,16 +70,52 @@
   return Array.isArray(decoded)
 }
 
-function rowOf ({ queue, upstream, workspace, payload, acceptedMs, steps, occurrences, firstDueMs, intervalMs }: Job): JobRow {
+function rowOf (job: Job): JobRow {
+  const { queue, upstream, workspace, payload, acceptedMs, steps, occurrences, firstDueMs, intervalMs } = job
+  const { queueSettings, workspaceSettings } = job
   const rows = steps.map(rowOfStep)
-  if (occurrences === 0) return [queue, upstream, workspace, payload, acceptedMs, rows]
-  return [queue, upstream, workspace, payload, acceptedMs, rows, occurrences, firstDueMs, intervalMs]
+  if (queueSettings === undefined && occurrences === 0) return [queue, upstream, workspace, payload, acceptedMs, rows]
+  const scheduled = [queue, upstream, workspace, payload, acceptedMs, rows, occurrences, firstDueMs, intervalMs] as const
+  if (queueSettings === undefined) return scheduled
+  if (workspaceSettings === undefined) return [...scheduled, rowOfQueue(queueSettings)]
+  return [...scheduled, rowOfQueue(queueSettings), rowOfWorkspace(workspaceSettings)]
+}
+
+function rowOfQueue ({ priority, attempts, stretch, targetMs, advice }: QueueSettings): QueueRow {
+  if (advice === undefined) return [priority, attempts, stretch, targetMs]
+  return [priority, attempts, stretch, targetMs, advice.callMs, advice.workerMs, advice.validMs]
+}
+
+function queueOf ([priority, attempts, stretch, targetMs, callMs, workerMs = 0, validMs = 0]: QueueRow): QueueSettings {
+  return { priority, attempts, stretch, targetMs, advice: callMs === undefined ? undefined : { callMs, workerMs, validMs } }
+}
+
+function rowOfWorkspace ({ weight, upperLimit }: WorkspaceSettings): WorkspaceRow {
+  return [weight, upperLimit.cpuMilli, upperLimit.memoryMb, upperLimit.accelerators]
+}
+
+function workspaceOf ([weight, cpuMilli, memoryMb, accelerators]: WorkspaceRow): WorkspaceSettings {
+  return { weight, upperLimit: { cpuMilli, memoryMb, accelerators } }
 }
 
 function jobOfRow (id: string, row: JobRow): Job {
-  const [queue, upstream, workspace, payload, acceptedMs, steps, occurrences = 0, firstDueMs = 0, intervalMs = 0] = row
+  const [
+    queue, upstream, workspace, payload, acceptedMs, steps, occurrences = 0, firstDueMs = 0, intervalMs = 0, queueSettings,
+    workspaceSettings
+  ] = row
   return {
-    id, queue, upstream, workspace, payload, steps: steps.map(stepOf), occurrences, firstDueMs, intervalMs, acceptedMs
+    id,
+    queue,
+    upstream,
+    workspace,
+    payload,
+    steps: steps.map(stepOf),
+    occurrences,
+    firstDueMs,
+    intervalMs,
+    acceptedMs,
+    queueSettings: queueSettings && queueOf(queueSettings),
+    workspaceSettings: workspaceSettings && workspaceOf(workspaceSettings)
   }
 }
 
--- a/packages/control/src/model/configuration.ts
+++ b/packages/control/src/model/configuration.ts
@@ -16,13 +16,8 @@
   readonly validMs: number
 }
 
-/** A queue. Callers address it by host and path. */
-export interface Queue {
-  readonly name: string
-  readonly host: string
-  /** Path prefix of the queue's requests. */
-  readonly prefix: string
-  readonly upstream: string
+/** Settings of a queue that apply to its jobs as long as they run. */
+export interface QueueSettings {
   /** Lower numbers are scheduled first; 0 is the highest priority. */
   readonly priority: number
   /** Number of failed runs of one task after which its job fails. */
@@ -34,11 +29,21 @@
   readonly stretch: number
   /** Part of the objective that does not depend on the job's steps. */
   readonly targetMs: number
+  /** Undefined if the queue's tasks need no ticket. */
+  readonly advice: AdviceSettings | undefined
+}
+
+/** A queue. Callers address it by host and path. */
+export interface Queue extends QueueSettings {
+  readonly name: string
+  readonly host: string
+  /** Path prefix of the queue's requests. */
+  readonly prefix: string
+  readonly upstream: string
   /** The timeout of the platform's route. Not used by this scheduler. */
   readonly timeoutMs: number
   /** True if the queue accepts requests without a known key. */
   readonly open: boolean
-  readonly advice: AdviceSettings | undefined
 }
 
 /** A group of workers that run the tasks of the same queues. */
@@ -50,10 +55,8 @@
   readonly spare: boolean
 }
 
-/** A tenant of the cell. */
-export interface Workspace {
-  readonly name: string
-  readonly keys: readonly string[]
+/** Settings of a workspace that apply to its jobs as long as they run. */
+export interface WorkspaceSettings {
   /**
    * Rate of the workspace in jobs per second; 0 for no limit. Jobs beyond the rate are accepted, but placed after all jobs within
    * their rate that can still be of use. Long-running steps are placed first whatever the rate; see `Band` in place/ranking.ts.
@@ -63,6 +66,12 @@
   readonly upperLimit: Resources
 }
 
+/** A tenant of the cell. */
+export interface Workspace extends WorkspaceSettings {
+  readonly name: string
+  readonly keys: readonly string[]
+}
+
 /** Limits on callers' requests. They are decoded but not enforced: the callers' server has fixed limits of its own. */
 export interface CallerLimits {
   /** Maximum size of a request body. */
--- a/packages/control/src/model/job.ts
+++ b/packages/control/src/model/job.ts
@@ -2,6 +2,7 @@
  * Jobs: graphs of dependent steps that callers submit.
  */
 import type { Resources } from '@fireflymount/protocol/resources'
+import type { QueueSettings, WorkspaceSettings } from './configuration.js'
 
 /** One step: a number of tasks of equal size that run the same image. */
 export interface Step {
@@ -60,6 +61,13 @@
   readonly intervalMs: number
   /** Unix time at which the job was accepted, on the accepting node's clock. */
   readonly acceptedMs: number
+  /**
+   * Settings of the queue when the job was accepted; they apply if the queue is removed from the configuration. Undefined in records
+   * of earlier builds.
+   */
+  readonly queueSettings?: QueueSettings | undefined
+  /** The same of the workspace. Undefined also for a job without a workspace. */
+  readonly workspaceSettings?: WorkspaceSettings | undefined
 }
 
 /** The state of a job that callers see. */
@@ -136,6 +144,24 @@
 /** Maximum number of tasks of a job, all occurrences together. Every node keeps the state of all of them in memory. */
 export const MAX_JOB_TASKS = 100_000
 
+/**
+ * Validates the settings that a job keeps of its queue and its workspace.
+ *
+ * @returns the first validation error, or undefined if the settings are valid
+ */
+export function findSettingsError ({ queueSettings: queue, workspaceSettings: workspace }: Job): string | undefined {
+  if (queue !== undefined) {
+    const { callMs, workerMs, validMs } = queue.advice ?? { callMs: 0, workerMs: 0, validMs: 0 }
+    const amounts = [queue.priority, queue.stretch, queue.targetMs, callMs, workerMs, validMs]
+    if (!isCount(queue.attempts) || !amounts.every(isAmount)) return 'A setting of the queue is not a number of 0 or more.'
+  }
+  if (workspace !== undefined) {
+    const { cpuMilli, memoryMb, accelerators } = workspace.upperLimit
+    const amounts = [workspace.weight, cpuMilli, memoryMb, accelerators]
+    if (!amounts.every(isAmount)) return 'A setting of the workspace is not a number of 0 or more.'
+  }
+}
+
 /**
  * Validates a job.
  *
--- a/packages/control/src/owner/admission-controller.ts
+++ b/packages/control/src/owner/admission-controller.ts
@@ -15,6 +15,7 @@
 import { RateTracker } from '../place/rate.js'
 import type { KeyedRecord } from '../ports/store.js'
 import type { Log } from '../report/log.js'
+import { JobSettings } from './job-settings.js'
 import type { JournalCommitter } from './journal-committer.js'
 import type { Dispatcher } from './dispatcher.js'
 
@@ -44,9 +45,12 @@
 export class AdmissionController {
   private readonly rates = new RateTracker()
   private readonly countedJobs = new Set<string>()
+  private readonly jobSettings: JobSettings
 
   /** @param overRateJobs ids of jobs beyond the rate of their workspace; the controller adds and removes them */
-  constructor (private readonly options: AdmissionControllerOptions, private readonly overRateJobs: Set<string>) {}
+  constructor (private readonly options: AdmissionControllerOptions, private readonly overRateJobs: Set<string>) {
+    this.jobSettings = new JobSettings(options.configuration)
+  }
 
   /**
    * Refuses a job that would miss its objective, and appends any other record. The record of a known job is not appended again.
@@ -87,7 +91,7 @@
   countAgainstRate ({ job }: JobEntry): void {
     if (this.countedJobs.has(job.id)) return
     this.countedJobs.add(job.id)
-    const weight = this.weightOf(job.workspace)
+    const weight = this.weightOf(job)
     // A job that an entry node appended itself may be from a clock that is ahead.
     if (!this.rates.count(job.workspace, weight, Math.min(job.acceptedMs, this.options.clock.wall()))) return
     this.overRateJobs.add(job.id)
@@ -128,7 +132,7 @@
     const { writer, dispatcher } = this.options
     if (writer.isUncommitted(key)) return undefined
     if (job.occurrences > 0 || job.steps.some((step) => step.lasting)) return undefined
-    const overRate = this.rates.exceeds(job.workspace, this.weightOf(job.workspace), job.acceptedMs)
+    const overRate = this.rates.exceeds(job.workspace, this.weightOf(job), job.acceptedMs)
     const retryAfterMs = findRetryAfterMs(dispatcher.unplacedStepsOf(job.queue, overRate))
     if (retryAfterMs === undefined || dispatcher.hasCapacityFor(job)) return undefined
     return refuse(
@@ -138,9 +142,9 @@
     )
   }
 
-  /** Rate of a workspace in jobs per second, which the configuration calls its weight; 0 for no limit. */
-  private weightOf (name: string): number {
-    return this.options.configuration().workspaces.find((workspace) => workspace.name === name)?.weight ?? 0
+  /** Rate of a job's workspace in jobs per second, which the configuration calls its weight; 0 for no limit. */
+  private weightOf (job: Job): number {
+    return this.jobSettings.workspaceOf(job)?.weight ?? 0
   }
 }
 
--- a/packages/control/src/owner/capacity-reclaimer.ts
+++ b/packages/control/src/owner/capacity-reclaimer.ts
@@ -6,6 +6,7 @@
 import {
   chooseRunsToStop, chooseWorkersToHold, mayHold, mayHoldAny, mayPreempt, type PreemptibleRun, type UnplacedTask
 } from '../place/hold.js'
+import type { JobSettings } from './job-settings.js'
 import type { PoolCandidate } from './candidates.js'
 import type { Pool } from './pool.js'
 import { RunState, type Run } from './run.js'
@@ -18,10 +19,9 @@
   readonly preemptions: Run[] = []
 
   /**
-   * @param queues the queues by name
    * @param stopMs maximum time that a worker takes to stop a run
    */
-  constructor (private readonly queues: ReadonlyMap<string, Queue>, private readonly stopMs: number) {}
+  constructor (private readonly jobSettings: JobSettings, private readonly stopMs: number) {}
 
   /**
    * Frees capacity for tasks of a step that could not be placed. Holds workers for long-running tasks, and for large urgent tasks
@@ -79,15 +79,15 @@
   }
 
   /**
-   * Returns the started runs that may be preempted: those of lower-priority queues (of all queues if the step's queue has been
-   * removed) that save checkpoints or are best-effort; never members of gangs or long-running runs.
+   * Returns the started runs that may be preempted: those of lower-priority queues (of all queues if the step's queue is not
+   * known) that save checkpoints or are best-effort; never members of gangs or long-running runs.
    */
   private preemptibleRunsOf (session: Session, queue: Queue | undefined): Array<PreemptibleRun<Run>> {
     const preemptible: Array<PreemptibleRun<Run>> = []
     for (const run of session.runs.values()) {
       const { step } = run
       if (step.lasting || step.gang || run.state !== RunState.Running || !(step.checkpoints || step.bestEffort)) continue
-      const priority = this.queues.get(run.entry.job.queue)?.priority ?? 0
+      const priority = this.jobSettings.queueOf(run.entry.job)?.priority ?? 0
       const hasLowerPriority = queue === undefined || priority > queue.priority
       if (hasLowerPriority) preemptible.push({ run, charge: run.charge, stopCost: run.charge.cpuMilli })
     }
--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '../clock.js'
 import type { TaskEntry } from '../journal/journal-state.js'
 import type { Job } from '../model/job.js'
-import type { Configuration, Queue, Workspace } from '../model/configuration.js'
+import type { Configuration, Queue } from '../model/configuration.js'
 import { splitTask } from '../model/worker.js'
 import type { UnplacedStep } from '../place/admission.js'
 import { chooseWorkersToAsk } from '../place/advice.js'
@@ -15,6 +15,7 @@
 import { TicketStatus, type AdvisorClient } from './advisor-client.js'
 import { Candidates, type PoolCandidate } from './candidates.js'
 import { CapacityReclaimer } from './capacity-reclaimer.js'
+import { JobSettings } from './job-settings.js'
 import type { ReadyStep, ReadySteps } from './ready-step.js'
 import { chargeOf, type Ledger } from './ledger.js'
 import { PermittedWorkersFinder, type PermittedWorkers } from './permitted-workers.js'
@@ -73,8 +74,6 @@
 /** The state of one round. */
 interface Round {
   readonly rankedSteps: readonly RankedStep[]
-  readonly queues: ReadonlyMap<string, Queue>
-  readonly workspaces: ReadonlyMap<string, Workspace>
   /** Includes the tasks for which workers were chosen in this round. */
   readonly usage: WorkspaceUsage
   readonly pools: Map<string, Pool>
@@ -93,10 +92,12 @@
   private readonly unplacedSteps = new Map<string, UnplacedStep[]>()
   private readonly candidates: Candidates
   private readonly permittedWorkers: PermittedWorkersFinder
+  private readonly jobSettings: JobSettings
 
   constructor (private readonly options: DispatcherOptions) {
     this.candidates = new Candidates(options.sessions, options.slownessOf)
     this.permittedWorkers = new PermittedWorkersFinder(options.advisorClient)
+    this.jobSettings = new JobSettings(options.configuration)
   }
 
   /** Runs one round over all waiting tasks. */
@@ -114,18 +115,14 @@
   }
 
   private startRound (): Round {
-    const { configuration, ledger, settings, notBeforeMs } = this.options
-    const { queues, workspaces } = configuration()
-    const queuesByName = new Map(queues.map((queue) => [queue.name, queue]))
-    const workspacesByName = new Map(workspaces.map((workspace) => [workspace.name, workspace]))
+    const { readySteps, clock, overRateJobs, ledger, settings, notBeforeMs } = this.options
+    const { jobSettings } = this
     return {
-      rankedSteps: rankReadySteps(this.options),
-      queues: queuesByName,
-      workspaces: workspacesByName,
-      usage: new WorkspaceUsage(ledger, workspacesByName),
+      rankedSteps: rankReadySteps({ readySteps, jobSettings, clock, overRateJobs }),
+      usage: new WorkspaceUsage(ledger, jobSettings),
       pools: new Map(),
       assignments: [],
-      reclaimer: new CapacityReclaimer(queuesByName, settings.stopMs),
+      reclaimer: new CapacityReclaimer(jobSettings, settings.stopMs),
       delayedJobs: new Set([...notBeforeMs.keys()].map((task) => splitTask(task).job))
     }
   }
@@ -335,17 +332,17 @@
   private createPool (upstream: string, round: Round): Pool {
     const { ledger, sessions, clock } = this.options
     let urgentPriority = Infinity
-    for (const queue of round.queues.values()) {
+    for (const queue of this.jobSettings.queues()) {
       if (queue.upstream === upstream) urgentPriority = Math.min(urgentPriority, queue.priority)
     }
     const isUrgent = (queue: Queue): boolean => queue.upstream === upstream && queue.priority === urgentPriority
     let demand = NO_RESOURCES
-    for (const queue of round.queues.values()) {
+    for (const queue of this.jobSettings.queues()) {
       if (isUrgent(queue)) demand = addResources(demand, ledger.chargedFor(queue.name))
     }
     let totalSlackMs = 0
     let waitingSteps = 0
-    const usage = new WorkspaceUsage(ledger, round.workspaces)
+    const usage = new WorkspaceUsage(ledger, this.jobSettings)
     for (const { readyStep, queue, objectiveMs, overRate } of round.rankedSteps) {
       if (queue === undefined || readyStep.step.lasting || !isUrgent(queue)) continue
       // No capacity is reserved for tasks that are blocked by the limit or the rate of their workspace.
@@ -369,7 +366,7 @@
 
 /**
  * Returns true if the tasks of a step may use the capacity reserved for urgent tasks. These are long-running tasks, urgent
- * tasks, tasks of removed queues, tasks whose estimate is at most the mean total slack of urgent jobs, and tasks that have to
+ * tasks, tasks of unknown queues, tasks whose estimate is at most the mean total slack of urgent jobs, and tasks that have to
  * start soon to meet their objective, unless that time is already past. Urgent tasks may do so also beyond the rate of their
  * workspace.
  */
--- a/packages/control/src/owner/run-end-handler.ts
+++ b/packages/control/src/owner/run-end-handler.ts
@@ -15,6 +15,7 @@
 import { describeError, type Log } from '../report/log.js'
 import type { Metrics } from '../report/metrics.js'
 import type { AdvisorClient } from './advisor-client.js'
+import { JobSettings } from './job-settings.js'
 import type { JournalCommitter } from './journal-committer.js'
 import type { ReadySteps } from './ready-step.js'
 import type { Ledger } from './ledger.js'
@@ -32,8 +33,8 @@
  * There is no delay after a run that the owner declared lost.
  */
 const TASK_RETRY_DELAY_MS = 150
-/** Maximum number of failed runs of a task for a job whose queue has been removed. */
-const REMOVED_QUEUE_ATTEMPTS = 3
+/** Maximum number of failed runs of a task if the job's queue is not known; see `JobSettings.queueOf`. */
+const UNKNOWN_QUEUE_ATTEMPTS = 3
 
 /** Dependencies of the handler. */
 export interface RunEndHandlerOptions {
@@ -57,7 +58,11 @@
 
 /** Handles ended, lost and released runs. */
 export class RunEndHandler {
-  constructor (private readonly options: RunEndHandlerOptions) {}
+  private readonly jobSettings: JobSettings
+
+  constructor (private readonly options: RunEndHandlerOptions) {
+    this.jobSettings = new JobSettings(options.configuration)
+  }
 
   /** Applies ended runs. Resolves to true once all changes are in the journal, and to false if one could not be applied or written. */
   async handleRunEnds (session: Session, endedRuns: readonly EndedRun[]): Promise<boolean> {
@@ -201,7 +206,6 @@
   }
 
   private maxAttemptsOf (entry: JobEntry): number {
-    const queue = this.options.configuration().queues.find((each) => each.name === entry.job.queue)
-    return queue?.attempts ?? REMOVED_QUEUE_ATTEMPTS
+    return this.jobSettings.queueOf(entry.job)?.attempts ?? UNKNOWN_QUEUE_ATTEMPTS
   }
 }
--- a/packages/control/src/owner/step-ranking.ts
+++ b/packages/control/src/owner/step-ranking.ts
@@ -2,17 +2,19 @@
  * Ranks the ready steps: computes the order in which a scheduling round places them.
  */
 import type { Clock } from '../clock.js'
-import type { Configuration, Queue } from '../model/configuration.js'
+import type { Queue } from '../model/configuration.js'
 import { Phase } from '../model/job.js'
 import { placementRankOf } from '../place/ranking.js'
+import type { JobSettings } from './job-settings.js'
 import type { ReadyStep, ReadySteps } from './ready-step.js'
 
-/** Stretch factor in the objective of a job whose queue has been removed. */
-const REMOVED_QUEUE_STRETCH = 4
+/** Stretch factor in the objective of a job whose queue is not known; see `JobSettings.queueOf`. */
+const UNKNOWN_QUEUE_STRETCH = 4
 
 /** A ready step with its place in the order. */
 export interface RankedStep {
   readonly readyStep: ReadyStep
+  /** As `JobSettings.queueOf` returns it. */
   readonly queue: Queue | undefined
   /** The job is beyond the rate of its workspace. */
   readonly overRate: boolean
@@ -27,27 +29,25 @@
 /** What the ranking depends on. */
 export interface StepRankingOptions {
   readonly readySteps: ReadySteps
-  readonly configuration: () => Configuration
+  readonly jobSettings: JobSettings
   readonly clock: Clock
   /** Ids of the jobs beyond the rate of their workspace. */
   readonly overRateJobs: ReadonlySet<string>
 }
 
 /** Returns the ready steps that are due, in the order in which they are placed. */
-export function rankReadySteps ({ readySteps, configuration, clock, overRateJobs }: StepRankingOptions): RankedStep[] {
+export function rankReadySteps ({ readySteps, jobSettings, clock, overRateJobs }: StepRankingOptions): RankedStep[] {
   const wallNowMs = clock.wall()
-  const queues = new Map<string, Queue>()
-  for (const queue of configuration().queues) queues.set(queue.name, queue)
   const ranked: RankedStep[] = []
   for (const readyStep of readySteps.list()) {
     const { entry: { job, phase }, dueMs, chainMs } = readyStep
     if (job.occurrences > 0 && dueMs > wallNowMs) continue
-    const queue = queues.get(job.queue)
+    const queue = jobSettings.queueOf(job)
     const overRate = overRateJobs.has(job.id)
-    const objectiveMs = (queue?.stretch ?? REMOVED_QUEUE_STRETCH) * readyStep.criticalPathMs + (queue?.targetMs ?? 0)
+    const objectiveMs = (queue?.stretch ?? UNKNOWN_QUEUE_STRETCH) * readyStep.criticalPathMs + (queue?.targetMs ?? 0)
     const rank = placementRankOf({
       longRunning: readyStep.step.lasting,
-      // A job whose queue has been removed is ranked with the highest priority, but does not count as urgent.
+      // A job whose queue is not known is ranked with the highest priority, but does not count as urgent.
       priority: queue?.priority ?? 0,
       dueMs,
       objectiveMs,
--- a/packages/control/src/owner/workspace-usage.ts
+++ b/packages/control/src/owner/workspace-usage.ts
@@ -2,8 +2,8 @@
  * What is left of the upper limits of the workspaces during one scheduling round.
  */
 import { addResources, scaleResources, type Resources } from '@fireflymount/protocol/resources'
-import type { Workspace } from '../model/configuration.js'
 import { headroomOf } from '../place/limit.js'
+import type { JobSettings } from './job-settings.js'
 import type { Ledger } from './ledger.js'
 import type { ReadyStep } from './ready-step.js'
 
@@ -11,13 +11,12 @@
 export class WorkspaceUsage {
   private readonly used = new Map<string, Resources>()
 
-  constructor (private readonly ledger: Ledger, private readonly workspaces: ReadonlyMap<string, Workspace>) {}
+  constructor (private readonly ledger: Ledger, private readonly jobSettings: JobSettings) {}
 
   /** Returns how many tasks of a step fit into what is left of the upper limit of their workspace. */
   headroom ({ entry, step }: ReadyStep): number {
-    const { workspace } = entry.job
-    const limit = this.workspaces.get(workspace)?.upperLimit
-    return limit === undefined ? Infinity : headroomOf(limit, this.usedBy(workspace), step.size)
+    const limit = this.jobSettings.workspaceOf(entry.job)?.upperLimit
+    return limit === undefined ? Infinity : headroomOf(limit, this.usedBy(entry.job.workspace), step.size)
   }
 
   /** Counts tasks of a step against the limit, as if they were running. */
--- a/packages/control/test/owner/dispatcher.spec.ts
+++ b/packages/control/test/owner/dispatcher.spec.ts
@@ -187,6 +187,28 @@
   })
 })
 
+describe('a step whose queue has been removed', () => {
+  // Guards against starts without a ticket, which workers refuse, once the route that needs advice is gone.
+  it('asks the advisor as its queue did', async () => {
+    await harness.addWorkers(1)
+    harness.accept({ queue: 'removed', queueSettings: createQueue({ advice: ADVICE }) }, 1)
+    expect(harness.runRounds(1).assignments).toEqual([])
+    await harness.grant(['w1'])
+    expect(harness.runRounds(1).assignments.map(({ ticket }) => ticket)).toEqual(['ticket of w1'])
+  })
+
+  it.each([
+    ['the priority', { priority: 2 }],
+    ['the objective', { priority: 1, targetMs: 60_000 }]
+  ])('is placed after a step of another queue by %s that its queue had', async (_, settings) => {
+    await harness.addWorkers(1)
+    harness.accept({ queue: 'removed', queueSettings: createQueue(settings) }, 4)
+    const other = harness.accept({ queue: 'later' }, 4)
+    const { assignments } = harness.runRounds(1)
+    expect(assignments.map(({ readyStep }) => readyStep.entry)).toEqual([other, other, other, other])
+  })
+})
+
 describe('a step on an upstream with more workers than one call of the advisor names', () => {
   const names = (from: number, through: number): string[] => Array.from({ length: through - from + 1 }, (_, index) => `w${from + index}`)
 
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -33,6 +33,7 @@
   readonly journalState = new JournalState()
   readonly running: ActiveRun[] = []
   readonly ended: EndedRun[] = []
+  configuration = CONFIGURATION
   private owner: Owner | undefined
 
   constructor () {
@@ -75,7 +76,7 @@
       machines: new NoMachines(),
       formats: new PlainFormats(),
       clock: this.clock,
-      configuration: () => CONFIGURATION,
+      configuration: () => this.configuration,
       askAdvisor: async () => err(AdviceFailure.NoAnswer),
       nodes: () => [],
       settings: { leaseMs: 6000, farFactor: 2, keptMs: 120_000, stopMs: 200 },
@@ -452,6 +453,43 @@
     expect([harness.fleet.started.length, last.jobs.get(ID)?.visiblePhase()]).toEqual([count, Phase.Completed])
   })
 
+  // Guards against a job that fails early, or starts too often, because its queue's attempts are unknown while its route is removed.
+  it.each([
+    { attempts: 4, takeover: false },
+    { attempts: 4, takeover: true },
+    { attempts: 2, takeover: false },
+    { attempts: 1, takeover: true }
+  ])('allows the $attempts attempts of a queue that was removed while the job ran: %o', async ({ attempts, takeover }) => {
+    const { queueSettings } = createJob({ queueSettings: createQueue({ attempts }) })
+    harness.startOwner(1)
+    await advance(300)
+    await harness.accept({ queueSettings })
+    harness.configuration = { ...CONFIGURATION, version: 2, queues: [] }
+    const phases: Array<Phase | undefined> = []
+    for (let attempt = 1; attempt <= attempts; attempt++) {
+      expect(harness.tasks()).toEqual([`0.0.0#${attempt}`])
+      if (takeover) {
+        harness.close()
+        harness.startOwner(attempt + 1, stateOf(newestOf(harness.store.records[Topic.Journal])))
+        await advance(500)
+      }
+      harness.endRun(`${ID}.0.0.0`, RunOutcome.Failed)
+      await advance(1000)
+      phases.push(stateOf(newestOf(harness.store.records[Topic.Journal])).jobs.get(ID)?.visiblePhase())
+    }
+    const [before = Phase.Active, last] = [phases.at(-2), phases.at(-1)]
+    expect([before, last, harness.fleet.started.length]).toEqual([Phase.Active, Phase.Failed, attempts])
+  })
+
+  // Guards against a workspace whose jobs run without its upper limit once the configuration no longer names it.
+  it('keeps the jobs of a removed workspace within the upper limit that it had', async () => {
+    harness.startOwner(1)
+    await advance(300)
+    harness.configuration = { ...CONFIGURATION, version: 2, workspaces: [] }
+    await harness.accept({ workspaceSettings: CONFIGURATION.workspaces[0], steps: [createStep({ count: 5 })] })
+    expect(harness.tasks()).toHaveLength(3)
+  })
+
   // Guards against a job that runs again, or a crash, when only the end of the job is left in the journal.
   it('after a takeover stops the runs of an ended job and ignores the ends that workers report for it', async () => {
     const end = encodeJobEnd(ID, { ...createJob({ id: ID }), phase: Phase.Completed, endedMs: harness.clock.wall() })
