Owner: find lost workers that have no registry entry

Cause: the early detection of lost workers goes by the machine that the registry entry names. The entries were removed before the new owner read the registry, so it waited for the longest lease that an earlier owner may have granted, counted from its claim.

Change: a silent worker without an entry is looked up in the list of machines by its id. Registry.missingMs counts from when the registry was read for workers that never had an entry.

Two cases of worker-loss-detector.spec.ts and the new one of owner.spec.ts failed before.

--- a/packages/control/src/owner/garbage-collector.ts
+++ b/packages/control/src/owner/garbage-collector.ts
@@ -10,10 +10,9 @@
 import { isFinal } from '../model/job.js'
 import { MAX_UNCONFIRMED_OWNERSHIP_MS } from './ownership.js'
 import { MIN_CLOCK_RATE } from './lease.js'
+import { MAX_MISSING_MS } from './registry.js'
 import type { Session } from './session.js'
 
-/** Nothing new is placed on a worker that has had no registry entry for longer than this. */
-const MAX_MISSING_MS = 2200
 /** An unreachable worker with neither an entry nor runs is removed after this time. */
 const FORGET_AFTER_MS = 10_000
 /** Records are kept for the promised retention time multiplied by this factor, because clocks differ and callers may be slow. */
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -196,11 +196,11 @@
       clock,
       claimedAt: options.claimedAt,
       settings: options.settings,
-      missingMs: (worker) => this.registryRead ? this.registry.missingMs(worker) : 0,
+      missingMs: (worker) => this.registry.missingMs(worker),
       hasRuns: (entry) => this.ledger.hasRuns(entry),
       forgetJob: (job) => { this.forgetJob(job) }
     })
-    this.workerLossDetector = new WorkerLossDetector(options.machines, clock)
+    this.workerLossDetector = new WorkerLossDetector(options.machines, clock, (worker) => this.registry.missingMs(worker))
     this.runSupervisor = new RunSupervisor({
       ledger: this.ledger,
       sessions: this.sessions,
--- a/packages/control/src/owner/registry.ts
+++ b/packages/control/src/owner/registry.ts
@@ -6,6 +6,12 @@
 import type { Formats } from '../ports/formats.js'
 import type { StoredRecord } from '../ports/store.js'
 
+/**
+ * A worker that has had no entry for longer than this is treated as gone: nothing new is placed on it. Entries that expired while the
+ * store was unavailable are back sooner.
+ */
+export const MAX_MISSING_MS = 2200
+
 /** Receives changes of the registry. */
 export interface RegistryListener {
   readonly onWorker: (worker: Worker) => void
@@ -20,6 +26,8 @@
   private readonly unreadable = new Set<string>()
   /** Keys read since the start of a reload; undefined while there is none. */
   private keysSinceReload: Set<string> | undefined
+  /** Time on the steady clock at which all entries had been read for the first time; undefined before. */
+  private loadedMs: number | undefined
 
   constructor (
     private readonly formats: Formats,
@@ -47,17 +55,18 @@
   finishReload (): void {
     const { keysSinceReload } = this
     this.keysSinceReload = undefined
+    this.loadedMs ??= this.clock.now()
     if (keysSinceReload === undefined) return
     for (const id of this.workers.keys()) {
       if (!keysSinceReload.has(id)) this.remove(id)
     }
   }
 
-  /** How long a worker has had no entry; 0 if it has one, Infinity if it never had one. */
+  /** How long a worker is known to have had no entry; 0 if it has one, or before all entries have been read. */
   missingMs (id: string): number {
     if (this.workers.has(id)) return 0
-    const since = this.missingSince.get(id)
-    return since === undefined ? Infinity : this.clock.now() - since
+    const since = this.missingSince.get(id) ?? this.loadedMs
+    return since === undefined ? 0 : this.clock.now() - since
   }
 
   private remove (id: string): void {
--- a/packages/control/src/owner/worker-loss-detector.ts
+++ b/packages/control/src/owner/worker-loss-detector.ts
@@ -3,6 +3,7 @@
  */
 import type { Clock } from '../clock.js'
 import { MachineState, type Machine, type Machines } from '../ports/machines.js'
+import { MAX_MISSING_MS } from './registry.js'
 import type { Session } from './session.js'
 
 /** Time between two requests for the list while workers do not answer. */
@@ -18,9 +19,14 @@
   private polledMs = -Infinity
   private polling = false
 
-  constructor (private readonly machines: Machines, private readonly clock: Clock) {}
+  /** @param missingMs how long a worker is known to have had no registry entry */
+  constructor (
+    private readonly machines: Machines,
+    private readonly clock: Clock,
+    private readonly missingMs: (worker: string) => number
+  ) {}
 
-  /** Declares a worker lost if it does not answer and its machine is down or runs another worker. */
+  /** Declares a worker lost if it does not answer and the list of machines proves that it has ended. */
   async tick (sessions: Iterable<Session>): Promise<void> {
     const nowMs = this.clock.now()
     if (this.polling || nowMs - this.polledMs < POLL_INTERVAL_MS) return
@@ -31,13 +37,28 @@
     const listed = await this.machines.list()
     this.polling = false
     if (listed.isErr()) return
-    const byName = new Map(listed.value.map((machine) => [machine.name, machine]))
     for (const session of silent) {
-      const machine = byName.get(session.worker.machine)
-      if (machine === undefined || session.silentMs() <= MIN_SILENCE_MS) continue
-      if (hasWorkerEnded(machine, session.id)) session.declareLost('The machine of the worker is down or runs another worker.')
+      if (session.silentMs() <= MIN_SILENCE_MS) continue
+      const reason = this.findLoss(session, listed.value)
+      if (reason !== undefined) session.declareLost(reason)
     }
   }
+
+  /** Returns how a list of machines proves that a worker has ended, or undefined. */
+  private findLoss ({ id, worker }: Session, machines: readonly Machine[]): string | undefined {
+    // The machine is unknown if the worker had no registry entry any more when this owner took over.
+    const machine = machines.find(({ name, worker: listed }) => worker.machine === '' ? listed === id : name === worker.machine)
+    if (machine !== undefined) {
+      return hasWorkerEnded(machine, id) ? 'The machine of the worker is down or runs another worker.' : undefined
+    }
+    if (worker.machine !== '' || this.missingMs(id) <= MAX_MISSING_MS) return undefined
+    return runOtherWorkers(machines) ? 'The worker has no registry entry, and no machine runs it.' : undefined
+  }
+}
+
+/** Returns true if it is known of all machines that are not down which workers they run. */
+function runOtherWorkers (machines: readonly Machine[]): boolean {
+  return machines.length > 0 && machines.every(({ state, worker }) => state === MachineState.Down || worker !== '')
 }
 
 /**
--- a/packages/control/test/fakes.ts
+++ b/packages/control/test/fakes.ts
@@ -9,7 +9,7 @@
 import type { SessionHost } from '../src/owner/session.js'
 import { Fleet, WorkerFailure, type ReportCommand, type RunCommand, type StartCommand } from '../src/ports/fleet.js'
 import { Formats } from '../src/ports/formats.js'
-import { MachineFailure, Machines } from '../src/ports/machines.js'
+import { MachineFailure, Machines, MachineState, type Machine } from '../src/ports/machines.js'
 import {
   StoreFailure, StoreClient, Topic, type Fence, type KeyedRecord, type StoreAnswer, type StoreCall, type StoredRecord
 } from '../src/ports/store.js'
@@ -236,6 +236,29 @@
   override async startMaintenance (): ReturnType<Machines['startMaintenance']> { return err(MachineFailure.NoAnswer) }
 }
 
+/** A machine service that lists the same machines each time. */
+export class ListedMachines extends NoMachines {
+  constructor (private readonly machines: Machine[]) {
+    super()
+  }
+
+  override async list (): ReturnType<Machines['list']> { return ok(this.machines) }
+}
+
+/** Creates a machine that is up; `fields` override the defaults. */
+export function createMachine (fields: Partial<Machine> = {}): Machine {
+  return {
+    name: 'm1',
+    upstream: 'planner',
+    state: MachineState.Up,
+    zone: '',
+    labels: [],
+    capacity: { cpuMilli: 16_000, memoryMb: 32_000, accelerators: 0 },
+    worker: 'w1',
+    ...fields
+  }
+}
+
 /** Creates the host of a session that ignores all callbacks; `fields` override the defaults. */
 export function createSessionHost (fields: Pick<SessionHost, 'fleet' | 'clock'> & Partial<SessionHost>): SessionHost {
   const ignore = (): void => {}
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -10,11 +10,12 @@
 import { RunOutcome, type ActiveRun, type EndedRun, type Worker } from '../../src/model/worker.js'
 import { Owner } from '../../src/owner/owner.js'
 import { AdviceFailure } from '../../src/ports/advisor.js'
+import { MachineState, type Machines } from '../../src/ports/machines.js'
 import { StoreFailure, Topic, type KeyedRecord } from '../../src/ports/store.js'
 import { SilentLog } from '../../src/report/log.js'
 import { Metrics } from '../../src/report/metrics.js'
 import { newestOf, stateOf } from '../journal/steady-cell.js'
-import { FakeFleet, FakeStore, createJob, createQueue, createStep, createWorker, NoMachines, PlainFormats } from '../fakes.js'
+import { FakeFleet, FakeStore, createJob, createMachine, createQueue, createStep, createWorker, ListedMachines, NoMachines, PlainFormats } from '../fakes.js'
 
 const CONFIGURATION: Configuration = {
   version: 1,
@@ -34,6 +35,7 @@
   readonly running: ActiveRun[] = []
   readonly ended: EndedRun[] = []
   configuration = CONFIGURATION
+  machines: Machines = new NoMachines()
   private owner: Owner | undefined
 
   constructor () {
@@ -73,7 +75,7 @@
       journalState,
       store: new StoreAccess(this.store, async () => err(StoreFailure.Refused), this.clock, () => {}),
       fleet: this.fleet,
-      machines: new NoMachines(),
+      machines: this.machines,
       formats: new PlainFormats(),
       clock: this.clock,
       configuration: () => this.configuration,
@@ -433,6 +435,21 @@
     expect(state.jobs.get(ID)?.visiblePhase()).toBe(Phase.Completed)
   })
 
+  // Guards against tasks that wait for the longest lease of an earlier owner although their worker left the registry before the takeover.
+  it('after a takeover soon starts the tasks of a worker that the platform does not list any more', async () => {
+    harness.startOwner(1)
+    await advance(300)
+    await harness.accept({ steps: [createStep({ lasting: true })] })
+    harness.close()
+    harness.running.length = 0
+    harness.store.put(Topic.Workers, { key: 'w1', value: undefined })
+    harness.store.put(Topic.Workers, { key: 'w2', value: Buffer.from(JSON.stringify(createWorker({ id: 'w2', machine: 'm2' }))) })
+    harness.machines = new ListedMachines([createMachine({ name: 'm2', state: MachineState.Up, worker: 'w2' })])
+    harness.startOwner(2, stateOf(newestOf(harness.store.records[Topic.Journal])))
+    await advance(4000)
+    expect(harness.tasks()).toEqual(['0.0.0#2'])
+  })
+
   // Guards against tasks that run twice after a takeover because the first report of their worker omits most of their ends.
   it('after one or more takeovers starts no task again whose end the worker reports only later', async () => {
     harness.fleet.maxReportedEnds = 2
--- /dev/null
+++ b/packages/control/test/owner/worker-loss-detector.spec.ts
@@ -0,0 +1,56 @@
+import { describe, expect, it } from 'vitest'
+import { JobEntry } from '../../src/journal/journal-state.js'
+import { Ledger, chargeOf } from '../../src/owner/ledger.js'
+import { Run } from '../../src/owner/run.js'
+import { Session } from '../../src/owner/session.js'
+import { WorkerLossDetector } from '../../src/owner/worker-loss-detector.js'
+import { MachineState, type Machine } from '../../src/ports/machines.js'
+import { FakeClock, FakeFleet, ListedMachines, createJob, createMachine, createSessionHost, createWorker } from '../fakes.js'
+
+function machine (name: string, state: MachineState, worker: string): Machine {
+  return createMachine({ name, state, worker })
+}
+
+const { Up, Down, Moving } = MachineState
+
+/** Returns whether the run of a silent worker is lost after some time without a registry entry. */
+async function isLost (machineOfWorker: string, machines: Machine[], missingMs: number): Promise<boolean> {
+  const clock = new FakeClock()
+  const ledger = new Ledger()
+  let lost = false
+  const host = createSessionHost({ fleet: new FakeFleet(), clock, onRunsLost: () => { lost = true } })
+  const session = new Session(createWorker({ id: 'w1', machine: machineOfWorker }), host)
+  const entry = new JobEntry(createJob())
+  ledger.add(new Run(entry, entry.task(0, 0, 0), 1, session, chargeOf(entry.job.steps[0]!), '', clock.now()))
+  const detector = new WorkerLossDetector(new ListedMachines(machines), clock, () => missingMs)
+  clock.advance(1300)
+  await detector.tick([session])
+  return lost
+}
+
+const MISSING_MS = 2500
+
+describe('a silent worker', () => {
+  it.each<[string, string, Machine[], number, boolean]>([
+    ['runs on a machine that is down', 'm1', [machine('m1', Down, 'w1')], 0, true],
+    ['runs on a machine that has another worker', 'm1', [machine('m1', Up, 'w2')], 0, true],
+    ['runs on a machine that is up', 'm1', [machine('m1', Up, 'w1')], MISSING_MS, false],
+    ['runs on a machine that is not listed', 'm1', [machine('m2', Up, 'w2')], MISSING_MS, false]
+  ])('whose machine is known counts as lost, or not, if it %s', async (_, name, machines, missingMs, lost) => {
+    expect(await isLost(name, machines, missingMs)).toBe(lost)
+  })
+
+  // Guards against tasks that wait for the longest lease of an earlier owner because their workers had no registry entry any more when
+  // this owner took over, so that it never learned on which machines they ran.
+  it.each<[string, Machine[], number, boolean]>([
+    ['a machine that is down lists it', [machine('m1', Down, 'w1'), machine('m2', Up, 'w2')], 0, true],
+    ['no machine lists it', [machine('m1', Up, 'w3'), machine('m2', Up, 'w2')], MISSING_MS, true],
+    ['no machine lists it yet after the store was away', [machine('m1', Up, 'w3')], 1500, false],
+    ['a machine that is up lists it', [machine('m1', Up, 'w1')], MISSING_MS, false],
+    ['a machine that is up lists no worker', [machine('m1', Up, ''), machine('m2', Up, 'w2')], MISSING_MS, false],
+    ['a machine that is moving lists no worker', [machine('m1', Moving, ''), machine('m2', Up, 'w2')], MISSING_MS, false],
+    ['no machine is listed', [], MISSING_MS, false]
+  ])('that had no registry entry counts as lost, or not, if %s', async (_, machines, missingMs, lost) => {
+    expect(await isLost('', machines, missingMs)).toBe(lost)
+  })
+})
