Place: a held worker takes tasks that do not delay the held one

Cause: a worker that is held for a large task was withheld from all lower-ranked tasks with its whole free capacity, also while the large task had to wait for a run whose capacity it takes over. With a step of many such tasks the hold had no end.

Change: a hold withholds what the large task needs beyond the runs for which it waits. The rest may be used.

Evidence: the new case of dispatcher.spec.ts failed before (0 of 1 tasks placed); its opposite passes before and after.

--- a/packages/control/src/owner/candidates.ts
+++ b/packages/control/src/owner/candidates.ts
@@ -53,6 +53,16 @@
     return Math.max(0, this.emptyAtMs - this.nowMs)
   }
 
+  /** Charges of the runs that are expected to end, the earliest first. */
+  endingRuns (): Resources[] {
+    const ending: Array<{ charge: Resources, endMs: number }> = []
+    for (const { step, stopping, assignedMs, charge } of this.session.runs.values()) {
+      if (stopping !== undefined) ending.push({ charge, endMs: -Infinity })
+      else if (!step.lasting) ending.push({ charge, endMs: assignedMs + step.estimateMs })
+    }
+    return ending.sort((left, right) => left.endMs - right.endMs).map(({ charge }) => charge)
+  }
+
   /**
    * Prepares for a round.
    *
--- a/packages/control/src/owner/capacity-reclaimer.ts
+++ b/packages/control/src/owner/capacity-reclaimer.ts
@@ -46,7 +46,7 @@
       : []
     for (const candidate of held) {
       if (mayStopRuns) this.preempt(queue, candidate, charge)
-      pool.hold(candidate)
+      pool.hold(candidate, charge)
     }
     if (held.length > 0 || !urgentWithinRate || !mayStopRuns) return
     this.preemptAnywhere(ranked, unplaced, pool, candidates)
--- a/packages/control/src/owner/pool.ts
+++ b/packages/control/src/owner/pool.ts
@@ -2,7 +2,7 @@
  * The free capacity of one upstream during one scheduling round.
  */
 import { fitsResources, scaleResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
-import { maxHoldsOf } from '../place/hold.js'
+import { maxHoldsOf, spareBeside } from '../place/hold.js'
 import type { CandidateSet, PoolCandidate } from './candidates.js'
 import type { Session } from './session.js'
 
@@ -65,10 +65,14 @@
     return fitsResources(charge, this.mostFree)
   }
 
-  /** Holds a worker: withholds its free capacity from all other tasks for the rest of the round. */
-  hold (candidate: PoolCandidate): void {
+  /**
+   * Holds a worker: withholds from all other tasks, for the rest of the round, the free capacity that they would take from a task.
+   *
+   * @param charge capacity that the task needs
+   */
+  hold (candidate: PoolCandidate, charge: Resources): void {
     this.remainingHolds--
-    this.allocate(candidate, candidate.free)
+    this.allocate(candidate, subtractResources(candidate.free, spareBeside(charge, candidate.free, candidate.endingRuns())))
   }
 
   /** Takes capacity of a worker for a task for the rest of the round. */
--- a/packages/control/src/place/hold.ts
+++ b/packages/control/src/place/hold.ts
@@ -1,11 +1,11 @@
 /**
  * Rules for holding workers for tasks that do not fit into the free capacity, and for preempting runs. Runs are preempted on held
- * workers or, for urgent tasks for which no worker is held, on other workers. While a worker is held, nothing that ranks lower is
- * placed on it in the same round; each round chooses again. This prevents the starvation of large tasks by small
+ * workers or, for urgent tasks for which no worker is held, on other workers. While a worker is held, what ranks lower is placed on
+ * it in the same round only if it does not delay the task for which it is held; each round chooses again. This prevents the starvation of large tasks by small
  * ones that fill every gap. The workers that lack the least capacity are held, and runs that lose little work by a stop are
  * preempted. (The lease of a worker, which the platform also calls a hold, is something else.)
  */
-import { fitsResources, addResources, type Resources } from '@fireflymount/protocol/resources'
+import { addResources, fitsResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
 import type { Step } from '../model/job.js'
 import { dominantShareOf } from './limit.js'
 import type { Candidate } from './fit.js'
@@ -102,6 +102,29 @@
   return eligible.slice(0, step.perWorker === 1 ? count : Math.ceil(count / 2)).map(({ candidate }) => candidate)
 }
 
+/**
+ * Returns the part of a worker's free capacity that other tasks may take without delaying a task for which the worker is held. The
+ * task starts once so many runs have ended that it fits; the rest of the capacity is not needed for it.
+ *
+ * @param charge capacity that the task needs
+ * @param free free capacity of the worker
+ * @param endingRuns charges of the runs on the worker that are expected to end, the earliest first
+ */
+export function spareBeside (charge: Resources, free: Resources, endingRuns: readonly Resources[]): Resources {
+  let available = free
+  for (const ending of endingRuns) {
+    if (fitsResources(charge, available)) break
+    available = addResources(available, ending)
+  }
+  const rest = subtractResources(available, charge)
+  const spareOf = (restOf: number, freeOf: number): number => Math.max(0, Math.min(restOf, freeOf))
+  return {
+    cpuMilli: spareOf(rest.cpuMilli, free.cpuMilli),
+    memoryMb: spareOf(rest.memoryMb, free.memoryMb),
+    accelerators: spareOf(rest.accelerators, free.accelerators)
+  }
+}
+
 /**
  * Chooses the runs to stop on a worker, in order of increasing lost work.
  *
--- a/packages/control/test/owner/dispatcher.spec.ts
+++ b/packages/control/test/owner/dispatcher.spec.ts
@@ -75,11 +75,13 @@
     }
   }
 
-  /** Fills a worker with a run. */
-  occupy (id: string): void {
-    const entry = new JobEntry(createJob({ id: `f${id}`.padStart(16, '0'), steps: [createStep({ size: CAPACITY })] }))
+  /** Fills a worker with a run, or adds several runs of a size. */
+  occupy (id: string, size = CAPACITY, count = 1): void {
+    const entry = new JobEntry(createJob({ id: `f${id}`.padStart(16, '0'), steps: [createStep({ size, count })] }))
     const session = this.sessions.get(id)!
-    this.ledger.add(new Run(entry, entry.task(0, 0, 0), 1, session, CAPACITY, '', this.clock.now()))
+    for (let index = 0; index < count; index++) {
+      this.ledger.add(new Run(entry, entry.task(0, 0, index), 1, session, size, '', this.clock.now()))
+    }
   }
 
   /** Applies a newer registry entry of a worker. */
@@ -245,6 +247,24 @@
   })
 })
 
+describe('a worker that is held for a large task', () => {
+  const LARGE = { cpuMilli: 3000, memoryMb: 3000, accelerators: 0 }
+
+  // Guards against small tasks that never start because their only worker is held for the tasks of a step of which one runs there at a
+  // time, although they would not delay any of them.
+  it.each([
+    ['takes a small task beside the run for which the large one waits', LARGE, 1, 1],
+    ['takes no small task whose capacity the large one needs', TASK, 3, 0]
+  ])('%s', async (_, size, runs, small) => {
+    await harness.addWorkers(1)
+    harness.occupy('w1', size, runs)
+    harness.accept({ queue: 'urgent', steps: [createStep({ size: LARGE })] }, 1)
+    const later = harness.accept({ queue: 'later' }, 1)
+    const { assignments } = harness.runRounds(1)
+    expect(assignments.filter(({ readyStep }) => readyStep.entry === later)).toHaveLength(small)
+  })
+})
+
 describe('a task that has failed', () => {
   it.each([
     ['is placed on another worker', 1, ['w2']],
