Readers: one odd record costs that record, never those beside it

Operators of another system saw processes end, or stop following the workers, because of one odd entry of another writer: deeply nested, with a number too large, or with a port out of range.

Cause: the codecs quote an invalid value in their error text, which fails for deeply nested values; Follower gave up a page when its listener threw; numbers were checked by type only.

Follower passes over a record that fails, with one log line.

Two cases of cluster/malformed.spec.ts expected the line 'background task failed', which is the fault: the follower was ended and started again. They now expect the line about the record instead, and all cases that no background task failed.

--- a/packages/control/src/journal/follower.ts
+++ b/packages/control/src/journal/follower.ts
@@ -20,6 +20,8 @@
 export interface FollowerListener {
   /** Called for each record, in order. */
   readonly onRecord: (record: StoredRecord) => void
+  /** Called with a record on which `onRecord` has failed. It is passed over. */
+  readonly onRejected: (record: StoredRecord, error: unknown) => void
   /** Called when all records that the store had at the time of its answer have been read. */
   readonly onCaughtUp?: () => void
   /**
@@ -161,7 +163,7 @@
     this.listener.onReset?.()
     this.complete = false
     this.rereading = { cursor: { offset: page.end }, after: page.next, laterReadMs: sentMs }
-    for (const record of page.records) this.listener.onRecord(record)
+    for (const record of page.records) this.handle(record)
   }
 
   /** Reads the next page, after the later records if these are due: a page never contains older records than those. */
@@ -173,7 +175,7 @@
     const page = await this.store.newest(this.topic, rereading.after)
     if (page.isErr()) return err(page.error)
     if (this.rereading !== rereading) return err(StoreFailure.Expired)
-    for (const record of page.value.records) this.listener.onRecord(record)
+    for (const record of page.value.records) this.handle(record)
     rereading.after = page.value.next
     return ok(undefined)
   }
@@ -209,7 +211,15 @@
   private deliver (cursor: Cursor, record: StoredRecord): void {
     if (record.offset < cursor.offset) return
     cursor.offset = record.offset + 1
-    this.listener.onRecord(record)
+    this.handle(record)
+  }
+
+  private handle (record: StoredRecord): void {
+    try {
+      this.listener.onRecord(record)
+    } catch (error) {
+      this.listener.onRejected(record, error)
+    }
   }
 
   private finishRead (cursor: Cursor, sentAt: Stamp): Result<void, StoreFailure> {
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -160,11 +160,13 @@
     this.claimant = new Claimant(this.storeAccess, clock, settings.node, this.incarnation)
     this.journal = new Follower(this.storeAccess, Topic.Journal, {
       onRecord: (record) => { this.applyRecord(record) },
+      onRejected: (record, error) => { this.onRecordFailed(Topic.Journal, record, error) },
       onReset: () => { if (this.owner === undefined) this.nextJournalState = this.createJournalState() },
       onCaughtUp: () => { this.onJournalRead() }
     }, clock, FOLLOWER_READ_INTERVAL_MS)
     this.configurationFollower = new Follower(this.storeAccess, Topic.Configuration, {
-      onRecord: (record) => { this.applyConfiguration(record) }
+      onRecord: (record) => { this.applyConfiguration(record) },
+      onRejected: (record, error) => { this.onRecordFailed(Topic.Configuration, record, error) }
     }, clock, CONFIGURATION_READ_INTERVAL_MS)
     this.jobService = this.createJobService()
   }
@@ -286,6 +288,10 @@
     }
   }
 
+  private onRecordFailed (topic: Topic, { key, offset }: StoredRecord, error: unknown): void {
+    this.options.log.event('record failed unexpectedly', { topic, key, offset, error: describeError(error) })
+  }
+
   private applyConfiguration (record: StoredRecord): void {
     if (record.key !== this.options.formats.configurationKey || record.value === undefined) return
     const decoded = this.options.formats.decodeConfiguration(record.value)
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -134,6 +134,7 @@
     })
     this.registryFollower = new Follower(store, Topic.Workers, {
       onRecord: (record) => { this.registry.apply(record) },
+      onRejected: ({ key }, error) => { this.registry.reject(key, describeError(error)) },
       onReset: () => { this.registry.startReload() },
       onCaughtUp: () => { this.onRegistryRead() }
     }, clock, REGISTRY_POLL_INTERVAL_MS)
--- a/packages/control/src/owner/registry.ts
+++ b/packages/control/src/owner/registry.ts
@@ -74,8 +74,8 @@
     this.missingSince.set(id, this.clock.now())
   }
 
-  /** Removes a worker whose entry cannot be decoded, since nothing can be placed on it, and reports the entry once. */
-  private reject (id: string, reason: string): void {
+  /** Removes a worker whose entry cannot be used, since nothing can be placed on it, and reports the entry once. */
+  reject (id: string, reason: string): void {
     this.remove(id)
     if (this.unreadable.has(id)) return
     this.unreadable.add(id)
--- a/packages/control/test/cluster/malformed.spec.ts
+++ b/packages/control/test/cluster/malformed.spec.ts
@@ -43,8 +43,8 @@
       'journal record rejected'],
     ['a progress that is a number', Topic.Journal, encodeRecord(Subject.Progress, POISON_ID, 7), 'journal record rejected'],
     ['bytes that cannot be decoded', Topic.Journal, { key: keyOf(Subject.Cancellation, POISON_ID), value: Buffer.from([0xc1]) }, ''],
-    ['a configuration that is not one', Topic.Configuration, { key: 'config', value: Buffer.from('{') }, 'background task failed'],
-    ['a worker that is not one', Topic.Workers, { key: 'w9', value: Buffer.from('{') }, 'background task failed']
+    ['a configuration that is not one', Topic.Configuration, { key: 'config', value: Buffer.from('{') }, 'record failed unexpectedly'],
+    ['a worker that is not one', Topic.Workers, { key: 'w9', value: Buffer.from('{') }, 'worker registry entry invalid']
   ])('serves the others: %s', async (_, topic, record, event) => {
     await cluster.start([{ name: 'a', callMs: 0 }])
     expect(await waitFor(() => cluster.nodes[0]!.ready(), 5000)).toBe(true)
@@ -59,5 +59,6 @@
       await new Promise((resolve) => setTimeout(resolve, 50))
     }
     expect(last).toBe(Phase.Completed)
+    expect(cluster.events.filter(({ name }) => name === 'background task failed')).toEqual([])
   })
 })
--- a/packages/control/test/journal/narrow-link.spec.ts
+++ b/packages/control/test/journal/narrow-link.spec.ts
@@ -53,7 +53,8 @@
     const relay = async (call: StoreCall, timeoutMs: number): ReturnType<StoreClient['call']> => await port.call(call, timeoutMs)
     const keys = new Set<string>()
     const follower = new Follower(new StoreAccess(port, relay, clock, () => {}), Topic.Journal, {
-      onRecord: (record) => { keys.add(record.key) }
+      onRecord: (record) => { keys.add(record.key) },
+      onRejected: (_, error) => { throw error }
     }, clock, 100)
     const stopping = new AbortController()
     const running = follower.run(stopping.signal)
--- a/packages/control/test/journal/rereading.spec.ts
+++ b/packages/control/test/journal/rereading.spec.ts
@@ -95,6 +95,7 @@
       if (value === undefined) Reflect.deleteProperty(content, key)
       else content[key] = value.toString()
     },
+    onRejected: (_, error) => { throw error },
     onCaughtUp: () => { complete = { ...content } }
   }, clock, 100)
   return { clock, topic, follower, complete: () => complete, resets: () => resets }
--- a/packages/protocol/src/frame.ts
+++ b/packages/protocol/src/frame.ts
@@ -4,6 +4,7 @@
 import { Packr } from 'msgpackr'
 import { err, ok, type Result } from 'neverthrow'
 import type { Codec } from 'purify-ts/Codec'
+import { decodeWith } from './decode.js'
 import { AnswerCodec, AskCodec, HelloCodec, LeaveCodec, REQUEST_CODECS, type Frame, type MessageKind, type Request } from './message.js'
 
 /** Size of the largest frame that a daemon accepts. */
@@ -46,7 +47,7 @@
   if (value.isErr()) return err(value.error)
   const codec = findCodec(value.value)
   if (codec === undefined) return err('The frame has an unknown type.')
-  return codec.decode(value.value).caseOf<Result<Frame, string>>({ Left: err, Right: (frame) => ok(frame as Frame) })
+  return decodeWith(codec, value.value).map((frame) => frame as Frame)
 }
 
 /**
@@ -62,7 +63,7 @@
   const kind = (value as { kind?: MessageKind } | null)?.kind
   if (typeof kind !== 'string' || !Object.hasOwn(REQUEST_CODECS, kind)) return err('The request has an unknown kind.')
   const codec: Decoder = REQUEST_CODECS[kind]
-  return codec.decode(value).caseOf<Result<Request, string>>({ Left: err, Right: (request) => ok(request as Request) })
+  return decodeWith(codec, value).map((request) => request as Request)
 }
 
 function unpack (bytes: Uint8Array): Result<unknown, string> {
