Membership: answers and addresses of other nodes are checked

One malformed frame, answer or address of another node ended the process that read it: a frame nested 2,000 deep, a relayed report that is none, a node's address with a port out of range.

Cause: frames were decoded, and answers converted, outside of any error handling; WebSocket throws on an address that is none.

Counters of open calls are restored also if a call throws.

The checks of phases, tickets and relayed answers have no test of their own yet.

--- a/packages/control/src/membership/fleet-gateways.ts
+++ b/packages/control/src/membership/fleet-gateways.ts
@@ -13,7 +13,7 @@
 } from '../ports/fleet.js'
 import type { Log } from '../report/log.js'
 import type { Metrics } from '../report/metrics.js'
-import { expandReport, type Commanded, type CompactReport } from './gateway-server.js'
+import { expandReport } from './gateway-server.js'
 import { GatewayRoutes } from './gateway-routes.js'
 import type { Links } from './links.js'
 
@@ -49,6 +49,8 @@
   readonly metrics: Metrics
 }
 
+const FAILURES: ReadonlySet<unknown> = new Set(Object.values(WorkerFailure))
+
 /** One call, in the form for another node and in the form for this one. */
 interface Call<T> {
   readonly worker: WorkerAddress
@@ -57,7 +59,8 @@
   readonly timeoutMs: number
   /** Makes the call from this node. */
   readonly callDirectly: () => Promise<Result<T, WorkerFailure>>
-  readonly decode: (answer: Exclude<Commanded, WorkerFailure>) => T
+  /** Decodes the answer of another node; undefined if it is none. */
+  readonly decode: (answer: unknown) => T | undefined
 }
 
 /** Sends commands to workers through other nodes, and from this node while there is no other. */
@@ -127,7 +130,7 @@
       request: { report: command },
       timeoutMs,
       callDirectly: () => this.options.direct.requestReport(worker, command),
-      decode: (answer) => expandReport(answer as CompactReport)
+      decode: expandReport
     }
   }
 
@@ -150,7 +153,7 @@
       tried.add(gateway)
       if (gateway === this.options.node) return await this.callDirectly(call)
       const answer = await this.ask(gateway, call, validMs)
-      if (answer.isOk()) return this.handleAnswer(gateway, call, answer.value as Commanded)
+      if (answer.isOk()) return this.handleAnswer(gateway, call, answer.value)
       if (answer.error.execution !== Execution.NotRun) {
         this.options.metrics.gatewayCalls.inc({ outcome: 'unanswered' })
         // A repeated report request times out before the gateway gives up. A timer that fires late says nothing about the gateway.
@@ -172,11 +175,16 @@
     return await this.options.links.ask(gateway, command, timeoutMs, validMs)
   }
 
-  private handleAnswer<T> (gateway: string, call: Call<T>, answer: Commanded): Result<T, WorkerFailure> {
+  private handleAnswer<T> (gateway: string, call: Call<T>, answer: unknown): Result<T, WorkerFailure> {
     this.options.metrics.gatewayCalls.inc({ outcome: 'answered' })
-    if (answer === WorkerFailure.NoAnswer) this.routes.onUnanswered(call.worker, gateway)
-    else this.routes.onAnswered(call.worker, gateway)
-    return typeof answer === 'string' ? err(answer) : ok(call.decode(answer))
+    const result = decodeAnswer(call, answer)
+    if (result === undefined) this.options.log.event('gateway answer invalid', { worker: call.worker.id, gateway })
+    if (result === undefined || (result.isErr() && result.error === WorkerFailure.NoAnswer)) {
+      this.routes.onUnanswered(call.worker, gateway)
+      return err(WorkerFailure.NoAnswer)
+    }
+    this.routes.onAnswered(call.worker, gateway)
+    return result
   }
 
   private async callDirectly<T> (call: Call<T>): Promise<Result<T, WorkerFailure>> {
@@ -210,8 +218,15 @@
   }
 }
 
+/** Decodes what a gateway answered: the result of the call, or why it failed; undefined if the answer is neither. */
+function decodeAnswer<T> (call: Call<T>, answer: unknown): Result<T, WorkerFailure> | undefined {
+  if (FAILURES.has(answer)) return err(answer as WorkerFailure)
+  const value = call.decode(answer)
+  return value === undefined ? undefined : ok(value)
+}
+
 function commandCall (
   worker: WorkerAddress, request: Call<number>['request'], callDirectly: Call<number>['callDirectly']
 ): Call<number> {
-  return { worker, request, timeoutMs: COMMAND_TIMEOUT_MS + TRANSFER_MS, callDirectly, decode: (answer) => answer as number }
+  return { worker, request, timeoutMs: COMMAND_TIMEOUT_MS + TRANSFER_MS, callDirectly, decode: (answer) => Number.isFinite(answer) ? answer as number : undefined }
 }
--- a/packages/control/src/membership/gateway-server.ts
+++ b/packages/control/src/membership/gateway-server.ts
@@ -4,7 +4,7 @@
 import type { Command, Disconnect } from '@fireflymount/protocol/message'
 import { Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
-import type { Report, RunOutcome } from '../model/worker.js'
+import { RunOutcome, type Report } from '../model/worker.js'
 import { WorkerFailure, type Fleet } from '../ports/fleet.js'
 
 /** A report as it is sent between nodes. Its rows are lists without names of fields, since reports are most of the bytes. */
@@ -15,6 +15,8 @@
   ended: ReadonlyArray<readonly [position: number, task: string, run: number, ending: RunOutcome, checkpoint: string]>
 ]
 
+const OUTCOMES: ReadonlySet<unknown> = new Set(Object.values(RunOutcome))
+
 /** The result of a call that a gateway made: the worker's clock for most commands, a report, or why the call failed. */
 export type Commanded = number | CompactReport | WorkerFailure
 
@@ -31,9 +33,12 @@
     const call = this.call(request)
     if (call === undefined) return err(refuse(Reason.Malformed, 'The request contains no command.'))
     this.open++
-    const result = await call
-    this.open--
-    return ok(result.isOk() ? result.value : result.error)
+    try {
+      const result = await call
+      return ok(result.isOk() ? result.value : result.error)
+    } finally {
+      this.open--
+    }
   }
 
   /** Closes the connections to a worker. */
@@ -61,8 +66,15 @@
   return [report.born, report.clockMs, running, ended]
 }
 
-/** Converts a report back from the form in which it was sent. */
-export function expandReport ([born, clockMs, running, ended]: CompactReport): Report {
+/**
+ * Converts a report back from the form in which it was sent.
+ *
+ * @param answer the answer of another node
+ * @returns the report, or undefined if the answer is none
+ */
+export function expandReport (answer: unknown): Report | undefined {
+  if (!isCompactReport(answer)) return undefined
+  const [born, clockMs, running, ended] = answer
   return {
     born,
     clockMs,
@@ -70,3 +82,24 @@
     ended: ended.map(([position, task, run, ending, checkpoint]) => ({ position, task, run, ending, checkpoint }))
   }
 }
+
+function isCompactReport (answer: unknown): answer is CompactReport {
+  if (!Array.isArray(answer)) return false
+  const [born, clockMs, running, ended] = answer as unknown[]
+  if (!Number.isFinite(born) || !Number.isFinite(clockMs) || !Array.isArray(running) || !Array.isArray(ended)) return false
+  return running.every(isActiveRow) && ended.every(isEndedRow)
+}
+
+function isActiveRow (row: unknown): boolean {
+  if (!Array.isArray(row)) return false
+  const [task, run, checkpoint, percent, load] = row as unknown[]
+  return typeof task === 'string' && Number.isSafeInteger(run) && typeof checkpoint === 'string' &&
+    Number.isFinite(percent) && Number.isFinite(load)
+}
+
+function isEndedRow (row: unknown): boolean {
+  if (!Array.isArray(row)) return false
+  const [position, task, run, ending, checkpoint] = row as unknown[]
+  return Number.isSafeInteger(position) && typeof task === 'string' && Number.isSafeInteger(run) &&
+    OUTCOMES.has(ending) && typeof checkpoint === 'string'
+}
--- a/packages/control/src/membership/links.ts
+++ b/packages/control/src/membership/links.ts
@@ -150,20 +150,13 @@
   private async dial (node: string): Promise<Result<Connection, string>> {
     const address = this.options.addressOf(node)
     if (address === undefined) return err(`The address of node ${node} is unknown.`)
-    const url = `ws://${address.host}:${address.port}`
     let outcome = DialOutcome.Unanswered
-    const socket = new WebSocket(url, {
-      handshakeTimeout: CONNECT_TIMEOUT_MS,
-      perMessageDeflate: false,
-      maxPayload: MAX_FRAME_BYTES,
-      finishRequest: (request) => {
-        request.once('socket', (stream) => stream.once('connect', () => {
-          outcome = DialOutcome.Accepted
-          this.lastDials.set(node, outcome)
-        }))
-        request.end()
-      }
+    const created = createSocket(`ws://${address.host}:${address.port}`, () => {
+      outcome = DialOutcome.Accepted
+      this.lastDials.set(node, outcome)
     })
+    if (created.isErr()) return err(`The address of node ${node} is invalid: ${created.error}`)
+    const socket = created.value
     socket.on('error', (error: NodeJS.ErrnoException) => {
       if (error.code === 'ECONNREFUSED') outcome = DialOutcome.Refused
     })
@@ -192,3 +185,25 @@
     })
   }
 }
+
+/**
+ * Starts to connect to an address.
+ *
+ * @param onAccepted called when the address has accepted the connection
+ * @returns the socket, or why the address is none
+ */
+function createSocket (url: string, onAccepted: () => void): Result<WebSocket, string> {
+  try {
+    return ok(new WebSocket(url, {
+      handshakeTimeout: CONNECT_TIMEOUT_MS,
+      perMessageDeflate: false,
+      maxPayload: MAX_FRAME_BYTES,
+      finishRequest: (request) => {
+        request.once('socket', (stream) => stream.once('connect', onAccepted))
+        request.end()
+      }
+    }))
+  } catch (error) {
+    return err(String(error))
+  }
+}
--- a/packages/control/src/membership/relay.ts
+++ b/packages/control/src/membership/relay.ts
@@ -28,6 +28,8 @@
   readonly answer?: StoreAnswer
 }
 
+const FAILURES: ReadonlySet<unknown> = new Set(Object.values(StoreFailure))
+
 /** Relays calls to the store through other nodes. */
 export class StoreRelay {
   /** Node that relayed the last successful call; empty if there is none. */
@@ -65,7 +67,12 @@
         continue
       }
       attempts++
-      const relayed = answer.value as Relayed
+      const relayed = decodeRelayed(answer.value)
+      if (relayed === undefined) {
+        this.recordFailure(name)
+        failure = StoreFailure.NoAnswer
+        continue
+      }
       if (relayed.failure === undefined) {
         this.failedNodes.delete(name)
         this.lastRelayNode = name
@@ -128,9 +135,11 @@
     if (!('newest' in call)) return await this.makeCall(call)
     if (this.newestCalls >= MAX_NEWEST_CALLS) return err(refuse(Reason.QueueFull, 'This node relays other pages already.', 0))
     this.newestCalls++
-    const answer = await this.makeCall(call)
-    this.newestCalls--
-    return answer
+    try {
+      return await this.makeCall(call)
+    } finally {
+      this.newestCalls--
+    }
   }
 
   private async makeCall (call: StoreCall): Promise<Result<Relayed, Refusal>> {
@@ -151,3 +160,21 @@
   }
   return answer
 }
+
+/** Returns what another node answered, or undefined if it is no answer. */
+function decodeRelayed (value: unknown): Relayed | undefined {
+  const { failure, answer } = (value ?? {}) as { readonly failure?: unknown, readonly answer?: unknown }
+  if (FAILURES.has(failure)) return { failure: failure as StoreFailure }
+  return failure === undefined && isStoreAnswer(answer) ? { answer } : undefined
+}
+
+function isStoreAnswer (answer: unknown): answer is StoreAnswer {
+  if (typeof answer === 'number') return Number.isSafeInteger(answer)
+  const { records, end } = (answer ?? {}) as { readonly records?: unknown, readonly end?: unknown }
+  return Number.isSafeInteger(end) && Array.isArray(records) && records.every(isStoredRecord)
+}
+
+function isStoredRecord (record: unknown): boolean {
+  const { key, value, offset } = (record ?? {}) as { readonly key?: unknown, readonly value?: unknown, readonly offset?: unknown }
+  return typeof key === 'string' && Number.isSafeInteger(offset) && (value === undefined || value instanceof Uint8Array)
+}
--- a/packages/control/src/model/job.ts
+++ b/packages/control/src/model/job.ts
@@ -79,6 +79,13 @@
   Cancelled = 'cancelled'
 }
 
+const PHASES: ReadonlySet<unknown> = new Set(Object.values(Phase))
+
+/** Checks whether a value, which another process sent, is a phase. */
+export function isPhase (value: unknown): value is Phase {
+  return PHASES.has(value)
+}
+
 /**
  * Checks whether a phase is final.
  *
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -24,9 +24,9 @@
 import { AddressCollector, Registration } from './membership/registration.js'
 import { RelayServer, StoreRelay } from './membership/relay.js'
 import type { Configuration } from './model/configuration.js'
-import { Phase } from './model/job.js'
+import { isPhase, type Phase } from './model/job.js'
 import { Owner, type OwnerSettings } from './owner/owner.js'
-import { AdviceFailure, type Advisor, type Tickets } from './ports/advisor.js'
+import { AdviceFailure, isTickets, type Advisor, type Tickets } from './ports/advisor.js'
 import type { Fleet } from './ports/fleet.js'
 import type { Formats } from './ports/formats.js'
 import type { Machines } from './ports/machines.js'
@@ -511,7 +511,7 @@
     const { ownerClaim } = this.journalState
     if (ownerClaim === undefined || !this.links.has(ownerClaim.node)) return undefined
     const answer = await this.links.ask(ownerClaim.node, { kind: MessageKind.Lookup, job }, timeoutMs)
-    return answer.isOk() ? answer.value as Phase | null : undefined
+    return answer.isOk() && (answer.value === null || isPhase(answer.value)) ? answer.value : undefined
   }
 
   private async askAdvice (
@@ -519,7 +519,7 @@
   ): Promise<Result<Tickets, AdviceFailure>> {
     if (node === this.options.settings.node) return await this.options.advisor.advise(step, workers, timeoutMs)
     const answer = await this.links.ask(node, { kind: MessageKind.Advise, step, workers: [...workers], timeoutMs }, timeoutMs)
-    return answer.isOk() ? ok(answer.value as Tickets) : err(AdviceFailure.NoAnswer)
+    return answer.isOk() && isTickets(answer.value) ? ok(answer.value) : err(AdviceFailure.NoAnswer)
   }
 
   private async handle (request: Request): Promise<Result<unknown, Refusal>> {
--- a/packages/control/src/ports/advisor.ts
+++ b/packages/control/src/ports/advisor.ts
@@ -6,6 +6,13 @@
 /** Tickets by worker. A worker without a ticket may not run the step. */
 export type Tickets = ReadonlyArray<readonly [worker: string, ticket: string]>
 
+/** Checks whether a value, which another process sent, is tickets by worker. */
+export function isTickets (value: unknown): value is Tickets {
+  return Array.isArray(value) && value.every((row) => (
+    Array.isArray(row) && row.length === 2 && row.every((field) => typeof field === 'string')
+  ))
+}
+
 /** Why the advisor returned no tickets. */
 export enum AdviceFailure {
   /** The advisor refused the call because too many calls from this machine are pending, or the advisor is unavailable. */
--- a/packages/control/test/membership/fleet-gateways.spec.ts
+++ b/packages/control/test/membership/fleet-gateways.spec.ts
@@ -383,4 +383,21 @@
     harness.cut()
     expect(await harness.start(moved)).toEqual([first])
   })
+
+  // Guards against a process that ends because another node's answer is no report.
+  it.each([
+    ['null', null], ['a number', 5], ['an object', {}], ['a short list', [10, 6000]], ['a row that is none', [10, 6000, [7], []]],
+    ['a clock of another type', [10, 'x', [], []]], ['an end without a position', [10, 6000, [], [['x', 'aa.0.0.0', 1, 'done', '']]]]
+  ])('counts an answer to a report request as none if it is %s', async (_, answer) => {
+    const harness = new Harness(5)
+    harness.answer = () => ok(answer)
+    expect((await harness.fleet.requestReport(WORKER, POLL))._unsafeUnwrapErr()).toBe(WorkerFailure.NoAnswer)
+  })
+
+  it.each([['null', null], ['an object', {}], ['not finite', Infinity]])(
+    'counts an answer to a start as none if it is %s', async (_, answer) => {
+      const harness = new Harness(5)
+      harness.answer = () => ok(answer)
+      expect((await harness.fleet.start(WORKER, START))._unsafeUnwrapErr()).toBe(WorkerFailure.NoAnswer)
+    })
 })
--- a/packages/control/test/membership/links.spec.ts
+++ b/packages/control/test/membership/links.spec.ts
@@ -45,6 +45,17 @@
     expect([links.refusesConnections('b'), links.has('b')]).toEqual([false, true])
   })
 
+  // Guards against a process that ends because the address of a node in the journal is none.
+  it.each([
+    ['a port above the range', { port: 65_536 }],
+    ['a negative port', { port: -1 }],
+    ['a host with a space', { host: 'not a host' }]
+  ])('fail to connect to an address with %s', async (_, fields) => {
+    const links = createLinks('a', await findFreePort(), { node: 'b', incarnation: '1', host: HOST, port: 1, zone: 'z', ...fields })
+    expect((await links.connect('b')).isErr()).toBe(true)
+    expect((await links.connect('b')).isErr()).toBe(true)
+  })
+
   // Guards against the incident of the saturated owner: a busy owner looked like one that was gone.
   it('report that an address accepts connections although its process does not answer', async () => {
     const silent = createServer()
--- a/packages/protocol/test/connection.spec.ts
+++ b/packages/protocol/test/connection.spec.ts
@@ -6,7 +6,7 @@
 import { WebSocket, WebSocketServer } from 'ws'
 import { Connection, type Handler, type ConnectionSettings } from '@fireflymount/protocol/connection'
 import { decodeFrame, decodeRequest, encodeFrame } from '@fireflymount/protocol/frame'
-import { MessageKind, PROTOCOL_VERSION, type Request } from '@fireflymount/protocol/message'
+import { MessageKind, PROTOCOL_VERSION, type Ask, type Frame, type Request } from '@fireflymount/protocol/message'
 import { encodeReading, readClocks } from '@fireflymount/protocol/peer-clock'
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 
@@ -263,3 +263,25 @@
   expect(connection.isUsable()).toBe(true)
   connection.close()
 })
+
+/** Bytes of a frame in which the value of one field is nested. */
+function nestedFrame (fields: object, key: string, depth: number): Uint8Array {
+  const bytes = encodeFrame({ ...fields, [key]: 'nested' } as unknown as Frame)
+  const mark = Buffer.from([0xa0 + 'nested'.length, ...Buffer.from('nested')])
+  const at = bytes.indexOf(mark)
+  return Buffer.concat([bytes.subarray(0, at), Buffer.alloc(depth, 0x91), Buffer.from([0xc0]), bytes.subarray(at + mark.length)])
+}
+
+// Guards against a process that ends because a peer sent a frame that is nested too deeply to be described.
+test.each([100, 2000, 4000, 8000, 50_000])('frames of a peer that are nested %i deep do not throw', (depth) => {
+  expect(decodeFrame(nestedFrame({ frame: 'hello', node: 'a', zone: 'z' }, 'version', depth)).isErr()).toBe(true)
+  expect(decodeFrame(nestedFrame({ frame: 'ask', request: WATCH }, 'id', depth)).isErr()).toBe(true)
+  const ask = decodeFrame(nestedFrame({ frame: 'ask', id: 1 }, 'request', depth))
+  expect(ask.andThen((frame) => decodeRequest((frame as Ask).request)).isErr()).toBe(true)
+})
+
+test.each([100, 2000, 4000, 8000])('a request with a field that is nested %i deep is refused', (depth) => {
+  let nested: unknown = 1
+  for (let level = 0; level < depth; level++) nested = [nested]
+  expect(decodeRequest({ kind: MessageKind.Watch, shard: nested }).isErr()).toBe(true)
+})
