--- a/packages/control/src/journal/job-changes.ts
+++ b/packages/control/src/journal/job-changes.ts
@@ -26,6 +26,8 @@
   private readonly stored = new Map<string, string>()
   /** True if records were read whose content is not in the job's tasks yet. */
   hasUnread = false
+  /** Keys of the records that could not be decoded, or not in full. */
+  readonly invalidKeys = new Set<string>()
   /** Changes that have not been handed to the writer; undefined for a record that is to be deleted. */
   private readonly changed = new Map<string, Encoder | undefined>()
   private readonly doneTasks = new Map<number, DoneTasks>()
@@ -60,7 +62,7 @@
       this.stored.set(key, '')
       const { subject, block } = splitBlockKey(key)
       const value = Buffer.from(text, 'latin1')
-      if (subject === Subject.Runs) this.applyRuns(block, value)
+      if (subject === Subject.Runs) this.applyRuns(block, value, () => { this.invalidKeys.add(key) })
       else for (const number of decodeDone(block, value)) this.applyDone(number)
     }
   }
@@ -138,8 +140,8 @@
     else this.changed.delete(key)
   }
 
-  private applyRuns (block: number, value: Buffer): void {
-    for (const [index, run] of decodeRuns(value).entries()) {
+  private applyRuns (block: number, value: Buffer, onInvalid: () => void): void {
+    for (const [index, run] of decodeRuns(value, onInvalid).entries()) {
       const number = block * RUNS_BLOCK_TASKS + index
       const key = this.keyOf(number)
       if (run === undefined || key === undefined) continue
--- a/packages/control/src/journal/job-record.ts
+++ b/packages/control/src/journal/job-record.ts
@@ -58,7 +58,7 @@
   return decodeValue<Job | JobRow>(value).andThen((decoded) => {
     try {
       const job = isRow(decoded) ? jobOfRow(splitKey(key).name, decoded) : decoded
-      const mistake = findJobError(job) ?? findSettingsError(job)
+      const mistake = findFieldError(job, splitKey(key).name) ?? findJobError(job) ?? findSettingsError(job)
       return mistake === undefined ? ok(job) : err(mistake)
     } catch (error) {
       return err(`The value is not a job: ${String(error)}`)
@@ -66,6 +66,13 @@
   })
 }
 
+/** Returns what is wrong with the fields that callers do not set, or undefined. */
+function findFieldError ({ id, queue, upstream, workspace, payload, acceptedMs }: Job, name: string): string | undefined {
+  if (id !== name) return 'The job has another id than its record.'
+  const areTexts = [queue, upstream, workspace, payload].every((text) => typeof text === 'string')
+  if (!areTexts || !Number.isFinite(acceptedMs)) return 'A field of the job is missing or has another type.'
+}
+
 function isRow (decoded: Job | JobRow): decoded is JobRow {
   return Array.isArray(decoded)
 }
--- a/packages/control/src/journal/journal-state.ts
+++ b/packages/control/src/journal/journal-state.ts
@@ -6,8 +6,8 @@
 import { JobChanges, type Encoder } from './job-changes.js'
 import { decodeJob } from './job-record.js'
 import {
-  Stage, Subject, decodeProgress, decodeValue, splitKey, type Cancellation, type JobEnd, type NodeAddress, type OwnerClaim,
-  type Progress
+  Stage, Subject, decodeProgress, decodeValue, isCancellation, isNodeAddress, isOwnerClaim, splitKey, type JobEnd,
+  type NodeAddress, type OwnerClaim, type Progress
 } from './record.js'
 import { splitBlockKey } from './task-record.js'
 
@@ -99,6 +99,11 @@
     return true
   }
 
+  /** Keys of the tasks' records that could not be decoded, or not in full. */
+  get invalidKeys (): Iterable<string> {
+    return this.changes.invalidKeys
+  }
+
   /** True if a task has a run that may exist. */
   hasAssignedTask (): boolean {
     for (const task of this.tasks.values()) {
@@ -253,7 +258,7 @@
     if (record.value === undefined) return
     const entry = this.jobs.get(id)
     if (entry === undefined) return this.defer(id, record)
-    const cancellation = this.decode<Cancellation>(record.key, record.value)
+    const cancellation = this.decode(record.key, record.value, isCancellation)
     if (cancellation !== undefined) entry.cancelledMs ||= cancellation.atMs
   }
 
@@ -295,13 +300,13 @@
       this.nodes.delete(name)
       return
     }
-    const address = this.decode<NodeAddress>(record.key, record.value)
+    const address = this.decode(record.key, record.value, isNodeAddress)
     if (address !== undefined) this.nodes.set(name, address)
   }
 
   private applyOwner (record: StoredRecord): void {
     if (record.value === undefined) return
-    const claim = this.decode<OwnerClaim>(record.key, record.value)
+    const claim = this.decode(record.key, record.value, isOwnerClaim)
     if (claim === undefined || (this.ownerClaim !== undefined && claim.epoch <= this.ownerClaim.epoch)) return
     this.ownerClaim = claim
     this.ownerRecordCount++
@@ -313,9 +318,10 @@
     this.deferred.set(id, deferred)
   }
 
-  private decode<T> (key: string, value: Buffer): T | undefined {
-    const decoded = decodeValue<T>(value)
-    if (decoded.isOk()) return decoded.value
-    this.onRejected(key, decoded.error)
+  private decode<T> (key: string, value: Buffer, isValid: (content: unknown) => content is T): T | undefined {
+    const decoded = decodeValue<unknown>(value)
+    if (decoded.isErr()) this.onRejected(key, decoded.error)
+    else if (isValid(decoded.value)) return decoded.value
+    else this.onRejected(key, 'A field of the value is missing or has another type.')
   }
 }
--- a/packages/control/src/journal/record.ts
+++ b/packages/control/src/journal/record.ts
@@ -113,6 +113,8 @@
 /** A JobEnd in its encoded form. */
 type JobEndRow = readonly [phase: number, queue: string, workspace: string, acceptedMs: number, tookMs: number]
 
+const MAX_PORT = 65_535
+
 const packr = new Packr({ useRecords: false })
 
 /**
@@ -156,7 +158,7 @@
 }
 
 /**
- * Decodes the value of a record. Only nodes of the cell write to the journal, so the type of the content is not validated.
+ * Decodes the value of a record. The type of the content is not validated.
  *
  * @param value bytes of the value
  * @returns the content, or a sentence that explains why it cannot be decoded
@@ -188,13 +190,37 @@
  *   cannot be decoded
  */
 export function decodeProgress (value: Buffer): Result<JobEnd | Progress, string> {
-  return decodeValue<JobEndRow | Progress>(value).map((decoded) => {
-    if (!isJobEndRow(decoded)) return decoded
+  return decodeValue<JobEndRow | Progress>(value).andThen((decoded): Result<JobEnd | Progress, string> => {
+    if (!isJobEndRow(decoded)) return ok(decoded)
     const [phase, queue, workspace, acceptedMs, tookMs] = decoded
-    return { phase: FINAL_PHASES[phase]!, queue, workspace, acceptedMs, endedMs: acceptedMs + tookMs }
+    const end = { phase: FINAL_PHASES[phase]!, queue, workspace, acceptedMs, endedMs: acceptedMs + tookMs }
+    const isValid = end.phase !== undefined && typeof queue === 'string' && typeof workspace === 'string' && isTime(end.endedMs)
+    return isValid ? ok(end) : err('The value is not the end of a job.')
   })
 }
 
+/** Checks the decoded value of a node's address. */
+export function isNodeAddress (value: unknown): value is NodeAddress {
+  const { node, incarnation, host, port, zone, processorShare = 0 } = (value ?? {}) as Partial<NodeAddress>
+  const areTexts = [node, incarnation, host, zone].every((text) => typeof text === 'string')
+  return areTexts && Number.isInteger(port) && port! > 0 && port! <= MAX_PORT && Number.isFinite(processorShare)
+}
+
+/** Checks the decoded value of a claim. */
+export function isOwnerClaim (value: unknown): value is OwnerClaim {
+  const { epoch, node, incarnation } = (value ?? {}) as Partial<OwnerClaim>
+  return Number.isSafeInteger(epoch) && typeof node === 'string' && typeof incarnation === 'string'
+}
+
+/** Checks the decoded value of a cancellation. */
+export function isCancellation (value: unknown): value is Cancellation {
+  return isTime((value as Partial<Cancellation> | null)?.atMs)
+}
+
+function isTime (value: unknown): boolean {
+  return Number.isFinite(value) && (value as number) >= 0
+}
+
 /**
  * Returns the place of a record in an append. If an append has to be split, its parts are written in this order, so that the state
  * is consistent after each part: the end of a job before the tasks that ended it, done tasks before their runs are dropped, and
--- a/packages/control/src/journal/task-record.ts
+++ b/packages/control/src/journal/task-record.ts
@@ -95,18 +95,34 @@
  * Decodes a record of runs.
  *
  * @param value bytes of the value
- * @returns the states of the tasks of the block in their order; empty if the value cannot be decoded
+ * @param onInvalid called if the value, or a row of it, cannot be decoded
+ * @returns the states of the tasks of the block in their order, without those that cannot be decoded
  */
-export function decodeRuns (value: Buffer): ReadonlyArray<DecodedRun | undefined> {
-  const rows = decodeValue<readonly Row[]>(value).unwrapOr([])
-  return rows.map((row) => {
+export function decodeRuns (value: Buffer, onInvalid: () => void): ReadonlyArray<DecodedRun | undefined> {
+  const rows = decodeValue<unknown>(value).unwrapOr(undefined)
+  if (!Array.isArray(rows)) {
+    onInvalid()
+    return []
+  }
+  return rows.map((row: unknown) => {
     if (row === Stage.Done) return { stage: Stage.Done }
     if (row === 0) return undefined
+    if (!isRunRow(row)) {
+      onInvalid()
+      return undefined
+    }
     const [stage, run, worker, born, checkpoint = '', failures = 0, failedRun = 0] = row
     return { stage, run, worker, born, failures, failedRun, checkpoint }
   })
 }
 
+function isRunRow (row: unknown): row is RunRow {
+  if (!Array.isArray(row)) return false
+  const [stage, run, worker, born, checkpoint = '', failures = 0, failedRun = 0] = row as unknown[]
+  if (stage !== Stage.Waiting && stage !== Stage.Assigned) return false
+  return [run, failures, failedRun].every(Number.isSafeInteger) && Number.isFinite(born) && typeof worker === 'string' && typeof checkpoint === 'string'
+}
+
 /** The done tasks of a block. */
 export class DoneTasks {
   private readonly bytes = Buffer.alloc(DONE_BLOCK_TASKS / BITS_PER_BYTE)
--- a/packages/control/src/membership/fleet-gateways.ts
+++ b/packages/control/src/membership/fleet-gateways.ts
@@ -228,5 +228,11 @@
 function commandCall (
   worker: WorkerAddress, request: Call<number>['request'], callDirectly: Call<number>['callDirectly']
 ): Call<number> {
-  return { worker, request, timeoutMs: COMMAND_TIMEOUT_MS + TRANSFER_MS, callDirectly, decode: (answer) => Number.isFinite(answer) ? answer as number : undefined }
+  return {
+    worker,
+    request,
+    timeoutMs: COMMAND_TIMEOUT_MS + TRANSFER_MS,
+    callDirectly,
+    decode: (answer) => typeof answer === 'number' && Number.isFinite(answer) ? answer : undefined
+  }
 }
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -320,6 +320,9 @@
       if (entry.isFinishedOrCancelled()) run.stopping = StopReason.Cancelled
       else if (incomplete.has(task)) run.stopping = StopReason.GangMemberEnded
     }
+    for (const key of entry.invalidKeys) {
+      this.options.log.event('journal record rejected', { key, mistake: 'A run of a task cannot be decoded.' })
+    }
     if (entry.cancelledMs > 0 && !isFinal(entry.phase)) this.cancel(entry)
     this.readySteps.refresh(entry)
   }
--- a/packages/control/test/journal/journal-state.spec.ts
+++ b/packages/control/test/journal/journal-state.spec.ts
@@ -1,9 +1,9 @@
 import { describe, expect, it } from 'vitest'
-import { encodeJob, encodeJobEnd, encodeRecord, Stage, Subject, type Progress } from '../../src/journal/record.js'
+import { encodeJob, encodeJobEnd, encodeRecord, encodeValue, Stage, Subject, type Progress } from '../../src/journal/record.js'
 import { JobEntry, JournalState, type TaskEntry } from '../../src/journal/journal-state.js'
 import { Phase } from '../../src/model/job.js'
 import type { KeyedRecord } from '../../src/ports/store.js'
-import { createJob } from '../fakes.js'
+import { createJob, createStep } from '../fakes.js'
 
 const ID = '00000000000000aa'
 const ACCEPTED = encodeJob(createJob({ id: ID }))
@@ -12,6 +12,9 @@
 const DELETED = { key: ACCEPTED.key, value: undefined }
 const RUNNING = { stage: Stage.Assigned, run: 3, worker: 'w1', born: 10 }
 
+const NODE = { node: 'n1', incarnation: '1', host: '10.0.0.1', port: 7000, zone: 'z' }
+const CLAIM = { epoch: 3, node: 'n2', incarnation: '1' }
+
 /** A record of an earlier build. */
 function progress (phase: Phase, fields: Partial<Progress> = {}): KeyedRecord {
   return encodeRecord(Subject.Progress, ID, { phase, endedMs: 0, tasks: [], ...fields })
@@ -126,4 +129,52 @@
     const records = claims.map(([epoch, name]) => encodeRecord(Subject.Owner, 'cell', { epoch, node: name, incarnation: name }))
     expect(applyAll(records).ownerClaim?.node).toBe(node)
   })
+
+  // Guards against processes that end, or a cell that nobody can claim, because of one record of a node that cannot be used.
+  it.each<[string, KeyedRecord]>([
+    ['an address that is null', encodeRecord(Subject.Node, 'n1', null)],
+    ['an address without a host', encodeRecord(Subject.Node, 'n1', { ...NODE, host: undefined })],
+    ['an address with a port out of range', encodeRecord(Subject.Node, 'n1', { ...NODE, port: 70_000 })],
+    ['an address with an infinite processor', encodeRecord(Subject.Node, 'n1', { ...NODE, processorShare: Infinity })],
+    ['a claim that is null', encodeRecord(Subject.Owner, 'cell', null)],
+    ['a claim with an infinite epoch', encodeRecord(Subject.Owner, 'cell', { ...CLAIM, epoch: Infinity })],
+    ['a claim with an epoch that is no number', encodeRecord(Subject.Owner, 'cell', { ...CLAIM, epoch: 'x' })],
+    ['a claim without a node', encodeRecord(Subject.Owner, 'cell', { ...CLAIM, node: 5 })],
+    ['a cancellation without a time', encodeRecord(Subject.Cancellation, ID, { atMs: 'x' })],
+    ['an infinite cancellation', encodeRecord(Subject.Cancellation, ID, { atMs: Infinity })],
+    ['an end with an unknown phase', encodeRecord(Subject.Progress, ID, [7, 'preview', '', 1, 1])],
+    ['an end with an infinite time', encodeRecord(Subject.Progress, ID, [0, 'preview', '', Infinity, 1])],
+    ['a job under the id of another one', { ...encodeJob(createJob({ id: '00000000000000bb' })), key: 'j/00000000000000cc' }],
+    ['a job without a queue', encodeRecord(Subject.Job, '00000000000000cc', { ...createJob({ id: '00000000000000cc' }), queue: 7 })],
+    ['a deeply nested record', { key: 'n/n1', value: Buffer.alloc(50_000, 0x91) }]
+  ])('passes over %s, with one line, and keeps the others', (_, record) => {
+    const rejected: string[] = []
+    const journalState = new JournalState((key) => { rejected.push(key) })
+    const sound = [encodeRecord(Subject.Owner, 'cell', CLAIM), encodeRecord(Subject.Node, 'n2', { ...NODE, node: 'n2' }), ACCEPTED]
+    for (const [offset, each] of [...sound, record].entries()) journalState.apply({ ...each, offset })
+    const { ownerClaim, nodes, jobs } = journalState
+    expect([ownerClaim, [...nodes.keys()], [...jobs.keys()], rejected]).toEqual([CLAIM, ['n2'], [ID], [record.key]])
+    expect(jobs.get(ID)?.visiblePhase()).toBe(Phase.Pending)
+  })
+
+  // Guards against a job that no owner handles because one record of its runs cannot be read.
+  it.each([
+    ['a number', 7],
+    ['null', null],
+    ['a row that is none', ['x', [Stage.Assigned, 2, 'w2', 10]]],
+    ['a row with an unknown stage', [[9, 1, 'w1', 10], [Stage.Assigned, 2, 'w2', 10]]],
+    ['a row with an infinite run', [[Stage.Assigned, Infinity, 'w1', 10], [Stage.Assigned, 2, 'w2', 10]]],
+    ['a row without a worker', [[Stage.Assigned, 1], [Stage.Assigned, 2, 'w2', 10]]]
+  ])('passes over %s among the runs of a job, and notes it', (_, rows) => {
+    const accepted = encodeJob(createJob({ id: ID, steps: [createStep({ count: 8 })] }))
+    const { jobs } = applyAll([
+      accepted,
+      { key: `r/${ID}.0`, value: encodeValue(rows) },
+      { key: `r/${ID}.1`, value: encodeValue([[Stage.Assigned, 3, 'w3', 10]]) }
+    ])
+    const entry = jobs.get(ID)!
+    const runs = [...entry.tasks.values()].map(({ key, run }) => `${key}#${run}`)
+    expect(runs).toEqual(Array.isArray(rows) ? ['0.0.1#2', '0.0.4#3'] : ['0.0.4#3'])
+    expect([...entry.invalidKeys]).toEqual([`r/${ID}.0`])
+  })
 })
--- a/packages/control/test/membership/relay.spec.ts
+++ b/packages/control/test/membership/relay.spec.ts
@@ -54,7 +54,12 @@
     ['has an unknown outcome when a node did not answer, although the next is refused',
       [LINK_TIMED_OUT, REFUSED, REFUSED], StoreFailure.NoAnswer],
     ['has an unknown outcome when the store did not answer a node, although the next is refused',
-      [UNANSWERED, REFUSED, REFUSED], StoreFailure.NoAnswer]
+      [UNANSWERED, REFUSED, REFUSED], StoreFailure.NoAnswer],
+    // Guards against a process that ends because another node's answer is none.
+    ['tries the next node when the answer of a node is null', [ok(null), WRITTEN], 7],
+    ['tries the next node when the failure that a node names is unknown', [ok({ failure: 'tired' }), WRITTEN], 7],
+    ['tries the next node when the records of a page are none', [ok({ answer: { records: [5], end: 1 } }), WRITTEN], 7],
+    ['tries the next node when a page has no end', [ok({ answer: { records: [] } }), WRITTEN], 7]
   ])('%s', async (_, answers, expected) => {
     const called = await createRelay(answers).relays.call(CALL, 100)
     expect(called.isOk() ? called.value : called.error).toBe(expected)
