Owner: find lost workers whose machines left the list after a takeover

Cause: the new owner had read the workers' entries, so it knew their machines; a machine that is not in the list proved nothing.

Change: such a worker counts as lost like one whose machine is unknown: once its registry entry has been missing for 2.2 s and no machine runs it, if the list shows a worker for each machine that is not down.

Evidence: the new case of worker-loss-detector.spec.ts failed before.

--- a/packages/control/src/owner/worker-loss-detector.ts
+++ b/packages/control/src/owner/worker-loss-detector.ts
@@ -47,12 +47,12 @@
   /** Returns how a list of machines proves that a worker has ended, or undefined. */
   private findLoss ({ id, worker }: Session, machines: readonly Machine[]): string | undefined {
     // The machine is unknown if the worker had no registry entry any more when this owner took over.
-    const machine = machines.find(({ name, worker: listed }) => worker.machine === '' ? listed === id : name === worker.machine)
+    const machine = machines.find(({ name }) => name === worker.machine) ?? machines.find(({ worker: listed }) => listed === id)
     if (machine !== undefined) {
       return hasWorkerEnded(machine, id) ? 'The machine of the worker is down or runs another worker.' : undefined
     }
-    if (worker.machine !== '' || this.missingMs(id) <= MAX_MISSING_MS) return undefined
-    return runOtherWorkers(machines) ? 'The worker has no registry entry, and no machine runs it.' : undefined
+    if (this.missingMs(id) <= MAX_MISSING_MS || !runOtherWorkers(machines)) return undefined
+    return 'The worker has no registry entry, and no machine runs it.'
   }
 }
 
