Machines: an entry that cannot be decoded does not make a worker look lost

Found in the last read-through, not seen by callers: an entry that cannot be decoded was left out of the list of machines. A silent worker on that machine whose registry entry was missing would have counted as lost while it ran, and its tasks would have started twice.

Cause: the list without the entry seemed complete, and the detection of lost workers takes absence from a complete list as proof.

--- a/packages/control/src/owner/worker-loss-detector.ts
+++ b/packages/control/src/owner/worker-loss-detector.ts
@@ -47,7 +47,8 @@
   /** Returns how a list of machines proves that a worker has ended, or undefined. */
   private findLoss ({ id, worker }: Session, machines: readonly Machine[]): string | undefined {
     // The machine is unknown if the worker had no registry entry any more when this owner took over.
-    const machine = machines.find(({ name }) => name === worker.machine) ?? machines.find(({ worker: listed }) => listed === id)
+    const known = machines.find(({ name }) => name !== '' && name === worker.machine)
+    const machine = known ?? machines.find(({ worker: listed }) => listed === id)
     if (machine !== undefined) {
       return hasWorkerEnded(machine, id) ? 'The machine of the worker is down or runs another worker.' : undefined
     }
--- a/packages/control/src/ports/machines.ts
+++ b/packages/control/src/ports/machines.ts
@@ -9,7 +9,9 @@
   Up = 'up',
   Moving = 'moving',
   Maintenance = 'upkeep',
-  Down = 'down'
+  Down = 'down',
+  /** The entry of the machine cannot be decoded, so that neither its name nor its worker is known. */
+  Unknown = 'unknown'
 }
 
 /** A machine. Each start of the machine creates a worker with a new id. A worker that restarts under its id has a later `born`. */
--- a/packages/control/test/owner/worker-loss-detector.spec.ts
+++ b/packages/control/test/owner/worker-loss-detector.spec.ts
@@ -11,7 +11,7 @@
   return createMachine({ name, state, worker })
 }
 
-const { Up, Down, Moving } = MachineState
+const { Up, Down, Moving, Unknown } = MachineState
 
 /** Returns whether the run of a silent worker is lost after some time without a registry entry. */
 async function isLost (machineOfWorker: string, machines: Machine[], missingMs: number): Promise<boolean> {
@@ -52,6 +52,9 @@
     ['a machine that is up lists it', [machine('m1', Up, 'w1')], MISSING_MS, false],
     ['a machine that is up lists no worker', [machine('m1', Up, ''), machine('m2', Up, 'w2')], MISSING_MS, false],
     ['a machine that is moving lists no worker', [machine('m1', Moving, ''), machine('m2', Up, 'w2')], MISSING_MS, false],
+    // Guards against a live worker that counts as lost because the entry of its machine cannot be decoded.
+    ['the entry of a machine cannot be decoded', [machine('', Unknown, ''), machine('m2', Up, 'w2')], MISSING_MS, false],
+    ['a machine that is down lists it, beside one that cannot be decoded', [machine('', Unknown, ''), machine('m1', Down, 'w1')], 0, true],
     ['no machine is listed', [], MISSING_MS, false]
   ])('that had no registry entry counts as lost, or not, if %s', async (_, machines, missingMs, lost) => {
     expect(await isLost('', machines, missingMs)).toBe(lost)
