--- a/packages/control/src/owner/run-end-handler.ts
+++ b/packages/control/src/owner/run-end-handler.ts
@@ -33,6 +33,8 @@
  * There is no delay after a run that the owner declared lost.
  */
 const TASK_RETRY_DELAY_MS = 150
+/** Ended runs whose changes took at least this long to be written to the journal are logged. The others are in the histogram. */
+const LOGGED_WRITE_MS = 1000
 /** Maximum number of failed runs of a task if the job's queue is not known; see `JobSettings.queueOf`. */
 const UNKNOWN_QUEUE_ATTEMPTS = 3
 
@@ -66,6 +68,7 @@
 
   /** Applies ended runs. Resolves to true once all changes are in the journal, and to false if one could not be applied or written. */
   async handleRunEnds (session: Session, endedRuns: readonly EndedRun[]): Promise<boolean> {
+    const receivedMs = this.options.clock.now()
     const changed = new Set<JobEntry>()
     let complete = true
     for (const endedRun of endedRuns) {
@@ -80,19 +83,32 @@
     }
     this.options.requestRound()
     const written = changed.size === 0 || await this.options.committer.commitJobs([...changed])
+    if (written) this.recordWrite(session, endedRuns.length, this.options.clock.now() - receivedMs)
     return written && complete
   }
 
+  private recordWrite (session: Session, ends: number, tookMs: number): void {
+    this.options.metrics.runEndWriteSeconds.observe(tookMs / 1000)
+    if (tookMs < LOGGED_WRITE_MS) return
+    this.options.log.decision('run ends written', { worker: session.id, ends, tookMs: Math.round(tookMs) })
+  }
+
   private handleRunEnd (session: Session, ended: EndedRun): JobEntry | undefined {
     const { job, key } = splitTask(ended.task)
     const entry = this.options.journalState.jobs.get(job)
-    if (entry === undefined || !entry.hasTask(key)) return undefined
+    if (entry === undefined || !entry.hasTask(key)) {
+      this.logUnchanged(session, ended, undefined)
+      return undefined
+    }
     const task = entry.taskByKey(key)
     const run = this.options.ledger.find(ended.task)
     const isCurrent = run !== undefined && run.number === ended.run && run.session === session
     if (isCurrent) this.options.ledger.remove(run)
     // A run that is no longer in the ledger counts only if it failed, or completed and no other run of its task has been assigned.
-    else if (ended.ending !== RunOutcome.Failed && (run !== undefined || ended.ending !== RunOutcome.Done)) return undefined
+    else if (ended.ending !== RunOutcome.Failed && (run !== undefined || ended.ending !== RunOutcome.Done)) {
+      this.logUnchanged(session, ended, entry)
+      return undefined
+    }
     const phase = entry.phase
     const changed = applyRunEnd(entry, task, ended, this.maxAttemptsOf(entry), this.options.clock.wall())
     this.recordRunEnd(session, ended, isCurrent ? run : undefined, phase)
@@ -109,9 +125,15 @@
       this.options.stopJob(entry, entry.phase === Phase.Cancelled ? StopReason.Cancelled : StopReason.JobEnded)
     }
     this.options.readySteps.refresh(entry)
+    if (!changed) this.logUnchanged(session, ended, entry)
     return changed ? entry : undefined
   }
 
+  /** Logs an end that changes nothing, such as that of an outdated run, or of a gang of which another member has ended. */
+  private logUnchanged (session: Session, { task, run, ending }: EndedRun, entry: JobEntry | undefined): void {
+    this.options.log.decision('run end changes nothing', { task, run, worker: session.id, ending, phase: entry?.phase })
+  }
+
   private recordRunEnd (session: Session, ended: EndedRun, run: Run | undefined, before: Phase): void {
     const { log, clock, statistics } = this.options
     const { task, ending } = ended
--- a/packages/control/src/report/metrics.ts
+++ b/packages/control/src/report/metrics.ts
@@ -39,6 +39,9 @@
   readonly starts = this.counter('starts_total', 'Runs that began', [])
   readonly startSeconds = this.histogram('start_seconds', 'Time from the assignment of a run to its start', [])
   readonly runEnds = this.counter('ends_total', 'Runs that ended, by ending', ['ending'])
+  readonly runEndWriteSeconds = this.histogram(
+    'end_write_seconds', 'Time from the report of ended runs until their changes are in the journal', [], DELAY_BUCKETS)
+
   readonly reportRequests = this.counter('looks_total', 'Renewals of leases on workers', [])
   readonly roundSeconds = this.histogram('round_seconds', 'Time of one round of decisions', [])
   readonly jobsEnded = this.counter('jobs_ended_total', 'Jobs that ended, by queue and phase', ['queue', 'phase'])
--- a/packages/control/test/owner/decision-log.spec.ts
+++ b/packages/control/test/owner/decision-log.spec.ts
@@ -37,12 +37,13 @@
   readonly clock = new SystemClock()
   readonly log = new RecordingLog()
   readonly failing = new Set<string>()
+  readonly store = new FakeStore()
   private readonly running = new Map<string, ActiveRun[]>([['w1', []], ['w2', []]])
   private readonly ended = new Map<string, EndedRun[]>([['w1', []], ['w2', []]])
   readonly owner: Owner
 
   constructor () {
-    const store = new FakeStore()
+    const { store } = this
     const fleet = new FakeFleet()
     for (const id of this.running.keys()) {
       const entry = createWorker({ id, capacity: { cpuMilli: 4000, memoryMb: 9000, accelerators: 0 } })
@@ -155,6 +156,19 @@
     expect(harness.log.named('step ended').map(({ step }) => step)).toEqual([`${ID}.0.0`, `${ID}.0.1`])
   })
 
+  it('name the ends that change nothing, and the time until ended runs are in the journal', async () => {
+    await harness.accept([createStep({ count: 3, gang: true }), createStep({ after: [0] })])
+    harness.store.fault = (call) => 'append' in call ? StoreFailure.Refused : undefined
+    await vi.advanceTimersByTimeAsync(2000)
+    harness.store.fault = undefined
+    await vi.advanceTimersByTimeAsync(2000)
+    expect(harness.log.named('run end changes nothing').map(({ ending, phase }) => [ending, phase]))
+      .toEqual(Array(2).fill(['done', 'active']))
+    const written = harness.log.named('run ends written')
+    expect(written.length).toBeGreaterThan(0)
+    for (const { tookMs } of written) expect(tookMs).toBeGreaterThan(1000)
+  })
+
   it('count the runs of a cancelled job', async () => {
     await harness.accept([createStep({ count: 3 })])
     const cancelling = harness.owner.append([encodeRecord(Subject.Cancellation, ID, { atMs: 1 })], 500)
