--- a/packages/control/src/journal/writer.ts
+++ b/packages/control/src/journal/writer.ts
@@ -46,6 +46,8 @@
   /** Changes in an append that is in flight or may still take effect. */
   private inFlight: ReadonlyMap<string, Encoder> = new Map()
   private waiters: Waiter[] = []
+  /** Waiters of the append that is in flight. */
+  private inFlightWaiters: Waiter[] = []
   private wake: (() => void) | undefined
   private retryDelayMs = MIN_RETRY_DELAY_MS
   /** Steady time at which the last append started. */
@@ -78,6 +80,18 @@
     })
   }
 
+  /**
+   * Waits until all changes that were committed so far are in the journal, without an append of its own.
+   *
+   * @returns as `commit`
+   */
+  flush (): Promise<Result<void, CommitAbandoned>> {
+    if (this.stopped) return Promise.resolve(err(new CommitAbandoned()))
+    if (this.pending.size > 0) return new Promise((resolve) => { this.waiters.push({ resolve }) })
+    if (this.inFlight.size > 0) return new Promise((resolve) => { this.inFlightWaiters.push({ resolve }) })
+    return Promise.resolve(ok(undefined))
+  }
+
   /** Appends changes and heartbeats until the epoch is fenced, the store rejects an append for good, or the signal aborts. */
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -124,6 +138,7 @@
     const encoders = this.pending
     const waiters = this.waiters
     this.inFlight = encoders
+    this.inFlightWaiters = waiters
     this.pending = new Map()
     this.waiters = []
     for (const batch of splitBatches(encoders, this.epoch)) {
--- a/packages/control/src/owner/journal-committer.ts
+++ b/packages/control/src/owner/journal-committer.ts
@@ -23,7 +23,11 @@
 
   constructor (private readonly writer: Writer) {}
 
-  /** Commits the changes of jobs. Resolves to false if the owner was superseded or closed. */
+  /**
+   * Commits the changes of jobs. Without any, waits for those that were committed before, which the store may not have yet.
+   *
+   * @returns true once the journal holds the jobs as the owner knows them, false if the owner was superseded or closed
+   */
   async commitJobs (entries: readonly JobEntry[]): Promise<boolean> {
     const changes = new Map<string, Encoder>()
     const written = new Map<JobEntry, Phase>()
@@ -35,7 +39,7 @@
         })
       }
     }
-    const committed = await this.writer.commit(changes)
+    const committed = changes.size === 0 ? await this.writer.flush() : await this.writer.commit(changes)
     if (committed.isErr()) return false
     for (const [entry, phase] of written) entry.committedPhase = phase
     return true
--- a/packages/control/src/owner/run-end-handler.ts
+++ b/packages/control/src/owner/run-end-handler.ts
@@ -66,15 +66,21 @@
     this.jobSettings = new JobSettings(options.configuration)
   }
 
-  /** Applies ended runs. Resolves to true once all changes are in the journal, and to false if one could not be applied or written. */
+  /**
+   * Applies ended runs.
+   *
+   * @returns true once the journal shows a successor everything that this owner knows of the jobs of these runs, also what earlier
+   *   ends have changed; false if an end could not be applied, or the owner was superseded or closed
+   */
   async handleRunEnds (session: Session, endedRuns: readonly EndedRun[]): Promise<boolean> {
     const receivedMs = this.options.clock.now()
-    const changed = new Set<JobEntry>()
+    const touched = new Set<JobEntry>()
     let complete = true
     for (const endedRun of endedRuns) {
+      const entry = this.entryOf(endedRun)
+      if (entry !== undefined) touched.add(entry)
       try {
-        const entry = this.handleRunEnd(session, endedRun)
-        if (entry !== undefined) changed.add(entry)
+        this.handleRunEnd(session, endedRun, entry)
       } catch (error) {
         complete = false
         const { task, run } = endedRun
@@ -82,32 +88,33 @@
       }
     }
     this.options.requestRound()
-    const written = changed.size === 0 || await this.options.committer.commitJobs([...changed])
+    const written = await this.options.committer.commitJobs([...touched])
     if (written) this.recordWrite(session, endedRuns.length, this.options.clock.now() - receivedMs)
     return written && complete
   }
 
+  /** Returns the job of an ended run; undefined if it or its task is not known, or its details have been dropped. */
+  private entryOf ({ task }: EndedRun): JobEntry | undefined {
+    const { job, key } = splitTask(task)
+    const entry = this.options.journalState.jobs.get(job)
+    return entry?.hasTask(key) === true ? entry : undefined
+  }
+
   private recordWrite (session: Session, ends: number, tookMs: number): void {
     this.options.metrics.runEndWriteSeconds.observe(tookMs / 1000)
     if (tookMs < LOGGED_WRITE_MS) return
     this.options.log.decision('run ends written', { worker: session.id, ends, tookMs: Math.round(tookMs) })
   }
 
-  private handleRunEnd (session: Session, ended: EndedRun): JobEntry | undefined {
-    const { job, key } = splitTask(ended.task)
-    const entry = this.options.journalState.jobs.get(job)
-    if (entry === undefined || !entry.hasTask(key)) {
-      this.logUnchanged(session, ended, undefined)
-      return undefined
-    }
-    const task = entry.taskByKey(key)
+  private handleRunEnd (session: Session, ended: EndedRun, entry: JobEntry | undefined): void {
+    if (entry === undefined) return this.logUnchanged(session, ended, undefined)
+    const task = entry.taskByKey(splitTask(ended.task).key)
     const run = this.options.ledger.find(ended.task)
     const isCurrent = run !== undefined && run.number === ended.run && run.session === session
     if (isCurrent) this.options.ledger.remove(run)
     // A run that is no longer in the ledger counts only if it failed, or completed and no other run of its task has been assigned.
     else if (ended.ending !== RunOutcome.Failed && (run !== undefined || ended.ending !== RunOutcome.Done)) {
-      this.logUnchanged(session, ended, entry)
-      return undefined
+      return this.logUnchanged(session, ended, entry)
     }
     const phase = entry.phase
     const changed = applyRunEnd(entry, task, ended, this.maxAttemptsOf(entry), this.options.clock.wall())
@@ -126,7 +133,6 @@
     }
     this.options.readySteps.refresh(entry)
     if (!changed) this.logUnchanged(session, ended, entry)
-    return changed ? entry : undefined
   }
 
   /** Logs an end that changes nothing, such as that of an outdated run, or of a gang of which another member has ended. */
--- a/packages/control/test/journal/writer.spec.ts
+++ b/packages/control/test/journal/writer.spec.ts
@@ -112,6 +112,39 @@
     await running
   })
 
+  // Guards against a caller that takes a change for written because it has committed none itself.
+  it.each([
+    { says: 'nothing is pending', failure: undefined, outcome: 'written at once' },
+    { says: 'the store refuses a change', failure: StoreFailure.Refused, outcome: 'written later' },
+    { says: 'the answer to an append is lost', failure: StoreFailure.NoAnswer, outcome: 'written later' },
+    { says: 'a higher epoch has written', failure: StoreFailure.Fenced, outcome: 'abandoned' }
+  ])('waits for the changes of others if $says, without an append of its own', async ({ failure, outcome }) => {
+    const { store, access, clock, stop } = createFixture()
+    const writer = new Writer(access, clock, 1, 5, clock.stamp(), () => {})
+    const running = writer.run(stop.signal)
+    store.fault = () => failure
+    const commit = failure === undefined ? undefined : writer.commit(change('a', () => 'content'))
+    const outcomes: string[] = []
+    const flush = async (): Promise<void> => {
+      const flushed = await writer.flush()
+      outcomes.push(flushed.isErr() ? 'abandoned' : store.fault === undefined ? 'written later' : 'written at once')
+    }
+    const flushes = [flush()]
+    await vi.advanceTimersByTimeAsync(100)
+    flushes.push(flush())
+    await vi.advanceTimersByTimeAsync(100)
+    store.fault = undefined
+    await vi.advanceTimersByTimeAsync(3000)
+    await Promise.all([commit, ...flushes])
+    expect(outcomes).toEqual([outcome, outcome])
+    const { length } = store.records[Topic.Journal]
+    const calls = store.calls
+    await Promise.all([writer.flush(), writer.flush()])
+    expect([store.records[Topic.Journal].length, store.calls]).toEqual([length, calls])
+    stop.abort()
+    await running
+  })
+
   // Guards against a successor that finds all tasks of a job done, or their runs deleted, but not the record that says so, and
   // against one that finds only some members of a gang changed.
   it('splits a large append in an order that keeps the state consistent, and never between the tasks of a job', async () => {
