Owner: an end whose handling failed holds back the acknowledgement of later ends

After an unexpected error in the handling of one end, its task runs again after a takeover although the end was acknowledged. Cause: the session acknowledged up to the position of the newest report whose ends were written, and did not use the result of earlier reports. An end whose handling had failed was passed over, and was not handled again. A failed end is handled again with a later report. A run stays in the ledger until its end has been applied, so that the second attempt finds it.

--- a/packages/control/src/owner/run-end-handler.ts
+++ b/packages/control/src/owner/run-end-handler.ts
@@ -69,28 +69,28 @@
   /**
    * Applies ended runs.
    *
-   * @returns true once the journal shows a successor everything that this owner knows of the jobs of these runs, also what earlier
-   *   ends have changed; false if an end could not be applied, or the owner was superseded or closed
+   * @returns those that were applied, once the journal shows a successor everything that this owner knows of their jobs, also what
+   *   earlier ends have changed; none if the owner was superseded or closed
    */
-  async handleRunEnds (session: Session, endedRuns: readonly EndedRun[]): Promise<boolean> {
+  async handleRunEnds (session: Session, endedRuns: readonly EndedRun[]): Promise<readonly EndedRun[]> {
     const receivedMs = this.options.clock.now()
     const touched = new Set<JobEntry>()
-    let complete = true
+    const applied: EndedRun[] = []
     for (const endedRun of endedRuns) {
       const entry = this.entryOf(endedRun)
       if (entry !== undefined) touched.add(entry)
       try {
         this.handleRunEnd(session, endedRun, entry)
+        applied.push(endedRun)
       } catch (error) {
-        complete = false
         const { task, run } = endedRun
         this.options.log.event('run end failed unexpectedly', { task, run, worker: session.id, error: describeError(error) })
       }
     }
     this.options.requestRound()
-    const written = await this.options.committer.commitJobs([...touched])
-    if (written) this.recordWrite(session, endedRuns.length, this.options.clock.now() - receivedMs)
-    return written && complete
+    if (!await this.options.committer.commitJobs([...touched])) return []
+    this.recordWrite(session, endedRuns.length, this.options.clock.now() - receivedMs)
+    return applied
   }
 
   /** Returns the job of an ended run; undefined if it or its task is not known, or its details have been dropped. */
@@ -111,13 +111,15 @@
     const task = entry.taskByKey(splitTask(ended.task).key)
     const run = this.options.ledger.find(ended.task)
     const isCurrent = run !== undefined && run.number === ended.run && run.session === session
-    if (isCurrent) this.options.ledger.remove(run)
     // A run that is no longer in the ledger counts only if it failed, or completed and no other run of its task has been assigned.
-    else if (ended.ending !== RunOutcome.Failed && (run !== undefined || ended.ending !== RunOutcome.Done)) {
+    if (!isCurrent && ended.ending !== RunOutcome.Failed && (run !== undefined || ended.ending !== RunOutcome.Done)) {
+      // An earlier attempt to handle the end may have failed before this.
+      this.options.readySteps.refresh(entry)
       return this.logUnchanged(session, ended, entry)
     }
     const phase = entry.phase
     const changed = applyRunEnd(entry, task, ended, this.maxAttemptsOf(entry), this.options.clock.wall())
+    if (isCurrent) this.options.ledger.remove(run)
     this.recordRunEnd(session, ended, isCurrent ? run : undefined, phase)
     if (changed && ended.ending === RunOutcome.Done && !isFinal(phase)) this.recordStepEnd(entry, task)
     if (entry.phase !== phase) this.recordJobEnd(entry)
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -10,6 +10,7 @@
 import { WorkerFailure, type Fleet } from '../ports/fleet.js'
 import { Lease } from './lease.js'
 import { MAX_UNCONFIRMED_OWNERSHIP_MS } from './ownership.js'
+import { ReportedEnds } from './reported-ends.js'
 import { RunState, StopReason, type Run } from './run.js'
 
 /**
@@ -29,6 +30,8 @@
  * several ended runs, because each request costs a call to the worker.
  */
 const ACKNOWLEDGE_BATCH_MS = 30
+/** Delay before ended runs whose handling has failed are handled again. The worker lists them in each report until then. */
+const FAILED_END_RETRY_DELAY_MS = 1000
 /**
  * How long nothing is placed on a worker after it refused a start or did not answer it. There is no pause if the failure concerns
  * only that run: no ticket, or an outdated run number.
@@ -48,8 +51,8 @@
   readonly clock: Clock
   /** Returns false if the store has not confirmed the ownership recently enough, or the owner is closed. */
   readonly mayAct: () => boolean
-  /** Applies ended runs. Resolves to true once the changes are in the journal. */
-  readonly onRunsEnded: (session: Session, ended: readonly EndedRun[]) => Promise<boolean>
+  /** Applies ended runs. Resolves to those that were applied, once the changes are in the journal. */
+  readonly onRunsEnded: (session: Session, ended: readonly EndedRun[]) => Promise<readonly EndedRun[]>
   /** Called for a reported run that the session does not know. */
   readonly onUnknownRun: (session: Session, task: string, run: number) => void
   /** Called after the first report of an incarnation under this owner's fence. */
@@ -65,7 +68,7 @@
   readonly onReachabilityChange: (session: Session, reachable: boolean, failure: WorkerFailure | undefined) => void
   /** Called before each report request, whether or not it renews the lease. */
   readonly onReportRequest: () => void
-  /** Called with an unexpected error in the handling of a report, which counts as not answered. */
+  /** Called with an unexpected error in the handling of a report. Unless it is due to ended runs, the report counts as not answered. */
   readonly onReportFailed: (session: Session, error: unknown) => void
   /** Called when the worker has confirmed the stop of a run. */
   readonly onStopConfirmed: (run: Run, tookMs: number) => void
@@ -91,15 +94,13 @@
   /** Tasks whose reported runs the owner does not know. They use capacity that is not charged. */
   unknownRuns = new Set<string>()
   private consecutiveFailures = 0
-  /** Position up to which ended runs were received. */
-  private receivedThrough = 0
-  /** Position up to which ended runs are in the journal, so that the next report request acknowledges them. */
-  private acknowledgedThrough = 0
+  /** Ended runs that the current incarnation has reported. */
+  private reportedEnds = new ReportedEnds()
   /**
-   * Resolves at least `ACKNOWLEDGE_BATCH_MS` after the latest journal write of ended runs, and all earlier such writes, have
-   * settled; undefined afterwards.
+   * Resolves once `ACKNOWLEDGE_BATCH_MS` has passed since each journal write of ended runs, or `FAILED_END_RETRY_DELAY_MS` since a
+   * failed handling; undefined afterwards.
    */
-  private journaling: Promise<boolean> | undefined
+  private journaling: Promise<void> | undefined
   private readonly lease: Lease
   /** The worker's clock in the newest applied report. */
   private newestReportClockMs = -1
@@ -324,7 +325,7 @@
     const deadlineMs = this.mayExtendLease() ? this.lease.grant(host.leaseMs) : undefined
     host.onReportRequest()
     const report = await host.fleet.requestReport(worker, {
-      fence: host.fence, acknowledged: this.acknowledgedThrough, deadlineMs, waitMs
+      fence: host.fence, acknowledged: this.reportedEnds.acknowledgedThrough, deadlineMs, waitMs
     })
     this.resolveFirstReport()
     if (this.stopController.signal.aborted) return
@@ -425,25 +426,27 @@
   }
 
   private handleRunEnds (ended: readonly EndedRun[]): void {
-    const unseen = ended.filter((endedRun) => endedRun.position > this.receivedThrough)
-    if (unseen.length === 0) return
-    for (const endedRun of unseen) {
-      this.receivedThrough = Math.max(this.receivedThrough, endedRun.position)
-      this.unknownRuns.delete(endedRun.task)
-    }
-    const through = this.receivedThrough
-    const { born } = this
-    const before = this.journaling
-    const journaling = this.host.onRunsEnded(this, unseen).then(async (journaled) => {
-      await before
-      if (journaled && this.born === born) this.acknowledgedThrough = Math.max(this.acknowledgedThrough, through)
-      await sleep(ACKNOWLEDGE_BATCH_MS)
+    const { reportedEnds } = this
+    const unhandled = reportedEnds.receive(ended)
+    if (unhandled.length === 0) return
+    for (const { task } of unhandled) this.unknownRuns.delete(task)
+    const journaling = Promise.all([this.journaling, this.writeRunEnds(reportedEnds, unhandled)]).then(() => {
       if (this.journaling === journaling) this.journaling = undefined
-      return journaled
     })
     this.journaling = journaling
   }
 
+  private async writeRunEnds (reportedEnds: ReportedEnds, ended: readonly EndedRun[]): Promise<void> {
+    let written: readonly EndedRun[] = []
+    try {
+      written = await this.host.onRunsEnded(this, ended)
+    } catch (error) {
+      this.host.onReportFailed(this, error)
+    }
+    reportedEnds.settle(ended, written)
+    await sleep(written.length === ended.length ? ACKNOWLEDGE_BATCH_MS : FAILED_END_RETRY_DELAY_MS, this.stopController.signal)
+  }
+
   private markRunning (run: Run): void {
     if (run.state === RunState.Running) return
     run.state = RunState.Running
@@ -501,8 +504,7 @@
     this.born = born
     this.restartSeenMs = this.host.clock.now()
     this.incarnationSeenMs = this.restartSeenMs
-    this.receivedThrough = 0
-    this.acknowledgedThrough = 0
+    this.reportedEnds = new ReportedEnds()
     this.journaling = undefined
     this.lease.reset(clockMs, this.host.leaseMs)
     this.newestReportClockMs = -1
--- a/packages/control/test/fakes.ts
+++ b/packages/control/test/fakes.ts
@@ -266,7 +266,7 @@
     fence: 1,
     leaseMs: 6000,
     mayAct: () => true,
-    onRunsEnded: async () => true,
+    onRunsEnded: async (_, ended) => ended,
     onUnknownRun: ignore,
     onAdopted: ignore,
     onRunsLost: ignore,
--- a/packages/control/test/owner/acknowledgement.spec.ts
+++ b/packages/control/test/owner/acknowledgement.spec.ts
@@ -1,12 +1,12 @@
 import { err, ok } from 'neverthrow'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { SystemClock } from '../../src/clock.js'
-import { encodeJob, encodeRecord, Subject } from '../../src/journal/record.js'
+import { encodeJob, encodeRecord, Stage, Subject } from '../../src/journal/record.js'
 import { JournalState } from '../../src/journal/journal-state.js'
 import { StoreAccess } from '../../src/membership/access.js'
 import type { Configuration } from '../../src/model/configuration.js'
-import { Phase, type Step } from '../../src/model/job.js'
-import { RunOutcome, type ActiveRun, type EndedRun } from '../../src/model/worker.js'
+import { isFinal, Phase, type Step } from '../../src/model/job.js'
+import { RunOutcome, splitTask, type ActiveRun, type EndedRun } from '../../src/model/worker.js'
 import { Owner } from '../../src/owner/owner.js'
 import { AdviceFailure } from '../../src/ports/advisor.js'
 import { WorkerFailure } from '../../src/ports/fleet.js'
@@ -53,6 +53,8 @@
   readonly workers = new Map(['w1', 'w2', 'w3'].map((id) => [id, new TestWorker()]))
   /** Ends that were acknowledged. */
   readonly acknowledged: EndedRun[] = []
+  /** Names of the tasks whose ends were acknowledged while the journal showed their runs as assigned. */
+  readonly unread: string[] = []
   /** Names and run numbers of the runs that were started, in order. */
   readonly started: string[] = []
   readonly clock = new SystemClock()
@@ -79,7 +81,9 @@
       await sleep(Math.min(waitMs, 20))
       const worker = this.workers.get(id)!
       if (!worker.reachable) return err(WorkerFailure.NoAnswer)
-      this.acknowledged.push(...worker.ended.filter((end) => end.position <= acknowledged))
+      for (const end of worker.ended) {
+        if (end.position <= acknowledged) this.recordAcknowledgement(end)
+      }
       worker.ended = worker.ended.filter((end) => end.position > acknowledged)
       return ok({ born: 10, clockMs: workerClock(), running: [...worker.running], ended: [...worker.ended] })
     }
@@ -122,7 +126,7 @@
   async takeOver (): Promise<JournalState> {
     this.owner.close()
     this.refuseAppends(false)
-    const journalState = stateOf(newestOf(this.store.records[Topic.Journal]))
+    const journalState = this.readJournal()
     this.owner = this.startOwner(journalState)
     await advance(TAKEOVER_MS)
     return journalState
@@ -138,6 +142,20 @@
     return this.started.filter((name) => !name.endsWith('#1') && done.has(nameOf(name.split('#')[0]!)))
   }
 
+  /** Returns what a successor would read now. */
+  readJournal (): JournalState {
+    return stateOf(newestOf(this.store.records[Topic.Journal]))
+  }
+
+  private recordAcknowledgement (end: EndedRun): void {
+    this.acknowledged.push(end)
+    const { job, key } = splitTask(end.task)
+    const entry = this.readJournal().jobs.get(job)
+    const task = entry?.tasks.get(key)
+    if (entry === undefined || isFinal(entry.phase) || task?.run !== end.run) return
+    if (task.stage === Stage.Assigned) this.unread.push(end.task)
+  }
+
   private startOwner (journalState: JournalState): Owner {
     const owner = new Owner({
       epoch: ++this.epoch,
@@ -173,6 +191,18 @@
   await vi.advanceTimersByTimeAsync(ms)
 }
 
+/** Makes the first calls of a method with matching arguments throw. */
+function failFor<Name extends string, T> (
+  target: Record<Name, (argument: T) => unknown>, name: Name, matches: (argument: T) => boolean, failures: number
+): { mockRestore: () => void } {
+  const method = target[name].bind(target)
+  let count = 0
+  return vi.spyOn(target, name as never).mockImplementation(((argument: T) => {
+    if (matches(argument) && count++ < failures) throw new Error('unexpected')
+    return method(argument)
+  }) as never)
+}
+
 let cell: Cell
 beforeEach(async () => {
   vi.useFakeTimers()
@@ -241,7 +271,8 @@
     await play()
     const acknowledged = [...cell.acknowledged]
     await cell.takeOver()
-    expect({ acknowledged, startedAgain: cell.startedAgain(step.gang) }).toEqual({ acknowledged: [], startedAgain: [] })
+    expect({ acknowledged, unread: cell.unread, startedAgain: cell.startedAgain(step.gang) })
+      .toEqual({ acknowledged: [], unread: [], startedAgain: [] })
   })
 
   it('are acknowledged once the journal has the change, also those that changed nothing', async () => {
@@ -260,30 +291,25 @@
 
   // Guards against a task that runs again after a takeover, because its end was acknowledged with the end of another job's task after
   // its handling had failed.
-  it.each([
-    { says: 'once', failures: 1 },
-    { says: 'each time', failures: Infinity }
-  ])('are not acknowledged after an end whose handling fails $says', async ({ failures }) => {
+  it.each<{ says: string, fail: () => { mockRestore: () => void } }>([
+    { says: 'once, before it is applied', fail: () => failFor(cell.owner.ledger, 'find', (name) => name.startsWith(ID), 1) },
+    { says: 'once, after it is applied', fail: () => failFor(cell.owner.readySteps, 'refresh', ({ job }) => job.id === ID, 1) },
+    { says: 'each time', fail: () => failFor(cell.owner.readySteps, 'refresh', ({ job }) => job.id === ID, Infinity) }
+  ])('are not acknowledged after an end whose handling fails $says', async ({ fail }) => {
     await cell.accept(ID, { size: SMALL })
     await cell.accept(OTHER_ID, { size: SMALL })
-    const { readySteps } = cell.owner
-    const refresh = readySteps.refresh.bind(readySteps)
-    let count = 0
-    const failing = vi.spyOn(readySteps, 'refresh').mockImplementation((entry) => {
-      if (entry.job.id === ID && count++ < failures) throw new Error('unexpected')
-      refresh(entry)
-    })
+    const failing = fail()
     cell.end(`${ID}.0.0.0`)
     await advance(200)
     cell.end(`${OTHER_ID}.0.0.0`)
     await advance(5000)
-    const acknowledged = cell.acknowledged.map(({ task }) => task)
+    const acknowledged = cell.acknowledged.length
     failing.mockRestore()
     const successor = await cell.takeOver()
     const phases = [ID, OTHER_ID].map((id) => successor.jobs.get(id)?.visiblePhase())
     expect(phases).toEqual([Phase.Completed, Phase.Completed])
-    expect({ acknowledged, startedAgain: cell.startedAgain() }).toEqual({
-      acknowledged: failures === 1 ? [`${ID}.0.0.0`, `${OTHER_ID}.0.0.0`] : [], startedAgain: []
+    expect({ acknowledged, unread: cell.unread, startedAgain: cell.startedAgain() }).toEqual({
+      acknowledged: 2, unread: [], startedAgain: []
     })
   })
 
--- a/packages/control/test/owner/session.spec.ts
+++ b/packages/control/test/owner/session.spec.ts
@@ -43,7 +43,10 @@
     fleet,
     clock,
     mayAct: () => harness.mayAct,
-    onRunsEnded: async (_, ended) => { endedRuns.push(...ended); return await harness.journal },
+    onRunsEnded: async (_, ended) => {
+      endedRuns.push(...ended)
+      return await harness.journal ? ended : []
+    },
     onUnknownRun: (_, task) => { unknownRuns.push(task) },
     onRunsLost: (_, runs, reason) => { for (const run of runs) { lost.push(`${run.name}: ${reason}`); ledger.remove(run) } },
     onRunReleased: (run, reason) => { released.push(reason); ledger.remove(run) },
@@ -268,6 +271,44 @@
     expect(fleet.reportCommands.map((request) => request.acknowledged)).toEqual([0, 0, 7])
   })
 
+  // Guards against an end that is acknowledged with a later one, although its own change was not written.
+  it.each([
+    { says: 'its handling has failed', outcome: async () => [] },
+    { says: 'its handling throws', outcome: async () => { throw new Error('unexpected') } }
+  ])('holds back the acknowledgement of later ends while $says, and handles it again', async ({ outcome }) => {
+    vi.useFakeTimers()
+    const clock = new FakeClock()
+    const fleet = new FakeFleet()
+    const handled: number[][] = []
+    let failing = true
+    const session = new Session(createWorker(), createSessionHost({
+      fleet,
+      clock,
+      onRunsEnded: async (_, ended) => {
+        handled.push(ended.map(({ position }) => position))
+        return failing && ended.some(({ position }) => position === 2) ? await outcome() : ended
+      }
+    }))
+    const ended = [1, 2, 3].map((position) => (
+      { position, task: `${RUNNING.task.slice(0, -1)}${position}`, run: 1, ending: RunOutcome.Done, checkpoint: '' }
+    ))
+    let count = 0
+    const requestNext = async (): Promise<void> => {
+      count = Math.min(count + 1, ended.length)
+      fleet.onReportRequest = async () => ok(report({ ended: ended.slice(0, count) }))
+      await session.requestReportNow()
+      await vi.advanceTimersByTimeAsync(50)
+    }
+    for (let request = 0; request < 4; request++) await requestNext()
+    failing = false
+    await requestNext()
+    await requestNext()
+    expect(handled).toEqual([[1], [2], [2, 3], [2, 3], [2, 3]].slice(0, handled.length))
+    expect(fleet.reportCommands.map(({ acknowledged }) => acknowledged)).toEqual([0, 1, 1, 1, 1, 3])
+    session.close()
+    await vi.advanceTimersByTimeAsync(2000)
+  })
+
   // Guards against a new owner that has to open the connections to all workers again.
   it.each([
     { says: 'keeps the connections to the worker for the next owner when it ends', end: (session: Session) => { session.close() }, closed: 0 },
