Admission: do not refuse a job that an append after its caller's time has written

Callers saw: the repeat of a submission answered as not run (429 or 503), although the job was stored and ran. Cause: after an append whose outcome was unknown when its caller's time was over, only a pending or in-flight change counted as possibly written. Once the store answered, and until the owner read the record, the repeat was refused for capacity or withdrawn. Evidence: the new case 'is written' was red before. The fix: the keys of unconfirmed appends are kept until the job is known, and such a record is neither refused nor reported as not run.

--- a/packages/control/src/owner/admission-controller.ts
+++ b/packages/control/src/owner/admission-controller.ts
@@ -6,7 +6,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Clock } from '../clock.js'
 import { compactJob, decodeJob } from '../journal/job-record.js'
-import { Subject, encodeJob, splitKey } from '../journal/record.js'
+import { Subject, encodeJob, keyOf, splitKey } from '../journal/record.js'
 import type { JobEntry, JournalState } from '../journal/journal-state.js'
 import type { Writer } from '../journal/writer.js'
 import type { Configuration } from '../model/configuration.js'
@@ -45,6 +45,8 @@
 export class AdmissionController {
   private readonly rates = new RateTracker()
   private readonly countedJobs = new Set<string>()
+  /** Keys of records whose append was not confirmed in time. It may have written them since, or may still write them. */
+  private readonly unconfirmedKeys = new Set<string>()
   private readonly jobSettings: JobSettings
 
   /** @param overRateJobs ids of jobs beyond the rate of their workspace; the controller adds and removes them */
@@ -78,19 +80,29 @@
   /**
    * Appends records and applies them once they are stored.
    *
-   * @returns Run, NotRun or Unknown, see `JournalCommitter.appendRecords`
+   * @returns Run, NotRun or Unknown, see `JournalCommitter.appendRecords`; NotRun only if no earlier append may have written a record
    */
   async append (records: readonly KeyedRecord[], timeoutMs: number): Promise<Execution> {
     const execution = await this.options.committer.appendRecords(records.map(compactJob), timeoutMs)
-    if (execution !== Execution.Run) return execution
-    for (const record of records) this.options.onWritten(record)
-    return execution
+    if (execution === Execution.Run) {
+      for (const record of records) {
+        this.unconfirmedKeys.delete(record.key)
+        this.options.onWritten(record)
+      }
+      return execution
+    }
+    const mayBeWritten = execution === Execution.Unknown || records.some((record) => this.unconfirmedKeys.has(record.key))
+    if (!mayBeWritten) return execution
+    for (const record of records) this.unconfirmedKeys.add(record.key)
+    return Execution.Unknown
   }
 
   /** Counts a job once against the rate of its workspace. */
   countAgainstRate ({ job }: JobEntry): void {
     if (this.countedJobs.has(job.id)) return
     this.countedJobs.add(job.id)
+    // From now on the job is known.
+    this.unconfirmedKeys.delete(keyOf(Subject.Job, job.id))
     const weight = this.weightOf(job)
     // A job that an entry node appended itself may be from a clock that is ahead.
     if (!this.rates.count(job.workspace, weight, Math.min(job.acceptedMs, this.options.clock.wall()))) return
@@ -130,7 +142,7 @@
    */
   private findRefusal (job: Job, key: string): Refusal | undefined {
     const { writer, dispatcher } = this.options
-    if (writer.isUncommitted(key)) return undefined
+    if (writer.isUncommitted(key) || this.unconfirmedKeys.has(key)) return undefined
     if (job.occurrences > 0 || job.steps.some((step) => step.lasting)) return undefined
     const overRate = this.rates.exceeds(job.workspace, this.weightOf(job), job.acceptedMs)
     const retryAfterMs = findRetryAfterMs(dispatcher.unplacedStepsOf(job.queue, overRate))
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -343,6 +343,34 @@
     expect([await first, (await again)._unsafeUnwrapErr().execution]).toEqual([Execution.Unknown, Execution.Unknown])
   })
 
+  // Guards against a caller that is told that a job never runs, although an earlier attempt to hand it in has stored it: the store
+  // answered that append after its caller's time, and the owner has not read the record yet.
+  it.each([
+    { says: 'is written', answers: true },
+    { says: 'may still be written', answers: false }
+  ])('does not refuse a job whose append $says after the time of its caller', async ({ answers }) => {
+    const owner = harness.startOwner(1)
+    await advance(200)
+    const create = (id: string): KeyedRecord => encodeJob(createJob({
+      id, workspace: '', acceptedMs: harness.clock.wall(), steps: [createStep({ count: 16 })]
+    }))
+    const admitting = [owner.admit(create('1'.repeat(16)), 500), owner.admit(create('2'.repeat(16)), 500)]
+    await advance(1000)
+    await Promise.all(admitting)
+    harness.store.fault = (call) => 'append' in call ? StoreFailure.NoAnswer : undefined
+    const late = create('3'.repeat(16))
+    const first = owner.append([late], 100)
+    await advance(1000)
+    expect(await first).toBe(Execution.Unknown)
+    if (answers) harness.store.fault = undefined
+    await advance(1000)
+    if (answers) expect(harness.store.records[Topic.Journal].map(({ key }) => key)).toContain(late.key)
+    harness.store.fault = (call) => 'append' in call ? StoreFailure.Refused : undefined
+    const again = owner.admit(late, 100)
+    await advance(1000)
+    expect((await again).match(() => Execution.Run, ({ execution }) => execution)).not.toBe(Execution.NotRun)
+  })
+
   it('has each assignment in the journal when the start arrives at the worker', async () => {
     const found: unknown[] = []
     harness.fleet.onStart = ({ task, run }) => {
