--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -371,6 +371,34 @@
     expect((await again).match(() => Execution.Run, ({ execution }) => execution)).not.toBe(Execution.NotRun)
   })
 
+  // Guards against a successor, or a caller, that relies on what only a closed owner knows.
+  it.each([
+    { says: 'refuses', failure: StoreFailure.Refused },
+    { says: 'does not answer', failure: StoreFailure.NoAnswer }
+  ])('acknowledges, accepts and shows nothing that is not in the journal once it is closed while the store $says', async ({ failure }) => {
+    const owner = harness.startOwner(1)
+    await advance(200)
+    await harness.accept({})
+    harness.store.fault = (call) => 'append' in call ? failure : undefined
+    harness.endRun(`${ID}.0.0.0`, RunOutcome.Done)
+    await advance(300)
+    const accepting = owner.append([encodeJob(createJob({ id: '2'.repeat(16), acceptedMs: harness.clock.wall() }))], 5000)
+    await advance(100)
+    owner.close()
+    harness.store.fault = undefined
+    const afterwards = owner.append([encodeJob(createJob({ id: '3'.repeat(16), acceptedMs: harness.clock.wall() }))], 500)
+    await advance(10_000)
+    const executions = [await accepting, await afterwards]
+    expect(executions).not.toContain(Execution.Run)
+    const acknowledging = harness.fleet.reportCommands.filter(({ acknowledged }) => acknowledged > 0)
+    expect([acknowledging, harness.phase()]).toEqual([[], Phase.Active])
+    const stored = stateOf(newestOf(harness.store.records[Topic.Journal]))
+    expect(stored.jobs.get(ID)?.visiblePhase()).toBe(Phase.Active)
+    for (const [index, id] of ['2', '3'].entries()) {
+      if (executions[index] === Execution.NotRun) expect(stored.jobs.has(id.repeat(16))).toBe(false)
+    }
+  })
+
   it('has each assignment in the journal when the start arrives at the worker', async () => {
     const found: unknown[] = []
     harness.fleet.onStart = ({ task, run }) => {
