--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -343,6 +343,62 @@
     expect([await first, (await again)._unsafeUnwrapErr().execution]).toEqual([Execution.Unknown, Execution.Unknown])
   })
 
+  // Guards against a caller that is told that a job never runs, although an earlier attempt to hand it in has stored it: the store
+  // answered that append after its caller's time, and the owner has not read the record yet.
+  it.each([
+    { says: 'is written', answers: true },
+    { says: 'may still be written', answers: false }
+  ])('does not refuse a job whose append $says after the time of its caller', async ({ answers }) => {
+    const owner = harness.startOwner(1)
+    await advance(200)
+    const create = (id: string): KeyedRecord => encodeJob(createJob({
+      id, workspace: '', acceptedMs: harness.clock.wall(), steps: [createStep({ count: 16 })]
+    }))
+    const admitting = [owner.admit(create('1'.repeat(16)), 500), owner.admit(create('2'.repeat(16)), 500)]
+    await advance(1000)
+    await Promise.all(admitting)
+    harness.store.fault = (call) => 'append' in call ? StoreFailure.NoAnswer : undefined
+    const late = create('3'.repeat(16))
+    const first = owner.append([late], 100)
+    await advance(1000)
+    expect(await first).toBe(Execution.Unknown)
+    if (answers) harness.store.fault = undefined
+    await advance(1000)
+    if (answers) expect(harness.store.records[Topic.Journal].map(({ key }) => key)).toContain(late.key)
+    harness.store.fault = (call) => 'append' in call ? StoreFailure.Refused : undefined
+    const again = owner.admit(late, 100)
+    await advance(1000)
+    expect((await again).match(() => Execution.Run, ({ execution }) => execution)).not.toBe(Execution.NotRun)
+  })
+
+  // Guards against a successor, or a caller, that relies on what only a closed owner knows.
+  it.each([
+    { says: 'refuses', failure: StoreFailure.Refused },
+    { says: 'does not answer', failure: StoreFailure.NoAnswer }
+  ])('acknowledges, accepts and shows nothing that is not in the journal once it is closed while the store $says', async ({ failure }) => {
+    const owner = harness.startOwner(1)
+    await advance(200)
+    await harness.accept({})
+    harness.store.fault = (call) => 'append' in call ? failure : undefined
+    harness.endRun(`${ID}.0.0.0`, RunOutcome.Done)
+    await advance(300)
+    const accepting = owner.append([encodeJob(createJob({ id: '2'.repeat(16), acceptedMs: harness.clock.wall() }))], 5000)
+    await advance(100)
+    owner.close()
+    harness.store.fault = undefined
+    const afterwards = owner.append([encodeJob(createJob({ id: '3'.repeat(16), acceptedMs: harness.clock.wall() }))], 500)
+    await advance(10_000)
+    const executions = [await accepting, await afterwards]
+    expect(executions).not.toContain(Execution.Run)
+    const acknowledging = harness.fleet.reportCommands.filter(({ acknowledged }) => acknowledged > 0)
+    expect([acknowledging, harness.phase()]).toEqual([[], Phase.Active])
+    const stored = stateOf(newestOf(harness.store.records[Topic.Journal]))
+    expect(stored.jobs.get(ID)?.visiblePhase()).toBe(Phase.Active)
+    for (const [index, id] of ['2', '3'].entries()) {
+      if (executions[index] === Execution.NotRun) expect(stored.jobs.has(id.repeat(16))).toBe(false)
+    }
+  })
+
   it('has each assignment in the journal when the start arrives at the worker', async () => {
     const found: unknown[] = []
     harness.fleet.onStart = ({ task, run }) => {
