Admission: forget the unconfirmed cancellation of a job with the job

The keys of unconfirmed appends are dropped once the job is known, but that of a cancellation only with a later append of the same record, so that they could gather over a long ownership with many outages. They go with the job's records now.

--- a/packages/control/src/owner/admission-controller.ts
+++ b/packages/control/src/owner/admission-controller.ts
@@ -114,6 +114,7 @@
   forget (job: string): void {
     this.countedJobs.delete(job)
     this.overRateJobs.delete(job)
+    this.unconfirmedKeys.delete(keyOf(Subject.Cancellation, job))
   }
 
   /**
