Daemon: an end that resolves an unknown outcome is acknowledged only once it is in the log

What callers see: a job that stays unknown for good, although its worker kept the actual result until the owner acknowledged it.

Cause: for the end of a run whose outcome is recorded as unknown, the owner acknowledged as soon as the write had returned, also if it returned false: outcome of the write unknown, superseded, or the owner stopped. Ends of current runs checked this already.

Evidence: three rows of the new table fail without the fix (unknown, superseded, stopped); the rows for current runs pass without it.

Why it works: the state holds only what was read from the log, so the repeated report of an end that was not acknowledged is written again, or is acknowledged because the state has the change by then.

--- a/packages/daemon/src/owner/runs.ts
+++ b/packages/daemon/src/owner/runs.ts
@@ -288,7 +288,9 @@
       return true
     }
     const change = createEnded(report, outcomeOf(report, false))
-    this.write(change).then(() => { session.acknowledge(report.id, report.attempt) }, stopProcess)
+    this.write(change).then((written) => {
+      if (written) session.acknowledge(report.id, report.attempt)
+    }, stopProcess)
     return true
   }
 
--- a/packages/daemon/test/owner/runs.spec.ts
+++ b/packages/daemon/test/owner/runs.spec.ts
@@ -1,18 +1,30 @@
-import { ok } from 'neverthrow'
+import { err, ok, type Result } from 'neverthrow'
 import { expect, test } from 'vitest'
 import { SystemClock } from '@fireflymount/service-clients/clock'
+import { JournalFailure, type JournalError } from '@fireflymount/service-clients/journal'
 import { TaskState, type TaskReport } from '@fireflymount/service-clients/worker'
 import { Shard } from '@fireflymount/policy/shard'
-import { Runs } from '../../src/owner/runs.js'
+import { ChangeKind, RunOutcome } from '../../src/owner/change.js'
+import { createUnrecordedTask } from '../../src/owner/completion.js'
+import { Runs, type RunsOptions } from '../../src/owner/runs.js'
 import type { Session } from '../../src/owner/session.js'
 import { ShardState } from '../../src/owner/state.js'
 
+const SIZE = { cpuMilli: 1, memoryMb: 1, accelerators: 0 }
+
 interface Seen {
   readonly stopped: string[]
   readonly acknowledged: string[]
 }
 
-function createRuns (provisional: boolean): { runs: Runs, scheduler: Shard, session: Session, seen: Seen } {
+interface Harness {
+  readonly runs: Runs
+  readonly scheduler: Shard
+  readonly session: Session
+  readonly seen: Seen
+}
+
+function createRuns (provisional: boolean, fields: Partial<RunsOptions> = {}): Harness {
   const seen: Seen = { stopped: [], acknowledged: [] }
   const scheduler = new Shard({ weights: { waiting: 1, share: 1, packing: 1 } })
   const session = {
@@ -41,13 +53,14 @@
     onFinished: () => {},
     onStarted: () => {},
     onSuperseded: () => {},
-    requestRound: () => {}
+    requestRound: () => {},
+    ...fields
   })
   return { runs, scheduler, session, seen }
 }
 
 function report (state: TaskState): TaskReport {
-  return { id: 's.a/0', attempt: 1, team: 'guild', kind: 'render', size: { cpuMilli: 1, memoryMb: 1, accelerators: 0 }, state, runtimeMs: 5 }
+  return { id: 's.a/0', attempt: 1, team: 'guild', kind: 'render', size: SIZE, state, runtimeMs: 5 }
 }
 
 test.each([
@@ -69,3 +82,78 @@
   runs.onReport(session, report(TaskState.Succeeded))
   expect(scheduler.usedBy('guild').tasks).toBe(0)
 })
+
+const ACCEPTED = {
+  kind: ChangeKind.Accepted,
+  job: 's.a',
+  queue: 'render',
+  team: 'guild',
+  digest: 'd',
+  idempotent: false,
+  gang: false,
+  tasks: 1,
+  runtimeMs: 5,
+  size: SIZE,
+  body: null,
+  atMs: 1
+}
+
+/** A journal that fails as often as given and applies each other change to the state; it stops the owner with its last failure. */
+class FailingJournal {
+  readonly state = new ShardState()
+  stopped = false
+  commits = 0
+
+  constructor (private readonly failures: JournalFailure[], private readonly stops: boolean) {
+    this.state.apply(ACCEPTED)
+    this.state.apply({ kind: ChangeKind.Attempt, runs: [{ task: 's.a/0', attempt: 1, worker: 'w1', boot: 'b1' }] })
+  }
+
+  async commit (change: unknown): Promise<Result<void, JournalError>> {
+    this.commits++
+    await Promise.resolve()
+    const failure = this.failures.shift()
+    if (failure === undefined) {
+      this.state.apply(change)
+      return ok(undefined)
+    }
+    if (this.failures.length === 0) this.stopped = this.stops
+    return err({ failure, detail: '' })
+  }
+}
+
+const WRITES: Array<{ write: string, failures: JournalFailure[], stops: boolean, acknowledged: string[] }> = [
+  { write: 'succeeds', failures: [], stops: false, acknowledged: ['s.a/0'] },
+  { write: 'succeeds after failures', failures: [JournalFailure.Unavailable, JournalFailure.Overloaded], stops: false, acknowledged: ['s.a/0'] },
+  { write: 'has an unknown outcome', failures: [JournalFailure.Unknown], stops: false, acknowledged: [] },
+  { write: 'is superseded', failures: [JournalFailure.Superseded], stops: false, acknowledged: [] },
+  { write: 'fails until the owner stops', failures: [JournalFailure.Unavailable, JournalFailure.Unavailable], stops: true, acknowledged: [] }
+]
+
+// Guards against a run whose end no successor can read, because the worker dropped its report: it was acknowledged without a record.
+test.each(['running', 'unknown'].flatMap((recorded) => WRITES.map((row) => ({ ...row, recorded }))))(
+  'the end of a run recorded as $recorded is acknowledged only if its change is in the log: the write $write',
+  async ({ recorded, failures, stops, acknowledged }) => {
+    const journal = new FailingJournal([...failures], stops)
+    const { state } = journal
+    const { runs, scheduler, session, seen } = createRuns(false, {
+      journal: { available: () => true, commit: (change) => journal.commit(change) }, state, active: () => !journal.stopped
+    })
+    if (recorded === 'unknown') {
+      state.apply({ kind: ChangeKind.Ended, task: 's.a/0', attempt: 1, outcome: RunOutcome.Unknown, atMs: 2 })
+    } else {
+      scheduler.setWorker({ id: 'w1', zone: 'z', rack: 'r', capacity: SIZE, slots: 1 })
+      runs.inherit(createUnrecordedTask(report(TaskState.Running), 0), state.task('s.a/0')!)
+    }
+    runs.onReport(session, report(TaskState.Succeeded))
+    await new Promise((resolve) => setTimeout(resolve, 10))
+    expect([seen.acknowledged, state.task('s.a/0')?.outcome === RunOutcome.Succeeded]).toEqual([acknowledged, acknowledged.length > 0])
+    // A report that is not acknowledged is repeated.
+    const { commits } = journal
+    runs.onReport(session, report(TaskState.Succeeded))
+    await new Promise((resolve) => setTimeout(resolve, 10))
+    const mayWriteAgain = recorded === 'unknown' && acknowledged.length === 0
+    expect(journal.commits > commits).toBe(mayWriteAgain)
+    expect(seen.acknowledged.length > 0).toBe(mayWriteAgain || acknowledged.length > 0)
+  }
+)
