Daemon: an attempt that is recorded after the cancellation of its task has no effect

What callers see: a cancelled job counts an attempt that never ran. Of a cancelled job with several tasks, the number of tasks that are not finished can fall twice for one task, so that the job counts as ended while another of its tasks still runs.

Cause: a task that is placed while the cancellation waits for its write gets an attempt after it in the log. The state put the task that the cancellation had finished back to dispatched, and a later end counted it down again. A successor also took over that run.

Evidence: both new rows fail without the fix: 1 attempt instead of 0, and a job that is cancelled instead of running.

Why it works: the result depends only on the order in the log. The run itself is never sent, because the cancellation is answered first and marks it. While nodes of both versions run, their states of such a task differ as they do now: a job that is cancelled.

--- a/packages/daemon/src/owner/state.ts
+++ b/packages/daemon/src/owner/state.ts
@@ -223,6 +223,8 @@
   private attempt (runs: readonly RunRecord[]): void {
     for (const run of runs) {
       const task = this.tasks.get(run.task) ?? this.indexReplica({ id: run.task, stage: Stage.Waiting, attempt: 0, failures: 0 })
+      // The job was cancelled while the attempt waited for its write.
+      if (task.stage === Stage.Finished) continue
       if (run.attempt <= task.attempt) continue
       task.stage = Stage.Dispatched
       task.attempt = run.attempt
--- a/packages/daemon/test/owner/state.spec.ts
+++ b/packages/daemon/test/owner/state.spec.ts
@@ -63,6 +63,21 @@
     state: 'cancelled',
     attempts: 1
   },
+  {
+    title: 'an attempt that is recorded after the cancellation of its task has no effect',
+    changes: [accepted('s.a'), { kind: ChangeKind.Cancelled, job: 's.a', atMs: 3000 }, attempt('s.a/0')],
+    state: 'cancelled',
+    attempts: 0
+  },
+  {
+    title: 'a cancelled job does not end before its last run, if an attempt is recorded after the cancellation of its task',
+    changes: [
+      accepted('s.a', { tasks: 2 }), attempt('s.a/0'), { kind: ChangeKind.Cancelled, job: 's.a', atMs: 3000 }, attempt('s.a/1'),
+      ended('s.a/1', RunOutcome.Retry)
+    ],
+    state: 'running',
+    attempts: 1
+  },
   {
     title: 'an unknown outcome is not replaced by a retry',
     changes: [accepted('s.a'), attempt('s.a/0'), ended('s.a/0', RunOutcome.Unknown, { detail: 'lost' }), ended('s.a/0', RunOutcome.Retry)],
