Daemon: a task does not start or run on after the cancellation of its job was acknowledged

What callers see: the cancellation is answered and in the log, and the job stays running. After a change of the owner its task is started, although it never ran before, or runs on to its end. A repeated cancellation changes nothing.

Cause: the log had what a successor needs, but neither owner acted on it. A recorded run that never started (the worker refused the start, or was never sent it) was put back into the queue without a record; the cancellation took it out of the queue and recorded no end, so nothing ended it. A successor, and the owner if the start failed after the cancellation, queued such a task again. A successor took over a running one without stopping it.

Why it works: a task of a cancelled job without a run has an end recorded under its last recorded attempt, and no task of a cancelled job is queued. A run that a successor takes over of a cancelled job is stopped once it is known to run, or its end recorded once the worker's report lacks it.

--- a/packages/daemon/src/owner/jobs.ts
+++ b/packages/daemon/src/owner/jobs.ts
@@ -112,15 +112,20 @@
       this.deferred.delete(task.id)
       this.options.runs.stop(task.id, false)
     }
+    this.endUnstarted(job)
     this.notify(id)
     return ok(describeJob(job))
   }
 
-  /** Queues a task again after its run ended or never started; restarts its whole gang if it belongs to one. */
+  /**
+   * Queues a task again after its run ended or never started; restarts its whole gang if it belongs to one. A task of a cancelled
+   * job does not run again.
+   */
   requeue (taskId: string): void {
     const job = this.options.state.jobOf(taskId)
     if (job === undefined || job.endedMs !== undefined) return
-    if (job.gang) this.restartGang(job)
+    if (job.cancelled) this.endUnstarted(job)
+    else if (job.gang) this.restartGang(job)
     else this.queueTasks(job, taskId)
   }
 
@@ -238,7 +243,16 @@
     return refuse(Reason.Infeasible, `No worker of ${queue.upstream} is large enough for a task of ${describeSize(size)}.`)
   }
 
+  /** Ends the tasks of a cancelled job that have no run: their recorded runs never started. */
+  private endUnstarted (job: JobRecord): void {
+    for (const record of job.tasks) {
+      if (record.stage !== Stage.Dispatched || this.options.runs.get(record.id) !== undefined) continue
+      this.options.runs.endUnstarted(this.createTask(job, record.id))
+    }
+  }
+
   private queueTasks (job: JobRecord, only?: string): void {
+    if (job.cancelled) return
     for (const record of job.tasks) {
       if (record.stage === Stage.Finished || (only !== undefined && record.id !== only)) continue
       if (this.options.runs.get(record.id) !== undefined) continue
--- a/packages/daemon/src/owner/owner.ts
+++ b/packages/daemon/src/owner/owner.ts
@@ -298,7 +298,7 @@
   private inheritRuns (): void {
     for (const job of this.options.state.jobs.values()) {
       for (const record of job.tasks) {
-        if (record.stage === Stage.Dispatched) this.runs.inherit(this.jobs.createTask(job, record.id), record)
+        if (record.stage === Stage.Dispatched) this.runs.inherit(this.jobs.createTask(job, record.id), record, job.cancelled)
       }
     }
     for (const record of this.options.state.replicas.values()) {
--- a/packages/daemon/src/owner/runs.ts
+++ b/packages/daemon/src/owner/runs.ts
@@ -77,7 +77,7 @@
   readonly mayRetry: (taskId: string) => boolean
   /** Returns the number of failed runs after which a task is not retried. */
   readonly maxFailuresOf: (taskId: string) => number
-  /** Puts a task of a job back into the queue, unless the job has ended. A cancelled job ends only once all its tasks have. */
+  /** Puts a task of a job back into the queue, or records its end if the job is cancelled. */
   readonly requeue: (taskId: string) => void
   /** Called when a task reached an outcome. */
   readonly onFinished: (task: Task, outcome: RunOutcome) => void
@@ -105,8 +105,9 @@
 
   /**
    * Takes over a run that a former owner recorded, and counts it against the worker's capacity and the team's allotment at once.
+   * Stops it once it is known to run, if `stopping` is set: the former owner's stop command may not have reached the worker.
    */
-  inherit (task: Task, record: TaskRecord): void {
+  inherit (task: Task, record: TaskRecord, stopping = false): void {
     const run: Run = {
       task,
       attempt: record.attempt,
@@ -115,7 +116,7 @@
       phase: RunPhase.Unresolved,
       startedByThisOwner: false,
       leaseUntilMs: Infinity,
-      stopping: false
+      stopping
     }
     this.options.scheduler.adopt(task, run.worker, this.options.clock.now())
     this.add(run)
@@ -153,6 +154,22 @@
     this.sendStop(run, checkpoint)
   }
 
+  /** Records the end of a run that never started, if its task must not run again because its job is cancelled. */
+  endUnstarted (task: Task): void {
+    const record = this.options.state.task(task.id)
+    if (record?.stage !== Stage.Dispatched) return
+    const change: Ended = {
+      kind: ChangeKind.Ended,
+      task: task.id,
+      attempt: record.attempt,
+      outcome: RunOutcome.Retry,
+      atMs: this.options.clock.wall()
+    }
+    this.write(change).then((written) => {
+      if (written) this.options.onFinished(task, RunOutcome.Cancelled)
+    }, stopProcess)
+  }
+
   /** Reconciles the runs recorded for an adopted worker with those that it reports. */
   onAdopted (session: Session, report: WorkerReport): void {
     const listed = new Set(report.tasks.map((task) => task.id))
@@ -348,8 +365,8 @@
   }
 
   /**
-   * Queues the task of a run that never started. No record is written: later owners learn from the worker's report, when they
-   * adopt the worker, that the run did not start.
+   * Queues the task of a run that never started. No record is written, unless its job is cancelled: later owners learn from the
+   * worker's report, when they adopt the worker, that the run did not start.
    */
   private returnToQueue (run: Run): void {
     if (this.runs.get(run.task.id) !== run) return
--- /dev/null
+++ b/packages/daemon/test/owner/acknowledgement.spec.ts
@@ -0,0 +1,69 @@
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { TaskState } from '@fireflymount/service-clients/worker'
+import { Stage } from '../../src/owner/state.js'
+import { JOB, SuccessiveOwners, sleep } from './successive-owners.js'
+
+const TASK = `${JOB}/0`
+let shard: SuccessiveOwners
+
+beforeEach(() => { shard = new SuccessiveOwners() })
+afterEach(() => { shard.owner.stop() })
+
+async function runsAtWorker (): Promise<void> {
+  await expect.poll(() => shard.worker.started).toEqual([TASK])
+  await expect.poll(() => shard.jobState()).toBe('running')
+}
+
+// Guards against a task that starts or runs on after the cancellation of its job was acknowledged.
+test.each<{ title: string, play: () => Promise<void>, started: string[] }>([
+  {
+    title: 'at the owner, if the start of its recorded run did not reach the worker',
+    play: async () => {
+      shard.worker.reachable = false
+      await shard.submit()
+      await expect.poll(() => shard.state.task(TASK)?.stage).toBe(Stage.Dispatched)
+      await shard.cancel()
+      shard.worker.reachable = true
+    },
+    started: []
+  },
+  {
+    title: 'at the owner, while its run runs',
+    play: async () => {
+      await shard.submit()
+      await runsAtWorker()
+      await shard.cancel()
+    },
+    started: [TASK]
+  },
+  {
+    title: 'at a successor that adopts its run, because the stop did not reach the worker',
+    play: async () => {
+      await shard.submit()
+      await runsAtWorker()
+      shard.worker.reachable = false
+      await shard.cancel()
+      shard.takeOver()
+    },
+    started: [TASK]
+  },
+  {
+    title: 'at a successor, if its recorded run was never sent',
+    play: async () => {
+      shard.worker.reachable = false
+      await shard.submit()
+      await expect.poll(() => shard.state.task(TASK)?.stage).toBe(Stage.Dispatched)
+      await shard.cancel()
+      shard.takeOver()
+    },
+    started: []
+  }
+])('a task of a cancelled job ends $title', async ({ play, started }) => {
+  // The worker is adopted before the job is submitted, so that the run is recorded at once.
+  await expect.poll(() => [...shard.owner.fleet.all()].every((session) => session.adopted)).toBe(true)
+  await play()
+  await expect.poll(() => shard.jobState(), { timeout: 2000 }).toBe('cancelled')
+  await sleep(100)
+  expect([shard.worker.started, [...shard.worker.reports.values()].filter(({ state }) => state === TaskState.Running)])
+    .toEqual([started, []])
+})
--- /dev/null
+++ b/packages/daemon/test/owner/successive-owners.ts
@@ -0,0 +1,186 @@
+/**
+ * One shard with its log, a worker and successive owners, for tests of what a successor can read.
+ */
+import { err, ok, type Result } from 'neverthrow'
+import { SystemClock } from '@fireflymount/service-clients/clock'
+import { JournalFailure, type JournalError } from '@fireflymount/service-clients/journal'
+import { VmRole, VmState, type Vm } from '@fireflymount/service-clients/vm-list'
+import {
+  TaskState, Worker, WorkerFailure, type TaskReport, type TaskStart, type WorkerError, type WorkerReport
+} from '@fireflymount/service-clients/worker'
+import { EMPTY_MANIFEST, type Manifest } from '@fireflymount/manifest/manifest'
+import { DEFAULT_TIMING } from '@fireflymount/manifest/settings-codec'
+import { compareEpochs, NO_EPOCH, type Epoch } from '@fireflymount/protocol/epoch'
+import { MessageKind, type Job, type Request } from '@fireflymount/protocol/message'
+import { Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
+import { Workload } from '@fireflymount/protocol/workload'
+import type { Members } from '../../src/membership/members.js'
+import { Allotments } from '../../src/owner/allotments.js'
+import { BurnCounts } from '../../src/owner/burn.js'
+import { Owner } from '../../src/owner/owner.js'
+import { ShardState } from '../../src/owner/state.js'
+import type { Router } from '../../src/peer/router.js'
+import { createQueue, FakeMetrics } from '../entry-fakes.js'
+
+const SHARD = 'cloth-studio'
+export const JOB = `${SHARD}.a`
+const SIZE = { cpuMilli: 1000, memoryMb: 1000, accelerators: 0 }
+const VM: Vm = {
+  id: 'w1', role: VmRole.Worker, state: VmState.Live, address: '', zone: 'z', rack: 'r', resources: SIZE, slots: 1, upstream: SHARD
+}
+const MANIFEST: Manifest = {
+  ...EMPTY_MANIFEST,
+  upstreams: [{ name: SHARD, zones: ['z'], weights: { waiting: 1, share: 1, packing: 1 } }],
+  teams: [{ name: 'guild', workspace: 'hakata', share: 1, upperLimit: {} }],
+  queues: [createQueue({ name: 'render', upstream: SHARD, workload: Workload.Batch, size: SIZE, idempotent: false, attempts: 1 })]
+}
+const WRITE_MS = 10
+
+/** A worker whose tasks run until they are stopped or a test ends them. */
+export class TestWorker extends Worker {
+  /** Whether commands to start or stop tasks reach the worker. */
+  reachable = true
+  readonly started: string[] = []
+  readonly reports = new Map<string, TaskReport>()
+  private epoch: Epoch = NO_EPOCH
+
+  adopt (epoch: Epoch): Promise<Result<WorkerReport, WorkerError>> {
+    if (compareEpochs(epoch, this.epoch) >= 0) this.epoch = epoch
+    return Promise.resolve(this.check(epoch).map(() => this.report()))
+  }
+
+  start (epoch: Epoch, { id, attempt, team, kind, size }: TaskStart): Promise<Result<void, WorkerError>> {
+    return Promise.resolve(this.command(epoch, () => {
+      this.started.push(id)
+      this.reports.set(`${id}/${attempt}`, { id, attempt, team, kind, size, state: TaskState.Running, runtimeMs: 1 })
+    }))
+  }
+
+  stop (epoch: Epoch, task: string): Promise<Result<void, WorkerError>> {
+    return Promise.resolve(this.command(epoch, () => { this.end(task, TaskState.Stopped) }))
+  }
+
+  end (task: string, state: TaskState): void {
+    for (const [key, report] of this.reports) {
+      if (report.id === task && report.state === TaskState.Running) this.reports.set(key, { ...report, state })
+    }
+  }
+
+  async renew (epoch: Epoch, _: number, acknowledged: readonly string[]): Promise<Result<WorkerReport, WorkerError>> {
+    const check = this.check(epoch)
+    if (check.isErr()) return err(check.error)
+    for (const key of acknowledged) this.reports.delete(key)
+    await sleep(WRITE_MS)
+    return this.check(epoch).map(() => this.report())
+  }
+
+  throttle (): Promise<Result<void, WorkerError>> { return Promise.resolve(ok(undefined)) }
+  request (): Promise<Result<unknown, WorkerError>> { return Promise.resolve(ok(null)) }
+  close (): Promise<void> { return Promise.resolve() }
+
+  private command (epoch: Epoch, effect: () => void): Result<void, WorkerError> {
+    const check = this.check(epoch)
+    if (check.isErr()) return check
+    if (!this.reachable) return err({ failure: WorkerFailure.Unreachable, detail: '' })
+    effect()
+    return ok(undefined)
+  }
+
+  private check (epoch: Epoch): Result<void, WorkerError> {
+    if (compareEpochs(epoch, this.epoch) === 0) return ok(undefined)
+    return err({ failure: WorkerFailure.StaleEpoch, detail: '', epoch: this.epoch })
+  }
+
+  private report (): WorkerReport {
+    return { boot: 'b1', clockMs: performance.now(), tasks: [...this.reports.values()] }
+  }
+}
+
+/** The shard. Every owner starts with what the log holds. */
+export class SuccessiveOwners {
+  readonly worker = new TestWorker()
+  /** The changes in the log. */
+  readonly log: unknown[] = []
+  /** Whether the log refuses changes. */
+  refuses = false
+  state: ShardState
+  owner: Owner
+  private epoch = 0
+
+  constructor () {
+    this.state = new ShardState()
+    this.owner = this.startOwner()
+  }
+
+  async ask (request: Request): Promise<Result<Job, Refusal>> {
+    return (await this.owner.handle(request)).map((job) => job as Job)
+  }
+
+  async submit (): Promise<void> {
+    const accepted = await this.ask({
+      kind: MessageKind.Submit, job: JOB, queue: 'render', team: 'guild', digest: 'd', tasks: 1, body: {}
+    })
+    accepted._unsafeUnwrap()
+  }
+
+  async cancel (): Promise<void> {
+    (await this.ask({ kind: MessageKind.Cancel, job: JOB }))._unsafeUnwrap()
+  }
+
+  async jobState (): Promise<string> {
+    return (await this.ask({ kind: MessageKind.Status, job: JOB, waitMs: 0 }))._unsafeUnwrap().state
+  }
+
+  /** Ends the owner without a further write, and lets a successor take over what the log holds. */
+  takeOver (): void {
+    this.owner.stop()
+    this.refuses = false
+    this.worker.reachable = true
+    this.state = new ShardState()
+    for (const change of this.log) this.state.apply(change)
+    this.owner = this.startOwner()
+  }
+
+  private async commit (state: ShardState, change: unknown): Promise<Result<void, JournalError>> {
+    await sleep(WRITE_MS)
+    if (state !== this.state) return err({ failure: JournalFailure.Superseded, detail: '' })
+    if (this.refuses) return err({ failure: JournalFailure.Unavailable, detail: '' })
+    const copy: unknown = JSON.parse(JSON.stringify(change))
+    this.log.push(copy)
+    state.apply(copy)
+    return ok(undefined)
+  }
+
+  private startOwner (): Owner {
+    const { state } = this
+    const clock = new SystemClock()
+    const allotments = new Allotments(SHARD)
+    allotments.setManifest(MANIFEST, clock.now())
+    const owner: Owner = new Owner({
+      shard: SHARD,
+      node: 'n1',
+      epoch: { counter: ++this.epoch, node: 'n1' },
+      journal: { available: () => !this.refuses, commit: (change) => this.commit(state, change) },
+      state,
+      allotments,
+      burn: new BurnCounts('n1', clock.wall()),
+      members: { workers: () => [VM], vm: () => VM, isTerminated: () => false } as unknown as Members,
+      router: { askOwner: async () => err(refuse(Reason.NotOwner, '')) } as unknown as Router,
+      manifest: () => MANIFEST,
+      connect: () => this.worker,
+      clock,
+      timing: { ...DEFAULT_TIMING, renewMs: 20 },
+      metrics: new FakeMetrics(),
+      provisional: false,
+      confirmed: () => this.owner === undefined || this.owner === owner,
+      inheritedExpiryMs: () => undefined,
+      onStale: () => {}
+    })
+    owner.start()
+    return owner
+  }
+}
+
+export async function sleep (ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms))
+}
