Daemon: an accepted job is also known to standbys that kept an ended one with its id

A standby ignored the acceptance of a job that it still had, and then the attempts and ends under it, so the states of owner and standby differed for the same log. A comment said so.

Evidence: both new rows fail without the fix: the standby has the ended tasks, the owner a waiting one. A third, new row holds on both: the repeated acceptance of a job that has just ended has no effect.

Why it works: an owner accepts a job only if its state has none with the id, so an acceptance in the log long after the end of a job means that the owner had removed it. Whether it replaces the job depends only on the records. Half of the retention time is left for clocks that differ by up to 12 hours.

--- a/packages/daemon/src/owner/state.ts
+++ b/packages/daemon/src/owner/state.ts
@@ -118,8 +118,8 @@
 
   override snapshot (): readonly unknown[] {
     // The newest recorded time is used as the current time, so that what is removed does not depend on this node's clock. Jobs are
-    // removed only here, on the node that writes the snapshot; standbys keep them until they restore a snapshot. A node that still
-    // has a removed job ignores a new acceptance with the same id.
+    // removed only here, on the node that writes the snapshot; standbys keep them until they restore a snapshot, or until a job with
+    // the same id is accepted again.
     this.prune(this.newestJobMs())
     const parts: SnapshotPart[] = [{
       replicas: [...this.replicas.values()],
@@ -173,11 +173,7 @@
   prune (nowMs: number): void {
     for (const job of this.jobs.values()) {
       if (job.endedMs === undefined || nowMs - job.endedMs < JOB_RETENTION_MS) continue
-      this.jobs.delete(job.job)
-      for (const task of job.tasks) {
-        this.tasks.delete(task.id)
-        this.jobOfTask.delete(task.id)
-      }
+      this.removeJob(job)
     }
   }
 
@@ -198,7 +194,9 @@
   }
 
   private accept (change: Accepted): void {
-    if (this.jobs.has(change.job)) return
+    const known = this.jobs.get(change.job)
+    if (known !== undefined && !isForgotten(known, change)) return
+    if (known !== undefined) this.removeJob(known)
     const tasks: TaskRecord[] = []
     for (let index = 0; index < change.tasks; index++) {
       tasks.push({ id: `${change.job}/${index}`, stage: Stage.Waiting, attempt: 0, failures: 0 })
@@ -318,6 +316,14 @@
     }
   }
 
+  private removeJob (job: JobRecord): void {
+    this.jobs.delete(job.job)
+    for (const task of job.tasks) {
+      this.tasks.delete(task.id)
+      this.jobOfTask.delete(task.id)
+    }
+  }
+
   private indexReplica (task: TaskRecord): TaskRecord {
     this.replicas.set(task.id, task)
     this.tasks.set(task.id, task)
@@ -344,6 +350,14 @@
   }
 }
 
+/**
+ * True if the owner that accepts a job had removed a former one with the same id. It depends only on the log, so that all nodes
+ * agree. Half of the retention time allows for clocks that differ.
+ */
+function isForgotten (job: JobRecord, change: Accepted): boolean {
+  return job.endedMs !== undefined && change.atMs - job.endedMs >= JOB_RETENTION_MS / 2
+}
+
 /**
  * Returns the map key for the transfers of one team between this and another shard.
  *
--- a/packages/daemon/test/owner/state.spec.ts
+++ b/packages/daemon/test/owner/state.spec.ts
@@ -99,6 +99,12 @@
     state: 'failed',
     attempts: 2
   },
+  {
+    title: 'a repeated acceptance of a job that has just ended has no effect',
+    changes: [accepted('s.a'), attempt('s.a/0'), ended('s.a/0', RunOutcome.Succeeded), accepted('s.a', { atMs: 3000 })],
+    state: 'succeeded',
+    attempts: 1
+  },
   { title: 'a repeated acceptance has no effect', changes: [accepted('s.a'), attempt('s.a/0'), accepted('s.a')], state: 'running', attempts: 1 }
 ])('$title, also after a snapshot', ({ changes, state, attempts }) => {
   const applied = new ShardState()
@@ -132,6 +138,31 @@
   expect(state.task('s.a/0')).toBeUndefined()
 })
 
+// Guards against an accepted job that no successor runs: the owner had removed an ended job with the same id, and its standbys had not.
+test.each([
+  { title: 'an ended job', changes: [attempt('s.a/0'), attempt('s.a/1'), ended('s.a/0', RunOutcome.Failed), ended('s.a/1', RunOutcome.Succeeded)] },
+  { title: 'a cancelled job', changes: [{ kind: ChangeKind.Cancelled, job: 's.a', atMs: 2000 }] }
+])('a standby that still has $title accepts it again once the owner, which writes snapshots, has removed it', ({ changes }) => {
+  const owner = new ShardState()
+  const standby = new ShardState()
+  const atMs = 2000 + JOB_RETENTION_MS
+  const apply = (change: object): void => {
+    for (const state of [owner, standby]) state.apply(change)
+  }
+  for (const change of [accepted('s.a', { tasks: 2 }), ...changes, accepted('s.b', { atMs })]) apply(change)
+  owner.snapshot()
+  expect([owner.jobs.has('s.a'), standby.jobs.has('s.a')]).toEqual([false, true])
+  // The clock of the node that accepts it may be behind.
+  apply(accepted('s.a', { atMs: atMs - 60_000, digest: 'new' }))
+  expect([...standby.jobs.get('s.a')!.tasks]).toEqual(owner.jobs.get('s.a')!.tasks)
+  apply(attempt('s.a/0'))
+  for (const state of [owner, standby]) {
+    expect(state.jobs.get('s.a')!.digest).toBe('new')
+    expect(state.task('s.a/0')?.stage).toBe(Stage.Dispatched)
+    expect(state.task('s.a/1')).toBeUndefined()
+  }
+})
+
 test.each([
   { title: 'a transfer to another shard lowers the team\'s allotment', change: { kind: ChangeKind.Lent, to: 't', team: 'guild', sequence: 1, amount: { tasks: 2, ...SIZE } }, tasks: -2 },
   { title: 'a transfer from another shard raises the team\'s allotment', change: { kind: ChangeKind.Borrowed, from: 't', team: 'guild', sequence: 1, amount: { tasks: 2, ...SIZE } }, tasks: 2 }
