Daemon: a command to stop a run is repeated until it reaches the worker

What callers see: the cancellation of a running job is answered, and the job runs on to its end, however long that is. The same for preempted runs and for replicas that are to stop.

Cause: the command was sent once. A comment said that the report of the task or the expiry of its lease follows, but the owner goes on renewing the lease, and renewals do not list a task that runs on unchanged.

Why it works: a worker that did not answer a stop command is adopted again after 500 ms, and its report lists what runs. A run that is to stop and is reported as running gets the command again, which has no further effect if the first one had arrived.

--- a/packages/daemon/src/owner/runs.ts
+++ b/packages/daemon/src/owner/runs.ts
@@ -280,7 +280,8 @@
     run.phase = RunPhase.Running
     if (justStarted && run.startedByThisOwner) this.options.onStarted(run.task)
     if (report?.usage !== undefined) this.options.scheduler.recordUsage(run.task.id, report.usage)
-    if (justStarted && run.stopping) this.sendStop(run, run.task.checkpoint)
+    // A run that is still reported as running may not have received its stop command. Repeating it has no further effect.
+    if (run.stopping && (justStarted || report !== undefined)) this.sendStop(run, run.task.checkpoint)
   }
 
   private sendStop (run: Run, checkpoint: boolean): void {
--- a/packages/daemon/src/owner/session.ts
+++ b/packages/daemon/src/owner/session.ts
@@ -20,6 +20,8 @@
 const UNCONFIRMED_POLL_INTERVAL_MS = 50
 /** Interval between renewals while reports are being written to the log, or while acknowledgements or a readoption are due. */
 const SHORT_RENEW_INTERVAL_MS = 200
+/** Time after which a worker is adopted again that did not answer a command to stop a task. */
+const STOP_RETRY_DELAY_MS = 500
 /** Number of consecutive failed renewals after which the worker has to be adopted again. */
 const MAX_RENEW_FAILURES = 2
 
@@ -119,10 +121,14 @@
     return result
   }
 
-  /** Stops a task. A lost answer needs no handling: the task's report or the expiry of its lease follows. */
+  /** Stops a task. After a lost command or answer, the worker is adopted again: it reports the task if it still runs. */
   async stop (task: string, checkpoint: boolean): Promise<void> {
     const result = await this.options.worker.stop(this.options.epoch, task, checkpoint)
-    if (result.isErr()) this.reportStaleEpoch(result.error)
+    if (result.isOk()) return
+    this.reportStaleEpoch(result.error)
+    const { failure } = result.error
+    if (failure !== WorkerFailure.Unreachable && failure !== WorkerFailure.Unknown) return
+    this.readoptAfter(this.estimatedWorkerClockMs() + STOP_RETRY_DELAY_MS)
   }
 
   /** Sends a request and waits for its complete answer. */
@@ -142,7 +148,7 @@
    * read its clock before this node received the report.
    */
   leaseUntilMs (): number {
-    return this.workerClockMs + (this.options.clock.now() - this.reportedAtMs) + this.options.timing.leaseMs
+    return this.estimatedWorkerClockMs() + this.options.timing.leaseMs
   }
 
   /** Adopts the worker again as soon as its clock is past `untilMs`, to learn the outcome of a command whose answer was lost. */
@@ -219,6 +225,10 @@
     return this.readoptAfterMs !== undefined && this.isPast(this.readoptAfterMs)
   }
 
+  private estimatedWorkerClockMs (): number {
+    return this.workerClockMs + (this.options.clock.now() - this.reportedAtMs)
+  }
+
   private recordClock (report: WorkerReport): void {
     this.workerClockMs = report.clockMs
     this.reportedAtMs = this.options.clock.now()
--- a/packages/daemon/test/owner/acknowledgement.spec.ts
+++ b/packages/daemon/test/owner/acknowledgement.spec.ts
@@ -36,6 +36,18 @@
     },
     started: [TASK]
   },
+  {
+    title: 'at the owner, although its stop did not reach the worker',
+    play: async () => {
+      await shard.submit()
+      await runsAtWorker()
+      shard.worker.reachable = false
+      await shard.cancel()
+      await sleep(100)
+      shard.worker.reachable = true
+    },
+    started: [TASK]
+  },
   {
     title: 'at a successor that adopts its run, because the stop did not reach the worker',
     play: async () => {
--- a/packages/daemon/test/owner/successive-owners.ts
+++ b/packages/daemon/test/owner/successive-owners.ts
@@ -71,7 +71,10 @@
     if (check.isErr()) return err(check.error)
     for (const key of acknowledged) this.reports.delete(key)
     await sleep(WRITE_MS)
-    return this.check(epoch).map(() => this.report())
+    return this.check(epoch).map(() => {
+      const report = this.report()
+      return { ...report, tasks: report.tasks.filter(({ state }) => state !== TaskState.Running) }
+    })
   }
 
   throttle (): Promise<Result<void, WorkerError>> { return Promise.resolve(ok(undefined)) }
