Daemon: a standby that has restarted grants no pledge before it has read the log

What callers see: at worst a task that runs in two places. A pledge is acknowledged to a successor, which counts the former owner's leases as expired from then on. The standby restarts and grants a pledge to the former owner, which then goes on renewing leases on workers that the successor cannot reach.

Cause: pledges are kept in memory only, and a node answered pledge requests before it had read the log.

Why it works: only owners whose claims are in the log ask for pledges, so a complete read after the start finds every epoch that had one. A node that cannot read the log refuses, which costs the owner this standby's confirmation until then.

--- a/packages/daemon/src/owner/role.ts
+++ b/packages/daemon/src/owner/role.ts
@@ -101,7 +101,7 @@
   async handle (message: Request): Promise<Result<unknown, Refusal>> {
     switch (message.kind) {
       case MessageKind.Watch: return ok(this.ownership())
-      case MessageKind.Pledge: return ok(this.grant(message))
+      case MessageKind.Pledge: return ok(await this.grant(message))
       case MessageKind.Handover: return await this.acceptHandover(message.epoch)
     }
     if (this.owner !== undefined) return await this.owner.handle(message)
@@ -134,12 +134,23 @@
     }
   }
 
-  private grant (pledge: Pledge): Grant {
+  /**
+   * Grants or refuses a pledge. A restart forgets the pledges granted before it. They went to owners whose claims are in the log, so
+   * none is granted before the log was read.
+   */
+  private async grant (pledge: Pledge): Promise<Grant> {
+    if (!await this.hasReadLog()) return { granted: false, epoch: this.ownerMonitor.newestEpoch }
     if (this.owner !== undefined) return { granted: false, epoch: this.owner.options.epoch }
     if (this.claiming) return { granted: false, epoch: this.ownerMonitor.newestEpoch }
     return { granted: this.ownerMonitor.grant(pledge.epoch), epoch: this.ownerMonitor.newestEpoch }
   }
 
+  /** True if the log was read to its end since the start of this process; tries to read it if not. */
+  private async hasReadLog (): Promise<boolean> {
+    if (Number.isFinite(this.options.journal.confirmedAtMs())) return true
+    return (await this.options.journal.catchUp()).isOk()
+  }
+
   /** Claims the shard at the owner's request, so that the takeover needs no timeout. */
   private async acceptHandover (epoch: Epoch): Promise<Result<Ownership, Refusal>> {
     if (this.leaving || this.owner !== undefined || compareEpochs(epoch, this.ownerMonitor.newestEpoch) < 0) {
