--- a/packages/daemon/test/owner/acknowledgement.spec.ts
+++ b/packages/daemon/test/owner/acknowledgement.spec.ts
@@ -6,7 +6,11 @@
 const TASK = `${JOB}/0`
 let shard: SuccessiveOwners
 
-beforeEach(() => { shard = new SuccessiveOwners() })
+beforeEach(async () => {
+  shard = new SuccessiveOwners()
+  // The worker is adopted before a job is submitted, so that its run is recorded at once.
+  await expect.poll(() => [...shard.owner.fleet.all()].every((session) => session.adopted)).toBe(true)
+})
 afterEach(() => { shard.owner.stop() })
 
 async function runsAtWorker (): Promise<void> {
@@ -71,11 +75,57 @@
     started: []
   }
 ])('a task of a cancelled job ends $title', async ({ play, started }) => {
-  // The worker is adopted before the job is submitted, so that the run is recorded at once.
-  await expect.poll(() => [...shard.owner.fleet.all()].every((session) => session.adopted)).toBe(true)
   await play()
   await expect.poll(() => shard.jobState(), { timeout: 2000 }).toBe('cancelled')
   await sleep(100)
   expect([shard.worker.started, [...shard.worker.reports.values()].filter(({ state }) => state === TaskState.Running)])
     .toEqual([started, []])
 })
+
+// Guards against a task that runs again after a takeover, although the end of its run was acknowledged.
+test.each<{ title: string, play: () => Promise<void>, kept: boolean, state: string }>([
+  { title: 'while the log refuses it, although it is reported again and again', play: () => sleep(700), kept: true, state: 'succeeded' },
+  {
+    title: 'while the log refuses it, although its worker is forgotten and found again',
+    play: async () => {
+      await sleep(100)
+      shard.listed = false
+      await sleep(300)
+      shard.listed = true
+      await sleep(300)
+    },
+    kept: true,
+    state: 'succeeded'
+  },
+  {
+    title: 'while the log refuses it, and its worker restarts',
+    play: async () => {
+      await sleep(100)
+      shard.worker.restart()
+      await sleep(500)
+    },
+    kept: false,
+    state: 'unknown'
+  },
+  {
+    title: 'before it is in the log, and then is',
+    play: async () => {
+      await sleep(100)
+      shard.refuses = false
+      await expect.poll(() => shard.worker.reports.size).toBe(0)
+    },
+    kept: false,
+    state: 'succeeded'
+  }
+])('the end of a run is not acknowledged $title', async ({ play, kept, state }) => {
+  await shard.submit()
+  await runsAtWorker()
+  shard.refuses = true
+  shard.worker.end(TASK, TaskState.Succeeded)
+  await play()
+  expect(shard.worker.reports.size > 0).toBe(kept)
+  shard.takeOver()
+  await expect.poll(() => shard.jobState()).toBe(state)
+  await sleep(100)
+  expect(shard.worker.started).toEqual([TASK])
+})
--- a/packages/daemon/test/owner/successive-owners.ts
+++ b/packages/daemon/test/owner/successive-owners.ts
@@ -8,7 +8,7 @@
 import {
   TaskState, Worker, WorkerFailure, type TaskReport, type TaskStart, type WorkerError, type WorkerReport
 } from '@fireflymount/service-clients/worker'
-import { EMPTY_MANIFEST, type Manifest } from '@fireflymount/manifest/manifest'
+import { EMPTY_MANIFEST, type Manifest, type Service } from '@fireflymount/manifest/manifest'
 import { DEFAULT_TIMING } from '@fireflymount/manifest/settings-codec'
 import { compareEpochs, NO_EPOCH, type Epoch } from '@fireflymount/protocol/epoch'
 import { MessageKind, type Job, type Request } from '@fireflymount/protocol/message'
@@ -34,6 +34,9 @@
   teams: [{ name: 'guild', workspace: 'hakata', share: 1, upperLimit: {} }],
   queues: [createQueue({ name: 'render', upstream: SHARD, workload: Workload.Batch, size: SIZE, idempotent: false, attempts: 1 })]
 }
+const SERVICE: Service = { name: 'shop', upstream: SHARD, team: 'guild', replicas: 1, size: SIZE, body: {} }
+const WITH_SERVICE: Manifest = { ...MANIFEST, services: [SERVICE] }
+export const REPLICA = 'service:shop/0'
 const WRITE_MS = 10
 
 /** A worker whose tasks run until they are stopped or a test ends them. */
@@ -43,6 +46,17 @@
   readonly started: string[] = []
   readonly reports = new Map<string, TaskReport>()
   private epoch: Epoch = NO_EPOCH
+  private boot = 1
+  /** Runs whose start command was carried out: repeating it has no further effect. */
+  private readonly keys = new Set<string>()
+
+  /** Loses all runs, reports and the epoch. */
+  restart (): void {
+    this.boot++
+    this.epoch = NO_EPOCH
+    this.reports.clear()
+    this.keys.clear()
+  }
 
   adopt (epoch: Epoch): Promise<Result<WorkerReport, WorkerError>> {
     if (compareEpochs(epoch, this.epoch) >= 0) this.epoch = epoch
@@ -51,6 +65,8 @@
 
   start (epoch: Epoch, { id, attempt, team, kind, size }: TaskStart): Promise<Result<void, WorkerError>> {
     return Promise.resolve(this.command(epoch, () => {
+      if (this.keys.has(`${id}/${attempt}`)) return
+      this.keys.add(`${id}/${attempt}`)
       this.started.push(id)
       this.reports.set(`${id}/${attempt}`, { id, attempt, team, kind, size, state: TaskState.Running, runtimeMs: 1 })
     }))
@@ -95,7 +111,7 @@
   }
 
   private report (): WorkerReport {
-    return { boot: 'b1', clockMs: performance.now(), tasks: [...this.reports.values()] }
+    return { boot: `b${this.boot}`, clockMs: performance.now(), tasks: [...this.reports.values()] }
   }
 }
 
@@ -104,6 +120,9 @@
   readonly worker = new TestWorker()
   /** The changes in the log. */
   readonly log: unknown[] = []
+  /** Whether the worker's VM is in the list; if not, it counts as terminated. */
+  listed = true
+  declaresService = false
   /** Whether the log refuses changes. */
   refuses = false
   state: ShardState
@@ -167,9 +186,11 @@
       state,
       allotments,
       burn: new BurnCounts('n1', clock.wall()),
-      members: { workers: () => [VM], vm: () => VM, isTerminated: () => false } as unknown as Members,
+      members: {
+        workers: () => this.listed ? [VM] : [], vm: () => this.listed ? VM : undefined, isTerminated: () => !this.listed
+      } as unknown as Members,
       router: { askOwner: async () => err(refuse(Reason.NotOwner, '')) } as unknown as Router,
-      manifest: () => MANIFEST,
+      manifest: () => this.declaresService ? WITH_SERVICE : MANIFEST,
       connect: () => this.worker,
       clock,
       timing: { ...DEFAULT_TIMING, renewMs: 20 },
