Daemon: the next run of a replica that ended as succeeded has a new number

What callers see: a replica of a service that ends as succeeded does not come back, although its owner counts it as running.

Cause: such an end removed the replica's record, so that its next run was number 1 again. Acknowledgements and start commands name a run by task and number. A worker that still has the report of the first run, or remembers its start, takes the new start for a repeated one and answers it as done; the acknowledgement of the first end would also cover the second.

Evidence: the new row fails without the fix: the worker never gets a run with another number.

Why it works: the end of a replica's run is always recorded as one after which the replica runs again, as it is for stopped, failed and lost runs, so its record and number stay. Changes in the log have the same meaning as before.

--- a/packages/daemon/src/owner/runs.ts
+++ b/packages/daemon/src/owner/runs.ts
@@ -7,6 +7,7 @@
 import { TaskState, WorkerFailure, type TaskReport, type WorkerReport } from '@fireflymount/service-clients/worker'
 import { Ending, type Placement, type Task } from '@fireflymount/policy/task'
 import type { Scheduler } from '@fireflymount/policy/scheduler'
+import { Workload } from '@fireflymount/protocol/workload'
 import type { Result } from 'neverthrow'
 import type { Metrics } from '../metrics.js'
 import { ChangeKind, RunOutcome, type AttemptChange, type Change, type Ended } from './change.js'
@@ -333,7 +334,8 @@
     const record = this.options.state.task(run.task.id)
     const failures = (record?.failures ?? 0) + (report.state === TaskState.Failed ? 1 : 0)
     const mayRetry = this.options.mayRetry(run.task.id) && failures < this.options.maxFailuresOf(run.task.id)
-    const outcome = outcomeOf(report, mayRetry)
+    // The record of a replica is kept, so that its next run has another number, also if it ended as succeeded.
+    const outcome = run.task.workload === Workload.Service ? RunOutcome.Retry : outcomeOf(report, mayRetry)
     this.options.scheduler.finish(run.task.id, endingOf(report), this.options.clock.now(), report.runtimeMs, report.usage)
     this.options.requestRound()
     const written = await this.write(createEnded(report, outcome))
--- a/packages/daemon/test/owner/acknowledgement.spec.ts
+++ b/packages/daemon/test/owner/acknowledgement.spec.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { TaskState } from '@fireflymount/service-clients/worker'
 import { Stage } from '../../src/owner/state.js'
-import { JOB, SuccessiveOwners, sleep } from './successive-owners.js'
+import { JOB, REPLICA, SuccessiveOwners, sleep } from './successive-owners.js'
 
 const TASK = `${JOB}/0`
 let shard: SuccessiveOwners
@@ -129,3 +129,12 @@
   await sleep(100)
   expect(shard.worker.started).toEqual([TASK])
 })
+
+// Guards against a replica that does not run although its owner counts it as running: its run had the number of an earlier one.
+test('a replica that ends as succeeded is started again under another number, so that its worker does not take it for a repeated start', async () => {
+  shard.declaresService = true
+  await expect.poll(() => shard.worker.reports.get(`${REPLICA}/1`)?.state).toBe(TaskState.Running)
+  shard.worker.end(REPLICA, TaskState.Succeeded)
+  await expect.poll(() => shard.worker.reports.get(`${REPLICA}/2`)?.state).toBe(TaskState.Running)
+  expect(shard.worker.started).toEqual([REPLICA, REPLICA])
+})
