--- a/packages/daemon/src/owner/runs.ts
+++ b/packages/daemon/src/owner/runs.ts
@@ -2,7 +2,7 @@
  * Runs of durable tasks and service replicas. An attempt is written to the log before it is sent to a worker. A task runs
  * again only once its previous run is proven to have ended, or never to have started.
  */
-import type { Clock } from '@fireflymount/service-clients/clock'
+import { sleep, type Clock } from '@fireflymount/service-clients/clock'
 import { JournalFailure, type JournalError } from '@fireflymount/service-clients/journal'
 import { TaskState, WorkerFailure, type TaskReport, type WorkerReport } from '@fireflymount/service-clients/worker'
 import { Ending, type Placement, type Task } from '@fireflymount/policy/task'
@@ -24,6 +24,8 @@
  * is unknown.
  */
 const END_COMMIT_TIMEOUT_MS = 5000
+/** Delay before a commit of a run's end that the journal refused at once is retried. */
+const OVERLOADED_RETRY_DELAY_MS = 100
 
 /** The phases of a run. */
 export enum RunPhase {
@@ -394,6 +396,8 @@
     for (;;) {
       const written = await this.commit(change, END_COMMIT_TIMEOUT_MS)
       if (written.isOk()) return true
+      // The other failures that are retried come after the timeout.
+      if (written.error.failure === JournalFailure.Overloaded) await sleep(OVERLOADED_RETRY_DELAY_MS)
       if (!this.options.active()) return false
       if (written.error.failure === JournalFailure.Superseded || written.error.failure === JournalFailure.Unknown) return false
     }
