Daemon: a drain that may have been written is not refused as not run

What callers see: an operator is told that a drain was not written, and the worker is drained, at a successor or once the write is found in the log.

Cause: every failure of the write was answered as log-unavailable, not-run, also an unknown outcome and a newer owner, of which the role was not told either.

Evidence: three of the four new rows fail without the fix (unknown, overloaded, superseded).

Why it works: a drain is refused as submissions and cancellations are.

--- a/packages/daemon/src/owner/jobs.ts
+++ b/packages/daemon/src/owner/jobs.ts
@@ -343,7 +343,17 @@
   return err(refuse(Reason.KeyReused, 'This Idempotency-Key was used for another request. Use a new key.'))
 }
 
-function refusalOf (error: JournalError, what: string): Refusal {
+/**
+ * Describes the failure of a write to a caller.
+ *
+ * @param error the failure
+ * @param what what was to be written, e.g. "The job"
+ * @returns a refusal that says whether it may have taken effect
+ *
+ * @example
+ * if (written.isErr()) return err(refusalOf(written.error, 'The job'))
+ */
+export function refusalOf (error: JournalError, what: string): Refusal {
   switch (error.failure) {
     case JournalFailure.Superseded:
       return refuse(Reason.NotOwner, 'The shard has a new owner.', 0)
--- a/packages/daemon/src/owner/owner.ts
+++ b/packages/daemon/src/owner/owner.ts
@@ -2,6 +2,7 @@
  * The owner of a shard under one epoch. It adopts the workers, decides all placements and answers all requests for the shard.
  */
 import type { Clock } from '@fireflymount/service-clients/clock'
+import { JournalFailure } from '@fireflymount/service-clients/journal'
 import type { Vm } from '@fireflymount/service-clients/vm-list'
 import type { TaskReport, Worker, WorkerReport } from '@fireflymount/service-clients/worker'
 import { findQueue, findUpstream } from '@fireflymount/manifest/lookup'
@@ -22,7 +23,7 @@
 import { Requests } from './requests.js'
 import { ChangeKind, RunOutcome } from './change.js'
 import { Fleet } from './fleet.js'
-import { Jobs } from './jobs.js'
+import { Jobs, refusalOf } from './jobs.js'
 import type { JournalWriter } from './journal-writer.js'
 import { Transfers } from './transfers.js'
 import { Replicas } from './replicas.js'
@@ -45,8 +46,6 @@
 /** Time that the sender of a request is told to wait if this node cannot confirm that it owns the shard. */
 const NOT_OWNER_RETRY_AFTER_MS = 500
 const UNKNOWN_QUEUE_RETRY_AFTER_MS = 500
-/** Time that operators are told to wait while the log is unavailable. */
-const LOG_RETRY_AFTER_MS = 5000
 
 /** Constructor arguments of `Owner`. */
 export interface OwnerOptions {
@@ -358,7 +357,10 @@
       return err(refuse(Reason.BadRequest, `The shard ${this.options.shard} has no worker ${worker}.`))
     }
     const written = await this.options.journal.commit({ kind: ChangeKind.Drained, worker, drained }, DRAIN_COMMIT_TIMEOUT_MS)
-    if (written.isErr()) return err(refuse(Reason.LogUnavailable, 'The drain was not written: the log is unavailable.', LOG_RETRY_AFTER_MS))
+    if (written.isErr()) {
+      if (written.error.failure === JournalFailure.Superseded) this.options.onStale(undefined)
+      return err(refusalOf(written.error, 'The drain'))
+    }
     this.fleet.refresh()
     return ok({ shard: this.options.shard, worker, drained })
   }
--- a/packages/daemon/test/owner/acknowledgement.spec.ts
+++ b/packages/daemon/test/owner/acknowledgement.spec.ts
@@ -1,5 +1,8 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
+import { JournalFailure } from '@fireflymount/service-clients/journal'
 import { TaskState } from '@fireflymount/service-clients/worker'
+import { MessageKind, type Request } from '@fireflymount/protocol/message'
+import { Execution, Reason } from '@fireflymount/protocol/refusal'
 import { Stage } from '../../src/owner/state.js'
 import { JOB, REPLICA, SuccessiveOwners, sleep } from './successive-owners.js'
 
@@ -138,3 +141,19 @@
   await expect.poll(() => shard.worker.reports.get(`${REPLICA}/2`)?.state).toBe(TaskState.Running)
   expect(shard.worker.started).toEqual([REPLICA, REPLICA])
 })
+
+// Guards against an operator who is told that a drain was not written although a successor reads it.
+test.each([
+  { failure: JournalFailure.Unavailable, reason: Reason.LogUnavailable, execution: Execution.NotRun },
+  { failure: JournalFailure.Unknown, reason: Reason.LogUnavailable, execution: Execution.Unknown },
+  { failure: JournalFailure.Overloaded, reason: Reason.Overloaded, execution: Execution.NotRun },
+  { failure: JournalFailure.Superseded, reason: Reason.NotOwner, execution: Execution.NotRun }
+])('a drain whose write fails as $failure is refused as $reason, $execution', async ({ failure, reason, execution }) => {
+  shard.failure = failure
+  const drain: Request = { kind: MessageKind.Drain, shard: 'cloth-studio', worker: 'w1', drained: true }
+  expect((await shard.owner.handle(drain))._unsafeUnwrapErr()).toMatchObject({ reason, execution })
+  shard.failure = undefined
+  expect((await shard.owner.handle(drain)).isOk()).toBe(true)
+  shard.takeOver()
+  expect([...shard.state.drained]).toEqual(['w1'])
+})
--- a/packages/daemon/test/owner/successive-owners.ts
+++ b/packages/daemon/test/owner/successive-owners.ts
@@ -125,6 +125,8 @@
   declaresService = false
   /** Whether the log refuses changes. */
   refuses = false
+  /** While set, the failure of all writes. */
+  failure: JournalFailure | undefined
   state: ShardState
   owner: Owner
   private epoch = 0
@@ -166,6 +168,7 @@
   private async commit (state: ShardState, change: unknown): Promise<Result<void, JournalError>> {
     await sleep(WRITE_MS)
     if (state !== this.state) return err({ failure: JournalFailure.Superseded, detail: '' })
+    if (this.failure !== undefined) return err({ failure: this.failure, detail: '' })
     if (this.refuses) return err({ failure: JournalFailure.Unavailable, detail: '' })
     const copy: unknown = JSON.parse(JSON.stringify(change))
     this.log.push(copy)
