--- a/packages/daemon/src/owner/runs.ts
+++ b/packages/daemon/src/owner/runs.ts
@@ -2,11 +2,12 @@
  * Runs of durable tasks and service replicas. An attempt is written to the log before it is sent to a worker. A task runs
  * again only once its previous run is proven to have ended, or never to have started.
  */
-import type { Clock } from '@fireflymount/service-clients/clock'
+import { sleep, type Clock } from '@fireflymount/service-clients/clock'
 import { JournalFailure, type JournalError } from '@fireflymount/service-clients/journal'
 import { TaskState, WorkerFailure, type TaskReport, type WorkerReport } from '@fireflymount/service-clients/worker'
 import { Ending, type Placement, type Task } from '@fireflymount/policy/task'
 import type { Scheduler } from '@fireflymount/policy/scheduler'
+import { Workload } from '@fireflymount/protocol/workload'
 import type { Result } from 'neverthrow'
 import type { Metrics } from '../metrics.js'
 import { ChangeKind, RunOutcome, type AttemptChange, type Change, type Ended } from './change.js'
@@ -23,6 +24,8 @@
  * is unknown.
  */
 const END_COMMIT_TIMEOUT_MS = 5000
+/** Delay before a commit of a run's end that the journal refused at once is retried. */
+const OVERLOADED_RETRY_DELAY_MS = 100
 
 /** The phases of a run. */
 export enum RunPhase {
@@ -77,7 +80,7 @@
   readonly mayRetry: (taskId: string) => boolean
   /** Returns the number of failed runs after which a task is not retried. */
   readonly maxFailuresOf: (taskId: string) => number
-  /** Puts a task of a job back into the queue, unless the job has ended. A cancelled job ends only once all its tasks have. */
+  /** Puts a task of a job back into the queue, or records its end if the job is cancelled. */
   readonly requeue: (taskId: string) => void
   /** Called when a task reached an outcome. */
   readonly onFinished: (task: Task, outcome: RunOutcome) => void
@@ -105,8 +108,9 @@
 
   /**
    * Takes over a run that a former owner recorded, and counts it against the worker's capacity and the team's allotment at once.
+   * Stops it once it is known to run, if `stopping` is set: the former owner's stop command may not have reached the worker.
    */
-  inherit (task: Task, record: TaskRecord): void {
+  inherit (task: Task, record: TaskRecord, stopping = false): void {
     const run: Run = {
       task,
       attempt: record.attempt,
@@ -115,7 +119,7 @@
       phase: RunPhase.Unresolved,
       startedByThisOwner: false,
       leaseUntilMs: Infinity,
-      stopping: false
+      stopping
     }
     this.options.scheduler.adopt(task, run.worker, this.options.clock.now())
     this.add(run)
@@ -153,6 +157,22 @@
     this.sendStop(run, checkpoint)
   }
 
+  /** Records the end of a run that never started, if its task must not run again because its job is cancelled. */
+  endUnstarted (task: Task): void {
+    const record = this.options.state.task(task.id)
+    if (record?.stage !== Stage.Dispatched) return
+    const change: Ended = {
+      kind: ChangeKind.Ended,
+      task: task.id,
+      attempt: record.attempt,
+      outcome: RunOutcome.Retry,
+      atMs: this.options.clock.wall()
+    }
+    this.write(change).then((written) => {
+      if (written) this.options.onFinished(task, RunOutcome.Cancelled)
+    }, stopProcess)
+  }
+
   /** Reconciles the runs recorded for an adopted worker with those that it reports. */
   onAdopted (session: Session, report: WorkerReport): void {
     const listed = new Set(report.tasks.map((task) => task.id))
@@ -263,7 +283,8 @@
     run.phase = RunPhase.Running
     if (justStarted && run.startedByThisOwner) this.options.onStarted(run.task)
     if (report?.usage !== undefined) this.options.scheduler.recordUsage(run.task.id, report.usage)
-    if (justStarted && run.stopping) this.sendStop(run, run.task.checkpoint)
+    // A run that is still reported as running may not have received its stop command. Repeating it has no further effect.
+    if (run.stopping && (justStarted || report !== undefined)) this.sendStop(run, run.task.checkpoint)
   }
 
   private sendStop (run: Run, checkpoint: boolean): void {
@@ -288,7 +309,9 @@
       return true
     }
     const change = createEnded(report, outcomeOf(report, false))
-    this.write(change).then(() => { session.acknowledge(report.id, report.attempt) }, stopProcess)
+    this.write(change).then((written) => {
+      if (written) session.acknowledge(report.id, report.attempt)
+    }, stopProcess)
     return true
   }
 
@@ -313,7 +336,8 @@
     const record = this.options.state.task(run.task.id)
     const failures = (record?.failures ?? 0) + (report.state === TaskState.Failed ? 1 : 0)
     const mayRetry = this.options.mayRetry(run.task.id) && failures < this.options.maxFailuresOf(run.task.id)
-    const outcome = outcomeOf(report, mayRetry)
+    // The record of a replica is kept, so that its next run has another number, also if it ended as succeeded.
+    const outcome = run.task.workload === Workload.Service ? RunOutcome.Retry : outcomeOf(report, mayRetry)
     this.options.scheduler.finish(run.task.id, endingOf(report), this.options.clock.now(), report.runtimeMs, report.usage)
     this.options.requestRound()
     const written = await this.write(createEnded(report, outcome))
@@ -346,8 +370,8 @@
   }
 
   /**
-   * Queues the task of a run that never started. No record is written: later owners learn from the worker's report, when they
-   * adopt the worker, that the run did not start.
+   * Queues the task of a run that never started. No record is written, unless its job is cancelled: later owners learn from the
+   * worker's report, when they adopt the worker, that the run did not start.
    */
   private returnToQueue (run: Run): void {
     if (this.runs.get(run.task.id) !== run) return
@@ -372,6 +396,8 @@
     for (;;) {
       const written = await this.commit(change, END_COMMIT_TIMEOUT_MS)
       if (written.isOk()) return true
+      // The other failures that are retried come after the timeout.
+      if (written.error.failure === JournalFailure.Overloaded) await sleep(OVERLOADED_RETRY_DELAY_MS)
       if (!this.options.active()) return false
       if (written.error.failure === JournalFailure.Superseded || written.error.failure === JournalFailure.Unknown) return false
     }
