Committer: a job is shown as ended once the record of its end is written

After an unexpected error between the end of a job's last run and its commit, the job was shown as completed although no record said so; a successor would not have known. Cause: a commit noted the job's phase while any of its records was encoded, also one of an earlier change. Why this works: a final phase is noted only with the record of the end.

--- a/packages/control/src/owner/journal-committer.ts
+++ b/packages/control/src/owner/journal-committer.ts
@@ -5,8 +5,9 @@
 import { sleep } from '../clock.js'
 import type { Encoder } from '../journal/job-changes.js'
 import type { JobEntry } from '../journal/journal-state.js'
+import { Subject, splitKey } from '../journal/record.js'
 import type { Writer } from '../journal/writer.js'
-import type { Phase } from '../model/job.js'
+import { isFinal, type Phase } from '../model/job.js'
 import type { KeyedRecord } from '../ports/store.js'
 
 /**
@@ -34,7 +35,8 @@
     for (const entry of entries) {
       for (const [key, encode] of entry.takeChanges()) {
         changes.set(key, () => {
-          written.set(entry, entry.phase)
+          // Only the record of its end tells a successor that a job has ended.
+          if (!isFinal(entry.phase) || splitKey(key).subject === Subject.Progress) written.set(entry, entry.phase)
           return encode()
         })
       }
--- a/packages/control/test/owner/journal-committer.spec.ts
+++ b/packages/control/test/owner/journal-committer.spec.ts
@@ -172,4 +172,18 @@
     expect(await Promise.all(harness.commits)).toEqual([true, false, false])
     expect([harness.unfounded, harness.entry.visiblePhase()]).toEqual([[], Phase.Active])
   })
+
+  // Guards against a job that is shown as completed although its end was never handed to the writer, because the handling of its last
+  // run's end failed, while an earlier change of the job was still waiting for the store.
+  it('is not that of an end that was not committed', async () => {
+    harness.refuse(() => true)
+    harness.assign()
+    await harness.advance(100)
+    for (const index of [0, 1]) {
+      applyRunEnd(harness.entry, harness.entry.task(0, 0, index), { run: 1, ending: RunOutcome.Done, checkpoint: '' }, 3, 1000)
+    }
+    harness.refuse(() => false)
+    await harness.advance(2000)
+    expect([harness.unfounded, harness.entry.visiblePhase()]).toEqual([[], Phase.Active])
+  })
 })
