Session: acknowledge ends only while the worker lists them

A worker restarts under its id, numbers its ends from 1 again, and drops the first of them: a task that ended as done runs again, or its job stays active. Cause: each report request repeated the highest acknowledged position, also to a worker that had not answered, and so to a new incarnation that the owner did not know yet. The id that a call names is the same for both. Why this works: a position is acknowledged only while the last report lists ends up to it, and not in a request to a worker that does not answer, nor in the request that is repeated through another node. fleet-gateways.spec.ts expected the position there; its check of the whole command stays.

--- a/packages/control/src/membership/fleet-gateways.ts
+++ b/packages/control/src/membership/fleet-gateways.ts
@@ -103,7 +103,7 @@
 
   /**
    * Requests a report. If the worker answered before and does not answer through one node now, another node is asked at once for a
-   * report, without a long poll and without renewing the lease.
+   * report, without a long poll, without renewing the lease and without an acknowledgement: the worker may have restarted.
    */
   override async requestReport (worker: WorkerAddress, command: ReportCommand): Promise<Result<Report, WorkerFailure>> {
     const wasFailing = this.routes.isFailing(worker)
@@ -111,7 +111,7 @@
     const report = await this.send(this.reportCall(worker, command, COMMAND_TIMEOUT_MS + command.waitMs + TRANSFER_MS), tried)
     if (report.isOk() || report.error !== WorkerFailure.NoAnswer || wasFailing) return report
     if (tried.has(this.routes.choose(worker, tried))) return report
-    return await this.send(this.reportCall(worker, { ...command, deadlineMs: undefined, waitMs: 0 }, REPEAT_TIMEOUT_MS), tried)
+    return await this.send(this.reportCall(worker, { ...command, acknowledged: 0, deadlineMs: undefined, waitMs: 0 }, REPEAT_TIMEOUT_MS), tried)
   }
 
   override closeConnections (worker: WorkerAddress): void {
--- a/packages/control/src/owner/reported-ends.ts
+++ b/packages/control/src/owner/reported-ends.ts
@@ -16,14 +16,25 @@
 
 /** Ends that are to be handled, and the position up to which they may be acknowledged. */
 export class ReportedEnds {
-  /** Position up to which all reported ends are in the journal. */
-  acknowledgedThrough = 0
   private receivedThrough = 0
-  /** States of the ends above `acknowledgedThrough`, by position. */
+  /** Position up to which all reported ends are in the journal. */
+  private writtenThrough = 0
+  /** Lowest position in the last report. */
+  private lowestListed = Infinity
+  /** States of the ends above `writtenThrough`, by position. */
   private readonly states = new Map<number, EndState>()
 
+  /**
+   * The position that the next report request acknowledges. It is 0 once the worker lists no end up to it any more: a worker that has
+   * restarted meanwhile would drop the ends of its new incarnation, whose positions start at 1 again.
+   */
+  get acknowledged (): number {
+    return this.lowestListed <= this.writtenThrough ? this.writtenThrough : 0
+  }
+
   /** Returns the ends of a report that are to be handled: those that are new, and those whose handling has failed. */
   receive (ended: readonly EndedRun[]): EndedRun[] {
+    this.lowestListed = Math.min(...ended.map(({ position }) => position))
     const unhandled = ended.filter(({ position }) => (
       position > this.receivedThrough || this.states.get(position) === EndState.Failed
     ))
@@ -45,7 +56,7 @@
     for (const position of [...this.states.keys()].sort((left, right) => left - right)) {
       if (this.states.get(position) !== EndState.Written) return
       this.states.delete(position)
-      this.acknowledgedThrough = position
+      this.writtenThrough = position
     }
   }
 }
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -323,10 +323,10 @@
   private async requestReport (waitMs: number): Promise<void> {
     const { host, worker } = this
     const deadlineMs = this.mayExtendLease() ? this.lease.grant(host.leaseMs) : undefined
+    // A worker that did not answer may have restarted. Its next answer shows whether it lists the ends of this incarnation.
+    const acknowledged = this.reachable ? this.reportedEnds.acknowledged : 0
     host.onReportRequest()
-    const report = await host.fleet.requestReport(worker, {
-      fence: host.fence, acknowledged: this.reportedEnds.acknowledgedThrough, deadlineMs, waitMs
-    })
+    const report = await host.fleet.requestReport(worker, { fence: host.fence, acknowledged, deadlineMs, waitMs })
     this.resolveFirstReport()
     if (this.stopController.signal.aborted) return
     if (report.isErr()) {
@@ -430,13 +430,13 @@
     const unhandled = reportedEnds.receive(ended)
     if (unhandled.length === 0) return
     for (const { task } of unhandled) this.unknownRuns.delete(task)
-    const journaling = Promise.all([this.journaling, this.writeRunEnds(reportedEnds, unhandled)]).then(() => {
+    const journaling = Promise.all([this.journaling, this.applyRunEnds(reportedEnds, unhandled)]).then(() => {
       if (this.journaling === journaling) this.journaling = undefined
     })
     this.journaling = journaling
   }
 
-  private async writeRunEnds (reportedEnds: ReportedEnds, ended: readonly EndedRun[]): Promise<void> {
+  private async applyRunEnds (reportedEnds: ReportedEnds, ended: readonly EndedRun[]): Promise<void> {
     let written: readonly EndedRun[] = []
     try {
       written = await this.host.onRunsEnded(this, ended)
--- a/packages/control/test/membership/fleet-gateways.spec.ts
+++ b/packages/control/test/membership/fleet-gateways.spec.ts
@@ -271,7 +271,7 @@
     const [, cut, other] = harness.calls
     expect(cut!.through).toBe(first)
     expect(other!.through).not.toBe(first)
-    expect((other!.request as Command).report).toEqual({ ...POLL, deadlineMs: undefined, waitMs: 0 })
+    expect((other!.request as Command).report).toEqual({ ...POLL, acknowledged: 0, deadlineMs: undefined, waitMs: 0 })
     expect(other!.timeoutMs).toBe(400)
   })
 
--- a/packages/control/test/owner/acknowledgement.spec.ts
+++ b/packages/control/test/owner/acknowledgement.spec.ts
@@ -37,8 +37,15 @@
   running: ActiveRun[] = []
   /** Ends that are not acknowledged. */
   ended: EndedRun[] = []
+  /** Start time of the current incarnation. */
+  born = 10
   private position = 0
 
+  /** Starts again under the same id, with nothing of before. */
+  restart (): void {
+    Object.assign(this, { running: [], ended: [], born: this.born + 10, position: 0 })
+  }
+
   end (task: string, ending: RunOutcome): void {
     const run = this.running.find((active) => active.task === task)
     if (run === undefined) return
@@ -53,7 +60,7 @@
   readonly workers = new Map(['w1', 'w2', 'w3'].map((id) => [id, new TestWorker()]))
   /** Ends that were acknowledged. */
   readonly acknowledged: EndedRun[] = []
-  /** Names of the tasks whose ends were acknowledged while the journal showed their runs as assigned. */
+  /** Names of the tasks whose ends were acknowledged while the journal did not show them. */
   readonly unread: string[] = []
   /** Names and run numbers of the runs that were started, in order. */
   readonly started: string[] = []
@@ -67,6 +74,7 @@
     this.fleet.start = async ({ id }, { task, run }) => {
       const worker = this.workers.get(id)!
       if (!worker.reachable) return err(WorkerFailure.NoAnswer)
+      this.onStart(worker, task)
       worker.running.push({ task, run, checkpoint: '', percent: 100, load: 0 })
       this.started.push(`${task}#${run}`)
       return ok(workerClock())
@@ -85,13 +93,15 @@
         if (end.position <= acknowledged) this.recordAcknowledgement(end)
       }
       worker.ended = worker.ended.filter((end) => end.position > acknowledged)
-      return ok({ born: 10, clockMs: workerClock(), running: [...worker.running], ended: [...worker.ended] })
+      return ok({ born: worker.born, clockMs: workerClock(), running: [...worker.running], ended: [...worker.ended] })
     }
     this.owner = this.startOwner(new JournalState())
   }
 
   /** Whether workers carry out stops. */
   stops = true
+  /** Called before a worker carries out a start. */
+  onStart: (worker: TestWorker, task: string) => void = () => {}
 
   register (id: string): void {
     const entry = createWorker({ id, address: `10.0.0.${id.slice(1)}:80`, capacity: { ...LARGE, memoryMb: 9000 } })
@@ -152,8 +162,9 @@
     const { job, key } = splitTask(end.task)
     const entry = this.readJournal().jobs.get(job)
     const task = entry?.tasks.get(key)
-    if (entry === undefined || isFinal(entry.phase) || task?.run !== end.run) return
-    if (task.stage === Stage.Assigned) this.unread.push(end.task)
+    if (entry === undefined || isFinal(entry.phase)) return
+    const isRead = end.ending === RunOutcome.Done ? task?.stage === Stage.Done : task?.stage !== Stage.Assigned || task.run !== end.run
+    if (!isRead) this.unread.push(end.task)
   }
 
   private startOwner (journalState: JournalState): Owner {
@@ -313,6 +324,27 @@
     })
   })
 
+  // Guards against a task that runs twice: its worker restarts under its id between two reports and carries out the start, and the
+  // next report request acknowledges as many ends as the previous incarnation had listed, so that the worker drops the end unread.
+  it('are not acknowledged in place of those of an earlier incarnation of the worker', async () => {
+    await cell.accept(OTHER_ID, { size: SMALL })
+    const [used] = [...cell.workers.values()].filter(({ running }) => running.length > 0)
+    for (const worker of cell.workers.values()) worker.reachable = worker === used
+    cell.end(`${OTHER_ID}.0.0.0`)
+    await advance(3000)
+    expect(cell.acknowledged).toHaveLength(1)
+    let starts = 0
+    cell.onStart = (worker, task) => {
+      if (starts++ > 0) return
+      worker.restart()
+      setTimeout(() => { worker.end(task, RunOutcome.Done) }, 5)
+    }
+    await cell.accept(ID, { size: SMALL })
+    await advance(5000)
+    expect({ startedAgain: cell.startedAgain(), unread: cell.unread }).toEqual({ startedAgain: [], unread: [] })
+    expect(cell.readJournal().jobs.get(ID)?.visiblePhase()).toBe(Phase.Completed)
+  })
+
   // Guards against an attempt that a successor does not count, although the end of its run was acknowledged.
   it('are not acknowledged: a failed run of a cancelled job, and of one that is not known', async () => {
     await cell.accept(ID, { size: SMALL })
--- a/packages/control/test/owner/session.spec.ts
+++ b/packages/control/test/owner/session.spec.ts
@@ -309,6 +309,63 @@
     await vi.advanceTimersByTimeAsync(2000)
   })
 
+  // Guards against an end of a new incarnation that is acknowledged unread, with the position of an end of the previous one.
+  it('does not acknowledge to a new incarnation what the previous one reported, once it is in the journal', async () => {
+    vi.useFakeTimers()
+    const harness = createHarness()
+    const { fleet, session } = harness
+    let write = (_: boolean): void => {}
+    harness.journal = new Promise((resolve) => { write = resolve })
+    const ended = [{ position: 7, task: RUNNING.task, run: 1, ending: RunOutcome.Done, checkpoint: '' }]
+    fleet.onReportRequest = async () => ok(report({ ended }))
+    await session.requestReportNow()
+    fleet.onReportRequest = async () => ok(report({ born: 20, clockMs: 5 }))
+    await session.requestReportNow()
+    write(true)
+    await vi.advanceTimersByTimeAsync(100)
+    await session.requestReportNow()
+    expect(fleet.reportCommands.map(({ acknowledged }) => acknowledged)).toEqual([0, 0, 0])
+  })
+
+  // Guards against a task that runs twice: a worker restarts under its id between two reports, carries out a start that was in flight,
+  // and drops the end of that run because the next report request acknowledges as many ends as its previous incarnation had listed.
+  it.each([
+    { says: 'that did not answer for a while', silent: true },
+    { says: 'between two answers', silent: false }
+  ])('receives the first ends of a worker that restarted under its id $says', async ({ silent }) => {
+    vi.useFakeTimers()
+    const { fleet, session, endedRuns, released } = createHarness()
+    const worker = {
+      born: 10,
+      clockMs: 6000,
+      ended: [{ position: 7, task: '00000000000000bb.0.0.0', run: 1, ending: RunOutcome.Done, checkpoint: '' }]
+    }
+    let answers = true
+    fleet.onReportRequest = async ({ acknowledged }) => {
+      if (!answers) return err(WorkerFailure.NoAnswer)
+      worker.ended = worker.ended.filter(({ position }) => position > acknowledged)
+      return ok(report({ born: worker.born, clockMs: ++worker.clockMs, ended: [...worker.ended] }))
+    }
+    for (let request = 0; request < 2; request++) {
+      await session.requestReportNow()
+      await vi.advanceTimersByTimeAsync(100)
+    }
+    expect(worker.ended).toEqual([])
+    answers = !silent
+    await session.requestReportNow()
+    answers = true
+    Object.assign(worker, {
+      born: 20, clockMs: 5, ended: [{ position: 1, task: RUNNING.task, run: 1, ending: RunOutcome.Done, checkpoint: '' }]
+    })
+    for (let request = 0; request < 3; request++) {
+      await session.requestReportNow()
+      await vi.advanceTimersByTimeAsync(300)
+    }
+    expect({ handled: endedRuns.map(({ position }) => position), released }).toEqual({ handled: [7, 1], released: [] })
+    session.close()
+    await vi.advanceTimersByTimeAsync(3000)
+  })
+
   // Guards against a new owner that has to open the connections to all workers again.
   it.each([
     { says: 'keeps the connections to the worker for the next owner when it ends', end: (session: Session) => { session.close() }, closed: 0 },
