Writer: a commit that is abandoned stops the writer before its callers go on

A flush in the continuation of an abandoned commit waited for an append that never came, since the writer counted as stopped only some turns later. No caller does this today.

--- a/packages/control/src/journal/writer.ts
+++ b/packages/control/src/journal/writer.ts
@@ -81,7 +81,7 @@
   }
 
   /**
-   * Waits until all changes that were committed so far are in the journal, without an append of its own.
+   * Waits until all changes that were committed so far are in the journal or withdrawn, without an append of its own.
    *
    * @returns as `commit`
    */
@@ -153,6 +153,7 @@
         await this.backOff(signal)
         return true
       }
+      this.stopped = true
       for (const waiter of waiters) waiter.resolve(err(new CommitAbandoned()))
       return false
     }
--- a/packages/control/test/journal/writer.spec.ts
+++ b/packages/control/test/journal/writer.spec.ts
@@ -176,9 +176,12 @@
     const writer = new Writer(access, clock, 1, 5, clock.stamp(), () => {})
     const running = writer.run(stop.signal)
     const commit = writer.commit(change('a', () => 1))
+    // Guards against a wait without end in the continuation of a commit that was abandoned.
+    const flush = commit.then(async () => await writer.flush())
     await vi.advanceTimersByTimeAsync(50)
     await running
     expect((await commit).isErr()).toBe(true)
+    expect((await flush).isErr()).toBe(true)
     expect((await writer.commit(change('b', () => 2))).isErr()).toBe(true)
     expect(store.records[Topic.Journal]).toEqual([])
   })
