Run ends: a second attempt to apply an end finishes what the first one left

After an unexpected error while an end as done was applied, the second attempt found the task done in memory, took the end for one that changes nothing, and acknowledged it; the job stayed active. Cause: the change was made before it was noted for the commit, and the job was ended only by the end that completed its last task. Evidence: 'once, while it is applied' of acknowledgement.spec.ts failed before. Why this works: all tasks of a job are noted as changed before the next end of it is applied, and an end of a task that is done ends the job if all of its tasks are. Open: a failed attempt that is counted, but whose job is not ended for it.

--- a/packages/control/src/journal/journal-state.ts
+++ b/packages/control/src/journal/journal-state.ts
@@ -117,6 +117,11 @@
     this.changes.mark(task)
   }
 
+  /** Notes a change of all tasks, if an error may have prevented that some changes were noted. */
+  markAllChanged (): void {
+    for (const task of this.tasks.values()) this.changes.mark(task)
+  }
+
   /** Returns encoders of the records that a commit of the job has to write, by key, and forgets the changes. */
   takeChanges (): Map<string, Encoder> {
     return this.changes.take()
--- a/packages/control/src/owner/run-end-handler.ts
+++ b/packages/control/src/owner/run-end-handler.ts
@@ -61,6 +61,8 @@
 /** Handles ended, lost and released runs. */
 export class RunEndHandler {
   private readonly jobSettings: JobSettings
+  /** Jobs that may have changed without a note for the next commit, because the handling of an end has failed. */
+  private readonly unnotedJobs = new Set<JobEntry>()
 
   constructor (private readonly options: RunEndHandlerOptions) {
     this.jobSettings = new JobSettings(options.configuration)
@@ -80,9 +82,11 @@
       const entry = this.entryOf(endedRun)
       if (entry !== undefined) touched.add(entry)
       try {
+        this.noteChanges(entry)
         this.handleRunEnd(session, endedRun, entry)
         applied.push(endedRun)
       } catch (error) {
+        if (entry !== undefined) this.unnotedJobs.add(entry)
         const { task, run } = endedRun
         this.options.log.event('run end failed unexpectedly', { task, run, worker: session.id, error: describeError(error) })
       }
@@ -100,6 +104,12 @@
     return entry?.hasTask(key) === true ? entry : undefined
   }
 
+  private noteChanges (entry: JobEntry | undefined): void {
+    if (entry === undefined || !this.unnotedJobs.has(entry)) return
+    entry.markAllChanged()
+    this.unnotedJobs.delete(entry)
+  }
+
   private recordWrite (session: Session, ends: number, tookMs: number): void {
     this.options.metrics.runEndWriteSeconds.observe(tookMs / 1000)
     if (tookMs < LOGGED_WRITE_MS) return
--- a/packages/control/src/owner/run-end.ts
+++ b/packages/control/src/owner/run-end.ts
@@ -55,13 +55,15 @@
 ): boolean {
   const step = entry.job.steps[task.step]
   // Without steps, the job has ended and its details have been dropped.
-  if (step === undefined || task.stage === Stage.Done || end.run > task.run) return false
+  if (step === undefined || end.run > task.run) return false
+  // The handling of the end that completed the task may have failed before it ended the job.
+  if (task.stage === Stage.Done) return endIfComplete(entry, nowMs)
   const members = membersOf(entry, task)
   if (end.ending === RunOutcome.Done && !step.lasting) {
     if (end.run !== task.run) return false
     for (const member of members) member.stage = Stage.Done
     for (const member of members) entry.markChanged(member)
-    if (!entry.isFinishedOrCancelled() && isComplete(entry)) endJob(entry, Phase.Completed, nowMs)
+    endIfComplete(entry, nowMs)
     return true
   }
   const releases = task.stage === Stage.Assigned && end.run === task.run
@@ -92,6 +94,13 @@
   entry.endedMs = nowMs
 }
 
+/** Ends a job all of whose tasks are done. Returns true if the job had not ended before. */
+function endIfComplete (entry: JobEntry, nowMs: number): boolean {
+  if (entry.isFinishedOrCancelled() || !isComplete(entry)) return false
+  endJob(entry, Phase.Completed, nowMs)
+  return true
+}
+
 function isComplete (entry: JobEntry): boolean {
   const { job } = entry
   for (let occurrence = 0; occurrence < occurrencesOf(job); occurrence++) {
--- a/packages/control/test/owner/acknowledgement.spec.ts
+++ b/packages/control/test/owner/acknowledgement.spec.ts
@@ -2,7 +2,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { SystemClock } from '../../src/clock.js'
 import { encodeJob, encodeRecord, Stage, Subject } from '../../src/journal/record.js'
-import { JournalState } from '../../src/journal/journal-state.js'
+import { JobEntry, JournalState } from '../../src/journal/journal-state.js'
 import { StoreAccess } from '../../src/membership/access.js'
 import type { Configuration } from '../../src/model/configuration.js'
 import { isFinal, Phase, type Step } from '../../src/model/job.js'
@@ -304,6 +304,11 @@
   // its handling had failed.
   it.each<{ says: string, fail: () => { mockRestore: () => void } }>([
     { says: 'once, before it is applied', fail: () => failFor(cell.owner.ledger, 'find', (name) => name.startsWith(ID), 1) },
+    // Guards against a second attempt that finds the task done in memory, and therefore takes its end for one that changes nothing.
+    {
+      says: 'once, while it is applied',
+      fail: () => vi.spyOn(JobEntry.prototype, 'markChanged').mockImplementationOnce(() => { throw new Error('unexpected') })
+    },
     { says: 'once, after it is applied', fail: () => failFor(cell.owner.readySteps, 'refresh', ({ job }) => job.id === ID, 1) },
     { says: 'each time', fail: () => failFor(cell.owner.readySteps, 'refresh', ({ job }) => job.id === ID, Infinity) }
   ])('are not acknowledged after an end whose handling fails $says', async ({ fail }) => {
