--- a/packages/control/src/membership/fleet-gateways.ts
+++ b/packages/control/src/membership/fleet-gateways.ts
@@ -111,7 +111,8 @@
     const report = await this.send(this.reportCall(worker, command, COMMAND_TIMEOUT_MS + command.waitMs + TRANSFER_MS), tried)
     if (report.isOk() || report.error !== WorkerFailure.NoAnswer || wasFailing) return report
     if (tried.has(this.routes.choose(worker, tried))) return report
-    return await this.send(this.reportCall(worker, { ...command, acknowledged: 0, deadlineMs: undefined, waitMs: 0 }, REPEAT_TIMEOUT_MS), tried)
+    const repeated = { ...command, acknowledged: 0, deadlineMs: undefined, waitMs: 0 }
+    return await this.send(this.reportCall(worker, repeated, REPEAT_TIMEOUT_MS), tried)
   }
 
   override closeConnections (worker: WorkerAddress): void {
--- a/packages/control/test/owner/acknowledgement.spec.ts
+++ b/packages/control/test/owner/acknowledgement.spec.ts
@@ -163,7 +163,8 @@
     const entry = this.readJournal().jobs.get(job)
     const task = entry?.tasks.get(key)
     if (entry === undefined || isFinal(entry.phase)) return
-    const isRead = end.ending === RunOutcome.Done ? task?.stage === Stage.Done : task?.stage !== Stage.Assigned || task.run !== end.run
+    const isAssigned = task?.stage === Stage.Assigned && task.run === end.run
+    const isRead = end.ending === RunOutcome.Done ? task?.stage === Stage.Done : !isAssigned
     if (!isRead) this.unread.push(end.task)
   }
 
