--- a/packages/control/test/fakes.ts
+++ b/packages/control/test/fakes.ts
@@ -6,13 +6,17 @@
 import type { Queue } from '../src/model/configuration.js'
 import type { Job, Step } from '../src/model/job.js'
 import type { Report, Worker, WorkerAddress } from '../src/model/worker.js'
+import type { OwnerOptions } from '../src/owner/owner.js'
 import type { SessionHost } from '../src/owner/session.js'
+import { AdviceFailure } from '../src/ports/advisor.js'
 import { Fleet, WorkerFailure, type ReportCommand, type RunCommand, type StartCommand } from '../src/ports/fleet.js'
 import { Formats } from '../src/ports/formats.js'
 import { MachineFailure, Machines, MachineState, type Machine } from '../src/ports/machines.js'
 import {
   StoreFailure, StoreClient, Topic, type Fence, type KeyedRecord, type StoreAnswer, type StoreCall, type StoredRecord
 } from '../src/ports/store.js'
+import { SilentLog } from '../src/report/log.js'
+import { Metrics } from '../src/report/metrics.js'
 
 /** A clock that tests control. */
 export class FakeClock extends Clock {
@@ -280,3 +284,21 @@
     ...fields
   }
 }
+
+/** Creates options of an owner whose advisor and machine service never answer; `fields` override the defaults. */
+export function createOwnerOptions (
+  fields: Pick<OwnerOptions, 'epoch' | 'journalState' | 'store' | 'fleet' | 'clock' | 'configuration'> & Partial<OwnerOptions>
+): OwnerOptions {
+  return {
+    sequence: 1,
+    claimedAt: fields.clock.stamp(),
+    machines: new NoMachines(),
+    formats: new PlainFormats(),
+    askAdvisor: async () => err(AdviceFailure.NoAnswer),
+    nodes: () => [],
+    settings: { leaseMs: 6000, farFactor: 2, keptMs: 120_000, stopMs: 200 },
+    log: new SilentLog(),
+    metrics: new Metrics(),
+    ...fields
+  }
+}
--- a/packages/control/test/owner/acknowledgement.spec.ts
+++ b/packages/control/test/owner/acknowledgement.spec.ts
@@ -8,13 +8,10 @@
 import { isFinal, Phase, type Step } from '../../src/model/job.js'
 import { RunOutcome, splitTask, type ActiveRun, type EndedRun } from '../../src/model/worker.js'
 import { Owner } from '../../src/owner/owner.js'
-import { AdviceFailure } from '../../src/ports/advisor.js'
 import { WorkerFailure } from '../../src/ports/fleet.js'
 import { StoreFailure, Topic, type StoreCall } from '../../src/ports/store.js'
-import { SilentLog } from '../../src/report/log.js'
-import { Metrics } from '../../src/report/metrics.js'
 import { newestOf, stateOf } from '../journal/steady-cell.js'
-import { FakeFleet, FakeStore, createJob, createQueue, createStep, createWorker, NoMachines, PlainFormats } from '../fakes.js'
+import { FakeFleet, FakeStore, createJob, createOwnerOptions, createQueue, createStep, createWorker } from '../fakes.js'
 
 const ID = '00000000000000aa'
 const OTHER_ID = '00000000000000bb'
@@ -169,23 +166,14 @@
   }
 
   private startOwner (journalState: JournalState): Owner {
-    const owner = new Owner({
+    const owner = new Owner(createOwnerOptions({
       epoch: ++this.epoch,
-      sequence: 1,
-      claimedAt: this.clock.stamp(),
       journalState,
       store: new StoreAccess(this.store, async (call) => await this.store.call(call), this.clock, () => {}),
       fleet: this.fleet,
-      machines: new NoMachines(),
-      formats: new PlainFormats(),
       clock: this.clock,
-      configuration: () => CONFIGURATION,
-      askAdvisor: async () => err(AdviceFailure.NoAnswer),
-      nodes: () => [],
-      settings: { leaseMs: 6000, farFactor: 2, keptMs: 120_000, stopMs: 200 },
-      log: new SilentLog(),
-      metrics: new Metrics()
-    })
+      configuration: () => CONFIGURATION
+    }))
     owner.run().catch((error: unknown) => { throw error })
     return owner
   }
--- a/packages/control/test/owner/fuzz.spec.ts
+++ b/packages/control/test/owner/fuzz.spec.ts
@@ -16,13 +16,10 @@
 import { isFinal } from '../../src/model/job.js'
 import { RunOutcome, splitTask, type EndedRun, type Report, type Worker } from '../../src/model/worker.js'
 import { Owner } from '../../src/owner/owner.js'
-import { AdviceFailure } from '../../src/ports/advisor.js'
 import { Fleet, WorkerFailure, type ReportCommand, type RunCommand, type StartCommand } from '../../src/ports/fleet.js'
 import { StoreFailure, Topic } from '../../src/ports/store.js'
-import { SilentLog } from '../../src/report/log.js'
-import { Metrics } from '../../src/report/metrics.js'
 import { describeState, newestOf, stateOf } from '../journal/steady-cell.js'
-import { FakeStore, createJob, createQueue, createStep, createWorker, NoMachines, PlainFormats } from '../fakes.js'
+import { FakeStore, createJob, createOwnerOptions, createQueue, createStep, createWorker } from '../fakes.js'
 
 const CONFIGURATION: Configuration = {
   version: 1,
@@ -381,23 +378,15 @@
     this.store.put(Topic.Journal, encodeRecord(Subject.Owner, 'cell', { epoch: this.epoch, node: 'n', incarnation: `${this.epoch}` }))
     // The claim fences earlier owners even while the store loses answers.
     this.store.claim(this.epoch, 0)
-    const owner = new Owner({
+    const owner = new Owner(createOwnerOptions({
       epoch: this.epoch,
-      sequence: 1,
-      claimedAt: this.clock.stamp(),
       journalState: this.readJournal(),
       store: new StoreAccess(this.store, async (call) => await this.store.call(call), this.clock, () => {}),
       fleet: this.fleet,
-      machines: new NoMachines(),
-      formats: new PlainFormats(),
       clock: this.clock,
       configuration: () => CONFIGURATION,
-      askAdvisor: async () => err(AdviceFailure.NoAnswer),
-      nodes: () => [],
-      settings: { leaseMs: LEASE_MS, farFactor: 2, keptMs: 1e9, stopMs: 200 },
-      log: new SilentLog(),
-      metrics: new Metrics()
-    })
+      settings: { leaseMs: LEASE_MS, farFactor: 2, keptMs: 1e9, stopMs: 200 }
+    }))
     this.owners.push(owner)
     owner.run().catch((error: unknown) => { throw error })
   }
