Decisions: name the runs that are lost with a worker, and runs that a worker lists nowhere

'worker lost' gives a number of runs, so the record could not show why; nothing told that newer complete reports listed the run nowhere.

'run lost' names each run; 'worker restarted' is written for each newer incarnation; 'run missing' (and missing_runs_total) for a run that had started and that a later complete report lists neither as running nor as ended; 'run ends skipped' for positions of ends that no report has listed. No decision changes. Together they tell the hypotheses of the incident apart: a late acknowledgement gives 'worker restarted', 'run missing' and, with a later end, 'run ends skipped'; an overtaken or lost report gives skipped positions without a restart.

--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -412,6 +412,13 @@
       },
       onReachabilityChange: (session, reachable, failure) => { this.onReachabilityChange(session, reachable, failure) },
       onReportRequest: () => { options.metrics.reportRequests.inc() },
+      onRestart: (session, bornBefore) => {
+        options.log.event('worker restarted', { worker: session.id, bornBefore, runs: session.runs.size })
+      },
+      onEndsSkipped: (session, from, through) => {
+        options.log.event('run ends skipped', { worker: session.id, from, through })
+      },
+      onRunMissing: (run, sinceMs) => { this.onRunMissing(run, sinceMs) },
       onReportFailed: (session, error) => {
         options.log.event('report failed unexpectedly', { worker: session.id, error: describeError(error) })
       },
@@ -444,6 +451,13 @@
     detach(session.stopUnknownRun(task, run))
   }
 
+  private onRunMissing (run: Run, sinceMs: number): void {
+    this.options.metrics.missingRuns.inc()
+    this.options.log.decision('run missing', {
+      task: run.name, run: run.number, worker: run.session.id, confirmedAgoMs: Math.round(sinceMs), stop: run.stopping
+    })
+  }
+
   /** Requests a round. Several requests in quick succession result in one round. */
   requestRound (): void {
     if (this.registryRead && !this.stopController.signal.aborted) this.roundPacer.request()
--- a/packages/control/src/owner/reported-ends.ts
+++ b/packages/control/src/owner/reported-ends.ts
@@ -17,6 +17,8 @@
 /** Ends that are to be handled, and the position up to which they may be acknowledged. */
 export class ReportedEnds {
   private receivedThrough = 0
+  /** Position that the next new end has; undefined before the first end, unless the incarnation is known from its start. */
+  private nextPosition: number | undefined
   /** Position up to which all reported ends are in the journal. */
   private writtenThrough = 0
   /** Lowest position in the last report. */
@@ -24,6 +26,14 @@
   /** States of the ends above `writtenThrough`, by position. */
   private readonly states = new Map<number, EndState>()
 
+  /**
+   * @param isComplete whether all reports of the incarnation come here, so that its first end has position 1
+   * @param onSkipped called for positions that no report has listed, although a later one is listed: their ends are lost
+   */
+  constructor (isComplete: boolean, private readonly onSkipped: (from: number, through: number) => void) {
+    this.nextPosition = isComplete ? 1 : undefined
+  }
+
   /**
    * The position that the next report request acknowledges. It is 0 once the worker lists no end up to it any more: a worker that has
    * restarted meanwhile would drop the ends of its new incarnation, whose positions start at 1 again.
@@ -39,12 +49,19 @@
       position > this.receivedThrough || this.states.get(position) === EndState.Failed
     ))
     for (const { position } of unhandled) {
+      this.checkSkipped(position)
       this.receivedThrough = Math.max(this.receivedThrough, position)
       this.states.set(position, EndState.Pending)
     }
     return unhandled
   }
 
+  private checkSkipped (position: number): void {
+    if (position <= this.receivedThrough) return
+    if (this.nextPosition !== undefined && position > this.nextPosition) this.onSkipped(this.nextPosition, position - 1)
+    this.nextPosition = position + 1
+  }
+
   /**
    * Notes the outcome for ends that were to be handled.
    *
--- a/packages/control/src/owner/run-end-handler.ts
+++ b/packages/control/src/owner/run-end-handler.ts
@@ -209,7 +209,10 @@
   onRunsLost (session: Session, runs: readonly Run[], reason: string): void {
     this.options.log.event('worker lost', { worker: session.id, runs: runs.length, reason })
     const changed = new Set<JobEntry>()
-    for (const run of runs) changed.add(this.endRun(run, RunOutcome.LeaseExpired))
+    for (const run of runs) {
+      this.options.log.decision('run lost', { task: run.name, run: run.number, worker: session.id, reason })
+      changed.add(this.endRun(run, RunOutcome.LeaseExpired))
+    }
     detach(this.options.committer.commitJobs([...changed]))
     this.options.requestRound()
   }
--- a/packages/control/src/owner/run.ts
+++ b/packages/control/src/owner/run.ts
@@ -48,6 +48,13 @@
   /** The current incarnation of the worker has reported the run. The run therefore ends with that incarnation. */
   listed = false
   stopping: StopReason | undefined
+  /**
+   * When the current incarnation of the worker last confirmed that the run was there, by the answer to its start or by a report: the worker's
+   * clock, and the steady clock of this process. Undefined before.
+   */
+  confirmed: { readonly clockMs: number, readonly atMs: number } | undefined
+  /** A report that contains all ended runs lists the run no more, neither as running nor as ended, although it was confirmed before. */
+  missing = false
   /**
    * The worker's clock when it confirmed a stop. A later report without the run proves that the run has ended or never started.
    */
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -68,6 +68,12 @@
   readonly onReachabilityChange: (session: Session, reachable: boolean, failure: WorkerFailure | undefined) => void
   /** Called before each report request, whether or not it renews the lease. */
   readonly onReportRequest: () => void
+  /** Called when a newer incarnation of the worker is seen. Runs that are lost by that are reported before. */
+  readonly onRestart: (session: Session, bornBefore: number) => void
+  /** Called for positions of ended runs that the worker has not listed, although it lists a later one. */
+  readonly onEndsSkipped: (session: Session, from: number, through: number) => void
+  /** Called once for a run that was confirmed, and that a later complete report lists neither as running nor as ended. */
+  readonly onRunMissing: (run: Run, sinceMs: number) => void
   /** Called with an unexpected error in the handling of a report. Unless it is due to ended runs, the report counts as not answered. */
   readonly onReportFailed: (session: Session, error: unknown) => void
   /** Called when the worker has confirmed the stop of a run. */
@@ -95,7 +101,7 @@
   unknownRuns = new Set<string>()
   private consecutiveFailures = 0
   /** Ended runs that the current incarnation has reported. */
-  private reportedEnds = new ReportedEnds()
+  private reportedEnds = this.createReportedEnds(false)
   /**
    * Resolves once `ACKNOWLEDGE_BATCH_MS` has passed since each journal write of ended runs, or `FAILED_END_RETRY_DELAY_MS` since a
    * failed handling; undefined afterwards.
@@ -264,7 +270,7 @@
     })
     if (this.runs.get(run.name) !== run) return
     if (started.isOk()) {
-      this.markRunning(run)
+      this.confirm(run, started.value)
       return
     }
     this.pausedUntilMs = Math.max(this.pausedUntilMs, this.host.clock.now() + placementPauseOf(started.error))
@@ -326,6 +332,7 @@
     // A worker that did not answer may have restarted. Its next answer shows whether it lists the ends of this incarnation.
     const acknowledged = this.reachable ? this.reportedEnds.acknowledged : 0
     host.onReportRequest()
+    const sentMs = host.clock.now()
     const report = await host.fleet.requestReport(worker, { fence: host.fence, acknowledged, deadlineMs, waitMs })
     this.resolveFirstReport()
     if (this.stopController.signal.aborted) return
@@ -334,7 +341,7 @@
       return
     }
     try {
-      this.handleReport(report.value)
+      this.handleReport(report.value, sentMs)
     } catch (error) {
       this.host.onReportFailed(this, error)
       this.handleFailure(WorkerFailure.Invalid)
@@ -361,7 +368,7 @@
     this.reachable = false
   }
 
-  private handleReport (report: Report): void {
+  private handleReport (report: Report, sentMs: number): void {
     if (report.born < this.born) return
     if (report.born > this.born) this.handleRestart(report.born, report.clockMs, 'The worker restarted.')
     this.reportRetryDelayMs = MIN_REPORT_RETRY_DELAY_MS
@@ -374,7 +381,7 @@
     const first = !this.adopted
     this.adopted = true
     // Reports may arrive out of order. An older report says nothing about the current runs.
-    if (report.clockMs > this.newestReportClockMs) this.reconcileRuns(report)
+    if (report.clockMs > this.newestReportClockMs) this.reconcileRuns(report, sentMs)
     this.handleRunEnds(report.ended)
     if (!first) return
     // The start request of an unresolved run may have reached the previous or the new incarnation; only a confirmed stop settles
@@ -390,7 +397,7 @@
    * Reconciles the reported runs with the runs that the owner knows. Only a report that contains all ended runs shows that a run
    * does not exist.
    */
-  private reconcileRuns (report: Report): void {
+  private reconcileRuns (report: Report, sentMs: number): void {
     this.newestReportClockMs = report.clockMs
     const listed = new Set<string>()
     for (const active of report.running) {
@@ -400,7 +407,7 @@
         this.host.onUnknownRun(this, active.task, active.run)
         continue
       }
-      this.markRunning(run)
+      this.confirm(run, report.clockMs)
       run.listed = true
       run.percent = active.percent
       run.load = active.load
@@ -421,6 +428,9 @@
       const stopped = run.stoppedClockMs !== undefined && report.clockMs > run.stoppedClockMs
       if (cannotStart || stopped) {
         this.host.onRunReleased(run, cannotStart ? 'not running and can no longer start' : 'stop confirmed')
+      } else if (!run.missing && isMissing(run, report, sentMs)) {
+        run.missing = true
+        this.host.onRunMissing(run, this.host.clock.now() - run.confirmed!.atMs)
       }
     }
   }
@@ -436,6 +446,10 @@
     this.journaling = journaling
   }
 
+  private createReportedEnds (isComplete: boolean): ReportedEnds {
+    return new ReportedEnds(isComplete, (from, through) => { this.host.onEndsSkipped(this, from, through) })
+  }
+
   private async applyRunEnds (reportedEnds: ReportedEnds, ended: readonly EndedRun[]): Promise<void> {
     let written: readonly EndedRun[] = []
     try {
@@ -447,7 +461,10 @@
     await sleep(written.length === ended.length ? ACKNOWLEDGE_BATCH_MS : FAILED_END_RETRY_DELAY_MS, this.stopController.signal)
   }
 
-  private markRunning (run: Run): void {
+  /** Notes that a run was there at a time on the worker's clock. */
+  private confirm (run: Run, clockMs: number): void {
+    run.confirmed = { clockMs, atMs: this.host.clock.now() }
+    run.missing = false
     if (run.state === RunState.Running) return
     run.state = RunState.Running
     run.startedMs = this.host.clock.now()
@@ -497,14 +514,16 @@
     for (const run of this.runs.values()) {
       if (run.listed || run.state === RunState.Committing) lost.push(run)
       run.stoppedClockMs = undefined
+      run.confirmed = undefined
       run.state = RunState.Uncertain
     }
     this.unknownRuns.clear()
     this.reportLost(lost, reason)
+    this.host.onRestart(this, this.born)
     this.born = born
     this.restartSeenMs = this.host.clock.now()
     this.incarnationSeenMs = this.restartSeenMs
-    this.reportedEnds = new ReportedEnds()
+    this.reportedEnds = this.createReportedEnds(true)
     this.journaling = undefined
     this.lease.reset(clockMs, this.host.leaseMs)
     this.newestReportClockMs = -1
@@ -513,6 +532,14 @@
   }
 }
 
+/**
+ * Returns true if a complete report that does not list a run shows that it has ended. A request that was sent before the run was confirmed
+ * may have been carried out before its start.
+ */
+function isMissing ({ state, confirmed }: Run, { clockMs }: Report, sentMs: number): boolean {
+  return state === RunState.Running && confirmed !== undefined && clockMs > confirmed.clockMs && sentMs >= confirmed.atMs
+}
+
 function placementPauseOf (failure: WorkerFailure): number {
   switch (failure) {
     case WorkerFailure.NoTicket:
--- a/packages/control/src/report/metrics.ts
+++ b/packages/control/src/report/metrics.ts
@@ -42,6 +42,7 @@
   readonly runEndWriteSeconds = this.histogram(
     'end_write_seconds', 'Time from the report of ended runs until their changes are in the journal', [], DELAY_BUCKETS)
 
+  readonly missingRuns = this.counter('missing_runs_total', 'Runs that a worker listed no more although no end of them was reported', [])
   readonly reportRequests = this.counter('looks_total', 'Renewals of leases on workers', [])
   readonly roundSeconds = this.histogram('round_seconds', 'Time of one round of decisions', [])
   readonly jobsEnded = this.counter('jobs_ended_total', 'Jobs that ended, by queue and phase', ['queue', 'phase'])
--- a/packages/control/test/fakes.ts
+++ b/packages/control/test/fakes.ts
@@ -279,6 +279,9 @@
     onFenced: ignore,
     onReachabilityChange: ignore,
     onReportRequest: ignore,
+    onRestart: ignore,
+    onEndsSkipped: ignore,
+    onRunMissing: ignore,
     onReportFailed: ignore,
     onStopConfirmed: ignore,
     ...fields
--- a/packages/control/test/owner/decision-log.spec.ts
+++ b/packages/control/test/owner/decision-log.spec.ts
@@ -40,6 +40,7 @@
   readonly store = new FakeStore()
   private readonly running = new Map<string, ActiveRun[]>([['w1', []], ['w2', []]])
   private readonly ended = new Map<string, EndedRun[]>([['w1', []], ['w2', []]])
+  private readonly born = new Map<string, number>([['w1', 10], ['w2', 10]])
   readonly owner: Owner
 
   constructor () {
@@ -62,7 +63,8 @@
     fleet.requestReport = async (worker, { acknowledged, waitMs }) => {
       await new Promise((resolve) => setTimeout(resolve, Math.min(waitMs, 20)))
       const ended = this.ended.get(worker.id)!.filter((end) => end.position > acknowledged)
-      return ok({ born: 10, clockMs: this.workerClock(), running: [...this.running.get(worker.id)!], ended })
+      const born = this.born.get(worker.id)!
+      return ok({ born, clockMs: this.workerClock(), running: [...this.running.get(worker.id)!], ended })
     }
     this.owner = new Owner({
       epoch: 1,
@@ -92,6 +94,12 @@
     await accepting
   }
 
+  restart (worker: string): void {
+    this.born.set(worker, 20)
+    this.running.set(worker, [])
+    this.ended.set(worker, [])
+  }
+
   private end (worker: string, task: string, ending: RunOutcome): void {
     const running = this.running.get(worker)!
     const index = running.findIndex((run) => run.task === task)
@@ -169,6 +177,17 @@
     for (const { tookMs } of written) expect(tookMs).toBeGreaterThan(1000)
   })
 
+  // Guards against a task that is started again without a line that names it.
+  it('name the runs that are lost with their worker', async () => {
+    await harness.accept([createStep({ count: 4 })])
+    harness.restart('w1')
+    await vi.advanceTimersByTimeAsync(1000)
+    expect(harness.log.named('run lost')).toEqual([0, 1, 2, 3].map((index) => (
+      { task: `${ID}.0.0.${index}`, run: 1, worker: 'w1', reason: 'The worker restarted.' }
+    )))
+    expect(harness.log.named('start runs').filter(({ run }) => run === 2)).toHaveLength(1)
+  })
+
   it('count the runs of a cancelled job', async () => {
     await harness.accept([createStep({ count: 3 })])
     const cancelling = harness.owner.append([encodeRecord(Subject.Cancellation, ID, { atMs: 1 })], 500)
--- a/packages/control/test/owner/reported-ends.spec.ts
+++ b/packages/control/test/owner/reported-ends.spec.ts
@@ -29,7 +29,7 @@
       acknowledged: [1, 0, 1]
     }
   ])('are acknowledged $says', ({ steps, handled, acknowledged }) => {
-    const ends = new ReportedEnds()
+    const ends = new ReportedEnds(false, () => {})
     const received: number[][] = []
     const positions: number[] = []
     for (const [listed, written] of steps) {
@@ -40,4 +40,17 @@
     }
     expect([received, positions]).toEqual([handled, acknowledged])
   })
+
+  // Guards against an end that is lost without a trace, because something has acknowledged it unread.
+  it.each<{ says: string, isComplete: boolean, listed: number[][], skipped: number[][] }>([
+    { says: 'of an incarnation that is known from its start', isComplete: true, listed: [[3, 4]], skipped: [[1, 2]] },
+    { says: 'between two reports', isComplete: false, listed: [[7], [7, 9]], skipped: [[8, 8]] },
+    { says: 'but not before the first one of an incarnation with earlier owners', isComplete: false, listed: [[7, 8]], skipped: [] },
+    { says: 'but not for ends that are listed again', isComplete: true, listed: [[1, 2], [1, 2], [2, 3]], skipped: [] }
+  ])('notice positions that no report has listed, $says', ({ isComplete, listed, skipped }) => {
+    const noticed: number[][] = []
+    const ends = new ReportedEnds(isComplete, (from, through) => { noticed.push([from, through]) })
+    for (const positions of listed) ends.receive(positions.map(endAt))
+    expect(noticed).toEqual(skipped)
+  })
 })
--- a/packages/control/test/owner/session.spec.ts
+++ b/packages/control/test/owner/session.spec.ts
@@ -20,6 +20,7 @@
   readonly lost: string[]
   readonly released: string[]
   readonly unknownRuns: string[]
+  readonly missing: string[]
   readonly endedRuns: EndedRun[]
   /** Whether the store has confirmed the ownership lately. */
   mayAct: boolean
@@ -35,6 +36,7 @@
   const lost: string[] = []
   const released: string[] = []
   const unknownRuns: string[] = []
+  const missing: string[] = []
   const endedRuns: EndedRun[] = []
   const ledger = new Ledger()
   const host = createSessionHost({
@@ -50,6 +52,7 @@
     onUnknownRun: (_, task) => { unknownRuns.push(task) },
     onRunsLost: (_, runs, reason) => { for (const run of runs) { lost.push(`${run.name}: ${reason}`); ledger.remove(run) } },
     onRunReleased: (run, reason) => { released.push(reason); ledger.remove(run) },
+    onRunMissing: ({ name }) => { missing.push(name) },
     onReportFailed: () => { harness.failed++ }
   })
   const session = new Session(createWorker(), host)
@@ -59,7 +62,18 @@
   const run = new Run(entry, task, 1, session, chargeOf(entry.job.steps[0]!), '', clock.now())
   ledger.add(run)
   const harness: Harness = {
-    clock, fleet, session, run, lost, released, unknownRuns, endedRuns, mayAct: true, failed: 0, journal: Promise.resolve(true)
+    clock,
+    fleet,
+    session,
+    run,
+    lost,
+    released,
+    unknownRuns,
+    missing,
+    endedRuns,
+    mayAct: true,
+    failed: 0,
+    journal: Promise.resolve(true)
   }
   return harness
 }
@@ -139,6 +153,52 @@
     await vi.advanceTimersByTimeAsync(1000)
   })
 
+  // Guards against a run that an owner keeps for as long as its worker answers, although no report lists it.
+  it.each<{ says: string, reports: Array<Partial<Report>>, missing: number }>([
+    { says: 'once no newer report lists it', reports: [{ clockMs: 6001 }, { clockMs: 6002 }], missing: 1 },
+    { says: 'but not if the report was made before the start', reports: [{ clockMs: 5999 }, { clockMs: 6000 }], missing: 0 },
+    { says: 'but not while it is listed as running', reports: [{ clockMs: 6001, running: [RUNNING] }], missing: 0 },
+    {
+      says: 'but not once its end is listed',
+      reports: [{ clockMs: 6001, ended: [{ position: 1, task: RUNNING.task, run: 1, ending: RunOutcome.Done, checkpoint: '' }] }],
+      missing: 0
+    },
+    {
+      says: 'but not by a report that may omit its end',
+      reports: [{
+        clockMs: 6001, ended: [{ position: 1, task: '00000000000000bb.0.0.0', run: 1, ending: RunOutcome.Done, checkpoint: '' }]
+      }],
+      missing: 0
+    },
+    { says: 'but not by a report of an earlier incarnation', reports: [{ born: 9, clockMs: 9000 }], missing: 0 }
+  ])('notices that a run which has started is missing, $says', async ({ reports, missing: count }) => {
+    const { fleet, session, run, missing } = createHarness()
+    fleet.maxReportedEnds = 1
+    fleet.onStart = () => ok(6000)
+    await session.start(run)
+    for (const fields of reports) {
+      fleet.onReportRequest = async () => ok(report(fields))
+      await session.requestReportNow()
+    }
+    expect(missing).toEqual(Array(count).fill(RUNNING.task))
+  })
+
+  it('does not take a run for missing because of a report that was requested before it had started', async () => {
+    const { fleet, session, run, missing, clock } = createHarness()
+    fleet.onStart = () => ok(6000)
+    let answer = (): void => {}
+    fleet.onReportRequest = async () => {
+      await new Promise<void>((resolve) => { answer = resolve })
+      return ok(report({ clockMs: 6001 }))
+    }
+    const requesting = session.requestReportNow()
+    clock.advance(1)
+    await session.start(run)
+    answer()
+    await requesting
+    expect(missing).toEqual([])
+  })
+
   it('treats a run whose start was not answered as running once the worker reports it', async () => {
     const { fleet, session, run, released } = createHarness()
     fleet.onStart = () => err(WorkerFailure.NoAnswer)
