Session: a start carries a higher fencing token than the acknowledgements before it

A report request that acknowledges ends of a worker by position gets no answer; the worker restarts under its id and runs a task; the late request is carried out as that run ends and drops its end unread. The owner keeps the run, which no report lists, until the worker restarts again, and starts it again although its end was acknowledged.

Cause: nothing ties an acknowledgement to the incarnation whose positions it names. The header with the worker's id is the same for all of them, and all commands of an owner had one fencing token.

Each session now has a fencing token of its own. A start has a higher one than every acknowledging request sent before it, so a worker that has the start, in whichever incarnation, refuses those that come later. Ends are not acknowledged while a start is unanswered, so the other order does not occur. A request that a start has overtaken is repeated; only the refusal of a session's newest token shows a successor.

--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -25,6 +25,7 @@
 import { RelayServer, StoreRelay } from './membership/relay.js'
 import type { Configuration } from './model/configuration.js'
 import { isPhase, type Phase } from './model/job.js'
+import { epochAfter } from './owner/fence.js'
 import { Owner, type OwnerSettings } from './owner/owner.js'
 import { AdviceFailure, isTickets, type Advisor, type Tickets } from './ports/advisor.js'
 import type { Fleet } from './ports/fleet.js'
@@ -396,7 +397,7 @@
   }
 
   private async claim (): Promise<void> {
-    const epoch = (this.journalState.ownerClaim?.epoch ?? 0) + 1
+    const epoch = epochAfter(this.journalState.ownerClaim?.epoch ?? 0)
     const before = this.journalState.ownerClaim?.node
     const { heardMs, refused, accepting, left, vacant, recentTakeovers } = this.ownerWatch.view(this.storeAccess.meanAnswerMs)
     const silentMs = Math.round(this.options.clock.now() - heardMs)
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -36,6 +36,7 @@
 import { Assigner } from './assigner.js'
 import { Dispatcher } from './dispatcher.js'
 import { RunEndHandler } from './run-end-handler.js'
+import { Fences } from './fence.js'
 import { Adoption } from './adoption.js'
 import { AdmissionController } from './admission-controller.js'
 import { Ledger, chargeOf } from './ledger.js'
@@ -386,7 +387,7 @@
   private createHost (): SessionHost {
     const { options } = this
     return {
-      fence: options.epoch,
+      fences: new Fences(options.epoch),
       leaseMs: options.settings.leaseMs,
       fleet: options.fleet,
       clock: options.clock,
@@ -410,6 +411,10 @@
         options.log.event('owner fenced by a worker', { worker: session.id, epoch: options.epoch })
         this.close()
       },
+      onFencesUsedUp: (session) => {
+        options.log.event('fencing tokens used up', { worker: session.id, epoch: options.epoch })
+        this.close()
+      },
       onReachabilityChange: (session, reachable, failure) => { this.onReachabilityChange(session, reachable, failure) },
       onReportRequest: () => { options.metrics.reportRequests.inc() },
       onRestart: (session, bornBefore) => {
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -8,6 +8,7 @@
 import { detach } from '../detach.js'
 import { rackOf, type EndedRun, type Report, type Worker } from '../model/worker.js'
 import { WorkerFailure, type Fleet } from '../ports/fleet.js'
+import type { Fence, Fences } from './fence.js'
 import { Lease } from './lease.js'
 import { MAX_UNCONFIRMED_OWNERSHIP_MS } from './ownership.js'
 import { ReportedEnds } from './reported-ends.js'
@@ -30,6 +31,8 @@
  * several ended runs, because each request costs a call to the worker.
  */
 const ACKNOWLEDGE_BATCH_MS = 30
+/** Time between two checks whether starts are answered, so that ended runs may be acknowledged. */
+const START_POLL_INTERVAL_MS = 10
 /** Delay before ended runs whose handling has failed are handled again. The worker lists them in each report until then. */
 const FAILED_END_RETRY_DELAY_MS = 1000
 /**
@@ -43,8 +46,7 @@
 
 /** What the owner provides to its sessions: settings, ports and callbacks. */
 export interface SessionHost {
-  /** Fencing token: the epoch of the owner. */
-  readonly fence: number
+  readonly fences: Fences
   /** Maximum duration of a lease on a worker. */
   readonly leaseMs: number
   readonly fleet: Fleet
@@ -65,6 +67,8 @@
   readonly onStarted: (run: Run) => void
   /** Called when the worker has seen a higher fencing token, so that another node owns the cell. */
   readonly onFenced: (session: Session) => void
+  /** Called when the owner has no higher fencing token left for the worker. */
+  readonly onFencesUsedUp: (session: Session) => void
   readonly onReachabilityChange: (session: Session, reachable: boolean, failure: WorkerFailure | undefined) => void
   /** Called before each report request, whether or not it renews the lease. */
   readonly onReportRequest: () => void
@@ -108,6 +112,9 @@
    */
   private journaling: Promise<void> | undefined
   private readonly lease: Lease
+  private readonly fence: Fence
+  /** A report request with the current fencing token has acknowledged ended runs. */
+  private hasAcknowledged = false
   /** The worker's clock in the newest applied report. */
   private newestReportClockMs = -1
   /** Time on the steady clock at which the registry entry was last read. */
@@ -121,6 +128,7 @@
   constructor (public worker: Worker, private readonly host: SessionHost) {
     this.born = worker.born
     this.lease = new Lease(host.clock, worker.clockMs)
+    this.fence = host.fences.create()
     this.entryUpdatedMs = host.clock.now()
     this.incarnationSeenMs = this.entryUpdatedMs
     this.lastAnswerMs = this.entryUpdatedMs
@@ -212,6 +220,7 @@
         await sleep(MIN_REPORT_RETRY_DELAY_MS, signal)
         continue
       }
+      if (this.reachable && this.reportedEnds.acknowledged > 0) await this.waitForStarts()
       // Two kinds of workers are asked to answer immediately: those that may be unavailable, and those whose ended runs are still
       // being written to the journal.
       await this.requestReport(this.reachable && this.adopted && this.journaling === undefined ? REPORT_LONG_POLL_TIMEOUT_MS : 0)
@@ -227,6 +236,15 @@
     }
   }
 
+  /** Waits until ended runs may be acknowledged: until then, the worker answers every request immediately. */
+  private async waitForStarts (): Promise<void> {
+    const { signal } = this.stopController
+    const untilMs = this.host.clock.now() + REPORT_LONG_POLL_TIMEOUT_MS / 2
+    while (this.hasUnsettledStart() && this.host.clock.now() < untilMs && !signal.aborted) {
+      await sleep(START_POLL_INTERVAL_MS, signal)
+    }
+  }
+
   /** Closes the session. The connections to the worker stay open for the next owner, whose calls go through the same nodes. */
   close (): void {
     this.stopController.abort()
@@ -236,6 +254,7 @@
   /** Closes the session with a worker that is gone, and the connections to it. */
   discard (): void {
     this.close()
+    this.host.fences.retire(this.fence)
     this.host.fleet.closeConnections(this.worker)
   }
 
@@ -256,15 +275,21 @@
       this.host.onRunReleased(run, 'ownership not confirmed lately')
       return
     }
+    // A report request that is carried out late must not acknowledge the end of this run, which its sender cannot have read.
+    if (this.hasAcknowledged && !this.raiseFence()) {
+      this.host.onRunReleased(run, 'no fencing token left')
+      return
+    }
     run.state = RunState.Starting
     // The deadline of a start also extends the lease.
     const deadlineMs = this.lease.grant(START_VALIDITY_MS)
+    const fence = this.fence.current
     const started = await this.host.fleet.start(this.worker, {
       task: run.name,
       run: run.number,
       payload: run.entry.job.payload,
       deadlineMs,
-      fence: this.host.fence,
+      fence,
       checkpoint: run.task.checkpoint,
       ticket: run.ticket
     })
@@ -275,7 +300,7 @@
     }
     this.pausedUntilMs = Math.max(this.pausedUntilMs, this.host.clock.now() + placementPauseOf(started.error))
     if (started.error === WorkerFailure.NoAnswer) await this.resolveUncertainStart(run)
-    else if (started.error === WorkerFailure.Fenced) this.host.onFenced(this)
+    else if (started.error === WorkerFailure.Fenced && this.isNewest(fence)) this.host.onFenced(this)
     else this.host.onRunReleased(run, started.error)
   }
 
@@ -292,13 +317,14 @@
         await sleep(STOP_RETRY_DELAY_MS, signal)
         continue
       }
-      const stopped = await this.host.fleet.stop(this.worker, { task: run.name, run: run.number, fence: this.host.fence })
+      const fence = this.fence.current
+      const stopped = await this.host.fleet.stop(this.worker, { task: run.name, run: run.number, fence })
       if (stopped.isOk()) {
         if (run.stoppedClockMs === undefined) this.host.onStopConfirmed(run, this.host.clock.now() - decidedMs)
         run.stoppedClockMs = stopped.value
         if (run.state !== RunState.Running) await this.requestReportNow()
       } else if (stopped.error === WorkerFailure.Fenced) {
-        this.host.onFenced(this)
+        this.handleFenced(fence)
       }
       await sleep(STOP_RETRY_DELAY_MS, signal)
     }
@@ -311,8 +337,9 @@
     const { signal } = this.stopController
     while (this.unknownRuns.has(task) && !signal.aborted) {
       if (this.host.mayAct()) {
-        const stopped = await this.host.fleet.stop(this.worker, { task, run, fence: this.host.fence })
-        if (stopped.isErr() && stopped.error === WorkerFailure.Fenced) this.host.onFenced(this)
+        const fence = this.fence.current
+        const stopped = await this.host.fleet.stop(this.worker, { task, run, fence })
+        if (stopped.isErr() && stopped.error === WorkerFailure.Fenced) this.handleFenced(fence)
       }
       await sleep(STOP_RETRY_DELAY_MS, signal)
     }
@@ -320,23 +347,25 @@
 
   /** Throttles a run to a percentage of full speed, 0 to 100. */
   async throttle (run: Run, percent: number): Promise<void> {
-    const result = await this.host.fleet.throttle(this.worker, {
-      task: run.name, run: run.number, fence: this.host.fence
-    }, percent)
-    if (result.isErr() && result.error === WorkerFailure.Fenced) this.host.onFenced(this)
+    const fence = this.fence.current
+    const result = await this.host.fleet.throttle(this.worker, { task: run.name, run: run.number, fence }, percent)
+    if (result.isErr() && result.error === WorkerFailure.Fenced) this.handleFenced(fence)
   }
 
   private async requestReport (waitMs: number): Promise<void> {
     const { host, worker } = this
     const deadlineMs = this.mayExtendLease() ? this.lease.grant(host.leaseMs) : undefined
-    // A worker that did not answer may have restarted. Its next answer shows whether it lists the ends of this incarnation.
-    const acknowledged = this.reachable ? this.reportedEnds.acknowledged : 0
+    const acknowledged = this.mayAcknowledge() ? this.reportedEnds.acknowledged : 0
+    if (acknowledged > 0) this.hasAcknowledged = true
+    const fence = this.fence.current
     host.onReportRequest()
     const sentMs = host.clock.now()
-    const report = await host.fleet.requestReport(worker, { fence: host.fence, acknowledged, deadlineMs, waitMs })
+    const report = await host.fleet.requestReport(worker, { fence, acknowledged, deadlineMs, waitMs })
     this.resolveFirstReport()
     if (this.stopController.signal.aborted) return
     if (report.isErr()) {
+      // A start has overtaken the request, which was not carried out.
+      if (report.error === WorkerFailure.Fenced && !this.isNewest(fence)) return
       this.handleFailure(report.error)
       return
     }
@@ -348,6 +377,40 @@
     }
   }
 
+  /**
+   * A worker that did not answer may have restarted; its next answer shows whether it lists the ends of this incarnation. A run whose start
+   * was not answered may still be started by a later incarnation, under the same fencing token as the request.
+   */
+  private mayAcknowledge (): boolean {
+    return this.reachable && !this.hasUnsettledStart()
+  }
+
+  private hasUnsettledStart (): boolean {
+    for (const { state, inherited } of this.runs.values()) {
+      if (state === RunState.Starting || (state === RunState.Uncertain && !inherited)) return true
+    }
+    return false
+  }
+
+  /** Raises the fencing token. Returns false if the owner has no higher one left. */
+  private raiseFence (): boolean {
+    if (!this.fence.raise()) {
+      this.host.onFencesUsedUp(this)
+      return false
+    }
+    this.hasAcknowledged = false
+    return true
+  }
+
+  private isNewest (fence: number): boolean {
+    return fence === this.fence.current
+  }
+
+  /** Handles a refusal for a higher fencing token, unless that token is a later one of this owner. */
+  private handleFenced (fence: number): void {
+    if (this.isNewest(fence)) this.host.onFenced(this)
+  }
+
   /**
    * A request that is not answered may still extend the lease. While a worker is unreachable, requests therefore do not extend its
    * lease, so that the time at which the lease expires is known. A worker that was never adopted may hold a lease of an earlier
--- a/packages/control/test/cluster/malformed.spec.ts
+++ b/packages/control/test/cluster/malformed.spec.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { Subject, encodeRecord, keyOf } from '../../src/journal/record.js'
+import { epochAfter } from '../../src/owner/fence.js'
 import { Phase } from '../../src/model/job.js'
 import { Topic, type KeyedRecord } from '../../src/ports/store.js'
 import { Cluster, waitFor } from './cluster.js'
@@ -20,7 +21,7 @@
     expect(await waitFor(() => cluster.events.some(({ node, name }) => name === 'node connected' && node !== failing), 5000)).toBe(true)
     let failures = 0
     cluster.store.fault = (call) => {
-      if (!('append' in call) || call.append.fence?.epoch !== 1 || failures > 0) return undefined
+      if (!('append' in call) || call.append.fence?.epoch !== epochAfter(0) || failures > 0) return undefined
       failures++
       throw new Error('unexpected')
     }
--- a/packages/control/test/cluster/takeover.spec.ts
+++ b/packages/control/test/cluster/takeover.spec.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { Subject, decodeValue, splitKey, type OwnerClaim } from '../../src/journal/record.js'
+import { epochAfter } from '../../src/owner/fence.js'
 import { HANDOVER_DELAY_MS } from '../../src/membership/handover.js'
 import { StoreFailure, Topic } from '../../src/ports/store.js'
 import { Cluster, sleep, waitFor, type NodeSpecification } from './cluster.js'
@@ -58,7 +59,7 @@
     await cluster.start(NODES)
     expect(await cluster.submit(cluster.nodes[0]!, '00000000000000aa', 2, TASK_MS)).toBe(true)
     expect(await waitFor(() => hasStarted('00000000000000aa'), 5000)).toBe(true)
-    expect(claims().map(({ epoch, node }) => [epoch, node])).toEqual([[1, 'n2']])
+    expect(claims().map(({ epoch, node }) => [epoch, node])).toEqual([[epochAfter(0), 'n2']])
   })
 
   // Guards against a successor that drops all reports of a worker, since its copy of a job has another acceptance time than the
--- a/packages/control/test/fakes.ts
+++ b/packages/control/test/fakes.ts
@@ -7,6 +7,7 @@
 import type { Job, Step } from '../src/model/job.js'
 import type { Report, Worker, WorkerAddress } from '../src/model/worker.js'
 import type { OwnerOptions } from '../src/owner/owner.js'
+import { Fences, epochAfter } from '../src/owner/fence.js'
 import type { SessionHost } from '../src/owner/session.js'
 import { AdviceFailure } from '../src/ports/advisor.js'
 import { Fleet, WorkerFailure, type ReportCommand, type RunCommand, type StartCommand } from '../src/ports/fleet.js'
@@ -267,7 +268,7 @@
 export function createSessionHost (fields: Pick<SessionHost, 'fleet' | 'clock'> & Partial<SessionHost>): SessionHost {
   const ignore = (): void => {}
   return {
-    fence: 1,
+    fences: new Fences(epochAfter(0)),
     leaseMs: 6000,
     mayAct: () => true,
     onRunsEnded: async (_, ended) => ended,
@@ -277,6 +278,7 @@
     onRunReleased: ignore,
     onStarted: ignore,
     onFenced: ignore,
+    onFencesUsedUp: ignore,
     onReachabilityChange: ignore,
     onReportRequest: ignore,
     onRestart: ignore,
--- a/packages/control/test/journal/steady-cell.ts
+++ b/packages/control/test/journal/steady-cell.ts
@@ -10,6 +10,7 @@
 import type { Configuration } from '../../src/model/configuration.js'
 import { isFinal, type Step } from '../../src/model/job.js'
 import { RunOutcome, type ActiveRun, type EndedRun, type Report, type Worker } from '../../src/model/worker.js'
+import { epochAfter } from '../../src/owner/fence.js'
 import { Owner } from '../../src/owner/owner.js'
 import { AdviceFailure } from '../../src/ports/advisor.js'
 import { Fleet, type ReportCommand, type StartCommand, type WorkerFailure } from '../../src/ports/fleet.js'
@@ -92,7 +93,7 @@
   const store = new FakeStore()
   const journalState = new JournalState()
   const owner = new Owner({
-    epoch: 1,
+    epoch: epochAfter(0),
     sequence: 1,
     claimedAt: clock.stamp(),
     journalState,
--- a/packages/control/test/owner/acknowledgement.spec.ts
+++ b/packages/control/test/owner/acknowledgement.spec.ts
@@ -7,6 +7,7 @@
 import type { Configuration } from '../../src/model/configuration.js'
 import { isFinal, Phase, type Step } from '../../src/model/job.js'
 import { RunOutcome, splitTask, type ActiveRun, type EndedRun } from '../../src/model/worker.js'
+import { epochAfter } from '../../src/owner/fence.js'
 import { Owner } from '../../src/owner/owner.js'
 import { WorkerFailure } from '../../src/ports/fleet.js'
 import { StoreFailure, Topic, type StoreCall } from '../../src/ports/store.js'
@@ -166,8 +167,9 @@
   }
 
   private startOwner (journalState: JournalState): Owner {
+    this.epoch = epochAfter(this.epoch)
     const owner = new Owner(createOwnerOptions({
-      epoch: ++this.epoch,
+      epoch: this.epoch,
       journalState,
       store: new StoreAccess(this.store, async (call) => await this.store.call(call), this.clock, () => {}),
       fleet: this.fleet,
--- a/packages/control/test/owner/decision-log.spec.ts
+++ b/packages/control/test/owner/decision-log.spec.ts
@@ -6,6 +6,7 @@
 import { StoreAccess } from '../../src/membership/access.js'
 import type { Step } from '../../src/model/job.js'
 import { RunOutcome, type ActiveRun, type EndedRun } from '../../src/model/worker.js'
+import { epochAfter } from '../../src/owner/fence.js'
 import { Owner } from '../../src/owner/owner.js'
 import { AdviceFailure } from '../../src/ports/advisor.js'
 import { StoreFailure, Topic } from '../../src/ports/store.js'
@@ -67,7 +68,7 @@
       return ok({ born, clockMs: this.workerClock(), running: [...this.running.get(worker.id)!], ended })
     }
     this.owner = new Owner({
-      epoch: 1,
+      epoch: epochAfter(0),
       sequence: 1,
       claimedAt: this.clock.stamp(),
       journalState: new JournalState(),
--- a/packages/control/test/owner/fuzz.spec.ts
+++ b/packages/control/test/owner/fuzz.spec.ts
@@ -15,6 +15,7 @@
 import type { Configuration } from '../../src/model/configuration.js'
 import { isFinal } from '../../src/model/job.js'
 import { RunOutcome, splitTask, type EndedRun, type Report, type Worker } from '../../src/model/worker.js'
+import { epochAfter } from '../../src/owner/fence.js'
 import { Owner } from '../../src/owner/owner.js'
 import { Fleet, WorkerFailure, type ReportCommand, type RunCommand, type StartCommand } from '../../src/ports/fleet.js'
 import { StoreFailure, Topic } from '../../src/ports/store.js'
@@ -374,7 +375,7 @@
   }
 
   startOwner (): void {
-    this.epoch++
+    this.epoch = epochAfter(this.epoch)
     this.store.put(Topic.Journal, encodeRecord(Subject.Owner, 'cell', { epoch: this.epoch, node: 'n', incarnation: `${this.epoch}` }))
     // The claim fences earlier owners even while the store loses answers.
     this.store.claim(this.epoch, 0)
--- a/packages/control/test/owner/garbage-collector.spec.ts
+++ b/packages/control/test/owner/garbage-collector.spec.ts
@@ -58,7 +58,6 @@
       return err(WorkerFailure.NoAnswer)
     }
     const host = createSessionHost({
-      fence: 3,
       leaseMs: LEASE_MS,
       fleet,
       clock,
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -8,6 +8,7 @@
 import type { Configuration } from '../../src/model/configuration.js'
 import { Phase, type Job } from '../../src/model/job.js'
 import { RunOutcome, type ActiveRun, type EndedRun, type Worker } from '../../src/model/worker.js'
+import { epochAfter } from '../../src/owner/fence.js'
 import { Owner } from '../../src/owner/owner.js'
 import { AdviceFailure } from '../../src/ports/advisor.js'
 import { MachineState, type Machines } from '../../src/ports/machines.js'
@@ -66,10 +67,10 @@
     this.store.put(Topic.Workers, { key: 'w1', value: Buffer.from(JSON.stringify(createWorker(fields))) })
   }
 
-  /** Starts an owner with the contents of the journal state, or of another one. */
-  startOwner (epoch: number, journalState = this.journalState): Owner {
+  /** Starts an owner, the first or a later one, with the contents of the journal state, or of another one. */
+  startOwner (ordinal: number, journalState = this.journalState): Owner {
     const owner = new Owner({
-      epoch,
+      epoch: ordinal * epochAfter(0),
       sequence: 1,
       claimedAt: this.clock.stamp(),
       journalState,
--- a/packages/control/test/owner/restarted-worker.spec.ts
+++ b/packages/control/test/owner/restarted-worker.spec.ts
@@ -7,6 +7,7 @@
 import type { Configuration } from '../../src/model/configuration.js'
 import { Phase } from '../../src/model/job.js'
 import { RunOutcome, type ActiveRun, type EndedRun, type Report } from '../../src/model/worker.js'
+import { epochAfter } from '../../src/owner/fence.js'
 import { Owner } from '../../src/owner/owner.js'
 import { WorkerFailure, type ReportCommand, type StartCommand } from '../../src/ports/fleet.js'
 import { StoreFailure, Topic, type StoreCall } from '../../src/ports/store.js'
@@ -42,6 +43,8 @@
   readonly heldStarts: StartCommand[] = []
   /** Whether new starts are held. */
   holdsStarts = false
+  /** Time after which the sender of a held call stops waiting. */
+  holdMs = 100
   /** The highest fencing token that the current incarnation has seen. */
   private fence = 0
   private position = 0
@@ -66,7 +69,7 @@
   async start (command: StartCommand): Promise<Result<number, WorkerFailure>> {
     if (this.holdsStarts) {
       this.heldStarts.push(command)
-      await sleep(100)
+      await sleep(this.holdMs)
       return err(WorkerFailure.NoAnswer)
     }
     return this.carryOutStart(command)
@@ -101,7 +104,7 @@
     const { born } = this
     if (this.holds) {
       this.held.push(command)
-      await sleep(100)
+      await sleep(this.holdMs)
       return err(WorkerFailure.NoAnswer)
     }
     for (let waitedMs = 0; waitedMs < command.waitMs && this.ended.length === 0; waitedMs += LONG_POLL_STEP_MS) {
@@ -167,8 +170,9 @@
   }
 
   private startOwner (journalState: JournalState): Owner {
+    this.epoch = epochAfter(this.epoch)
     const owner = new Owner(createOwnerOptions({
-      epoch: ++this.epoch,
+      epoch: this.epoch,
       journalState,
       store: new StoreAccess(this.store, async (call) => await this.store.call(call), this.clock, () => {}),
       fleet: this.fleet,
@@ -203,6 +207,10 @@
   vi.restoreAllMocks()
 })
 
+function isWritten (job: string): boolean {
+  return cell.stored().jobs.get(job)?.visiblePhase() === Phase.Completed
+}
+
 /** Lets three ends be acknowledged, and holds all requests that the worker receives afterwards. */
 async function acknowledgeAndHold (): Promise<void> {
   const { worker } = cell
@@ -253,8 +261,7 @@
         for (const id of EARLIER_JOBS) await cell.accept(id)
         for (const id of EARLIER_JOBS) worker.end(`${id}.0.0.0`)
         // The ends are read and written, and not acknowledged yet.
-        const isWritten = (): boolean => cell.stored().jobs.get(EARLIER_JOBS[2]!)?.visiblePhase() === Phase.Completed
-        for (let waitedMs = 0; waitedMs < 100 && !isWritten(); waitedMs++) await advance(1)
+        for (let waitedMs = 0; waitedMs < 100 && !isWritten(EARLIER_JOBS[2]!); waitedMs++) await advance(1)
         expect(worker.acknowledged).toEqual([])
         await waitForHeldReport()
         expect(worker.held[0]!.acknowledged).toBe(3)
@@ -307,4 +314,50 @@
       phase: Phase.Completed, started: [`${TASK}#1`]
     })
   })
+
+  // Guards against a task whose end is dropped unread because its start, and an acknowledgement of ends of the former incarnation, are
+  // both carried out late, in this order, before the owner has reached the new incarnation.
+  it.each<{ says: string, send: () => Promise<void> }>([
+    {
+      says: 'was sent after the request',
+      send: async () => {
+        const { worker } = cell
+        for (const id of EARLIER_JOBS) await cell.accept(id)
+        worker.holdMs = 2500
+        for (const id of EARLIER_JOBS) worker.end(`${id}.0.0.0`)
+        for (let waitedMs = 0; waitedMs < 100 && !isWritten(EARLIER_JOBS[2]!); waitedMs++) await advance(1)
+        await waitForHeldReport()
+        expect(worker.held[0]!.acknowledged).toBe(3)
+        worker.holdsStarts = true
+        await cell.accept(ID)
+      }
+    },
+    {
+      says: 'was sent before the request',
+      send: async () => {
+        const { worker } = cell
+        for (const id of EARLIER_JOBS) await cell.accept(id)
+        worker.holdMs = 900
+        worker.holdsStarts = true
+        await cell.accept(ID)
+        for (const id of EARLIER_JOBS) worker.end(`${id}.0.0.0`)
+        for (let waitedMs = 0; waitedMs < 100 && !isWritten(EARLIER_JOBS[2]!); waitedMs++) await advance(1)
+        worker.holds = true
+        await advance(200)
+      }
+    }
+  ])('acknowledges no end of a run that is started late too, whose start $says', async ({ send }) => {
+    const { worker } = cell
+    await send()
+    expect(worker.heldStarts).toHaveLength(1)
+    worker.restart()
+    for (const command of worker.heldStarts) worker.carryOutStart(command)
+    worker.end(TASK)
+    carryOutHeld()
+    cell.register()
+    await advance(60_000)
+    expect({ phase: cell.stored().jobs.get(ID)?.visiblePhase(), started: cell.startsOf(TASK) }).toEqual({
+      phase: Phase.Completed, started: [`${TASK}#1`]
+    })
+  })
 })
--- a/packages/control/test/owner/session.spec.ts
+++ b/packages/control/test/owner/session.spec.ts
@@ -1,12 +1,14 @@
 import { err, ok } from 'neverthrow'
 import { afterEach, describe, expect, it, vi } from 'vitest'
+import { SystemClock } from '../../src/clock.js'
 import { detach } from '../../src/detach.js'
 import { JobEntry } from '../../src/journal/journal-state.js'
 import { Stage } from '../../src/journal/record.js'
-import { RunOutcome, type EndedRun, type Report } from '../../src/model/worker.js'
+import { RunOutcome, type ActiveRun, type EndedRun, type Report } from '../../src/model/worker.js'
+import { Fences, epochAfter } from '../../src/owner/fence.js'
 import { Ledger, chargeOf } from '../../src/owner/ledger.js'
 import { Run, RunState, StopReason } from '../../src/owner/run.js'
-import { Session } from '../../src/owner/session.js'
+import { Session, type SessionHost } from '../../src/owner/session.js'
 import { WorkerFailure } from '../../src/ports/fleet.js'
 import { FakeClock, FakeFleet, createJob, createSessionHost, createWorker } from '../fakes.js'
 
@@ -26,11 +28,13 @@
   mayAct: boolean
   /** Number of reports that could not be handled. */
   failed: number
+  /** How often the worker showed that another node owns the cell, and how often the owner had no fencing token left. */
+  readonly counts: { fenced: number, usedUp: number }
   /** Result of writing ended runs to the journal; resolves immediately unless a test replaces it. */
   journal: Promise<boolean>
 }
 
-function createHarness (): Harness {
+function createHarness (fields: Partial<SessionHost> = {}): Harness {
   const clock = new FakeClock()
   const fleet = new FakeFleet()
   const lost: string[] = []
@@ -40,7 +44,6 @@
   const endedRuns: EndedRun[] = []
   const ledger = new Ledger()
   const host = createSessionHost({
-    fence: 3,
     leaseMs: LEASE_MS,
     fleet,
     clock,
@@ -53,13 +56,13 @@
     onRunsLost: (_, runs, reason) => { for (const run of runs) { lost.push(`${run.name}: ${reason}`); ledger.remove(run) } },
     onRunReleased: (run, reason) => { released.push(reason); ledger.remove(run) },
     onRunMissing: ({ name }) => { missing.push(name) },
-    onReportFailed: () => { harness.failed++ }
+    onReportFailed: () => { harness.failed++ },
+    onFenced: () => { harness.counts.fenced++ },
+    onFencesUsedUp: () => { harness.counts.usedUp++ },
+    ...fields
   })
   const session = new Session(createWorker(), host)
-  const entry = new JobEntry(createJob())
-  const task = entry.task(0, 0, 0)
-  Object.assign(task, { stage: Stage.Assigned, run: 1, worker: 'w1', born: 10 })
-  const run = new Run(entry, task, 1, session, chargeOf(entry.job.steps[0]!), '', clock.now())
+  const run = createRun(session, clock.now())
   ledger.add(run)
   const harness: Harness = {
     clock,
@@ -73,11 +76,20 @@
     endedRuns,
     mayAct: true,
     failed: 0,
+    counts: { fenced: 0, usedUp: 0 },
     journal: Promise.resolve(true)
   }
   return harness
 }
 
+/** Creates the first run of a task, which is assigned to the session's worker. */
+function createRun (session: Session, nowMs: number): Run {
+  const entry = new JobEntry(createJob())
+  const task = entry.task(0, 0, 0)
+  Object.assign(task, { stage: Stage.Assigned, run: 1, worker: 'w1', born: 10 })
+  return new Run(entry, task, 1, session, chargeOf(entry.job.steps[0]!), '', nowMs)
+}
+
 function report (fields: Partial<Report>): Report {
   return { born: 10, clockMs: 6000, running: [], ended: [], ...fields }
 }
@@ -426,6 +438,84 @@
     await vi.advanceTimersByTimeAsync(3000)
   })
 
+  const ENDED = { position: 7, task: '00000000000000bb.0.0.0', run: 1, ending: RunOutcome.Done, checkpoint: '' }
+
+  // Guards against an owner that gives up the cell because a start has overtaken its own report request.
+  it.each<{ says: string, hasStarted: boolean, fenced: number }>([
+    { says: 'unless a start of this owner has overtaken the refused request', hasStarted: true, fenced: 0 },
+    { says: 'when its newest fencing token is refused', hasStarted: false, fenced: 1 }
+  ])('takes another node for the owner, $says', async ({ hasStarted, fenced }) => {
+    vi.useFakeTimers()
+    const { fleet, session, run, counts } = createHarness()
+    fleet.onReportRequest = async () => ok(report({ ended: [ENDED] }))
+    await session.requestReportNow()
+    await vi.advanceTimersByTimeAsync(100)
+    let answer = (): void => {}
+    fleet.onReportRequest = async () => {
+      await new Promise<void>((resolve) => { answer = resolve })
+      return err(WorkerFailure.Fenced)
+    }
+    const requesting = session.requestReportNow()
+    if (hasStarted) await session.start(run)
+    answer()
+    await requesting
+    expect({ fenced: counts.fenced, reachable: session.reachable }).toEqual({ fenced, reachable: true })
+    const [acknowledging] = fleet.reportCommands.slice(-1)
+    expect(fleet.started.map(({ fence }) => fence - acknowledging!.fence)).toEqual(hasStarted ? [1] : [])
+  })
+
+  // Guards against an acknowledgement that a later incarnation carries out after the start, and against requests without pause until then.
+  it('acknowledges no end while a start is not answered', async () => {
+    vi.useFakeTimers()
+    const clock = new SystemClock()
+    const fleet = new FakeFleet()
+    const session = new Session(createWorker(), createSessionHost({ fleet, clock }))
+    let clockMs = 6000
+    const active: ActiveRun[] = []
+    fleet.onReportRequest = async ({ acknowledged, waitMs }) => {
+      const ended = acknowledged < ENDED.position ? [ENDED] : []
+      if (ended.length === 0) await new Promise((resolve) => setTimeout(resolve, waitMs))
+      return ok(report({ clockMs: ++clockMs, running: active, ended }))
+    }
+    let answer = (): void => {}
+    fleet.start = async () => {
+      await new Promise<void>((resolve) => { answer = resolve })
+      active.push(RUNNING)
+      return ok(clockMs)
+    }
+    const run = createRun(session, clock.now())
+    new Ledger().add(run)
+    const starting = session.start(run)
+    const running = session.run()
+    await vi.advanceTimersByTimeAsync(900)
+    expect(fleet.reportCommands.map(({ acknowledged }) => acknowledged)).toEqual([0])
+    answer()
+    await starting
+    await vi.advanceTimersByTimeAsync(100)
+    expect(fleet.reportCommands[1]!.acknowledged).toBe(ENDED.position)
+    session.close()
+    await vi.advanceTimersByTimeAsync(2000)
+    await running
+  })
+
+  it('starts no run without a higher fencing token than its acknowledgements, and tells the owner', async () => {
+    vi.useFakeTimers()
+    const fences = new Fences(epochAfter(0))
+    const used = fences.create()
+    while (used.raise());
+    fences.retire(used)
+    const { fleet, session, run, released, counts } = createHarness({ fences })
+    for (const ended of [[ENDED], [ENDED]]) {
+      fleet.onReportRequest = async () => ok(report({ ended }))
+      await session.requestReportNow()
+      await vi.advanceTimersByTimeAsync(100)
+    }
+    await session.start(run)
+    expect({ started: fleet.started, released, usedUp: counts.usedUp }).toEqual({
+      started: [], released: ['no fencing token left'], usedUp: 1
+    })
+  })
+
   // Guards against a new owner that has to open the connections to all workers again.
   it.each([
     { says: 'keeps the connections to the worker for the next owner when it ends', end: (session: Session) => { session.close() }, closed: 0 },
