Run ends: a run that its worker lists nowhere ends its job instead of waiting, or running again

Cause: a run that was confirmed left the ledger only with an end, a restart or an expired lease of its worker. A worker that answers, and lists the run nowhere, kept its job waiting without end; after the next restart the run counted as lost, and was started again.

A run that a complete report lists nowhere, requested after the run was confirmed and with a later clock, is stopped. Once the stop is confirmed and a later report still lists neither the run nor its end, the end was acknowledged unread: the worker drops ends for no other reason. The task may be done, so its job fails; a long-running task, which has to be started again however it ends, is placed again; a gang of which another member has completed is not affected. A run that is there after all is ended by the stop, and its end is read as usual.

--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -423,6 +423,7 @@
       onEndsSkipped: (session, from, through) => {
         options.log.event('run ends skipped', { worker: session.id, from, through })
       },
+      onEndLost: (run) => { this.runEndHandler.onEndLost(run) },
       onRunMissing: (run, sinceMs) => { this.onRunMissing(run, sinceMs) },
       onReportFailed: (session, error) => {
         options.log.event('report failed unexpectedly', { worker: session.id, error: describeError(error) })
@@ -461,6 +462,7 @@
     this.options.log.decision('run missing', {
       task: run.name, run: run.number, worker: run.session.id, confirmedAgoMs: Math.round(sinceMs), stop: run.stopping
     })
+    detach(run.session.stopRun(run, StopReason.Missing))
   }
 
   /** Requests a round. Several requests in quick succession result in one round. */
--- a/packages/control/src/owner/run-end-handler.ts
+++ b/packages/control/src/owner/run-end-handler.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../clock.js'
 import { detach } from '../detach.js'
 import type { JobEntry, JournalState, TaskEntry } from '../journal/journal-state.js'
+import { Stage } from '../journal/record.js'
 import type { Configuration } from '../model/configuration.js'
 import { dueMsOf, isFinal, occurrencesOf, Phase } from '../model/job.js'
 import { RunOutcome, splitTask, type EndedRun } from '../model/worker.js'
@@ -21,7 +22,7 @@
 import type { Ledger } from './ledger.js'
 import { StopReason, type Run } from './run.js'
 import type { Session } from './session.js'
-import { membersOf, applyRunEnd } from './run-end.js'
+import { membersOf, applyRunEnd, endJob } from './run-end.js'
 
 /**
  * Delay before a task is placed again after one of these ends of its run:
@@ -228,6 +229,28 @@
     this.options.requestRound()
   }
 
+  /**
+   * Handles a run that has ended, and whose end is lost. The worker may have completed it, so its job fails rather than run it twice. A
+   * long-running task is placed again.
+   */
+  onEndLost (run: Run): void {
+    const { entry, task, step } = run
+    const fails = !step.lasting && task.stage !== Stage.Done && !entry.isFinishedOrCancelled()
+    this.options.log.decision('run end lost', { task: run.name, run: run.number, worker: run.session.id, fails })
+    this.delayTask(run.name)
+    this.endRun(run, RunOutcome.Stopped)
+    if (fails) this.failJob(entry)
+    else if (!entry.isFinishedOrCancelled()) this.stopGang(entry, task)
+    detach(this.options.committer.commitJobs([entry]))
+    this.options.requestRound()
+  }
+
+  private failJob (entry: JobEntry): void {
+    endJob(entry, Phase.Failed, this.options.clock.wall())
+    this.recordJobEnd(entry)
+    this.options.stopJob(entry, StopReason.JobEnded)
+  }
+
   /** Removes a lost or released run, and applies its end to the task. */
   private endRun (run: Run, ending: RunOutcome): JobEntry {
     const { entry, task } = run
--- a/packages/control/src/owner/run.ts
+++ b/packages/control/src/owner/run.ts
@@ -34,7 +34,9 @@
   /** A long-running or urgent task needs the capacity. */
   Preempted = 'preempted',
   /** The run makes no progress. */
-  Stalled = 'stalled'
+  Stalled = 'stalled',
+  /** The worker lists the run nowhere. A confirmed stop proves that it has ended. */
+  Missing = 'missing'
 }
 
 /** A run, from its assignment until it is known that it has ended or can no longer start. */
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -78,6 +78,8 @@
   readonly onEndsSkipped: (session: Session, from: number, through: number) => void
   /** Called once for a run that was confirmed, and that a later complete report lists neither as running nor as ended. */
   readonly onRunMissing: (run: Run, sinceMs: number) => void
+  /** Called when a missing run has provably ended. Something has acknowledged its end, which this owner has not read. */
+  readonly onEndLost: (run: Run) => void
   /** Called with an unexpected error in the handling of a report. Unless it is due to ended runs, the report counts as not answered. */
   readonly onReportFailed: (session: Session, error: unknown) => void
   /** Called when the worker has confirmed the stop of a run. */
@@ -489,7 +491,9 @@
       if (listed.has(run.name)) continue
       const cannotStart = run.inherited && run.state === RunState.Uncertain
       const stopped = run.stoppedClockMs !== undefined && report.clockMs > run.stoppedClockMs
-      if (cannotStart || stopped) {
+      if (stopped && run.missing) {
+        this.host.onEndLost(run)
+      } else if (cannotStart || stopped) {
         this.host.onRunReleased(run, cannotStart ? 'not running and can no longer start' : 'stop confirmed')
       } else if (!run.missing && isMissing(run, report, sentMs)) {
         run.missing = true
--- a/packages/control/test/fakes.ts
+++ b/packages/control/test/fakes.ts
@@ -284,6 +284,7 @@
     onRestart: ignore,
     onEndsSkipped: ignore,
     onRunMissing: ignore,
+    onEndLost: ignore,
     onReportFailed: ignore,
     onStopConfirmed: ignore,
     ...fields
