Session: a missing run whose worker restarts is not placed again

Cause: a missing run whose worker restarts, or is given up, before the stop is confirmed counted as lost with its worker, and was started again, although the report without the run had shown that its end was acknowledged. It is now handled as a lost end in both cases. The new case of missing-run.spec.ts fails on the code before: two starts.

--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -567,7 +567,12 @@
   }
 
   private reportLost (runs: readonly Run[], reason: string): void {
-    if (runs.length > 0) this.host.onRunsLost(this, runs, reason)
+    const lost: Run[] = []
+    for (const run of runs) {
+      if (run.missing) this.host.onEndLost(run)
+      else lost.push(run)
+    }
+    if (lost.length > 0) this.host.onRunsLost(this, lost, reason)
   }
 
   /**
--- a/packages/control/test/owner/missing-run.spec.ts
+++ b/packages/control/test/owner/missing-run.spec.ts
@@ -31,6 +31,18 @@
     expect({ phase: cell.phaseOf(ID), starts: cell.startsOf(TASK).length }).toEqual({ phase, starts })
   })
 
+  // Guards against a task that runs again because its worker restarts after its end was acknowledged unread.
+  it('fails its job also if the worker restarts before it has confirmed the stop', async () => {
+    await cell.accept(ID)
+    await advance(2000)
+    cell.worker.forget(TASK)
+    while (!cell.lines.includes('run missing')) await advance(10)
+    cell.worker.restart()
+    cell.register()
+    await advance(6000)
+    expect({ phase: cell.phaseOf(ID), starts: cell.startsOf(TASK).length }).toEqual({ phase: Phase.Failed, starts: 1 })
+  })
+
   it('changes nothing once another member of its gang has completed', async () => {
     await cell.accept(ID, { gang: true, count: 2 })
     expect(cell.worker.running).toHaveLength(2)
--- a/packages/control/test/owner/restarting-cell.ts
+++ b/packages/control/test/owner/restarting-cell.ts
@@ -14,6 +14,7 @@
 import { Owner } from '../../src/owner/owner.js'
 import { WorkerFailure, type ReportCommand, type StartCommand } from '../../src/ports/fleet.js'
 import { StoreFailure, Topic, type StoreCall } from '../../src/ports/store.js'
+import { Log } from '../../src/report/log.js'
 import { newestOf, stateOf } from '../journal/steady-cell.js'
 import { FakeFleet, FakeStore, createJob, createOwnerOptions, createQueue, createStep, createWorker } from '../fakes.js'
 
@@ -118,11 +119,25 @@
   }
 }
 
+class RecordingLog extends Log {
+  constructor (private readonly lines: string[]) {
+    super()
+  }
+
+  override decision (name: string): void {
+    this.lines.push(name)
+  }
+
+  override event (): void {}
+}
+
 /** A store, one worker and successive owners. Call it with fake timers. */
 export class RestartingCell {
   readonly store = new FakeStore()
   readonly worker = new RestartingWorker()
   readonly started: string[] = []
+  /** Names of the decisions that the owners have logged. */
+  readonly lines: string[] = []
   readonly clock = new SystemClock()
   owner: Owner
   private readonly fleet = new FakeFleet()
@@ -185,6 +200,7 @@
       store: new StoreAccess(this.store, async (call) => await this.store.call(call), this.clock, () => {}),
       fleet: this.fleet,
       clock: this.clock,
+      log: new RecordingLog(this.lines),
       configuration: () => CONFIGURATION
     }))
     owner.run().catch((error: unknown) => { throw error })
