Fuzz of owners: late calls are carried out also after their worker has restarted

Cause: its workers dropped a call that was due late once they had restarted under their id, and carried all others out after the same time. They now carry it out in the later incarnation too, after one of three times.

--- a/packages/control/test/owner/fuzz.spec.ts
+++ b/packages/control/test/owner/fuzz.spec.ts
@@ -47,8 +47,11 @@
 const COMMAND_TIMEOUT_MS = 900
 /** How long a gang works. Its members end before the tasks of the other job, whose ends can fill the reports. */
 const GANG_MS = 2000
-/** Time after which a worker executes a command whose answer is lost. It is longer than the timeout of the command. */
-const LATE_EXECUTION_MS = 1500
+/**
+ * Times after which a worker executes a command whose answer is lost, also if it has restarted meanwhile. They are longer than the timeout of
+ * the command.
+ */
+const LATE_EXECUTIONS_MS = [1500, 2600, 4200]
 const LEASE_MS = 3000
 /** Small, so that reports omit ended runs. */
 const MAX_REPORTED_ENDS = 2
@@ -88,6 +91,8 @@
   reachable = true
   /** False if commands are executed late, without an answer. */
   answersInTime = true
+  /** Time after which it executes commands late. */
+  lateMs = LATE_EXECUTIONS_MS[0]!
   /** False if starts are refused. */
   healthy = true
   /** The worker has failed and does not come back. */
@@ -232,9 +237,8 @@
     const model = this.workers.get(worker.id)!
     await new Promise((resolve) => setTimeout(resolve, 3))
     if (model.reachable && model.answersInTime) return execute(model)
-    const { born } = model
     if (model.reachable) {
-      setTimeout(() => { if (model.born === born && model.reachable) execute(model) }, LATE_EXECUTION_MS)
+      setTimeout(() => { if (model.reachable) execute(model) }, model.lateMs)
     }
     await new Promise((resolve) => setTimeout(resolve, timeoutMs))
     return err(WorkerFailure.NoAnswer)
@@ -415,7 +419,7 @@
     weight: 4,
     arbitrary: fc.record({
       kind: fc.constantFrom(
-        'disconnect' as const, 'reconnect' as const, 'delay commands' as const, 'restart' as const, 'refuse starts' as const,
+        'disconnect' as const, 'reconnect' as const, 'restart' as const, 'refuse starts' as const,
         'remove entry' as const, 'lose' as const),
       worker
     })
@@ -427,6 +431,10 @@
         'store refuses' as const, 'store refuses appends' as const, 'store loses answers' as const, 'store answers' as const)
     })
   },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constant('delay commands' as const), worker, lateMs: fc.constantFrom(...LATE_EXECUTIONS_MS) })
+  },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('cancel' as const), job: fc.constantFrom(...JOBS) }) }
 )
 type CellEvent = typeof anyEvent extends fc.Arbitrary<infer T> ? T : never
@@ -450,7 +458,7 @@
 const anySetting = fc.record({ refusing: fc.subarray(WORKERS), gangEndGapMs: fc.constantFrom(0, 100, 700) })
 
 function applyEvent (cell: Cell, event: CellEvent): void {
-  if ('worker' in event) return applyToWorker(cell, cell.workers.get(event.worker)!, event.kind)
+  if ('worker' in event) return applyToWorker(cell, cell.workers.get(event.worker)!, event)
   switch (event.kind) {
     case 'take over': return cell.startOwner()
     case 'replace owner': return cell.replaceOwner()
@@ -474,14 +482,15 @@
   }
 }
 
-function applyToWorker (cell: Cell, model: ModelWorker, kind: Extract<CellEvent, { worker: string }>['kind']): void {
+function applyToWorker (cell: Cell, model: ModelWorker, event: Extract<CellEvent, { worker: string }>): void {
   if (model.lost) return
-  switch (kind) {
+  switch (event.kind) {
     case 'disconnect':
       model.reachable = false
       return
     case 'delay commands':
       model.answersInTime = false
+      model.lateMs = event.lateMs
       return
     case 'refuse starts':
       model.healthy = false
