--- a/packages/control/test/owner/restarted-worker.spec.ts
+++ b/packages/control/test/owner/restarted-worker.spec.ts
@@ -161,6 +161,19 @@
         worker.holds = true
         await advance(200)
       }
+    },
+    {
+      says: 'was stopped before the request',
+      send: async () => {
+        const { worker } = cell
+        for (const id of EARLIER_JOBS) await cell.accept(id)
+        worker.holdMs = 900
+        worker.holdsStarts = true
+        worker.holdsAcknowledgements = true
+        await cell.accept(ID)
+        for (const id of EARLIER_JOBS) worker.end(`${id}.0.0.0`)
+        for (let waitedMs = 0; waitedMs < 1200 && worker.held.length === 0; waitedMs += 5) await advance(5)
+      }
     }
   ])('acknowledges no end of a run that is started late too, whose start $says', async ({ send }) => {
     const { worker } = cell
--- a/packages/control/test/owner/restarting-cell.ts
+++ b/packages/control/test/owner/restarting-cell.ts
@@ -38,6 +38,8 @@
   readonly held: ReportCommand[] = []
   /** Whether new report requests are held. */
   holds = false
+  /** Whether new report requests are held if they acknowledge ends. */
+  holdsAcknowledgements = false
   /** Starts that were not answered and have not been carried out. */
   readonly heldStarts: StartCommand[] = []
   /** Whether new starts are held. */
@@ -62,6 +64,7 @@
     this.ended = []
     this.acknowledged = []
     this.holds = false
+    this.holdsAcknowledgements = false
     this.holdsStarts = false
   }
 
@@ -106,7 +109,7 @@
 
   async report (command: ReportCommand): Promise<Result<Report, WorkerFailure>> {
     const { born } = this
-    if (this.holds) {
+    if (this.holds || (this.holdsAcknowledgements && command.acknowledged > 0)) {
       this.held.push(command)
       await sleep(this.holdMs)
       return err(WorkerFailure.NoAnswer)
