Session: a start without an answer holds back acknowledgements until its task needs no end of it

Cause: the confirmed stop of a run whose start was not answered proves nothing about a later incarnation, which has seen neither the stop nor a fencing token; the start and an acknowledgement sent after it have the same token. Ends are now acknowledged only once the run was reported, its task was assigned again or is over, or the start can no longer be carried out. A restart raises the token too, so the next request ends the effect of those to the incarnation before.

--- a/packages/control/src/owner/lease.ts
+++ b/packages/control/src/owner/lease.ts
@@ -12,7 +12,7 @@
 /** Longest time from the call of a worker to its execution by the worker. */
 const MAX_CALL_DELAY_MS = 12_000
 /** Longest time from when the owner sends a command to its execution by a worker. */
-const MAX_COMMAND_DELAY_MS = COMMAND_VALIDITY_MS + MAX_CALL_DELAY_MS
+export const MAX_COMMAND_DELAY_MS = COMMAND_VALIDITY_MS + MAX_CALL_DELAY_MS
 
 /** Tracks the deadlines granted to a worker and determines when all of them have certainly passed. */
 export class Lease {
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -6,10 +6,11 @@
 import { NO_RESOURCES, addResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
 import { sleep, type Clock } from '../clock.js'
 import { detach } from '../detach.js'
+import { Stage } from '../journal/record.js'
 import { rackOf, type EndedRun, type Report, type Worker } from '../model/worker.js'
 import { WorkerFailure, type Fleet } from '../ports/fleet.js'
 import type { Fence, Fences } from './fence.js'
-import { Lease } from './lease.js'
+import { Lease, MAX_COMMAND_DELAY_MS } from './lease.js'
 import { MAX_UNCONFIRMED_OWNERSHIP_MS } from './ownership.js'
 import { ReportedEnds } from './reported-ends.js'
 import { RunState, StopReason, type Run } from './run.js'
@@ -117,6 +118,8 @@
   private readonly fence: Fence
   /** A report request with the current fencing token has acknowledged ended runs. */
   private hasAcknowledged = false
+  /** Runs whose start may still be carried out, with the time on the steady clock until which it may. */
+  private readonly pendingStarts = new Map<Run, number>()
   /** The worker's clock in the newest applied report. */
   private newestReportClockMs = -1
   /** Time on the steady clock at which the registry entry was last read. */
@@ -286,6 +289,7 @@
     // The deadline of a start also extends the lease.
     const deadlineMs = this.lease.grant(START_VALIDITY_MS)
     const fence = this.fence.current
+    this.pendingStarts.set(run, this.host.clock.now() + MAX_COMMAND_DELAY_MS)
     const started = await this.host.fleet.start(this.worker, {
       task: run.name,
       run: run.number,
@@ -295,6 +299,7 @@
       checkpoint: run.task.checkpoint,
       ticket: run.ticket
     })
+    if (started.isOk() || started.error !== WorkerFailure.NoAnswer) this.pendingStarts.delete(run)
     if (this.runs.get(run.name) !== run) return
     if (started.isOk()) {
       this.confirm(run, started.value)
@@ -387,11 +392,17 @@
     return this.reachable && !this.hasUnsettledStart()
   }
 
+  /**
+   * A start that was not answered counts until it is reported, or until its task needs no end of this run any more. A confirmed stop does not settle
+   * it: a later incarnation has not seen the stop.
+   */
   private hasUnsettledStart (): boolean {
-    for (const { state, inherited } of this.runs.values()) {
-      if (state === RunState.Starting || (state === RunState.Uncertain && !inherited)) return true
+    for (const [run, untilMs] of this.pendingStarts) {
+      const { entry, task, number, confirmed } = run
+      const isOver = task.run !== number || task.stage === Stage.Done || entry.isFinishedOrCancelled()
+      if (confirmed !== undefined || isOver || this.host.clock.now() > untilMs) this.pendingStarts.delete(run)
     }
-    return false
+    return this.pendingStarts.size > 0
   }
 
   /** Raises the fencing token. Returns false if the owner has no higher one left. */
@@ -598,6 +609,8 @@
     this.reportedEnds = this.createReportedEnds(true)
     this.journaling = undefined
     this.lease.reset(clockMs, this.host.leaseMs)
+    // The next request ends the effect of those to the incarnation before.
+    this.raiseFence()
     this.newestReportClockMs = -1
     this.consecutiveFailures = 0
     this.adopted = false
