Fences: a new session has higher tokens than the last one with its worker

Cause: a session that is discarded passed its token on as it was, so the next session's start had the token of the last acknowledgement, which may be carried out late after it.

--- a/packages/control/src/owner/fence.ts
+++ b/packages/control/src/owner/fence.ts
@@ -33,8 +33,9 @@
     return new Fence(this.first, this.epoch)
   }
 
-  /** Notes that the session of a fence has ended. */
+  /** Notes that the session of a fence has ended. Later sessions have higher tokens, since its last requests may be carried out late. */
   retire (fence: Fence): void {
+    fence.raise()
     this.first = Math.max(this.first, fence.current)
   }
 }
--- a/packages/control/test/owner/fence.spec.ts
+++ b/packages/control/test/owner/fence.spec.ts
@@ -24,13 +24,15 @@
     expect([fence.current, fence.raise()]).toEqual([epoch, false])
   })
 
-  // Guards against an owner that is refused by a worker whose session it had discarded, and takes that for a successor.
-  it('do not fall with a new session', () => {
+  // Guards against an owner that is refused by a worker whose session it had discarded, and takes that for a successor; and against a start
+  // of the new session that has the token of the last acknowledgement of the former one.
+  it('rise with a new session', () => {
     const fences = new Fences(epochAfter(0))
     const before = fences.create()
     before.raise()
+    const used = before.current
     fences.retire(before)
     fences.retire(fences.create())
-    expect(fences.create().current).toBe(before.current)
+    expect(fences.create().current).toBeGreaterThan(used)
   })
 })
