Run ends: a speculative task whose end is lost is placed again

What callers saw: by review, a job fails although its task may run twice. Cause: the end of such a task was treated like that of one that must not. The new case of missing-run.spec.ts fails before (phase failed, one start).

--- a/packages/control/src/owner/run-end-handler.ts
+++ b/packages/control/src/owner/run-end-handler.ts
@@ -231,11 +231,11 @@
 
   /**
    * Handles a run that has ended, and whose end is lost. The worker may have completed it, so its job fails rather than run it twice. A
-   * long-running task is placed again.
+   * task that is long-running, or may run twice, is placed again.
    */
   onEndLost (run: Run): void {
     const { entry, task, step } = run
-    const fails = !step.lasting && task.stage !== Stage.Done && !entry.isFinishedOrCancelled()
+    const fails = !step.lasting && !step.speculative && task.stage !== Stage.Done && !entry.isFinishedOrCancelled()
     this.options.log.decision('run end lost', { task: run.name, run: run.number, worker: run.session.id, fails })
     this.delayTask(run.name)
     this.endRun(run, RunOutcome.Stopped)
--- a/packages/control/test/owner/missing-run.spec.ts
+++ b/packages/control/test/owner/missing-run.spec.ts
@@ -21,7 +21,8 @@
   // Guards against a job that waits for as long as the worker answers, and against a task that runs again although its end was acknowledged.
   it.each<{ says: string, step: Partial<Step>, phase: Phase, starts: number }>([
     { says: 'fails its job', step: {}, phase: Phase.Failed, starts: 1 },
-    { says: 'is placed again if it is long-running', step: { lasting: true }, phase: Phase.Active, starts: 2 }
+    { says: 'is placed again if it is long-running', step: { lasting: true }, phase: Phase.Active, starts: 2 },
+    { says: 'is placed again if its task may run twice', step: { speculative: true }, phase: Phase.Active, starts: 2 }
   ])('$says', async ({ step, phase, starts }) => {
     await cell.accept(ID, step)
     expect(cell.worker.running).toHaveLength(1)
