Session: answers and acknowledgements are tied to the incarnation that a report has shown

Causes, of one kind: an answer to a start or a stop does not say which incarnation it comes from. - An answered start counted as settled although a later, unseen incarnation may have answered it: the next acknowledgement has the token of the start, and drops its end. A start is now settled once a report lists its run, or its answer shows a clock that an unseen incarnation cannot have. - An answer to a start or a stop that arrives after a restart was noticed was applied to the new incarnation; it is ignored now. The same for status 421 from an address that the worker has left. - Starts that overlap, or one that is not answered, held back acknowledgements without bound; reports were not requested meanwhile. Starts now wait once an acknowledgement is overdue by 500 ms, an unanswered start counts for the 13 s in which it can be carried out, and reports are requested each 250 ms. - A run that the owner is stopping already is not called missing.

--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -6,14 +6,14 @@
 import { NO_RESOURCES, addResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
 import { sleep, type Clock } from '../clock.js'
 import { detach } from '../detach.js'
-import { Stage } from '../journal/record.js'
 import { rackOf, type EndedRun, type Report, type Worker } from '../model/worker.js'
 import { WorkerFailure, type Fleet } from '../ports/fleet.js'
 import type { Fence, Fences } from './fence.js'
-import { Lease, MAX_COMMAND_DELAY_MS } from './lease.js'
+import { Lease } from './lease.js'
 import { MAX_UNCONFIRMED_OWNERSHIP_MS } from './ownership.js'
 import { ReportedEnds } from './reported-ends.js'
 import { RunState, StopReason, type Run } from './run.js'
+import { UnsettledStarts } from './unsettled-starts.js'
 
 /**
  * Maximum time that a worker may delay its report until a run ends. Together with the round trip, it is far shorter than the
@@ -34,6 +34,13 @@
 const ACKNOWLEDGE_BATCH_MS = 30
 /** Time between two checks whether starts are answered, so that ended runs may be acknowledged. */
 const START_POLL_INTERVAL_MS = 10
+/** Time between two report requests while starts hold back the acknowledgement of ended runs. */
+const BLOCKED_REPORT_INTERVAL_MS = 250
+/** How long starts may hold back an acknowledgement before further ones wait for it, and how long each of those waits at most. */
+const MAX_ACKNOWLEDGEMENT_DELAY_MS = 500
+const MAX_ACKNOWLEDGEMENT_WAIT_MS = 1000
+/** Added to the age that an unseen incarnation of the worker can have, when it is compared with the worker's clock. */
+const INCARNATION_AGE_MARGIN_MS = 200
 /** Delay before ended runs whose handling has failed are handled again. The worker lists them in each report until then. */
 const FAILED_END_RETRY_DELAY_MS = 1000
 /**
@@ -118,8 +125,12 @@
   private readonly fence: Fence
   /** A report request with the current fencing token has acknowledged ended runs. */
   private hasAcknowledged = false
-  /** Runs whose start may still be carried out, with the time on the steady clock until which it may. */
-  private readonly pendingStarts = new Map<Run, number>()
+  /** Starts after which the current incarnation has not confirmed the run. */
+  private readonly unsettledStarts = new UnsettledStarts()
+  /** Time on the steady clock since which ended runs could be acknowledged but for these starts; undefined if they can, or there are none. */
+  private acknowledgementBlockedMs: number | undefined
+  /** Time on the steady clock at which the last report request was sent that the current incarnation has answered. */
+  private reportSentMs = -Infinity
   /** The worker's clock in the newest applied report. */
   private newestReportClockMs = -1
   /** Time on the steady clock at which the registry entry was last read. */
@@ -241,15 +252,35 @@
     }
   }
 
-  /** Waits until ended runs may be acknowledged: until then, the worker answers every request immediately. */
+  /**
+   * Waits for the answers to starts before a request that is to acknowledge ended runs. Until they are acknowledged, the worker answers
+   * every request immediately.
+   */
   private async waitForStarts (): Promise<void> {
     const { signal } = this.stopController
-    const untilMs = this.host.clock.now() + REPORT_LONG_POLL_TIMEOUT_MS / 2
-    while (this.hasUnsettledStart() && this.host.clock.now() < untilMs && !signal.aborted) {
+    const { clock } = this.host
+    const untilMs = clock.now() + BLOCKED_REPORT_INTERVAL_MS
+    while (this.unsettledStarts.anyUnanswered(clock.now()) && clock.now() < untilMs && !signal.aborted) {
       await sleep(START_POLL_INTERVAL_MS, signal)
     }
   }
 
+  /** Delays a start while others have held back the acknowledgement of ended runs for too long. */
+  private async waitForAcknowledgement (): Promise<void> {
+    const { signal } = this.stopController
+    const { clock } = this.host
+    const untilMs = clock.now() + MAX_ACKNOWLEDGEMENT_WAIT_MS
+    while (this.isAcknowledgementOverdue() && clock.now() < untilMs && !signal.aborted) {
+      await sleep(START_POLL_INTERVAL_MS, signal)
+    }
+  }
+
+  private isAcknowledgementOverdue (): boolean {
+    const { acknowledgementBlockedMs, unsettledStarts, host } = this
+    if (acknowledgementBlockedMs === undefined || unsettledStarts.hasLost()) return false
+    return host.clock.now() - acknowledgementBlockedMs > MAX_ACKNOWLEDGEMENT_DELAY_MS
+  }
+
   /** Closes the session. The connections to the worker stay open for the next owner, whose calls go through the same nodes. */
   close (): void {
     this.stopController.abort()
@@ -270,6 +301,7 @@
 
   /** Sends the start request of a run that is in the journal. */
   async start (run: Run): Promise<void> {
+    if (this.isAcknowledgementOverdue()) await this.waitForAcknowledgement()
     // The run may have been released, and its task assigned again, while the assignment was being written.
     if (this.runs.get(run.name) !== run) return
     if (run.stopping !== undefined) {
@@ -289,7 +321,8 @@
     // The deadline of a start also extends the lease.
     const deadlineMs = this.lease.grant(START_VALIDITY_MS)
     const fence = this.fence.current
-    this.pendingStarts.set(run, this.host.clock.now() + MAX_COMMAND_DELAY_MS)
+    const { born } = this
+    this.unsettledStarts.add(run, this.host.clock.now())
     const started = await this.host.fleet.start(this.worker, {
       task: run.name,
       run: run.number,
@@ -299,10 +332,13 @@
       checkpoint: run.task.checkpoint,
       ticket: run.ticket
     })
-    if (started.isOk() || started.error !== WorkerFailure.NoAnswer) this.pendingStarts.delete(run)
+    this.unsettledStarts.onAnswered(run, started)
     if (this.runs.get(run.name) !== run) return
     if (started.isOk()) {
-      this.confirm(run, started.value)
+      // The answer may be that of a former incarnation; the run is unresolved then.
+      if (this.born !== born) return
+      this.markRunning(run)
+      if (this.isOfSeenIncarnation(started.value)) this.confirm(run, started.value)
       return
     }
     this.pausedUntilMs = Math.max(this.pausedUntilMs, this.host.clock.now() + placementPauseOf(started.error))
@@ -325,7 +361,9 @@
         continue
       }
       const fence = this.fence.current
+      const { born } = this
       const stopped = await this.host.fleet.stop(this.worker, { task: run.name, run: run.number, fence })
+      if (stopped.isOk() && this.born !== born) continue
       if (stopped.isOk()) {
         if (run.stoppedClockMs === undefined) this.host.onStopConfirmed(run, this.host.clock.now() - decidedMs)
         run.stoppedClockMs = stopped.value
@@ -362,7 +400,7 @@
   private async requestReport (waitMs: number): Promise<void> {
     const { host, worker } = this
     const deadlineMs = this.mayExtendLease() ? this.lease.grant(host.leaseMs) : undefined
-    const acknowledged = this.mayAcknowledge() ? this.reportedEnds.acknowledged : 0
+    const acknowledged = this.nextAcknowledgement()
     if (acknowledged > 0) this.hasAcknowledged = true
     const fence = this.fence.current
     host.onReportRequest()
@@ -373,6 +411,8 @@
     if (report.isErr()) {
       // A start has overtaken the request, which was not carried out.
       if (report.error === WorkerFailure.Fenced && !this.isNewest(fence)) return
+      // The answer comes from an address that the worker has left.
+      if (report.error === WorkerFailure.OtherWorker && worker.address !== this.worker.address) return
       this.handleFailure(report.error)
       return
     }
@@ -384,25 +424,23 @@
     }
   }
 
-  /**
-   * A worker that did not answer may have restarted; its next answer shows whether it lists the ends of this incarnation. A run whose start
-   * was not answered may still be started by a later incarnation, under the same fencing token as the request.
-   */
-  private mayAcknowledge (): boolean {
-    return this.reachable && !this.hasUnsettledStart()
+  /** Returns the position that the next report request acknowledges; 0 for none. */
+  private nextAcknowledgement (): number {
+    const position = this.reachable ? this.reportedEnds.acknowledged : 0
+    if (position === 0 || this.mayAcknowledge()) {
+      this.acknowledgementBlockedMs = undefined
+      return position
+    }
+    this.acknowledgementBlockedMs ??= this.host.clock.now()
+    return 0
   }
 
   /**
-   * A start that was not answered counts until it is reported, or until its task needs no end of this run any more. A confirmed stop does not settle
-   * it: a later incarnation has not seen the stop.
+   * A worker that did not answer may have restarted; its next answer shows whether it lists the ends of this incarnation. A run that no report
+   * has listed may be one of a later incarnation, whose end the request would drop, under the fencing token of its start.
    */
-  private hasUnsettledStart (): boolean {
-    for (const [run, untilMs] of this.pendingStarts) {
-      const { entry, task, number, confirmed } = run
-      const isOver = task.run !== number || task.stage === Stage.Done || entry.isFinishedOrCancelled()
-      if (confirmed !== undefined || isOver || this.host.clock.now() > untilMs) this.pendingStarts.delete(run)
-    }
-    return this.pendingStarts.size > 0
+  private mayAcknowledge (): boolean {
+    return this.reachable && !this.unsettledStarts.any(this.host.clock.now())
   }
 
   /** Raises the fencing token. Returns false if the owner has no higher one left. */
@@ -454,6 +492,7 @@
       this.host.onReachabilityChange(this, true, undefined)
     }
     this.lease.updateClock(report.clockMs)
+    this.reportSentMs = Math.max(this.reportSentMs, sentMs)
     const first = !this.adopted
     this.adopted = true
     // Reports may arrive out of order. An older report says nothing about the current runs.
@@ -506,7 +545,7 @@
         this.host.onEndLost(run)
       } else if (cannotStart || stopped) {
         this.host.onRunReleased(run, cannotStart ? 'not running and can no longer start' : 'stop confirmed')
-      } else if (!run.missing && isMissing(run, report, sentMs)) {
+      } else if (run.stopping === undefined && !run.missing && isMissing(run, report, sentMs)) {
         run.missing = true
         this.host.onRunMissing(run, this.host.clock.now() - run.confirmed!.atMs)
       }
@@ -539,10 +578,22 @@
     await sleep(written.length === ended.length ? ACKNOWLEDGE_BATCH_MS : FAILED_END_RETRY_DELAY_MS, this.stopController.signal)
   }
 
-  /** Notes that a run was there at a time on the worker's clock. */
+  /**
+   * Returns true if an answer certainly comes from the incarnation that answered the last report request: a later one cannot be as old as the
+   * worker's clock says.
+   */
+  private isOfSeenIncarnation (clockMs: number): boolean {
+    return clockMs > this.host.clock.now() - this.reportSentMs + INCARNATION_AGE_MARGIN_MS
+  }
+
+  /** Notes that a run was there at a time on the worker's clock, in the current incarnation. */
   private confirm (run: Run, clockMs: number): void {
     run.confirmed = { clockMs, atMs: this.host.clock.now() }
     run.missing = false
+    this.markRunning(run)
+  }
+
+  private markRunning (run: Run): void {
     if (run.state === RunState.Running) return
     run.state = RunState.Running
     run.startedMs = this.host.clock.now()
@@ -612,6 +663,7 @@
     // The next request ends the effect of those to the incarnation before.
     this.raiseFence()
     this.newestReportClockMs = -1
+    this.reportSentMs = -Infinity
     this.consecutiveFailures = 0
     this.adopted = false
   }
--- a/packages/control/test/owner/restarted-worker.spec.ts
+++ b/packages/control/test/owner/restarted-worker.spec.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { Phase } from '../../src/model/job.js'
+import { Topic } from '../../src/ports/store.js'
 import { RestartingCell, advance } from './restarting-cell.js'
 
 const EARLIER_JOBS = ['00000000000000a1', '00000000000000a2', '00000000000000a3']
@@ -189,4 +190,83 @@
       phase: Phase.Completed, started: [`${TASK}#1`]
     })
   })
+
+  // Guards against a task that runs twice because the owner does not know of the restart: the new incarnation answers the start,
+  // and then gets the acknowledgement of ends of the former one under the same fencing token.
+  it.each<{ says: string, isShort: boolean }>([
+    { says: 'ends before its start is answered, and nothing is late', isShort: true },
+    { says: 'ends before the acknowledgement is carried out', isShort: false }
+  ])('acknowledges no end of a run of a new incarnation that only its answered start has shown: it $says', async ({ isShort }) => {
+    const { worker } = cell
+    for (const id of EARLIER_JOBS) await cell.accept(id)
+    worker.start = async (command) => {
+      await new Promise((resolve) => setTimeout(resolve, 500))
+      const started = worker.carryOutStart(command)
+      if (isShort) worker.end(TASK)
+      return started
+    }
+    await cell.accept(ID)
+    expect(cell.startsOf(TASK)).toEqual([`${TASK}#1`])
+    expect(worker.running).toHaveLength(3)
+    for (const id of EARLIER_JOBS) worker.end(`${id}.0.0.0`)
+    for (let waitedMs = 0; waitedMs < 100 && !isWritten(EARLIER_JOBS[2]!); waitedMs++) await advance(1)
+    expect(worker.acknowledged).toEqual([])
+    worker.restart()
+    worker.holds = !isShort
+    await advance(400)
+    if (!isShort) {
+      worker.end(TASK)
+      carryOutHeld()
+      worker.holds = false
+    }
+    cell.register()
+    await advance(60_000)
+    expect({ phase: cell.phaseOf(ID), started: cell.startsOf(TASK) }).toEqual({
+      phase: Phase.Completed, started: [`${TASK}#1`]
+    })
+  })
+
+  // Guards against an end that is dropped unread because the session that sent the acknowledgement was discarded: the next
+  // session with the worker starts a run under the same fencing token.
+  it('acknowledges no end of a run that a later session has started', async () => {
+    const { worker } = cell
+    for (const id of EARLIER_JOBS) await cell.accept(id)
+    cell.store.put(Topic.Workers, { key: 'w1', value: undefined })
+    await advance(12_000)
+    for (const id of EARLIER_JOBS) worker.end(`${id}.0.0.0`)
+    for (let waitedMs = 0; waitedMs < 100 && !isWritten(EARLIER_JOBS[2]!); waitedMs++) await advance(1)
+    await waitForHeldReport()
+    expect(worker.held[0]!.acknowledged).toBe(3)
+    await advance(1000)
+    const sentMs = performance.now()
+    await restartAndPlace()
+    expect(worker.running).toHaveLength(1)
+    worker.end(TASK)
+    expect(performance.now() - sentMs).toBeLessThan(MAX_CALL_DELAY_MS - 1000)
+    carryOutHeld()
+    await advance(60_000)
+    expect({ phase: cell.phaseOf(ID), started: cell.startsOf(TASK) }).toEqual({
+      phase: Phase.Completed, started: [`${TASK}#1`]
+    })
+  })
+})
+
+describe('a start that a worker carries out after it has restarted under its id', () => {
+  // Guards against a task that runs twice at once: the former incarnation confirmed the stop of a run that had not started, and the
+  // new one starts it although the owner has placed the task again.
+  it('is refused once the owner has reached the new incarnation', async () => {
+    const { worker } = cell
+    worker.holdsStarts = true
+    await cell.accept(ID)
+    await advance(100)
+    worker.holdsStarts = false
+    for (let waitedMs = 0; waitedMs < 3000 && worker.running.length === 0; waitedMs += 50) await advance(50)
+    expect(worker.running.map(({ run }) => run)).toEqual([2])
+    worker.restart()
+    cell.register()
+    for (let waitedMs = 0; waitedMs < 5000 && worker.running.length === 0; waitedMs += 50) await advance(50)
+    expect(worker.running.map(({ run }) => run)).toEqual([3])
+    worker.carryOutStart(worker.heldStarts[0]!)
+    expect(worker.running.map(({ run }) => run)).toEqual([3])
+  })
 })
