Owner watch: keep the newest announcement of a stop, in whatever order they arrive

What callers saw: nothing reported. By reading: after a handover the former owner stays connected, so the announcement is the only reason for which a node claims the cell. A node that handles the announcement of a former owner after it, for example when it wakes from a suspension with both in its sockets, forgot the newer one: it waited until the connection ended, and the owner that had just handed the cell over was the first to claim it again. Each repetition also began the delay before the claim anew.

Cause: an announcement replaced the last one, whatever the epochs.

Fix: only an announcement with a higher epoch counts. Epochs order the ownerships, so the order of arrival has no effect.

Evidence: the new cases of owner-watch.spec.ts failed before (left false instead of true, unlinkedMs 1300 instead of 1000) and pass now.

--- a/packages/control/src/membership/owner-watch.ts
+++ b/packages/control/src/membership/owner-watch.ts
@@ -21,7 +21,7 @@
   private seenRecords = 0
   /** See `OwnerView.unlinkedMs`. */
   private delayStartMs: number
-  /** Epoch of the owner that announced a planned stop; 0 for none. */
+  /** Highest epoch of an owner that announced a planned stop; 0 for none. */
   private leavingEpoch = 0
   /** True if another process than the claimant's has registered for the owner's node. */
   private returned = false
@@ -86,6 +86,8 @@
 
   /** Notes that the owner with this epoch announced a planned stop. */
   onLeaving (epoch: number): void {
+    // Announcements of several owners arrive in any order.
+    if (epoch <= this.leavingEpoch) return
     this.leavingEpoch = epoch
     this.delayStartMs = this.clock.now()
   }
--- a/packages/control/test/membership/owner-watch.spec.ts
+++ b/packages/control/test/membership/owner-watch.spec.ts
@@ -115,4 +115,24 @@
     readClaim(2, 'c', '1')
     expect(watch.view(0).left).toBe(false)
   })
+
+  // Guards against an owner that takes back the cell which it has handed over: a node that was suspended handled the announcement of
+  // a former owner last, forgot that of the present one, and waited for the end of their connection.
+  it.each([['a former owner', 1], ['the owner once more', 2]])('keeps the announcement of the owner after that of %s', (_, epoch) => {
+    readClaim(1, 'b', '1')
+    readClaim(2, 'c', '1')
+    watch.onLeaving(2)
+    const announcedMs = clock.now()
+    clock.advance(300)
+    watch.onLeaving(epoch)
+    expect(watch.view(0)).toMatchObject({ left: true, unlinkedMs: announcedMs })
+  })
+
+  it('knows the announcement of an owner whose claim it has not read yet', () => {
+    readClaim(1, 'b', '1')
+    watch.onLeaving(2)
+    expect(watch.view(0).left).toBe(false)
+    readClaim(2, 'c', '1')
+    expect(watch.view(0).left).toBe(true)
+  })
 })
