Node: announce the stop of its own ownership, not of the newest claim

What callers saw: nothing reported. In the test, a node that drains announces the stop of an owner on another node: every candidate then claims the cell from an owner that works.

Fix: the epoch is that of the owner that is closed. Under it the announcement says nothing of any other ownership.

Evidence: the new case of cluster/takeover.spec.ts failed before (the other node received epoch 2 from the owner of epoch 1) and passes now.

--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -217,10 +217,9 @@
     this.options.log.event('node draining', { owner: owner !== undefined })
     detach(this.registration.announceStop())
     if (owner === undefined) return
-    const { epoch } = this.journalState.ownerClaim!
     this.owner = undefined
     owner.close()
-    await this.askForSuccessor(epoch)
+    await this.askForSuccessor(owner.epoch)
   }
 
   /** Asks the connected nodes to claim the cell at once. */
--- a/packages/control/test/cluster/takeover.spec.ts
+++ b/packages/control/test/cluster/takeover.spec.ts
@@ -1,7 +1,10 @@
+import { MessageKind, type Request } from '@fireflymount/protocol/message'
+import { ok } from 'neverthrow'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
-import { Subject, decodeValue, splitKey, type OwnerClaim } from '../../src/journal/record.js'
+import { Subject, decodeValue, encodeRecord, splitKey, type OwnerClaim } from '../../src/journal/record.js'
 import { HANDOVER_DELAY_MS } from '../../src/membership/handover.js'
-import { StoreFailure, Topic } from '../../src/ports/store.js'
+import { Links } from '../../src/membership/links.js'
+import { StoreFailure, Topic, type RecordPage } from '../../src/ports/store.js'
 import { Cluster, sleep, waitFor, type NodeSpecification } from './cluster.js'
 import { LASTING } from './workers.js'
 
@@ -32,6 +35,48 @@
   return cluster.workers.countStarted(job) > 0
 }
 
+/** Connects another node, which is simulated, to a node of the cluster. Returns the announcements of stops that it receives. */
+async function connectPeer (node: string): Promise<Request[]> {
+  const { zone, host, port } = cluster.settings.get(node)!
+  const announcements: Request[] = []
+  const peer = new Links({
+    node: 'peer',
+    zone,
+    host,
+    port: 0,
+    addressOf: () => ({ node, incarnation: '', host, port, zone }),
+    handler: async (request) => {
+      if (request.kind === MessageKind.Succeed) announcements.push(request)
+      return ok(true)
+    },
+    onLink: () => {},
+    onHandlerError: () => {}
+  })
+  ;(await peer.connect(node))._unsafeUnwrap()
+  return announcements
+}
+
+/** Ends each page of the journal after the first record. No read after that of a claim is answered. */
+class SplitJournal {
+  claimRead = false
+  waiting = false
+
+  constructor () {
+    const call = cluster.store.call.bind(cluster.store)
+    cluster.store.call = async (request) => {
+      if (!('read' in request) || request.topic !== Topic.Journal) return await call(request)
+      this.waiting = this.claimRead
+      if (this.waiting) return await new Promise(() => {})
+      const answer = await call(request)
+      return answer.map((page) => {
+        const { records, end } = page as RecordPage
+        this.claimRead = records[0]?.key.startsWith(Subject.Owner) === true
+        return { records: records.slice(0, 1), end }
+      })
+    }
+  }
+}
+
 describe('a cell whose owner changes', () => {
   it.each([
     ['was killed', async () => { cluster.nodes[2]!.close() }],
@@ -83,6 +128,21 @@
     expect([owners(), adopted.length]).toEqual([['n2', 'n3'], 40])
   }, 20_000)
 
+  // Guards against a working owner whose candidates all claim the cell: a former owner, which had read the newer claim but not the
+  // rest of the journal, announced its planned stop under the epoch of that claim.
+  it('learns from an owner that stops while it reads a newer claim only of the stop of its own ownership', async () => {
+    await cluster.start([{ name: 'n0', callMs: LARGE_MS }])
+    expect(await waitFor(() => owners().length === 1, 5000)).toBe(true)
+    const announcements = await connectPeer('n0')
+    const journal = new SplitJournal()
+    const newer: OwnerClaim = { epoch: claims()[0]!.epoch + 1, node: 'peer', incarnation: 'p' }
+    cluster.store.put(Topic.Journal, encodeRecord(Subject.Owner, 'cell', newer))
+    cluster.store.put(Topic.Journal, encodeRecord(Subject.Heartbeat, 'owner', newer.epoch))
+    expect(await waitFor(() => journal.waiting, 5000)).toBe(true)
+    await cluster.nodes[0]!.drain()
+    expect(announcements).toEqual([{ kind: MessageKind.Succeed, epoch: claims()[0]!.epoch }])
+  })
+
   it('is handed over once to a large node that joins a cell of small ones', async () => {
     await cluster.start(NODES.slice(0, 2))
     expect(await waitFor(() => owners().length === 1, 5000)).toBe(true)
