--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -426,6 +426,7 @@
       epoch,
       sequence: held.sequence,
       claimedAt: held.heldAt,
+      journalReadAt: () => this.journal.freshAt,
       journalState: this.journalState,
       store: this.storeAccess,
       fleet: this.createFleet(),
--- a/packages/control/src/owner/garbage-collector.ts
+++ b/packages/control/src/owner/garbage-collector.ts
@@ -35,6 +35,8 @@
   /** When the claim of the ownership was confirmed. */
   readonly claimedAt: Stamp
   readonly settings: { readonly leaseMs: number, readonly keptMs: number }
+  /** The last time at which the journal had been read to its end. */
+  readonly journalReadAt: () => Stamp
   /** How long a worker has had no entry in the registry. */
   readonly missingMs: (worker: string) => number
   /** True if a run of the job may exist. */
@@ -46,6 +48,8 @@
 /** Collects garbage for one owner. */
 export class GarbageCollector {
   private collectedMs = -Infinity
+  /** Time on the steady clock at which a job that is about to be removed was first seen to be due, by its id. */
+  private readonly dueSinceMs = new Map<string, number>()
 
   constructor (private readonly options: GarbageCollectorOptions) {}
 
@@ -88,6 +92,7 @@
       if (!isFinal(entry.committedPhase)) continue
       if (!this.options.hasRuns(entry)) entry.dropDetails()
       if (nowMs - entry.endedMs < RETENTION_FACTOR * this.options.settings.keptMs) continue
+      if (!this.isRead(entry)) continue
       for (const key of entry.storedKeys()) changes.set(key, () => ({ key, value: undefined }))
       this.forgetJob(entry)
       if (changes.size >= MAX_RECORDS_PER_COLLECTION) break
@@ -95,7 +100,18 @@
     if (changes.size > 0) detach(this.options.writer.commit(changes))
   }
 
+  /**
+   * True once the journal has been read since a job became due. The record of a job that is read after its removal would be taken for
+   * that of a new job.
+   */
+  private isRead ({ job }: JobEntry): boolean {
+    const dueSinceMs = this.dueSinceMs.get(job.id) ?? this.options.clock.now()
+    this.dueSinceMs.set(job.id, dueSinceMs)
+    return this.options.journalReadAt().steadyMs > dueSinceMs
+  }
+
   private forgetJob ({ job }: JobEntry): void {
+    this.dueSinceMs.delete(job.id)
     this.options.journalState.jobs.delete(job.id)
     this.options.forgetJob(job.id)
   }
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -70,6 +70,8 @@
   readonly sequence: number
   /** A time at which the claim was certainly the newest one. */
   readonly claimedAt: Stamp
+  /** The last time at which the journal had been read to its end. */
+  readonly journalReadAt: () => Stamp
   readonly journalState: JournalState
   readonly store: Store
   readonly fleet: Fleet
@@ -196,6 +198,7 @@
       writer: this.writer,
       clock,
       claimedAt: options.claimedAt,
+      journalReadAt: options.journalReadAt,
       settings: options.settings,
       missingMs: (worker) => this.registry.missingMs(worker),
       hasRuns: (entry) => this.ledger.hasRuns(entry),
--- a/packages/control/test/cluster/workers.ts
+++ b/packages/control/test/cluster/workers.ts
@@ -20,8 +20,8 @@
   private position = 0
   private fence = 0
   private wake: Array<() => void> = []
-  /** Names of all tasks that were started. */
-  readonly started = new Set<string>()
+  /** Names of the tasks that were started, once for each start. */
+  readonly started: string[] = []
 
   constructor (readonly entry: Worker) {}
 
@@ -32,7 +32,7 @@
   }
 
   start ({ task, run, payload }: StartCommand): void {
-    this.started.add(task)
+    this.started.push(task)
     this.running.set(task, { task, run, checkpoint: '', percent: 100, load: 0 })
     if (payload !== LASTING) setTimeout(() => { this.end(task, run, RunOutcome.Done) }, Number(payload))
   }
@@ -113,6 +113,13 @@
     }
     return tasks.size
   }
+
+  /** Number of starts of a job's tasks. */
+  countStarts (job: string): number {
+    let count = 0
+    for (const worker of this.workers.values()) count += worker.started.filter((task) => task.startsWith(job)).length
+    return count
+  }
 }
 
 /** One node's client. Each call costs the node's processor time, before it is sent. */
--- a/packages/control/test/fakes.ts
+++ b/packages/control/test/fakes.ts
@@ -292,6 +292,7 @@
   return {
     sequence: 1,
     claimedAt: fields.clock.stamp(),
+    journalReadAt: () => fields.clock.stamp(),
     machines: new NoMachines(),
     formats: new PlainFormats(),
     askAdvisor: async () => err(AdviceFailure.NoAnswer),
--- a/packages/control/test/journal/steady-cell.ts
+++ b/packages/control/test/journal/steady-cell.ts
@@ -95,6 +95,7 @@
     epoch: 1,
     sequence: 1,
     claimedAt: clock.stamp(),
+    journalReadAt: () => clock.stamp(),
     journalState,
     store: new StoreAccess(store, async () => err(StoreFailure.Refused), clock, () => {}),
     fleet: createFleet(store, clock.wall()),
--- a/packages/control/test/owner/decision-log.spec.ts
+++ b/packages/control/test/owner/decision-log.spec.ts
@@ -68,6 +68,7 @@
       epoch: 1,
       sequence: 1,
       claimedAt: this.clock.stamp(),
+      journalReadAt: () => this.clock.stamp(),
       journalState: new JournalState(),
       store: new StoreAccess(store, async () => err(StoreFailure.Refused), this.clock, () => {}),
       fleet,
--- a/packages/control/test/owner/garbage-collector.spec.ts
+++ b/packages/control/test/owner/garbage-collector.spec.ts
@@ -84,6 +84,7 @@
       writer: new Writer(access, clock, 3, 1, claimedAt, () => {}),
       clock,
       claimedAt,
+      journalReadAt: () => clock.stamp(),
       settings: { leaseMs: LEASE_MS, keptMs: 120_000 },
       missingMs: () => 0,
       hasRuns: () => true,
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -72,6 +72,7 @@
       epoch,
       sequence: 1,
       claimedAt: this.clock.stamp(),
+      journalReadAt: () => this.clock.stamp(),
       journalState,
       store: new StoreAccess(this.store, async () => err(StoreFailure.Refused), this.clock, () => {}),
       fleet: this.fleet,
--- a/packages/measure/src/owner-load/load.ts
+++ b/packages/measure/src/owner-load/load.ts
@@ -115,6 +115,7 @@
       epoch: 1,
       sequence: 1,
       claimedAt: this.clock.stamp(),
+      journalReadAt: () => this.clock.stamp(),
       journalState,
       store: new LoadStore(this.wheel, createWorkers()),
       fleet: this.fleet,
