Owner watch: the late address of a former process does not replace the owner

What callers saw: nothing reported. In the test, a node claims the cell from an owner that works.

Cause: addresses are appended without a fence, so the store may carry out one of a former process of a node after the present process has registered and claimed the cell. Nodes took any other process for one that had replaced the owner, and claimed at once. The owner writes its own address again, but only after its next read.

Fix: addresses and claims name the start time of their process. An address from before the claimant's start changes nothing. For a process whose clock was set back, or of an earlier build, the time proves nothing: the first is treated like an owner that is silent, without regard to the connection to it, which is not one to the owner; the second as before.

Evidence: cases of owner-watch.spec.ts failed before (vacant true instead of false, linked true instead of false), and the new case of cluster/takeover.spec.ts in 2 of 2 runs (owners n2 and n3 instead of n2). All pass now, the latter in 2 of 2.

--- a/packages/control/src/journal/record.ts
+++ b/packages/control/src/journal/record.ts
@@ -83,12 +83,16 @@
   readonly node: string
   /** Unique to each start of the node's process. */
   readonly incarnation: string
+  /** Unix time at which that process started; undefined in records of earlier builds. */
+  readonly startedMs?: number | undefined
 }
 
 /** The address on which a node accepts connections from other nodes. */
 export interface NodeAddress {
   readonly node: string
   readonly incarnation: string
+  /** Unix time at which the node's process started; undefined in records of earlier builds. */
+  readonly startedMs?: number | undefined
   readonly host: string
   readonly port: number
   readonly zone: string
@@ -201,15 +205,17 @@
 
 /** Checks the decoded value of a node's address. */
 export function isNodeAddress (value: unknown): value is NodeAddress {
-  const { node, incarnation, host, port, zone, processorShare = 0 } = (value ?? {}) as Partial<NodeAddress>
+  const { node, incarnation, startedMs = 0, host, port, zone, processorShare = 0 } = (value ?? {}) as Partial<NodeAddress>
   const areTexts = [node, incarnation, host, zone].every((text) => typeof text === 'string')
-  return areTexts && Number.isInteger(port) && port! > 0 && port! <= MAX_PORT && Number.isFinite(processorShare)
+  const isPort = Number.isInteger(port) && port! > 0 && port! <= MAX_PORT
+  return areTexts && isPort && Number.isFinite(startedMs) && Number.isFinite(processorShare)
 }
 
 /** Checks the decoded value of a claim. */
 export function isOwnerClaim (value: unknown): value is OwnerClaim {
-  const { epoch, node, incarnation } = (value ?? {}) as Partial<OwnerClaim>
-  return Number.isSafeInteger(epoch) && typeof node === 'string' && typeof incarnation === 'string'
+  const { epoch, node, incarnation, startedMs = 0 } = (value ?? {}) as Partial<OwnerClaim>
+  const areTexts = typeof node === 'string' && typeof incarnation === 'string'
+  return Number.isSafeInteger(epoch) && areTexts && Number.isFinite(startedMs)
 }
 
 /** Checks the decoded value of a cancellation. */
--- a/packages/control/src/membership/claimant.ts
+++ b/packages/control/src/membership/claimant.ts
@@ -46,7 +46,8 @@
     private readonly store: Store,
     private readonly clock: Clock,
     private readonly node: string,
-    private readonly incarnation: string
+    private readonly incarnation: string,
+    private readonly startedMs: number
   ) {}
 
   /**
@@ -57,7 +58,9 @@
    */
   async claim (epoch: number): Promise<ClaimProof | StoreFailure> {
     if (this.attempt?.epoch !== epoch) this.attempt = createAttempt(epoch)
-    const record = encodeRecord(Subject.Owner, 'cell', { epoch, node: this.node, incarnation: this.incarnation })
+    const { node, incarnation, startedMs } = this
+    const claim: OwnerClaim = { epoch, node, incarnation, startedMs }
+    const record = encodeRecord(Subject.Owner, 'cell', claim)
     return await Promise.race([this.append(record, this.attempt), this.attempt.read])
   }
 
--- a/packages/control/src/membership/election.ts
+++ b/packages/control/src/membership/election.ts
@@ -49,7 +49,7 @@
 
 /** What a node knows about the owner. */
 export interface OwnerView {
-  /** True if a connection to the owner is open. */
+  /** True if a connection to the owner is open, and not to another process of its node. */
   readonly linked: boolean
   /**
    * Steady time from which the delays before a claim are counted. It is the time of the latest of these events: this node
@@ -69,7 +69,7 @@
   /** True if the owner announced a planned stop. */
   readonly left: boolean
   /**
-   * True if the last owner was this node, in this or an earlier incarnation, or if another process than the owner's has registered
+   * True if the last owner was this node, in this or an earlier incarnation, or if a later process than the owner's has registered
    * for the owner's node.
    */
   readonly vacant: boolean
--- a/packages/control/src/membership/owner-watch.ts
+++ b/packages/control/src/membership/owner-watch.ts
@@ -3,7 +3,7 @@
  */
 import type { Clock } from '../clock.js'
 import type { JournalState } from '../journal/journal-state.js'
-import type { OwnerClaim } from '../journal/record.js'
+import type { NodeAddress, OwnerClaim } from '../journal/record.js'
 import type { OwnerView } from './election.js'
 import type { Links } from './links.js'
 
@@ -23,7 +23,9 @@
   private delayStartMs: number
   /** Highest epoch of an owner that announced a planned stop; 0 for none. */
   private leavingEpoch = 0
-  /** True if another process than the claimant's has registered for the owner's node. */
+  /** True if the address of the owner's node is that of another process than the claimant's. */
+  private isOtherProcess = false
+  /** True if that process has replaced the claimant's. */
   private returned = false
   /** When takeovers were read whose former owner may have been alive. */
   private takeoversMs: number[] = []
@@ -50,8 +52,9 @@
     if (claim !== undefined && claim.epoch !== this.claim?.epoch) this.applyClaim(claim, nowMs)
     const address = journalState.nodes.get(claim?.node ?? '')
     if (claim === undefined || address === undefined) return
-    const returned = address.incarnation !== claim.incarnation
-    if (!returned && address.leaving === true && this.leavingEpoch !== claim.epoch) this.onLeaving(claim.epoch)
+    this.isOtherProcess = address.incarnation !== claim.incarnation
+    const returned = this.isOtherProcess && !hasStartedBefore(address, claim)
+    if (!this.isOtherProcess && address.leaving === true && this.leavingEpoch !== claim.epoch) this.onLeaving(claim.epoch)
     if (returned && !this.returned) this.delayStartMs = nowMs
     this.returned = returned
   }
@@ -62,6 +65,7 @@
     this.delayStartMs = nowMs
     // A refusal from before the claim says nothing about the process that claimed.
     const hadEnded = before !== undefined && this.hasEnded(before)
+    this.isOtherProcess = false
     this.returned = false
     this.links.forgetDial(claim.node)
     if (before === undefined) return
@@ -102,7 +106,7 @@
     const nowMs = this.clock.now()
     this.takeoversMs = this.takeoversMs.filter((takeoverMs) => nowMs - takeoverMs < RECENT_CHANGE_MS)
     return {
-      linked: claim !== undefined && links.has(claim.node),
+      linked: claim !== undefined && links.has(claim.node) && !this.isOtherProcess,
       unlinkedMs: this.delayStartMs,
       heardMs: this.heardMs,
       claimReadMs: this.claimReadMs,
@@ -116,3 +120,11 @@
     }
   }
 }
+
+/**
+ * True if an address is that of a process which had ended before the claimant's started: the store may carry out an append of it late.
+ * A process for which this is not known counts as a later one.
+ */
+function hasStartedBefore (address: NodeAddress, claim: OwnerClaim): boolean {
+  return address.startedMs !== undefined && claim.startedMs !== undefined && address.startedMs < claim.startedMs
+}
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -155,9 +155,10 @@
     })
     this.relayServer = new RelayServer(this.storeAccess)
     const { node, zone, host, port, processorShare } = settings
-    const address: NodeAddress = { node, incarnation: this.incarnation, host, port, zone, processorShare }
+    const startedMs = clock.wall()
+    const address: NodeAddress = { node, incarnation: this.incarnation, startedMs, host, port, zone, processorShare }
     this.registration = new Registration(this.storeAccess, address, this.stopController.signal)
-    this.claimant = new Claimant(this.storeAccess, clock, settings.node, this.incarnation)
+    this.claimant = new Claimant(this.storeAccess, clock, settings.node, this.incarnation, startedMs)
     this.journal = new Follower(this.storeAccess, Topic.Journal, {
       onRecord: (record) => { this.applyRecord(record) },
       onRejected: (record, error) => { this.onRecordFailed(Topic.Journal, record, error) },
--- a/packages/control/test/cluster/takeover.spec.ts
+++ b/packages/control/test/cluster/takeover.spec.ts
@@ -1,7 +1,7 @@
 import { MessageKind, type Request } from '@fireflymount/protocol/message'
 import { ok } from 'neverthrow'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
-import { Subject, decodeValue, encodeRecord, splitKey, type OwnerClaim } from '../../src/journal/record.js'
+import { Subject, decodeValue, encodeRecord, splitKey, type NodeAddress, type OwnerClaim } from '../../src/journal/record.js'
 import { HANDOVER_DELAY_MS } from '../../src/membership/handover.js'
 import { Links } from '../../src/membership/links.js'
 import { StoreFailure, Topic, type RecordPage } from '../../src/ports/store.js'
@@ -128,6 +128,20 @@
     expect([owners(), adopted.length]).toEqual([['n2', 'n3'], 40])
   }, 20_000)
 
+  // Guards against a takeover from an owner that works: the address of a former process of its node, whose append the store carried
+  // out late, was taken for that of a process which had replaced the owner.
+  it('stays with an owner whose node has the address of a former process in the journal for a while', async () => {
+    await cluster.start(NODES)
+    expect(await waitFor(() => owners().length === 1 && cluster.nodes.every((node) => node.ready()), 5000)).toBe(true)
+    const { node, host, port, zone } = cluster.settings.get(owners()[0]!)!
+    const former: NodeAddress = { node, incarnation: 'former', startedMs: Date.now() - 60_000, host, port, zone, leaving: true }
+    for (let count = 0; count < 10; count++) {
+      cluster.store.put(Topic.Journal, encodeRecord(Subject.Node, node, former))
+      await sleep(200)
+    }
+    expect(owners()).toEqual([node])
+  })
+
   // Guards against a working owner whose candidates all claim the cell: a former owner, which had read the newer claim but not the
   // rest of the journal, announced its planned stop under the epoch of that claim.
   it('learns from an owner that stops while it reads a newer claim only of the stop of its own ownership', async () => {
--- a/packages/control/test/membership/claimant.spec.ts
+++ b/packages/control/test/membership/claimant.spec.ts
@@ -31,7 +31,7 @@
   store = new SilentStore()
   clock = new FakeClock()
   access = new StoreAccess(store, async () => err(StoreFailure.NoAnswer), new SystemClock(), () => {})
-  claimant = new Claimant(access, clock, 'a', 'process')
+  claimant = new Claimant(access, clock, 'a', 'process', 0)
 })
 afterEach(() => { vi.useRealTimers() })
 
--- a/packages/control/test/membership/owner-watch.spec.ts
+++ b/packages/control/test/membership/owner-watch.spec.ts
@@ -1,6 +1,6 @@
 import { beforeEach, describe, expect, it } from 'vitest'
 import { JournalState } from '../../src/journal/journal-state.js'
-import { Subject, encodeRecord } from '../../src/journal/record.js'
+import { Subject, encodeRecord, type NodeAddress, type OwnerClaim } from '../../src/journal/record.js'
 import { OwnerWatch } from '../../src/membership/owner-watch.js'
 import { FakeClock } from '../fakes.js'
 
@@ -31,12 +31,12 @@
   watch.update(journalState, false)
 }
 
-function readClaim (epoch: number, node: string, incarnation: string): void {
-  read(Subject.Owner, 'cell', { epoch, node, incarnation })
+function readClaim (epoch: number, node: string, incarnation: string, fields: Partial<OwnerClaim> = {}): void {
+  read(Subject.Owner, 'cell', { epoch, node, incarnation, ...fields })
 }
 
-function readAddress (node: string, incarnation: string): void {
-  read(Subject.Node, node, { node, incarnation, host: 'h', port: 1, zone: 'z' })
+function readAddress (node: string, incarnation: string, fields: Partial<NodeAddress> = {}): void {
+  read(Subject.Node, node, { node, incarnation, host: 'h', port: 1, zone: 'z', ...fields })
 }
 
 describe('the watch of the owner', () => {
@@ -96,6 +96,33 @@
     expect([watch.view(0).vacant, watch.hasOwnerReturned()]).toEqual([false, false])
   })
 
+  // Guards against a takeover from an owner that works: the address of a former process of its node, whose append the store carried
+  // out late, was taken for that of a process which had replaced the owner.
+  it.each([
+    { says: 'a former one', startedMs: 1000, leaving: false, returned: false },
+    { says: 'a former one, which announced its stop', startedMs: 1000, leaving: true, returned: false },
+    { says: 'a later one', startedMs: 3000, leaving: false, returned: true },
+    { says: 'one of an earlier build', startedMs: undefined, leaving: false, returned: true }
+  ])('counts the cell as vacant only if the other process of the owner\'s node is not a former one: it is $says', (row) => {
+    readAddress('b', '2', { startedMs: 2000 })
+    readClaim(1, 'b', '2', { startedMs: 2000 })
+    links.linked = true
+    readAddress('b', '1', { startedMs: row.startedMs, leaving: row.leaving })
+    expect(watch.view(0)).toMatchObject({ vacant: row.returned, left: false })
+    expect(watch.hasOwnerReturned()).toBe(row.returned)
+  })
+
+  // Guards against a cell without an owner for as long as a node waits for the end of a connection to another process than the owner's:
+  // the clock of the machine was set back before the process started.
+  it('counts no connection to another process as one to the owner', () => {
+    readAddress('b', '2', { startedMs: 2000 })
+    readClaim(1, 'b', '2', { startedMs: 2000 })
+    links.linked = true
+    expect(watch.view(0).linked).toBe(true)
+    readAddress('b', '3', { startedMs: 1000 })
+    expect(watch.view(0).linked).toBe(false)
+  })
+
   it('knows that the last owner was this node', () => {
     readClaim(1, 'a', '1')
     expect(watch.view(0).vacant).toBe(true)
