Gateways: close the connections to a worker only while they are its own

What callers saw: nothing reported. By reading: calls to a worker fail without an answer, among them starts, whose runs are then stopped and started again.

Cause: connections belong to an address, and the removal of a worker closed those to its address, whichever worker has it by then. It breaks off the calls in flight there. An owner removes a worker 10 s after it has lost its entry, and another one may have registered at the address before. Other nodes closed the connections however late they came to the request, also for an earlier owner.

Fix: an owner closes no connections to an address that it knows for another worker. Another node closes them within a second of the request, and only if no other worker and no later incarnation was called at the address since.

--- a/packages/control/src/membership/fleet-gateways.ts
+++ b/packages/control/src/membership/fleet-gateways.ts
@@ -2,7 +2,7 @@
  * Makes the owner's calls to workers through other nodes, so that a small owner keeps its processor for the decisions. Nothing is
  * decided there: a gateway makes the call and returns the result.
  */
-import { MessageKind, type Command } from '@fireflymount/protocol/message'
+import { MessageKind, type Command, type Disconnect } from '@fireflymount/protocol/message'
 import { Execution, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
 import { sleep, type Clock } from '../clock.js'
@@ -22,6 +22,8 @@
 /** Timeout of a repeated report request: a healthy worker and a healthy gateway answer within milliseconds. */
 const REPEAT_TIMEOUT_MS = 400
 const DISCONNECT_TIMEOUT_MS = 1000
+/** How long another node may close the connections to a worker. Later calls may use them: the worker may be found again. */
+const DISCONNECT_VALIDITY_MS = 1000
 /** A timer that fires later than this after its time was held up, as was the reading of answers. */
 const LATE_TIMER_MS = 200
 /** Number of other nodes that are asked to make one call before this node makes it. */
@@ -117,11 +119,15 @@
 
   override closeConnections (worker: WorkerAddress): void {
     const { direct, links, node } = this.options
+    const gateways = this.routes.forget(worker)
+    // Another worker that has the address now shares the connections.
+    if (this.routes.hasAddress(worker.address)) return
     direct.closeConnections(worker)
     const { id, address, zone, born } = worker
-    for (const gateway of this.routes.forget(worker)) {
+    const request: Disconnect = { kind: MessageKind.Disconnect, worker: { id, address, zone, born } }
+    for (const gateway of gateways) {
       if (gateway === node || !links.has(gateway)) continue
-      detach(links.ask(gateway, { kind: MessageKind.Disconnect, worker: { id, address, zone, born } }, DISCONNECT_TIMEOUT_MS))
+      detach(links.ask(gateway, request, DISCONNECT_TIMEOUT_MS, DISCONNECT_VALIDITY_MS))
     }
   }
 
--- a/packages/control/src/membership/gateway-routes.ts
+++ b/packages/control/src/membership/gateway-routes.ts
@@ -181,6 +181,12 @@
     return route.used
   }
 
+  /** True if there is a route to a worker with the address. */
+  hasAddress (address: string): boolean {
+    for (const { worker } of this.routes.values()) if (worker.address === address) return true
+    return false
+  }
+
   /** Returns the route to a worker; undefined if the worker has moved to another address since the call. */
   private find (worker: WorkerAddress): Route | undefined {
     const route = this.routes.get(worker.id)
--- a/packages/control/src/membership/gateway-server.ts
+++ b/packages/control/src/membership/gateway-server.ts
@@ -24,6 +24,8 @@
 export class GatewayServer {
   /** Number of calls that are in progress. */
   open = 0
+  /** The worker that was called last at each address. */
+  private readonly lastWorkers = new Map<string, Command['worker']>()
 
   constructor (private readonly fleet: Fleet, private readonly isLeaving: () => boolean) {}
 
@@ -41,13 +43,17 @@
     }
   }
 
-  /** Closes the connections to a worker. */
-  disconnect (request: Disconnect): Result<true, Refusal> {
-    this.fleet.closeConnections(request.worker)
+  /** Closes the connections to a worker, unless another worker or a later incarnation has been called at its address since. */
+  disconnect ({ worker }: Disconnect): Result<true, Refusal> {
+    const last = this.lastWorkers.get(worker.address)
+    if (last !== undefined && (last.id !== worker.id || last.born > worker.born)) return ok(true)
+    this.lastWorkers.delete(worker.address)
+    this.fleet.closeConnections(worker)
     return ok(true)
   }
 
   private call ({ worker, start, stop, throttle, report }: Command): Promise<Result<Commanded, WorkerFailure>> | undefined {
+    this.lastWorkers.set(worker.address, worker)
     if (start !== undefined) return this.fleet.start(worker, start)
     if (stop !== undefined) return this.fleet.stop(worker, stop)
     if (throttle !== undefined) return this.fleet.throttle(worker, throttle, throttle.percent)
--- a/packages/control/test/membership/fleet-gateways.spec.ts
+++ b/packages/control/test/membership/fleet-gateways.spec.ts
@@ -372,6 +372,27 @@
     expect(harness.calls.slice(1)).toMatchObject([{ through: first, request: { kind: MessageKind.Disconnect } }])
   })
 
+  // Guards against calls to a worker that are broken off because the one that had its address before is removed.
+  it('stay open while another worker has the address, and are closed with the last one', async () => {
+    const harness = new Harness(0)
+    const successor = createWorker({ id: 'w2' })
+    await harness.start()
+    await harness.start(successor)
+    harness.fleet.closeConnections(WORKER)
+    expect(harness.direct.closedAddresses).toEqual([])
+    harness.fleet.closeConnections(successor)
+    expect(harness.direct.closedAddresses).toEqual([WORKER.address])
+  })
+
+  // Guards against calls that are broken off by a node which was suspended and then closes the connections of an earlier session.
+  it('are closed by other nodes at once or not at all', async () => {
+    const harness = new Harness(8)
+    await harness.start()
+    harness.fleet.closeConnections(WORKER)
+    expect(harness.calls.at(-1)!.request!.kind).toBe(MessageKind.Disconnect)
+    expect(harness.calls.at(-1)!.validMs).toBeLessThanOrEqual(COMMAND_VALIDITY_MS)
+  })
+
   it('of an earlier address do not count as a failure of the new one', async () => {
     const harness = new Harness(8)
     const [first] = await harness.start()
--- a/packages/control/test/membership/gateway-server.spec.ts
+++ b/packages/control/test/membership/gateway-server.spec.ts
@@ -68,4 +68,19 @@
     const refused = (await send(new GatewayServer(new FakeFleet(), () => false), {}))._unsafeUnwrapErr()
     expect([refused.reason, refused.execution]).toEqual([Reason.Malformed, Execution.NotRun])
   })
+
+  // Guards against calls to a worker that are broken off because another owner, or this one, has removed the worker that had its
+  // address before.
+  it.each([
+    { says: 'the one that was called last', called: WORKER, closed: true },
+    { says: 'one whose address another worker has now', called: { ...WORKER, id: 'w2' }, closed: false },
+    { says: 'an incarnation that another one has replaced', called: { ...WORKER, born: 20 }, closed: false }
+  ])('closes the connections to a worker only if it is $says', async ({ called, closed }) => {
+    const fleet = new FakeFleet()
+    const server = new GatewayServer(fleet, () => false)
+    await send(server, { stop: RUN })
+    await server.command({ kind: MessageKind.Command, worker: called, stop: RUN })
+    server.disconnect({ kind: MessageKind.Disconnect, worker: WORKER })
+    expect(fleet.closedAddresses).toEqual(closed ? [WORKER.address] : [])
+  })
 })
