Registry: the late entry of an earlier incarnation does not replace that of the present one

What callers saw: nothing reported.

Cause: workers write their entries to the store, which may carry out a call that got no answer seconds later. The registry took each entry that it read for the newest one.

Fix: an entry with an earlier start time than the known one is ignored, as the session does with reports. The next entry of the worker, and the removal of its entry, are applied as before.

--- a/packages/control/src/owner/registry.ts
+++ b/packages/control/src/owner/registry.ts
@@ -41,6 +41,8 @@
     if (record.value === undefined) return this.remove(record.key)
     const worker = this.formats.decodeWorker(record.key, record.value)
     if (worker.isErr()) return this.reject(record.key, worker.error)
+    // The store may carry out a write of an earlier incarnation late. The next write of the present one replaces it there.
+    if (worker.value.born < (this.workers.get(record.key)?.born ?? 0)) return
     this.missingSince.delete(record.key)
     this.workers.set(record.key, worker.value)
     this.listener.onWorker(worker.value)
