Worker loss detector: a late list of machines says nothing of a later incarnation

What callers saw: nothing reported.

When it had arrived, each worker that was silent before the request, and is silent again or still, was judged by it. The state of its machine may be that of the end of the earlier incarnation, or from between two silences.

Fix: a list is applied to a worker only if the worker has neither restarted nor answered since the request.

Evidence: two cases of worker-loss-detector.spec.ts failed before (the runs were declared lost) and pass now.

--- a/packages/control/src/owner/worker-loss-detector.ts
+++ b/packages/control/src/owner/worker-loss-detector.ts
@@ -14,6 +14,13 @@
  */
 const MIN_SILENCE_MS = 1200
 
+/** A session whose worker did not answer when the list was requested. */
+interface SilentSession {
+  readonly session: Session
+  readonly born: number
+  readonly lastAnswerMs: number
+}
+
 /** Polls the list of machines, but only while workers with runs do not answer, because each request costs a call to the platform. */
 export class WorkerLossDetector {
   private polledMs = -Infinity
@@ -30,15 +37,20 @@
   async tick (sessions: Iterable<Session>): Promise<void> {
     const nowMs = this.clock.now()
     if (this.polling || nowMs - this.polledMs < POLL_INTERVAL_MS) return
-    const silent = [...sessions].filter((session) => session.runs.size > 0 && session.silentMs() > MIN_SILENCE_MS)
+    const silent: SilentSession[] = []
+    for (const session of sessions) {
+      if (session.runs.size === 0 || session.silentMs() <= MIN_SILENCE_MS) continue
+      silent.push({ session, born: session.born, lastAnswerMs: session.lastAnswerMs })
+    }
     if (silent.length === 0) return
     this.polling = true
     this.polledMs = nowMs
     const listed = await this.machines.list()
     this.polling = false
     if (listed.isErr()) return
-    for (const session of silent) {
-      if (session.silentMs() <= MIN_SILENCE_MS) continue
+    for (const { session, born, lastAnswerMs } of silent) {
+      // The list may be from before a restart or an answer of the worker.
+      if (session.silentMs() <= MIN_SILENCE_MS || session.born !== born || session.lastAnswerMs !== lastAnswerMs) continue
       const reason = this.findLoss(session, listed.value)
       if (reason !== undefined) session.declareLost(reason)
     }
--- a/packages/control/test/owner/worker-loss-detector.spec.ts
+++ b/packages/control/test/owner/worker-loss-detector.spec.ts
@@ -1,11 +1,12 @@
+import { ok } from 'neverthrow'
 import { describe, expect, it } from 'vitest'
 import { JobEntry } from '../../src/journal/journal-state.js'
 import { Ledger, chargeOf } from '../../src/owner/ledger.js'
-import { Run } from '../../src/owner/run.js'
+import { Run, RunState } from '../../src/owner/run.js'
 import { Session } from '../../src/owner/session.js'
 import { WorkerLossDetector } from '../../src/owner/worker-loss-detector.js'
 import { MachineState, type Machine } from '../../src/ports/machines.js'
-import { FakeClock, FakeFleet, ListedMachines, createJob, createMachine, createSessionHost, createWorker } from '../fakes.js'
+import { FakeClock, FakeFleet, ListedMachines, NoMachines, createJob, createMachine, createSessionHost, createWorker } from '../fakes.js'
 
 function machine (name: string, state: MachineState, worker: string): Machine {
   return createMachine({ name, state, worker })
@@ -60,3 +61,39 @@
     expect(await isLost('', machines, missingMs)).toBe(lost)
   })
 })
+
+/** Answers a request for the list when a test lets it. */
+class SlowMachines extends NoMachines {
+  answer: (machines: Machine[]) => void = () => {}
+  override async list (): ReturnType<NoMachines['list']> {
+    return await new Promise((resolve) => { this.answer = (machines) => { resolve(ok(machines)) } })
+  }
+}
+
+describe('a list of machines that arrives late', () => {
+  // Guards against running work that is started again elsewhere: a list that was requested before a worker restarted, or answered
+  // again, shows the end of an earlier incarnation, and its present runs were declared lost.
+  it.each<[string, (session: Session, clock: FakeClock) => void, boolean]>([
+    ['has been silent all the while', () => {}, true],
+    ['has restarted', (session) => { session.update(createWorker({ born: 20 })) }, false],
+    ['has answered', (session, clock) => { session.lastAnswerMs = clock.now() }, false]
+  ])('declares the runs of a worker lost only if it %s', async (_, meanwhile, expected) => {
+    const clock = new FakeClock()
+    let lost = false
+    const host = createSessionHost({ fleet: new FakeFleet(), clock, onRunsLost: () => { lost = true } })
+    const session = new Session(createWorker(), host)
+    const entry = new JobEntry(createJob())
+    const run = new Run(entry, entry.task(0, 0, 0), 1, session, chargeOf(entry.job.steps[0]!), '', clock.now())
+    run.state = RunState.Starting
+    new Ledger().add(run)
+    const machines = new SlowMachines()
+    const detector = new WorkerLossDetector(machines, clock, () => 0)
+    clock.advance(1300)
+    const ticking = detector.tick([session])
+    meanwhile(session, clock)
+    clock.advance(1300)
+    machines.answer([createMachine({ state: Down })])
+    await ticking
+    expect(lost).toBe(expected)
+  })
+})
