Registration: announce a stop again if an earlier record of the process is written late

What callers saw: nothing reported.

Cause: an address is appended without a fence and, if the store is slow, on two paths. One path may be carried out after the announcement of the stop, and replaces it. Only records of other processes were replaced in turn.

Fix: a node that is about to stop writes its announcement again when the newest record is one of its own without it.

Evidence: the new case of registration.spec.ts failed before (no record instead of one) and passes now.

--- a/packages/control/src/membership/registration.ts
+++ b/packages/control/src/membership/registration.ts
@@ -46,14 +46,17 @@
   }
 
   /**
-   * Writes the address again if the journal has none or that of an earlier process, which may be written late.
+   * Writes the address again if the journal has none or that of an earlier process, which may be written late. After the announcement
+   * of the stop, does so only if an earlier record of this process was written late.
    *
    * @param readThrough offset up to which the journal state has been read
    */
   check (journalState: JournalState, readThrough: number): void {
     const { node, incarnation } = this.address
-    if (this.writing || this.leaving || this.offset === undefined || readThrough <= this.offset) return
-    if (journalState.nodes.get(node)?.incarnation !== incarnation) detach(this.write())
+    if (this.writing || this.offset === undefined || readThrough <= this.offset) return
+    const address = journalState.nodes.get(node)
+    const isOwn = address?.incarnation === incarnation
+    if (this.leaving ? isOwn && address.leaving !== true : !isOwn) detach(this.write())
   }
 }
 
--- a/packages/control/test/membership/registration.spec.ts
+++ b/packages/control/test/membership/registration.spec.ts
@@ -70,6 +70,23 @@
     expect(countRecords()).toBe(count)
   })
 
+  // Guards against an owner that stops without a successor: the store carried out its first registration again after the announcement of
+  // its stop, and a node that read the journal later did not learn of that.
+  it.each([
+    ['of its own process from before the announcement', { ...ADDRESS, leaving: false }, true],
+    ['of its own process that announces the stop', { ...ADDRESS, leaving: true }, false],
+    ['of another process', { ...ADDRESS, incarnation: '3' }, false]
+  ])('of a node that is about to stop is written again or not after a record %s', async (_, later, again) => {
+    await registration.write()
+    await registration.announceStop()
+    store.put(Topic.Journal, encodeRecord(Subject.Node, 'a', later))
+    const count = countRecords()
+    registration.check(readJournal(), count)
+    await vi.advanceTimersByTimeAsync(10)
+    expect(countRecords() - count).toBe(Number(again))
+    if (again) expect(readJournal().nodes.get('a')).toMatchObject({ ...ADDRESS, leaving: true })
+  })
+
   it.each([
     ['its record has not been read yet', async () => {}],
     ['the node is about to stop', async () => { await registration.announceStop() }]
