Gateways: the validity of a command includes the time that it waits for other nodes

What callers saw: nothing reported. By reading: a command that waits after a takeover may be executed up to 0.4 s later than the leases assume, so that a run may be taken for ended 0.4 s too early.

Cause: a command waits up to 0.4 s while few nodes are connected, and the second for which it is valid was counted from the end of the wait. owner/lease.ts counts from when the owner sent it.

Fix: the validity is counted from before the wait.

Evidence: the new case of fleet-gateways.spec.ts failed before (valid for 1000 ms instead of 700 after a wait of 300 ms) and passes now.

--- a/packages/control/src/membership/fleet-gateways.ts
+++ b/packages/control/src/membership/fleet-gateways.ts
@@ -147,11 +147,12 @@
    * @param tried nodes that must not be asked; the nodes that are asked are added
    */
   private async send<T> (call: Call<T>, tried = new Set<string>()): Promise<Result<T, WorkerFailure>> {
+    const { clock } = this.options
+    const sentAt = clock.stamp()
     this.routes.add(call.worker)
     // Workers that become known together are added before the first of them is called.
     await this.waitForGateways()
-    const { clock } = this.options
-    const sentAt = clock.stamp()
+    const askedAt = clock.stamp()
     for (let refusals = 0; ; refusals++) {
       const validMs = COMMAND_VALIDITY_MS - clock.ageOf(sentAt)
       // No node has made the call.
@@ -164,7 +165,7 @@
       if (answer.error.execution !== Execution.NotRun) {
         this.options.metrics.gatewayCalls.inc({ outcome: 'unanswered' })
         // A repeated report request times out before the gateway gives up. A timer that fires late says nothing about the gateway.
-        const wasLate = clock.ageOf(sentAt) > call.timeoutMs + LATE_TIMER_MS
+        const wasLate = clock.ageOf(askedAt) > call.timeoutMs + LATE_TIMER_MS
         if (call.timeoutMs > COMMAND_TIMEOUT_MS && !wasLate) this.routes.onSilent(gateway)
         this.routes.onUnanswered(call.worker, gateway)
         return err(WorkerFailure.NoAnswer)
--- a/packages/control/test/membership/fleet-gateways.spec.ts
+++ b/packages/control/test/membership/fleet-gateways.spec.ts
@@ -209,6 +209,20 @@
     expect(Math.max(...latestMs)).toBeLessThanOrEqual(COMMAND_VALIDITY_MS)
   })
 
+  // Guards against the same: the time for which a command waited for connections was not counted.
+  it('is valid for less time if it has waited for other nodes', async () => {
+    const harness = new Harness(6)
+    const nodes = harness.connected
+    harness.connected = []
+    const starting = harness.start()
+    await vi.advanceTimersByTimeAsync(100)
+    harness.clock.advance(300)
+    harness.connected = nodes
+    await vi.advanceTimersByTimeAsync(100)
+    await starting
+    expect(harness.calls[0]!.validMs).toBe(COMMAND_VALIDITY_MS - 300)
+  })
+
   it('is made by the owner if three nodes refuse it', async () => {
     const harness = new Harness(6)
     harness.answer = () => NOT_SENT
