--- a/packages/control/test/fakes.ts
+++ b/packages/control/test/fakes.ts
@@ -38,6 +38,9 @@
   }
 }
 
+/** Number of the last fenced appends whose repetition receives the first response again. */
+const REPEATABLE_APPENDS = 5
+
 /** An in-memory store of keyed topics with fenced appends, which follows the platform's documentation. */
 export class FakeStore extends StoreClient {
   readonly records: Record<Topic, StoredRecord[]> = {
@@ -104,6 +107,7 @@
       this.epoch = fence.epoch
       this.nextSequence = fence.sequence + 1
       this.offsetsBySequence.set(fence.sequence, this.records[topic].length)
+      this.offsetsBySequence.delete(fence.sequence - REPEATABLE_APPENDS)
     }
     const offset = this.records[topic].length
     for (const record of records) this.put(topic, record)
