Advisor client: the late refusal of an earlier ticket does not expire the present one

What callers saw: nothing reported. By reading: a start waits for one more call of the advisor.

Cause: a worker that refuses a start for its ticket made the owner drop the newest ticket for the step, although the start may have carried an earlier one, from before its expiry or from before a restart of the worker.

Fix: only the ticket that was refused expires.

Evidence: the new case of advisor-client.spec.ts failed before (expired instead of valid) and passes now.

--- a/packages/control/src/owner/advisor-client.ts
+++ b/packages/control/src/owner/advisor-client.ts
@@ -192,10 +192,10 @@
   }
 
   /** Marks a ticket as expired after a worker refused it, so that a new one is requested. */
-  expire (step: string, worker: string): void {
+  expire (step: string, worker: string, refused: string): void {
     const known = this.steps.get(step)
     const ticket = known?.tickets.get(worker)
-    if (ticket !== undefined) known!.tickets.set(worker, { ...ticket, untilMs: 0 })
+    if (ticket?.text === refused) known!.tickets.set(worker, { ...ticket, untilMs: 0 })
   }
 
   /** Drops the advice and the queued requests for a job that has ended. */
--- a/packages/control/src/owner/run-end-handler.ts
+++ b/packages/control/src/owner/run-end-handler.ts
@@ -217,7 +217,7 @@
   /** Handles a run that has provably not started, or has ended without being reported. */
   onRunReleased (run: Run, reason: string): void {
     this.options.log.decision('run released', { task: run.name, run: run.number, worker: run.session.id, reason })
-    if (reason === WorkerFailure.NoTicket) this.options.advisorClient.expire(run.stepName, run.session.id)
+    if (reason === WorkerFailure.NoTicket) this.options.advisorClient.expire(run.stepName, run.session.id, run.ticket)
     else this.delayTask(run.name)
     const entry = this.endRun(run, RunOutcome.Stopped)
     if (!entry.isFinishedOrCancelled()) this.stopGang(entry, run.task)
--- a/packages/control/test/owner/advisor-client.spec.ts
+++ b/packages/control/test/owner/advisor-client.spec.ts
@@ -92,6 +92,20 @@
     expect(client.ticketStatus('a', { id, born })).toBe(status)
   })
 
+  // Guards against a valid ticket that is dropped because a worker has refused the one before it late.
+  it.each([
+    ['the ticket that it has', 'second', TicketStatus.Expired],
+    ['an earlier ticket', 'first', TicketStatus.Valid]
+  ])('counts a ticket as expired only if the worker has refused that one: it refused %s', async (_, refused, status) => {
+    const { client, calls } = createHarness()
+    for (const ticket of ['first', 'second']) {
+      client.request('a', WORKERS, LONG, 1, true)
+      await calls.at(-1)!.answer(ok([['w1', ticket]]))
+    }
+    client.expire('a', 'w1', refused)
+    expect(client.ticketStatus('a', WORKERS[0]!)).toBe(status)
+  })
+
   it('asks again after an unanswered call', async () => {
     const { client, calls } = createHarness()
     client.request('a', WORKERS, LONG, 1, true)
