--- a/packages/control/src/membership/gateway-server.ts
+++ b/packages/control/src/membership/gateway-server.ts
@@ -15,6 +15,8 @@
   ended: ReadonlyArray<readonly [position: number, task: string, run: number, ending: RunOutcome, checkpoint: string]>
 ]
 
+/** Maximum number of addresses for which the worker that was called last is known. */
+const MAX_LAST_WORKERS = 20_000
 const OUTCOMES: ReadonlySet<unknown> = new Set(Object.values(RunOutcome))
 
 /** The result of a call that a gateway made: the worker's clock for most commands, a report, or why the call failed. */
@@ -24,6 +26,8 @@
 export class GatewayServer {
   /** Number of calls that are in progress. */
   open = 0
+  /** The worker that was called last at each address; the least recently called one first. */
+  private readonly lastWorkers = new Map<string, Command['worker']>()
 
   constructor (private readonly fleet: Fleet, private readonly isLeaving: () => boolean) {}
 
@@ -41,13 +45,24 @@
     }
   }
 
-  /** Closes the connections to a worker. */
-  disconnect (request: Disconnect): Result<true, Refusal> {
-    this.fleet.closeConnections(request.worker)
+  /** Closes the connections to a worker, unless another worker or a later incarnation has been called at its address since. */
+  disconnect ({ worker }: Disconnect): Result<true, Refusal> {
+    const last = this.lastWorkers.get(worker.address)
+    if (last !== undefined && (last.id !== worker.id || last.born > worker.born)) return ok(true)
+    this.lastWorkers.delete(worker.address)
+    this.fleet.closeConnections(worker)
     return ok(true)
   }
 
+  private noteWorker (worker: Command['worker']): void {
+    this.lastWorkers.delete(worker.address)
+    this.lastWorkers.set(worker.address, worker)
+    const oldest = this.lastWorkers.keys().next()
+    if (this.lastWorkers.size > MAX_LAST_WORKERS && oldest.done !== true) this.lastWorkers.delete(oldest.value)
+  }
+
   private call ({ worker, start, stop, throttle, report }: Command): Promise<Result<Commanded, WorkerFailure>> | undefined {
+    this.noteWorker(worker)
     if (start !== undefined) return this.fleet.start(worker, start)
     if (stop !== undefined) return this.fleet.stop(worker, stop)
     if (throttle !== undefined) return this.fleet.throttle(worker, throttle, throttle.percent)
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -156,9 +156,10 @@
     })
     this.relayServer = new RelayServer(this.storeAccess)
     const { node, zone, host, port, processorShare } = settings
-    const address: NodeAddress = { node, incarnation: this.incarnation, host, port, zone, processorShare }
+    const startedMs = clock.wall()
+    const address: NodeAddress = { node, incarnation: this.incarnation, startedMs, host, port, zone, processorShare }
     this.registration = new Registration(this.storeAccess, address, this.stopController.signal)
-    this.claimant = new Claimant(this.storeAccess, clock, settings.node, this.incarnation)
+    this.claimant = new Claimant(this.storeAccess, clock, settings.node, this.incarnation, startedMs)
     this.journal = new Follower(this.storeAccess, Topic.Journal, {
       onRecord: (record) => { this.applyRecord(record) },
       onRejected: (record, error) => { this.onRecordFailed(Topic.Journal, record, error) },
@@ -218,10 +219,9 @@
     this.options.log.event('node draining', { owner: owner !== undefined })
     detach(this.registration.announceStop())
     if (owner === undefined) return
-    const { epoch } = this.journalState.ownerClaim!
     this.owner = undefined
     owner.close()
-    await this.askForSuccessor(epoch)
+    await this.askForSuccessor(owner.epoch)
   }
 
   /** Asks the connected nodes to claim the cell at once. */
@@ -428,6 +428,7 @@
       epoch,
       sequence: held.sequence,
       claimedAt: held.heldAt,
+      journalReadAt: () => this.journal.freshAt,
       journalState: this.journalState,
       store: this.storeAccess,
       fleet: this.createFleet(),
--- a/packages/control/test/fakes.ts
+++ b/packages/control/test/fakes.ts
@@ -39,6 +39,9 @@
   }
 }
 
+/** Number of the last fenced appends whose repetition receives the first response again. */
+const REPEATABLE_APPENDS = 5
+
 /** An in-memory store of keyed topics with fenced appends, which follows the platform's documentation. */
 export class FakeStore extends StoreClient {
   readonly records: Record<Topic, StoredRecord[]> = {
@@ -105,6 +108,7 @@
       this.epoch = fence.epoch
       this.nextSequence = fence.sequence + 1
       this.offsetsBySequence.set(fence.sequence, this.records[topic].length)
+      this.offsetsBySequence.delete(fence.sequence - REPEATABLE_APPENDS)
     }
     const offset = this.records[topic].length
     for (const record of records) this.put(topic, record)
@@ -298,6 +302,7 @@
   return {
     sequence: 1,
     claimedAt: fields.clock.stamp(),
+    journalReadAt: () => fields.clock.stamp(),
     machines: new NoMachines(),
     formats: new PlainFormats(),
     askAdvisor: async () => err(AdviceFailure.NoAnswer),
--- a/packages/control/test/journal/steady-cell.ts
+++ b/packages/control/test/journal/steady-cell.ts
@@ -96,6 +96,7 @@
     epoch: epochAfter(0),
     sequence: 1,
     claimedAt: clock.stamp(),
+    journalReadAt: () => clock.stamp(),
     journalState,
     store: new StoreAccess(store, async () => err(StoreFailure.Refused), clock, () => {}),
     fleet: createFleet(store, clock.wall()),
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -73,6 +73,7 @@
       epoch: ordinal * epochAfter(0),
       sequence: 1,
       claimedAt: this.clock.stamp(),
+      journalReadAt: () => this.clock.stamp(),
       journalState,
       store: new StoreAccess(this.store, async () => err(StoreFailure.Refused), this.clock, () => {}),
       fleet: this.fleet,
--- a/packages/measure/src/owner-load/load.ts
+++ b/packages/measure/src/owner-load/load.ts
@@ -6,6 +6,7 @@
 import { detach } from '@fireflymount/control/detach'
 import { JournalState } from '@fireflymount/control/journal/journal-state'
 import { encodeJob } from '@fireflymount/control/journal/record'
+import { epochAfter } from '@fireflymount/control/owner/fence'
 import { Owner } from '@fireflymount/control/owner/owner'
 import { StandardLog } from '@fireflymount/control/report/log'
 import { Metrics } from '@fireflymount/control/report/metrics'
@@ -112,9 +113,10 @@
     const adviceByJob = new Map(CONFIGURATION.queues.map(({ name, advice }) => [name, advice]))
     const journalState = new JournalState()
     this.owner = new Owner({
-      epoch: 1,
+      epoch: epochAfter(0),
       sequence: 1,
       claimedAt: this.clock.stamp(),
+      journalReadAt: () => this.clock.stamp(),
       journalState,
       store: new LoadStore(this.wheel, createWorkers()),
       fleet: this.fleet,
