--- a/packages/control/test/owner/restarted-worker.spec.ts
+++ b/packages/control/test/owner/restarted-worker.spec.ts
@@ -270,3 +270,23 @@
     expect(worker.running.map(({ run }) => run)).toEqual([3])
   })
 })
+
+describe('a start that a worker carries out after it has restarted under its id', () => {
+  // Guards against a task that runs again although its end as done was acknowledged, because a later run of it had been assigned meanwhile.
+  it('completes its task although a later run was assigned, which has not started', async () => {
+    const { worker } = cell
+    worker.holdMs = 900
+    worker.holdsStarts = true
+    await cell.accept(ID)
+    for (let waitedMs = 0; waitedMs < 5000 && worker.heldStarts.length < 2; waitedMs += 5) await advance(5)
+    expect(cell.startsOf(TASK)).toEqual([`${TASK}#1`, `${TASK}#2`])
+    worker.restart()
+    worker.carryOutStart(worker.heldStarts[0]!)
+    worker.end(TASK)
+    cell.register()
+    await advance(60_000)
+    expect({ phase: cell.phaseOf(ID), started: cell.startsOf(TASK) }).toEqual({
+      phase: Phase.Completed, started: [`${TASK}#1`, `${TASK}#2`]
+    })
+  })
+})
