Run ends: an end as done counts although its task was assigned again, until the later run has started

Cause: run 1, whose start got no answer, was stopped and released, and its task assigned again; a later incarnation carries the start of run 1 out. Its end as done changed nothing, since run 2 was in the ledger, and was acknowledged; run 2, which had not started, was then released, and run 3 started. In a report, the end of run 1 also passed for that of run 2, which stayed unreleased.

The end now completes the task, and later runs are stopped, unless one of them is known to have started. For the same reason a start without an answer holds back acknowledgements until a later run has started, not only until one is assigned.

--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -428,6 +428,10 @@
       },
       onEndLost: (run) => { this.runEndHandler.onEndLost(run) },
       onRunMissing: (run, sinceMs) => { this.onRunMissing(run, sinceMs) },
+      hasLaterStarted: ({ name, number }) => {
+        const later = this.ledger.find(name)
+        return later !== undefined && later.number > number && later.state === RunState.Running
+      },
       onReportFailed: (session, error) => {
         options.log.event('report failed unexpectedly', { worker: session.id, error: describeError(error) })
       },
--- a/packages/control/src/owner/run-end-handler.ts
+++ b/packages/control/src/owner/run-end-handler.ts
@@ -20,7 +20,7 @@
 import type { JournalCommitter } from './journal-committer.js'
 import type { ReadySteps } from './ready-step.js'
 import type { Ledger } from './ledger.js'
-import { StopReason, type Run } from './run.js'
+import { RunState, StopReason, type Run } from './run.js'
 import type { Session } from './session.js'
 import { membersOf, applyRunEnd, endJob } from './run-end.js'
 
@@ -122,8 +122,9 @@
     const task = entry.taskByKey(splitTask(ended.task).key)
     const run = this.options.ledger.find(ended.task)
     const isCurrent = run !== undefined && run.number === ended.run && run.session === session
-    // A run that is no longer in the ledger counts only if it failed, or completed and no other run of its task has been assigned.
-    if (!isCurrent && ended.ending !== RunOutcome.Failed && (run !== undefined || ended.ending !== RunOutcome.Done)) {
+    // The end of an earlier run counts if it failed, or if it completed and no later run of its task has started.
+    const hasLaterStarted = !isCurrent && run?.state === RunState.Running
+    if (!isCurrent && ended.ending !== RunOutcome.Failed && (hasLaterStarted || ended.ending !== RunOutcome.Done)) {
       // An earlier attempt to handle the end may have failed before this.
       this.options.readySteps.refresh(entry)
       return this.logUnchanged(session, ended, entry)
@@ -133,6 +134,7 @@
     if (isCurrent) this.options.ledger.remove(run)
     this.recordRunEnd(session, ended, isCurrent ? run : undefined, phase)
     if (changed && ended.ending === RunOutcome.Done && !isFinal(phase)) this.recordStepEnd(entry, task)
+    if (changed && task.stage === Stage.Done) this.stopLaterRuns(entry, task, ended.run)
     if (entry.phase !== phase) this.recordJobEnd(entry)
     if (isCurrent && ended.ending === RunOutcome.Done) this.recordDuration(run)
     if (ended.ending === RunOutcome.Failed || ended.ending === RunOutcome.Done) {
@@ -194,6 +196,14 @@
     }
   }
 
+  /** Stops the runs that were assigned after the one that has completed their task. */
+  private stopLaterRuns (entry: JobEntry, task: TaskEntry, completed: number): void {
+    const members = new Set(membersOf(entry, task))
+    for (const run of [...this.options.ledger.runsOf(entry)]) {
+      if (members.has(run.task) && run.number > completed) detach(run.session.stopRun(run, StopReason.Superseded))
+    }
+  }
+
   /** Stops the other members of a gang, because a gang only runs as a whole. */
   private stopGang (entry: JobEntry, task: TaskEntry): void {
     if (!entry.job.steps[task.step]!.gang) return
--- a/packages/control/src/owner/run-end.ts
+++ b/packages/control/src/owner/run-end.ts
@@ -60,7 +60,6 @@
   if (task.stage === Stage.Done) return endIfComplete(entry, nowMs)
   const members = membersOf(entry, task)
   if (end.ending === RunOutcome.Done && !step.lasting) {
-    if (end.run !== task.run) return false
     for (const member of members) member.stage = Stage.Done
     for (const member of members) entry.markChanged(member)
     endIfComplete(entry, nowMs)
--- a/packages/control/src/owner/run.ts
+++ b/packages/control/src/owner/run.ts
@@ -29,7 +29,7 @@
   Eviction = 'evacuation',
   /** The journal does not contain the run. Not used. */
   Unknown = 'unknown',
-  /** Another run of the task has completed. Not used. */
+  /** An earlier run of the task has completed. */
   Superseded = 'superseded',
   /** A long-running or urgent task needs the capacity. */
   Preempted = 'preempted',
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -37,7 +37,7 @@
 /** Time between two report requests while starts hold back the acknowledgement of ended runs. */
 const BLOCKED_REPORT_INTERVAL_MS = 250
 /** How long starts may hold back an acknowledgement before further ones wait for it, and how long each of those waits at most. */
-const MAX_ACKNOWLEDGEMENT_DELAY_MS = 500
+const MAX_ACKNOWLEDGEMENT_DELAY_MS = 200
 const MAX_ACKNOWLEDGEMENT_WAIT_MS = 1000
 /** Added to the age that an unseen incarnation of the worker can have, when it is compared with the worker's clock. */
 const INCARNATION_AGE_MARGIN_MS = 200
@@ -88,6 +88,8 @@
   readonly onRunMissing: (run: Run, sinceMs: number) => void
   /** Called when a missing run has provably ended. Something has acknowledged its end, which this owner has not read. */
   readonly onEndLost: (run: Run) => void
+  /** Returns true if a later run of a run's task has started. */
+  readonly hasLaterStarted: (run: Run) => boolean
   /** Called with an unexpected error in the handling of a report. Unless it is due to ended runs, the report counts as not answered. */
   readonly onReportFailed: (session: Session, error: unknown) => void
   /** Called when the worker has confirmed the stop of a run. */
@@ -126,7 +128,7 @@
   /** A report request with the current fencing token has acknowledged ended runs. */
   private hasAcknowledged = false
   /** Starts after which the current incarnation has not confirmed the run. */
-  private readonly unsettledStarts = new UnsettledStarts()
+  private readonly unsettledStarts: UnsettledStarts
   /** Time on the steady clock since which ended runs could be acknowledged but for these starts; undefined if they can, or there are none. */
   private acknowledgementBlockedMs: number | undefined
   /** Time on the steady clock at which the last report request was sent that the current incarnation has answered. */
@@ -145,6 +147,7 @@
     this.born = worker.born
     this.lease = new Lease(host.clock, worker.clockMs)
     this.fence = host.fences.create()
+    this.unsettledStarts = new UnsettledStarts(host.hasLaterStarted)
     this.entryUpdatedMs = host.clock.now()
     this.incarnationSeenMs = this.entryUpdatedMs
     this.lastAnswerMs = this.entryUpdatedMs
@@ -533,7 +536,9 @@
     }
     // A run that is not running may have ended and be omitted from a full report.
     if (report.ended.length >= this.host.fleet.maxReportedEnds) return
-    for (const ended of report.ended) listed.add(ended.task)
+    for (const ended of report.ended) {
+      if (this.runs.get(ended.task)?.number === ended.run) listed.add(ended.task)
+    }
     for (const task of this.unknownRuns) {
       if (!listed.has(task)) this.unknownRuns.delete(task)
     }
--- a/packages/control/src/owner/unsettled-starts.ts
+++ b/packages/control/src/owner/unsettled-starts.ts
@@ -24,6 +24,9 @@
 export class UnsettledStarts {
   private readonly starts = new Map<Run, UnsettledStart>()
 
+  /** @param hasLaterStarted true if a later run of a run's task has started */
+  constructor (private readonly hasLaterStarted: (run: Run) => boolean) {}
+
   /** Adds a start that is about to be sent, at a time on the steady clock. */
   add (run: Run, nowMs: number): void {
     this.starts.set(run, { sentMs: nowMs, answer: Answer.Awaited })
@@ -60,8 +63,8 @@
    */
   private prune (nowMs: number): void {
     for (const [run, { sentMs }] of this.starts) {
-      const { entry, task, number, confirmed } = run
-      const isOver = task.run !== number || task.stage === Stage.Done || entry.isFinishedOrCancelled()
+      const { entry, task, confirmed } = run
+      const isOver = this.hasLaterStarted(run) || task.stage === Stage.Done || entry.isFinishedOrCancelled()
       if (confirmed !== undefined || isOver || nowMs - sentMs > MAX_COMMAND_DELAY_MS) this.starts.delete(run)
     }
   }
--- a/packages/control/test/fakes.ts
+++ b/packages/control/test/fakes.ts
@@ -289,6 +289,7 @@
     onEndsSkipped: ignore,
     onRunMissing: ignore,
     onEndLost: ignore,
+    hasLaterStarted: () => false,
     onReportFailed: ignore,
     onStopConfirmed: ignore,
     ...fields
