Throttle: compare the wanted speed with the confirmed one, not with the reported progress

Callers saw: every best-effort run beside a serving task got a throttle command at each check, whether or not its speed had changed, and a run whose progress happened to equal the wanted speed got none, so that it went on at full speed beside a task over its latency target.

Cause: the fourth entry of a report's row was taken for the speed to which the worker has throttled the run. It is the run's progress.

The owner now keeps the speed that the worker has confirmed for each run. It is unknown while a command is in flight, after one that failed, and for a run of an earlier owner; the command is then sent again. Only one command for a run is in flight, so that answers and effects cannot overtake each other. The model calls the reported value progress.

Not covered: a command that got no answer and that the worker executes after a later, confirmed one.

--- a/packages/control/src/membership/gateway-server.ts
+++ b/packages/control/src/membership/gateway-server.ts
@@ -11,7 +11,7 @@
 export type CompactReport = readonly [
   born: number,
   clockMs: number,
-  running: ReadonlyArray<readonly [task: string, run: number, checkpoint: string, percent: number, load: number]>,
+  running: ReadonlyArray<readonly [task: string, run: number, checkpoint: string, progress: number, load: number]>,
   ended: ReadonlyArray<readonly [position: number, task: string, run: number, ending: RunOutcome, checkpoint: string]>
 ]
 
@@ -60,7 +60,7 @@
 /** Converts a report to the form in which it is sent. */
 export function compactReport (report: Report): CompactReport {
   const running = report.running.map(
-    ({ task, run, checkpoint, percent, load }) => [task, run, checkpoint, percent, load] as const)
+    ({ task, run, checkpoint, progress, load }) => [task, run, checkpoint, progress, load] as const)
   const ended = report.ended.map(
     ({ position, task, run, ending, checkpoint }) => [position, task, run, ending, checkpoint] as const)
   return [report.born, report.clockMs, running, ended]
@@ -78,7 +78,7 @@
   return {
     born,
     clockMs,
-    running: running.map(([task, run, checkpoint, percent, load]) => ({ task, run, checkpoint, percent, load })),
+    running: running.map(([task, run, checkpoint, progress, load]) => ({ task, run, checkpoint, progress, load })),
     ended: ended.map(([position, task, run, ending, checkpoint]) => ({ position, task, run, ending, checkpoint }))
   }
 }
@@ -92,9 +92,9 @@
 
 function isActiveRow (row: unknown): boolean {
   if (!Array.isArray(row)) return false
-  const [task, run, checkpoint, percent, load] = row as unknown[]
+  const [task, run, checkpoint, progress, load] = row as unknown[]
   return typeof task === 'string' && Number.isSafeInteger(run) && typeof checkpoint === 'string' &&
-    Number.isFinite(percent) && Number.isFinite(load)
+    Number.isFinite(progress) && Number.isFinite(load)
 }
 
 function isEndedRow (row: unknown): boolean {
--- a/packages/control/src/model/worker.ts
+++ b/packages/control/src/model/worker.ts
@@ -50,8 +50,11 @@
   readonly run: number
   /** The most recent checkpoint; empty if there is none. */
   readonly checkpoint: string
-  /** Percentage of full speed to which the run is throttled, 0 to 100. */
-  readonly percent: number
+  /**
+   * Percentage of the work that is done, 0 to 100; it does not show the speed to which the run is throttled. A lasting task is at
+   * 100 once it has started up.
+   */
+  readonly progress: number
   /** For a serving task its tail latency in milliseconds; for other tasks the CPU in use, in thousandths of a core. */
   readonly load: number
 }
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -316,6 +316,7 @@
       const run = new Run(entry, task, task.run, session, chargeOf(entry.job.steps[task.step]!), '', this.options.clock.now())
       run.state = RunState.Uncertain
       run.inherited = true
+      run.throttlePercent = undefined
       this.ledger.add(run)
       if (entry.isFinishedOrCancelled()) run.stopping = StopReason.Cancelled
       else if (incomplete.has(task)) run.stopping = StopReason.GangMemberEnded
--- a/packages/control/src/owner/run-supervisor.ts
+++ b/packages/control/src/owner/run-supervisor.ts
@@ -62,7 +62,7 @@
   private restartStalled (nowMs: number): void {
     for (const run of this.options.ledger.all()) {
       if (run.state !== RunState.Running || run.stopping !== undefined || run.step.lasting) continue
-      if (run.number > MAX_STALL_CHECKED_RUN_NUMBER || run.percent < 100) continue
+      if (run.number > MAX_STALL_CHECKED_RUN_NUMBER || run.progress < 100) continue
       const elapsedMs = nowMs - run.startedMs
       if (!this.options.speeds.isStalled(run.stepName, run.step.estimateMs, elapsedMs)) continue
       if (run.step.checkpoints && nowMs - run.checkpointChangedMs < CHECKPOINT_PROGRESS_WINDOW_MS) continue
@@ -88,8 +88,9 @@
     const percent = nextThrottlePercent(before, servingTasks)
     this.throttlePercents.set(session.id, percent)
     for (const run of bestEffortRuns) {
-      if (run.percent === percent) continue
-      this.options.log.decision('throttle task', { task: run.name, worker: session.id, percent, before: run.percent })
+      if (run.throttling || run.throttlePercent === percent) continue
+      const { name: task, number, throttlePercent: before } = run
+      this.options.log.decision('throttle task', { task, run: number, worker: session.id, percent, before })
       detach(session.throttle(run, percent))
     }
   }
--- a/packages/control/src/owner/run.ts
+++ b/packages/control/src/owner/run.ts
@@ -63,8 +63,15 @@
   checkpoint = ''
   /** Time on the steady clock at which the checkpoint last changed, or at which the start was confirmed. */
   checkpointChangedMs = 0
-  /** Percentage of full speed to which the run is throttled, 0 to 100, as reported by the worker. */
-  percent = 100
+  /** As in ActiveRun.progress; 100 before the first report. */
+  progress = 100
+  /**
+   * Percentage of full speed to which the worker has confirmed to throttle the run; undefined if it is unknown, because a command
+   * is in flight or has failed, or an earlier owner may have throttled the run.
+   */
+  throttlePercent: number | undefined = 100
+  /** A throttle command is in flight. */
+  throttling = false
   /** As in ActiveRun.load. */
   load = 0
   /** The task's name as workers know it. */
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -312,12 +312,16 @@
     }
   }
 
-  /** Throttles a run to a percentage of full speed, 0 to 100. */
+  /** Throttles a run to a percentage of full speed, 0 to 100. Must not be called while another such command is in flight. */
   async throttle (run: Run, percent: number): Promise<void> {
+    run.throttling = true
+    run.throttlePercent = undefined
     const result = await this.host.fleet.throttle(this.worker, {
       task: run.name, run: run.number, fence: this.host.fence
     }, percent)
-    if (result.isErr() && result.error === WorkerFailure.Fenced) this.host.onFenced(this)
+    run.throttling = false
+    if (result.isOk()) run.throttlePercent = percent
+    else if (result.error === WorkerFailure.Fenced) this.host.onFenced(this)
   }
 
   private async requestReport (waitMs: number): Promise<void> {
@@ -402,7 +406,7 @@
       }
       this.markRunning(run)
       run.listed = true
-      run.percent = active.percent
+      run.progress = active.progress
       run.load = active.load
       if (active.checkpoint !== '' && active.checkpoint !== run.checkpoint) {
         run.checkpoint = active.checkpoint
--- a/packages/control/test/cluster/workers.ts
+++ b/packages/control/test/cluster/workers.ts
@@ -33,7 +33,7 @@
 
   start ({ task, run, payload }: StartCommand): void {
     this.started.add(task)
-    this.running.set(task, { task, run, checkpoint: '', percent: 100, load: 0 })
+    this.running.set(task, { task, run, checkpoint: '', progress: 100, load: 0 })
     if (payload !== LASTING) setTimeout(() => { this.end(task, run, RunOutcome.Done) }, Number(payload))
   }
 
--- a/packages/control/test/journal/steady-cell.ts
+++ b/packages/control/test/journal/steady-cell.ts
@@ -43,7 +43,7 @@
   constructor (readonly entry: Worker) {}
 
   start ({ task, run }: StartCommand): void {
-    this.running.set(task, { task, run, checkpoint: '', percent: 100, load: 0 })
+    this.running.set(task, { task, run, checkpoint: '', progress: 100, load: 0 })
     setTimeout(() => {
       this.running.delete(task)
       this.ended.push({ position: ++this.position, task, run, ending: RunOutcome.Done, checkpoint: '' })
--- a/packages/control/test/membership/gateway-server.spec.ts
+++ b/packages/control/test/membership/gateway-server.spec.ts
@@ -14,7 +14,7 @@
 const REPORT: Report = {
   born: 10,
   clockMs: 6000,
-  running: [{ task: 'aa.0.0.0', run: 2, checkpoint: 'c', percent: 40, load: 2700 }],
+  running: [{ task: 'aa.0.0.0', run: 2, checkpoint: 'c', progress: 40, load: 2700 }],
   ended: [{ position: 4, task: 'aa.0.0.1', run: 1, ending: RunOutcome.Done, checkpoint: '' }]
 }
 
--- a/packages/control/test/owner/acknowledgement.spec.ts
+++ b/packages/control/test/owner/acknowledgement.spec.ts
@@ -72,7 +72,7 @@
       const worker = this.workers.get(id)!
       if (!worker.reachable) return err(WorkerFailure.NoAnswer)
       this.onStart(worker, task)
-      worker.running.push({ task, run, checkpoint: '', percent: 100, load: 0 })
+      worker.running.push({ task, run, checkpoint: '', progress: 100, load: 0 })
       this.started.push(`${task}#${run}`)
       return ok(workerClock())
     }
@@ -348,7 +348,7 @@
     await cancelling
     cell.refuseAppends(true)
     cell.end(`${ID}.0.0.0`, RunOutcome.Failed)
-    cell.workers.get('w1')!.running.push({ task: `${OTHER_ID}.0.0.0`, run: 1, checkpoint: '', percent: 100, load: 0 })
+    cell.workers.get('w1')!.running.push({ task: `${OTHER_ID}.0.0.0`, run: 1, checkpoint: '', progress: 100, load: 0 })
     await advance(100)
     cell.end(`${OTHER_ID}.0.0.0`, RunOutcome.Done)
     await advance(1500)
--- a/packages/control/test/owner/decision-log.spec.ts
+++ b/packages/control/test/owner/decision-log.spec.ts
@@ -50,7 +50,7 @@
       store.put(Topic.Workers, { key: id, value: Buffer.from(JSON.stringify(entry)) })
     }
     fleet.start = async (worker, { task, run }) => {
-      this.running.get(worker.id)!.push({ task, run, checkpoint: '', percent: 100, load: 0 })
+      this.running.get(worker.id)!.push({ task, run, checkpoint: '', progress: 100, load: 0 })
       const failed = run === 1 && this.failing.has(task)
       setTimeout(() => { this.end(worker.id, task, failed ? RunOutcome.Failed : RunOutcome.Done) }, TASK_MS)
       return ok(this.workerClock())
--- a/packages/control/test/owner/fuzz.spec.ts
+++ b/packages/control/test/owner/fuzz.spec.ts
@@ -144,7 +144,7 @@
       if (end.reported.position <= command.acknowledged) this.cell.onAcknowledged(end)
     }
     this.ended = this.ended.filter((end) => !end.acknowledged)
-    const running = [...this.running].map(([task, { run }]) => ({ task, run, checkpoint: '', percent: 100, load: 0 }))
+    const running = [...this.running].map(([task, { run }]) => ({ task, run, checkpoint: '', progress: 100, load: 0 }))
     const ended = this.ended.slice(0, MAX_REPORTED_ENDS).map(({ reported }) => reported)
     return ok({ born: this.born, clockMs: this.clockMs(), running, ended })
   }
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -40,7 +40,7 @@
 
   constructor () {
     this.fleet.onStart = (command) => {
-      this.running.push({ task: command.task, run: command.run, checkpoint: '', percent: 100, load: 0 })
+      this.running.push({ task: command.task, run: command.run, checkpoint: '', progress: 100, load: 0 })
       return ok(this.workerClock())
     }
     this.fleet.onStop = (command) => {
@@ -431,9 +431,9 @@
   })
 
   it.each([
-    ['adopts a run that the worker still executes', [{ task: `${ID}.0.0.0`, run: 1, checkpoint: '', percent: 100, load: 0 }], ['0.0.0#1'], 0],
+    ['adopts a run that the worker still executes', [{ task: `${ID}.0.0.0`, run: 1, checkpoint: '', progress: 100, load: 0 }], ['0.0.0#1'], 0],
     ['places a task again whose run never started', [], ['0.0.0#2'], 1],
-    ['stops a run that is not in the journal', [{ task: `${ID}.0.0.0`, run: 7, checkpoint: '', percent: 100, load: 0 }], ['0.0.0#2'], 1]
+    ['stops a run that is not in the journal', [{ task: `${ID}.0.0.0`, run: 7, checkpoint: '', progress: 100, load: 0 }], ['0.0.0#2'], 1]
   ])('after a takeover %s', async (_, running, tasks, starts) => {
     harness.journalState.apply({ ...encodeJob(createJob({ id: ID, acceptedMs: harness.clock.wall() })), offset: 0 })
     harness.journalState.apply({
@@ -567,7 +567,7 @@
   it('after a takeover stops the runs of an ended job and ignores the ends that workers report for it', async () => {
     const end = encodeJobEnd(ID, { ...createJob({ id: ID }), phase: Phase.Completed, endedMs: harness.clock.wall() })
     harness.journalState.apply({ ...end, offset: 0 })
-    harness.running.push({ task: `${ID}.0.0.0`, run: 1, checkpoint: '', percent: 100, load: 0 })
+    harness.running.push({ task: `${ID}.0.0.0`, run: 1, checkpoint: '', progress: 100, load: 0 })
     harness.ended.push({ position: 1, task: `${ID}.0.0.1`, run: 1, ending: RunOutcome.Done, checkpoint: '' })
     harness.startOwner(2)
     await advance(1500)
@@ -586,7 +586,7 @@
       harness.store.put(Topic.Journal, record)
       harness.journalState.apply({ ...record, offset: 0 })
     }
-    harness.running.push({ task: `${ID}.0.0.1`, run: 1, checkpoint: '', percent: 100, load: 0 })
+    harness.running.push({ task: `${ID}.0.0.1`, run: 1, checkpoint: '', progress: 100, load: 0 })
     harness.startOwner(2)
     await advance(500)
     harness.endRun(`${ID}.0.0.1`, RunOutcome.Done)
--- a/packages/control/test/owner/restarted-worker.spec.ts
+++ b/packages/control/test/owner/restarted-worker.spec.ts
@@ -74,7 +74,7 @@
 
   carryOutStart ({ task, run, fence }: StartCommand): Result<number, WorkerFailure> {
     if (!this.accepts(fence)) return err(WorkerFailure.Fenced)
-    this.running.push({ task, run, checkpoint: '', percent: 100, load: 0 })
+    this.running.push({ task, run, checkpoint: '', progress: 100, load: 0 })
     return ok(this.clockMs())
   }
 
--- a/packages/control/test/owner/session.spec.ts
+++ b/packages/control/test/owner/session.spec.ts
@@ -68,7 +68,7 @@
   return { born: 10, clockMs: 6000, running: [], ended: [], ...fields }
 }
 
-const RUNNING = { task: '00000000000000aa.0.0.0', run: 1, checkpoint: '', percent: 100, load: 0 }
+const RUNNING = { task: '00000000000000aa.0.0.0', run: 1, checkpoint: '', progress: 100, load: 0 }
 
 afterEach(() => { vi.useRealTimers() })
 
--- a/packages/measure/src/owner-load/platform.ts
+++ b/packages/measure/src/owner-load/platform.ts
@@ -118,7 +118,7 @@
     const { task, run } = command
     this.starts++
     this.running++
-    this.stateOf(worker).running.set(task, { task, run, checkpoint: '', percent: 100, load: 0, stopped: false })
+    this.stateOf(worker).running.set(task, { task, run, checkpoint: '', progress: 100, load: 0, stopped: false })
     const { job, key } = splitTask(task)
     const durationMs = this.begin(job, Number(key.split('.')[1]))
     if (durationMs < Infinity) this.wheel.after(durationMs, () => { this.end(worker, task, run, RunOutcome.Done) })
