Stalls: stop the runs whose worker reports no progress, and no others

Callers saw: jobs waited for the end of a fault on a hanging worker, because none of the runs that stood still there was placed again. Sound runs were stopped and their work thrown away instead.

Cause: the check compared the time since the start with the estimate or with siblings, and skipped a run whose reported progress was below 100, taken for throttled. Every listed run is below 100. Left were the runs that no report had listed yet.

A run now counts as stalled when its worker has reported the same progress for a tenth of the duration that its own speed so far implies, and for 0.7 s at least. Before its first advance, the siblings' durations or the estimate bound the duration. The worker's clock dates the reports, so that a pause of the owner, a late report or a silent worker is no standstill. A run that advances is never stopped. Not judged: lasting and best-effort tasks, and gangs that have not advanced, since they wait for their members. A stalled gang does not make its workers count as slow.

--- a/packages/control/src/owner/run-end-handler.ts
+++ b/packages/control/src/owner/run-end-handler.ts
@@ -187,7 +187,7 @@
   }
 
   private recordDuration (run: Run): void {
-    const isComparable = run.task.checkpoint === '' && run.progress === 100 && !run.step.bestEffort
+    const isComparable = run.task.checkpoint === '' && (run.progress.percent ?? 100) === 100 && !run.step.bestEffort
     if (isComparable && run.startedMs > 0) {
       this.options.speeds.recordDuration(run.stepName, run.session.id, this.options.clock.now() - run.startedMs)
     }
--- a/packages/control/src/owner/run-supervisor.ts
+++ b/packages/control/src/owner/run-supervisor.ts
@@ -19,8 +19,6 @@
  * after a failure, a stop or a preemption: a task that has been started this often is left to finish, however long it takes.
  */
 const MAX_STALL_CHECKED_RUN_NUMBER = 4
-/** A task that changed its checkpoint within this time is making progress. */
-const CHECKPOINT_PROGRESS_WINDOW_MS = 2500
 
 /** Dependencies of the run supervisor. */
 export interface RunSupervisorOptions {
@@ -61,13 +59,23 @@
 
   private restartStalled (nowMs: number): void {
     for (const run of this.options.ledger.all()) {
-      if (run.state !== RunState.Running || run.stopping !== undefined || run.step.lasting) continue
-      if (run.number > MAX_STALL_CHECKED_RUN_NUMBER || run.progress < 100) continue
-      const elapsedMs = nowMs - run.startedMs
-      if (!this.options.speeds.isStalled(run.stepName, run.step.estimateMs, elapsedMs)) continue
-      if (run.step.checkpoints && nowMs - run.checkpointChangedMs < CHECKPOINT_PROGRESS_WINDOW_MS) continue
-      this.options.log.decision('restart stalled task', { task: run.name, run: run.number, worker: run.session.id, elapsedMs: Math.round(elapsedMs) })
-      this.options.speeds.recordStall(run.session.id)
+      if (run.state !== RunState.Running || run.stopping !== undefined || !isExpectedToAdvance(run)) continue
+      const { progress, step } = run
+      const standstillMs = progress.standstillMs()
+      const limitMs = this.options.speeds.maxStandstillMs(run.stepName, step.estimateMs, progress.projectedMs())
+      if (standstillMs <= limitMs) continue
+      // A checkpoint shows progress of less than one percent.
+      if (step.checkpoints && nowMs - run.checkpointChangedMs <= limitMs) continue
+      this.options.log.decision('restart stalled task', {
+        task: run.name,
+        run: run.number,
+        worker: run.session.id,
+        elapsedMs: Math.round(nowMs - run.startedMs),
+        progress: progress.percent,
+        standstillMs: Math.round(standstillMs)
+      })
+      // The members of a gang stand still together, so that it is not known which worker is the cause.
+      if (!step.gang) this.options.speeds.recordStall(run.session.id)
       detach(run.session.stopRun(run, StopReason.Stalled))
     }
   }
@@ -95,3 +103,12 @@
     }
   }
 }
+
+/**
+ * Returns true if a sound run makes progress all the time. A best-effort task makes none without unused capacity, and a gang none
+ * until all of its members are present.
+ */
+function isExpectedToAdvance ({ step, number, progress }: Run): boolean {
+  if (step.lasting || step.bestEffort || number > MAX_STALL_CHECKED_RUN_NUMBER || progress.percent === 100) return false
+  return !step.gang || progress.projectedMs() !== undefined
+}
--- a/packages/control/src/owner/run.ts
+++ b/packages/control/src/owner/run.ts
@@ -4,6 +4,7 @@
 import type { Resources } from '@fireflymount/protocol/resources'
 import type { TaskEntry, JobEntry } from '../journal/journal-state.js'
 import type { Step } from '../model/job.js'
+import { Progress } from './progress.js'
 import type { Session } from './session.js'
 
 /** State of a run. */
@@ -63,8 +64,7 @@
   checkpoint = ''
   /** Time on the steady clock at which the checkpoint last changed, or at which the start was confirmed. */
   checkpointChangedMs = 0
-  /** As in ActiveRun.progress; 100 before the first report. */
-  progress = 100
+  readonly progress = new Progress()
   /**
    * Percentage of full speed to which the worker has confirmed to throttle the run; undefined if it is unknown, because a command
    * is in flight or has failed, or an earlier owner may have throttled the run.
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -406,7 +406,7 @@
       }
       this.markRunning(run)
       run.listed = true
-      run.progress = active.progress
+      run.progress.record(active.progress, report.clockMs)
       run.load = active.load
       if (active.checkpoint !== '' && active.checkpoint !== run.checkpoint) {
         run.checkpoint = active.checkpoint
--- a/packages/control/src/place/speed.ts
+++ b/packages/control/src/place/speed.ts
@@ -1,21 +1,26 @@
 /**
  * Estimates the speed of each worker by comparing tasks of the same step. Such tasks do about the same work, even if the caller's
- * estimate is wrong. Detects slow machines and workers on which tasks stall.
+ * estimate is wrong. Detects slow machines and tasks that stall.
  */
 
 /** Weight of one comparison in the moving average of the logarithm of a worker's slowness. */
 const LEARNING_RATE = 0.2
-/** Minimum number of completed tasks of a step for its mean duration to be used in the check for stalls. */
+/** Minimum number of completed tasks of a step for its mean duration to be used instead of the estimate. */
 const MIN_COMPLETED_TASKS = 2
-/** A task that takes this many times as long as the mean duration of its step on a typical worker has stalled. */
-const STALL_FACTOR = 2.5
+/** A sound task may take this many times as long as the mean duration of its step on a typical worker. */
+const MEAN_FACTOR = 2.5
 /**
- * Used instead of STALL_FACTOR, as a factor on the caller's estimate, while fewer than MIN_COMPLETED_TASKS durations of the step
+ * Used instead of MEAN_FACTOR, as a factor on the caller's estimate, while fewer than MIN_COMPLETED_TASKS durations of the step
  * are known. It is larger because the estimate is rough.
  */
 const ESTIMATE_FACTOR = 6
-/** No task counts as stalled before it has run for this time. */
-const MIN_STALL_MS = 700
+/**
+ * A task has stalled if it makes no progress for this share of its duration. Progress is reported in steps of 0.01, and a worker
+ * may become several times as slow while a task runs.
+ */
+const STANDSTILL_SHARE = 0.1
+/** A shorter standstill is never a stall. */
+const MIN_STANDSTILL_MS = 700
 /** Added to the logarithm of a worker's slowness when a task stalls on it. */
 const STALL_PENALTY = 0.5
 const MIN_SLOWNESS = 0.7
@@ -76,17 +81,23 @@
   }
 
   /**
-   * Returns true if a task has run for so long that it should be stopped and placed again, preferably on a faster worker.
+   * Returns how long a task may make no progress before it counts as stalled, and should be placed again. A task that makes
+   * progress is not stalled, however long it takes.
    *
    * @param step name of the step
-   * @param estimateMs the caller's estimate
-   * @param elapsedMs how long the task has run
+   * @param estimateMs the caller's estimate; 0 if there is none
+   * @param projectedMs time that the task takes at its own speed; undefined if it has made no progress yet
+   * @returns milliseconds; Infinity if nothing is known about the duration of the task
    */
-  isStalled (step: string, estimateMs: number, elapsedMs: number): boolean {
-    if (elapsedMs < MIN_STALL_MS) return false
+  maxStandstillMs (step: string, estimateMs: number, projectedMs: number | undefined): number {
+    const durationMs = projectedMs ?? this.maxDurationMs(step, estimateMs)
+    return durationMs > 0 ? Math.max(MIN_STANDSTILL_MS, STANDSTILL_SHARE * durationMs) : Infinity
+  }
+
+  private maxDurationMs (step: string, estimateMs: number): number {
     const known = this.steps.get(step)
-    if (known !== undefined && known.count >= MIN_COMPLETED_TASKS) return elapsedMs > STALL_FACTOR * known.sumMs / known.count
-    return elapsedMs > ESTIMATE_FACTOR * estimateMs
+    if (known !== undefined && known.count >= MIN_COMPLETED_TASKS) return MEAN_FACTOR * known.sumMs / known.count
+    return ESTIMATE_FACTOR * estimateMs
   }
 
   private setLogSlowness (worker: string, value: number): void {
