Speeds: learn the durations of all comparable runs, not only of those that no report has listed

Callers saw: a slow worker was placed on like the others, since next to nothing was known about its speed.

Cause: a duration counted only if the last reported progress was 100, taken for full speed. The progress of a finite run is below 100 in its last report, so that only runs that ended before a report listed them were learnt: the shortest ones. The start of an inherited run is the first report to this owner; its duration was learnt too, and so was that of a lasting task.

Best-effort runs, the only ones that are throttled, were left out before and still are. Now also left out: inherited runs and lasting tasks.

--- a/packages/control/src/owner/run-end-handler.ts
+++ b/packages/control/src/owner/run-end-handler.ts
@@ -187,10 +187,10 @@
   }
 
   private recordDuration (run: Run): void {
-    const isComparable = run.task.checkpoint === '' && (run.progress.percent ?? 100) === 100 && !run.step.bestEffort
-    if (isComparable && run.startedMs > 0) {
-      this.options.speeds.recordDuration(run.stepName, run.session.id, this.options.clock.now() - run.startedMs)
-    }
+    const { step, task, inherited, startedMs } = run
+    // The duration of an inherited run is only known from its first report to this owner on.
+    const isComparable = !step.lasting && !step.bestEffort && task.checkpoint === '' && !inherited && startedMs > 0
+    if (isComparable) this.options.speeds.recordDuration(run.stepName, run.session.id, this.options.clock.now() - startedMs)
   }
 
   /** Stops the other members of a gang, because a gang only runs as a whole. */
