--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -393,11 +393,15 @@
     }
   }
 
-  /** Throttles a run to a percentage of full speed, 0 to 100. */
+  /** Throttles a run to a percentage of full speed, 0 to 100. Must not be called while another such command is in flight. */
   async throttle (run: Run, percent: number): Promise<void> {
+    run.throttling = true
+    run.throttlePercent = undefined
     const fence = this.fence.current
     const result = await this.host.fleet.throttle(this.worker, { task: run.name, run: run.number, fence }, percent)
-    if (result.isErr() && result.error === WorkerFailure.Fenced) this.handleFenced(fence)
+    run.throttling = false
+    if (result.isOk()) run.throttlePercent = percent
+    else if (result.error === WorkerFailure.Fenced) this.handleFenced(fence)
   }
 
   private async requestReport (waitMs: number): Promise<void> {
@@ -527,7 +531,7 @@
       }
       this.confirm(run, report.clockMs)
       run.listed = true
-      run.percent = active.percent
+      run.progress.record(active.progress, report.clockMs)
       run.load = active.load
       if (active.checkpoint !== '' && active.checkpoint !== run.checkpoint) {
         run.checkpoint = active.checkpoint
