Throttle: a command without an answer has no effect after the next one

Cause: a throttle command without an answer may be carried out after a later one, under the same fencing token. The token rises after it.

--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -402,6 +402,8 @@
     run.throttling = false
     if (result.isOk()) run.throttlePercent = percent
     else if (result.error === WorkerFailure.Fenced) this.handleFenced(fence)
+    // The next command ends the effect of this one, which may be carried out after it.
+    else if (result.error === WorkerFailure.NoAnswer) this.raiseFence()
   }
 
   private async requestReport (waitMs: number): Promise<void> {
--- a/packages/control/test/owner/run-supervisor.spec.ts
+++ b/packages/control/test/owner/run-supervisor.spec.ts
@@ -114,10 +114,11 @@
     expect(harness.percentages()).toEqual(percentages)
   })
 
+  // Guards also against a command that is carried out late, after a later one that was confirmed: a higher fencing token excludes it.
   it.each([
-    ['does not answer', WorkerFailure.NoAnswer],
-    ['is overloaded', WorkerFailure.Unhealthy]
-  ])('is sent again until it is confirmed if the worker %s', async (_, failure) => {
+    ['does not answer', WorkerFailure.NoAnswer, [0, 1, 2]],
+    ['is overloaded', WorkerFailure.Unhealthy, [0, 0, 0]]
+  ])('is sent again until it is confirmed if the worker %s', async (_, failure, raised) => {
     const { fleet } = harness
     const failures = [failure, failure]
     fleet.throttle = async (_worker, command, percent) => {
@@ -131,6 +132,8 @@
     harness.change(0, { load: TARGET_MS - 5 })
     await harness.pass(4000)
     expect(harness.percentages()).toEqual([50, 50, 50])
+    const [first] = fleet.throttled
+    expect(fleet.throttled.map(({ command }) => command.fence - first!.command.fence)).toEqual(raised)
   })
 
   it('is not sent again while the worker may still answer the previous command', async () => {
