Daemon: a run that was not sent because its worker restarted is only returned to the queue

What callers see: a job stays `running` for good although its task has ended, until the shard has another owner. A job that may not run twice ends as `unknown` although its task was never sent, and is run all the same.

Cause: a worker restarts, or the leases on it expire, while the attempt of a run is being written. The run was recorded as lost. Once its attempt was in the log, it was also found not to be sendable, and its task was returned to the queue and placed again. The record of the loss then removed the next run of the task from the owner's runs. The end of that run matched nothing, and was acknowledged without a record.

Evidence: without the fix the four new rows fail. Idempotent job: `running` with its task dispatched, after its end was acknowledged. Other job: `unknown`. With the fix they pass.

Why it works: a run whose attempt is being written has a phase of its own. It has not been sent, so neither a restart nor an expiry ends it. Whether it is sent is decided once, when its attempt is in the log, by the incarnation that it was recorded for.

--- a/packages/daemon/src/owner/runs.ts
+++ b/packages/daemon/src/owner/runs.ts
@@ -29,7 +29,9 @@
 
 /** The phases of a run. */
 export enum RunPhase {
-  /** The record of its attempt is being written, or it is being sent. */
+  /** The record of its attempt is being written. It has not been sent, and is only sent once its worker is known not to have restarted. */
+  Recording = 'recording',
+  /** It is being sent. */
   Starting = 'starting',
   Running = 'running',
   /** It may have been sent, and whether it started is unknown. */
@@ -55,8 +57,8 @@
   /** End of the lease that the run was sent with, in the worker's clock. */
   leaseUntilMs: number
   /**
-   * True once the run is to be stopped. A run in phase `Starting` is not sent or, if it is already being sent, is stopped once it
-   * is known to run. In the phases `Running` and `Unresolved`, the stop command is sent at once.
+   * True once the run is to be stopped. A run in phase `Recording` is not sent, and one in phase `Starting` is stopped once it is
+   * known to run. In the phases `Running` and `Unresolved`, the stop command is sent at once.
    */
   stopping: boolean
 }
@@ -153,7 +155,7 @@
     const run = this.runs.get(taskId)
     if (run === undefined || run.phase === RunPhase.Ending) return
     run.stopping = true
-    if (run.phase === RunPhase.Starting) return
+    if (run.phase === RunPhase.Recording || run.phase === RunPhase.Starting) return
     this.sendStop(run, checkpoint)
   }
 
@@ -177,7 +179,7 @@
   onAdopted (session: Session, report: WorkerReport): void {
     const listed = new Set(report.tasks.map((task) => task.id))
     for (const run of [...this.byWorker.get(session.id) ?? []]) {
-      if (listed.has(run.task.id) || run.phase === RunPhase.Ending) continue
+      if (listed.has(run.task.id) || run.phase === RunPhase.Ending || run.phase === RunPhase.Recording) continue
       if (run.boot !== report.boot) this.markLost(run, 'The worker restarted while the task ran.')
       else if (run.phase === RunPhase.Running) this.markLost(run, 'The worker no longer lists the task.')
       else if (run.phase === RunPhase.Starting) continue
@@ -209,7 +211,7 @@
   /** Handles the expiry of all leases on a worker, or the termination of its VM: its runs have stopped. */
   onExpired (worker: string): void {
     for (const run of [...this.byWorker.get(worker) ?? []]) {
-      if (run.phase === RunPhase.Ending) continue
+      if (run.phase === RunPhase.Ending || run.phase === RunPhase.Recording) continue
       this.markLost(run, 'The worker was terminated, or unreachable until the lease expired, while the task may have been running.')
     }
   }
@@ -231,7 +233,7 @@
       attempt: (record?.attempt ?? 0) + 1,
       worker: placement.worker,
       boot: this.options.session(placement.worker)?.boot ?? '',
-      phase: RunPhase.Starting,
+      phase: RunPhase.Recording,
       startedByThisOwner: true,
       leaseUntilMs: 0,
       stopping: false
@@ -252,6 +254,7 @@
       this.returnToQueue(run)
       return
     }
+    run.phase = RunPhase.Starting
     run.leaseUntilMs = session.leaseUntilMs()
     const started = await session.start({
       id: run.task.id,
--- /dev/null
+++ b/packages/daemon/test/owner/restarted-worker.spec.ts
@@ -0,0 +1,34 @@
+/**
+ * Tests what a request to a worker, or the record of a run, changes after the worker has restarted under its id.
+ */
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { TaskState } from '@fireflymount/service-clients/worker'
+import { Stage } from '../../src/owner/state.js'
+import { JOB, SuccessiveOwners, sleep } from './successive-owners.js'
+
+const TASK = `${JOB}/0`
+const SLOW_WRITE_MS = 200
+let shard: SuccessiveOwners
+
+beforeEach(async () => {
+  shard = new SuccessiveOwners()
+  await expect.poll(() => [...shard.owner.fleet.all()].every((session) => session.adopted)).toBe(true)
+})
+afterEach(() => { shard.owner.stop() })
+
+// Guards against a run whose end is acknowledged unread, and a task that runs twice: a run that was not sent, because its worker restarted
+// while its attempt was being written, was both recorded as lost and returned to the queue, which dropped the next run.
+test.each([{ idempotent: false }, { idempotent: true }])(
+  'a run whose worker restarts while its attempt is being written runs once and its end is recorded, idempotent: $idempotent',
+  async ({ idempotent }) => {
+    shard.idempotent = idempotent
+    shard.writeMs = SLOW_WRITE_MS
+    await shard.submit()
+    shard.worker.restart()
+    await expect.poll(() => shard.worker.started, { timeout: 5000 }).toEqual([TASK])
+    await sleep(2 * SLOW_WRITE_MS)
+    shard.worker.end(TASK, TaskState.Succeeded)
+    await sleep(2 * SLOW_WRITE_MS)
+    expect([shard.worker.started, await shard.jobState(), shard.state.task(TASK)?.stage]).toEqual([[TASK], 'succeeded', Stage.Finished])
+  }
+)
--- a/packages/daemon/test/owner/runs.spec.ts
+++ b/packages/daemon/test/owner/runs.spec.ts
@@ -170,3 +170,29 @@
   expect(journal.commits).toBeLessThan(5)
   journal.stopped = true
 })
+
+const PLACEMENT = { task: createUnrecordedTask(report(TaskState.Running), 0), worker: 'w1' }
+
+// Guards against a run that is recorded as lost although it was never sent, and whose task is also returned to the queue.
+test.each<{ event: string, play: (runs: Runs, session: Session) => void }>([
+  { event: 'its worker restarts', play: (runs, session) => { runs.onAdopted(session, { boot: 'b2', clockMs: 0, tasks: [] }) } },
+  { event: 'the leases on its worker expire', play: (runs) => { runs.onExpired('w1') } }
+])('a run is only returned to the queue if, while its attempt is being written, $event', async ({ play }) => {
+  const changes: unknown[] = []
+  const requeued: string[] = []
+  const { runs, session } = createRuns(false, {
+    journal: {
+      available: () => true,
+      commit: async (change) => {
+        changes.push(change)
+        await new Promise((resolve) => setTimeout(resolve, 10))
+        return ok(undefined)
+      }
+    },
+    requeue: (task) => { requeued.push(task) }
+  })
+  const launched = runs.launch([PLACEMENT])
+  play(runs, session)
+  await launched
+  expect([changes, requeued, runs.get(PLACEMENT.task.id)]).toMatchObject([[{ kind: ChangeKind.Attempt }], ['s.a/0'], undefined])
+})
--- a/packages/daemon/test/owner/successive-owners.ts
+++ b/packages/daemon/test/owner/successive-owners.ts
@@ -34,6 +34,7 @@
   teams: [{ name: 'guild', workspace: 'hakata', share: 1, upperLimit: {} }],
   queues: [createQueue({ name: 'render', upstream: SHARD, workload: Workload.Batch, size: SIZE, idempotent: false, attempts: 1 })]
 }
+const IDEMPOTENT: Manifest = { ...MANIFEST, queues: MANIFEST.queues.map((queue) => ({ ...queue, idempotent: true })) }
 const SERVICE: Service = { name: 'shop', upstream: SHARD, team: 'guild', replicas: 1, size: SIZE, body: {} }
 const WITH_SERVICE: Manifest = { ...MANIFEST, services: [SERVICE] }
 export const REPLICA = 'service:shop/0'
@@ -123,6 +124,10 @@
   /** Whether the worker's VM is in the list; if not, it counts as terminated. */
   listed = true
   declaresService = false
+  /** Whether jobs that are submitted from now on may run again after a run that had started. */
+  idempotent = false
+  /** Time that a write to the log takes. */
+  writeMs = WRITE_MS
   /** Whether the log refuses changes. */
   refuses = false
   /** While set, the failure of all writes. */
@@ -166,7 +171,7 @@
   }
 
   private async commit (state: ShardState, change: unknown): Promise<Result<void, JournalError>> {
-    await sleep(WRITE_MS)
+    await sleep(this.writeMs)
     if (state !== this.state) return err({ failure: JournalFailure.Superseded, detail: '' })
     if (this.failure !== undefined) return err({ failure: this.failure, detail: '' })
     if (this.refuses) return err({ failure: JournalFailure.Unavailable, detail: '' })
@@ -176,6 +181,11 @@
     return ok(undefined)
   }
 
+  private manifest (): Manifest {
+    if (this.idempotent) return IDEMPOTENT
+    return this.declaresService ? WITH_SERVICE : MANIFEST
+  }
+
   private startOwner (): Owner {
     const { state } = this
     const clock = new SystemClock()
@@ -193,7 +203,7 @@
         workers: () => this.listed ? [VM] : [], vm: () => this.listed ? VM : undefined, isTerminated: () => !this.listed
       } as unknown as Members,
       router: { askOwner: async () => err(refuse(Reason.NotOwner, '')) } as unknown as Router,
-      manifest: () => this.declaresService ? WITH_SERVICE : MANIFEST,
+      manifest: () => this.manifest(),
       connect: () => this.worker,
       clock,
       timing: { ...DEFAULT_TIMING, renewMs: 20 },
