Daemon: a command that a worker carries out after it has restarted changes nothing

What callers see: a task that runs in two places, or starts after its job has ended as `unknown`. An end that is dropped unread is possible for a run that was started so.

Cause: commands to a worker carried the owner's epoch and nothing that names the incarnation. A restarted worker is adopted again under the same epoch, and from then on carried out what was sent before: it started runs that the owner had recorded as lost, and stopped or throttled runs of the present incarnation by task id. Leases are given in the worker's clock, which starts again with each incarnation, so a late start or renewal kept runs alive for as long as the former incarnation had been up, past the time after which the owner counts them as expired. A start that was sent between the second adoption and its answer met the same gap without any delay.

With a worker that compares epochs alone, both new rows of the owner fail: one start after `unknown`, two starts of an idempotent task.

Why it works: every command but an adoption names the incarnation that the owner has adopted, and the worker compares it with its own in one step with the effect. A renewal for another incarnation acknowledges and extends nothing, is not held, and is answered without tasks, so it marks no end as reported. The existing tests of the stand-in send the incarnation of their adoption; what they check is unchanged.

--- a/packages/daemon/src/owner/session.ts
+++ b/packages/daemon/src/owner/session.ts
@@ -4,7 +4,14 @@
 import { sleep, type Clock } from '@fireflymount/service-clients/clock'
 import type { Vm } from '@fireflymount/service-clients/vm-list'
 import {
-  WorkerFailure, type TaskReport, type TaskStart, type Worker, type WorkerError, type WorkerReport, type WorkerRequest
+  WorkerFailure,
+  type Adoption,
+  type TaskReport,
+  type TaskStart,
+  type Worker,
+  type WorkerError,
+  type WorkerReport,
+  type WorkerRequest
 } from '@fireflymount/service-clients/worker'
 import type { Epoch } from '@fireflymount/protocol/epoch'
 import type { Timing } from '@fireflymount/manifest/settings'
@@ -116,14 +123,14 @@
   /** Starts a task under a lease. */
   async start (task: TaskStart, untilMs: number): Promise<Result<void, WorkerError>> {
     this.extendLeaseExpiry()
-    const result = await this.options.worker.start(this.options.epoch, task, untilMs)
+    const result = await this.options.worker.start(this.adoption(), task, untilMs)
     if (result.isErr()) this.reportStaleEpoch(result.error)
     return result
   }
 
   /** Stops a task. After a lost command or answer, the worker is adopted again: it reports the task if it still runs. */
   async stop (task: string, checkpoint: boolean): Promise<void> {
-    const result = await this.options.worker.stop(this.options.epoch, task, checkpoint)
+    const result = await this.options.worker.stop(this.adoption(), task, checkpoint)
     if (result.isOk()) return
     this.reportStaleEpoch(result.error)
     const { failure } = result.error
@@ -133,7 +140,7 @@
 
   /** Sends a request and waits for its complete answer. */
   async request (request: WorkerRequest, timeoutMs: number): Promise<Result<unknown, WorkerError>> {
-    const result = await this.options.worker.request(this.options.epoch, request, timeoutMs)
+    const result = await this.options.worker.request(this.adoption(), request, timeoutMs)
     if (result.isErr()) this.reportStaleEpoch(result.error)
     return result
   }
@@ -161,6 +168,10 @@
     return this.workerClockMs > untilMs
   }
 
+  private adoption (): Adoption {
+    return { epoch: this.options.epoch, boot: this.boot }
+  }
+
   private async adopt (): Promise<boolean> {
     if (!this.options.confirmed()) return false
     const report = await this.options.worker.adopt(this.options.epoch, 0)
@@ -188,7 +199,7 @@
       }
       const acknowledged = [...this.acknowledged]
       this.extendLeaseExpiry()
-      const report = await this.options.worker.renew(this.options.epoch, this.leaseUntilMs(), acknowledged, this.renewWaitMs())
+      const report = await this.options.worker.renew(this.adoption(), this.leaseUntilMs(), acknowledged, this.renewWaitMs())
       if (this.abort.signal.aborted) return
       if (report.isErr()) {
         failures++
--- a/packages/daemon/test/entry-usage.spec.ts
+++ b/packages/daemon/test/entry-usage.spec.ts
@@ -40,7 +40,7 @@
     control: false,
     send: (connection: ReturnType<WorkerConnections['connect']>) => {
       const size = { cpuMilli: 1, memoryMb: 1, accelerators: 0 }
-      return connection.request(EPOCH, { id: 'r', team: 'guild', kind: 'preview', size, body: {} }, 1000)
+      return connection.request({ epoch: EPOCH, boot: 'b' }, { id: 'r', team: 'guild', kind: 'preview', size, body: {} }, 1000)
     }
   }
 ])('$title', async ({ control, send }) => {
--- a/packages/daemon/test/owner/restarted-worker.spec.ts
+++ b/packages/daemon/test/owner/restarted-worker.spec.ts
@@ -32,3 +32,22 @@
     expect([shard.worker.started, await shard.jobState(), shard.state.task(TASK)?.stage]).toEqual([[TASK], 'succeeded', Stage.Finished])
   }
 )
+
+// Guards against a task that runs twice, or after its job has ended as unknown: the start was carried out by the next incarnation of the
+// worker, which the same owner had adopted.
+test.each([
+  { idempotent: false, started: [], state: 'unknown' },
+  { idempotent: true, started: [TASK], state: 'running' }
+])('a start that a worker carries out after it has restarted starts nothing, idempotent: $idempotent', async ({ idempotent, started, state }) => {
+  shard.idempotent = idempotent
+  const late: Array<() => void> = []
+  shard.worker.lateStarts = late
+  await shard.submit()
+  await expect.poll(() => late.length).toBe(1)
+  shard.worker.lateStarts = undefined
+  shard.worker.restart()
+  await expect.poll(() => shard.jobState()).toBe(state)
+  await expect.poll(() => shard.worker.started).toEqual(started)
+  for (const carryOut of late) carryOut()
+  expect(shard.worker.started).toEqual(started)
+})
--- a/packages/daemon/test/owner/successive-owners.ts
+++ b/packages/daemon/test/owner/successive-owners.ts
@@ -6,7 +6,7 @@
 import { JournalFailure, type JournalError } from '@fireflymount/service-clients/journal'
 import { VmRole, VmState, type Vm } from '@fireflymount/service-clients/vm-list'
 import {
-  TaskState, Worker, WorkerFailure, type TaskReport, type TaskStart, type WorkerError, type WorkerReport
+  TaskState, Worker, WorkerFailure, type Adoption, type TaskReport, type TaskStart, type WorkerError, type WorkerReport
 } from '@fireflymount/service-clients/worker'
 import { EMPTY_MANIFEST, type Manifest, type Service } from '@fireflymount/manifest/manifest'
 import { DEFAULT_TIMING } from '@fireflymount/manifest/settings-codec'
@@ -44,16 +44,18 @@
 export class TestWorker extends Worker {
   /** Whether commands to start or stop tasks reach the worker. */
   reachable = true
+  /** While set, start commands get no answer, and are carried out when a test calls them. */
+  lateStarts: Array<() => void> | undefined
   readonly started: string[] = []
   readonly reports = new Map<string, TaskReport>()
   private epoch: Epoch = NO_EPOCH
-  private boot = 1
+  private boot = 'b1'
   /** Runs whose start command was carried out: repeating it has no further effect. */
   private readonly keys = new Set<string>()
 
   /** Loses all runs, reports and the epoch. */
   restart (): void {
-    this.boot++
+    this.boot += "'"
     this.epoch = NO_EPOCH
     this.reports.clear()
     this.keys.clear()
@@ -64,17 +66,20 @@
     return Promise.resolve(this.check(epoch).map(() => this.report()))
   }
 
-  start (epoch: Epoch, { id, attempt, team, kind, size }: TaskStart): Promise<Result<void, WorkerError>> {
-    return Promise.resolve(this.command(epoch, () => {
+  start (adoption: Adoption, { id, attempt, team, kind, size }: TaskStart): Promise<Result<void, WorkerError>> {
+    const effect = (): void => {
       if (this.keys.has(`${id}/${attempt}`)) return
       this.keys.add(`${id}/${attempt}`)
       this.started.push(id)
       this.reports.set(`${id}/${attempt}`, { id, attempt, team, kind, size, state: TaskState.Running, runtimeMs: 1 })
-    }))
+    }
+    if (this.lateStarts === undefined) return Promise.resolve(this.command(adoption, effect))
+    this.lateStarts.push(() => { this.command(adoption, effect) })
+    return Promise.resolve(err({ failure: WorkerFailure.Unknown, detail: '' }))
   }
 
-  stop (epoch: Epoch, task: string): Promise<Result<void, WorkerError>> {
-    return Promise.resolve(this.command(epoch, () => { this.end(task, TaskState.Stopped) }))
+  stop (adoption: Adoption, task: string): Promise<Result<void, WorkerError>> {
+    return Promise.resolve(this.command(adoption, () => { this.end(task, TaskState.Stopped) }))
   }
 
   end (task: string, state: TaskState): void {
@@ -83,11 +88,14 @@
     }
   }
 
-  async renew (epoch: Epoch, _: number, acknowledged: readonly string[]): Promise<Result<WorkerReport, WorkerError>> {
+  async renew (
+    { epoch, boot }: Adoption, _: number, acknowledged: readonly string[]
+  ): Promise<Result<WorkerReport, WorkerError>> {
+    await sleep(WRITE_MS)
+    if (boot !== this.boot) return ok({ ...this.report(), tasks: [] })
     const check = this.check(epoch)
     if (check.isErr()) return err(check.error)
     for (const key of acknowledged) this.reports.delete(key)
-    await sleep(WRITE_MS)
     return this.check(epoch).map(() => {
       const report = this.report()
       return { ...report, tasks: report.tasks.filter(({ state }) => state !== TaskState.Running) }
@@ -98,9 +106,10 @@
   request (): Promise<Result<unknown, WorkerError>> { return Promise.resolve(ok(null)) }
   close (): Promise<void> { return Promise.resolve() }
 
-  private command (epoch: Epoch, effect: () => void): Result<void, WorkerError> {
+  private command ({ epoch, boot }: Adoption, effect: () => void): Result<void, WorkerError> {
     const check = this.check(epoch)
     if (check.isErr()) return check
+    if (boot !== this.boot) return err({ failure: WorkerFailure.Refused, detail: '' })
     if (!this.reachable) return err({ failure: WorkerFailure.Unreachable, detail: '' })
     effect()
     return ok(undefined)
@@ -112,7 +121,7 @@
   }
 
   private report (): WorkerReport {
-    return { boot: `b${this.boot}`, clockMs: performance.now(), tasks: [...this.reports.values()] }
+    return { boot: this.boot, clockMs: performance.now(), tasks: [...this.reports.values()] }
   }
 }
 
--- a/packages/measure/src/wire.ts
+++ b/packages/measure/src/wire.ts
@@ -7,6 +7,7 @@
 import { build } from 'hdr-histogram-js'
 import { Pool } from 'undici'
 import { callJson } from '@fireflymount/scenario/cell/http'
+import { BOOT_HEADER, EPOCH_HEADER } from '@fireflymount/service-clients/messages'
 import { BenchCell } from './bench/cell.js'
 import { MAX_LATENCY_US, runLoad, summarize, type LoadResult } from './bench/load.js'
 import { CALLER_AUTHORIZATION, requestQueueOf, shardName, jobQueueOf } from './bench/manifest.js'
@@ -76,13 +77,11 @@
 async function measureRequests (cell: BenchCell): Promise<RequestResult[]> {
   const results: RequestResult[] = []
   const nodePools = cell.nodes.map(({ api }) => new Pool(api, { connections: CONNECTIONS_PER_NODE }))
-  const workerPools = cell.workers.map(({ address }) => new Pool(`http://${address}`, { connections: CONNECTIONS_PER_WORKER }))
-  const { counter, node } = await cell.readEpoch(SHARD)
-  const epochHeaders = { 'fireflymount-epoch': `${counter}:${node}`, 'content-type': 'application/json' }
+  const targets = await Promise.all(cell.workers.map(({ address }) => createDirectTarget(cell, address)))
   for (const rate of REQUEST_RATES_PER_S) {
     const plan = { rate, durationMs: REQUEST_DURATION_MS, warmUpMs: WARM_UP_MS }
     const direct = await runLoad({
-      ...plan, send: (index) => sendDirect(workerPools[index % workerPools.length]!, epochHeaders, index)
+      ...plan, send: (index) => sendDirect(targets[index % targets.length]!, index)
     })
     const through = await runLoad({ ...plan, send: (index) => sendThroughNode(nodePools[index % nodePools.length]!, index) })
     results.push({
@@ -94,11 +93,26 @@
       load: loadavg()[0]!
     })
   }
-  await Promise.all([...nodePools, ...workerPools].map((pool) => pool.close()))
+  await Promise.all([...nodePools, ...targets.map(({ pool }) => pool)].map((pool) => pool.close()))
   return results
 }
 
-async function sendDirect (pool: Pool, headers: Record<string, string>, index: number): Promise<boolean> {
+/** A worker, with the headers of the requests that its owner sends it. */
+interface DirectTarget {
+  readonly pool: Pool
+  readonly headers: Record<string, string>
+}
+
+async function createDirectTarget (cell: BenchCell, address: string): Promise<DirectTarget> {
+  const { counter, node } = await cell.readEpoch(SHARD)
+  const boot = (await readWorkerEvents(address)).at(-1)?.boot ?? ''
+  return {
+    pool: new Pool(`http://${address}`, { connections: CONNECTIONS_PER_WORKER }),
+    headers: { [EPOCH_HEADER]: `${counter}:${node}`, [BOOT_HEADER]: boot, 'content-type': 'application/json' }
+  }
+}
+
+async function sendDirect ({ pool, headers }: DirectTarget, index: number): Promise<boolean> {
   const body = { id: `direct-${index}`, team: 'guild-shops', kind: 'preview', size: TASK_SIZE, body: { workMs: 0, echo: index } }
   const answer = await post(pool, '/requests', headers, body) as { id?: string, value?: { echo?: number } } | undefined
   return answer?.id === body.id && answer.value?.echo === index
@@ -162,6 +176,7 @@
 
 interface WorkerEvent {
   readonly event: string
+  readonly boot: string
   readonly echo?: unknown
   readonly monotonicMs: number
 }
--- a/packages/service-clients/src/messages.ts
+++ b/packages/service-clients/src/messages.ts
@@ -82,5 +82,8 @@
 /** Header of a command or request to a worker: the epoch under which it is sent, as `counter:node`. */
 export const EPOCH_HEADER = 'fireflymount-epoch'
 
+/** Header of a command or request to a worker other than an adoption: the incarnation that it is meant for. */
+export const BOOT_HEADER = 'fireflymount-boot'
+
 /** Header of a call to the platform's services: the name of the calling node. */
 export const NODE_HEADER = 'fireflymount-node'
--- a/packages/service-clients/src/worker-client.ts
+++ b/packages/service-clients/src/worker-client.ts
@@ -4,9 +4,9 @@
 import type { Epoch } from '@fireflymount/protocol/epoch'
 import { err, ok, type Result } from 'neverthrow'
 import { Channel, type HttpResponse, type HttpCallError } from './channel.js'
-import { EPOCH_HEADER, RequestResponseCodec, WorkerErrorCodec, WorkerReportCodec } from './messages.js'
+import { BOOT_HEADER, EPOCH_HEADER, RequestResponseCodec, WorkerErrorCodec, WorkerReportCodec } from './messages.js'
 import type { ByteCounts } from './byte-counts.js'
-import { Worker, WorkerFailure, type TaskStart, type WorkerError, type WorkerReport, type WorkerRequest } from './worker.js'
+import { Worker, WorkerFailure, type Adoption, type TaskStart, type WorkerError, type WorkerReport, type WorkerRequest } from './worker.js'
 
 /** Maximum number of connections that a worker accepts, from all nodes together. One client must stay within it. */
 export const MAX_WORKER_CONNECTIONS = 64
@@ -63,28 +63,28 @@
   }
 
   async adopt (epoch: Epoch, leaseMs: number): Promise<Result<WorkerReport, WorkerError>> {
-    const response = await this.command(epoch, 'POST', '/adopt', { leaseMs })
+    const response = await this.command(createHeaders(epoch), 'POST', '/adopt', { leaseMs })
     return response.andThen(parseReport)
   }
 
-  async start (epoch: Epoch, task: TaskStart, untilMs: number): Promise<Result<void, WorkerError>> {
+  async start (adoption: Adoption, task: TaskStart, untilMs: number): Promise<Result<void, WorkerError>> {
     const { id, ...rest } = task
-    const response = await this.command(epoch, 'PUT', createPath(id), { ...rest, untilMs })
+    const response = await this.command(createAdoptionHeaders(adoption), 'PUT', createPath(id), { ...rest, untilMs })
     return response.map(() => undefined)
   }
 
-  async stop (epoch: Epoch, task: string, checkpoint: boolean): Promise<Result<void, WorkerError>> {
-    const response = await this.command(epoch, 'POST', `${createPath(task)}/stop`, { checkpoint })
+  async stop (adoption: Adoption, task: string, checkpoint: boolean): Promise<Result<void, WorkerError>> {
+    const response = await this.command(createAdoptionHeaders(adoption), 'POST', `${createPath(task)}/stop`, { checkpoint })
     return response.map(() => undefined)
   }
 
-  async throttle (epoch: Epoch, task: string, cpuMilli: number): Promise<Result<void, WorkerError>> {
-    const response = await this.command(epoch, 'POST', `${createPath(task)}/throttle`, { cpuMilli })
+  async throttle (adoption: Adoption, task: string, cpuMilli: number): Promise<Result<void, WorkerError>> {
+    const response = await this.command(createAdoptionHeaders(adoption), 'POST', `${createPath(task)}/throttle`, { cpuMilli })
     return response.map(() => undefined)
   }
 
   async renew (
-    epoch: Epoch,
+    adoption: Adoption,
     untilMs: number,
     acknowledged: readonly string[],
     waitMs: number
@@ -92,7 +92,7 @@
     const response = await this.renewals.call({
       method: 'POST',
       path: '/renew',
-      headers: createHeaders(epoch),
+      headers: createAdoptionHeaders(adoption),
       body: { untilMs, acknowledged, waitMs },
       timeoutMs: waitMs + this.timeoutMs
     })
@@ -100,11 +100,11 @@
     return response.mapErr(toWorkerError).andThen(checkStatus).andThen(parseReport)
   }
 
-  async request (epoch: Epoch, request: WorkerRequest, timeoutMs: number): Promise<Result<unknown, WorkerError>> {
+  async request (adoption: Adoption, request: WorkerRequest, timeoutMs: number): Promise<Result<unknown, WorkerError>> {
     const response = await this.requests.call({
       method: 'POST',
       path: '/requests',
-      headers: createHeaders(epoch),
+      headers: createAdoptionHeaders(adoption),
       body: request,
       timeoutMs
     })
@@ -128,12 +128,11 @@
   }
 
   private async command (
-    epoch: Epoch,
+    headers: Record<string, string>,
     method: 'POST' | 'PUT',
     path: string,
     body: object
   ): Promise<Result<unknown, WorkerError>> {
-    const headers = createHeaders(epoch)
     const response = await this.commands.call({ method, path, headers, body, timeoutMs: this.timeoutMs })
     if (response.isErr()) this.replaceConnectionsOnTimeout(response.error)
     return response.mapErr(toWorkerError).andThen(checkStatus)
@@ -156,6 +155,10 @@
   return { [EPOCH_HEADER]: `${epoch.counter}:${epoch.node}` }
 }
 
+function createAdoptionHeaders ({ epoch, boot }: Adoption): Record<string, string> {
+  return { ...createHeaders(epoch), [BOOT_HEADER]: boot }
+}
+
 function toWorkerError (error: HttpCallError): WorkerError {
   const { sent, detail } = error
   return { failure: sent ? WorkerFailure.Unknown : WorkerFailure.Unreachable, detail }
--- a/packages/service-clients/src/worker.ts
+++ b/packages/service-clients/src/worker.ts
@@ -58,6 +58,16 @@
   readonly tasks: readonly TaskReport[]
 }
 
+/**
+ * The adoption of one incarnation of a worker under an epoch. A command or request that reaches the worker after a restart, for
+ * instance because it was delayed on its way, names the former incarnation and has no effect on the present one.
+ */
+export interface Adoption {
+  readonly epoch: Epoch
+  /** Id of the incarnation, as its report upon adoption gives it. */
+  readonly boot: string
+}
+
 /** Why a command or request failed. */
 export enum WorkerFailure {
   /** The epoch of the command or request is older than the worker's. It had no effect. */
@@ -92,9 +102,9 @@
 }
 
 /**
- * One worker. A command is any call to this API except `request`. Every command and every request carries the owner's epoch.
- * A worker refuses those whose epoch is older than its own. Under a newer epoch it accepts only `adopt`: it responds to
- * `renew` but extends no lease, and refuses all others.
+ * One worker. A command is any call to this API except `request`. Every command and every request carries the owner's epoch, and all
+ * but `adopt` the incarnation that the owner has adopted. A worker refuses those whose epoch is older than its own. Under a newer
+ * epoch, and for another incarnation, it accepts only `adopt`: it responds to `renew`, which changes nothing, and refuses all others.
  */
 export abstract class Worker {
   /**
@@ -103,23 +113,24 @@
    */
   abstract adopt (epoch: Epoch, leaseMs: number): Promise<Result<WorkerReport, WorkerError>>
   /** Starts a task under a lease until `untilMs` of the worker's clock. A repeated id and attempt has no further effect. */
-  abstract start (epoch: Epoch, task: TaskStart, untilMs: number): Promise<Result<void, WorkerError>>
+  abstract start (adoption: Adoption, task: TaskStart, untilMs: number): Promise<Result<void, WorkerError>>
   /** Stops a task, after a checkpoint if `checkpoint` is set. Repeating the command has no further effect. */
-  abstract stop (epoch: Epoch, task: string, checkpoint: boolean): Promise<Result<void, WorkerError>>
+  abstract stop (adoption: Adoption, task: string, checkpoint: boolean): Promise<Result<void, WorkerError>>
   /** Limits the CPU of a running task, in thousandths of a core. */
-  abstract throttle (epoch: Epoch, task: string, cpuMilli: number): Promise<Result<void, WorkerError>>
+  abstract throttle (adoption: Adoption, task: string, cpuMilli: number): Promise<Result<void, WorkerError>>
   /**
-   * Acknowledges reports of ended tasks (as "id/attempt"). If the worker was adopted under this epoch, also extends the
-   * leases of all tasks to `untilMs` of the worker's clock. Returns as soon as a task ends, or after `waitMs`.
+   * Acknowledges reports of ended tasks (as "id/attempt"), and extends the leases of all tasks to `untilMs` of the worker's clock.
+   * Returns as soon as a task ends, or after `waitMs`. Without the adoption, changes nothing and returns a report without tasks at
+   * once, which shows the present incarnation.
    */
   abstract renew (
-    epoch: Epoch,
+    adoption: Adoption,
     untilMs: number,
     acknowledged: readonly string[],
     waitMs: number
   ): Promise<Result<WorkerReport, WorkerError>>
   /** Sends a request and returns its complete response. */
-  abstract request (epoch: Epoch, request: WorkerRequest, timeoutMs: number): Promise<Result<unknown, WorkerError>>
+  abstract request (adoption: Adoption, request: WorkerRequest, timeoutMs: number): Promise<Result<unknown, WorkerError>>
   /** Closes the connections. */
   abstract close (): Promise<void>
 }
--- a/packages/service-clients/test/clients.spec.ts
+++ b/packages/service-clients/test/clients.spec.ts
@@ -92,7 +92,7 @@
   respond = responder
   const worker = new RemoteWorker({ address, timeoutMs: 300 })
   const request = { id: 'r', team: 't', kind: 'k', size: SIZE, body: {} }
-  expect((await worker.request(EPOCH, request, 300))._unsafeUnwrapErr().failure).toBe(WorkerFailure.Unknown)
+  expect((await worker.request({ epoch: EPOCH, boot: 'b' }, request, 300))._unsafeUnwrapErr().failure).toBe(WorkerFailure.Unknown)
   expect((await worker.adopt(EPOCH, 0))._unsafeUnwrapErr().failure).toBe(WorkerFailure.Unknown)
   await worker.close()
 })
--- a/packages/standin/src/fence.ts
+++ b/packages/standin/src/fence.ts
@@ -1,14 +1,14 @@
 /**
  * The epoch under which a stand-in worker was adopted, and the check of commands against it.
  */
-import { WorkerFailure, type WorkerError } from '@fireflymount/service-clients/worker'
+import { WorkerFailure, type Adoption, type WorkerError } from '@fireflymount/service-clients/worker'
 import { compareEpochs, NO_EPOCH, type Epoch } from '@fireflymount/protocol/epoch'
 import { err, ok, type Result } from 'neverthrow'
 import { Event, type EventHistory } from './event-history.js'
 
 /**
- * Refuses commands of former owners and of owners that have not adopted the worker. A renewal under a newer epoch is the
- * exception: it gets a response but extends no lease.
+ * Refuses commands of former owners and of owners that have not adopted this incarnation of the worker. A renewal without the
+ * adoption is the exception: it gets a response but changes nothing.
  */
 export class Fence {
   private epoch: Epoch = NO_EPOCH
@@ -29,9 +29,9 @@
     return ok(undefined)
   }
 
-  /** Returns whether the worker is adopted under an epoch. */
-  isAdopted (epoch: Epoch): boolean {
-    return compareEpochs(epoch, this.epoch) === 0
+  /** Returns whether an adoption is that of the worker's present incarnation. */
+  isAdopted ({ epoch, boot }: Adoption): boolean {
+    return boot === this.history.boot && compareEpochs(epoch, this.epoch) === 0
   }
 
   /**
@@ -49,17 +49,18 @@
   }
 
   /**
-   * Refuses a command or request under any epoch but that under which the worker was adopted.
+   * Refuses a command or request under any adoption but that of the worker's present incarnation.
    *
-   * @param epoch epoch of the command or request
+   * @param adoption the adoption that the command or request was sent under
    * @param taskOrCommand id of the task or request
    * @returns the error of the refusal, if any
    */
-  refuseUnlessAdopted (epoch: Epoch, taskOrCommand: string): Result<void, WorkerError> {
-    const check = this.refuseIfOlder(epoch, taskOrCommand)
+  refuseUnlessAdopted (adoption: Adoption, taskOrCommand: string): Result<void, WorkerError> {
+    const check = this.refuseIfOlder(adoption.epoch, taskOrCommand)
     if (check.isErr()) return check
-    if (this.isAdopted(epoch)) return ok(undefined)
-    return this.refuse(epoch, taskOrCommand, WorkerFailure.Refused, 'Adopt the worker under this epoch before any other command or request.')
+    if (this.isAdopted(adoption)) return ok(undefined)
+    const detail = 'Adopt this incarnation of the worker under this epoch before any other command or request.'
+    return this.refuse(adoption.epoch, taskOrCommand, WorkerFailure.Refused, detail)
   }
 
   /** Records a refusal and creates its error. */
--- a/packages/standin/src/standin-worker.ts
+++ b/packages/standin/src/standin-worker.ts
@@ -5,6 +5,7 @@
 import {
   TaskState,
   WorkerFailure,
+  type Adoption,
   type TaskStart,
   type WorkerError,
   type WorkerReport,
@@ -99,9 +100,10 @@
    *
    * @returns true if the task was started, false if this run was already started before
    */
-  start (epoch: Epoch, task: TaskStart, untilMs: number): Result<boolean, WorkerError> {
+  start (adoption: Adoption, task: TaskStart, untilMs: number): Result<boolean, WorkerError> {
     this.expireLeases()
-    const check = this.fence.refuseUnlessAdopted(epoch, task.id)
+    const { epoch } = adoption
+    const check = this.fence.refuseUnlessAdopted(adoption, task.id)
     if (check.isErr()) return err(check.error)
     const running = this.running.get(task.id)
     if (this.wasStarted(runKey(task.id, task.attempt), running)) return ok(false)
@@ -113,9 +115,9 @@
   }
 
   /** Stops a task; see Worker.stop. */
-  stop (epoch: Epoch, id: string, checkpoint: boolean): Result<void, WorkerError> {
+  stop (adoption: Adoption, id: string, checkpoint: boolean): Result<void, WorkerError> {
     this.expireLeases()
-    const check = this.fence.refuseUnlessAdopted(epoch, id)
+    const check = this.fence.refuseUnlessAdopted(adoption, id)
     if (check.isErr()) return check
     const runningTask = this.running.get(id)
     if (runningTask === undefined) return ok(undefined)
@@ -131,9 +133,9 @@
   }
 
   /** Limits the CPU of a task; see Worker.throttle. */
-  throttle (epoch: Epoch, id: string, cpuMilli: number): Result<void, WorkerError> {
+  throttle (adoption: Adoption, id: string, cpuMilli: number): Result<void, WorkerError> {
     this.expireLeases()
-    const check = this.fence.refuseUnlessAdopted(epoch, id)
+    const check = this.fence.refuseUnlessAdopted(adoption, id)
     if (check.isErr()) return check
     this.running.get(id)?.throttle(cpuMilli, this.now() + this.options.usageLagMs)
     return ok(undefined)
@@ -141,24 +143,27 @@
 
   /** Extends the leases and reports changes; see Worker.renew. */
   async renew (
-    epoch: Epoch,
+    adoption: Adoption,
     untilMs: number,
     acknowledged: readonly string[],
     waitMs: number
   ): Promise<Result<WorkerReport, WorkerError>> {
     this.expireLeases()
-    const check = this.fence.refuseIfOlder(epoch, 'renew')
+    const check = this.fence.refuseIfOlder(adoption.epoch, 'renew')
     if (check.isErr()) return err(check.error)
+    if (!this.fence.isAdopted(adoption)) return ok(this.reportIncarnation())
     this.reports.acknowledge(acknowledged)
-    if (this.fence.isAdopted(epoch)) this.extendLeases(untilMs)
+    this.extendLeases(untilMs)
     if (waitMs > 0 && !this.reports.hasUnreported()) await this.heldRenewals.wait(waitMs)
-    return this.fence.refuseIfOlder(epoch, 'renew').map(() => this.reportChanges())
+    return this.fence.refuseIfOlder(adoption.epoch, 'renew')
+      .map(() => this.fence.isAdopted(adoption) ? this.reportChanges() : this.reportIncarnation())
   }
 
   /** Runs a request; see Worker.request. */
-  async request (epoch: Epoch, request: WorkerRequest): Promise<Result<unknown, WorkerError>> {
+  async request (adoption: Adoption, request: WorkerRequest): Promise<Result<unknown, WorkerError>> {
     this.expireLeases()
-    const check = this.fence.refuseUnlessAdopted(epoch, request.id)
+    const { epoch } = adoption
+    const check = this.fence.refuseUnlessAdopted(adoption, request.id)
     if (check.isErr()) return check
     if (!this.capacityTracker.tryAllocate(request.size)) return this.refuseFull(epoch, request.id)
     const { id: task, team, kind, size } = request
@@ -247,6 +252,11 @@
     return { boot: this.history.boot, clockMs: now, tasks }
   }
 
+  /** Reports only which incarnation this is, so that an owner that has not adopted it does. */
+  private reportIncarnation (): WorkerReport {
+    return { boot: this.history.boot, clockMs: this.now(), tasks: [] }
+  }
+
   /** Reports changed usage, and every ended task or request whose report is not acknowledged. */
   private reportChanges (): WorkerReport {
     const now = this.now()
--- a/packages/standin/src/worker-routes.ts
+++ b/packages/standin/src/worker-routes.ts
@@ -4,8 +4,8 @@
 import type { Socket } from 'node:net'
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response'
 import type { Context, Hono } from 'hono'
-import { AdoptCodec, EPOCH_HEADER, RenewCodec, StartCodec, StopCodec, ThrottleCodec, WorkerRequestCodec } from '@fireflymount/service-clients/messages'
-import { WorkerFailure, type WorkerError } from '@fireflymount/service-clients/worker'
+import { AdoptCodec, BOOT_HEADER, EPOCH_HEADER, RenewCodec, StartCodec, StopCodec, ThrottleCodec, WorkerRequestCodec } from '@fireflymount/service-clients/messages'
+import { WorkerFailure, type Adoption, type WorkerError } from '@fireflymount/service-clients/worker'
 import type { Epoch } from '@fireflymount/protocol/epoch'
 import { err, ok, type Result } from 'neverthrow'
 import type { Codec } from 'purify-ts/Codec'
@@ -88,7 +88,7 @@
   state: ApiState,
   context: Context<Env>,
   call: Call,
-  run: (context: Context<Env>, worker: StandinWorker, epoch: Epoch, message: unknown) =>
+  run: (context: Context<Env>, worker: StandinWorker, adoption: Adoption, message: unknown) =>
     Promise<CallResponse> | CallResponse
 ): Promise<Response> {
   const { faults, connections, worker } = state.options
@@ -101,7 +101,7 @@
   const epoch = parseEpoch(context.req.header(EPOCH_HEADER))
   const response = epoch === undefined
     ? createMalformedResponse('The header Fireflymount-Epoch is missing or invalid.')
-    : await run(context, worker, epoch, message)
+    : await run(context, worker, { epoch, boot: context.req.header(BOOT_HEADER) ?? '' }, message)
   await delay(faults.responseDelayMs(call))
   await faults.waitUntilThawed()
   if (connections.isStalled(socket)) return hang()
@@ -127,47 +127,49 @@
   return RESPONSE_ALREADY_SENT
 }
 
-function onAdopt (_context: Context<Env>, worker: StandinWorker, epoch: Epoch, message: unknown): CallResponse {
+function onAdopt (_context: Context<Env>, worker: StandinWorker, adoption: Adoption, message: unknown): CallResponse {
   const adopt = decode(AdoptCodec, message)
   if (adopt.isErr()) return createMalformedResponse(adopt.error)
-  return createResponse(worker.adopt(epoch, adopt.value.leaseMs))
+  return createResponse(worker.adopt(adoption.epoch, adopt.value.leaseMs))
 }
 
-function onStart (context: Context<Env>, worker: StandinWorker, epoch: Epoch, message: unknown): CallResponse {
+function onStart (context: Context<Env>, worker: StandinWorker, adoption: Adoption, message: unknown): CallResponse {
   const start = decode(StartCodec, message)
   if (start.isErr()) return createMalformedResponse(start.error)
   const { untilMs, ...task } = start.value
-  const started = worker.start(epoch, { ...task, id: taskOf(context), body: task.body }, untilMs)
+  const started = worker.start(adoption, { ...task, id: taskOf(context), body: task.body }, untilMs)
   if (started.isErr()) return createResponse(started)
   return { status: started.value ? 201 : 200, body: {} }
 }
 
-function onStop (context: Context<Env>, worker: StandinWorker, epoch: Epoch, message: unknown): CallResponse {
+function onStop (context: Context<Env>, worker: StandinWorker, adoption: Adoption, message: unknown): CallResponse {
   const stop = decode(StopCodec, message)
   if (stop.isErr()) return createMalformedResponse(stop.error)
-  return createResponse(worker.stop(epoch, taskOf(context), stop.value.checkpoint))
+  return createResponse(worker.stop(adoption, taskOf(context), stop.value.checkpoint))
 }
 
-function onThrottle (context: Context<Env>, worker: StandinWorker, epoch: Epoch, message: unknown): CallResponse {
+function onThrottle (context: Context<Env>, worker: StandinWorker, adoption: Adoption, message: unknown): CallResponse {
   const throttle = decode(ThrottleCodec, message)
   if (throttle.isErr()) return createMalformedResponse(throttle.error)
-  return createResponse(worker.throttle(epoch, taskOf(context), throttle.value.cpuMilli))
+  return createResponse(worker.throttle(adoption, taskOf(context), throttle.value.cpuMilli))
 }
 
-async function onRenew (_context: Context<Env>, worker: StandinWorker, epoch: Epoch, message: unknown): Promise<CallResponse> {
+async function onRenew (
+  _context: Context<Env>, worker: StandinWorker, adoption: Adoption, message: unknown
+): Promise<CallResponse> {
   const renew = decode(RenewCodec, message)
   if (renew.isErr()) return createMalformedResponse(renew.error)
   const { untilMs, acknowledged, waitMs } = renew.value
-  return createResponse(await worker.renew(epoch, untilMs, acknowledged, waitMs))
+  return createResponse(await worker.renew(adoption, untilMs, acknowledged, waitMs))
 }
 
 async function onRequest (
-  _context: Context<Env>, worker: StandinWorker, epoch: Epoch, message: unknown
+  _context: Context<Env>, worker: StandinWorker, adoption: Adoption, message: unknown
 ): Promise<CallResponse> {
   const request = decode(WorkerRequestCodec, message)
   if (request.isErr()) return createMalformedResponse(request.error)
   const { id } = request.value
-  const response = await worker.request(epoch, { ...request.value, body: request.value.body })
+  const response = await worker.request(adoption, { ...request.value, body: request.value.body })
   if (response.isErr()) return createResponse(response)
   return { status: 200, body: { id, value: response.value } }
 }
--- a/packages/standin/test/lease-expiry.spec.ts
+++ b/packages/standin/test/lease-expiry.spec.ts
@@ -23,7 +23,7 @@
     const worker = new StandinWorker({ id: 'w1', capacity: CAPACITY, slots: 4, leaseCheckMs: LEASE_CHECK_MS, usageLagMs: 0 }, history)
     const adopted = worker.adopt(EPOCH, LEASE_MS)._unsafeUnwrap()
     const task = { id: 't1', attempt: 1, team: 'a', kind: 'q', size: CAPACITY, body: {} }
-    worker.start(EPOCH, task, adopted.clockMs + LEASE_MS)._unsafeUnwrap()
+    worker.start({ epoch: EPOCH, boot: adopted.boot }, task, adopted.clockMs + LEASE_MS)._unsafeUnwrap()
     block(blockedMs)
     await expect.poll(() => history.page(0).entries.map(({ event }) => event)).toContain(Event.Expire)
     const { entries } = history.page(0)
--- a/packages/standin/test/worker-faults.spec.ts
+++ b/packages/standin/test/worker-faults.spec.ts
@@ -2,7 +2,7 @@
  * Tests the injected faults of a worker, and how its client handles them.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
-import { WorkerFailure } from '@fireflymount/service-clients/worker'
+import { WorkerFailure, type Adoption } from '@fireflymount/service-clients/worker'
 import { RemoteWorker } from '@fireflymount/service-clients/worker-client'
 import type { Epoch } from '@fireflymount/protocol/epoch'
 import { Call, Event, WorkerControl, type EventEntry, type WorkerFault } from '@fireflymount/standin/test-control'
@@ -21,6 +21,8 @@
 let address: string
 let control: WorkerControl
 let worker: RemoteWorker
+/** The worker's incarnation in the current test. */
+let boot: string
 let firstEntry: number
 
 beforeAll(async () => {
@@ -32,7 +34,7 @@
 beforeEach(async () => {
   await control.restart()
   worker = new RemoteWorker({ address, timeoutMs: TIMEOUT_MS })
-  await worker.adopt(OWNER, FOREVER_MS)
+  boot = (await worker.adopt(OWNER, FOREVER_MS))._unsafeUnwrap().boot
   firstEntry = (await control.readEvents()).length
 })
 
@@ -45,15 +47,19 @@
   await stop(standin.child)
 })
 
+function under (epoch: Epoch): Adoption {
+  return { epoch, boot }
+}
+
 async function startTask (id = 't', body: unknown = {}): Promise<WorkerFailure | undefined> {
   const task = { id, attempt: 1, team: 'guild', kind: 'render', size: SIZE, body }
-  const started = await worker.start(OWNER, task, FOREVER_MS)
+  const started = await worker.start(under(OWNER), task, FOREVER_MS)
   return started.isErr() ? started.error.failure : undefined
 }
 
 async function sendRequest (id = 'r', client = worker): Promise<unknown> {
   const request = { id, team: 'guild', kind: 'preview', size: SIZE, body: { echo: id } }
-  const response = await client.request(OWNER, request, TIMEOUT_MS)
+  const response = await client.request(under(OWNER), request, TIMEOUT_MS)
   return response.isErr() ? response.error.failure : response.value
 }
 
@@ -119,14 +125,14 @@
 test('on a worker on which everything fails, tasks fail', async () => {
   await control.injectFault({ failAll: true })
   expect(await startTask()).toBeUndefined()
-  const report = (await worker.renew(OWNER, FOREVER_MS, [], 1_000))._unsafeUnwrap()
+  const report = (await worker.renew(under(OWNER), FOREVER_MS, [], 1_000))._unsafeUnwrap()
   expect(report.tasks).toMatchObject([{ id: 't', state: 'failed' }])
 })
 
 test('leases expire on a frozen worker, and pending commands take effect once it is thawed', async () => {
-  const clockMs = (await worker.renew(OWNER, 0, [], 0))._unsafeUnwrap().clockMs
+  const clockMs = (await worker.renew(under(OWNER), 0, [], 0))._unsafeUnwrap().clockMs
   const leased = { id: 'leased', attempt: 1, team: 'guild', kind: 'render', size: SIZE, body: {} }
-  await worker.start(OWNER, leased, clockMs + 100)
+  await worker.start(under(OWNER), leased, clockMs + 100)
   await control.injectFault({ freeze: true })
   expect(await startTask('waiting')).toBe(WorkerFailure.Unknown)
   const frozen = await control.readEvents(firstEntry)
@@ -155,7 +161,7 @@
 test('a request that finds no free connection before its deadline is never sent', async () => {
   const narrow = new RemoteWorker({ address, requestConnections: 1 })
   const request = { id: 'long', team: 'guild', kind: 'preview', size: SIZE, body: { workMs: 400 } }
-  const long = narrow.request(OWNER, request, 1_000)
+  const long = narrow.request(under(OWNER), request, 1_000)
   expect(await sendRequest('waiting', narrow)).toBe(WorkerFailure.Unreachable)
   expect((await long).isOk()).toBe(true)
   expect((await startEntries()).map(({ task }) => task)).toEqual(['long'])
@@ -175,7 +181,7 @@
 
 test('after a renewal without a response, requests use new connections', async () => {
   await sendRequest('r1')
-  const renewal = worker.renew(OWNER, FOREVER_MS, [], 50)
+  const renewal = worker.renew(under(OWNER), FOREVER_MS, [], 50)
   await control.stallConnections()
   expect((await renewal)._unsafeUnwrapErr().failure).toBe(WorkerFailure.Unknown)
   expect(await sendRequest('r2')).toEqual({ echo: 'r2', worker: 'bee-1' })
@@ -183,7 +189,7 @@
 })
 
 test('a held renewal does not delay other commands and requests', async () => {
-  const renewal = worker.renew(OWNER, FOREVER_MS, [], 1_000)
+  const renewal = worker.renew(under(OWNER), FOREVER_MS, [], 1_000)
   const startMs = performance.now()
   expect(await sendRequest()).toEqual({ echo: 'r', worker: 'bee-1' })
   expect(await startTask('t', { runMs: 1 })).toBeUndefined()
