Daemon: a stop names the run that it stops

What callers see: a run that nobody stopped ends as stopped. If its task may not run twice, its job ends as cancelled although nobody cancelled it; a replica is replaced for nothing.

Cause: a stop named only the task. One that got no answer and was carried out after its run had ended, or had turned out never to have started, stopped the next run of the task on the same worker.

Evidence: the new row of the stand-in fails without the fix: attempt 2 is `stopped` by the stop that was sent for attempt 1.

Why it works: a stop names the attempt, as starts, reports and acknowledgements do, and has no effect while another one runs.

--- a/packages/daemon/src/owner/runs.ts
+++ b/packages/daemon/src/owner/runs.ts
@@ -293,7 +293,7 @@
   private sendStop (run: Run, checkpoint: boolean): void {
     const session = this.options.session(run.worker)
     if (session === undefined || !this.options.confirmed()) return
-    session.stop(run.task.id, checkpoint).catch(stopProcess)
+    session.stop(run.task.id, run.attempt, checkpoint).catch(stopProcess)
   }
 
   /** Handles a report that matches no current run: stops the run if it is running, else acknowledges its end. */
@@ -301,7 +301,7 @@
     if (this.options.provisional) return this.onUnrecorded(session, report)
     if (report.state === TaskState.Running) {
       this.options.metrics.count('run.stray')
-      session.stop(report.id, false).catch(stopProcess)
+      session.stop(report.id, report.attempt, false).catch(stopProcess)
       return true
     }
     const record = this.options.state.task(report.id)
--- a/packages/daemon/src/owner/session.ts
+++ b/packages/daemon/src/owner/session.ts
@@ -128,9 +128,9 @@
     return result
   }
 
-  /** Stops a task. After a lost command or answer, the worker is adopted again: it reports the task if it still runs. */
-  async stop (task: string, checkpoint: boolean): Promise<void> {
-    const result = await this.options.worker.stop(this.adoption(), task, checkpoint)
+  /** Stops a run. After a lost command or answer, the worker is adopted again: it reports the task if it still runs. */
+  async stop (task: string, attempt: number, checkpoint: boolean): Promise<void> {
+    const result = await this.options.worker.stop(this.adoption(), task, attempt, checkpoint)
     if (result.isOk()) return
     this.reportStaleEpoch(result.error)
     const { failure } = result.error
--- a/packages/daemon/test/owner/runs.spec.ts
+++ b/packages/daemon/test/owner/runs.spec.ts
@@ -29,8 +29,8 @@
   const scheduler = new Shard({ weights: { waiting: 1, share: 1, packing: 1 } })
   const session = {
     id: 'w1',
-    stop: (task: string) => {
-      seen.stopped.push(task)
+    stop: (task: string, attempt: number) => {
+      seen.stopped.push(`${task}/${attempt}`)
       return Promise.resolve()
     },
     acknowledge: (task: string) => { seen.acknowledged.push(task) }
@@ -64,14 +64,14 @@
 }
 
 test.each([
-  { title: 'an owner with the complete state stops a run that the state lacks', provisional: false, state: TaskState.Running, stopped: 1, acknowledged: 0, used: 0 },
-  { title: 'an owner with the complete state acknowledges the end of a run that the state lacks', provisional: false, state: TaskState.Succeeded, stopped: 0, acknowledged: 1, used: 0 },
-  { title: 'a provisional owner charges a run that its state lacks and does not stop it', provisional: true, state: TaskState.Running, stopped: 0, acknowledged: 0, used: 1 },
-  { title: 'a provisional owner does not acknowledge the end of a run that its state lacks, so that its successor gets the report', provisional: true, state: TaskState.Succeeded, stopped: 0, acknowledged: 0, used: 0 }
+  { title: 'an owner with the complete state stops a run that the state lacks', provisional: false, state: TaskState.Running, stopped: ['s.a/0/1'], acknowledged: 0, used: 0 },
+  { title: 'an owner with the complete state acknowledges the end of a run that the state lacks', provisional: false, state: TaskState.Succeeded, stopped: [], acknowledged: 1, used: 0 },
+  { title: 'a provisional owner charges a run that its state lacks and does not stop it', provisional: true, state: TaskState.Running, stopped: [], acknowledged: 0, used: 1 },
+  { title: 'a provisional owner does not acknowledge the end of a run that its state lacks, so that its successor gets the report', provisional: true, state: TaskState.Succeeded, stopped: [], acknowledged: 0, used: 0 }
 ])('$title', ({ provisional, state, stopped, acknowledged, used }) => {
   const { runs, scheduler, session, seen } = createRuns(provisional)
   runs.onReport(session, report(state))
-  expect([seen.stopped.length, seen.acknowledged.length, scheduler.usedBy('guild').tasks]).toEqual([stopped, acknowledged, used])
+  expect([seen.stopped, seen.acknowledged.length, scheduler.usedBy('guild').tasks]).toEqual([stopped, acknowledged, used])
 })
 
 test('a provisional owner releases the charge of a run that its state lacks when the run completes', () => {
--- a/packages/daemon/test/owner/successive-owners.ts
+++ b/packages/daemon/test/owner/successive-owners.ts
@@ -78,13 +78,15 @@
     return Promise.resolve(err({ failure: WorkerFailure.Unknown, detail: '' }))
   }
 
-  stop (adoption: Adoption, task: string): Promise<Result<void, WorkerError>> {
-    return Promise.resolve(this.command(adoption, () => { this.end(task, TaskState.Stopped) }))
+  stop (adoption: Adoption, task: string, attempt: number): Promise<Result<void, WorkerError>> {
+    return Promise.resolve(this.command(adoption, () => { this.end(task, TaskState.Stopped, attempt) }))
   }
 
-  end (task: string, state: TaskState): void {
+  /** Ends the runs of a task, or only that of one attempt. */
+  end (task: string, state: TaskState, attempt?: number): void {
     for (const [key, report] of this.reports) {
-      if (report.id === task && report.state === TaskState.Running) this.reports.set(key, { ...report, state })
+      if (report.id !== task || report.state !== TaskState.Running) continue
+      if (attempt === undefined || report.attempt === attempt) this.reports.set(key, { ...report, state })
     }
   }
 
--- a/packages/service-clients/src/messages.ts
+++ b/packages/service-clients/src/messages.ts
@@ -53,7 +53,7 @@
   untilMs: number
 })
 
-export const StopCodec = Codec.interface({ checkpoint: boolean })
+export const StopCodec = Codec.interface({ attempt: number, checkpoint: boolean })
 
 export const ThrottleCodec = Codec.interface({ cpuMilli: number })
 
--- a/packages/service-clients/src/worker-client.ts
+++ b/packages/service-clients/src/worker-client.ts
@@ -73,8 +73,8 @@
     return response.map(() => undefined)
   }
 
-  async stop (adoption: Adoption, task: string, checkpoint: boolean): Promise<Result<void, WorkerError>> {
-    const response = await this.command(createAdoptionHeaders(adoption), 'POST', `${createPath(task)}/stop`, { checkpoint })
+  async stop (adoption: Adoption, task: string, attempt: number, checkpoint: boolean): Promise<Result<void, WorkerError>> {
+    const response = await this.command(createAdoptionHeaders(adoption), 'POST', `${createPath(task)}/stop`, { attempt, checkpoint })
     return response.map(() => undefined)
   }
 
--- a/packages/service-clients/src/worker.ts
+++ b/packages/service-clients/src/worker.ts
@@ -114,8 +114,11 @@
   abstract adopt (epoch: Epoch, leaseMs: number): Promise<Result<WorkerReport, WorkerError>>
   /** Starts a task under a lease until `untilMs` of the worker's clock. A repeated id and attempt has no further effect. */
   abstract start (adoption: Adoption, task: TaskStart, untilMs: number): Promise<Result<void, WorkerError>>
-  /** Stops a task, after a checkpoint if `checkpoint` is set. Repeating the command has no further effect. */
-  abstract stop (adoption: Adoption, task: string, checkpoint: boolean): Promise<Result<void, WorkerError>>
+  /**
+   * Stops one attempt of a task, after a checkpoint if `checkpoint` is set. Has no effect if that attempt does not run. Repeating the
+   * command has no further effect.
+   */
+  abstract stop (adoption: Adoption, task: string, attempt: number, checkpoint: boolean): Promise<Result<void, WorkerError>>
   /** Limits the CPU of a running task, in thousandths of a core. */
   abstract throttle (adoption: Adoption, task: string, cpuMilli: number): Promise<Result<void, WorkerError>>
   /**
--- a/packages/standin/src/standin-worker.ts
+++ b/packages/standin/src/standin-worker.ts
@@ -115,12 +115,12 @@
   }
 
   /** Stops a task; see Worker.stop. */
-  stop (adoption: Adoption, id: string, checkpoint: boolean): Result<void, WorkerError> {
+  stop (adoption: Adoption, id: string, attempt: number, checkpoint: boolean): Result<void, WorkerError> {
     this.expireLeases()
     const check = this.fence.refuseUnlessAdopted(adoption, id)
     if (check.isErr()) return check
     const runningTask = this.running.get(id)
-    if (runningTask === undefined) return ok(undefined)
+    if (runningTask === undefined || runningTask.task.attempt !== attempt) return ok(undefined)
     if (!checkpoint) {
       this.finish(runningTask, Event.Stop, TaskState.Stopped)
       return ok(undefined)
--- a/packages/standin/src/worker-routes.ts
+++ b/packages/standin/src/worker-routes.ts
@@ -145,7 +145,7 @@
 function onStop (context: Context<Env>, worker: StandinWorker, adoption: Adoption, message: unknown): CallResponse {
   const stop = decode(StopCodec, message)
   if (stop.isErr()) return createMalformedResponse(stop.error)
-  return createResponse(worker.stop(adoption, taskOf(context), stop.value.checkpoint))
+  return createResponse(worker.stop(adoption, taskOf(context), stop.value.attempt, stop.value.checkpoint))
 }
 
 function onThrottle (context: Context<Env>, worker: StandinWorker, adoption: Adoption, message: unknown): CallResponse {
--- a/packages/standin/test/late-calls.spec.ts
+++ b/packages/standin/test/late-calls.spec.ts
@@ -98,7 +98,7 @@
   {
     title: 'a stop stops nothing',
     call: Call.Stop,
-    send: () => worker.stop(adoption, 't', false),
+    send: () => worker.stop(adoption, 't', 1, false),
     play: () => start(FOREVER_MS),
     states: [TaskState.Running]
   },
@@ -135,3 +135,17 @@
   expect((await reports())[0]?.usage).toEqual(SIZE)
   expect((await control.readEvents()).filter(({ event }) => event === Event.Start)).not.toEqual([])
 })
+
+// Guards against a run that ends as stopped although nobody stopped it, which cancels a job that may not run twice.
+test('a stop that is carried out after its run has ended does not stop the next run of the task', async () => {
+  await start(FOREVER_MS, { runMs: 1 })
+  await control.injectFault({ command: Call.Stop, slowMs: LATE_MS })
+  const sent = worker.stop(adoption, 't', 1, false)
+  await sleep(TIMEOUT_MS / 2)
+  await control.clearFaults()
+  ;(await worker.renew(adoption, FOREVER_MS, ['t/1'], 0))._unsafeUnwrap()
+  ;(await worker.start(adoption, { ...TASK, attempt: 2 }, FOREVER_MS))._unsafeUnwrap()
+  expect(await sent).toMatchObject({ error: { failure: WorkerFailure.Unknown } })
+  await sleep(LATE_MS)
+  expect((await reports()).map(({ attempt, state }) => [attempt, state])).toEqual([[2, TaskState.Running]])
+})
--- a/packages/standin/test/worker.spec.ts
+++ b/packages/standin/test/worker.spec.ts
@@ -75,7 +75,7 @@
   const commands: [string, (epoch: Epoch) => Promise<{ isOk: () => boolean }>][] = [
     ['adopt', (epoch) => worker.adopt(epoch, 0)],
     ['start', (epoch) => worker.start(under(epoch), createTask(), FOREVER_MS)],
-    ['stop', (epoch) => worker.stop(under(epoch), 't', false)],
+    ['stop', (epoch) => worker.stop(under(epoch), 't', 1, false)],
     ['throttle', (epoch) => worker.throttle(under(epoch), 't', 100)],
     ['renew', (epoch) => worker.renew(under(epoch), FOREVER_MS, [], 0)],
     ['request', (epoch) => worker.request(under(epoch), createRequest('r'), 500)]
@@ -105,7 +105,7 @@
     expect((await request).isOk()).toBe(true)
     const ended = (await worker.renew(under(NEWER), FOREVER_MS, [], 0))._unsafeUnwrap().tasks
     expect(ended.find((task) => task.id === 'r')).toMatchObject({ attempt: 0, state: TaskState.Succeeded })
-    expect((await worker.stop(under(OWNER), 't', false))._unsafeUnwrapErr().failure).toBe(WorkerFailure.StaleEpoch)
+    expect((await worker.stop(under(OWNER), 't', 1, false))._unsafeUnwrapErr().failure).toBe(WorkerFailure.StaleEpoch)
   })
 
   test('a held renewal fails as stale when a new owner adopts the worker', async () => {
@@ -193,8 +193,8 @@
     ['with a checkpoint', true, { checkpoint: { ranMs: expect.any(Number) as number } }]
   ])('a task is stopped %s, and stopping it again has no further effect', async (_case, checkpoint, result) => {
     await worker.start(under(OWNER), createTask({ body: { checkpointMs: 30 } }), FOREVER_MS)
-    expect((await worker.stop(under(OWNER), 't', checkpoint)).isOk()).toBe(true)
-    expect((await worker.stop(under(OWNER), 't', checkpoint)).isOk()).toBe(true)
+    expect((await worker.stop(under(OWNER), 't', 1, checkpoint)).isOk()).toBe(true)
+    expect((await worker.stop(under(OWNER), 't', 1, checkpoint)).isOk()).toBe(true)
     const [report] = await renew([], 1_000)
     expect(report?.state).toBe(TaskState.Stopped)
     expect(report?.result).toEqual(result)
