Daemon: an owner takes its predecessor and its standbys from the log as of its claim

What callers see: at worst a task that runs in two places. An owner counts the leases of its predecessor as expired and starts its tasks again, while a standby that the owner does not know goes on confirming the predecessor, which renews these leases.

Cause: the standbys of the predecessor, whether there was one, and the standbys of the new owner were determined before the claim, which first reads the log to its end. After an outage that read can show owners that the node did not know; if it knew a higher epoch, from a pledge or from a node, its claim still takes effect. And a claim that got no answer, also one from before a restart of the node, is repeated under the same epoch. If the first one reaches the log late, it is the one in effect, with other standbys than its owner uses.

Evidence: without the fix the two rows with unread claims ask `n2` or nobody for a pledge in place of `n4`, the owner with a late claim hands over to `n2` in place of `n9`, and a standby that only the predecessor has is not written. With the fix all pass.

Why it works: once the claim is in effect, the owner takes its standbys from it, and its predecessor's from the claim that it has replaced, beside those known before. A standby of the predecessor that the claim lacks is written at once, so that the next owner waits for it too. An owner that is lost before that write leaves a successor that does not wait for this standby; the time is that of one group commit.

--- a/packages/daemon/src/owner/confirmation.ts
+++ b/packages/daemon/src/owner/confirmation.ts
@@ -36,7 +36,7 @@
 export interface ConfirmationOptions {
   readonly shard: string
   readonly epoch: Epoch
-  /** Standbys of this claim; they include every node of `formerStandbys` that is not terminated. */
+  /** Standbys of this claim. Nodes of `formerStandbys` that they lack are added as soon as possible, unless terminated. */
   readonly standbys: readonly string[]
   /** Standbys of the previous claim, without this node. */
   readonly formerStandbys: readonly string[]
@@ -123,7 +123,10 @@
     await Promise.all(targets.map((node) => this.requestPledge(node, now)))
   }
 
-  /** Writes a new set of standbys once it has been desired for `STANDBY_STABLE_MS`, or at once if there are too few. */
+  /**
+   * Writes a new set of standbys once it has been desired for `STANDBY_STABLE_MS`, or at once if there are too few or a node is missing
+   * that may still confirm a former owner.
+   */
   async setStandbys (names: readonly string[]): Promise<void> {
     const now = this.options.clock.now()
     if (!isSame(names, this.desiredStandbys)) {
@@ -132,7 +135,8 @@
     }
     const next = this.nextStandbys()
     const stable = now - this.desiredSinceMs >= STANDBY_STABLE_MS || this.currentStandbys.length < names.length
-    if (isSame(next, this.currentStandbys) || !stable) return
+    const complete = this.ungranted(this.options.formerStandbys).every((node) => this.currentStandbys.includes(node))
+    if (isSame(next, this.currentStandbys) || (complete && !stable)) return
     const written = await this.options.journal.commit(
       { kind: ChangeKind.Standbys, epoch: this.options.epoch, names: [...next] },
       STANDBY_COMMIT_TIMEOUT_MS
@@ -141,14 +145,18 @@
   }
 
   /**
-   * Returns the desired standbys, and those current ones that have not granted a pledge to this epoch. The latter may still
-   * confirm a former owner, so they must not be dropped.
+   * Returns the desired standbys, and those current and former ones that have not granted a pledge to this epoch. The latter may still
+   * confirm a former owner, so the next owner has to know them.
    */
   private nextStandbys (): readonly string[] {
-    const kept = this.currentStandbys.filter((node) => !this.grantedAtMs.has(node) && !this.options.members.isTerminated(node))
+    const kept = this.ungranted([...this.currentStandbys, ...this.options.formerStandbys])
     return [...new Set([...this.desiredStandbys, ...kept])]
   }
 
+  private ungranted (nodes: readonly string[]): string[] {
+    return nodes.filter((node) => !this.grantedAtMs.has(node) && !this.options.members.isTerminated(node))
+  }
+
   private isConfirmedByLog (now: number): boolean {
     return now - this.options.journal.confirmedAtMs() < this.options.timing.confirmationMs / 2
   }
--- a/packages/daemon/src/owner/role.ts
+++ b/packages/daemon/src/owner/role.ts
@@ -65,6 +65,9 @@
   private caughtUp = false
   private claiming = false
   private leaving = false
+  /** The newest claim read, and the one that it replaced. */
+  private holder: Holder | undefined
+  private replacedHolder: Holder | undefined
   private readonly ownerMonitor: OwnerMonitor
 
   constructor (private readonly options: RoleOptions) {
@@ -259,9 +262,7 @@
     const epoch = {
       counter: Math.max(this.ownerMonitor.newestEpoch.counter, before?.epoch.counter ?? 0) + 1, node: settings.node
     }
-    const formerStandbys = before === undefined
-      ? []
-      : this.ownerMonitor.standbysOf(before).filter((standby) => standby !== settings.node)
+    const formerStandbys = this.formerStandbysOf(before)
     const standbys = this.desiredStandbys(formerStandbys)
     if (provisionally && !journal.available()) {
       this.claiming = false
@@ -271,7 +272,15 @@
     const claimed = await journal.claim(epoch, standbys)
     this.claiming = false
     if (claimed.isOk()) {
-      this.startOwner(epoch, { standbys, formerStandbys, provisional: false, first: before === undefined })
+      // The claim reads the log to its end first, so it can replace a holder that was not known before. And the claim in effect can be
+      // an earlier one of this node under the same epoch, which reached the log late.
+      const replacedStandbys = this.formerStandbysOf(this.replacedHolder)
+      this.startOwner(epoch, {
+        standbys: claimed.value.standbys,
+        formerStandbys: [...new Set([...formerStandbys, ...replacedStandbys])],
+        provisional: false,
+        first: before === undefined && this.replacedHolder === undefined
+      })
       return
     }
     if (claimed.error.failure === JournalFailure.Superseded) {
@@ -324,6 +333,8 @@
   }
 
   private onHolder (holder: Holder): void {
+    this.replacedHolder = this.holder
+    this.holder = holder
     this.ownerMonitor.noteEpoch(holder.epoch)
     const { owner } = this
     if (owner === undefined || compareEpochs(holder.epoch, owner.options.epoch) <= 0) return
@@ -348,6 +359,12 @@
     this.options.logger.info({ shard: this.options.shard, epoch: owner.options.epoch, detail }, 'shard ownership ended')
   }
 
+  /** Returns the nodes, without this one, that may still confirm the owner under a claim. */
+  private formerStandbysOf (holder: Holder | undefined): string[] {
+    if (holder === undefined) return []
+    return this.ownerMonitor.standbysOf(holder).filter((standby) => standby !== this.options.settings.node)
+  }
+
   /**
    * Returns the next candidates, and the given standbys of the previous claim that are not terminated: they may still confirm a
    * former owner.
--- a/packages/daemon/test/owner/confirmation.spec.ts
+++ b/packages/daemon/test/owner/confirmation.spec.ts
@@ -120,6 +120,16 @@
   expect(harness.written.at(-1)).toEqual(['n4', 'n5'])
 })
 
+// Guards against an owner that does not wait for a node which still confirms the predecessor of its predecessor.
+test('a standby of the former owner that the claim lacks is written at once, unless it has granted a pledge or is terminated', async () => {
+  const harness = createHarness({ standbys: ['n2'], formerStandbys: ['n2', 'n3', 'n4', 'n5'] })
+  harness.granting.add('n3')
+  harness.terminated.add('n4')
+  await harness.confirmation.refresh()
+  await harness.confirmation.setStandbys(['n2'])
+  expect(harness.written).toEqual([['n2', 'n5']])
+})
+
 test('a short-lived change of the candidates is not written', async () => {
   const harness = createHarness()
   await harness.confirmation.setStandbys(['n4', 'n3'])
--- a/packages/daemon/test/owner/role.spec.ts
+++ b/packages/daemon/test/owner/role.spec.ts
@@ -2,9 +2,14 @@
 import { expect, test } from 'vitest'
 import { SystemClock } from '@fireflymount/service-clients/clock'
 import { JournalFailure, type Holder, type Journal, type JournalError } from '@fireflymount/service-clients/journal'
-import { MessageKind, type Grant } from '@fireflymount/protocol/message'
+import { EMPTY_MANIFEST } from '@fireflymount/manifest/manifest'
+import { DEFAULT_TIMING } from '@fireflymount/manifest/settings-codec'
+import type { Epoch } from '@fireflymount/protocol/epoch'
+import { MessageKind, type Grant, type Request } from '@fireflymount/protocol/message'
+import { Reason, refuse } from '@fireflymount/protocol/refusal'
 import { Role, type RoleOptions } from '../../src/owner/role.js'
 import { ShardState } from '../../src/owner/state.js'
+import { FakeMetrics } from '../entry-fakes.js'
 
 const SHARD = 's'
 /** The claim of the current owner, which the standby granted a pledge before it restarted. */
@@ -52,3 +57,105 @@
   for (const counter of counters) answers.push(await askPledge(role, counter))
   expect(answers).toEqual(granted)
 })
+
+/** A journal that shows the earlier claims of a log only while this node claims, as after an outage. */
+class UnreadJournal {
+  private current: Holder | undefined
+  private listener: (holder: Holder) => void = () => {}
+
+  constructor (read: Holder | undefined, private readonly unread: readonly Holder[]) { this.current = read }
+
+  onHolder (listener: (holder: Holder) => void): void {
+    this.listener = listener
+    if (this.current !== undefined) listener(this.current)
+  }
+
+  holder (): Holder | undefined { return this.current }
+  confirmedAtMs (): number { return performance.now() }
+  available (): boolean { return true }
+  async catchUp (): Promise<Result<void, JournalError>> { return ok(undefined) }
+  async commit (): Promise<Result<void, JournalError>> { return ok(undefined) }
+  async writeSnapshotIfDue (): Promise<Result<boolean, JournalError>> { return ok(false) }
+  async follow (): Promise<void> {}
+
+  async claim (epoch: Epoch, standbys: readonly string[]): Promise<Result<Holder, JournalError>> {
+    for (const holder of this.unread) this.read(holder)
+    if (this.current?.epoch.counter !== epoch.counter) this.read({ epoch, standbys, offset: epoch.counter })
+    return ok(this.current!)
+  }
+
+  private read (holder: Holder): void {
+    this.current = holder
+    this.listener(holder)
+  }
+}
+
+function createRole (journal: UnreadJournal, onRequest: (node: string, request: Request) => void): Role {
+  return new Role({
+    shard: SHARD,
+    settings: { node: 'n1', timing: DEFAULT_TIMING },
+    journal: journal as unknown as Journal,
+    state: new ShardState(),
+    members: { candidates: () => ['n1', 'n2'], isTerminated: () => false, workers: () => [], poll: async () => {} },
+    router: {
+      askNode: async (node: string, request: Request) => {
+        onRequest(node, request)
+        return err(refuse(Reason.ConnectionLost, ''))
+      }
+    },
+    manifest: () => EMPTY_MANIFEST,
+    clock: new SystemClock(),
+    metrics: new FakeMetrics(),
+    logger: { info: () => {} }
+  } as unknown as RoleOptions)
+}
+
+const OWN: Holder = { epoch: { counter: 3, node: 'n1' }, standbys: ['n2'], offset: 0 }
+
+// Guards against a task that runs twice: an owner counts the leases of its predecessor as expired while a standby that it does not know
+// still confirms that predecessor.
+test.each<{ title: string, read: Holder | undefined, unread: Holder[], asked: string[] }>([
+  { title: 'the owner that it knew', read: OWN, unread: [], asked: ['n2'] },
+  {
+    title: 'an owner whose claim it reads only while it claims',
+    read: OWN,
+    unread: [{ epoch: { counter: 5, node: 'n3' }, standbys: ['n4'], offset: 1 }],
+    asked: ['n2', 'n4']
+  },
+  {
+    title: 'an owner whose claim it reads only while it claims, as the first one',
+    read: undefined,
+    unread: [{ epoch: { counter: 5, node: 'n3' }, standbys: ['n4'], offset: 1 }],
+    asked: ['n4']
+  }
+])('a new owner asks for pledges from the standbys of its predecessor: $title', async ({ read, unread, asked }) => {
+  const pledged = new Set<string>()
+  const stop = new AbortController()
+  const role = createRole(new UnreadJournal(read, unread), (node, request) => {
+    if (request.kind === MessageKind.Pledge) pledged.add(node)
+  })
+  // A pledge to a provisional owner, whose claim is not in the log.
+  await role.handle({ kind: MessageKind.Pledge, shard: SHARD, epoch: { counter: 6, node: 'n5' } })
+  const running = role.run(stop.signal)
+  await expect.poll(() => role.owns()).toBe(true)
+  await new Promise((resolve) => setTimeout(resolve, 500))
+  stop.abort()
+  await running
+  expect([...pledged].sort()).toEqual(asked)
+})
+
+// Guards against an owner that is confirmed by nodes which its successor does not wait for.
+test('an owner whose earlier claim under the same epoch has reached the log late has the standbys of that claim', async () => {
+  const asked: string[] = []
+  const stop = new AbortController()
+  const late: Holder = { epoch: { counter: 4, node: 'n1' }, standbys: ['n9'], offset: 1 }
+  const role = createRole(new UnreadJournal(OWN, [late]), (node, request) => {
+    if (request.kind === MessageKind.Handover) asked.push(node)
+  })
+  const running = role.run(stop.signal)
+  await expect.poll(() => role.owns()).toBe(true)
+  await role.handOver()
+  stop.abort()
+  await running
+  expect(asked).toEqual(['n9'])
+})
