Daemon: a worker's report of an earlier run does not stand for the present one

What callers see: a job stays active for good, though its task neither runs nor waits, until the shard has another owner or the worker restarts.

Cause: upon adoption, a run counted as known to the worker if the worker reported any run of its task. A worker can still have the end of an earlier run, which the former owner had recorded and not yet acknowledged, while the present run was recorded for the same worker and never sent. The end was acknowledged, and the present run stayed unresolved: nothing asks for another adoption.

Evidence: without the fix the rows 'has the end of an earlier run' and 'still runs an earlier run' fail: nothing is returned to the queue, and no further adoption is due.

Why it works: runs are compared by task and attempt. If another run of the task is still running, which should not happen, it is stopped upon its report, and the task stays where it is until a later adoption shows that the run has ended.

--- a/packages/daemon/src/owner/runs.ts
+++ b/packages/daemon/src/owner/runs.ts
@@ -177,10 +177,18 @@
 
   /** Reconciles the runs recorded for an adopted worker with those that it reports. */
   onAdopted (session: Session, report: WorkerReport): void {
-    const listed = new Set(report.tasks.map((task) => task.id))
+    const listed = new Set<string>()
+    const running = new Set<string>()
+    for (const task of report.tasks) {
+      listed.add(runKey(task.id, task.attempt))
+      if (task.state === TaskState.Running) running.add(task.id)
+    }
     for (const run of [...this.byWorker.get(session.id) ?? []]) {
-      if (listed.has(run.task.id) || run.phase === RunPhase.Ending || run.phase === RunPhase.Recording) continue
-      if (run.boot !== report.boot) this.markLost(run, 'The worker restarted while the task ran.')
+      if (listed.has(runKey(run.task.id, run.attempt))) continue
+      if (run.phase === RunPhase.Ending || run.phase === RunPhase.Recording) continue
+      // Another run of the task is stopped upon its report. Until it has ended, the task must not be placed again.
+      if (running.has(run.task.id)) session.readoptAfter(session.leaseUntilMs())
+      else if (run.boot !== report.boot) this.markLost(run, 'The worker restarted while the task ran.')
       else if (run.phase === RunPhase.Running) this.markLost(run, 'The worker no longer lists the task.')
       else if (run.phase === RunPhase.Starting) continue
       else if (!run.startedByThisOwner || session.isPast(run.leaseUntilMs)) this.returnToQueue(run)
@@ -426,3 +434,8 @@
     if (runs?.size === 0) this.byWorker.delete(run.worker)
   }
 }
+
+/** Returns a key of one run, which differs from those of other runs of its task. */
+function runKey (task: string, attempt: number): string {
+  return `${task}/${attempt}`
+}
--- a/packages/daemon/test/owner/runs.spec.ts
+++ b/packages/daemon/test/owner/runs.spec.ts
@@ -15,6 +15,7 @@
 interface Seen {
   readonly stopped: string[]
   readonly acknowledged: string[]
+  readonly readopted: number[]
 }
 
 interface Harness {
@@ -25,7 +26,7 @@
 }
 
 function createRuns (provisional: boolean, fields: Partial<RunsOptions> = {}): Harness {
-  const seen: Seen = { stopped: [], acknowledged: [] }
+  const seen: Seen = { stopped: [], acknowledged: [], readopted: [] }
   const scheduler = new Shard({ weights: { waiting: 1, share: 1, packing: 1 } })
   const session = {
     id: 'w1',
@@ -33,7 +34,9 @@
       seen.stopped.push(`${task}/${attempt}`)
       return Promise.resolve()
     },
-    acknowledge: (task: string) => { seen.acknowledged.push(task) }
+    acknowledge: (task: string) => { seen.acknowledged.push(task) },
+    readoptAfter: (untilMs: number) => { seen.readopted.push(untilMs) },
+    leaseUntilMs: () => 0
   } as unknown as Session
   const runs = new Runs({
     scheduler,
@@ -196,3 +199,22 @@
   await launched
   expect([changes, requeued, runs.get(PLACEMENT.task.id)]).toMatchObject([[{ kind: ChangeKind.Attempt }], ['s.a/0'], undefined])
 })
+
+// Guards against a job that stays active for good: its worker has the report of an earlier run, and the present one was never sent.
+test.each([
+  { title: 'has no report of its task', reported: [], requeued: ['s.a/0'], readopted: 0 },
+  { title: 'has the end of an earlier run', reported: [report(TaskState.Succeeded)], requeued: ['s.a/0'], readopted: 0 },
+  { title: 'still runs an earlier run', reported: [report(TaskState.Running)], requeued: [], readopted: 1 },
+  { title: 'runs it', reported: [{ ...report(TaskState.Running), attempt: 2 }], requeued: [], readopted: 0 }
+])('a run of a former owner whose worker $title is returned to the queue at once: $requeued', ({ reported, requeued, readopted }) => {
+  const state = new ShardState()
+  state.apply(ACCEPTED)
+  state.apply({ kind: ChangeKind.Attempt, runs: [{ task: 's.a/0', attempt: 2, worker: 'w1', boot: 'b1' }] })
+  const returned: string[] = []
+  const { runs, scheduler, session, seen } = createRuns(false, { state, requeue: (task) => { returned.push(task) } })
+  scheduler.setWorker({ id: 'w1', zone: 'z', rack: 'r', capacity: SIZE, slots: 1 })
+  runs.inherit(PLACEMENT.task, state.task('s.a/0')!)
+  runs.onAdopted(session, { boot: 'b1', clockMs: 0, tasks: reported })
+  for (const each of reported) runs.onReport(session, each)
+  expect([returned, seen.readopted.length]).toEqual([requeued, readopted])
+})
