Daemon: a run that started after an adoption is not lost by its answer

What callers see: a task that runs in two places, or a job that ends as `unknown` while its task runs on.

Cause: a worker is adopted again after a request, start or stop without an answer, while starts go on over other connections. The worker makes its report, then carries out a start; the answer to the start arrives first. The run was known to run, the report did not list it, and it was recorded as lost.

Why it works: a report upon adoption proves only that runs have gone that were known to run when the adoption was sent. The worker keeps the end of any later one until it is acknowledged, so nothing else has to find it.

--- a/packages/daemon/src/owner/runs.ts
+++ b/packages/daemon/src/owner/runs.ts
@@ -48,6 +48,8 @@
   /** Id of the worker's incarnation (one per process start), to recognize runs that a restart ended. */
   readonly boot: string
   phase: RunPhase
+  /** Time from which the run is known to run; Infinity before. */
+  runningSinceMs: number
   /**
    * True if this owner prepared the run, even if its start command is not sent yet. The command can take effect until the
    * worker's clock passes `leaseUntilMs`. Until then, a report without the run does not prove that it never started. A command of
@@ -119,6 +121,7 @@
       worker: record.worker!,
       boot: record.boot!,
       phase: RunPhase.Unresolved,
+      runningSinceMs: Infinity,
       startedByThisOwner: false,
       leaseUntilMs: Infinity,
       stopping
@@ -189,7 +192,7 @@
       // Another run of the task is stopped upon its report. Until it has ended, the task must not be placed again.
       if (running.has(run.task.id)) session.readoptAfter(session.leaseUntilMs())
       else if (run.boot !== report.boot) this.markLost(run, 'The worker restarted while the task ran.')
-      else if (run.phase === RunPhase.Running) this.markLost(run, 'The worker no longer lists the task.')
+      else if (run.phase === RunPhase.Running) this.checkListed(run, session)
       else if (run.phase === RunPhase.Starting) continue
       else if (!run.startedByThisOwner || session.isPast(run.leaseUntilMs)) this.returnToQueue(run)
       else session.readoptAfter(run.leaseUntilMs)
@@ -242,6 +245,7 @@
       worker: placement.worker,
       boot: this.options.session(placement.worker)?.boot ?? '',
       phase: RunPhase.Recording,
+      runningSinceMs: Infinity,
       startedByThisOwner: true,
       leaseUntilMs: 0,
       stopping: false
@@ -292,6 +296,7 @@
     if (run.phase === RunPhase.Ending) return
     const justStarted = run.phase !== RunPhase.Running
     run.phase = RunPhase.Running
+    if (justStarted) run.runningSinceMs = this.options.clock.now()
     if (justStarted && run.startedByThisOwner) this.options.onStarted(run.task)
     if (report?.usage !== undefined) this.options.scheduler.recordUsage(run.task.id, report.usage)
     // A run that is still reported as running may not have received its stop command. Repeating it has no further effect.
@@ -358,6 +363,11 @@
     this.finishTask(run, outcome)
   }
 
+  /** Handles a running run that the report upon an adoption does not list. It can have started after the worker made the report. */
+  private checkListed (run: Run, session: Session): void {
+    if (run.runningSinceMs < session.adoptionSentMs) this.markLost(run, 'The worker no longer lists the task.')
+  }
+
   /** Records that a run stopped before it completed and that its result is lost. */
   private markLost (run: Run, detail: string): void {
     run.phase = RunPhase.Ending
--- a/packages/daemon/src/owner/session.ts
+++ b/packages/daemon/src/owner/session.ts
@@ -70,6 +70,8 @@
   /** Id of the worker's incarnation (one per process start). Empty before adoption. */
   boot = ''
   adopted = false
+  /** Time on this node's clock at which the last adoption that was answered was sent. */
+  adoptionSentMs = -Infinity
   /** The worker's clock in its last report. */
   private workerClockMs = 0
   /** Time on this node's clock when that report arrived. */
@@ -174,6 +176,7 @@
 
   private async adopt (): Promise<boolean> {
     if (!this.options.confirmed()) return false
+    const sentMs = this.options.clock.now()
     const report = await this.options.worker.adopt(this.options.epoch, 0)
     if (this.abort.signal.aborted) return false
     if (report.isErr()) {
@@ -183,6 +186,7 @@
     this.recordClock(report.value)
     this.boot = report.value.boot
     this.adopted = true
+    this.adoptionSentMs = sentMs
     this.expired = false
     this.readoptAfterMs = undefined
     this.options.events.onAdopted(this, report.value)
--- a/packages/daemon/test/owner/restarted-worker.spec.ts
+++ b/packages/daemon/test/owner/late-commands.spec.ts
@@ -1,5 +1,6 @@
 /**
- * Tests what a request to a worker, or the record of a run, changes after the worker has restarted under its id.
+ * Tests what a request to a worker, its answer or the record of a run changes that comes late, for instance after the worker has restarted
+ * under its id.
  */
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { TaskState } from '@fireflymount/service-clients/worker'
@@ -51,3 +52,25 @@
   for (const carryOut of late) carryOut()
   expect(shard.worker.started).toEqual(started)
 })
+
+// Guards against a task that runs twice: the answer to an adoption was overtaken by that to a start which the worker had carried out later,
+// and the run was recorded as lost because the report did not list it.
+test.each([
+  { idempotent: false }, { idempotent: true }
+])('a run that started after its worker had answered an adoption is not lost if the answer comes later, idempotent: $idempotent', async ({ idempotent }) => {
+  shard.idempotent = idempotent
+  let sendAnswers = (): void => {}
+  shard.worker.heldAnswers = new Promise((resolve) => { sendAnswers = resolve })
+  const { adoptions } = shard.worker
+  shard.owner.fleet.session('w1')!.readoptAfter(-Infinity)
+  await expect.poll(() => shard.worker.adoptions).toBe(adoptions + 1)
+  await shard.submit()
+  await expect.poll(() => shard.worker.started).toEqual([TASK])
+  await sleep(50)
+  sendAnswers()
+  await sleep(100)
+  expect([shard.worker.started, await shard.jobState()]).toEqual([[TASK], 'running'])
+  shard.worker.end(TASK, TaskState.Succeeded)
+  await expect.poll(() => shard.jobState()).toBe('succeeded')
+  expect(shard.worker.started).toEqual([TASK])
+})
--- a/packages/daemon/test/owner/runs.spec.ts
+++ b/packages/daemon/test/owner/runs.spec.ts
@@ -218,3 +218,20 @@
   for (const each of reported) runs.onReport(session, each)
   expect([returned, seen.readopted.length]).toEqual([requeued, readopted])
 })
+
+test.each([
+  { sent: 'after', adoptionSentMs: Infinity, recorded: 1 },
+  { sent: 'before', adoptionSentMs: 0, recorded: 0 }
+])('the loss of a run that an adoption sent $sent its start does not report is recorded: $recorded', async ({ adoptionSentMs, recorded }) => {
+  const journal = new FailingJournal([], false)
+  const { runs, scheduler, session } = createRuns(false, {
+    journal: { available: () => true, commit: (change) => journal.commit(change) }, state: journal.state
+  })
+  scheduler.setWorker({ id: 'w1', zone: 'z', rack: 'r', capacity: SIZE, slots: 1 })
+  runs.inherit(PLACEMENT.task, journal.state.task('s.a/0')!)
+  runs.onReport(session, report(TaskState.Running))
+  session.adoptionSentMs = adoptionSentMs
+  runs.onAdopted(session, { boot: 'b1', clockMs: 0, tasks: [] })
+  await new Promise((resolve) => setTimeout(resolve, 10))
+  expect([journal.commits, runs.get('s.a/0') === undefined]).toEqual([recorded, recorded > 0])
+})
--- a/packages/daemon/test/owner/successive-owners.ts
+++ b/packages/daemon/test/owner/successive-owners.ts
@@ -46,6 +46,10 @@
   reachable = true
   /** While set, start commands get no answer, and are carried out when a test calls them. */
   lateStarts: Array<() => void> | undefined
+  /** Number of adoptions that were carried out. */
+  adoptions = 0
+  /** Answers to adoptions are sent once this is settled. */
+  heldAnswers: Promise<void> | undefined
   readonly started: string[] = []
   readonly reports = new Map<string, TaskReport>()
   private epoch: Epoch = NO_EPOCH
@@ -61,9 +65,12 @@
     this.keys.clear()
   }
 
-  adopt (epoch: Epoch): Promise<Result<WorkerReport, WorkerError>> {
+  async adopt (epoch: Epoch): Promise<Result<WorkerReport, WorkerError>> {
     if (compareEpochs(epoch, this.epoch) >= 0) this.epoch = epoch
-    return Promise.resolve(this.check(epoch).map(() => this.report()))
+    const report = this.check(epoch).map(() => this.report())
+    this.adoptions++
+    await this.heldAnswers
+    return report
   }
 
   start (adoption: Adoption, { id, attempt, team, kind, size }: TaskStart): Promise<Result<void, WorkerError>> {
