Daemon: leases that a former owner granted count after an adoption

What callers see: at worst a task that runs in two places. Its run is recorded as lost, and the task goes on under its lease.

Cause: once a worker was adopted, its leases counted as expired unless this owner had granted one itself. An owner that was not confirmed between the adoption and its first renewal took all leases for expired at once.

Why it works: a former owner can grant a lease until the worker carries out the adoption, and for at most the term of a lease. That term is counted from the answer to the adoption.

--- a/packages/daemon/src/owner/session.ts
+++ b/packages/daemon/src/owner/session.ts
@@ -76,7 +76,7 @@
   private workerClockMs = 0
   /** Time on this node's clock when that report arrived. */
   private reportedAtMs = 0
-  /** Time on this node's clock at which all leases that this owner granted have certainly expired. */
+  /** Time on this node's clock at which all leases that this owner granted, and those it found at an adoption, have certainly expired. */
   private leaseExpiryMs = -Infinity
   private expired = false
   private readoptAfterMs: number | undefined
@@ -189,6 +189,8 @@
     this.adoptionSentMs = sentMs
     this.expired = false
     this.readoptAfterMs = undefined
+    // The last lease that a former owner could grant.
+    this.extendLeaseExpiry()
     this.options.events.onAdopted(this, report.value)
     return true
   }
@@ -254,8 +256,8 @@
   }
 
   /**
-   * Extends this node's estimate of when all leases that it granted have expired. Called before a command that grants or renews
-   * leases is sent, because the command may take effect even if its answer is lost.
+   * Extends this node's estimate of when all leases have expired. Called before a command that grants or renews leases is sent, because
+   * the command may take effect even if its answer is lost, and after an adoption, which former owners can precede by a renewal.
    */
   private extendLeaseExpiry (): void {
     const { leaseMs } = this.options.timing
@@ -272,8 +274,7 @@
   }
 
   private isExpiryCertain (): boolean {
-    // An adopted worker refuses commands of former owners. Leases that they granted before the adoption are not counted, although
-    // the adoption does not end them.
+    // An adopted worker refuses commands of former owners.
     if (this.boot !== '') return this.options.clock.now() > this.leaseExpiryMs
     const inheritedExpiryMs = this.options.inheritedExpiryMs()
     if (inheritedExpiryMs === undefined) return false
--- a/packages/daemon/test/owner/session.spec.ts
+++ b/packages/daemon/test/owner/session.spec.ts
@@ -125,6 +125,27 @@
   expect(worker.leaseDurationsMs.length).toBe(sent)
 })
 
+// Guards against a task that runs twice: its run was recorded as lost while the lease that a former owner had granted was in force.
+test('the leases of an adopted worker do not count as expired before they can be, although its owner has not renewed them', async () => {
+  const worker = new FakeWorker()
+  let confirmed = true
+  const { session, seen } = open(worker, {
+    confirmed: () => confirmed,
+    events: {
+      onAdopted: () => { confirmed = false },
+      onReport: () => true,
+      onUnreachable: () => {},
+      onExpired: () => { seen.expiredAtMs = performance.now() },
+      onStale: () => {}
+    }
+  })
+  await expect.poll(() => session.adopted, { interval: 1 }).toBe(true)
+  const adoptedMs = performance.now()
+  await expect.poll(() => seen.expiredAtMs, { timeout: 5000 }).toBeDefined()
+  expect(worker.leaseDurationsMs).toEqual([])
+  expect(seen.expiredAtMs! - adoptedMs).toBeGreaterThanOrEqual(TIMING.leaseMs)
+})
+
 test('a worker that restarted is adopted again', async () => {
   const worker = new FakeWorker()
   const { session, seen } = open(worker)
