Daemon: an owner refuses a drain that its sender has given up

What callers see: an operator drains a worker, is told that the outcome is unknown, undoes the drain and is told that this is done; then the worker is drained. The same the other way round.

Cause: requests between nodes were valid without limit. One that waits in a connection, for example while the owner is suspended, is handled after newer ones that reached the owner over another connection or through another node. Nothing tells which of two drains is newer.

Why it works: a drain is sent with a deadline on the owner's clocks, as commands to gateways are. Other requests need no deadline: they carry an epoch, a sequence number or an id of their own, or nothing undoes them.

--- a/packages/daemon/src/peer/peers.ts
+++ b/packages/daemon/src/peer/peers.ts
@@ -94,7 +94,7 @@
     if (node === this.connectionSettings.node) return await this.options.handler(request, node)
     const connection = await this.connect(node)
     if (connection.isErr()) return err(refuse(Reason.ConnectionLost, connection.error, CONNECTION_RETRY_AFTER_MS))
-    return await connection.value.ask(request, timeoutMs)
+    return await connection.value.ask(request, timeoutMs, isReversible(request) ? timeoutMs : undefined)
   }
 
   override async askOwner (
@@ -240,6 +240,14 @@
   }
 }
 
+/**
+ * True if a later request can undo this one, and nothing tells the owner which of the two is older. A peer refuses such a request once
+ * its sender has given it up.
+ */
+function isReversible (request: Request): boolean {
+  return request.kind === MessageKind.Drain
+}
+
 function withRemainingTime (request: Request, spentMs: number): Request {
   if (request.kind !== MessageKind.Call) return request
   return { ...request, budgetMs: request.budgetMs - spentMs }
