Daemon: a node makes one claim at a time

What callers see: at worst a task that runs in two places: two owners that may both act.

Cause: a node refuses pledges while it claims, since a claim can end as a provisional ownership, which a pledge to a newer epoch would forbid. A request to take over started a second claim beside the first, and the end of either one let the node grant pledges while the other was in progress.

Evidence: without the fix the new test fails: two claims at once.

Why it works: a claim that finds another one in progress is not made.

--- a/packages/daemon/src/owner/role.ts
+++ b/packages/daemon/src/owner/role.ts
@@ -251,11 +251,13 @@
   }
 
   /**
-   * Claims the shard under a new epoch.
+   * Claims the shard under a new epoch, unless a claim of this node is in progress.
    *
    * @param provisionally true to take over the workers without the log if it is unavailable
    */
   private async claim (provisionally: boolean): Promise<void> {
+    // Pledges are refused until the claim in progress has ended.
+    if (this.claiming) return
     const { journal, settings } = this.options
     const before = journal.holder()
     this.claiming = true
--- a/packages/daemon/test/owner/role.spec.ts
+++ b/packages/daemon/test/owner/role.spec.ts
@@ -159,3 +159,24 @@
   await running
   expect(asked).toEqual(['n9'])
 })
+
+// Guards against a provisional owner that has granted a pledge to a newer epoch: the end of one claim made the node grant pledges while
+// another one was in progress.
+test('a standby that is asked to take over while it claims does not claim a second time', async () => {
+  const journal = new UnreadJournal({ epoch: { counter: 5, node: 'n2' }, standbys: ['n1'], offset: 0 }, [])
+  const claims: Array<() => void> = []
+  journal.claim = async () => {
+    await new Promise<void>((resolve) => { claims.push(resolve) })
+    return err({ failure: JournalFailure.Unavailable, detail: '' })
+  }
+  const role = createRole(journal, () => {})
+  const handover: Request = { kind: MessageKind.Handover, shard: SHARD, epoch: { counter: 5, node: 'n2' } }
+  const pledge: Request = { kind: MessageKind.Pledge, shard: SHARD, epoch: { counter: 6, node: 'n2' } }
+  const first = role.handle(handover)
+  const second = role.handle(handover)
+  await expect.poll(() => claims.length).toBe(1)
+  expect((await role.handle(pledge))._unsafeUnwrap()).toMatchObject({ granted: false })
+  claims[0]!()
+  expect([(await first).isErr(), (await second).isErr(), claims.length]).toEqual([true, true, 1])
+  expect((await role.handle(pledge))._unsafeUnwrap()).toMatchObject({ granted: true })
+})
