--- a/packages/daemon/test/owner/role.spec.ts
+++ b/packages/daemon/test/owner/role.spec.ts
@@ -180,3 +180,18 @@
   expect([(await first).isErr(), (await second).isErr(), claims.length]).toEqual([true, true, 1])
   expect((await role.handle(pledge))._unsafeUnwrap()).toMatchObject({ granted: true })
 })
+
+test.each([
+  { title: 'the present owner', counter: 5, claims: 1 },
+  { title: 'a former owner, which comes late', counter: 4, claims: 0 }
+])('at the request of $title, a standby makes $claims claims', async ({ counter, claims }) => {
+  const journal = new UnreadJournal({ epoch: { counter: 5, node: 'n2' }, standbys: ['n1'], offset: 0 }, [])
+  let made = 0
+  journal.claim = async () => {
+    made++
+    return err({ failure: JournalFailure.Unavailable, detail: '' })
+  }
+  const role = createRole(journal, () => {})
+  await role.handle({ kind: MessageKind.Handover, shard: SHARD, epoch: { counter, node: 'n2' } })
+  expect(made).toBe(claims)
+})
--- a/packages/daemon/test/owner/state.spec.ts
+++ b/packages/daemon/test/owner/state.spec.ts
@@ -173,6 +173,21 @@
   expect(state.net.get('guild')?.tasks).toBe(tasks)
 })
 
+// Guards against an allotment that two shards use, or none: a request about an earlier transfer was carried out after newer ones.
+test.each([
+  { title: 'a record of an earlier transfer to another shard', late: { kind: ChangeKind.Lent, to: 't', team: 'guild', sequence: 1, amount: { tasks: 5, ...SIZE } } },
+  { title: 'the settlement of an earlier transfer', late: { kind: ChangeKind.Settled, to: 't', team: 'guild', sequence: 1 } },
+  { title: 'a record of an earlier transfer from another shard', late: { kind: ChangeKind.Borrowed, from: 't', team: 'guild', sequence: 1, amount: { tasks: 5, ...SIZE } } }
+])('after a newer transfer, $title changes nothing', ({ late }) => {
+  const state = new ShardState()
+  const amount = { tasks: 2, ...SIZE }
+  state.apply({ kind: ChangeKind.Lent, to: 't', team: 'guild', sequence: 2, amount })
+  state.apply({ kind: ChangeKind.Borrowed, from: 't', team: 'guild', sequence: 2, amount })
+  const before = state.snapshot()
+  state.apply(late)
+  expect(state.snapshot()).toEqual(before)
+})
+
 test('a change that no codec accepts is counted and skipped', () => {
   const state = new ShardState()
   state.apply({ kind: 'accepted', job: 7 })
--- a/packages/standin/test/late-calls.spec.ts
+++ b/packages/standin/test/late-calls.spec.ts
@@ -149,3 +149,16 @@
   await sleep(LATE_MS)
   expect((await reports()).map(({ attempt, state }) => [attempt, state])).toEqual([[2, TaskState.Running]])
 })
+
+test('a renewal that is carried out after the next run of a task has ended acknowledges only the end that it names', async () => {
+  await start(FOREVER_MS, { runMs: 1 })
+  await control.injectFault({ command: Call.Renew, slowMs: LATE_MS })
+  const sent = worker.renew(adoption, FOREVER_MS, ['t/1'], 0)
+  await sleep(TIMEOUT_MS / 2)
+  await control.clearFaults()
+  ;(await worker.renew(adoption, FOREVER_MS, ['t/1'], 0))._unsafeUnwrap()
+  ;(await worker.start(adoption, { ...TASK, attempt: 2, body: { runMs: 1 } }, FOREVER_MS))._unsafeUnwrap()
+  expect(await sent).toMatchObject({ error: { failure: WorkerFailure.Unknown } })
+  await sleep(LATE_MS)
+  expect((await reports()).map(({ attempt, state }) => [attempt, state])).toEqual([[2, TaskState.Succeeded]])
+})
