--- a/packages/daemon/src/owner/runs.ts
+++ b/packages/daemon/src/owner/runs.ts
@@ -29,7 +29,9 @@
 
 /** The phases of a run. */
 export enum RunPhase {
-  /** The record of its attempt is being written, or it is being sent. */
+  /** The record of its attempt is being written. It has not been sent, and is only sent once its worker is known not to have restarted. */
+  Recording = 'recording',
+  /** It is being sent. */
   Starting = 'starting',
   Running = 'running',
   /** It may have been sent, and whether it started is unknown. */
@@ -46,6 +48,8 @@
   /** Id of the worker's incarnation (one per process start), to recognize runs that a restart ended. */
   readonly boot: string
   phase: RunPhase
+  /** Time from which the run is known to run; Infinity before. */
+  runningSinceMs: number
   /**
    * True if this owner prepared the run, even if its start command is not sent yet. The command can take effect until the
    * worker's clock passes `leaseUntilMs`. Until then, a report without the run does not prove that it never started. A command of
@@ -55,8 +59,8 @@
   /** End of the lease that the run was sent with, in the worker's clock. */
   leaseUntilMs: number
   /**
-   * True once the run is to be stopped. A run in phase `Starting` is not sent or, if it is already being sent, is stopped once it
-   * is known to run. In the phases `Running` and `Unresolved`, the stop command is sent at once.
+   * True once the run is to be stopped. A run in phase `Recording` is not sent, and one in phase `Starting` is stopped once it is
+   * known to run. In the phases `Running` and `Unresolved`, the stop command is sent at once.
    */
   stopping: boolean
 }
@@ -117,6 +121,7 @@
       worker: record.worker!,
       boot: record.boot!,
       phase: RunPhase.Unresolved,
+      runningSinceMs: Infinity,
       startedByThisOwner: false,
       leaseUntilMs: Infinity,
       stopping
@@ -153,7 +158,7 @@
     const run = this.runs.get(taskId)
     if (run === undefined || run.phase === RunPhase.Ending) return
     run.stopping = true
-    if (run.phase === RunPhase.Starting) return
+    if (run.phase === RunPhase.Recording || run.phase === RunPhase.Starting) return
     this.sendStop(run, checkpoint)
   }
 
@@ -175,11 +180,19 @@
 
   /** Reconciles the runs recorded for an adopted worker with those that it reports. */
   onAdopted (session: Session, report: WorkerReport): void {
-    const listed = new Set(report.tasks.map((task) => task.id))
+    const listed = new Set<string>()
+    const running = new Set<string>()
+    for (const task of report.tasks) {
+      listed.add(runKey(task.id, task.attempt))
+      if (task.state === TaskState.Running) running.add(task.id)
+    }
     for (const run of [...this.byWorker.get(session.id) ?? []]) {
-      if (listed.has(run.task.id) || run.phase === RunPhase.Ending) continue
-      if (run.boot !== report.boot) this.markLost(run, 'The worker restarted while the task ran.')
-      else if (run.phase === RunPhase.Running) this.markLost(run, 'The worker no longer lists the task.')
+      if (listed.has(runKey(run.task.id, run.attempt))) continue
+      if (run.phase === RunPhase.Ending || run.phase === RunPhase.Recording) continue
+      // Another run of the task is stopped upon its report. Until it has ended, the task must not be placed again.
+      if (running.has(run.task.id)) session.readoptAfter(session.leaseUntilMs())
+      else if (run.boot !== report.boot) this.markLost(run, 'The worker restarted while the task ran.')
+      else if (run.phase === RunPhase.Running) this.checkListed(run, session)
       else if (run.phase === RunPhase.Starting) continue
       else if (!run.startedByThisOwner || session.isPast(run.leaseUntilMs)) this.returnToQueue(run)
       else session.readoptAfter(run.leaseUntilMs)
@@ -209,7 +222,7 @@
   /** Handles the expiry of all leases on a worker, or the termination of its VM: its runs have stopped. */
   onExpired (worker: string): void {
     for (const run of [...this.byWorker.get(worker) ?? []]) {
-      if (run.phase === RunPhase.Ending) continue
+      if (run.phase === RunPhase.Ending || run.phase === RunPhase.Recording) continue
       this.markLost(run, 'The worker was terminated, or unreachable until the lease expired, while the task may have been running.')
     }
   }
@@ -231,7 +244,8 @@
       attempt: (record?.attempt ?? 0) + 1,
       worker: placement.worker,
       boot: this.options.session(placement.worker)?.boot ?? '',
-      phase: RunPhase.Starting,
+      phase: RunPhase.Recording,
+      runningSinceMs: Infinity,
       startedByThisOwner: true,
       leaseUntilMs: 0,
       stopping: false
@@ -252,6 +266,7 @@
       this.returnToQueue(run)
       return
     }
+    run.phase = RunPhase.Starting
     run.leaseUntilMs = session.leaseUntilMs()
     const started = await session.start({
       id: run.task.id,
@@ -281,6 +296,7 @@
     if (run.phase === RunPhase.Ending) return
     const justStarted = run.phase !== RunPhase.Running
     run.phase = RunPhase.Running
+    if (justStarted) run.runningSinceMs = this.options.clock.now()
     if (justStarted && run.startedByThisOwner) this.options.onStarted(run.task)
     if (report?.usage !== undefined) this.options.scheduler.recordUsage(run.task.id, report.usage)
     // A run that is still reported as running may not have received its stop command. Repeating it has no further effect.
@@ -290,7 +306,7 @@
   private sendStop (run: Run, checkpoint: boolean): void {
     const session = this.options.session(run.worker)
     if (session === undefined || !this.options.confirmed()) return
-    session.stop(run.task.id, checkpoint).catch(stopProcess)
+    session.stop(run.task.id, run.attempt, checkpoint).catch(stopProcess)
   }
 
   /** Handles a report that matches no current run: stops the run if it is running, else acknowledges its end. */
@@ -298,7 +314,7 @@
     if (this.options.provisional) return this.onUnrecorded(session, report)
     if (report.state === TaskState.Running) {
       this.options.metrics.count('run.stray')
-      session.stop(report.id, false).catch(stopProcess)
+      session.stop(report.id, report.attempt, false).catch(stopProcess)
       return true
     }
     const record = this.options.state.task(report.id)
@@ -347,6 +363,11 @@
     this.finishTask(run, outcome)
   }
 
+  /** Handles a running run that the report upon an adoption does not list. It can have started after the worker made the report. */
+  private checkListed (run: Run, session: Session): void {
+    if (run.runningSinceMs < session.adoptionSentMs) this.markLost(run, 'The worker no longer lists the task.')
+  }
+
   /** Records that a run stopped before it completed and that its result is lost. */
   private markLost (run: Run, detail: string): void {
     run.phase = RunPhase.Ending
@@ -423,3 +444,8 @@
     if (runs?.size === 0) this.byWorker.delete(run.worker)
   }
 }
+
+/** Returns a key of one run, which differs from those of other runs of its task. */
+function runKey (task: string, attempt: number): string {
+  return `${task}/${attempt}`
+}
--- a/packages/daemon/src/owner/session.ts
+++ b/packages/daemon/src/owner/session.ts
@@ -4,7 +4,14 @@
 import { sleep, type Clock } from '@fireflymount/service-clients/clock'
 import type { Vm } from '@fireflymount/service-clients/vm-list'
 import {
-  WorkerFailure, type TaskReport, type TaskStart, type Worker, type WorkerError, type WorkerReport, type WorkerRequest
+  WorkerFailure,
+  type Adoption,
+  type TaskReport,
+  type TaskStart,
+  type Worker,
+  type WorkerError,
+  type WorkerReport,
+  type WorkerRequest
 } from '@fireflymount/service-clients/worker'
 import type { Epoch } from '@fireflymount/protocol/epoch'
 import type { Timing } from '@fireflymount/manifest/settings'
@@ -63,11 +70,13 @@
   /** Id of the worker's incarnation (one per process start). Empty before adoption. */
   boot = ''
   adopted = false
+  /** Time on this node's clock at which the last adoption that was answered was sent. */
+  adoptionSentMs = -Infinity
   /** The worker's clock in its last report. */
   private workerClockMs = 0
   /** Time on this node's clock when that report arrived. */
   private reportedAtMs = 0
-  /** Time on this node's clock at which all leases that this owner granted have certainly expired. */
+  /** Time on this node's clock at which all leases that this owner granted, and those it found at an adoption, have certainly expired. */
   private leaseExpiryMs = -Infinity
   private expired = false
   private readoptAfterMs: number | undefined
@@ -116,14 +125,14 @@
   /** Starts a task under a lease. */
   async start (task: TaskStart, untilMs: number): Promise<Result<void, WorkerError>> {
     this.extendLeaseExpiry()
-    const result = await this.options.worker.start(this.options.epoch, task, untilMs)
+    const result = await this.options.worker.start(this.adoption(), task, untilMs)
     if (result.isErr()) this.reportStaleEpoch(result.error)
     return result
   }
 
-  /** Stops a task. After a lost command or answer, the worker is adopted again: it reports the task if it still runs. */
-  async stop (task: string, checkpoint: boolean): Promise<void> {
-    const result = await this.options.worker.stop(this.options.epoch, task, checkpoint)
+  /** Stops a run. After a lost command or answer, the worker is adopted again: it reports the task if it still runs. */
+  async stop (task: string, attempt: number, checkpoint: boolean): Promise<void> {
+    const result = await this.options.worker.stop(this.adoption(), task, attempt, checkpoint)
     if (result.isOk()) return
     this.reportStaleEpoch(result.error)
     const { failure } = result.error
@@ -133,7 +142,7 @@
 
   /** Sends a request and waits for its complete answer. */
   async request (request: WorkerRequest, timeoutMs: number): Promise<Result<unknown, WorkerError>> {
-    const result = await this.options.worker.request(this.options.epoch, request, timeoutMs)
+    const result = await this.options.worker.request(this.adoption(), request, timeoutMs)
     if (result.isErr()) this.reportStaleEpoch(result.error)
     return result
   }
@@ -161,8 +170,13 @@
     return this.workerClockMs > untilMs
   }
 
+  private adoption (): Adoption {
+    return { epoch: this.options.epoch, boot: this.boot }
+  }
+
   private async adopt (): Promise<boolean> {
     if (!this.options.confirmed()) return false
+    const sentMs = this.options.clock.now()
     const report = await this.options.worker.adopt(this.options.epoch, 0)
     if (this.abort.signal.aborted) return false
     if (report.isErr()) {
@@ -172,8 +186,11 @@
     this.recordClock(report.value)
     this.boot = report.value.boot
     this.adopted = true
+    this.adoptionSentMs = sentMs
     this.expired = false
     this.readoptAfterMs = undefined
+    // The last lease that a former owner could grant.
+    this.extendLeaseExpiry()
     this.options.events.onAdopted(this, report.value)
     return true
   }
@@ -188,7 +205,7 @@
       }
       const acknowledged = [...this.acknowledged]
       this.extendLeaseExpiry()
-      const report = await this.options.worker.renew(this.options.epoch, this.leaseUntilMs(), acknowledged, this.renewWaitMs())
+      const report = await this.options.worker.renew(this.adoption(), this.leaseUntilMs(), acknowledged, this.renewWaitMs())
       if (this.abort.signal.aborted) return
       if (report.isErr()) {
         failures++
@@ -239,8 +256,8 @@
   }
 
   /**
-   * Extends this node's estimate of when all leases that it granted have expired. Called before a command that grants or renews
-   * leases is sent, because the command may take effect even if its answer is lost.
+   * Extends this node's estimate of when all leases have expired. Called before a command that grants or renews leases is sent, because
+   * the command may take effect even if its answer is lost, and after an adoption, which former owners can precede by a renewal.
    */
   private extendLeaseExpiry (): void {
     const { leaseMs } = this.options.timing
@@ -257,8 +274,7 @@
   }
 
   private isExpiryCertain (): boolean {
-    // An adopted worker refuses commands of former owners. Leases that they granted before the adoption are not counted, although
-    // the adoption does not end them.
+    // An adopted worker refuses commands of former owners.
     if (this.boot !== '') return this.options.clock.now() > this.leaseExpiryMs
     const inheritedExpiryMs = this.options.inheritedExpiryMs()
     if (inheritedExpiryMs === undefined) return false
--- a/packages/daemon/test/owner/runs.spec.ts
+++ b/packages/daemon/test/owner/runs.spec.ts
@@ -15,6 +15,7 @@
 interface Seen {
   readonly stopped: string[]
   readonly acknowledged: string[]
+  readonly readopted: number[]
 }
 
 interface Harness {
@@ -25,15 +26,17 @@
 }
 
 function createRuns (provisional: boolean, fields: Partial<RunsOptions> = {}): Harness {
-  const seen: Seen = { stopped: [], acknowledged: [] }
+  const seen: Seen = { stopped: [], acknowledged: [], readopted: [] }
   const scheduler = new Shard({ weights: { waiting: 1, share: 1, packing: 1 } })
   const session = {
     id: 'w1',
-    stop: (task: string) => {
-      seen.stopped.push(task)
+    stop: (task: string, attempt: number) => {
+      seen.stopped.push(`${task}/${attempt}`)
       return Promise.resolve()
     },
-    acknowledge: (task: string) => { seen.acknowledged.push(task) }
+    acknowledge: (task: string) => { seen.acknowledged.push(task) },
+    readoptAfter: (untilMs: number) => { seen.readopted.push(untilMs) },
+    leaseUntilMs: () => 0
   } as unknown as Session
   const runs = new Runs({
     scheduler,
@@ -64,14 +67,14 @@
 }
 
 test.each([
-  { title: 'an owner with the complete state stops a run that the state lacks', provisional: false, state: TaskState.Running, stopped: 1, acknowledged: 0, used: 0 },
-  { title: 'an owner with the complete state acknowledges the end of a run that the state lacks', provisional: false, state: TaskState.Succeeded, stopped: 0, acknowledged: 1, used: 0 },
-  { title: 'a provisional owner charges a run that its state lacks and does not stop it', provisional: true, state: TaskState.Running, stopped: 0, acknowledged: 0, used: 1 },
-  { title: 'a provisional owner does not acknowledge the end of a run that its state lacks, so that its successor gets the report', provisional: true, state: TaskState.Succeeded, stopped: 0, acknowledged: 0, used: 0 }
+  { title: 'an owner with the complete state stops a run that the state lacks', provisional: false, state: TaskState.Running, stopped: ['s.a/0/1'], acknowledged: 0, used: 0 },
+  { title: 'an owner with the complete state acknowledges the end of a run that the state lacks', provisional: false, state: TaskState.Succeeded, stopped: [], acknowledged: 1, used: 0 },
+  { title: 'a provisional owner charges a run that its state lacks and does not stop it', provisional: true, state: TaskState.Running, stopped: [], acknowledged: 0, used: 1 },
+  { title: 'a provisional owner does not acknowledge the end of a run that its state lacks, so that its successor gets the report', provisional: true, state: TaskState.Succeeded, stopped: [], acknowledged: 0, used: 0 }
 ])('$title', ({ provisional, state, stopped, acknowledged, used }) => {
   const { runs, scheduler, session, seen } = createRuns(provisional)
   runs.onReport(session, report(state))
-  expect([seen.stopped.length, seen.acknowledged.length, scheduler.usedBy('guild').tasks]).toEqual([stopped, acknowledged, used])
+  expect([seen.stopped, seen.acknowledged.length, scheduler.usedBy('guild').tasks]).toEqual([stopped, acknowledged, used])
 })
 
 test('a provisional owner releases the charge of a run that its state lacks when the run completes', () => {
@@ -170,3 +173,65 @@
   expect(journal.commits).toBeLessThan(5)
   journal.stopped = true
 })
+
+const PLACEMENT = { task: createUnrecordedTask(report(TaskState.Running), 0), worker: 'w1' }
+
+// Guards against a run that is recorded as lost although it was never sent, and whose task is also returned to the queue.
+test.each<{ event: string, play: (runs: Runs, session: Session) => void }>([
+  { event: 'its worker restarts', play: (runs, session) => { runs.onAdopted(session, { boot: 'b2', clockMs: 0, tasks: [] }) } },
+  { event: 'the leases on its worker expire', play: (runs) => { runs.onExpired('w1') } }
+])('a run is only returned to the queue if, while its attempt is being written, $event', async ({ play }) => {
+  const changes: unknown[] = []
+  const requeued: string[] = []
+  const { runs, session } = createRuns(false, {
+    journal: {
+      available: () => true,
+      commit: async (change) => {
+        changes.push(change)
+        await new Promise((resolve) => setTimeout(resolve, 10))
+        return ok(undefined)
+      }
+    },
+    requeue: (task) => { requeued.push(task) }
+  })
+  const launched = runs.launch([PLACEMENT])
+  play(runs, session)
+  await launched
+  expect([changes, requeued, runs.get(PLACEMENT.task.id)]).toMatchObject([[{ kind: ChangeKind.Attempt }], ['s.a/0'], undefined])
+})
+
+// Guards against a job that stays active for good: its worker has the report of an earlier run, and the present one was never sent.
+test.each([
+  { title: 'has no report of its task', reported: [], requeued: ['s.a/0'], readopted: 0 },
+  { title: 'has the end of an earlier run', reported: [report(TaskState.Succeeded)], requeued: ['s.a/0'], readopted: 0 },
+  { title: 'still runs an earlier run', reported: [report(TaskState.Running)], requeued: [], readopted: 1 },
+  { title: 'runs it', reported: [{ ...report(TaskState.Running), attempt: 2 }], requeued: [], readopted: 0 }
+])('a run of a former owner whose worker $title is returned to the queue at once: $requeued', ({ reported, requeued, readopted }) => {
+  const state = new ShardState()
+  state.apply(ACCEPTED)
+  state.apply({ kind: ChangeKind.Attempt, runs: [{ task: 's.a/0', attempt: 2, worker: 'w1', boot: 'b1' }] })
+  const returned: string[] = []
+  const { runs, scheduler, session, seen } = createRuns(false, { state, requeue: (task) => { returned.push(task) } })
+  scheduler.setWorker({ id: 'w1', zone: 'z', rack: 'r', capacity: SIZE, slots: 1 })
+  runs.inherit(PLACEMENT.task, state.task('s.a/0')!)
+  runs.onAdopted(session, { boot: 'b1', clockMs: 0, tasks: reported })
+  for (const each of reported) runs.onReport(session, each)
+  expect([returned, seen.readopted.length]).toEqual([requeued, readopted])
+})
+
+test.each([
+  { sent: 'after', adoptionSentMs: Infinity, recorded: 1 },
+  { sent: 'before', adoptionSentMs: 0, recorded: 0 }
+])('the loss of a run that an adoption sent $sent its start does not report is recorded: $recorded', async ({ adoptionSentMs, recorded }) => {
+  const journal = new FailingJournal([], false)
+  const { runs, scheduler, session } = createRuns(false, {
+    journal: { available: () => true, commit: (change) => journal.commit(change) }, state: journal.state
+  })
+  scheduler.setWorker({ id: 'w1', zone: 'z', rack: 'r', capacity: SIZE, slots: 1 })
+  runs.inherit(PLACEMENT.task, journal.state.task('s.a/0')!)
+  runs.onReport(session, report(TaskState.Running))
+  session.adoptionSentMs = adoptionSentMs
+  runs.onAdopted(session, { boot: 'b1', clockMs: 0, tasks: [] })
+  await new Promise((resolve) => setTimeout(resolve, 10))
+  expect([journal.commits, runs.get('s.a/0') === undefined]).toEqual([recorded, recorded > 0])
+})
--- a/packages/daemon/test/owner/successive-owners.ts
+++ b/packages/daemon/test/owner/successive-owners.ts
@@ -6,7 +6,7 @@
 import { JournalFailure, type JournalError } from '@fireflymount/service-clients/journal'
 import { VmRole, VmState, type Vm } from '@fireflymount/service-clients/vm-list'
 import {
-  TaskState, Worker, WorkerFailure, type TaskReport, type TaskStart, type WorkerError, type WorkerReport
+  TaskState, Worker, WorkerFailure, type Adoption, type TaskReport, type TaskStart, type WorkerError, type WorkerReport
 } from '@fireflymount/service-clients/worker'
 import { EMPTY_MANIFEST, type Manifest, type Service } from '@fireflymount/manifest/manifest'
 import { DEFAULT_TIMING } from '@fireflymount/manifest/settings-codec'
@@ -34,6 +34,7 @@
   teams: [{ name: 'guild', workspace: 'hakata', share: 1, upperLimit: {} }],
   queues: [createQueue({ name: 'render', upstream: SHARD, workload: Workload.Batch, size: SIZE, idempotent: false, attempts: 1 })]
 }
+const IDEMPOTENT: Manifest = { ...MANIFEST, queues: MANIFEST.queues.map((queue) => ({ ...queue, idempotent: true })) }
 const SERVICE: Service = { name: 'shop', upstream: SHARD, team: 'guild', replicas: 1, size: SIZE, body: {} }
 const WITH_SERVICE: Manifest = { ...MANIFEST, services: [SERVICE] }
 export const REPLICA = 'service:shop/0'
@@ -43,50 +44,67 @@
 export class TestWorker extends Worker {
   /** Whether commands to start or stop tasks reach the worker. */
   reachable = true
+  /** While set, start commands get no answer, and are carried out when a test calls them. */
+  lateStarts: Array<() => void> | undefined
+  /** Number of adoptions that were carried out. */
+  adoptions = 0
+  /** Answers to adoptions are sent once this is settled. */
+  heldAnswers: Promise<void> | undefined
   readonly started: string[] = []
   readonly reports = new Map<string, TaskReport>()
   private epoch: Epoch = NO_EPOCH
-  private boot = 1
+  private boot = 'b1'
   /** Runs whose start command was carried out: repeating it has no further effect. */
   private readonly keys = new Set<string>()
 
   /** Loses all runs, reports and the epoch. */
   restart (): void {
-    this.boot++
+    this.boot += "'"
     this.epoch = NO_EPOCH
     this.reports.clear()
     this.keys.clear()
   }
 
-  adopt (epoch: Epoch): Promise<Result<WorkerReport, WorkerError>> {
+  async adopt (epoch: Epoch): Promise<Result<WorkerReport, WorkerError>> {
     if (compareEpochs(epoch, this.epoch) >= 0) this.epoch = epoch
-    return Promise.resolve(this.check(epoch).map(() => this.report()))
+    const report = this.check(epoch).map(() => this.report())
+    this.adoptions++
+    await this.heldAnswers
+    return report
   }
 
-  start (epoch: Epoch, { id, attempt, team, kind, size }: TaskStart): Promise<Result<void, WorkerError>> {
-    return Promise.resolve(this.command(epoch, () => {
+  start (adoption: Adoption, { id, attempt, team, kind, size }: TaskStart): Promise<Result<void, WorkerError>> {
+    const effect = (): void => {
       if (this.keys.has(`${id}/${attempt}`)) return
       this.keys.add(`${id}/${attempt}`)
       this.started.push(id)
       this.reports.set(`${id}/${attempt}`, { id, attempt, team, kind, size, state: TaskState.Running, runtimeMs: 1 })
-    }))
+    }
+    if (this.lateStarts === undefined) return Promise.resolve(this.command(adoption, effect))
+    this.lateStarts.push(() => { this.command(adoption, effect) })
+    return Promise.resolve(err({ failure: WorkerFailure.Unknown, detail: '' }))
   }
 
-  stop (epoch: Epoch, task: string): Promise<Result<void, WorkerError>> {
-    return Promise.resolve(this.command(epoch, () => { this.end(task, TaskState.Stopped) }))
+  stop (adoption: Adoption, task: string, attempt: number): Promise<Result<void, WorkerError>> {
+    return Promise.resolve(this.command(adoption, () => { this.end(task, TaskState.Stopped, attempt) }))
   }
 
-  end (task: string, state: TaskState): void {
+  /** Ends the runs of a task, or only that of one attempt. */
+  end (task: string, state: TaskState, attempt?: number): void {
     for (const [key, report] of this.reports) {
-      if (report.id === task && report.state === TaskState.Running) this.reports.set(key, { ...report, state })
+      if (report.id !== task || report.state !== TaskState.Running) continue
+      if (attempt === undefined || report.attempt === attempt) this.reports.set(key, { ...report, state })
     }
   }
 
-  async renew (epoch: Epoch, _: number, acknowledged: readonly string[]): Promise<Result<WorkerReport, WorkerError>> {
+  async renew (
+    { epoch, boot }: Adoption, _: number, acknowledged: readonly string[]
+  ): Promise<Result<WorkerReport, WorkerError>> {
+    await sleep(WRITE_MS)
+    if (boot !== this.boot) return ok({ ...this.report(), tasks: [] })
     const check = this.check(epoch)
     if (check.isErr()) return err(check.error)
     for (const key of acknowledged) this.reports.delete(key)
-    await sleep(WRITE_MS)
     return this.check(epoch).map(() => {
       const report = this.report()
       return { ...report, tasks: report.tasks.filter(({ state }) => state !== TaskState.Running) }
@@ -97,9 +115,10 @@
   request (): Promise<Result<unknown, WorkerError>> { return Promise.resolve(ok(null)) }
   close (): Promise<void> { return Promise.resolve() }
 
-  private command (epoch: Epoch, effect: () => void): Result<void, WorkerError> {
+  private command ({ epoch, boot }: Adoption, effect: () => void): Result<void, WorkerError> {
     const check = this.check(epoch)
     if (check.isErr()) return check
+    if (boot !== this.boot) return err({ failure: WorkerFailure.Refused, detail: '' })
     if (!this.reachable) return err({ failure: WorkerFailure.Unreachable, detail: '' })
     effect()
     return ok(undefined)
@@ -111,7 +130,7 @@
   }
 
   private report (): WorkerReport {
-    return { boot: `b${this.boot}`, clockMs: performance.now(), tasks: [...this.reports.values()] }
+    return { boot: this.boot, clockMs: performance.now(), tasks: [...this.reports.values()] }
   }
 }
 
@@ -123,6 +142,10 @@
   /** Whether the worker's VM is in the list; if not, it counts as terminated. */
   listed = true
   declaresService = false
+  /** Whether jobs that are submitted from now on may run again after a run that had started. */
+  idempotent = false
+  /** Time that a write to the log takes. */
+  writeMs = WRITE_MS
   /** Whether the log refuses changes. */
   refuses = false
   /** While set, the failure of all writes. */
@@ -166,7 +189,7 @@
   }
 
   private async commit (state: ShardState, change: unknown): Promise<Result<void, JournalError>> {
-    await sleep(WRITE_MS)
+    await sleep(this.writeMs)
     if (state !== this.state) return err({ failure: JournalFailure.Superseded, detail: '' })
     if (this.failure !== undefined) return err({ failure: this.failure, detail: '' })
     if (this.refuses) return err({ failure: JournalFailure.Unavailable, detail: '' })
@@ -176,6 +199,11 @@
     return ok(undefined)
   }
 
+  private manifest (): Manifest {
+    if (this.idempotent) return IDEMPOTENT
+    return this.declaresService ? WITH_SERVICE : MANIFEST
+  }
+
   private startOwner (): Owner {
     const { state } = this
     const clock = new SystemClock()
@@ -193,7 +221,7 @@
         workers: () => this.listed ? [VM] : [], vm: () => this.listed ? VM : undefined, isTerminated: () => !this.listed
       } as unknown as Members,
       router: { askOwner: async () => err(refuse(Reason.NotOwner, '')) } as unknown as Router,
-      manifest: () => this.declaresService ? WITH_SERVICE : MANIFEST,
+      manifest: () => this.manifest(),
       connect: () => this.worker,
       clock,
       timing: { ...DEFAULT_TIMING, renewMs: 20 },
