--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -469,7 +469,7 @@
   private onRunMissing (run: Run, sinceMs: number): void {
     this.options.metrics.missingRuns.inc()
     this.options.log.decision('run missing', {
-      task: run.name, run: run.number, worker: run.session.id, confirmedAgoMs: Math.round(sinceMs), stop: run.stopping
+      task: run.name, run: run.number, worker: run.session.id, confirmedAgoMs: Math.round(sinceMs)
     })
     detach(run.session.stopRun(run, StopReason.Missing))
   }
--- a/packages/control/src/owner/session-host.ts
+++ b/packages/control/src/owner/session-host.ts
@@ -10,6 +10,7 @@
 
 /** What the owner provides to its sessions: settings, ports and callbacks. */
 export interface SessionHost {
+  /** Fencing tokens of the owner. */
   readonly fences: Fences
   /** Maximum duration of a lease on a worker. */
   readonly leaseMs: number
@@ -40,7 +41,7 @@
   readonly onRestart: (session: Session, bornBefore: number) => void
   /** Called for positions of ended runs that the worker has not listed, although it lists a later one. */
   readonly onEndsSkipped: (session: Session, from: number, through: number) => void
-  /** Called once for a run that was confirmed, and that a later complete report lists neither as running nor as ended. */
+  /** Called once for a confirmed run that nobody stops, and that a later complete report lists neither as running nor as ended. */
   readonly onRunMissing: (run: Run, sinceMs: number) => void
   /** Called when a missing run has provably ended. Something has acknowledged its end, which this owner has not read. */
   readonly onEndLost: (run: Run) => void
