Settings: read the machine's memory and descriptors

Cause: the limits of the entry and of the backlog have to follow from the machine, and the settings did not tell what it has. Change: memoryMb and maxFds of the settings file become memoryMb and maxDescriptors of the node's settings; nothing uses them yet.

--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -80,6 +80,10 @@
   readonly port: number
   /** Number of processor cores that the process may use; undefined if it is unknown. */
   readonly processorShare?: number | undefined
+  /** Memory in MB that the process may use; undefined if it is unknown. */
+  readonly memoryMb?: number | undefined
+  /** Number of file descriptors that the process may have open; undefined if it is unknown. */
+  readonly maxDescriptors?: number | undefined
   /** Maximum age of the configuration. With an older one the node refuses requests, since their keys may have been revoked. */
   readonly configurationAgeMaxMs: number
 }
