Past use: count what workspaces have used over hours in the order of waiting work

Cause: the rate of a workspace has a memory of one second, so one that has used most of the cell for hours ranked beside one that has used nothing.

--- a/packages/control/src/journal/journal-state.ts
+++ b/packages/control/src/journal/journal-state.ts
@@ -5,6 +5,7 @@
 import type { StoredRecord } from '../ports/store.js'
 import { JobChanges, type Encoder } from './job-changes.js'
 import { decodeJob } from './job-record.js'
+import { decodePastUse, type PastUseBlock } from './past-use-record.js'
 import {
   Stage, Subject, decodeProgress, decodeValue, isCancellation, isNodeAddress, isOwnerClaim, splitKey, type JobEnd,
   type NodeAddress, type OwnerClaim, type Progress
@@ -192,6 +193,8 @@
 export class JournalState {
   readonly jobs = new Map<string, JobEntry>()
   readonly nodes = new Map<string, NodeAddress>()
+  /** Past use of workspaces as the last owners recorded it, by block. An owner does not read its own records. */
+  readonly pastUse = new Map<string, PastUseBlock>()
   /** The newest valid claim, by this node or another one. */
   ownerClaim: OwnerClaim | undefined
   /** Number of records of any owner that have been read. Only its change is used; a deferred record counts twice. */
@@ -227,6 +230,7 @@
       case Subject.Done: return this.applyTasks(record, ownEpoch)
       case Subject.Node: return this.applyNode(name, record)
       case Subject.Owner: return this.applyOwner(record)
+      case Subject.PastUse: return this.applyPastUse(name, record)
       case Subject.Heartbeat: this.ownerRecordCount++
     }
   }
@@ -317,6 +321,14 @@
     this.ownerRecordCount++
   }
 
+  private applyPastUse (block: string, record: StoredRecord): void {
+    this.pastUse.delete(block)
+    if (record.value === undefined) return
+    const decoded = decodePastUse(record.value)
+    if (decoded.isOk()) this.pastUse.set(block, decoded.value)
+    else this.onRejected(record.key, decoded.error)
+  }
+
   private defer (id: string, record: StoredRecord): void {
     const deferred = this.deferred.get(id) ?? []
     deferred.push(record)
--- a/packages/control/src/journal/record.ts
+++ b/packages/control/src/journal/record.ts
@@ -14,6 +14,7 @@
  * | `p/ID` | JobEnd | when the job ends; deleted at the end of the retention |
  * | `r/ID.BLOCK` | runs of 4 tasks | when one of them is assigned or its run ends; deleted when all of them are done |
  * | `t/ID.BLOCK` | which of 512 tasks are done | when one of them is done; deleted with the record of the job |
+ * | `u/BLOCK` | past use of a block of workspaces, see past-use-record.ts | by the owner at intervals, if past use is recorded |
  *
  * A job without a record `p` is active if one of its tasks has been assigned, and pending otherwise. Entry nodes may append the
  * record of a job once more after it has ended; `p` shows that it has. Earlier builds wrote a `Progress` as the record `p`, at
@@ -40,6 +41,8 @@
   Runs = 'r',
   /** The tasks of a block that are done. */
   Done = 't',
+  /** The past use of a block of workspaces. */
+  PastUse = 'u',
   /** A heartbeat of the owner. */
   Heartbeat = 'b'
 }
--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -11,6 +11,7 @@
 import { chooseWorkersToAsk } from '../place/advice.js'
 import { fitGang, fitTask, type PlacementSettings } from '../place/fit.js'
 import { dominantShareOf, headroomOf } from '../place/limit.js'
+import type { PastUse } from '../place/past-use.js'
 import { UrgentDemand } from '../place/reserve.js'
 import { TicketStatus, type AdvisorClient } from './advisor-client.js'
 import { Candidates, type PoolCandidate } from './candidates.js'
@@ -67,6 +68,8 @@
   /** Ids of the jobs beyond the rate of their workspace. */
   readonly overRateJobs: ReadonlySet<string>
   readonly slownessOf: (session: Session) => number
+  /** Undefined if past use does not count. */
+  readonly pastUse: PastUse | undefined
   /** Called with an unexpected error in the placement of a step, which is passed over in this round. */
   readonly onStepFailed: (step: string, error: unknown) => void
 }
@@ -115,10 +118,10 @@
   }
 
   private startRound (): Round {
-    const { readySteps, clock, overRateJobs, ledger, settings, notBeforeMs } = this.options
+    const { readySteps, clock, overRateJobs, ledger, settings, notBeforeMs, pastUse } = this.options
     const { jobSettings } = this
     return {
-      rankedSteps: rankReadySteps({ readySteps, jobSettings, clock, overRateJobs }),
+      rankedSteps: rankReadySteps({ readySteps, jobSettings, clock, overRateJobs, pastUse }),
       usage: new WorkspaceUsage(ledger, jobSettings),
       pools: new Map(),
       assignments: [],
--- a/packages/control/src/owner/ledger.ts
+++ b/packages/control/src/owner/ledger.ts
@@ -71,6 +71,11 @@
     return this.usage.get(workspace) ?? NO_RESOURCES
   }
 
+  /** Resources that each workspace uses; see `usedBy`. */
+  usages (): Iterable<readonly [string, Resources]> {
+    return this.usage.entries()
+  }
+
   /** Resources that the runs of a queue are charged on all workers, except long-running ones. */
   chargedFor (queue: string): Resources {
     return this.charges.get(queue) ?? NO_RESOURCES
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -32,6 +32,7 @@
 import { RunSupervisor } from './run-supervisor.js'
 import { WorkerLossDetector } from './worker-loss-detector.js'
 import { JournalCommitter } from './journal-committer.js'
+import { PastUseRecorder } from './past-use-recorder.js'
 import { ReadySteps } from './ready-step.js'
 import { Assigner } from './assigner.js'
 import { Dispatcher } from './dispatcher.js'
@@ -63,6 +64,8 @@
   readonly keptMs: number
   /** Maximum time that a worker takes to stop a run. */
   readonly stopMs: number
+  /** Half-life of the past use that counts in the order of waiting work; undefined if past use does not count. */
+  readonly pastUseHalfLifeMs?: number | undefined
 }
 
 /** Dependencies and initial state of the owner. */
@@ -112,6 +115,8 @@
   private readonly runSupervisor: RunSupervisor
   private readonly garbageCollector: GarbageCollector
   private readonly workerLossDetector: WorkerLossDetector
+  /** Undefined if past use does not count. */
+  private readonly pastUseRecorder: PastUseRecorder | undefined
   /** Time on the steady clock before which a task may not start, by task name. */
   private readonly notBeforeMs = new Map<string, number>()
   private readonly stopController = new AbortController()
@@ -158,8 +163,10 @@
       log,
       metrics,
       stopJob: (entry, reason) => { this.stopJob(entry, reason) },
-      requestRound: () => { this.requestRound() }
+      requestRound: () => { this.requestRound() },
+      onWorkDiscarded: (run) => { this.pastUseRecorder?.credit(run) }
     })
+    this.pastUseRecorder = this.createPastUseRecorder()
     this.dispatcher = new Dispatcher({
       ledger: this.ledger,
       readySteps: this.readySteps,
@@ -171,6 +178,7 @@
       notBeforeMs: this.notBeforeMs,
       overRateJobs: this.overRateJobs,
       slownessOf: (session) => this.speeds.slownessOf(session.id),
+      pastUse: this.pastUseRecorder?.pastUse,
       onStepFailed: (step, error) => { log.event('step failed unexpectedly', { step, error: describeError(error) }) }
     })
     this.assigner = new Assigner({
@@ -225,6 +233,23 @@
     }
   }
 
+  private createPastUseRecorder (): PastUseRecorder | undefined {
+    const { settings, journalState, configuration, clock, log, metrics } = this.options
+    const { pastUseHalfLifeMs } = settings
+    if (pastUseHalfLifeMs === undefined) return undefined
+    return new PastUseRecorder({
+      halfLifeMs: pastUseHalfLifeMs,
+      recorded: journalState.pastUse.values(),
+      ledger: this.ledger,
+      sessions: this.sessions,
+      configuration,
+      writer: this.writer,
+      clock,
+      log,
+      metrics
+    })
+  }
+
   /** Runs until the owner is superseded or closed. */
   async run (): Promise<void> {
     const { signal } = this.stopController
@@ -496,6 +521,7 @@
     while (!signal.aborted) {
       await sleep(TICK_INTERVAL_MS, signal)
       this.garbageCollector.tick()
+      this.pastUseRecorder?.tick()
       detach(this.workerLossDetector.tick(this.sessions.values()))
       if (this.mayAct()) this.runSupervisor.tick()
       this.startLog.writeDue()
--- a/packages/control/src/owner/pool.ts
+++ b/packages/control/src/owner/pool.ts
@@ -99,11 +99,11 @@
   }
 }
 
-/** Total capacity of an upstream's reachable workers. */
-export function totalCapacityOf (sessions: Iterable<Session>, upstream: string): Resources {
+/** Total capacity of the reachable workers of an upstream, or of all upstreams. */
+export function totalCapacityOf (sessions: Iterable<Session>, upstream?: string): Resources {
   let [cpuMilli, memoryMb, accelerators] = [0, 0, 0]
   for (const { worker, reachable } of sessions) {
-    if (worker.upstream !== upstream || !reachable) continue
+    if ((upstream !== undefined && worker.upstream !== upstream) || !reachable) continue
     cpuMilli += worker.capacity.cpuMilli
     memoryMb += worker.capacity.memoryMb
     accelerators += worker.capacity.accelerators
--- a/packages/control/src/owner/run-end-handler.ts
+++ b/packages/control/src/owner/run-end-handler.ts
@@ -57,6 +57,8 @@
   /** Stops all runs of a job that has ended or has been cancelled. */
   readonly stopJob: (entry: JobEntry, reason: StopReason) => void
   readonly requestRound: () => void
+  /** Called with a run that was lost with its worker, or that was preempted, before it is removed from the ledger. */
+  readonly onWorkDiscarded: (run: Run) => void
 }
 
 /** Handles ended, lost and released runs. */
@@ -131,7 +133,7 @@
     }
     const phase = entry.phase
     const changed = applyRunEnd(entry, task, ended, this.maxAttemptsOf(entry), this.options.clock.wall())
-    if (isCurrent) this.options.ledger.remove(run)
+    if (isCurrent) this.removeRun(run, ended)
     this.recordRunEnd(session, ended, isCurrent ? run : undefined, phase)
     if (changed && ended.ending === RunOutcome.Done && !isFinal(phase)) this.recordStepEnd(entry, task)
     if (changed && task.stage === Stage.Done) this.stopLaterRuns(entry, task, ended.run)
@@ -150,6 +152,12 @@
     if (!changed) this.logUnchanged(session, ended, entry)
   }
 
+  private removeRun (run: Run, { ending, checkpoint }: EndedRun): void {
+    const discarded = run.stopping === StopReason.Preempted && ending === RunOutcome.Stopped && checkpoint === ''
+    if (discarded) this.options.onWorkDiscarded(run)
+    this.options.ledger.remove(run)
+  }
+
   /** Logs an end that changes nothing, such as that of an outdated run, or of a gang of which another member has ended. */
   private logUnchanged (session: Session, { task, run, ending }: EndedRun, entry: JobEntry | undefined): void {
     this.options.log.decision('run end changes nothing', { task, run, worker: session.id, ending, phase: entry?.phase })
@@ -222,6 +230,7 @@
     const changed = new Set<JobEntry>()
     for (const run of runs) {
       this.options.log.decision('run lost', { task: run.name, run: run.number, worker: session.id, reason })
+      this.options.onWorkDiscarded(run)
       changed.add(this.endRun(run, RunOutcome.LeaseExpired))
     }
     detach(this.options.committer.commitJobs([...changed]))
--- a/packages/control/src/owner/step-ranking.ts
+++ b/packages/control/src/owner/step-ranking.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../clock.js'
 import type { Queue } from '../model/configuration.js'
 import { Phase } from '../model/job.js'
+import type { PastUse } from '../place/past-use.js'
 import { placementRankOf } from '../place/ranking.js'
 import type { JobSettings } from './job-settings.js'
 import type { ReadyStep, ReadySteps } from './ready-step.js'
@@ -33,18 +34,21 @@
   readonly clock: Clock
   /** Ids of the jobs beyond the rate of their workspace. */
   readonly overRateJobs: ReadonlySet<string>
+  /** Undefined if past use does not count. */
+  readonly pastUse: PastUse | undefined
 }
 
 /** Returns the ready steps that are due, in the order in which they are placed. */
-export function rankReadySteps ({ readySteps, jobSettings, clock, overRateJobs }: StepRankingOptions): RankedStep[] {
+export function rankReadySteps ({ readySteps, jobSettings, clock, overRateJobs, pastUse }: StepRankingOptions): RankedStep[] {
   const wallNowMs = clock.wall()
+  const yields = pastUse?.yieldsAmong(waitingWorkspaces(readySteps, wallNowMs))
   const ranked: RankedStep[] = []
   for (const readyStep of readySteps.list()) {
-    const { entry: { job, phase }, dueMs, chainMs } = readyStep
-    if (job.occurrences > 0 && dueMs > wallNowMs) continue
+    if (!isDue(readyStep, wallNowMs)) continue
+    const { entry: { job, phase }, dueMs, chainMs, criticalPathMs } = readyStep
     const queue = jobSettings.queueOf(job)
     const overRate = overRateJobs.has(job.id)
-    const objectiveMs = (queue?.stretch ?? UNKNOWN_QUEUE_STRETCH) * readyStep.criticalPathMs + (queue?.targetMs ?? 0)
+    const objectiveMs = (queue?.stretch ?? UNKNOWN_QUEUE_STRETCH) * criticalPathMs + (queue?.targetMs ?? 0)
     const rank = placementRankOf({
       longRunning: readyStep.step.lasting,
       // A job whose queue is not known is ranked with the highest priority, but does not count as urgent.
@@ -53,9 +57,23 @@
       objectiveMs,
       chainMs,
       started: job.occurrences === 0 && phase === Phase.Active,
-      overRate
+      overRate,
+      yieldMs: (yields?.get(job.workspace) ?? 0) * Math.max(0, objectiveMs - criticalPathMs)
     }, wallNowMs)
     ranked.push({ readyStep, queue, overRate, rank, slackMs: dueMs + objectiveMs - chainMs - wallNowMs, objectiveMs })
   }
   return ranked.sort((left, right) => left.rank - right.rank)
 }
+
+function isDue ({ entry: { job }, dueMs }: ReadyStep, wallNowMs: number): boolean {
+  return job.occurrences === 0 || dueMs <= wallNowMs
+}
+
+/** Returns the workspaces whose due steps wait. Long-running steps do not count: they rank first and yield to none. */
+function waitingWorkspaces (readySteps: ReadySteps, wallNowMs: number): ReadonlySet<string> {
+  const waiting = new Set<string>()
+  for (const readyStep of readySteps.list()) {
+    if (!readyStep.step.lasting && isDue(readyStep, wallNowMs)) waiting.add(readyStep.entry.job.workspace)
+  }
+  return waiting
+}
--- a/packages/control/src/place/ranking.ts
+++ b/packages/control/src/place/ranking.ts
@@ -7,7 +7,8 @@
  * 3. lateness: steps of jobs that can still meet their objective come before late ones;
  * 4. whether the job has started: steps of started jobs come before those of new jobs. Otherwise each new job would take capacity
  *    from the last steps of earlier jobs, and all of them would complete late;
- * 5. the latest time at which the step can start and still meet its objective, the earliest first.
+ * 5. the latest time at which the step can start and still meet its objective, the earliest first. For a step of a new job, the time
+ *    by which its workspace yields is added; see past-use.ts.
  */
 
 /** Properties of a step that determine its rank. Times are Unix times in milliseconds. */
@@ -26,6 +27,8 @@
   readonly started: boolean
   /** The job is beyond the rate of its workspace. */
   readonly overRate: boolean
+  /** Time by which the step yields to steps of workspaces that have used less of the cell; 0 if past use does not count. */
+  readonly yieldMs: number
 }
 
 /**
@@ -65,7 +68,8 @@
   const latestStartMs = dueMs + objectiveMs - chainMs - OVERHEAD_MS
   const late = latestStartMs < nowMs
   const offset = bandOf(input, nowMs) * BAND_OFFSET + Math.min(priority, 99) * PRIORITY_OFFSET
-  return offset + (late ? LATE_OFFSET : 0) + (input.started ? 0 : NEW_JOB_OFFSET) + latestStartMs
+  const orderMs = input.started ? latestStartMs : NEW_JOB_OFFSET + latestStartMs + input.yieldMs
+  return offset + (late ? LATE_OFFSET : 0) + orderMs
 }
 
 function bandOf (input: RankingInput, nowMs: number): Band {
--- a/packages/control/src/report/metrics.ts
+++ b/packages/control/src/report/metrics.ts
@@ -47,6 +47,9 @@
   readonly roundSeconds = this.histogram('round_seconds', 'Time of one round of decisions', [])
   readonly jobsEnded = this.counter('jobs_ended_total', 'Jobs that ended, by queue and phase', ['queue', 'phase'])
   readonly jobSeconds = this.histogram('job_seconds', 'Time from the acceptance of a job to its end, by queue', ['queue'])
+  readonly yieldingWorkspaces = this.gauge(
+    'yielding_workspaces', 'Workspaces whose waiting steps yield to those of others because of what they have used')
+
   readonly claims = this.counter('claims_total', 'Claims of ownership by this node, by outcome', ['outcome'])
 
   /** Returns the metrics in the Prometheus text format. */
--- a/packages/control/test/owner/run-end-handler.spec.ts
+++ b/packages/control/test/owner/run-end-handler.spec.ts
@@ -42,7 +42,8 @@
     log: new SilentLog(),
     metrics: new Metrics(),
     stopJob: () => {},
-    requestRound: () => {}
+    requestRound: () => {},
+    onWorkDiscarded: () => {}
   })
   const sessions = ['w1', 'slow'].map((id) => new Session(createWorker({ id }), createSessionHost({ fleet, clock })))
   const entry = journalState.jobs.get(ID)!
--- a/packages/control/test/place/decisions.spec.ts
+++ b/packages/control/test/place/decisions.spec.ts
@@ -12,7 +12,7 @@
 
 const NOW_MS = 1_700_000_000_000
 const INPUT: RankingInput = {
-  longRunning: false, priority: 1, dueMs: NOW_MS, objectiveMs: 5000, chainMs: 2000, started: false, overRate: false
+  longRunning: false, priority: 1, dueMs: NOW_MS, objectiveMs: 5000, chainMs: 2000, started: false, overRate: false, yieldMs: 0
 }
 const SETTINGS = { farFactor: 2 }
 
@@ -34,6 +34,10 @@
     ['a step that can be in time before one of a started job that is late', {}, { started: true, dueMs: NOW_MS - 4000 }],
     ['a step that can be in time before a late one', {}, { dueMs: NOW_MS - 4000 }],
     ['a late step before one that is too late to be of use', { dueMs: NOW_MS - 4000 }, { dueMs: NOW_MS - 40_000, priority: 0 }],
+    ['a job due later before one that yields for longer than that', { dueMs: NOW_MS + 900 }, { yieldMs: 1000 }],
+    ['a job that yields before one that is due later than that', { yieldMs: 1000 }, { dueMs: NOW_MS + 1100 }],
+    ['a job that yields before one that is late', { yieldMs: 1e6 }, { dueMs: NOW_MS - 4000 }],
+    ['a started job of a workspace that yields before a new job', { started: true, yieldMs: 1e6 }, {}],
     ['a job within the rate of its workspace before a job beyond it', { priority: 2 }, { priority: 0, overRate: true }]
   ])('puts %s', (_, first, second) => {
     expect(placementRankOf({ ...INPUT, ...first }, NOW_MS)).toBeLessThan(placementRankOf({ ...INPUT, ...second }, NOW_MS))
