--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,7 +10,7 @@
     }
   },
   {
-    files: ['packages/scenario/**', 'packages/measure/**', 'packages/*/test/**'],
+    files: ['packages/scenario/**', 'packages/measure/**', 'packages/*/test/**', 'platform/test/crowd/**'],
     rules: { 'no-restricted-imports': 'off', 'no-console': 'off' }
   }
 ]
