Evacuation of an availability zone

Each node reads the requests with the configuration, so that they survive a takeover, a restart of all nodes, a lost answer and a compaction of the history. The owner leaves out workers of these zones when it places tasks, counts capacity and asks the advisor, and checks again before each start. What runs in the zone is left to end. A late long poll no longer sets back the time of the last read.

--- a/packages/control/src/journal/follower.ts
+++ b/packages/control/src/journal/follower.ts
@@ -224,7 +224,8 @@
 
   private finishRead (cursor: Cursor, sentAt: Stamp): Result<void, StoreFailure> {
     if (!this.isCurrent(cursor)) return err(StoreFailure.Expired)
-    this.freshAt = sentAt
+    // A long poll may end after a later read.
+    if (sentAt.steadyMs > this.freshAt.steadyMs) this.freshAt = sentAt
     this.listener.onCaughtUp?.()
     return ok(undefined)
   }
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -36,6 +36,8 @@
 import { applySettings, type SettingsChange } from './settings/settings-change.js'
 import { describeError, type Log } from './report/log.js'
 import type { Metrics } from './report/metrics.js'
+import { EvacuationRefresh } from './zones/evacuation-refresh.js'
+import { Evacuations } from './zones/evacuations.js'
 
 /** Interval at which a node checks whether to claim the cell. */
 const ELECTION_INTERVAL_MS = 40
@@ -86,10 +88,12 @@
   readonly maxDescriptors?: number | undefined
   /** Maximum age of the configuration. With an older one the node refuses requests, since their keys may have been revoked. */
   readonly configurationAgeMaxMs: number
+  /** Time after the request to evacuate an availability zone from which no task may start there; undefined for no limit. */
+  readonly evacuationLimitMs?: number | undefined
 }
 
 /** Settings of a node that can change while it runs. */
-const CHANGEABLE_SETTINGS: ReadonlyArray<keyof NodeSettings> = ['farFactor', 'stopMs', 'keptMs', 'configurationAgeMaxMs']
+const CHANGEABLE_SETTINGS: ReadonlyArray<keyof NodeSettings> = ['farFactor', 'stopMs', 'keptMs', 'configurationAgeMaxMs', 'evacuationLimitMs']
 
 /** Dependencies and settings of a node. */
 export interface NodeOptions {
@@ -118,6 +122,8 @@
   private readonly gatewayServer: GatewayServer
   private readonly journal: Follower
   private readonly configurationFollower: Follower
+  private readonly evacuations: Evacuations
+  private readonly evacuationRefresh: EvacuationRefresh
   private journalState = this.createJournalState()
   /** The state that is being rebuilt from the journal; it replaces `journalState` once it is complete. */
   private nextJournalState: JournalState | undefined
@@ -171,9 +177,13 @@
       onCaughtUp: () => { this.onJournalRead() }
     }, clock, FOLLOWER_READ_INTERVAL_MS)
     this.configurationFollower = new Follower(this.storeAccess, Topic.Configuration, {
-      onRecord: (record) => { this.applyConfiguration(record) },
-      onRejected: (record, error) => { this.onRecordFailed(Topic.Configuration, record, error) }
+      onRecord: (record) => { if (!this.evacuations.apply(record)) this.applyConfiguration(record) },
+      onRejected: (record, error) => { this.onRecordFailed(Topic.Configuration, record, error) },
+      onReset: () => { this.evacuations.startReload() },
+      onCaughtUp: () => { this.evacuations.finishReload() }
     }, clock, CONFIGURATION_READ_INTERVAL_MS)
+    this.evacuations = this.createEvacuations()
+    this.evacuationRefresh = new EvacuationRefresh(this.evacuations, async () => { await this.configurationFollower.catchUp() })
     this.jobService = this.createJobService()
   }
 
@@ -311,6 +321,31 @@
     this.owner?.requestRound()
   }
 
+  private createEvacuations (): Evacuations {
+    const { formats, clock, settings, log, metrics } = this.options
+    return new Evacuations({
+      formats,
+      clock,
+      readAt: () => this.configurationFollower.freshAt,
+      limitMs: () => settings.evacuationLimitMs,
+      listener: {
+        onRequested: (zone, offset, mistake) => {
+          // The request was not in the topic at the last read. Before the first read, its age is unknown.
+          const ageMs = clock.ageOf(this.configurationFollower.freshAt)
+          metrics.evacuatedZone.set({ zone }, 1)
+          log.event('evacuation in effect', { zone, offset, lagMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined, mistake })
+          this.owner?.onZoneEvacuated(zone)
+        },
+        onTakenBack: (zone) => {
+          metrics.evacuatedZone.set({ zone }, 0)
+          log.event('evacuation taken back', { zone })
+          this.owner?.onZoneReturned(zone)
+        },
+        onInvalid: (key) => { log.event('evacuation rejected as invalid', { key, mistake: 'The key names no zone.' }) }
+      }
+    })
+  }
+
   private onLink (node: string, up: boolean): void {
     const isOwner = node === this.journalState.ownerClaim?.node
     this.options.log.event(up ? 'node connected' : 'node disconnected', { peer: node, owner: isOwner })
@@ -336,6 +371,7 @@
         ? OWNER_READ_INTERVAL_MS
         : connected ? FOLLOWER_READ_INTERVAL_MS : DISCONNECTED_READ_INTERVAL_MS
       if (this.owner !== undefined) {
+        this.evacuationRefresh.check(this.options.clock.now())
         this.collectAddresses(this.owner)
         this.handOver(this.owner)
         continue
@@ -440,6 +476,7 @@
       formats,
       clock,
       configuration: () => this.configuration!,
+      zones: this.evacuations,
       askAdvisor: (node, step, workers, timeoutMs) => this.askAdvice(node, step, workers, timeoutMs),
       nodes: () => [settings.node, ...this.links.connected()],
       settings,
--- a/packages/control/src/owner/advisor-client.ts
+++ b/packages/control/src/owner/advisor-client.ts
@@ -208,6 +208,17 @@
     this.stepsByJob.delete(job)
   }
 
+  /** Drops queued requests of whose workers none is of use any more, so that others can be asked about. */
+  dropRequestsFor (isUnusable: (worker: string) => boolean): void {
+    for (const request of [...this.queue]) {
+      if (!request.workers.every(({ id }) => isUnusable(id))) continue
+      this.queue.splice(this.queue.indexOf(request), 1)
+      const known = this.steps.get(request.step)!
+      known.queued = undefined
+      known.pending = false
+    }
+  }
+
   /** Sends queued requests through nodes whose load at the advisor permits it. */
   sendQueued (): void {
     if (this.queue.length === 0) return
--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -67,6 +67,8 @@
   /** Ids of the jobs beyond the rate of their workspace. */
   readonly overRateJobs: ReadonlySet<string>
   readonly slownessOf: (session: Session) => number
+  /** Called for a step with tasks that may start, but for which no worker that accepts runs is permitted. */
+  readonly onNoWorker: (readyStep: ReadyStep, advised: boolean) => void
   /** Called with an unexpected error in the placement of a step, which is passed over in this round. */
   readonly onStepFailed: (step: string, error: unknown) => void
 }
@@ -176,7 +178,10 @@
     const chosen = permitted.length > 0 && pool.mayFit(charge) ? this.choose(ranked, waiting, allowed, permitted) : []
     const unplaced = allowed - chosen.length
     if (unplaced > 0) this.askAboutUnknown(ranked, unplaced, workers, pool)
-    if (permitted.length === 0) return
+    if (permitted.length === 0) {
+      if (workers.unknown.length === 0) this.options.onNoWorker(readyStep, ranked.queue?.advice !== undefined)
+      return
+    }
     if (unplaced > 0) {
       this.recordUnplaced(ranked, unplaced, pool)
       round.reclaimer.freeCapacityFor(ranked, unplaced, pool, permitted, chosen)
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -26,6 +26,8 @@
 import { StartLog } from '../report/start-log.js'
 import { describeError, type Log } from '../report/log.js'
 import type { Metrics } from '../report/metrics.js'
+import type { ZoneStatus } from '../zones/evacuations.js'
+import { ZoneEvacuator } from '../zones/zone-evacuator.js'
 import { SpeedEstimator } from '../place/speed.js'
 import { AdvisorClient, type AdvisorCall, type FinishedCall } from './advisor-client.js'
 import { MAX_UNCONFIRMED_OWNERSHIP_MS } from './ownership.js'
@@ -81,6 +83,7 @@
   readonly formats: Formats
   readonly clock: Clock
   readonly configuration: () => Configuration
+  readonly zones: ZoneStatus
   /** Calls the advisor through a node. */
   readonly askAdvisor: AdvisorCall
   /** This node and the connected ones, through which the advisor can be called. */
@@ -102,6 +105,7 @@
   private readonly advisorClient: AdvisorClient
   private readonly dispatcher: Dispatcher
   private readonly assigner: Assigner
+  private readonly zoneEvacuator: ZoneEvacuator
   private readonly overRateJobs = new Set<string>()
   private readonly speeds = new SpeedEstimator()
   private readonly committer: JournalCommitter
@@ -160,6 +164,9 @@
       stopJob: (entry, reason) => { this.stopJob(entry, reason) },
       requestRound: () => { this.requestRound() }
     })
+    this.zoneEvacuator = new ZoneEvacuator({
+      zones: options.zones, sessions: this.sessions, advisorClient: this.advisorClient, metrics, log
+    })
     this.dispatcher = new Dispatcher({
       ledger: this.ledger,
       readySteps: this.readySteps,
@@ -171,6 +178,7 @@
       notBeforeMs: this.notBeforeMs,
       overRateJobs: this.overRateJobs,
       slownessOf: (session) => this.speeds.slownessOf(session.id),
+      onNoWorker: (readyStep, advised) => { this.zoneEvacuator.onNoWorker(readyStep, advised) },
       onStepFailed: (step, error) => { log.event('step failed unexpectedly', { step, error: describeError(error) }) }
     })
     this.assigner = new Assigner({
@@ -385,8 +393,10 @@
 
   private onRegistryRead (): void {
     this.registry.finishReload()
-    if (!this.registryRead) this.options.log.event('worker registry read', { workers: this.registry.workers.size })
+    if (this.registryRead) return
+    this.options.log.event('worker registry read', { workers: this.registry.workers.size })
     this.registryRead = true
+    this.zoneEvacuator.onWorkersKnown()
   }
 
   private createHost (): SessionHost {
@@ -397,6 +407,7 @@
       fleet: options.fleet,
       clock: options.clock,
       mayAct: () => this.mayAct(),
+      zones: options.zones,
       onRunsEnded: (session, ended) => this.runEndHandler.handleRunEnds(session, ended),
       onUnknownRun: (session, task, run) => { this.onUnknownRun(session, task, run) },
       onAdopted: (session) => {
@@ -408,6 +419,10 @@
       },
       onRunsLost: (session, runs, reason) => { this.runEndHandler.onRunsLost(session, runs, reason) },
       onRunReleased: (run, reason) => { this.runEndHandler.onRunReleased(run, reason) },
+      onStartHeld: (run, reason) => {
+        options.metrics.heldStarts.inc({ reason })
+        this.runEndHandler.onRunReleased(run, reason)
+      },
       onStarted: (run) => {
         options.metrics.starts.inc()
         options.metrics.startSeconds.observe((run.startedMs - run.assignedMs) / 1000)
@@ -474,13 +489,25 @@
     detach(run.session.stopRun(run, StopReason.Missing))
   }
 
+  /** Handles the request to evacuate an availability zone. */
+  onZoneEvacuated (zone: string): void {
+    this.zoneEvacuator.onEvacuated(zone)
+    this.requestRound()
+  }
+
+  /** Handles the end of the evacuation of an availability zone. */
+  onZoneReturned (zone: string): void {
+    this.zoneEvacuator.onTakenBack(zone)
+    this.requestRound()
+  }
+
   /** Requests a round. Several requests in quick succession result in one round. */
   requestRound (): void {
     if (this.registryRead && !this.stopController.signal.aborted) this.roundPacer.request()
   }
 
   private decide (): void {
-    if (!this.mayAct()) return
+    if (!this.mayAct() || !this.zoneEvacuator.mayStart()) return
     const startedMs = this.options.clock.now()
     const { assignments, preemptions } = this.dispatcher.round()
     this.options.metrics.roundSeconds.observe((this.options.clock.now() - startedMs) / 1000)
--- a/packages/control/src/owner/pool.ts
+++ b/packages/control/src/owner/pool.ts
@@ -99,11 +99,12 @@
   }
 }
 
-/** Total capacity of an upstream's reachable workers. */
+/** Total capacity of an upstream's reachable workers outside of zones that are being evacuated. */
 export function totalCapacityOf (sessions: Iterable<Session>, upstream: string): Resources {
   let [cpuMilli, memoryMb, accelerators] = [0, 0, 0]
-  for (const { worker, reachable } of sessions) {
-    if (worker.upstream !== upstream || !reachable) continue
+  for (const session of sessions) {
+    const { worker, reachable } = session
+    if (worker.upstream !== upstream || !reachable || session.isEvacuated()) continue
     cpuMilli += worker.capacity.cpuMilli
     memoryMb += worker.capacity.memoryMb
     accelerators += worker.capacity.accelerators
--- a/packages/control/src/owner/session-host.ts
+++ b/packages/control/src/owner/session-host.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../clock.js'
 import type { EndedRun } from '../model/worker.js'
 import type { Fleet, WorkerFailure } from '../ports/fleet.js'
+import type { ZoneStatus } from '../zones/evacuations.js'
 import type { Fences } from './fence.js'
 import type { Run } from './run.js'
 import type { Session } from './session.js'
@@ -18,6 +19,8 @@
   readonly clock: Clock
   /** Returns false if the store has not confirmed the ownership recently enough, or the owner is closed. */
   readonly mayAct: () => boolean
+  /** Availability zones to which nothing may be sent. */
+  readonly zones: ZoneStatus
   /** Applies ended runs. Resolves to those that were applied, once the changes are in the journal. */
   readonly onRunsEnded: (session: Session, ended: readonly EndedRun[]) => Promise<readonly EndedRun[]>
   /** Called for a reported run that the session does not know. */
@@ -28,6 +31,8 @@
   readonly onRunsLost: (session: Session, runs: readonly Run[], reason: string) => void
   /** Called when a run is released for another reason: it has provably not started, or has ended without being reported. */
   readonly onRunReleased: (run: Run, reason: string) => void
+  /** Called when a run is not started because of an evacuation; the run is to be released. */
+  readonly onStartHeld: (run: Run, reason: string) => void
   /** Called when it is first confirmed to this owner that a run has started, also for a run of an earlier owner. */
   readonly onStarted: (run: Run) => void
   /** Called when the worker has seen a higher fencing token, so that another node owns the cell. */
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -15,6 +15,7 @@
 import { RunState, StopReason, type Run } from './run.js'
 import type { SessionHost } from './session-host.js'
 import { UnsettledStarts } from './unsettled-starts.js'
+import { ZONE_EVACUATED } from '../zones/evacuations.js'
 
 /**
  * Maximum time that a worker may delay its report until a run ends. Together with the round trip, it is far shorter than the
@@ -128,7 +129,13 @@
 
   /** Returns true if new runs may be placed on the worker. */
   acceptsRuns (nowMs: number): boolean {
-    return this.adopted && this.reachable && !this.worker.draining && nowMs >= this.pausedUntilMs && this.unknownRuns.size === 0
+    if (!this.adopted || !this.reachable || this.worker.draining || this.isEvacuated()) return false
+    return nowMs >= this.pausedUntilMs && this.unknownRuns.size === 0
+  }
+
+  /** Returns true while the worker's availability zone is being evacuated. */
+  isEvacuated (): boolean {
+    return this.host.zones.isEvacuated(this.worker.zone)
   }
 
   /** How long the worker has not answered; 0 while it is reachable. */
@@ -277,6 +284,11 @@
       this.host.onRunReleased(run, 'ownership not confirmed lately')
       return
     }
+    const validityMs = Math.min(START_VALIDITY_MS, this.host.zones.maxStartValidityMs())
+    if (validityMs === 0 || this.isEvacuated()) {
+      this.host.onStartHeld(run, this.isEvacuated() ? ZONE_EVACUATED : 'evacuations not read lately')
+      return
+    }
     // A report request that is carried out late must not acknowledge the end of this run, which its sender cannot have read.
     if (this.hasAcknowledged && !this.raiseFence()) {
       this.host.onRunReleased(run, 'no fencing token left')
@@ -284,7 +296,7 @@
     }
     run.state = RunState.Starting
     // The deadline of a start also extends the lease.
-    const deadlineMs = this.lease.grant(START_VALIDITY_MS)
+    const deadlineMs = this.lease.grant(validityMs)
     const fence = this.fence.current
     const { born } = this
     this.unsettledStarts.add(run, this.host.clock.now())
--- a/packages/control/src/ports/formats.ts
+++ b/packages/control/src/ports/formats.ts
@@ -11,4 +11,8 @@
   abstract readonly configurationKey: string
   abstract decodeConfiguration (value: Buffer): Result<Configuration, string>
   abstract decodeWorker (id: string, value: Buffer): Result<Worker, string>
+  /** Returns the availability zone that a record of the configuration's topic is a request to evacuate; undefined for any other record. */
+  abstract evacuatedZoneOf (key: string): string | undefined
+  /** Checks the value of a request to evacuate a zone. */
+  abstract checkEvacuation (value: Buffer): Result<unknown, string>
 }
--- a/packages/control/src/report/metrics.ts
+++ b/packages/control/src/report/metrics.ts
@@ -43,6 +43,9 @@
     'end_write_seconds', 'Time from the report of ended runs until their changes are in the journal', [], DELAY_BUCKETS)
 
   readonly missingRuns = this.counter('missing_runs_total', 'Runs that a worker listed no more although no end of them was reported', [])
+  readonly evacuatedZone = this.gauge('evacuated_zone', '1 while an availability zone is being evacuated, by zone', ['zone'])
+  readonly evacuationWaits = this.counter('evacuation_waits_total', 'Tasks whose permitted workers were all in evacuated zones', [])
+  readonly heldStarts = this.counter('held_starts_total', 'Assignments that were not started because of an evacuation, by reason', ['reason'])
   readonly reportRequests = this.counter('looks_total', 'Renewals of leases on workers', [])
   readonly roundSeconds = this.histogram('round_seconds', 'Time of one round of decisions', [])
   readonly jobsEnded = this.counter('jobs_ended_total', 'Jobs that ended, by queue and phase', ['queue', 'phase'])
@@ -58,8 +61,8 @@
     return new Counter({ name: `fireflymount_${name}`, help, labelNames, registers: [this.registry] })
   }
 
-  private gauge (name: string, help: string): Gauge {
-    return new Gauge({ name: `fireflymount_${name}`, help, registers: [this.registry] })
+  private gauge<T extends string> (name: string, help: string, labelNames: T[] = []): Gauge<T> {
+    return new Gauge({ name: `fireflymount_${name}`, help, labelNames, registers: [this.registry] })
   }
 
   private histogram<T extends string> (
--- a/packages/control/test/cluster/cluster.ts
+++ b/packages/control/test/cluster/cluster.ts
@@ -7,14 +7,12 @@
 import type { AuthorizedRequest } from '../../src/entry/job-service.js'
 import type { Configuration } from '../../src/model/configuration.js'
 import type { Phase } from '../../src/model/job.js'
-import type { Worker } from '../../src/model/worker.js'
 import { Node, type NodeSettings } from '../../src/node.js'
 import { AdviceFailure } from '../../src/ports/advisor.js'
-import { Formats } from '../../src/ports/formats.js'
 import { StoreClient, Topic, type StoreAnswer, type StoreCall, type StoreFailure } from '../../src/ports/store.js'
 import { Log } from '../../src/report/log.js'
 import { Metrics } from '../../src/report/metrics.js'
-import { FakeStore, NoMachines, createQueue, createStep } from '../fakes.js'
+import { FakeStore, NoMachines, PlainFormats, createQueue, createStep } from '../fakes.js'
 import { Processor } from './processor.js'
 import { ProcessorBoundFleet, SimulatedWorkers } from './workers.js'
 
@@ -43,16 +41,10 @@
 }
 
 /** Decodes the configuration and the registry entries from JSON. */
-class ClusterFormats extends Formats {
-  override readonly configurationKey = 'config'
-
+class ClusterFormats extends PlainFormats {
   override decodeConfiguration (value: Buffer): Result<Configuration, string> {
     return ok(JSON.parse(value.toString()) as Configuration)
   }
-
-  override decodeWorker (_: string, value: Buffer): Result<Worker, string> {
-    return ok(JSON.parse(value.toString()) as Worker)
-  }
 }
 
 /** An event that a node logged. */
@@ -91,6 +83,8 @@
   /** Settings by node. */
   readonly settings = new Map<string, NodeSettings>()
   readonly events: LoggedEvent[] = []
+  /** See NodeSettings. */
+  evacuationLimitMs: number | undefined
 
   constructor (workerCount: number) {
     this.workers = new SimulatedWorkers(workerCount)
@@ -110,7 +104,8 @@
         farFactor: 2,
         keptMs: 120_000,
         stopMs: 200,
-        configurationAgeMaxMs: 3500
+        configurationAgeMaxMs: 3500,
+        evacuationLimitMs: this.evacuationLimitMs
       }
       this.settings.set(name, settings)
       const node = new Node({
@@ -147,6 +142,11 @@
     return (await node.jobService.cancel(REQUEST, id, BUDGET_MS)).isOk()
   }
 
+  /** Returns the name of a node. */
+  nameOf (node: Node): string | undefined {
+    return [...this.settings.keys()][this.nodes.indexOf(node) % this.settings.size]
+  }
+
   close (): void {
     for (const node of this.nodes) node.close()
   }
--- a/packages/control/test/cluster/workers.ts
+++ b/packages/control/test/cluster/workers.ts
@@ -77,7 +77,9 @@
   constructor (count: number) {
     for (let index = 0; index < count; index++) {
       const id = `w${index}`
-      this.workers.set(id, new SimulatedWorker(createWorker({ id, address: `10.0.0.${index}:80`, labels: ['a', `r${index % 8}`] })))
+      this.workers.set(id, new SimulatedWorker(createWorker({
+        id, address: `10.0.0.${index}:80`, zone: index % 2 === 0 ? 'east' : 'west', labels: ['a', `r${index % 8}`]
+      })))
     }
   }
 
@@ -114,6 +116,13 @@
     return tasks.size
   }
 
+  /** Number of starts in an availability zone. */
+  countStartsIn (zone: string): number {
+    let count = 0
+    for (const worker of this.workers.values()) if (worker.entry.zone === zone) count += worker.started.length
+    return count
+  }
+
   /** Number of starts of a job's tasks. */
   countStarts (job: string): number {
     let count = 0
--- a/packages/control/test/fakes.ts
+++ b/packages/control/test/fakes.ts
@@ -18,6 +18,7 @@
 } from '../src/ports/store.js'
 import { SilentLog } from '../src/report/log.js'
 import { Metrics } from '../src/report/metrics.js'
+import type { ZoneStatus } from '../src/zones/evacuations.js'
 
 /** A clock that tests control. */
 export class FakeClock extends Clock {
@@ -232,10 +233,18 @@
 /** Decodes registry entries of workers from JSON. */
 export class PlainFormats extends Formats {
   override readonly configurationKey = 'config'
-  override decodeConfiguration (): ReturnType<Formats['decodeConfiguration']> { return err('unused') }
+  override decodeConfiguration (_: Buffer): ReturnType<Formats['decodeConfiguration']> { return err('unused') }
   override decodeWorker (_: string, value: Buffer): ReturnType<Formats['decodeWorker']> {
     return ok(JSON.parse(value.toString()) as Worker)
   }
+
+  override evacuatedZoneOf (key: string): string | undefined {
+    return key.startsWith('evacuate/') ? key.slice('evacuate/'.length) : undefined
+  }
+
+  override checkEvacuation (value: Buffer): ReturnType<Formats['checkEvacuation']> {
+    return value.length === 0 ? err('It is empty.') : ok(undefined)
+  }
 }
 
 /** A machine service that never answers. */
@@ -268,6 +277,9 @@
   }
 }
 
+/** No zone is evacuated, and starts may be valid for any time. */
+export const ALL_ZONES: ZoneStatus = { evacuated: () => [], isEvacuated: () => false, maxStartValidityMs: () => Infinity }
+
 /** Creates the host of a session that ignores all callbacks; `fields` override the defaults. */
 export function createSessionHost (fields: Pick<SessionHost, 'fleet' | 'clock'> & Partial<SessionHost>): SessionHost {
   const ignore = (): void => {}
@@ -275,11 +287,13 @@
     fences: new Fences(epochAfter(0)),
     leaseMs: 6000,
     mayAct: () => true,
+    zones: ALL_ZONES,
     onRunsEnded: async (_, ended) => ended,
     onUnknownRun: ignore,
     onAdopted: ignore,
     onRunsLost: ignore,
     onRunReleased: ignore,
+    onStartHeld: ignore,
     onStarted: ignore,
     onFenced: ignore,
     onFencesUsedUp: ignore,
@@ -306,6 +320,7 @@
     journalReadAt: () => fields.clock.stamp(),
     machines: new NoMachines(),
     formats: new PlainFormats(),
+    zones: ALL_ZONES,
     askAdvisor: async () => err(AdviceFailure.NoAnswer),
     nodes: () => [],
     settings: { leaseMs: 6000, farFactor: 2, keptMs: 120_000, stopMs: 200 },
--- a/packages/control/test/journal/steady-cell.ts
+++ b/packages/control/test/journal/steady-cell.ts
@@ -17,7 +17,7 @@
 import { StoreFailure, Topic, type StoredRecord } from '../../src/ports/store.js'
 import { SilentLog } from '../../src/report/log.js'
 import { Metrics } from '../../src/report/metrics.js'
-import { FakeStore, NoMachines, PlainFormats, createJob, createQueue, createWorker } from '../fakes.js'
+import { ALL_ZONES, FakeStore, NoMachines, PlainFormats, createJob, createQueue, createWorker } from '../fakes.js'
 
 const CONFIGURATION: Configuration = {
   version: 1,
@@ -104,6 +104,7 @@
     formats: new PlainFormats(),
     clock,
     configuration: () => CONFIGURATION,
+    zones: ALL_ZONES,
     askAdvisor: async () => err(AdviceFailure.NoAnswer),
     nodes: () => [],
     settings: { leaseMs: 6000, farFactor: 2, keptMs: 120_000, stopMs: 200 },
--- a/packages/control/test/owner/decision-log.spec.ts
+++ b/packages/control/test/owner/decision-log.spec.ts
@@ -12,7 +12,7 @@
 import { StoreFailure, Topic } from '../../src/ports/store.js'
 import { Log } from '../../src/report/log.js'
 import { Metrics } from '../../src/report/metrics.js'
-import { FakeFleet, FakeStore, createJob, createQueue, createStep, createWorker, NoMachines, PlainFormats } from '../fakes.js'
+import { ALL_ZONES, FakeFleet, FakeStore, createJob, createQueue, createStep, createWorker, NoMachines, PlainFormats } from '../fakes.js'
 
 const ID = '00000000000000aa'
 const TASK_MS = 300
@@ -81,6 +81,7 @@
       configuration: () => ({
         version: 1, queues: [createQueue()], upstreams: [], workspaces: [], limits: { bodyBytes: 1, headerMs: 1, idleMs: 1 }
       }),
+      zones: ALL_ZONES,
       askAdvisor: async () => err(AdviceFailure.NoAnswer),
       nodes: () => [],
       settings: { leaseMs: 6000, farFactor: 2, keptMs: 120_000, stopMs: 200 },
--- a/packages/control/test/owner/dispatcher.spec.ts
+++ b/packages/control/test/owner/dispatcher.spec.ts
@@ -60,6 +60,7 @@
       notBeforeMs: new Map(),
       overRateJobs: this.overRateJobs,
       slownessOf: () => 1,
+      onNoWorker: () => {},
       onStepFailed: (_, error) => { throw error }
     })
   }
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -16,7 +16,7 @@
 import { SilentLog } from '../../src/report/log.js'
 import { Metrics } from '../../src/report/metrics.js'
 import { newestOf, stateOf } from '../journal/steady-cell.js'
-import { FakeFleet, FakeStore, createJob, createMachine, createQueue, createStep, createWorker, ListedMachines, NoMachines, PlainFormats } from '../fakes.js'
+import { ALL_ZONES, FakeFleet, FakeStore, createJob, createMachine, createQueue, createStep, createWorker, ListedMachines, NoMachines, PlainFormats } from '../fakes.js'
 
 const CONFIGURATION: Configuration = {
   version: 1,
@@ -81,6 +81,7 @@
       formats: new PlainFormats(),
       clock: this.clock,
       configuration: () => this.configuration,
+      zones: ALL_ZONES,
       askAdvisor: async () => err(AdviceFailure.NoAnswer),
       nodes: () => [],
       settings: { leaseMs: 6000, farFactor: 2, keptMs: 120_000, stopMs: 200 },
--- a/packages/measure/src/owner-load/load.ts
+++ b/packages/measure/src/owner-load/load.ts
@@ -124,6 +124,7 @@
       formats: new LoadFormats(),
       clock: this.clock,
       configuration: () => CONFIGURATION,
+      zones: { evacuated: () => [], isEvacuated: () => false, maxStartValidityMs: () => Infinity },
       askAdvisor: async (node, step, workers) => {
         const advice = adviceByJob.get(journalState.jobs.get(step.slice(0, step.indexOf('.')))!.job.queue)!
         return await advisor.ask(node, step, workers, advice.callMs + advice.workerMs * workers.length)
--- a/packages/measure/src/owner-load/platform.ts
+++ b/packages/measure/src/owner-load/platform.ts
@@ -208,6 +208,14 @@
   override decodeWorker (_: string, value: Buffer): ReturnType<Formats['decodeWorker']> {
     return ok(JSON.parse(value.toString()) as Worker)
   }
+
+  override evacuatedZoneOf (): undefined {
+    return undefined
+  }
+
+  override checkEvacuation (): ReturnType<Formats['checkEvacuation']> {
+    return err('unused')
+  }
 }
 
 /** A machine service that never answers. */
