--- a/packages/control/test/owner/advisor-client.spec.ts
+++ b/packages/control/test/owner/advisor-client.spec.ts
@@ -59,6 +59,19 @@
     expect(calls.map((call) => call.step)).toEqual(['a', 'b', 'early'])
   })
 
+  it.each([
+    ['drops a queued request of whose workers none is of use', ['w1', 'w2'], ['new']],
+    ['keeps a queued request of whose workers one is of use', ['w1'], ['queued']]
+  ])('%s', async (_, unusable, expected) => {
+    const { client, calls } = createHarness()
+    for (const step of ['a', 'b', 'queued']) client.request(step, WORKERS, LONG, 1, true)
+    client.request('new', [{ id: 'w3', born: 1 }], LONG, 2, true)
+    client.dropRequestsFor((worker) => unusable.includes(worker))
+    expect(client.isPending('queued')).toBe(unusable.length < WORKERS.length)
+    await calls[0]!.answer(ok([]))
+    expect(calls.slice(2).map(({ step }) => step)).toEqual(expected)
+  })
+
   it.each<[string, ReadonlyArray<[string, number, boolean]>, string[]]>([
     ['a placeable step before one that is not placeable and has a smaller rank', [['none', 1, false], ['placeable', 5, true]], ['placeable']],
     ['the step with the smaller rank of two placeable ones', [['later', 5, true], ['sooner', 1, true]], ['sooner']],
--- a/packages/control/test/owner/dispatcher.spec.ts
+++ b/packages/control/test/owner/dispatcher.spec.ts
@@ -13,7 +13,7 @@
 import type { UnplacedStep } from '../../src/place/admission.js'
 import { endJob } from '../../src/owner/run-end.js'
 import type { AdviceFailure, Tickets } from '../../src/ports/advisor.js'
-import { FakeClock, FakeFleet, createJob, createQueue, createStep, createSessionHost, createWorker } from '../fakes.js'
+import { ALL_ZONES, FakeClock, FakeFleet, createJob, createQueue, createStep, createSessionHost, createWorker } from '../fakes.js'
 
 const ADVICE = { callMs: 10, workerMs: 1, validMs: 1500 }
 /** Time between two rounds. */
@@ -36,6 +36,9 @@
   readonly clock = new FakeClock()
   readonly overRateJobs = new Set<string>()
   readonly asked: string[][] = []
+  /** Steps for which no worker was found. */
+  readonly withoutWorker: string[] = []
+  readonly evacuated = new Set<string>()
   private readonly ledger = new Ledger()
   private readonly readySteps = new ReadySteps(this.ledger)
   private readonly sessions = new Map<string, Session>()
@@ -60,7 +63,7 @@
       notBeforeMs: new Map(),
       overRateJobs: this.overRateJobs,
       slownessOf: () => 1,
-      onNoWorker: () => {},
+      onNoWorker: ({ name }) => { this.withoutWorker.push(name) },
       onStepFailed: (_, error) => { throw error }
     })
   }
@@ -68,7 +71,8 @@
   async addWorkers (count: number): Promise<void> {
     const fleet = new FakeFleet()
     fleet.onReportRequest = async () => ok({ born: 10, clockMs: 6000, running: [], ended: [] })
-    const host = createSessionHost({ fleet, clock: this.clock })
+    const zones = { ...ALL_ZONES, isEvacuated: (zone: string) => this.evacuated.has(zone) }
+    const host = createSessionHost({ fleet, clock: this.clock, zones })
     for (let index = 1; index <= count; index++) {
       const session = new Session(createWorker({ id: `w${index}`, capacity: CAPACITY }), host)
       await session.requestReportNow()
@@ -315,3 +319,37 @@
     expect(harness.runRounds(1).assignments.map(({ session }) => session.id)).toEqual(['w2'])
   })
 })
+
+describe('workers in a zone that is being evacuated', () => {
+  beforeEach(async () => {
+    await harness.addWorkers(2)
+    harness.update('w1', { zone: 'east', labels: ['b', 'r1'] })
+    harness.evacuated.add('east')
+  })
+
+  it.each<[string, Partial<Job>, number, string[], number]>([
+    ['get no task', {}, 8, ['w2', 'w2', 'w2', 'w2'], 0],
+    ['get no task although its data is there', { steps: [createStep({ size: TASK, rack: 'r1' })] }, 1, ['w2'], 0],
+    ['get no task that only they may run', { steps: [createStep({ size: TASK, label: 'b' })] }, 1, [], 1],
+    ['get no member of a gang', { steps: [createStep({ size: TASK, count: 8, gang: true })] }, 8, [], 0],
+    ['get no long-running task', { steps: [createStep({ size: TASK, count: 5, lasting: true })] }, 5, ['w2', 'w2', 'w2', 'w2'], 0]
+  ])('%s', (_, job, tasks, expected, withoutWorker) => {
+    harness.accept({ queue: 'urgent', ...job }, tasks)
+    const { assignments, preemptions } = harness.runRounds(1)
+    expect(assignments.map(({ session }) => session.id)).toEqual(expected)
+    expect([preemptions, harness.withoutWorker.length]).toEqual([[], withoutWorker])
+  })
+
+  it('are not asked about, and their capacity does not count', () => {
+    harness.accept({ queue: 'advised' }, 1)
+    harness.runRounds(1)
+    expect([harness.asked, harness.hasCapacityFor(5)]).toEqual([[['w2']], false])
+  })
+
+  it('are used again once it is taken back', () => {
+    harness.accept({ queue: 'urgent', steps: [createStep({ size: TASK, label: 'b' })] }, 1)
+    harness.runRounds(1)
+    harness.evacuated.clear()
+    expect(harness.runRounds(1).assignments.map(({ session }) => session.id)).toEqual(['w1'])
+  })
+})
--- a/packages/control/test/owner/session.spec.ts
+++ b/packages/control/test/owner/session.spec.ts
@@ -11,7 +11,7 @@
 import { Session } from '../../src/owner/session.js'
 import type { SessionHost } from '../../src/owner/session-host.js'
 import { WorkerFailure } from '../../src/ports/fleet.js'
-import { FakeClock, FakeFleet, createJob, createSessionHost, createStep, createWorker } from '../fakes.js'
+import { ALL_ZONES, FakeClock, FakeFleet, createJob, createSessionHost, createStep, createWorker } from '../fakes.js'
 
 const LEASE_MS = 6000
 
@@ -651,6 +651,20 @@
     await starting
   })
 
+  it.each([
+    ['not at all while its zone is being evacuated', { isEvacuated: () => true }, [], ['its zone is being evacuated']],
+    ['not at all if the evacuations were read too long ago', { maxStartValidityMs: () => 0 }, [], ['evacuations not read lately']],
+    ['with a shorter validity if they were read a while ago', { maxStartValidityMs: () => 700 }, [700], []],
+    ['with the usual validity if they were just read', { maxStartValidityMs: () => 4500 }, [2000], []]
+  ])('starts a run %s', async (_, zones, validities, expected) => {
+    const held: string[] = []
+    const { fleet, session, run } = createHarness({
+      zones: { ...ALL_ZONES, ...zones }, onStartHeld: (_, reason) => { held.push(reason) }
+    })
+    await session.start(run)
+    expect([fleet.started.map(({ deadlineMs }) => deadlineMs - createWorker().clockMs), held]).toEqual([validities, expected])
+  })
+
   it('starts no run without a higher fencing token than its acknowledgements, and tells the owner', async () => {
     vi.useFakeTimers()
     const fences = new Fences(epochAfter(0))
