Backlog: what accepted jobs hold in memory is bounded

One key on one connection ended a node after some 16,000 jobs of 4 kB. Change: place/backlog.ts accounts what jobs hold, bounded by the memory of the smallest node, which nodes now write with their address. Workspaces have a guaranteed part, and share the rest with dynamic thresholds.

--- a/packages/control/src/entry/appender.ts
+++ b/packages/control/src/entry/appender.ts
@@ -6,7 +6,7 @@
 import { Execution } from '@fireflymount/protocol/refusal'
 import { sleep, type Clock } from '../clock.js'
 import { detach } from '../detach.js'
-import { MAX_APPEND_BYTES } from '../journal/writer.js'
+import { MAX_APPEND_BYTES, sizeOf } from '../journal/writer.js'
 import { StoreFailure, Topic, type KeyedRecord, type Store } from '../ports/store.js'
 
 /** Bounds of the exponential backoff between two attempts. */
@@ -17,6 +17,8 @@
  * later. A record with an unknown outcome is retried until the timeout of its caller.
  */
 const REFUSED_TIMEOUT_MS = 400
+/** Maximum size of the records that wait, unless a single one is larger. */
+const MAX_PENDING_BYTES = 4 * MAX_APPEND_BYTES
 
 /** A record whose outcome has not been reported to its caller. */
 class PendingRecord {
@@ -48,22 +50,27 @@
 /** Appends to the journal without a fence. Appending a record twice has no further effect. */
 export class Appender {
   private pending: PendingRecord[] = []
+  private pendingSize = 0
   private running = false
 
   constructor (private readonly store: Store, private readonly clock: Clock) {}
 
   /**
-   * Appends a record.
+   * Appends a record, unless too many wait: it is then given up at once.
    *
    * @param timeoutMs time after which the caller needs an answer
    * @param before whether an earlier attempt may have written the record: NotRun or Unknown
    * @returns whether the append was executed: Run if the record was written, NotRun if it certainly was not, Unknown otherwise
    */
   async append (record: KeyedRecord, timeoutMs: number, before: Execution): Promise<Execution> {
-    return await new Promise((resolve) => {
+    const size = sizeOf([record])
+    if (this.pendingSize > 0 && this.pendingSize + size > MAX_PENDING_BYTES) return before
+    this.pendingSize += size
+    const appending = new Promise<Execution>((resolve) => {
       this.pending.push(new PendingRecord(record, this.clock.now(), before, timeoutMs, resolve))
       if (!this.running) detach(this.run())
     })
+    return await appending.finally(() => { this.pendingSize -= size })
   }
 
   private async run (): Promise<void> {
--- a/packages/control/src/entry/job-service.ts
+++ b/packages/control/src/entry/job-service.ts
@@ -12,7 +12,10 @@
 import { findJobError, isFinal, Phase, type Job, type Step } from '../model/job.js'
 import type { KeyedRecord, Store } from '../ports/store.js'
 import { describeError, type Log } from '../report/log.js'
+import { RefusalCounter } from '../report/refusal-counter.js'
 import { Appender } from './appender.js'
+import { refuseBeyondBacklog } from './backlog-refusal.js'
+import { UnconfirmedJobs } from './unconfirmed-jobs.js'
 
 /** Timeout of the owner's answer to a lookup; after it this node answers from its own copy of the journal. */
 const LOOKUP_TIMEOUT_MS = 400
@@ -80,8 +83,11 @@
 /** Handles callers' requests. */
 export class JobService {
   private readonly appender: Appender
+  private readonly refusals: RefusalCounter
+  private readonly unconfirmedJobs = new UnconfirmedJobs()
 
   constructor (private readonly options: JobServiceOptions) {
+    this.refusals = new RefusalCounter(options.log, options.clock, 'jobs refused by the backlog')
     this.appender = new Appender(options.store, options.clock)
   }
 
@@ -129,9 +135,14 @@
     const validationError = findJobError(submission)
     if (validationError !== undefined) return err(refuse(Reason.BadRequest, validationError))
     const job = this.createJob(request, submission)
-    const appended = await this.append(encodeJob(job), budgetMs, () => this.options.journalState().jobs.has(job.id))
+    const appended = await this.append(encodeJob(job), budgetMs, () => this.options.journalState().jobs.has(job.id), job)
     if (appended.isErr()) {
       const { reason, execution, retryAfterMs } = appended.error
+      if (execution === Execution.Unknown) this.unconfirmedJobs.add(job.id, this.options.clock.now())
+      if (reason === Reason.LimitReached) {
+        this.refusals.count(reason, { queue: queue.name, workspace: job.workspace, retryAfterMs })
+        return err(appended.error)
+      }
       this.options.log.decision('job refused', {
         job: job.id, queue: queue.name, workspace: job.workspace, reason, execution, retryAfterMs
       })
@@ -243,25 +254,39 @@
     }
   }
 
+  /**
+   * Returns why this node may not append a job by itself, or undefined. The other nodes may append jobs at the same time, so each uses
+   * only its part of the room.
+   */
+  private findShortage (job: Job): Refusal | undefined {
+    const { backlog, nodes } = this.options.journalState()
+    return refuseBeyondBacklog(backlog, job, this.options.clock.now(), Math.max(1, nodes.size))
+  }
+
   /**
    * Appends a record through the owner, which batches the records of many callers into one append even if the store is slow. If
    * the owner was not reached, this node appends the record itself, until the store has it or the caller's time is over.
    *
    * @param budgetMs time for which the caller still waits
    * @param isWritten returns true if the record is in the part of the journal that has been read
+   * @param job the job that the record submits; undefined for another record
    */
-  private async append (record: KeyedRecord, budgetMs: number, isWritten: () => boolean): Promise<Result<void, Refusal>> {
+  private async append (
+    record: KeyedRecord, budgetMs: number, isWritten: () => boolean, job?: Job
+  ): Promise<Result<void, Refusal>> {
     const forwarded = await this.options.forwardToOwner(record, Math.min(OWNER_APPEND_TIMEOUT_MS, budgetMs / 2))
     // The owner has stored the record, refused the job, or withdrawn the record. A withdrawn record has certainly not been written,
     // although the owner calls the store directly and through other nodes. Another attempt from here could only make the outcome
     // unknown.
     if (forwarded !== undefined && (forwarded.isOk() || forwarded.error.execution === Execution.NotRun)) return forwarded
+    const isUnconfirmed = job !== undefined && this.unconfirmedJobs.has(job.id, this.options.clock.now())
+    const mayBeStored = forwarded !== undefined || isUnconfirmed
+    const refusal = job === undefined || mayBeStored ? undefined : this.findShortage(job)
+    if (refusal !== undefined) return err(refusal)
     // If the outcome at the owner is unknown, the timeout given to the owner is subtracted, even if the answer was lost earlier.
     const forwardMs = Math.min(OWNER_APPEND_TIMEOUT_MS, budgetMs / 2)
     const remainingMs = budgetMs - (forwarded === undefined ? 0 : forwardMs) - ANSWER_TRANSFER_MS
-    const execution = await this.appender.append(
-      record, remainingMs, forwarded === undefined ? Execution.NotRun : Execution.Unknown
-    )
+    const execution = await this.appender.append(record, remainingMs, mayBeStored ? Execution.Unknown : Execution.NotRun)
     if (execution === Execution.Run) {
       this.options.applyAppended(record)
       return ok(undefined)
--- a/packages/control/src/journal/journal-state.ts
+++ b/packages/control/src/journal/journal-state.ts
@@ -2,6 +2,7 @@
  * The state of the cell, which every node builds by applying the records of the journal.
  */
 import { isFinal, occurrencesOf, taskKeyOf, Phase, type Job } from '../model/job.js'
+import { Backlog, backlogBoundOf, heldBytesOf } from '../place/backlog.js'
 import type { StoredRecord } from '../ports/store.js'
 import { JobChanges, type Encoder } from './job-changes.js'
 import { decodeJob } from './job-record.js'
@@ -40,6 +41,8 @@
   cancelledMs = 0
   /** The phase that is in the journal. Callers are shown this phase, or Cancelled once the cancellation is in the journal. */
   committedPhase = Phase.Pending
+  /** What the job is counted with in the backlog. */
+  heldBytes = 0
   private readonly taskEntries = new Map<string, TaskEntry>()
   private readonly changes = new JobChanges(this)
 
@@ -196,11 +199,63 @@
   ownerClaim: OwnerClaim | undefined
   /** Number of records of any owner that have been read. Only its change is used; a deferred record counts twice. */
   ownerRecordCount = 0
+  /** What the jobs hold in memory. */
+  readonly backlog: Backlog
+  /** Memory of the smallest node in MB; undefined if no node reports its own. */
+  private smallestMemoryMb: number | undefined
   /** Cancellations and progress of jobs that are not known yet, by job id. */
-  private readonly deferred = new Map<string, StoredRecord[]>()
+  private deferred = new Map<string, StoredRecord[]>()
+  /** Those that were deferred before the last `collectDeferred`. */
+  private oldDeferred = new Map<string, StoredRecord[]>()
 
-  /** @param onRejected called with the key of a record that cannot be applied, and the reason. The record is passed over */
-  constructor (private readonly onRejected: (key: string, reason: string) => void = () => {}) {}
+  /**
+   * @param onRejected called with the key of a record that cannot be applied, and the reason. The record is passed over
+   * @param backlogBytes returns the bound on what the jobs hold, or undefined if it follows from the memory of the smallest node
+   * @param countWorkspaces returns the number of workspaces that may submit jobs
+   */
+  constructor (
+    private readonly onRejected: (key: string, reason: string) => void = () => {},
+    backlogBytes: () => number | undefined = () => undefined,
+    countWorkspaces = () => 1
+  ) {
+    this.backlog = new Backlog(() => backlogBytes() ?? backlogBoundOf(this.smallestMemoryMb), countWorkspaces)
+  }
+
+  /** Number of jobs of which records wait for the record of the job itself. */
+  get deferredCount (): number {
+    return this.deferred.size + this.oldDeferred.size
+  }
+
+  /**
+   * Drops the records that were deferred before the last call. The journal has the record of a job before all others about it, so that
+   * records that still wait after a later reading belong to a job that has been removed.
+   */
+  collectDeferred (): void {
+    this.oldDeferred = this.deferred
+    this.deferred = new Map()
+  }
+
+  /** Drops what is not needed of a job that has ended and has no runs. */
+  dropDetails (entry: JobEntry): void {
+    entry.dropDetails()
+    this.count(entry, heldBytesOf(entry.job))
+  }
+
+  /** Removes a job. */
+  remove (id: string): void {
+    const entry = this.jobs.get(id)
+    if (entry === undefined) return
+    this.jobs.delete(id)
+    this.count(entry, 0)
+  }
+
+  /** Counts a job in the backlog instead of what it was counted with before. */
+  private count (entry: JobEntry, bytes: number): void {
+    const { workspace } = entry.job
+    if (bytes > entry.heldBytes) this.backlog.add(workspace, bytes - entry.heldBytes)
+    else if (bytes < entry.heldBytes) this.backlog.remove(workspace, entry.heldBytes - bytes)
+    entry.heldBytes = bytes
+  }
 
   /**
    * Applies a record. Records may be applied more than once and out of order. A final phase does not change any more.
@@ -245,18 +300,17 @@
   private addJob (entry: JobEntry): void {
     const { id } = entry.job
     this.jobs.set(id, entry)
-    const deferred = this.deferred.get(id)
-    if (deferred === undefined) return
-    this.deferred.delete(id)
-    for (const waiting of deferred) this.apply(waiting)
+    this.backlog.release(id)
+    this.count(entry, heldBytesOf(entry.job))
+    for (const waiting of this.takeDeferred(id)) this.apply(waiting)
   }
 
   /** The record of a job that has ended is deleted before the record of its end, which remains for callers. */
   private deleteJobRecord (id: string): void {
     const entry = this.jobs.get(id)
-    if (entry === undefined) this.deferred.delete(id)
-    else if (isFinal(entry.phase)) entry.dropDetails()
-    else this.jobs.delete(id)
+    if (entry === undefined) this.takeDeferred(id)
+    else if (isFinal(entry.phase)) this.dropDetails(entry)
+    else this.remove(id)
   }
 
   private applyCancellation (id: string, record: StoredRecord): void {
@@ -271,8 +325,8 @@
     this.ownerRecordCount++
     if (ownEpoch > 0) return
     if (record.value === undefined) {
-      this.jobs.delete(id)
-      this.deferred.delete(id)
+      this.remove(id)
+      this.takeDeferred(id)
       return
     }
     const entry = this.jobs.get(id)
@@ -297,16 +351,15 @@
     const { job } = splitBlockKey(record.key)
     const entry = this.jobs.get(job)
     if (entry !== undefined) entry.restoreTasks(record.key, record.value)
-    else if (record.value !== undefined || this.deferred.has(job)) this.defer(job, record)
+    else if (record.value !== undefined || this.isDeferred(job)) this.defer(job, record)
   }
 
   private applyNode (name: string, record: StoredRecord): void {
-    if (record.value === undefined) {
-      this.nodes.delete(name)
-      return
-    }
-    const address = this.decode(record.key, record.value, isNodeAddress)
+    const address = record.value && this.decode(record.key, record.value, isNodeAddress)
     if (address !== undefined) this.nodes.set(name, address)
+    else if (record.value === undefined) this.nodes.delete(name)
+    const memories = [...this.nodes.values()].flatMap(({ memoryMb }) => memoryMb ?? [])
+    this.smallestMemoryMb = memories.length === 0 ? undefined : Math.min(...memories)
   }
 
   private applyOwner (record: StoredRecord): void {
@@ -317,12 +370,23 @@
     this.ownerRecordCount++
   }
 
+  private isDeferred (id: string): boolean {
+    return this.deferred.has(id) || this.oldDeferred.has(id)
+  }
+
   private defer (id: string, record: StoredRecord): void {
-    const deferred = this.deferred.get(id) ?? []
+    const deferred = this.takeDeferred(id)
     deferred.push(record)
     this.deferred.set(id, deferred)
   }
 
+  private takeDeferred (id: string): StoredRecord[] {
+    const deferred = this.deferred.get(id) ?? this.oldDeferred.get(id) ?? []
+    this.deferred.delete(id)
+    this.oldDeferred.delete(id)
+    return deferred
+  }
+
   private decode<T> (key: string, value: Buffer, isValid: (content: unknown) => content is T): T | undefined {
     const decoded = decodeValue<unknown>(value)
     if (decoded.isErr()) this.onRejected(key, decoded.error)
--- a/packages/control/src/journal/record.ts
+++ b/packages/control/src/journal/record.ts
@@ -98,6 +98,8 @@
   readonly zone: string
   /** Number of processor cores that the node may use; undefined if it is unknown, as in records of earlier versions. */
   readonly processorShare?: number | undefined
+  /** Memory in MB that the node may use; undefined if it is unknown, as in records of earlier versions. */
+  readonly memoryMb?: number | undefined
   /** True if the node is about to stop. */
   readonly leaving?: boolean | undefined
 }
@@ -205,10 +207,11 @@
 
 /** Checks the decoded value of a node's address. */
 export function isNodeAddress (value: unknown): value is NodeAddress {
-  const { node, incarnation, startedMs = 0, host, port, zone, processorShare = 0 } = (value ?? {}) as Partial<NodeAddress>
+  const address = (value ?? {}) as Partial<NodeAddress>
+  const { node, incarnation, startedMs = 0, host, port, zone, processorShare = 0, memoryMb = 0 } = address
   const areTexts = [node, incarnation, host, zone].every((text) => typeof text === 'string')
   const isPort = Number.isInteger(port) && port! > 0 && port! <= MAX_PORT
-  return areTexts && isPort && Number.isFinite(startedMs) && Number.isFinite(processorShare)
+  return areTexts && isPort && [startedMs, processorShare, memoryMb].every(Number.isFinite)
 }
 
 /** Checks the decoded value of a claim. */
--- a/packages/control/src/journal/writer.ts
+++ b/packages/control/src/journal/writer.ts
@@ -230,7 +230,8 @@
   return batches
 }
 
-function sizeOf (records: readonly KeyedRecord[]): number {
+/** Returns the size of the keys and values of records in bytes. */
+export function sizeOf (records: readonly KeyedRecord[]): number {
   let bytes = 0
   for (const record of records) bytes += record.key.length + (record.value?.length ?? 0)
   return bytes
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -61,12 +61,17 @@
 const FAILED_OWNER_DELAY_MS = 5000
 /** Timeout for asking the other nodes to take over during a planned stop. */
 const SUCCEED_TIMEOUT_MS = 300
+/** Minimum interval between two collections of records that wait for a job that the journal no longer has. */
+const DEFERRED_COLLECTION_INTERVAL_MS = 30_000
+const BYTES_PER_MB = 1024 * 1024
 
 /**
  * Reasons for which only an owner refuses a forwarded record. A refusal with any other reason and `Execution.NotRun` means that
  * no owner was reached.
  */
-const OWNER_REASONS: ReadonlySet<Reason> = new Set([Reason.LogUnavailable, Reason.DeadlineUnreachable])
+const OWNER_REASONS: ReadonlySet<Reason> = new Set([
+  Reason.LogUnavailable, Reason.DeadlineUnreachable, Reason.LimitReached, Reason.TooLarge
+])
 
 /** A caller's record in a message that asks the owner to append it to the journal. */
 type RecordToAppend = Notice['records'][number]
@@ -82,6 +87,8 @@
   readonly processorShare?: number | undefined
   /** Memory in MB that the process may use; undefined if it is unknown. */
   readonly memoryMb?: number | undefined
+  /** Bound in MB on what the jobs of the cell may hold in memory; undefined if it follows from the memory of the smallest node. */
+  readonly backlogMb?: number | undefined
   /** Number of file descriptors that the process may have open; undefined if it is unknown. */
   readonly maxDescriptors?: number | undefined
   /** Maximum age of the configuration. With an older one the node refuses requests, since their keys may have been revoked. */
@@ -89,7 +96,9 @@
 }
 
 /** Settings of a node that can change while it runs. */
-const CHANGEABLE_SETTINGS: ReadonlyArray<keyof NodeSettings> = ['farFactor', 'stopMs', 'keptMs', 'configurationAgeMaxMs']
+const CHANGEABLE_SETTINGS: ReadonlyArray<keyof NodeSettings> = [
+  'farFactor', 'stopMs', 'keptMs', 'configurationAgeMaxMs', 'backlogMb'
+]
 
 /** Dependencies and settings of a node. */
 export interface NodeOptions {
@@ -135,6 +144,8 @@
   private ownerFailedMs = -Infinity
   /** Steady time at which the journal was last read to its end. */
   private journalReadMs = -Infinity
+  /** Steady time of the last collection of deferred records. */
+  private deferredCollectedMs = -Infinity
 
   constructor (private readonly options: NodeOptions) {
     const { clock, settings, log } = options
@@ -159,9 +170,9 @@
       log.event(available ? 'store available again' : 'store unavailable', { failure })
     })
     this.relayServer = new RelayServer(this.storeAccess)
-    const { node, zone, host, port, processorShare } = settings
+    const { node, zone, host, port, processorShare, memoryMb } = settings
     const startedMs = clock.wall()
-    const address: NodeAddress = { node, incarnation: this.incarnation, startedMs, host, port, zone, processorShare }
+    const address: NodeAddress = { node, incarnation: this.incarnation, startedMs, host, port, zone, processorShare, memoryMb }
     this.registration = new Registration(this.storeAccess, address, this.stopController.signal)
     this.claimant = new Claimant(this.storeAccess, clock, settings.node, this.incarnation, startedMs)
     this.journal = new Follower(this.storeAccess, Topic.Journal, {
@@ -213,7 +224,10 @@
   }
 
   private createJournalState (): JournalState {
-    return new JournalState((key, reason) => { this.options.log.event('journal record rejected', { key, mistake: reason }) })
+    return new JournalState((key, reason) => { this.options.log.event('journal record rejected', { key, mistake: reason }) }, () => {
+      const { backlogMb } = this.options.settings
+      return backlogMb === undefined ? undefined : backlogMb * BYTES_PER_MB
+    }, () => this.configuration?.workspaces.length ?? 0)
   }
 
   /** Makes the node not ready for new callers, takes no new commands of the owner on another node, and asks other nodes to take over the ownership. Requests in flight continue. */
@@ -285,6 +299,10 @@
       })
     }
     this.journalReadMs = this.options.clock.now()
+    if (this.journalReadMs - this.deferredCollectedMs >= DEFERRED_COLLECTION_INTERVAL_MS) {
+      this.deferredCollectedMs = this.journalReadMs
+      this.journalState.collectDeferred()
+    }
     this.ownerWatch.update(this.journalState, rebuilt)
     if (this.journal.offset !== undefined) this.registration.check(this.journalState, this.journal.offset)
     if (this.journalState.ownerClaim !== undefined) this.claimant.onClaimRead(this.journalState.ownerClaim, this.journal.freshAt)
@@ -326,7 +344,7 @@
     const { signal } = this.stopController
     while (!signal.aborted) {
       await sleep(ELECTION_INTERVAL_MS, signal)
-      this.reportJournalAge()
+      this.reportJournal()
       const { ownerClaim } = this.journalState
       const connected = ownerClaim !== undefined && this.links.has(ownerClaim.node)
       if (ownerClaim !== undefined && !connected && ownerClaim.node !== this.options.settings.node) {
@@ -373,8 +391,11 @@
     detach(this.askForSuccessor(epoch))
   }
 
-  private reportJournalAge (): void {
+  private reportJournal (): void {
     if (this.journalReadMs === -Infinity) return
+    const { backlog } = this.journalState
+    this.options.metrics.backlogBytes.set(backlog.totalBytes)
+    this.options.metrics.backlogBoundBytes.set(backlog.boundBytes)
     this.options.metrics.journalAgeSeconds.set((this.options.clock.now() - this.journalReadMs) / 1000)
   }
 
--- a/packages/control/src/owner/admission-controller.ts
+++ b/packages/control/src/owner/admission-controller.ts
@@ -1,10 +1,11 @@
 /**
- * Admission control for the records that callers submit: refuses jobs that cannot meet their objective, appends the other records
- * and tracks the job rate of each workspace.
+ * Admission control for the records that callers submit: refuses jobs that cannot meet their objective or that the memory has no room
+ * for, appends the other records and tracks the job rate of each workspace.
  */
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
-import type { Clock } from '../clock.js'
+import type { Clock, Stamp } from '../clock.js'
+import { refuseBeyondBacklog } from '../entry/backlog-refusal.js'
 import { compactJob, decodeJob } from '../journal/job-record.js'
 import { Subject, encodeJob, keyOf, splitKey } from '../journal/record.js'
 import type { JobEntry, JournalState } from '../journal/journal-state.js'
@@ -12,9 +13,11 @@
 import type { Configuration } from '../model/configuration.js'
 import type { Job } from '../model/job.js'
 import { findRetryAfterMs } from '../place/admission.js'
+import { Backlog, heldBytesOf } from '../place/backlog.js'
 import { RateTracker } from '../place/rate.js'
 import type { KeyedRecord } from '../ports/store.js'
 import type { Log } from '../report/log.js'
+import { RefusalCounter } from '../report/refusal-counter.js'
 import { JobSettings } from './job-settings.js'
 import type { JournalCommitter } from './journal-committer.js'
 import type { Dispatcher } from './dispatcher.js'
@@ -28,6 +31,9 @@
  */
 const MAX_CLOCK_DIFFERENCE_MS = 2000
 
+/** Part of the backlog's bound that jobs may hold whose records wait for the store. They are in memory twice, once encoded. */
+const UNSTORED_SHARE = 0.25
+
 /** Dependencies of the admission controller. */
 export interface AdmissionControllerOptions {
   readonly journalState: JournalState
@@ -36,6 +42,8 @@
   readonly dispatcher: Dispatcher
   readonly configuration: () => Configuration
   readonly clock: Clock
+  /** The last time at which the journal had been read to its end. */
+  readonly journalReadAt: () => Stamp
   /** Called after the store has confirmed a record. */
   readonly onWritten: (record: KeyedRecord) => void
   readonly log: Log
@@ -45,13 +53,23 @@
 export class AdmissionController {
   private readonly rates = new RateTracker()
   private readonly countedJobs = new Set<string>()
-  /** Keys of records whose append was not confirmed in time. It may have written them since, or may still write them. */
-  private readonly unconfirmedKeys = new Set<string>()
+  /**
+   * Keys of records whose append was not confirmed in time. It may have written them since, or may still write them. The value is the
+   * steady time since which it cannot write them any more, or undefined.
+   */
+  private readonly unconfirmedKeys = new Map<string, number | undefined>()
   private readonly jobSettings: JobSettings
+  /** Jobs whose records are not known to be stored. */
+  private readonly unstored: Backlog
+  private readonly refusals: RefusalCounter
 
   /** @param overRateJobs ids of jobs beyond the rate of their workspace; the controller adds and removes them */
   constructor (private readonly options: AdmissionControllerOptions, private readonly overRateJobs: Set<string>) {
+    const { journalState, clock, log } = options
     this.jobSettings = new JobSettings(options.configuration)
+    const countWorkspaces = (): number => options.configuration().workspaces.length
+    this.unstored = new Backlog(() => UNSTORED_SHARE * journalState.backlog.boundBytes, countWorkspaces)
+    this.refusals = new RefusalCounter(log, clock, 'jobs refused by the owner')
   }
 
   /**
@@ -67,7 +85,9 @@
     const refusal = job === undefined ? undefined : this.findRefusal(job, submitted.key)
     if (refusal !== undefined) return err(refusal)
     const record = job === undefined || job === submittedJob ? submitted : encodeJob(job)
+    if (job !== undefined) this.reserve(job)
     const execution = await this.append([record], timeoutMs)
+    if (job !== undefined && execution !== Execution.Unknown) this.release(job.id, submitted.key)
     if (execution === Execution.Run) return ok(undefined)
     return err({
       reason: Reason.LogUnavailable,
@@ -93,7 +113,7 @@
     }
     const mayBeWritten = execution === Execution.Unknown || records.some((record) => this.unconfirmedKeys.has(record.key))
     if (!mayBeWritten) return execution
-    for (const record of records) this.unconfirmedKeys.add(record.key)
+    for (const record of records) this.unconfirmedKeys.set(record.key, undefined)
     return Execution.Unknown
   }
 
@@ -103,6 +123,7 @@
     this.countedJobs.add(job.id)
     // From now on the job is known.
     this.unconfirmedKeys.delete(keyOf(Subject.Job, job.id))
+    this.unstored.release(job.id)
     const weight = this.weightOf(job)
     // A job that an entry node appended itself may be from a clock that is ahead.
     if (!this.rates.count(job.workspace, weight, Math.min(job.acceptedMs, this.options.clock.wall()))) return
@@ -110,6 +131,20 @@
     this.options.log.decision('job exceeds workspace rate', { job: job.id, workspace: job.workspace, weight })
   }
 
+  /** Forgets unconfirmed records once the journal has been read after their last append: the job is known by then, or not stored. */
+  collectUnconfirmed (): void {
+    const { writer, clock, journalReadAt } = this.options
+    for (const [key, settledMs] of this.unconfirmedKeys) {
+      if (writer.isUncommitted(key)) continue
+      if (settledMs === undefined) {
+        this.unconfirmedKeys.set(key, clock.now())
+      } else if (journalReadAt().steadyMs > settledMs) {
+        this.unconfirmedKeys.delete(key)
+        this.release(splitKey(key).name, key)
+      }
+    }
+  }
+
   /** Drops the state of a job whose records are deleted. */
   forget (job: string): void {
     this.countedJobs.delete(job)
@@ -136,14 +171,16 @@
   }
 
   /**
-   * Returns the reason to refuse a job, or undefined. Jobs with a schedule or with long-running steps are never refused. A job that
-   * may already have been written is never refused either, because a refusal states that the job did not run.
+   * Returns the reason to refuse a job, or undefined. Jobs with a schedule or with long-running steps are refused only for lack of
+   * memory. A job that may already have been written is never refused, because a refusal states that the job did not run.
    *
    * @param key key of the job's record
    */
   private findRefusal (job: Job, key: string): Refusal | undefined {
     const { writer, dispatcher } = this.options
     if (writer.isUncommitted(key) || this.unconfirmedKeys.has(key)) return undefined
+    const shortage = this.findShortage(job)
+    if (shortage !== undefined) return shortage
     if (job.occurrences > 0 || job.steps.some((step) => step.lasting)) return undefined
     const overRate = this.rates.exceeds(job.workspace, this.weightOf(job), job.acceptedMs)
     const retryAfterMs = findRetryAfterMs(dispatcher.unplacedStepsOf(job.queue, overRate))
@@ -155,6 +192,28 @@
     )
   }
 
+  private findShortage (job: Job): Refusal | undefined {
+    const { journalState, clock } = this.options
+    const refusal = refuseBeyondBacklog(journalState.backlog, job, clock.now()) ??
+      refuseBeyondBacklog(this.unstored, job, clock.now())
+    if (refusal !== undefined) this.refusals.count(refusal.reason, { workspace: job.workspace })
+    return refusal
+  }
+
+  /** Counts a job whose record is about to be appended. */
+  private reserve (job: Job): void {
+    const bytes = heldBytesOf(job)
+    this.options.journalState.backlog.reserve(job.id, job.workspace, bytes)
+    this.unstored.reserve(job.id, job.workspace, bytes)
+  }
+
+  /** Ends the reservations of a job that was stored, or of which no record can be stored any more. */
+  private release (id: string, key: string): void {
+    if (this.options.writer.isUncommitted(key) || this.unconfirmedKeys.has(key)) return
+    this.options.journalState.backlog.release(id)
+    this.unstored.release(id)
+  }
+
   /** Rate of a job's workspace in jobs per second, which the configuration calls its weight; 0 for no limit. */
   private weightOf (job: Job): number {
     return this.jobSettings.workspaceOf(job)?.weight ?? 0
--- a/packages/control/src/owner/garbage-collector.ts
+++ b/packages/control/src/owner/garbage-collector.ts
@@ -90,7 +90,7 @@
     const changes = new Map<string, Encoder>()
     for (const entry of this.options.journalState.jobs.values()) {
       if (!isFinal(entry.committedPhase)) continue
-      if (!this.options.hasRuns(entry)) entry.dropDetails()
+      if (!this.options.hasRuns(entry)) this.options.journalState.dropDetails(entry)
       if (nowMs - entry.endedMs < RETENTION_FACTOR * this.options.settings.keptMs) continue
       if (!this.isRead(entry)) continue
       for (const key of entry.storedKeys()) changes.set(key, () => ({ key, value: undefined }))
@@ -112,7 +112,7 @@
 
   private forgetJob ({ job }: JobEntry): void {
     this.dueSinceMs.delete(job.id)
-    this.options.journalState.jobs.delete(job.id)
+    this.options.journalState.remove(job.id)
     this.options.forgetJob(job.id)
   }
 
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -190,6 +190,7 @@
       dispatcher: this.dispatcher,
       configuration: options.configuration,
       clock,
+      journalReadAt: options.journalReadAt,
       onWritten: (record) => { this.onWritten(record) },
       log
     }, this.overRateJobs)
@@ -496,6 +497,7 @@
     while (!signal.aborted) {
       await sleep(TICK_INTERVAL_MS, signal)
       this.garbageCollector.tick()
+      this.admissionController.collectUnconfirmed()
       detach(this.workerLossDetector.tick(this.sessions.values()))
       if (this.mayAct()) this.runSupervisor.tick()
       this.startLog.writeDue()
--- a/packages/control/src/report/metrics.ts
+++ b/packages/control/src/report/metrics.ts
@@ -17,6 +17,8 @@
   readonly registry = new Registry()
   readonly eventLoopSeconds = this.histogram('event_loop_delay_seconds', 'Delay of timers in this process', [], DELAY_BUCKETS)
   readonly journalAgeSeconds = this.gauge('journal_age_seconds', 'Time since the journal was last read to its end')
+  readonly backlogBytes = this.gauge('backlog_bytes', 'Estimated memory that the jobs of the cell hold in this node')
+  readonly backlogBoundBytes = this.gauge('backlog_bound_bytes', 'Bound on the memory that the jobs of the cell may hold')
   readonly cancellationSeconds = this.histogram(
     'cancellation_seconds', 'Time from a caller\'s cancellation of a job until the owner has read it', [], DELAY_BUCKETS)
 
--- a/packages/control/test/entry/job-service.spec.ts
+++ b/packages/control/test/entry/job-service.spec.ts
@@ -2,6 +2,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { NEVER, SystemClock, type Stamp } from '../../src/clock.js'
+import { Appender } from '../../src/entry/appender.js'
 import { JobService, type AuthorizedRequest, type JobServiceOptions } from '../../src/entry/job-service.js'
 import { encodeJob } from '../../src/journal/record.js'
 import { JournalState } from '../../src/journal/journal-state.js'
@@ -135,6 +136,74 @@
   })
 })
 
+describe('a job for which this node has no room by its copy of the journal', () => {
+  it.each([
+    { owner: 'could not be reached', forwarded: undefined, outcome: `${Reason.LimitReached} ${Execution.NotRun}`, appends: 0 },
+    { owner: 'has written it', forwarded: WRITTEN, outcome: 'accepted', appends: 0 },
+    { owner: 'may have written it', forwarded: LOST, outcome: 'accepted', appends: 1 }
+  ])('is $outcome if the owner $owner', async ({ forwarded, outcome, appends }) => {
+    const store = new ScriptedStore(async () => ok(1))
+    const journalState = new JournalState()
+    journalState.backlog.add('', journalState.backlog.boundBytes)
+    const jobService = createJobService(store, forwarded, journalState)
+    let answer = ''
+    submit(jobService, 1, (result) => { answer = result.match(() => 'accepted', ({ reason, execution }) => `${reason} ${execution}`) })
+    await vi.advanceTimersByTimeAsync(50)
+    expect([answer, store.appends]).toEqual([outcome, appends])
+  })
+
+  it('is not refused as not run while an earlier append of this node may have stored it', async () => {
+    const journalState = new JournalState()
+    const jobService = createJobService(new ScriptedStore(neverAnswer), undefined, journalState)
+    const outcomes: Execution[] = []
+    submit(jobService, 1, (result) => { outcomes.push(result._unsafeUnwrapErr().execution) })
+    await vi.advanceTimersByTimeAsync(BUDGET_MS)
+    journalState.backlog.add('', journalState.backlog.boundBytes)
+    submit(jobService, 1, (result) => { outcomes.push(result._unsafeUnwrapErr().execution) })
+    await vi.advanceTimersByTimeAsync(BUDGET_MS)
+    expect(outcomes).toEqual([Execution.Unknown, Execution.Unknown])
+  })
+
+  it('is accepted again once jobs have ended', async () => {
+    const journalState = new JournalState()
+    const { backlog } = journalState
+    backlog.add('', backlog.boundBytes)
+    const jobService = createJobService(new ScriptedStore(async () => ok(1)), undefined, journalState)
+    const outcomes: boolean[] = []
+    submit(jobService, 1, (result) => { outcomes.push(result.isOk()) })
+    await vi.advanceTimersByTimeAsync(50)
+    backlog.remove('', backlog.boundBytes)
+    submit(jobService, 1, (result) => { outcomes.push(result.isOk()) })
+    await vi.advanceTimersByTimeAsync(50)
+    expect(outcomes).toEqual([false, true])
+  })
+})
+
+describe('records that this node appends by itself', () => {
+  it.each([
+    { before: Execution.NotRun },
+    { before: Execution.Unknown }
+  ])('are given up as $before beyond the maximum that may wait, and taken again afterwards', async ({ before }) => {
+    let answers: Array<(result: Result<number, StoreFailure>) => void> = []
+    const store = new ScriptedStore(() => new Promise((resolve) => { answers.push(resolve) }))
+    const appender = new Appender(store, new SystemClock())
+    const append = (index: number): Promise<Execution> => {
+      return appender.append({ key: idOf(index), value: Buffer.alloc(1e6) }, 60_000, before)
+    }
+    const appending = Array.from({ length: 4 }, (_, index) => append(index))
+    expect(await append(5)).toBe(before)
+    while (answers.length > 0) {
+      for (const answer of answers.splice(0)) answer(ok(1))
+      await vi.advanceTimersByTimeAsync(1)
+    }
+    expect(await Promise.all(appending)).toEqual(appending.map(() => Execution.Run))
+    const again = append(6)
+    answers[0]!(ok(1))
+    answers = []
+    expect(await again).toBe(Execution.Run)
+  })
+})
+
 describe('a job that this node does not know', () => {
   // Guards against LOST of the incident: nodes that had not read the journal after a restart denied accepted jobs.
   it.each([
--- a/packages/control/test/journal/journal-state.spec.ts
+++ b/packages/control/test/journal/journal-state.spec.ts
@@ -2,6 +2,7 @@
 import { encodeJob, encodeJobEnd, encodeRecord, encodeValue, Stage, Subject, type Progress } from '../../src/journal/record.js'
 import { JobEntry, JournalState, type TaskEntry } from '../../src/journal/journal-state.js'
 import { Phase } from '../../src/model/job.js'
+import { backlogBoundOf, heldBytesOf } from '../../src/place/backlog.js'
 import type { KeyedRecord } from '../../src/ports/store.js'
 import { createJob, createStep } from '../fakes.js'
 
@@ -12,6 +13,9 @@
 const DELETED = { key: ACCEPTED.key, value: undefined }
 const RUNNING = { stage: Stage.Assigned, run: 3, worker: 'w1', born: 10 }
 
+/** What an ended job counts in the backlog. */
+const SUMMARY_BYTES = 1500
+
 const NODE = { node: 'n1', incarnation: '1', host: '10.0.0.1', port: 7000, zone: 'z' }
 const CLAIM = { epoch: 3, node: 'n2', incarnation: '1' }
 
@@ -140,6 +144,7 @@
     ['a claim that is null', encodeRecord(Subject.Owner, 'cell', null)],
     ['a claim with an infinite epoch', encodeRecord(Subject.Owner, 'cell', { ...CLAIM, epoch: Infinity })],
     ['a claim with an epoch that is no number', encodeRecord(Subject.Owner, 'cell', { ...CLAIM, epoch: 'x' })],
+    ['a node with an infinite memory', encodeRecord(Subject.Node, 'n1', { ...NODE, memoryMb: Infinity })],
     ['a claim without a node', encodeRecord(Subject.Owner, 'cell', { ...CLAIM, node: 5 })],
     ['a claim with an infinite start time', encodeRecord(Subject.Owner, 'cell', { ...CLAIM, epoch: 4, startedMs: Infinity })],
     ['a cancellation without a time', encodeRecord(Subject.Cancellation, ID, { atMs: 'x' })],
@@ -159,6 +164,44 @@
     expect(jobs.get(ID)?.visiblePhase()).toBe(Phase.Pending)
   })
 
+  it.each([
+    { records: 'an accepted job', applied: [ACCEPTED], bytes: heldBytesOf(createJob({ id: ID })) },
+    { records: 'a job accepted twice', applied: [ACCEPTED, ACCEPTED], bytes: heldBytesOf(createJob({ id: ID })) },
+    { records: 'an ended job', applied: [ACCEPTED, ended(Phase.Completed), DELETED], bytes: SUMMARY_BYTES },
+    { records: 'the end of a job', applied: [ended(Phase.Completed)], bytes: SUMMARY_BYTES },
+    { records: 'a removed job', applied: [ACCEPTED, ended(Phase.Completed), DELETED, { key: `p/${ID}`, value: undefined }], bytes: 0 },
+    { records: 'a deleted job that has not ended', applied: [ACCEPTED, DELETED], bytes: 0 }
+  ])('counts $bytes bytes in the backlog for $records', ({ applied, bytes }) => {
+    const { backlog } = applyAll(applied)
+    expect([backlog.totalBytes, backlog.heldBy(createJob().workspace)]).toEqual([bytes, bytes])
+  })
+
+  it.each([
+    { nodes: 'without memory, as earlier builds write them', memories: [undefined, undefined], smallest: undefined },
+    { nodes: 'of which one has none', memories: [602, undefined, 210], smallest: 210 },
+    { nodes: 'of which the smallest is gone', memories: [602, 300, 210], smallest: 300, gone: 2 }
+  ])('bounds the backlog by the smallest of the nodes $nodes', ({ memories, smallest, gone }) => {
+    const records = memories.map((memoryMb, index) => encodeRecord(Subject.Node, `n${index}`, { ...NODE, node: `n${index}`, memoryMb }))
+    if (gone !== undefined) records.push({ key: `n/n${gone}`, value: undefined })
+    expect(applyAll(records).backlog.boundBytes).toBe(backlogBoundOf(smallest))
+  })
+
+  it('drops records that still wait for their job at the second collection', () => {
+    const journalState = applyAll([CANCELLED])
+    const counts = [1, 2].map(() => {
+      journalState.collectDeferred()
+      return journalState.deferredCount
+    })
+    expect(counts).toEqual([1, 0])
+  })
+
+  it('applies a record that waited through one collection', () => {
+    const journalState = applyAll([CANCELLED])
+    journalState.collectDeferred()
+    journalState.apply({ ...ACCEPTED, offset: 5 })
+    expect([journalState.jobs.get(ID)?.visiblePhase(), journalState.deferredCount]).toEqual([Phase.Cancelled, 0])
+  })
+
   // Guards against a job that no owner handles because one record of its runs cannot be read.
   it.each([
     ['a number', 7],
--- a/packages/protocol/src/refusal.ts
+++ b/packages/protocol/src/refusal.ts
@@ -30,7 +30,8 @@
   DeadlineUnreachable = 'deadline-unreachable',
   DeadlinePassed = 'deadline-passed',
   /**
-   * The team already has as many requests in progress as its share of the node's maximum, or a shard has no allotment to lend.
+   * The team already has as many requests in progress as its share of the node's maximum, a shard has no allotment to lend, or the
+   * accepted jobs of a workspace use as much memory as they may.
    */
   LimitReached = 'limit-reached',
   NoOwner = 'no-owner',
