--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -206,6 +206,7 @@
       dispatcher: this.dispatcher,
       configuration: options.configuration,
       clock,
+      journalReadAt: options.journalReadAt,
       onWritten: (record) => { this.onWritten(record) },
       log
     }, this.overRateJobs)
@@ -549,6 +550,7 @@
       await sleep(TICK_INTERVAL_MS, signal)
       this.garbageCollector.tick()
       this.pastUseRecorder?.tick()
+      this.admissionController.collectUnconfirmed()
       detach(this.workerLossDetector.tick(this.sessions.values()))
       if (this.mayAct()) this.runSupervisor.tick()
       this.startLog.writeDue()
