--- a/packages/control/test/owner/backlog.spec.ts
+++ b/packages/control/test/owner/backlog.spec.ts
@@ -78,7 +78,8 @@
 
   /** Cancels all jobs of the journal. */
   async cancelAll (): Promise<void> {
-    const records = [...this.journalState.jobs.keys()].map((id) => encodeRecord(Subject.Cancellation, id, { atMs: this.clock.wall() }))
+    const atMs = this.clock.wall()
+    const records = [...this.journalState.jobs.keys()].map((id) => encodeRecord(Subject.Cancellation, id, { atMs }))
     const appending = this.owner.append(records, 500)
     await vi.advanceTimersByTimeAsync(3000)
     await appending
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -1,7 +1,7 @@
 import { Execution, Reason } from '@fireflymount/protocol/refusal'
 import { err, ok } from 'neverthrow'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
-import { SystemClock } from '../../src/clock.js'
+import { SystemClock, type Stamp } from '../../src/clock.js'
 import { encodeJob, encodeJobEnd, encodeRecord, Stage, Subject } from '../../src/journal/record.js'
 import { JournalState } from '../../src/journal/journal-state.js'
 import { StoreAccess } from '../../src/membership/access.js'
@@ -36,6 +36,8 @@
   readonly running: ActiveRun[] = []
   readonly ended: EndedRun[] = []
   configuration = CONFIGURATION
+  /** When the journal was last read to its end; undefined for now. */
+  journalReadAt: Stamp | undefined
   machines: Machines = new NoMachines()
   private owner: Owner | undefined
 
@@ -73,7 +75,7 @@
       epoch: ordinal * epochAfter(0),
       sequence: 1,
       claimedAt: this.clock.stamp(),
-      journalReadAt: () => this.clock.stamp(),
+      journalReadAt: () => this.journalReadAt ?? this.clock.stamp(),
       journalState,
       store: new StoreAccess(this.store, async () => err(StoreFailure.Refused), this.clock, () => {}),
       fleet: this.fleet,
@@ -361,6 +363,7 @@
     await advance(1000)
     await Promise.all(admitting)
     harness.store.fault = (call) => 'append' in call ? StoreFailure.NoAnswer : undefined
+    harness.journalReadAt = harness.clock.stamp()
     const late = create('3'.repeat(16))
     const first = owner.append([late], 100)
     await advance(1000)
