Entry: what clients may hold of a node is bounded

Cause: requests were taken from a connection without a bound on how many were in progress, bodies had a bound each and none together, and nothing bounded connections, slow heads, slow bodies or answers that nobody reads. Change: packages/control/src/entry has a gate, which runs without a network: limits from the memory and descriptors of the machine, the order in which room is made, and refusals only of requests that were not handled. A feed hands received data to the HTTP server in small parts, so that a connection with as many requests in progress as it may have is not read. All four servers of a node have a gate. Counters, gauges, one log line a second for each reason. The caller's body arrives before the key is checked.

--- /dev/null
+++ b/packages/control/src/entry/gate.ts
@@ -0,0 +1,334 @@
+/**
+ * Admission of connections and requests to a server, by its limits. It makes no calls and sets no timers.
+ *
+ * A connection with as many requests in progress as it may have is not read. If a limit of all connections is reached, room is made
+ * in this order:
+ *
+ * - for a connection, the one that has been idle longest is closed, then one that does not read its answers;
+ * - for a request, connections that do not read their answers are closed, then the one that holds most by requests that are not
+ *   handled yet, unless that is the connection of the request itself.
+ *
+ * What then finds no room is refused. Only requests that are not handled yet are refused, so a refused request has not run.
+ */
+import type { EntryLimits } from './limits.js'
+
+/** Why a connection or a request was refused or closed. */
+export enum Cutoff {
+  /** A connection was refused because all others are in use. */
+  Connections = 'connections',
+  /** An idle connection was closed to make room for another one. */
+  Idle = 'idle',
+  /** A connection whose client does not read was closed to make room. */
+  Unread = 'unread',
+  /** The connection that held most by requests not handled yet was closed to make room. */
+  Largest = 'largest',
+  /** A request was refused because no room was left. */
+  Memory = 'memory',
+  HeadTooLarge = 'head-too-large',
+  BodyTooLarge = 'body-too-large',
+  SlowHead = 'slow-head',
+  SlowBody = 'slow-body',
+  /** A client read nothing of its answers for too long. */
+  SlowReader = 'slow-reader',
+  Malformed = 'malformed'
+}
+
+/** Estimated memory of a request without its body. */
+const REQUEST_BYTES = 8192
+/** Estimated memory of a part of a body, without its content. */
+const PART_BYTES = 96
+/** Copies of a body that its handling makes: text, values, and the records of the journal. */
+const HANDLING_COPIES = 3
+/** Part of the memory in use from which on each connection has one request handled at a time. */
+const SHARED_FRACTION = 1 / 2
+
+/** A connection. The gate keeps its state in the fields. */
+export abstract class Line {
+  /** Requests in progress: receiving, waiting and handled. */
+  requests = 0
+  /** Bytes that closing the connection sets free. */
+  freeable = 0
+  /** The request whose body is arriving. */
+  receiving: Passage | undefined
+  /** Complete requests that wait for those before them. */
+  readonly waiting: Passage[] = []
+  readonly handled = new Set<Passage>()
+  /** Received bytes that wait until the connection is read again. */
+  waitingBytes = 0
+  held = false
+  closed = false
+  /** Bytes that the client had read, and since when the number has not changed while there was more to read. */
+  readBytes = 0
+  unreadSinceMs: number | undefined
+
+  /** Stops reading from the client. */
+  abstract hold (): void
+  /** Reads from the client again. */
+  abstract resume (): void
+  /** Closes the connection at once. `Gate.leave` is called for it. */
+  abstract close (): void
+  /** Bytes of answers that the client has not read yet, and that are in the memory of the process. */
+  abstract unread (): number
+  /** Bytes of answers that left the memory of the process. */
+  abstract sent (): number
+}
+
+/** A request, from its head until the end of its answer. */
+export class Passage {
+  bytes = 0
+  bodyBytes = 0
+  /** True once the request was handled. */
+  settled = false
+  /** True once its answer was sent to the end. */
+  answered = false
+
+  /** @param handle starts the handling of the request */
+  constructor (readonly line: Line, readonly handle: () => void) {}
+}
+
+/** Admits connections and requests. */
+export class Gate {
+  private readonly lines = new Set<Line>()
+  /** Connections without requests, the one that has been idle longest first. */
+  private readonly idle = new Set<Line>()
+  private usedBytes = 0
+  private openRequests = 0
+
+  /** @param onCutoff called for each connection and request that is refused or closed */
+  constructor (readonly limits: EntryLimits, private readonly onCutoff: (cutoff: Cutoff) => void) {}
+
+  /** Number of open connections. */
+  get connections (): number {
+    return this.lines.size
+  }
+
+  /** Estimated memory of all requests in progress. */
+  get bytes (): number {
+    return this.usedBytes
+  }
+
+  /** Number of requests whose answer has not been sent to the end. */
+  get requests (): number {
+    return this.openRequests
+  }
+
+  /** Counts a connection or request that its server refuses for another reason than the lack of room. */
+  count (cutoff: Cutoff): void {
+    this.onCutoff(cutoff)
+  }
+
+  /**
+   * Admits a new connection.
+   *
+   * @returns false if it is refused
+   */
+  enter (line: Line): boolean {
+    if (this.lines.size >= this.limits.connections && !this.makeRoomForConnection()) {
+      this.onCutoff(Cutoff.Connections)
+      return false
+    }
+    this.lines.add(line)
+    this.idle.add(line)
+    return true
+  }
+
+  /** Counts a connection as in use for as long as it is open. */
+  occupy (line: Line): void {
+    this.idle.delete(line)
+  }
+
+  /** Removes a closed connection. Handled requests of it are counted until they have settled. */
+  leave (line: Line): void {
+    if (line.closed) return
+    line.closed = true
+    this.lines.delete(line)
+    this.idle.delete(line)
+    this.usedBytes -= line.freeable
+    this.openRequests -= line.requests
+    line.freeable = 0
+    line.waiting.length = 0
+  }
+
+  /**
+   * Admits a request whose head has arrived.
+   *
+   * @returns false if it is refused as not run
+   */
+  begin (passage: Passage): boolean {
+    const { line } = passage
+    if (line.closed) return false
+    this.idle.delete(line)
+    line.requests++
+    this.openRequests++
+    line.receiving = passage
+    return this.reserve(passage, REQUEST_BYTES)
+  }
+
+  /** Counts received bytes that wait until the connection is read again. Closes the connection if there is no room for them. */
+  keep (line: Line, bytes: number): void {
+    if (line.closed) return
+    const added = bytes - line.waitingBytes
+    if (added > 0 && this.usedBytes + added > this.limits.bytes && !this.makeRoom(line, added)) {
+      this.cut(line, Cutoff.Memory)
+      return
+    }
+    line.waitingBytes = bytes
+    line.freeable += added
+    this.usedBytes += added
+  }
+
+  /**
+   * Counts a part of a request's body.
+   *
+   * @returns false if the request is refused as not run, or its connection was closed
+   */
+  receive (passage: Passage, partBytes: number): boolean {
+    passage.bodyBytes += partBytes
+    return !passage.line.closed && this.reserve(passage, partBytes + PART_BYTES)
+  }
+
+  /**
+   * Handles a request that has arrived, at once or after those before it on its connection.
+   *
+   * @returns false if the request is refused as not run, or its connection was closed
+   */
+  complete (passage: Passage): boolean {
+    const { line } = passage
+    if (line.closed || !this.reserve(passage, HANDLING_COPIES * passage.bodyBytes)) return false
+    line.receiving = undefined
+    line.waiting.push(passage)
+    this.handleNext(line)
+    if (line.requests >= this.limits.requestsPerConnection) this.hold(line)
+    return true
+  }
+
+  /** Ends a request that was refused, once its answer has been sent. */
+  abandon (passage: Passage): void {
+    const { line } = passage
+    if (line.closed) return
+    if (line.receiving === passage) line.receiving = undefined
+    this.free(passage)
+    this.finish(line)
+  }
+
+  /** Notes that a request was handled. Its answer may still be unread. */
+  settle (passage: Passage): void {
+    passage.settled = true
+    if (passage.line.closed) {
+      this.usedBytes -= passage.bytes
+      return
+    }
+    passage.line.freeable += passage.bytes
+    if (passage.answered) this.conclude(passage)
+  }
+
+  /** Notes that the answer of a handled request was sent to the end. */
+  answer (passage: Passage): void {
+    passage.answered = true
+    if (passage.settled && !passage.line.closed) this.conclude(passage)
+  }
+
+  /** Closes the connections whose clients have read nothing of their answers for too long. */
+  sweep (nowMs: number): void {
+    for (const line of this.lines) {
+      const sent = line.sent()
+      if (line.unread() === 0) {
+        line.unreadSinceMs = undefined
+      } else if (line.unreadSinceMs === undefined || sent !== line.readBytes) {
+        line.unreadSinceMs = nowMs
+      } else if (nowMs - line.unreadSinceMs >= this.limits.answerMs) {
+        this.cut(line, Cutoff.SlowReader)
+      }
+      line.readBytes = sent
+    }
+  }
+
+  private handleNext (line: Line): void {
+    const parallel = this.usedBytes > this.limits.bytes * SHARED_FRACTION ? 1 : this.limits.requestsPerConnection
+    while (line.handled.size < parallel) {
+      const passage = line.waiting.shift()
+      if (passage === undefined) return
+      line.handled.add(passage)
+      line.freeable -= passage.bytes
+      passage.handle()
+    }
+  }
+
+  private conclude (passage: Passage): void {
+    passage.line.handled.delete(passage)
+    this.free(passage)
+    this.finish(passage.line)
+  }
+
+  /** Takes a finished request off its connection, which may go on with the next one. */
+  private finish (line: Line): void {
+    line.requests--
+    this.openRequests--
+    if (line.waiting.length > 0) this.handleNext(line)
+    if (line.requests === 0) this.idle.add(line)
+    if (line.held && line.requests < this.limits.requestsPerConnection) {
+      line.held = false
+      line.resume()
+    }
+  }
+
+  private hold (line: Line): void {
+    if (line.held || line.closed) return
+    line.held = true
+    line.hold()
+  }
+
+  /** Counts memory for a request that is not handled yet, and makes room for it if needed. */
+  private reserve (passage: Passage, bytes: number): boolean {
+    if (this.usedBytes + bytes > this.limits.bytes && !this.makeRoom(passage.line, bytes)) {
+      this.onCutoff(Cutoff.Memory)
+      return false
+    }
+    this.usedBytes += bytes
+    passage.bytes += bytes
+    passage.line.freeable += bytes
+    return true
+  }
+
+  private free (passage: Passage): void {
+    this.usedBytes -= passage.bytes
+    passage.line.freeable -= passage.bytes
+    passage.bytes = 0
+  }
+
+  private makeRoom (line: Line, bytes: number): boolean {
+    while (this.usedBytes + bytes > this.limits.bytes) {
+      let unread: Line | undefined
+      let largest = line
+      for (const other of this.lines) {
+        if (other === line || other.freeable === 0) continue
+        if (other.unread() > 0 && other.freeable > (unread?.freeable ?? 0)) unread = other
+        if (other.freeable > largest.freeable) largest = other
+      }
+      if (unread !== undefined) this.cut(unread, Cutoff.Unread)
+      else if (largest !== line) this.cut(largest, Cutoff.Largest)
+      else return false
+    }
+    return true
+  }
+
+  private makeRoomForConnection (): boolean {
+    const [idle] = this.idle
+    if (idle !== undefined) {
+      this.cut(idle, Cutoff.Idle)
+      return true
+    }
+    for (const line of this.lines) {
+      if (line.unread() === 0) continue
+      this.cut(line, Cutoff.Unread)
+      return true
+    }
+    return false
+  }
+
+  private cut (line: Line, cutoff: Cutoff): void {
+    this.onCutoff(cutoff)
+    this.leave(line)
+    line.close()
+  }
+}
--- /dev/null
+++ b/packages/control/src/entry/limits.ts
@@ -0,0 +1,105 @@
+/**
+ * Limits on what the clients of a node's servers may hold of it. They follow from the memory and the descriptors of its machine.
+ */
+
+/** A server of the node. */
+export enum Endpoint {
+  Callers = 'callers',
+  Readiness = 'readiness',
+  Metrics = 'metrics',
+  /** Connections of other nodes. */
+  Nodes = 'nodes'
+}
+
+/** Limits of one server. */
+export interface EntryLimits {
+  /** Maximum number of open connections. */
+  readonly connections: number
+  /** Requests of one connection in progress from which on the connection is not read. */
+  readonly requestsPerConnection: number
+  /** Maximum estimated memory in bytes of all requests in progress and of the answers that clients have not read. */
+  readonly bytes: number
+  /** Maximum size in bytes of a request's body. */
+  readonly bodyBytes: number
+  /** Maximum size in bytes of a request's head. */
+  readonly headBytes: number
+  /** Maximum time in milliseconds in which a request's head arrives. */
+  readonly headMs: number
+  /** Maximum time in milliseconds in which a request's body arrives after its head. */
+  readonly bodyMs: number
+  /** Maximum time in milliseconds for which a client reads nothing of an answer. */
+  readonly answerMs: number
+}
+
+/** What the machine lets the process use; undefined where it is unknown. */
+export interface MachineResources {
+  readonly memoryMb?: number | undefined
+  readonly maxDescriptors?: number | undefined
+}
+
+const DEFAULT_MEMORY_MB = 512
+const DEFAULT_DESCRIPTORS = 4096
+/** Descriptors that are not sockets. */
+const FILE_DESCRIPTORS = 200
+const MIN_CONNECTIONS = 16
+/**
+ * Parts of the sockets. The rest is for the connections that the node itself opens: to the store, to workers, to the advisor and to
+ * the machine service.
+ */
+const CALLER_SOCKETS = 5 / 8
+const NODE_SOCKETS = 1 / 4
+/** Part of the memory for callers' requests, and the part for their connections. The rest is for the node's state and its heap. */
+const REQUEST_MEMORY = 1 / 8
+const CONNECTION_MEMORY = 1 / 8
+/** Estimated memory of an open connection. */
+const CONNECTION_BYTES = 16_384
+const MEGABYTE = 1024 * 1024
+
+const CALLER_DEFAULTS = {
+  requestsPerConnection: 8, bodyBytes: 262_144, headBytes: 16_384, headMs: 60_000, bodyMs: 60_000, answerMs: 30_000
+}
+/** Limits of servers whose clients send no bodies and read short answers. */
+const PROBE_LIMITS: EntryLimits = {
+  connections: 32,
+  requestsPerConnection: 1,
+  bytes: MEGABYTE,
+  bodyBytes: 0,
+  headBytes: 4096,
+  headMs: 10_000,
+  bodyMs: 1000,
+  answerMs: 10_000
+}
+
+/**
+ * Derives the limits of a server.
+ *
+ * @param endpoint the server
+ * @param machine what the process may use
+ * @param settings limits of the callers' server that are set by the operator
+ */
+export function limitsOf (endpoint: Endpoint, machine: MachineResources, settings: Partial<EntryLimits> = {}): EntryLimits {
+  const memoryBytes = (machine.memoryMb ?? DEFAULT_MEMORY_MB) * MEGABYTE
+  const sockets = (machine.maxDescriptors ?? DEFAULT_DESCRIPTORS) - FILE_DESCRIPTORS
+  switch (endpoint) {
+    case Endpoint.Callers: {
+      const byMemory = memoryBytes * CONNECTION_MEMORY / CONNECTION_BYTES
+      return {
+        ...CALLER_DEFAULTS,
+        connections: connectionsOf(Math.min(sockets * CALLER_SOCKETS, byMemory)),
+        bytes: Math.floor(memoryBytes * REQUEST_MEMORY),
+        ...definedOf(settings)
+      }
+    }
+    case Endpoint.Nodes: return { ...PROBE_LIMITS, connections: connectionsOf(sockets * NODE_SOCKETS) }
+    default: return PROBE_LIMITS
+  }
+}
+
+/** Leaves out the limits that are not set. */
+function definedOf (settings: Partial<EntryLimits>): Partial<EntryLimits> {
+  return Object.fromEntries(Object.entries(settings).filter(([, value]) => value !== undefined))
+}
+
+function connectionsOf (count: number): number {
+  return Math.max(MIN_CONNECTIONS, Math.floor(count))
+}
--- a/packages/control/src/membership/links.ts
+++ b/packages/control/src/membership/links.ts
@@ -2,13 +2,15 @@
  * Connections to other nodes of the cell.
  */
 import { detach } from '../detach.js'
-import { createServer, type Server } from 'node:http'
+import type { Server } from 'node:http'
 import { Connection, type ConnectionSettings, type Handler, type HandlerFailure } from '@fireflymount/protocol/connection'
 import { MAX_FRAME_BYTES } from '@fireflymount/protocol/frame'
 import type { Request } from '@fireflymount/protocol/message'
 import { Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
 import { WebSocket, WebSocketServer } from 'ws'
+import type { Entry } from '../entry/entry.js'
+import { Endpoint } from '../entry/limits.js'
 import type { NodeAddress } from '../journal/record.js'
 
 const HEARTBEAT_INTERVAL_MS = 250
@@ -34,6 +36,8 @@
   readonly zone: string
   readonly host: string
   readonly port: number
+  /** Creates the server for connections from other nodes. */
+  readonly entry: Pick<Entry, 'createServer'>
   readonly addressOf: (node: string) => NodeAddress | undefined
   readonly handler: Handler
   readonly onLink: (node: string, up: boolean) => void
@@ -68,7 +72,7 @@
    */
   async listen (): Promise<Result<void, string>> {
     const { host, port } = this.options
-    const server = createServer((_, response) => { response.writeHead(426).end() })
+    const server = this.options.entry.createServer(Endpoint.Nodes, (_, response) => { response.writeHead(426).end() })
     this.server = server
     this.sockets = new WebSocketServer({ server, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
     this.sockets.on('connection', (socket) => { detach(this.accept(socket)) })
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -9,7 +9,9 @@
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
 import { sleep, type Clock } from './clock.js'
+import { Entry } from './entry/entry.js'
 import { JobService } from './entry/job-service.js'
+import type { EntryLimits } from './entry/limits.js'
 import { Follower } from './journal/follower.js'
 import { Subject, UNKNOWN_OFFSET, splitKey, type NodeAddress } from './journal/record.js'
 import { JournalState } from './journal/journal-state.js'
@@ -84,6 +86,8 @@
   readonly memoryMb?: number | undefined
   /** Number of file descriptors that the process may have open; undefined if it is unknown. */
   readonly maxDescriptors?: number | undefined
+  /** Limits of the callers' server that differ from those that follow from the machine. */
+  readonly callerLimits?: Partial<EntryLimits> | undefined
   /** Maximum age of the configuration. With an older one the node refuses requests, since their keys may have been revoked. */
   readonly configurationAgeMaxMs: number
 }
@@ -108,6 +112,8 @@
 /** A running node. */
 export class Node {
   readonly jobService: JobService
+  /** Creates the servers of the node. */
+  readonly entry: Entry
   private readonly stopController = new AbortController()
   private readonly incarnation = Math.random().toString(36).slice(2)
   /** Connections to other nodes. */
@@ -139,11 +145,13 @@
   constructor (private readonly options: NodeOptions) {
     const { clock, settings, log } = options
     setMaxListeners(0, this.stopController.signal)
+    this.entry = new Entry({ machine: settings, limits: settings.callerLimits, clock, log, metrics: options.metrics })
     this.links = new Links({
       node: settings.node,
       zone: settings.zone,
       host: settings.host,
       port: settings.port,
+      entry: this.entry,
       addressOf: (node) => this.journalState.nodes.get(node),
       handler: (request) => this.handle(request),
       onLink: (node, up) => { this.onLink(node, up) },
@@ -238,6 +246,7 @@
     this.owner?.close()
     this.stopController.abort()
     this.links.close()
+    this.entry.close()
   }
 
   private createJobService (): JobService {
--- a/packages/control/src/report/metrics.ts
+++ b/packages/control/src/report/metrics.ts
@@ -31,6 +31,11 @@
   readonly requests = this.counter('requests_total', 'Requests of callers, by call and status', ['call', 'status'])
   readonly requestSeconds = this.histogram('request_seconds', 'Time to answer callers, by call', ['call'])
   readonly refusals = this.counter('refusals_total', 'Refused requests, by reason', ['reason'])
+  readonly cutoffs = this.counter(
+    'entry_cutoffs_total', 'Connections and requests that were refused or closed, by endpoint and reason', ['endpoint', 'reason'])
+
+  readonly entryConnections = this.gauge('entry_connections', 'Open connections, by endpoint', ['endpoint'])
+  readonly entryBytes = this.gauge('entry_bytes', 'Estimated memory of requests in progress, by endpoint', ['endpoint'])
   readonly storeCalls = this.counter('store_calls_total', 'Calls to the store, by call and outcome', ['call', 'outcome'])
   readonly storeSeconds = this.histogram('store_seconds', 'Time of calls to the store, by call', ['call'])
   readonly appends = this.counter('appends_total', 'Appends of the owner', [])
@@ -58,8 +63,8 @@
     return new Counter({ name: `fireflymount_${name}`, help, labelNames, registers: [this.registry] })
   }
 
-  private gauge (name: string, help: string): Gauge {
-    return new Gauge({ name: `fireflymount_${name}`, help, registers: [this.registry] })
+  private gauge<T extends string> (name: string, help: string, labelNames: T[] = []): Gauge<T> {
+    return new Gauge({ name: `fireflymount_${name}`, help, labelNames, registers: [this.registry] })
   }
 
   private histogram<T extends string> (
--- a/packages/control/src/settings/settings-change.ts
+++ b/packages/control/src/settings/settings-change.ts
@@ -2,6 +2,8 @@
  * Applies new settings to those in use.
  */
 
+import { isDeepStrictEqual } from 'node:util'
+
 /** Names of the settings that differ between two versions. */
 export interface SettingsChange {
   /** Settings that are in use from now on. */
@@ -21,7 +23,7 @@
   const applied: string[] = []
   const restartRequired: string[] = []
   for (const name of new Set([...Object.keys(current), ...Object.keys(next)]) as Set<string & keyof T>) {
-    if (current[name] === next[name]) continue
+    if (isDeepStrictEqual(current[name], next[name])) continue
     if (!changeable.includes(name)) {
       restartRequired.push(name)
       continue
--- a/packages/control/test/cluster/takeover.spec.ts
+++ b/packages/control/test/cluster/takeover.spec.ts
@@ -4,6 +4,10 @@
 import { Subject, decodeValue, encodeRecord, splitKey, type NodeAddress, type OwnerClaim } from '../../src/journal/record.js'
 import { epochAfter } from '../../src/owner/fence.js'
 import { HANDOVER_DELAY_MS } from '../../src/membership/handover.js'
+import { Metrics } from '../../src/report/metrics.js'
+import { SilentLog } from '../../src/report/log.js'
+import { SystemClock } from '../../src/clock.js'
+import { Entry } from '../../src/entry/entry.js'
 import { Links } from '../../src/membership/links.js'
 import { StoreFailure, Topic, type RecordPage } from '../../src/ports/store.js'
 import { Cluster, sleep, waitFor, type NodeSpecification } from './cluster.js'
@@ -45,6 +49,7 @@
     zone,
     host,
     port: 0,
+    entry: new Entry({ machine: {}, clock: new SystemClock(), log: new SilentLog(), metrics: new Metrics() }),
     addressOf: () => ({ node, incarnation: '', host, port, zone }),
     handler: async (request) => {
       if (request.kind === MessageKind.Succeed) announcements.push(request)
--- /dev/null
+++ b/packages/control/test/entry/gate.spec.ts
@@ -0,0 +1,148 @@
+import { describe, expect, it } from 'vitest'
+import { Cutoff, Gate, Line, Passage } from '../../src/entry/gate.js'
+import { Endpoint, limitsOf, type EntryLimits } from '../../src/entry/limits.js'
+
+const LIMITS: EntryLimits = {
+  connections: 3, requestsPerConnection: 2, bytes: 100_000, bodyBytes: 50_000, headBytes: 1, headMs: 1, bodyMs: 1, answerMs: 1000
+}
+
+/** A connection without a network. */
+class FakeLine extends Line {
+  unreadBytes = 0
+  sentBytes = 0
+  isHeld = false
+  override hold (): void { this.isHeld = true }
+  override resume (): void { this.isHeld = false }
+  override close (): void {}
+  override unread (): number { return this.unreadBytes }
+  override sent (): number { return this.sentBytes }
+}
+
+class Scene {
+  readonly cutoffs: Cutoff[] = []
+  readonly handled: string[] = []
+  readonly gate = new Gate(LIMITS, (cutoff) => { this.cutoffs.push(cutoff) })
+
+  open (): FakeLine {
+    const line = new FakeLine()
+    if (!this.gate.enter(line)) line.closed = true
+    return line
+  }
+
+  /** Lets a request with a body arrive; returns undefined if it is refused. */
+  send (line: FakeLine, name: string, bodyBytes = 0): Passage | undefined {
+    const passage = new Passage(line, () => { this.handled.push(name) })
+    const { gate } = this
+    return gate.begin(passage) && gate.receive(passage, bodyBytes) && gate.complete(passage) ? passage : undefined
+  }
+
+  /** Lets a part of a body arrive whose request is not complete. */
+  begin (line: FakeLine, bodyBytes: number): boolean {
+    const passage = new Passage(line, () => {})
+    return this.gate.begin(passage) && this.gate.receive(passage, bodyBytes)
+  }
+
+  finish (passage: Passage | undefined): void {
+    this.gate.settle(passage!)
+    this.gate.answer(passage!)
+  }
+}
+
+describe('the gate', () => {
+  it('does not read a connection with as many requests in progress as it may have, until one has ended', () => {
+    const scene = new Scene()
+    const line = scene.open()
+    const first = scene.send(line, 'a')
+    scene.send(line, 'b')
+    scene.send(line, 'c')
+    expect([line.isHeld, scene.handled]).toEqual([true, ['a', 'b']])
+    scene.finish(first)
+    expect([line.isHeld, scene.handled]).toEqual([true, ['a', 'b', 'c']])
+  })
+
+  it('sets everything free at the end, also if the answer ends before the handling', () => {
+    const scene = new Scene()
+    const lines = [scene.open(), scene.open()]
+    const passages = lines.map((line) => scene.send(line, '', 1000)!)
+    scene.finish(passages[0])
+    scene.gate.answer(passages[1]!)
+    scene.gate.settle(passages[1]!)
+    expect([scene.gate.bytes, scene.gate.requests, lines.map((line) => line.freeable)]).toEqual([0, 0, [0, 0]])
+  })
+
+  // Guards against a client that leaves early, again and again, with its requests still in the memory.
+  it('counts the requests of a closed connection until they were handled', () => {
+    const scene = new Scene()
+    const line = scene.open()
+    const passage = scene.send(line, 'a', 1000)!
+    scene.begin(line, 20_000)
+    scene.gate.leave(line)
+    expect([scene.gate.bytes, scene.gate.requests, scene.gate.connections]).toEqual([passage.bytes, 0, 0])
+    scene.gate.settle(passage)
+    expect(scene.gate.bytes).toBe(0)
+  })
+
+  it.each([
+    ['the one idle longest', [], [], 0, Cutoff.Idle],
+    ['an idle one before a busy one', [0], [], 1, Cutoff.Idle],
+    ['one that does not read, if all are busy', [0, 1, 2], [1], 1, Cutoff.Unread],
+    ['none, if all are busy and read', [0, 1, 2], [], undefined, Cutoff.Connections]
+  ])('closes %s for a new connection', (_, busy, unread, closed, cutoff) => {
+    const scene = new Scene()
+    const lines = [scene.open(), scene.open(), scene.open()]
+    for (const index of busy) scene.send(lines[index]!, '')
+    for (const index of unread) lines[index]!.unreadBytes = 1
+    const newcomer = scene.open()
+    expect(scene.cutoffs).toEqual([cutoff])
+    expect(newcomer.closed).toBe(closed === undefined)
+    expect(lines.map((line) => line.closed)).toEqual(lines.map((__, index) => index === closed))
+  })
+
+  it.each([
+    ['the connection that holds most', [40_000, 25_000], [], 0, Cutoff.Largest, true],
+    ['a connection that does not read before a larger one', [40_000, 25_000], [1], 1, Cutoff.Unread, true],
+    ['none, if the request itself belongs to the largest', [13_000, 13_000], [], undefined, Cutoff.Memory, false]
+  ])('closes %s for a request if the memory is used up', (_, bodies, unread, closed, cutoff, admitted) => {
+    const scene = new Scene()
+    const lines = bodies.map((bytes) => {
+      const line = scene.open()
+      scene.begin(line, bytes)
+      return line
+    })
+    for (const index of unread) lines[index]!.unreadBytes = 1
+    const line = scene.open()
+    expect(scene.send(line, 'ordinary', admitted ? 3000 : 40_000) !== undefined).toBe(admitted)
+    expect(scene.cutoffs).toEqual([cutoff])
+    expect(lines.map(({ closed }) => closed)).toEqual(lines.map((__, index) => index === closed))
+  })
+
+  it('never closes a connection for the sake of its requests that are being handled', () => {
+    const scene = new Scene()
+    const line = scene.open()
+    scene.send(line, 'a', 15_000)
+    expect(scene.send(scene.open(), 'b', 15_000)).toBeUndefined()
+    expect([scene.cutoffs, line.closed]).toEqual([[Cutoff.Memory], false])
+  })
+
+  it('closes a connection whose client has read nothing for the time that it may take', () => {
+    const scene = new Scene()
+    const [stalled, slow] = [scene.open(), scene.open()]
+    stalled.unreadBytes = slow.unreadBytes = 1
+    for (const nowMs of [0, 999, 1000]) {
+      slow.sentBytes = nowMs
+      scene.gate.sweep(nowMs)
+    }
+    expect([stalled.closed, slow.closed, scene.cutoffs]).toEqual([true, false, [Cutoff.SlowReader]])
+  })
+})
+
+describe('the limits', () => {
+  it.each([
+    ['the smallest machine', { memoryMb: 210, maxDescriptors: 2212 }, {}, { connections: 1257, bytes: 27_525_120 }],
+    ['a machine with little memory', { memoryMb: 100, maxDescriptors: 10_000 }, {}, { connections: 800, bytes: 13_107_200 }],
+    ['an unknown machine', {}, {}, { connections: 2435, bytes: 67_108_864 }],
+    ['limits that are set', { memoryMb: 210 }, { connections: 5, headMs: undefined }, { connections: 5, headMs: 60_000 }]
+  ])('follow from %s', (_, machine, settings, expected) => {
+    expect(limitsOf(Endpoint.Callers, machine, settings)).toMatchObject(expected)
+  })
+})
--- a/packages/control/test/membership/links.spec.ts
+++ b/packages/control/test/membership/links.spec.ts
@@ -1,7 +1,11 @@
 import { createServer, type AddressInfo } from 'node:net'
 import { ok } from 'neverthrow'
 import { afterEach, describe, expect, it } from 'vitest'
+import { Entry } from '../../src/entry/entry.js'
 import { Links } from '../../src/membership/links.js'
+import { SystemClock } from '../../src/clock.js'
+import { SilentLog } from '../../src/report/log.js'
+import { Metrics } from '../../src/report/metrics.js'
 import type { NodeAddress } from '../../src/journal/record.js'
 
 const HOST = '127.0.0.1'
@@ -22,6 +26,7 @@
     zone: 'z',
     host: HOST,
     port,
+    entry: new Entry({ machine: {}, clock: new SystemClock(), log: new SilentLog(), metrics: new Metrics() }),
     addressOf: () => peer,
     handler: async () => ok(undefined),
     onLink: () => {},
