--- a/packages/control/src/entry/job-service.ts
+++ b/packages/control/src/entry/job-service.ts
@@ -9,6 +9,7 @@
 import {
   findQueueByPath, findWorkspaceByKey, type Configuration, type Queue, type WorkspaceSettings
 } from '../model/configuration.js'
+import { heldBytesOf } from '../place/backlog.js'
 import { findJobError, isFinal, Phase, type Job, type Step } from '../model/job.js'
 import type { KeyedRecord, Store } from '../ports/store.js'
 import { describeError, type Log } from '../report/log.js'
@@ -260,7 +261,7 @@
    */
   private findShortage (job: Job): Refusal | undefined {
     const { backlog, nodes } = this.options.journalState()
-    return refuseBeyondBacklog(backlog, job, this.options.clock.now(), Math.max(1, nodes.size))
+    return refuseBeyondBacklog(backlog, job.workspace, heldBytesOf(job), this.options.clock.now(), Math.max(1, nodes.size))
   }
 
   /**
--- a/packages/control/src/owner/admission-controller.ts
+++ b/packages/control/src/owner/admission-controller.ts
@@ -9,7 +9,7 @@
 import { compactJob, decodeJob } from '../journal/job-record.js'
 import { Subject, encodeJob, keyOf, splitKey } from '../journal/record.js'
 import type { JobEntry, JournalState } from '../journal/journal-state.js'
-import type { Writer } from '../journal/writer.js'
+import { sizeOf, type Writer } from '../journal/writer.js'
 import type { Configuration } from '../model/configuration.js'
 import type { Job } from '../model/job.js'
 import { findRetryAfterMs } from '../place/admission.js'
@@ -31,7 +31,7 @@
  */
 const MAX_CLOCK_DIFFERENCE_MS = 2000
 
-/** Part of the backlog's bound that jobs may hold whose records wait for the store. They are in memory twice, once encoded. */
+/** Part of the backlog's bound that records of jobs may hold while they wait for the store. */
 const UNSTORED_SHARE = 0.25
 
 /** Dependencies of the admission controller. */
@@ -59,7 +59,7 @@
    */
   private readonly unconfirmedKeys = new Map<string, number | undefined>()
   private readonly jobSettings: JobSettings
-  /** Jobs whose records are not known to be stored. */
+  /** Records of jobs that are not known to be stored. */
   private readonly unstored: Backlog
   private readonly refusals: RefusalCounter
 
@@ -82,10 +82,10 @@
     if (this.isKnownJob(submitted)) return ok(undefined)
     const submittedJob = decodeSubmitted(submitted)
     const job = submittedJob === undefined ? undefined : this.correctTime(submittedJob)
-    const refusal = job === undefined ? undefined : this.findRefusal(job, submitted.key)
+    const refusal = job === undefined ? undefined : this.findRefusal(job, submitted)
     if (refusal !== undefined) return err(refusal)
     const record = job === undefined || job === submittedJob ? submitted : encodeJob(job)
-    if (job !== undefined) this.reserve(job)
+    if (job !== undefined) this.reserve(job, record)
     const execution = await this.append([record], timeoutMs)
     if (job !== undefined && execution !== Execution.Unknown) this.release(job.id, submitted.key)
     if (execution === Execution.Run) return ok(undefined)
@@ -174,12 +174,13 @@
    * Returns the reason to refuse a job, or undefined. Jobs with a schedule or with long-running steps are refused only for lack of
    * memory. A job that may already have been written is never refused, because a refusal states that the job did not run.
    *
-   * @param key key of the job's record
+   * @param record the job's record
    */
-  private findRefusal (job: Job, key: string): Refusal | undefined {
+  private findRefusal (job: Job, record: KeyedRecord): Refusal | undefined {
     const { writer, dispatcher } = this.options
+    const { key } = record
     if (writer.isUncommitted(key) || this.unconfirmedKeys.has(key)) return undefined
-    const shortage = this.findShortage(job)
+    const shortage = this.findShortage(job, record)
     if (shortage !== undefined) return shortage
     if (job.occurrences > 0 || job.steps.some((step) => step.lasting)) return undefined
     const overRate = this.rates.exceeds(job.workspace, this.weightOf(job), job.acceptedMs)
@@ -192,19 +193,19 @@
     )
   }
 
-  private findShortage (job: Job): Refusal | undefined {
+  private findShortage (job: Job, record: KeyedRecord): Refusal | undefined {
     const { journalState, clock } = this.options
-    const refusal = refuseBeyondBacklog(journalState.backlog, job, clock.now()) ??
-      refuseBeyondBacklog(this.unstored, job, clock.now())
-    if (refusal !== undefined) this.refusals.count(refusal.reason, { workspace: job.workspace })
+    const { workspace } = job
+    const refusal = refuseBeyondBacklog(journalState.backlog, workspace, heldBytesOf(job), clock.now()) ??
+      refuseBeyondBacklog(this.unstored, workspace, unstoredBytesOf(record), clock.now())
+    if (refusal !== undefined) this.refusals.count(refusal.reason, { workspace })
     return refusal
   }
 
   /** Counts a job whose record is about to be appended. */
-  private reserve (job: Job): void {
-    const bytes = heldBytesOf(job)
-    this.options.journalState.backlog.reserve(job.id, job.workspace, bytes)
-    this.unstored.reserve(job.id, job.workspace, bytes)
+  private reserve (job: Job, record: KeyedRecord): void {
+    this.options.journalState.backlog.reserve(job.id, job.workspace, heldBytesOf(job))
+    this.unstored.reserve(job.id, job.workspace, unstoredBytesOf(record))
   }
 
   /** Ends the reservations of a job that was stored, or of which no record can be stored any more. */
@@ -220,6 +221,11 @@
   }
 }
 
+/** Returns what a record holds while it waits for the store: it is received in one form and written in another. */
+function unstoredBytesOf (record: KeyedRecord): number {
+  return 2 * sizeOf([record])
+}
+
 /** Decodes the record of a job; undefined for any other record, and for one that cannot be decoded. */
 function decodeSubmitted ({ key, value }: KeyedRecord): Job | undefined {
   if (splitKey(key).subject !== Subject.Job || value === undefined) return undefined
--- a/packages/control/test/owner/backlog.spec.ts
+++ b/packages/control/test/owner/backlog.spec.ts
@@ -78,7 +78,8 @@
 
   /** Cancels all jobs of the journal. */
   async cancelAll (): Promise<void> {
-    const records = [...this.journalState.jobs.keys()].map((id) => encodeRecord(Subject.Cancellation, id, { atMs: this.clock.wall() }))
+    const atMs = this.clock.wall()
+    const records = [...this.journalState.jobs.keys()].map((id) => encodeRecord(Subject.Cancellation, id, { atMs }))
     const appending = this.owner.append(records, 500)
     await vi.advanceTimersByTimeAsync(3000)
     await appending
@@ -127,6 +128,16 @@
     expect([first > 10, cell.answers]).toEqual([true, { accepted: 10 }])
   })
 
+  it.each([
+    { tasks: 20_000, answer: 'accepted' },
+    { tasks: 30_000, answer: `${Reason.TooLarge} ${Execution.NotRun}` }
+  ])('does not count the record of a job of $tasks tasks by its tasks while it waits: $answer', async ({ tasks, answer }) => {
+    const job = createJob({ id: 'e'.repeat(16), workspace: 'a', steps: [createStep({ count: tasks })], acceptedMs: cell.clock.wall() })
+    const admitting = cell.owner.admit(encodeJob(job), 500)
+    await vi.advanceTimersByTimeAsync(1000)
+    expect((await admitting).match(() => 'accepted', ({ reason, execution }) => `${reason} ${execution}`)).toBe(answer)
+  })
+
   it('does not refuse a job that is known', async () => {
     await cell.submit('a', FLOOD)
     const [known] = cell.accepted
