Command and API to evacuate a zone in the daemon

Cause: fireflymountd had no way to keep new work away from the workers of a zone.

Change: the API writes the request to the stream of each shard, as for a drain; owners close the workers of the zone, check again before a start, and name the zones when they explain why a task waits. status shows the zones.

Measured: the touched tests of daemon, command and protocol pass; without load nothing else changed.

--- a/packages/command/src/operations.ts
+++ b/packages/command/src/operations.ts
@@ -1,5 +1,5 @@
 /**
- * Commands on the running system: status, drain and report.
+ * Commands on the running system: status, drain, evacuation and report.
  */
 import { writeFile } from 'node:fs/promises'
 import { err, ok, type Result } from 'neverthrow'
@@ -61,6 +61,25 @@
   return answer.map(({ body }) => createObjectOutput((body ?? {}) as object))
 }
 
+/**
+ * Evacuates an availability zone, whose workers then get no new tasks, or takes it back.
+ *
+ * @param context the client and the terminal
+ * @param zone the availability zone
+ * @param evacuated false to take the zone back
+ * @returns the shards in which it is in effect, with remarks on shards that did not confirm it
+ */
+export async function evacuateZone (
+  context: ActionContext, zone: string, evacuated: boolean
+): Promise<Result<ActionOutput, Failure>> {
+  const path = `/v1/admin/zones/${encodeURIComponent(zone)}/evacuation`
+  const answer = await context.client.call({ method: 'POST', path, retry: RetryPolicy.Safe, body: { evacuated } })
+  return answer.map(({ body }) => {
+    const { missing = [], ...state } = (body ?? {}) as { readonly missing?: readonly MissingShard[] }
+    return { ...createObjectOutput(state), remarks: describeMissing(missing) }
+  })
+}
+
 /**
  * Reports the burn rates of service-level objectives.
  *
@@ -105,7 +124,9 @@
 
 function describeShard (report: SurveyReport): ActionOutput {
   const rows: Row[] = (report.workers ?? []).map((worker) => ({ ...worker }))
-  const heading = `${report.shard} is owned by ${report.node}; ${report.waiting} waiting, ${report.running} running.\n`
+  const evacuated = report.evacuatedZones ?? []
+  const zones = evacuated.length === 0 ? '' : ` Evacuated zones: ${evacuated.join(', ')}.`
+  const heading = `${report.shard} is owned by ${report.node}; ${report.waiting} waiting, ${report.running} running.${zones}\n`
   return {
     value: report,
     text: heading + createListOutput(['worker', 'condition', 'zone', 'rack', 'running', 'slots', 'used', 'capacity'], rows).text
--- a/packages/command/src/program.ts
+++ b/packages/command/src/program.ts
@@ -7,7 +7,7 @@
 import { apply, get, plan, validate } from './configuration.js'
 import { ExitCode } from './exit-code.js'
 import { grantKey, withdrawKey } from './keys.js'
-import { drainWorker, reportBurn, showStatus } from './operations.js'
+import { drainWorker, evacuateZone, reportBurn, showStatus } from './operations.js'
 import { Format, formatFailure, formatJson, type Terminal } from './terminal.js'
 import { cancel, explain, showJob, submit, type SubmitOptions } from './work.js'
 import type { Result } from 'neverthrow'
@@ -158,6 +158,12 @@
     .action((upstream: string, worker: string, { undo }: { undo?: boolean }, command: Command) => {
       return runner.callServer(command, (context) => drainWorker(context, upstream, worker, undo !== true))
     })
+  addCommand(program, 'evacuate', 'evacuates an availability zone, so that its workers get no new tasks', 'evacuate fukuoka')
+    .argument('<zone>', 'the availability zone')
+    .option('--undo', 'take the zone back')
+    .action((zone: string, { undo }: { undo?: boolean }, command: Command) => {
+      return runner.callServer(command, (context) => evacuateZone(context, zone, undo !== true))
+    })
   const report = addCommand(program, 'report', 'prints reports on the cell', 'report burn --html burn.html')
   addCommand(report, 'burn', 'reports burn rates over 5 minutes, 1 hour and 6 hours', 'report burn --html burn.html')
     .option('--html <file>', 'also write an HTML page with plots')
--- a/packages/command/test/program.spec.ts
+++ b/packages/command/test/program.spec.ts
@@ -212,6 +212,15 @@
     expect(cell.router.asked.at(-1)).toEqual({ kind: MessageKind.Drain, shard: 'bee-planner', worker: 'w-1', drained: false })
   })
 
+  test('evacuate --undo takes a zone back', async () => {
+    await cell.run(['apply', '-'], TEXT)
+    cell.router.answer = () => ok({ node: 'node-1', workers: [], evacuatedZones: ['fukuoka'] })
+    expect(await cell.run(['evacuate', 'fukuoka', '--undo'])).toMatchObject({ exit: 0, out: expect.stringContaining('bee-planner') })
+    expect(cell.router.asked.at(-1)).toEqual({ kind: MessageKind.Evacuate, shard: 'bee-planner', zone: 'fukuoka', evacuated: false })
+    expect((await cell.run(['status', 'bee-planner'])).out).toContain('Evacuated zones: fukuoka.')
+    expect(await cell.run(['evacuate', 'kobe'])).toMatchObject({ err: expect.stringContaining('The zones are fukuoka.') })
+  })
+
   test.each([
     { args: ['get', 'teams'], out: /NAME +WORKSPACE[^]*guild +hakata/ },
     { args: ['get', 'teams', 'guild'], out: /share +1/ }
--- a/packages/daemon/src/entry/api.ts
+++ b/packages/daemon/src/entry/api.ts
@@ -13,7 +13,7 @@
 import { HttpProblem, createProblemResponse, createHttpProblem, createProblem } from './problem.js'
 import { onRequest } from './requests.js'
 import { RetryBudget } from './retry-budget.js'
-import { onAdminExplain, onBurn, onDrain, onClusterStatus, onShard } from './status.js'
+import { onAdminExplain, onBurn, onDrain, onClusterStatus, onEvacuation, onShard } from './status.js'
 import { onUsage } from './usage.js'
 import type { ApiContext, ApiOptions } from './api-context.js'
 
@@ -94,6 +94,7 @@
   addRoute(app, '/v1/admin/shards/:upstream', { [Method.Get]: (context) => onShard(api, context) })
   addRoute(app, '/v1/admin/jobs/:id/explanation', { [Method.Get]: (context) => onAdminExplain(api, context) })
   addRoute(app, '/v1/admin/workers/:upstream/:worker/drain', { [Method.Post]: (context) => onDrain(api, context) })
+  addRoute(app, '/v1/admin/zones/:zone/evacuation', { [Method.Post]: (context) => onEvacuation(api, context) })
   addRoute(app, '/v1/admin/node', { [Method.Get]: () => onUsage(api) })
   addRoute(app, '/v1/admin/burn', { [Method.Get]: () => onBurn(api) })
 }
--- a/packages/daemon/src/entry/status.ts
+++ b/packages/daemon/src/entry/status.ts
@@ -1,7 +1,7 @@
 /**
  * Administration endpoints that query the owners of the shards.
  */
-import { MessageKind } from '@fireflymount/protocol/message'
+import { MessageKind, type Evacuate } from '@fireflymount/protocol/message'
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { ObjectiveCountsCodec, type ObjectiveCounts } from '@fireflymount/protocol/survey'
 import { createJsonResponse } from './json-response.js'
@@ -101,6 +101,45 @@
   return answer.match((state) => createJsonResponse(state ?? { shard, worker, drained }), createRefusalResponse)
 }
 
+/**
+ * Handles `POST /v1/admin/zones/{zone}/evacuation`. Each shard decides for itself, so that some may have carried it out although others
+ * have not; the call can be repeated.
+ *
+ * @param api the dependencies of the API
+ * @param context the request context; the body `{"evacuated": false}` takes the zone back
+ * @returns the shards in which it is in effect, and those that did not confirm it; a problem if the zone is not known
+ */
+export async function onEvacuation (api: ApiContext, context: Context): Promise<Response> {
+  const body = await readJson(context.req.raw, api.settings.limits.bodyBytes)
+  if (body.isErr()) return createProblemResponse(body.error)
+  const evacuated = (body.value as { evacuated?: unknown } | null)?.evacuated ?? true
+  if (typeof evacuated !== 'boolean') return createProblemResponse(createBadRequest('"evacuated" must be true or false.'))
+  const zone = context.req.param('zone') ?? ''
+  const { reports } = await surveyAll(api)
+  const known = new Set(reports.flatMap(zonesOf))
+  if (!known.has(zone)) {
+    const zones = [...known].sort().join(', ')
+    const detail = zones === '' ? 'No zone is known: no owner has reported its workers.' : `The zones are ${zones}.`
+    return createProblemResponse(createBadRequest(`There is no availability zone "${zone}". ${detail}`))
+  }
+  const shards: string[] = []
+  const missing: MissingShard[] = []
+  await Promise.all(api.configuration.current().manifest.upstreams.map(async ({ name: shard }) => {
+    const evacuation: Evacuate = { kind: MessageKind.Evacuate, shard, zone, evacuated }
+    const answer = await api.router.askOwner(shard, evacuation, OWNER_REQUEST_TIMEOUT_MS)
+    if (answer.isOk()) shards.push(shard)
+    else missing.push({ shard, reason: answer.error.reason, detail: answer.error.detail })
+  }))
+  return createJsonResponse({ zone, evacuated, shards: shards.sort(), missing })
+}
+
+/** The zones that a shard's report names. */
+function zonesOf ({ workers, evacuatedZones }: Readonly<Record<string, unknown>>): string[] {
+  const ofWorkers = Array.isArray(workers) ? workers.map((worker: { zone?: unknown }) => worker.zone) : []
+  const zones: unknown[] = [...ofWorkers, ...Array.isArray(evacuatedZones) ? evacuatedZones : []]
+  return zones.filter((zone) => typeof zone === 'string')
+}
+
 /**
  * Handles `GET /v1/admin/burn`.
  *
--- a/packages/daemon/src/owner/change.ts
+++ b/packages/daemon/src/owner/change.ts
@@ -26,7 +26,9 @@
   /** A transfer from this shard is settled: its receiver has recorded it. */
   Settled = 'settled',
   /** An operator closed a worker to new tasks, or reopened it. */
-  Drained = 'drained'
+  Drained = 'drained',
+  /** An operator asked for the evacuation of an availability zone, or took it back. */
+  Evacuated = 'evacuated'
 }
 
 /**
@@ -108,6 +110,8 @@
 
 export const DrainedCodec = Codec.interface({ kind: exactly(ChangeKind.Drained), worker: string, drained: boolean })
 
+export const EvacuatedCodec = Codec.interface({ kind: exactly(ChangeKind.Evacuated), zone: string, evacuated: boolean })
+
 /** The codec of each kind of change. */
 export const CHANGE_CODECS: Readonly<Record<ChangeKind, Pick<Codec<unknown>, 'decode'>>> = {
   [ChangeKind.Accepted]: AcceptedCodec,
@@ -118,7 +122,8 @@
   [ChangeKind.Lent]: LentCodec,
   [ChangeKind.Borrowed]: BorrowedCodec,
   [ChangeKind.Settled]: SettledCodec,
-  [ChangeKind.Drained]: DrainedCodec
+  [ChangeKind.Drained]: DrainedCodec,
+  [ChangeKind.Evacuated]: EvacuatedCodec
 }
 
 export type Accepted = GetType<typeof AcceptedCodec>
@@ -151,9 +156,11 @@
 export type Borrowed = GetType<typeof BorrowedCodec>
 export type Settled = GetType<typeof SettledCodec>
 export type Drained = GetType<typeof DrainedCodec>
+export type Evacuated = GetType<typeof EvacuatedCodec>
 
 /** Any change in a shard's stream. */
-export type Change = Accepted | AttemptChange | Ended | Cancelled | Standbys | Lent | Borrowed | Settled | Drained
+export type Change = Accepted | AttemptChange | Ended | Cancelled | Standbys | Lent | Borrowed | Settled | Drained |
+  Evacuated
 
 /**
  * Decodes a change.
--- a/packages/daemon/src/owner/fleet.ts
+++ b/packages/daemon/src/owner/fleet.ts
@@ -78,10 +78,21 @@
 
   /** Updates in the scheduler whether a worker accepts new tasks. */
   refreshCondition (session: Session): void {
-    const open = session.adopted && !this.isLeavingOrDrained(session.id)
+    const open = session.adopted && !this.isClosed(session.id)
     this.options.scheduler.setCondition(session.id, open ? Condition.Ready : Condition.Closed)
   }
 
+  /** True if a worker gets no new tasks, because it is leaving or drained, or its availability zone is being evacuated. */
+  isClosed (worker: string): boolean {
+    return this.isLeavingOrDrained(worker) || this.isEvacuated(worker)
+  }
+
+  /** True while the availability zone of a worker is being evacuated. */
+  isEvacuated (worker: string): boolean {
+    const zone = this.sessions.get(worker)?.options.vm.zone
+    return zone !== undefined && this.options.state.evacuated.has(zone)
+  }
+
   /** True if a worker accepts no new tasks, because its VM is leaving or an operator drained it. */
   isLeavingOrDrained (worker: string): boolean {
     return this.options.members.vm(worker)?.state === VmState.Leaving || this.options.state.drained.has(worker)
--- a/packages/daemon/src/owner/owner.ts
+++ b/packages/daemon/src/owner/owner.ts
@@ -21,7 +21,7 @@
 import type { Allotments } from './allotments.js'
 import type { BurnCounts } from './burn.js'
 import { Requests } from './requests.js'
-import { ChangeKind, RunOutcome } from './change.js'
+import { ChangeKind, RunOutcome, type Drained, type Evacuated } from './change.js'
 import { Fleet } from './fleet.js'
 import { Jobs, refusalOf } from './jobs.js'
 import type { JournalWriter } from './journal-writer.js'
@@ -41,7 +41,7 @@
  * requested. The round also refuses expired requests.
  */
 const RECONCILE_INTERVAL_MS = 100
-/** Time after which an uncommitted drain is refused. */
+/** Time after which an uncommitted drain or evacuation is refused. */
 const DRAIN_COMMIT_TIMEOUT_MS = 2000
 /** Time that the sender of a request is told to wait if this node cannot confirm that it owns the shard. */
 const NOT_OWNER_RETRY_AFTER_MS = 500
@@ -115,6 +115,7 @@
       metrics,
       session,
       confirmed: options.confirmed,
+      isEvacuated: (worker) => this.fleet.isEvacuated(worker),
       provisional: options.provisional,
       active: () => this.active,
       bodyOf: (taskId) => this.bodyOf(taskId),
@@ -208,6 +209,7 @@
       case MessageKind.Explain: return this.explain(message.job)
       case MessageKind.Survey: return ok(surveyShard(this))
       case MessageKind.Drain: return await this.drain(message.worker, message.drained)
+      case MessageKind.Evacuate: return await this.evacuate(message.zone, message.evacuated)
       case MessageKind.Abandon: return ok(this.requests.abandon(message.call))
       case MessageKind.Borrow: return await this.transfers.give(message)
       case MessageKind.Transfer: return await this.transfers.receive(message)
@@ -349,20 +351,37 @@
     if (job === undefined) return err(refuse(Reason.NoSuchJob, `There is no job ${id}.`))
     const waiting = job.tasks.find((task) => task.stage === Stage.Waiting)
     if (waiting === undefined) return ok({ job: id, obstacle: Obstacle.None, detail: 'No task of the job is waiting.', remedy: '' })
-    return ok({ job: id, ...this.scheduler.explain(waiting.id, this.options.clock.now()) })
+    const explanation = this.scheduler.explain(waiting.id, this.options.clock.now())
+    const evacuated = [...this.options.state.evacuated]
+    const lacksWorkers = explanation.obstacle === Obstacle.Workers || explanation.obstacle === Obstacle.Capacity
+    if (evacuated.length === 0 || !lacksWorkers) return ok({ job: id, ...explanation })
+    const detail = `${explanation.detail} Workers are left out while their zone is being evacuated: ${evacuated.join(', ')}.`
+    return ok({ job: id, ...explanation, detail })
   }
 
   private async drain (worker: string, drained: boolean): Promise<Result<unknown, Refusal>> {
     if (this.fleet.session(worker) === undefined) {
       return err(refuse(Reason.BadRequest, `The shard ${this.options.shard} has no worker ${worker}.`))
     }
-    const written = await this.options.journal.commit({ kind: ChangeKind.Drained, worker, drained }, DRAIN_COMMIT_TIMEOUT_MS)
+    const written = await this.writeOperation({ kind: ChangeKind.Drained, worker, drained }, 'The drain')
+    return written.map(() => ({ shard: this.options.shard, worker, drained }))
+  }
+
+  /** Places nothing more on the workers of an availability zone, or uses them again. What runs there is left to end. */
+  private async evacuate (zone: string, evacuated: boolean): Promise<Result<unknown, Refusal>> {
+    const written = await this.writeOperation({ kind: ChangeKind.Evacuated, zone, evacuated }, 'The evacuation')
+    return written.map(() => ({ shard: this.options.shard, zone, evacuated }))
+  }
+
+  /** Writes an operator's change of the workers that may get new tasks. */
+  private async writeOperation (change: Drained | Evacuated, subject: string): Promise<Result<void, Refusal>> {
+    const written = await this.options.journal.commit(change, DRAIN_COMMIT_TIMEOUT_MS)
     if (written.isErr()) {
       if (written.error.failure === JournalFailure.Superseded) this.options.onStale(undefined)
-      return err(refusalOf(written.error, 'The drain'))
+      return err(refusalOf(written.error, subject))
     }
     this.fleet.refresh()
-    return ok({ shard: this.options.shard, worker, drained })
+    return ok()
   }
 }
 
--- a/packages/daemon/src/owner/runs.ts
+++ b/packages/daemon/src/owner/runs.ts
@@ -74,6 +74,8 @@
   readonly metrics: Metrics
   readonly session: (worker: string) => Session | undefined
   readonly confirmed: () => boolean
+  /** Returns true while the availability zone of a worker is being evacuated. */
+  readonly isEvacuated: (worker: string) => boolean
   /** True if the owner took over while the log was unavailable: its state may lack the newest records, and it cannot write. */
   readonly provisional: boolean
   /** True while the owner has not been stopped. */
@@ -262,7 +264,8 @@
 
   private async send (run: Run): Promise<void> {
     const session = this.options.session(run.worker)
-    if (session === undefined || !session.adopted || session.boot !== run.boot || run.stopping || !this.options.confirmed()) {
+    const mayStart = !run.stopping && this.options.confirmed() && !this.options.isEvacuated(run.worker)
+    if (session === undefined || !session.adopted || session.boot !== run.boot || !mayStart) {
       this.returnToQueue(run)
       return
     }
--- a/packages/daemon/src/owner/state.ts
+++ b/packages/daemon/src/owner/state.ts
@@ -6,8 +6,8 @@
 import type { Resources } from '@fireflymount/protocol/resources'
 import {
   ChangeKind, RunOutcome, parseChange,
-  type Accepted, type Borrowed, type Cancelled, type Change, type Drained, type Ended, type Lent, type RunRecord, type Settled,
-  type Standbys
+  type Accepted, type Borrowed, type Cancelled, type Change, type Drained, type Ended, type Evacuated, type Lent, type RunRecord,
+  type Settled, type Standbys
 } from './change.js'
 
 /** Time for which an ended job is kept, so that a repeated idempotency key returns the original job. */
@@ -86,6 +86,7 @@
   readonly borrowed?: Array<[string, number]>
   readonly net?: Array<[string, Allotment]>
   readonly drained?: string[]
+  readonly evacuated?: string[]
   readonly standbys?: Standbys
 }
 
@@ -104,6 +105,8 @@
   readonly net = new Map<string, Allotment>()
   /** Workers that an operator closed to new tasks. */
   readonly drained = new Set<string>()
+  /** Availability zones that are being evacuated. */
+  readonly evacuated = new Set<string>()
   standbys: Standbys | undefined
   /** Number of changes that no codec accepted. */
   malformed = 0
@@ -128,6 +131,7 @@
       borrowed: [...this.borrowed],
       net: [...this.net],
       drained: [...this.drained],
+      evacuated: [...this.evacuated],
       ...(this.standbys === undefined ? {} : { standbys: this.standbys })
     }]
     let batch: JobRecord[] = []
@@ -155,6 +159,7 @@
       for (const [key, sequence] of part.borrowed ?? []) this.borrowed.set(key, sequence)
       for (const [team, amount] of part.net ?? []) this.net.set(team, amount)
       for (const worker of part.drained ?? []) this.drained.add(worker)
+      for (const zone of part.evacuated ?? []) this.evacuated.add(zone)
       if (part.standbys !== undefined) this.standbys = part.standbys
     }
   }
@@ -190,6 +195,7 @@
       case ChangeKind.Borrowed: return this.borrow(change)
       case ChangeKind.Settled: return this.settle(change)
       case ChangeKind.Drained: return this.drain(change)
+      case ChangeKind.Evacuated: return this.evacuate(change)
     }
   }
 
@@ -298,6 +304,11 @@
     else this.drained.delete(change.worker)
   }
 
+  private evacuate ({ zone, evacuated }: Evacuated): void {
+    if (evacuated) this.evacuated.add(zone)
+    else this.evacuated.delete(zone)
+  }
+
   private addToNet (team: string, amount: Allotment, sign: number): void {
     const net = this.net.get(team) ?? { tasks: 0, cpuMilli: 0, memoryMb: 0, accelerators: 0 }
     this.net.set(team, {
@@ -338,6 +349,7 @@
     this.borrowed.clear()
     this.net.clear()
     this.drained.clear()
+    this.evacuated.clear()
     this.tasks.clear()
     this.jobOfTask.clear()
     this.standbys = undefined
--- a/packages/daemon/src/owner/survey.ts
+++ b/packages/daemon/src/owner/survey.ts
@@ -34,6 +34,7 @@
     confirmed: options.confirmed(),
     waiting: scheduler.waiting(),
     running: scheduler.running(),
+    evacuatedZones: [...options.state.evacuated],
     workers: [...owner.fleet.all()].map((session) => surveyWorker(owner, session)),
     teams: options.manifest().teams.map((team) => surveyTeam(owner, team.name, teams.get(team.name)?.waiting ?? 0)),
     queues: [...queues].map(([queue, count]): QueueReport => ({ queue, ...count })),
@@ -59,7 +60,7 @@
 
 function conditionOf (owner: Owner, id: string, adopted: boolean): string {
   if (!adopted) return 'unreachable'
-  return owner.fleet.isLeavingOrDrained(id) ? 'closed' : 'ready'
+  return owner.fleet.isClosed(id) ? 'closed' : 'ready'
 }
 
 function surveyTeam (owner: Owner, team: string, waiting: number): TeamReport {
--- a/packages/daemon/src/peer/peers.ts
+++ b/packages/daemon/src/peer/peers.ts
@@ -234,6 +234,7 @@
     case MessageKind.Explain:
     case MessageKind.Survey:
     case MessageKind.Drain:
+    case MessageKind.Evacuate:
       return true
     default:
       return false
@@ -245,7 +246,7 @@
  * its sender has given it up.
  */
 function isReversible (request: Request): boolean {
-  return request.kind === MessageKind.Drain
+  return request.kind === MessageKind.Drain || request.kind === MessageKind.Evacuate
 }
 
 function withRemainingTime (request: Request, spentMs: number): Request {
--- a/packages/daemon/test/entry-administration.spec.ts
+++ b/packages/daemon/test/entry-administration.spec.ts
@@ -132,6 +132,28 @@
   })
 })
 
+describe('the evacuation of a zone', () => {
+  const missing = [{ shard: 'cloth-studio', reason: Reason.NoOwner, detail: 'None.' }]
+  const shards = ['bee-planner']
+  const refusal = { detail: expect.stringContaining('The zones are closed, fukuoka.') }
+
+  test.each([
+    { says: 'is asked of all shards', zone: 'fukuoka', body: {}, status: 200, expected: { evacuated: true, shards, missing } },
+    { says: 'is taken back', zone: 'closed', body: { evacuated: false }, status: 200, expected: { evacuated: false, shards, missing } },
+    { says: 'of an unknown zone is refused', zone: 'kobe', body: {}, status: 400, expected: refusal }
+  ])('$says', async ({ zone, body, status, expected }) => {
+    const { request, router } = createHarness()
+    router.answer = async (_, shard) => {
+      if (shard !== 'bee-planner') return err(refuse(Reason.NoOwner, 'None.'))
+      return ok({ shard, workers: [{ zone: 'fukuoka' }, {}], evacuatedZones: ['closed'] })
+    }
+    const answer = await request('POST', `/v1/admin/zones/${zone}/evacuation`, operator, body)
+    expect(answer.status).toBe(status)
+    expect(await answer.json()).toMatchObject(expected)
+    expect(router.asked.some(({ request }) => request.kind === MessageKind.Evacuate)).toBe(status === 200)
+  })
+})
+
 describe('the state of the shards', () => {
   const burn = { objective: 'fast-preview', queue: 'preview', team: 'guild', node: 'node-1', sinceMs: 1, windows: [], stepMs: 1000, steps: [] }
 
@@ -152,7 +174,8 @@
     { method: 'GET', path: '/v1/admin/jobs/none.01/explanation', status: 404 },
     { method: 'POST', path: '/v1/admin/workers/bee-planner/w-1/drain', body: {}, kind: MessageKind.Drain, status: 200 },
     { method: 'POST', path: '/v1/admin/workers/bee-planner/w-1/drain', body: { drained: 'no' }, status: 400 },
-    { method: 'POST', path: '/v1/admin/workers/none/w-1/drain', body: {}, status: 404 }
+    { method: 'POST', path: '/v1/admin/workers/none/w-1/drain', body: {}, status: 404 },
+    { method: 'POST', path: '/v1/admin/zones/fukuoka/evacuation', body: { evacuated: 1 }, status: 400 }
   ])('$method $path is answered with $status', async ({ method, path, body, kind, status }) => {
     const { request, router } = createHarness()
     expect((await request(method, path, operator, body)).status).toBe(status)
--- a/packages/daemon/test/owner/acknowledgement.spec.ts
+++ b/packages/daemon/test/owner/acknowledgement.spec.ts
@@ -142,6 +142,23 @@
   expect(shard.worker.started).toEqual([REPLICA, REPLICA])
 })
 
+test.each([
+  { title: 'keeps tasks away', at: 'the owner', play: () => {} },
+  { title: 'keeps tasks away', at: 'a successor', play: () => { shard.takeOver() } }
+])('an evacuated zone $title at $at, until it is taken back', async ({ play }) => {
+  const zone = shard.owner.fleet.session('w1')!.options.vm.zone!
+  const request: Request = { kind: MessageKind.Evacuate, shard: 'cloth-studio', zone, evacuated: true }
+  expect((await shard.owner.handle(request)).isOk()).toBe(true)
+  play()
+  await shard.submit()
+  await sleep(200)
+  expect([shard.worker.started, [...shard.state.evacuated]]).toEqual([[], [zone]])
+  const explanation = await shard.owner.handle({ kind: MessageKind.Explain, job: JOB })
+  expect(explanation._unsafeUnwrap()).toMatchObject({ detail: expect.stringContaining('their zone is being evacuated') })
+  expect((await shard.owner.handle({ ...request, evacuated: false })).isOk()).toBe(true)
+  await runsAtWorker()
+})
+
 // Guards against an operator who is told that a drain was not written although a successor reads it.
 test.each([
   { failure: JournalFailure.Unavailable, reason: Reason.LogUnavailable, execution: Execution.NotRun },
--- a/packages/daemon/test/owner/runs.spec.ts
+++ b/packages/daemon/test/owner/runs.spec.ts
@@ -46,6 +46,7 @@
     metrics: { count: () => {}, timing: () => {}, gauge: () => {} },
     session: () => session,
     confirmed: () => true,
+    isEvacuated: () => false,
     provisional,
     active: () => true,
     bodyOf: () => null,
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -54,6 +54,8 @@
   Records = 'records',
   /** Drains one worker, which then gets no new tasks, or makes it schedulable again. */
   Drain = 'drain',
+  /** Places no new tasks of a shard on workers in an availability zone, or places them there again. */
+  Evacuate = 'evacuate',
   /** Abandons a synchronous request whose caller has disconnected, if the request has not started yet. */
   Abandon = 'abandon',
   /** Entry node (which received a call) to owner: append records to the journal on behalf of the caller. */
@@ -151,6 +153,13 @@
 export const RecordsCodec = Codec.interface({ kind: exactly(MessageKind.Records), from: number })
 /** Answered with `{ shard, worker, drained }`. */
 export const DrainCodec = Codec.interface({ kind: exactly(MessageKind.Drain), shard: string, worker: string, drained: boolean })
+/** Answered with `{ shard, zone, evacuated }`. */
+export const EvacuateCodec = Codec.interface({
+  kind: exactly(MessageKind.Evacuate),
+  shard: string,
+  zone: string,
+  evacuated: boolean
+})
 /** Answered with true if the request was still waiting and has been abandoned. */
 export const AbandonCodec = Codec.interface({ kind: exactly(MessageKind.Abandon), shard: string, call: string })
 
@@ -221,6 +230,7 @@
   [MessageKind.Borrow]: BorrowCodec,
   [MessageKind.Records]: RecordsCodec,
   [MessageKind.Drain]: DrainCodec,
+  [MessageKind.Evacuate]: EvacuateCodec,
   [MessageKind.Abandon]: AbandonCodec,
   [MessageKind.Notice]: NoticeCodec,
   [MessageKind.Lookup]: LookupCodec,
@@ -264,6 +274,7 @@
 export type Borrow = GetType<typeof BorrowCodec>
 export type Records = GetType<typeof RecordsCodec>
 export type Drain = GetType<typeof DrainCodec>
+export type Evacuate = GetType<typeof EvacuateCodec>
 export type Notice = GetType<typeof NoticeCodec>
 export type Lookup = GetType<typeof LookupCodec>
 export type Advise = GetType<typeof AdviseCodec>
@@ -293,7 +304,7 @@
 export type Disconnect = GetType<typeof DisconnectCodec>
 export type Abandon = GetType<typeof AbandonCodec>
 export type Request = Call | Submit | Status | Cancel | Explain | Survey | Watch | Pledge | Handover |
-  Transfer | Borrow | Records | Drain | Abandon | Notice | Lookup | Advise | Relay | Succeed | Command | Disconnect
+  Transfer | Borrow | Records | Drain | Evacuate | Abandon | Notice | Lookup | Advise | Relay | Succeed | Command | Disconnect
 
 /** States of a durable job. */
 export enum JobState {
--- a/packages/protocol/src/survey.ts
+++ b/packages/protocol/src/survey.ts
@@ -65,6 +65,8 @@
   waiting: number,
   running: number,
   workers: array(WorkerReportCodec),
+  /** Availability zones in which the shard places no new tasks. */
+  evacuatedZones: optional(array(string)),
   teams: array(TeamReportCodec),
   queues: array(QueueReportCodec),
   /** Wall-clock time at which this owner started to count; the counts of its predecessor are lost. */
