--- a/packages/control/src/zones/evacuation-refresh.ts
+++ b/packages/control/src/zones/evacuation-refresh.ts
@@ -16,7 +16,11 @@
 
   constructor (private readonly zones: ZoneStatus, private readonly read: () => Promise<void>) {}
 
-  /** Starts a read if one is due and none is in flight. The owner's node calls it continually. @param nowMs time on the steady clock */
+  /**
+   * Starts a read if one is due and none is in flight. The owner's node calls it continually.
+   *
+   * @param nowMs time on the steady clock
+   */
   check (nowMs: number): void {
     if (this.reading || this.zones.maxStartValidityMs() >= FULL_START_VALIDITY_MS) return
     if (nowMs - this.lastReadMs < MIN_READ_INTERVAL_MS) return
