Backlog: jobs that an entry appends by itself count while they wait

Cause: they were counted only once stored, so that a node without an owner exceeded the bound by what waited (15.6 MB of 13.4 in a crowd). Change: an entry reserves what it appends, and guaranteed parts are available also while more than the bound is held.

--- a/packages/control/src/entry/job-service.ts
+++ b/packages/control/src/entry/job-service.ts
@@ -284,10 +284,13 @@
     const mayBeStored = forwarded !== undefined || isUnconfirmed
     const refusal = job === undefined || mayBeStored ? undefined : this.findShortage(job)
     if (refusal !== undefined) return err(refusal)
+    const { backlog } = this.options.journalState()
+    if (job !== undefined && !mayBeStored) backlog.reserve(job.id, job.workspace, heldBytesOf(job))
     // If the outcome at the owner is unknown, the timeout given to the owner is subtracted, even if the answer was lost earlier.
     const forwardMs = Math.min(OWNER_APPEND_TIMEOUT_MS, budgetMs / 2)
     const remainingMs = budgetMs - (forwarded === undefined ? 0 : forwardMs) - ANSWER_TRANSFER_MS
     const execution = await this.appender.append(record, remainingMs, mayBeStored ? Execution.Unknown : Execution.NotRun)
+    if (job !== undefined && !mayBeStored) backlog.release(job.id)
     if (execution === Execution.Run) {
       this.options.applyAppended(record)
       return ok(undefined)
--- a/packages/control/src/place/backlog.ts
+++ b/packages/control/src/place/backlog.ts
@@ -145,7 +145,7 @@
   }
 
   /**
-   * Checks whether a job may be added.
+   * Checks whether a job may be added. A guaranteed part is available also if more than the bound was added.
    *
    * @param parts number of nodes that admit jobs at the same time without knowing of each other's
    * @returns why it may not be added, or undefined
@@ -153,8 +153,8 @@
   findShortage (workspace: string, bytes: number, parts = 1): Shortage | undefined {
     const { guaranteed, shared } = this.division()
     if ((bytes - guaranteed) * (1 + FREE_ROOM_FACTOR) > shared * FREE_ROOM_FACTOR) return Shortage.NeverFits
+    if (this.heldBy(workspace) + bytes * parts <= guaranteed) return undefined
     if (bytes * parts > this.bound() - this.total) return Shortage.Full
-    if (this.heldBy(workspace) + bytes <= guaranteed) return undefined
     return this.excessOf(workspace, bytes) > 0 ? Shortage.Full : undefined
   }
 
--- a/packages/control/test/entry/job-service.spec.ts
+++ b/packages/control/test/entry/job-service.spec.ts
@@ -8,6 +8,7 @@
 import { JournalState } from '../../src/journal/journal-state.js'
 import type { Configuration } from '../../src/model/configuration.js'
 import { Phase } from '../../src/model/job.js'
+import { heldBytesOf } from '../../src/place/backlog.js'
 import { Store, StoreFailure, Topic, type KeyedRecord, type NewestPage, type RecordPage } from '../../src/ports/store.js'
 import { SilentLog } from '../../src/report/log.js'
 import { createJob, createQueue, createStep } from '../fakes.js'
@@ -164,6 +165,22 @@
     expect(outcomes).toEqual([Execution.Unknown, Execution.Unknown])
   })
 
+  it('is refused while the jobs that wait for the store take the room', async () => {
+    const journalState = new JournalState()
+    const { backlog } = journalState
+    const jobService = createJobService(new ScriptedStore(neverAnswer), undefined, journalState)
+    // Leaves room for one job.
+    const bytes = heldBytesOf(createJob({ payload: 'text', steps: [createStep()] }))
+    while (backlog.findShortage('', 2 * bytes) === undefined) backlog.add('', bytes)
+    const executions: Execution[] = []
+    submit(jobService, 1, (result) => { executions.push(result._unsafeUnwrapErr().execution) })
+    submit(jobService, 2, (result) => { executions.push(result._unsafeUnwrapErr().execution) })
+    await vi.advanceTimersByTimeAsync(50)
+    expect(executions).toEqual([Execution.NotRun])
+    await vi.advanceTimersByTimeAsync(BUDGET_MS)
+    expect([executions.length, backlog.findShortage('', bytes)]).toEqual([2, undefined])
+  })
+
   it('is accepted again once jobs have ended', async () => {
     const journalState = new JournalState()
     const { backlog } = journalState
--- a/packages/control/test/owner/backlog.spec.ts
+++ b/packages/control/test/owner/backlog.spec.ts
@@ -3,7 +3,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { SystemClock } from '../../src/clock.js'
 import { JournalState } from '../../src/journal/journal-state.js'
-import { Subject, encodeJob, encodeRecord } from '../../src/journal/record.js'
+import { Subject, encodeJob, encodeJobEnd, encodeRecord } from '../../src/journal/record.js'
 import { StoreAccess } from '../../src/membership/access.js'
 import type { Configuration } from '../../src/model/configuration.js'
 import { Phase } from '../../src/model/job.js'
@@ -145,11 +145,17 @@
     expect(again.isOk()).toBe(true)
   })
 
-  it('that ends at once is refused when the ended jobs alone hold too much', async () => {
+  it('is refused when jobs that have ended hold too much, with room left for another workspace', async () => {
     const { backlog } = cell.journalState
-    backlog.add('a', backlog.boundBytes)
-    await cell.submit('b', 3)
+    for (let index = 0; backlog.totalBytes < backlog.boundBytes; index++) {
+      const id = index.toString(16).padStart(16, 'd')
+      const end = { queue: 'preview', workspace: 'a', acceptedMs: cell.clock.wall(), phase: Phase.Completed, endedMs: cell.clock.wall() }
+      cell.journalState.apply({ ...encodeJobEnd(id, end), offset: index })
+    }
+    await cell.submit('a', 3)
     expect(cell.answers).toEqual({ [REFUSED]: 3 })
+    await cell.submit('b', 3)
+    expect(cell.answers).toEqual({ accepted: 3 })
   })
 })
 
--- a/packages/control/test/place/backlog.spec.ts
+++ b/packages/control/test/place/backlog.spec.ts
@@ -81,6 +81,16 @@
     expect(createBacklog().findShortage('a', bytes, parts)).toBe(shortage)
   })
 
+  it.each([
+    { workspace: 'a', bytes: 10, shortage: Shortage.Full },
+    { workspace: 'b', bytes: GUARANTEED, shortage: undefined },
+    { workspace: 'b', bytes: GUARANTEED + 1, shortage: Shortage.Full }
+  ])('answers $shortage to $bytes bytes of workspace $workspace after more than the bound was added', ({ workspace, bytes, shortage }) => {
+    const backlog = createBacklog()
+    backlog.add('a', BOUND + 500)
+    expect(backlog.findShortage(workspace, bytes)).toBe(shortage)
+  })
+
   it('counts a reservation once and until it is released', () => {
     const backlog = createBacklog()
     backlog.reserve('job', 'a', 100)
