--- a/packages/control/src/owner/admission-controller.ts
+++ b/packages/control/src/owner/admission-controller.ts
@@ -31,6 +31,9 @@
  */
 const MAX_CLOCK_DIFFERENCE_MS = 2000
 
+/** Time for which the key of an unconfirmed append is kept after the append has ended, so that its record has been read. */
+const MIN_SETTLED_MS = 60_000
+
 /** Part of the backlog's bound that records of jobs may hold while they wait for the store. */
 const UNSTORED_SHARE = 0.25
 
@@ -138,7 +141,7 @@
       if (writer.isUncommitted(key)) continue
       if (settledMs === undefined) {
         this.unconfirmedKeys.set(key, clock.now())
-      } else if (journalReadAt().steadyMs > settledMs) {
+      } else if (journalReadAt().steadyMs - settledMs > MIN_SETTLED_MS) {
         this.unconfirmedKeys.delete(key)
         this.release(splitKey(key).name, key)
       }
