Entry: other connections have their turn before a held one goes on

Cause: a connection that was read again had all that it had sent ahead handled in one turn of the event loop, as long as no call was needed for it; the readiness probe got 408 in two crowds of reads at a load of 28 to 35, since its head had not been read for 10 s. Change: a held connection goes on in the next turn of the event loop. The servers for readiness, metrics and nodes allow 60 s for a head, like that of callers.

--- a/packages/control/src/entry/feed.ts
+++ b/packages/control/src/entry/feed.ts
@@ -49,12 +49,15 @@
     if (!this.feeding) this.socket.pause()
   }
 
-  /** Hands on data again. */
+  /** Hands on data again, after the other connections had their turn. */
   goOn (): void {
     if (!this.stopped) return
     this.stopped = false
-    this.onRest(0)
-    this.feed()
+    setImmediate(() => {
+      if (this.stopped) return
+      this.onRest(0)
+      this.feed()
+    })
   }
 
   /** Closes the connection once everything has been written. The HTTP server calls it after the last answer. */
--- a/packages/control/src/entry/limits.ts
+++ b/packages/control/src/entry/limits.ts
@@ -65,9 +65,9 @@
   bytes: MEGABYTE,
   bodyBytes: 0,
   headBytes: 4096,
-  headMs: 10_000,
+  headMs: 60_000,
   bodyMs: 1000,
-  answerMs: 10_000
+  answerMs: 30_000
 }
 
 /**
