--- a/packages/control/src/report/metrics.ts
+++ b/packages/control/src/report/metrics.ts
@@ -55,6 +55,7 @@
   readonly heldStarts = this.counter('held_starts_total', 'Assignments that were not started because of an evacuation, by reason', ['reason'])
   readonly reportRequests = this.counter('looks_total', 'Renewals of leases on workers', [])
   readonly roundSeconds = this.histogram('round_seconds', 'Time of one round of decisions', [])
+  readonly ticketRenewals = this.counter('ticket_renewals_total', 'Requests for new tickets of steps that could not start yet', [])
   readonly jobsEnded = this.counter('jobs_ended_total', 'Jobs that ended, by queue and phase', ['queue', 'phase'])
   readonly jobSeconds = this.histogram('job_seconds', 'Time from the acceptance of a job to its end, by queue', ['queue'])
   readonly yieldingWorkspaces = this.gauge(
