Steps too late to be of use take nothing from others

Such a step is now placed in what is free only, and its calls of the advisor come after those of others. It stays accepted and is never dropped. The reserve and the held worker are covered by tests that fail without the change.

--- a/packages/control/src/owner/capacity-reclaimer.ts
+++ b/packages/control/src/owner/capacity-reclaimer.ts
@@ -24,9 +24,10 @@
   constructor (private readonly jobSettings: JobSettings, private readonly stopMs: number) {}
 
   /**
-   * Frees capacity for tasks of a step that could not be placed. Holds workers for long-running tasks, and for large urgent tasks
-   * within the rate of their workspace. If `mayPreempt` allows it, also preempts runs that lose little work. This is done on the
-   * held workers. If none was held, urgent tasks within the rate preempt on any of the candidates.
+   * Frees capacity for tasks of a step that could not be placed, unless its job is too late to be of use. Holds workers for
+   * long-running tasks, and for large urgent tasks within the rate of their workspace. If `mayPreempt` allows it, also preempts runs
+   * that lose little work. This is done on the held workers. If none was held, urgent tasks within the rate preempt on any of the
+   * candidates.
    *
    * @param permitted workers that may run the step
    * @param chosen the workers among them that were chosen for this step in the round
@@ -36,6 +37,7 @@
   ): void {
     const { readyStep, queue, slackMs } = ranked
     const { charge, step } = readyStep
+    if (ranked.tooLate) return
     const urgentWithinRate = queue !== undefined && queue.priority <= pool.urgentPriority && !ranked.overRate
     if (!step.lasting && !urgentWithinRate) return
     const task = { longRunning: step.lasting, urgentWithinRate, charge, slackMs }
--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -283,10 +283,11 @@
   /** Asks the advisor about workers that it has not been asked about, for tasks that no permitted worker can take. */
   private askAboutUnknown (ranked: RankedStep, unplaced: number, { unknown }: PermittedWorkers, pool: Pool): void {
     const { advisorClient } = this.options
-    const { readyStep, queue, rank } = ranked
+    const { readyStep, queue, rank, tooLate } = ranked
     if (unknown.length === 0 || queue?.advice === undefined) return
     const { charge } = readyStep
-    const hasFreeCapacity = pool.mayFit(charge) && unknown.some((candidate) => fitsResources(charge, candidate.free))
+    // Calls for steps that are too late to be of use must not delay others, so they are ordered as if no worker had free capacity.
+    const hasFreeCapacity = !tooLate && pool.mayFit(charge) && unknown.some((candidate) => fitsResources(charge, candidate.free))
     if (advisorClient.reprioritize(readyStep.name, rank, hasFreeCapacity)) return
     const sessions = chooseWorkersToAsk(charge, unplaced, unknown).map(({ session }) => session)
     advisorClient.request(readyStep.name, sessions, queue.advice, rank, hasFreeCapacity)
@@ -343,10 +344,10 @@
     let totalSlackMs = 0
     let waitingSteps = 0
     const usage = new WorkspaceUsage(ledger, this.jobSettings)
-    for (const { readyStep, queue, objectiveMs, overRate } of round.rankedSteps) {
+    for (const { readyStep, queue, objectiveMs, overRate, tooLate } of round.rankedSteps) {
       if (queue === undefined || readyStep.step.lasting || !isUrgent(queue)) continue
-      // No capacity is reserved for tasks that are blocked by the limit or the rate of their workspace.
-      if (overRate) continue
+      // No capacity is reserved for tasks that are too late to be of use, or blocked by the limit or the rate of their workspace.
+      if (overRate || tooLate) continue
       const count = Math.min(readyStep.waiting.length, usage.headroom(readyStep))
       if (count === 0) continue
       usage.add(readyStep, count)
--- a/packages/control/src/owner/step-ranking.ts
+++ b/packages/control/src/owner/step-ranking.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '../clock.js'
 import type { Queue } from '../model/configuration.js'
 import { Phase } from '../model/job.js'
-import { placementRankOf } from '../place/ranking.js'
+import { isTooLate, placementRankOf } from '../place/ranking.js'
 import type { JobSettings } from './job-settings.js'
 import type { ReadyStep, ReadySteps } from './ready-step.js'
 
@@ -24,6 +24,8 @@
   readonly slackMs: number
   /** The job's objective: the time from `dueMs` of the ready step within which it should complete. */
   readonly objectiveMs: number
+  /** The job can no longer complete while it is of use to its caller. */
+  readonly tooLate: boolean
 }
 
 /** What the ranking depends on. */
@@ -55,7 +57,9 @@
       started: job.occurrences === 0 && phase === Phase.Active,
       overRate
     }, wallNowMs)
-    ranked.push({ readyStep, queue, overRate, rank, slackMs: dueMs + objectiveMs - chainMs - wallNowMs, objectiveMs })
+    const slackMs = dueMs + objectiveMs - chainMs - wallNowMs
+    const tooLate = !readyStep.step.lasting && isTooLate(slackMs, objectiveMs)
+    ranked.push({ readyStep, queue, overRate, rank, slackMs, objectiveMs, tooLate })
   }
   return ranked.sort((left, right) => left.rank - right.rank)
 }
--- a/packages/control/src/place/ranking.ts
+++ b/packages/control/src/place/ranking.ts
@@ -68,8 +68,17 @@
   return offset + (late ? LATE_OFFSET : 0) + (input.started ? 0 : NEW_JOB_OFFSET) + latestStartMs
 }
 
+/**
+ * Returns true if a step's job can no longer complete while it is of use to its caller.
+ *
+ * @param slackMs time until the step has to start so that its job meets its objective
+ */
+export function isTooLate (slackMs: number, objectiveMs: number): boolean {
+  return slackMs + (TOO_LATE_FACTOR - 1) * objectiveMs < 0
+}
+
 function bandOf (input: RankingInput, nowMs: number): Band {
   if (input.longRunning) return Band.LongRunning
-  if (input.dueMs + TOO_LATE_FACTOR * input.objectiveMs - input.chainMs < nowMs) return Band.TooLate
+  if (isTooLate(input.dueMs + input.objectiveMs - input.chainMs - nowMs, input.objectiveMs)) return Band.TooLate
   return input.overRate ? Band.OverRate : Band.WithinRate
 }
--- a/packages/control/test/owner/dispatcher.spec.ts
+++ b/packages/control/test/owner/dispatcher.spec.ts
@@ -19,6 +19,8 @@
 /** Time between two rounds. */
 const ROUND_MS = 100
 const CAPACITY = { cpuMilli: 4000, memoryMb: 4000, accelerators: 0 }
+/** Age at which the jobs of the tests are too late to be of use. */
+const TOO_LATE_MS = 600_000
 const TASK = { cpuMilli: 1000, memoryMb: 1000, accelerators: 0 }
 
 const CONFIGURATION: Configuration = {
@@ -131,11 +133,12 @@
 
 describe('a burst of urgent jobs that are not allowed to run', () => {
   it.each([
-    ['its workspace is at its upper limit', 'limited', false],
-    ['it is beyond the rate of its workspace', '', true]
-  ])('reserves no capacity when %s', async (_, workspace, overRate) => {
+    ['its workspace is at its upper limit', 'limited', false, 0],
+    ['it is beyond the rate of its workspace', '', true, 0],
+    ['it is too late to be of use', '', false, TOO_LATE_MS]
+  ])('reserves no capacity when %s', async (_, workspace, overRate, ageMs) => {
     await harness.addWorkers(4)
-    const burst = harness.accept({ queue: 'urgent', workspace }, 100)
+    const burst = harness.accept({ queue: 'urgent', workspace, acceptedMs: harness.clock.wall() - ageMs }, 100)
     if (overRate) harness.overRateJobs.add(burst.job.id)
     harness.runRounds(50)
     harness.cancel(burst)
@@ -253,13 +256,15 @@
   // Guards against small tasks that never start because their only worker is held for the tasks of a step of which one runs there at a
   // time, although they would not delay any of them.
   it.each([
-    ['takes a small task beside the run for which the large one waits', LARGE, 1, 1],
-    ['takes no small task whose capacity the large one needs', TASK, 3, 0]
-  ])('%s', async (_, size, runs, small) => {
+    ['takes a small task beside the run for which the large one waits', LARGE, 1, 0, 1],
+    ['takes no small task whose capacity the large one needs', TASK, 3, 0, 0],
+    ['takes a small task if both are too late to be of use', TASK, 3, TOO_LATE_MS, 1]
+  ])('%s', async (_, size, runs, ageMs, small) => {
     await harness.addWorkers(1)
     harness.occupy('w1', size, runs)
-    harness.accept({ queue: 'urgent', steps: [createStep({ size: LARGE })] }, 1)
-    const later = harness.accept({ queue: 'later' }, 1)
+    const acceptedMs = harness.clock.wall() - ageMs
+    harness.accept({ queue: 'urgent', acceptedMs, steps: [createStep({ size: LARGE })] }, 1)
+    const later = harness.accept({ queue: 'later', acceptedMs }, 1)
     const { assignments } = harness.runRounds(1)
     expect(assignments.filter(({ readyStep }) => readyStep.entry === later)).toHaveLength(small)
   })
