Refuse jobs of a workspace far beyond its rate while others wait

The owner now refuses a job with limit-reached, before it is stored, if its workspace has used up its rate and a burst of 2 s and a waiting step within its rate is short of capacity or advice. Retry-After gives out the returns one after another at the rate of the workspace. While nothing is short, the workspace may use what is free.

An entry node took a refusal with a reason that it does not know of owners for an owner that was not reached, and stored the job itself; it knows limit-reached now.

--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -66,7 +66,7 @@
  * Reasons for which only an owner refuses a forwarded record. A refusal with any other reason and `Execution.NotRun` means that
  * no owner was reached.
  */
-const OWNER_REASONS: ReadonlySet<Reason> = new Set([Reason.LogUnavailable, Reason.DeadlineUnreachable])
+const OWNER_REASONS: ReadonlySet<Reason> = new Set([Reason.LogUnavailable, Reason.DeadlineUnreachable, Reason.LimitReached])
 
 /** A caller's record in a message that asks the owner to append it to the journal. */
 type RecordToAppend = Notice['records'][number]
--- a/packages/control/src/owner/admission-controller.ts
+++ b/packages/control/src/owner/admission-controller.ts
@@ -12,6 +12,7 @@
 import type { Configuration } from '../model/configuration.js'
 import type { Job } from '../model/job.js'
 import { findRetryAfterMs } from '../place/admission.js'
+import { ExcessLimiter } from '../place/excess.js'
 import { RateTracker } from '../place/rate.js'
 import type { KeyedRecord } from '../ports/store.js'
 import type { Log } from '../report/log.js'
@@ -44,6 +45,7 @@
 /** Admits callers' records for one owner. */
 export class AdmissionController {
   private readonly rates = new RateTracker()
+  private readonly excess = new ExcessLimiter()
   private readonly countedJobs = new Set<string>()
   /** Keys of records whose append was not confirmed in time. It may have written them since, or may still write them. */
   private readonly unconfirmedKeys = new Set<string>()
@@ -105,7 +107,9 @@
     this.unconfirmedKeys.delete(keyOf(Subject.Job, job.id))
     const weight = this.weightOf(job)
     // A job that an entry node appended itself may be from a clock that is ahead.
-    if (!this.rates.count(job.workspace, weight, Math.min(job.acceptedMs, this.options.clock.wall()))) return
+    const acceptedMs = Math.min(job.acceptedMs, this.options.clock.wall())
+    this.excess.count(job.workspace, weight, acceptedMs)
+    if (!this.rates.count(job.workspace, weight, acceptedMs)) return
     this.overRateJobs.add(job.id)
     this.options.log.decision('job exceeds workspace rate', { job: job.id, workspace: job.workspace, weight })
   }
@@ -136,8 +140,9 @@
   }
 
   /**
-   * Returns the reason to refuse a job, or undefined. Jobs with a schedule or with long-running steps are never refused. A job that
-   * may already have been written is never refused either, because a refusal states that the job did not run.
+   * Returns the reason to refuse a job, or undefined: its workspace is far beyond its rate while others wait, or the jobs ahead take
+   * too long. Jobs with a schedule or with long-running steps are never refused. A job that may already have been written is never
+   * refused either, because a refusal states that the job did not run.
    *
    * @param key key of the job's record
    */
@@ -145,7 +150,17 @@
     const { writer, dispatcher } = this.options
     if (writer.isUncommitted(key) || this.unconfirmedKeys.has(key)) return undefined
     if (job.occurrences > 0 || job.steps.some((step) => step.lasting)) return undefined
-    const overRate = this.rates.exceeds(job.workspace, this.weightOf(job), job.acceptedMs)
+    const weight = this.weightOf(job)
+    const overRate = this.rates.exceeds(job.workspace, weight, job.acceptedMs)
+    const contended = overRate && dispatcher.contention.isContendedFor(job, () => dispatcher.hasCapacityFor(job))
+    const returnMs = this.excess.findRetryAfterMs(job.workspace, weight, job.acceptedMs, contended)
+    if (returnMs !== undefined) {
+      return refuse(
+        Reason.LimitReached,
+        `Workspace ${job.workspace} is beyond its rate of ${weight} jobs a second, and jobs within their rate wait. Retry later.`,
+        returnMs
+      )
+    }
     const retryAfterMs = findRetryAfterMs(dispatcher.unplacedStepsOf(job.queue, overRate))
     if (retryAfterMs === undefined || dispatcher.hasCapacityFor(job)) return undefined
     return refuse(
--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -15,6 +15,7 @@
 import { TicketStatus, type AdvisorClient } from './advisor-client.js'
 import { Candidates, type PoolCandidate } from './candidates.js'
 import { CapacityReclaimer } from './capacity-reclaimer.js'
+import { Contention } from './contention.js'
 import { JobSettings } from './job-settings.js'
 import type { ReadyStep, ReadySteps } from './ready-step.js'
 import { chargeOf, type Ledger } from './ledger.js'
@@ -90,6 +91,8 @@
 export class Dispatcher {
   private readonly urgentDemand = new Map<string, UrgentDemand>()
   private readonly unplacedSteps = new Map<string, UnplacedStep[]>()
+  /** As of the last round. */
+  readonly contention: Contention
   private readonly candidates: Candidates
   private readonly permittedWorkers: PermittedWorkersFinder
   private readonly jobSettings: JobSettings
@@ -98,12 +101,14 @@
     this.candidates = new Candidates(options.sessions, options.slownessOf)
     this.permittedWorkers = new PermittedWorkersFinder(options.advisorClient)
     this.jobSettings = new JobSettings(options.configuration)
+    this.contention = new Contention(this.jobSettings)
   }
 
   /** Runs one round over all waiting tasks. */
   round (): Decisions {
     const round = this.startRound()
     this.unplacedSteps.clear()
+    this.contention.clear()
     for (const ranked of round.rankedSteps) {
       try {
         this.place(ranked, this.poolOf(ranked, round), round)
@@ -175,7 +180,10 @@
     const { permitted } = workers
     const chosen = permitted.length > 0 && pool.mayFit(charge) ? this.choose(ranked, waiting, allowed, permitted) : []
     const unplaced = allowed - chosen.length
-    if (unplaced > 0) this.askAboutUnknown(ranked, unplaced, workers, pool)
+    if (unplaced > 0) {
+      this.contention.record(ranked, permitted.length > 0)
+      this.askAboutUnknown(ranked, unplaced, workers, pool)
+    }
     if (permitted.length === 0) return
     if (unplaced > 0) {
       this.recordUnplaced(ranked, unplaced, pool)
--- a/packages/control/src/place/rate.ts
+++ b/packages/control/src/place/rate.ts
@@ -8,13 +8,16 @@
   filledMs: number
 }
 
-/** Capacity of a token bucket, as the time in which it fills. */
+/** Default capacity of a token bucket, as the time in which it fills. */
 const BURST_SECONDS = 1
 
 /** Token buckets by workspace. */
 export class RateTracker {
   private readonly buckets = new Map<string, Bucket>()
 
+  /** @param burstSeconds capacity of a token bucket, as the time in which it fills; it holds as many jobs as that at least */
+  constructor (private readonly burstSeconds = BURST_SECONDS) {}
+
   /**
    * Counts a job against the rate of its workspace.
    *
@@ -31,13 +34,18 @@
 
   /** Returns true if a job would be beyond the rate, without counting it. */
   exceeds (workspace: string, weight: number, atMs: number): boolean {
-    if (workspace === '' || weight <= 0) return false
-    const capacity = Math.max(1, weight * BURST_SECONDS)
+    return this.untilWithinMs(workspace, weight, atMs) > 0
+  }
+
+  /** Returns the time in milliseconds after which a job would be within the rate; 0 if it would be now. */
+  untilWithinMs (workspace: string, weight: number, atMs: number): number {
+    if (workspace === '' || weight <= 0) return 0
+    const capacity = Math.max(1, weight) * this.burstSeconds
     let bucket = this.buckets.get(workspace)
     if (bucket === undefined) this.buckets.set(workspace, bucket = { tokens: capacity, filledMs: atMs })
     const elapsedMs = Math.max(0, atMs - bucket.filledMs)
     bucket.tokens = Math.min(capacity, bucket.tokens + weight * elapsedMs / 1000)
     bucket.filledMs = Math.max(bucket.filledMs, atMs)
-    return bucket.tokens < 1
+    return Math.max(0, 1 - bucket.tokens) * 1000 / weight
   }
 }
--- a/packages/control/test/cluster/cluster.ts
+++ b/packages/control/test/cluster/cluster.ts
@@ -2,6 +2,7 @@
  * A cluster of real nodes in this process, connected over loopback, with a store in memory and simulated workers.
  */
 import { createServer } from 'node:net'
+import { NO_RESOURCES } from '@fireflymount/protocol/resources'
 import { err, ok, type Result } from 'neverthrow'
 import { SystemClock } from '../../src/clock.js'
 import type { AuthorizedRequest } from '../../src/entry/job-service.js'
@@ -130,11 +131,18 @@
     }
   }
 
-  /** Submits a job of one step of equal tasks. Resolves to true if it was accepted. */
-  async submit (node: Node, id: string, tasks: number, payload: string, lasting = false): Promise<boolean> {
+  /**
+   * Submits a job of one step of equal tasks. Resolves to true if it was accepted.
+   *
+   * @param weight rate of the job's workspace; 0 if it has none
+   */
+  async submit (node: Node, id: string, tasks: number, payload: string, lasting = false, weight = 0): Promise<boolean> {
     const step = createStep({ count: tasks, estimateMs: lasting ? 1000 : Number(payload), lasting })
     const submission = { id, payload, steps: [step], occurrences: 0, firstDueMs: 0, intervalMs: 0 }
-    return (await node.jobService.submit(REQUEST, submission, BUDGET_MS)).isOk()
+    const workspace = weight === 0
+      ? {}
+      : { workspace: 'limited', workspaceSettings: { weight, upperLimit: NO_RESOURCES } }
+    return (await node.jobService.submit({ ...REQUEST, ...workspace }, submission, BUDGET_MS)).isOk()
   }
 
   /** Returns the phase of a job as callers see it; undefined if the lookup is refused. */
--- a/packages/control/test/owner/dispatcher.spec.ts
+++ b/packages/control/test/owner/dispatcher.spec.ts
@@ -21,6 +21,8 @@
 const CAPACITY = { cpuMilli: 4000, memoryMb: 4000, accelerators: 0 }
 /** Age at which the jobs of the tests are too late to be of use. */
 const TOO_LATE_MS = 600_000
+/** Age at which the jobs of the tests are late, but of use. */
+const WAITED_MS = 3000
 const TASK = { cpuMilli: 1000, memoryMb: 1000, accelerators: 0 }
 
 const CONFIGURATION: Configuration = {
@@ -113,6 +115,10 @@
     return this.dispatcher.hasCapacityFor(createJob({ steps: [createStep({ count: tasks, size: TASK })] }))
   }
 
+  isContendedFor (queue: string, hasCapacity: boolean): boolean {
+    return this.dispatcher.contention.isContendedFor(createJob({ queue }), () => hasCapacity)
+  }
+
   async grant (workers: readonly string[]): Promise<void> {
     this.answer!(ok(workers.map((worker) => [worker, `ticket of ${worker}`])))
     await new Promise((resolve) => setImmediate(resolve))
@@ -166,6 +172,24 @@
   })
 })
 
+describe('the contention of a round', () => {
+  it.each([
+    ['counts a job of the same queue', 'urgent', 'urgent', 20, false, false, true],
+    ['counts a job of a queue with a higher priority', 'urgent', 'later', 20, false, false, true],
+    ['does not count a job of a queue with a lower priority', 'later', 'urgent', 20, false, false, false],
+    ['does not count a job that fits', 'urgent', 'urgent', 8, false, false, false],
+    ['does not count a job beyond its rate', 'urgent', 'urgent', 20, true, false, false],
+    ['does not count a job that lacks capacity while the new one has some', 'urgent', 'urgent', 20, false, true, false],
+    ['counts a job that has waited long for advice', 'advised', 'urgent', 1, false, true, true]
+  ])('%s', async (_, waiting, submitted, tasks, overRate, hasCapacity, contended) => {
+    await harness.addWorkers(2)
+    const entry = harness.accept({ queue: waiting, acceptedMs: harness.clock.wall() - (waiting === 'advised' ? WAITED_MS : 0) }, tasks)
+    if (overRate) harness.overRateJobs.add(entry.job.id)
+    harness.runRounds(1)
+    expect(harness.isContendedFor(submitted, hasCapacity)).toBe(contended)
+  })
+})
+
 describe('the check for free capacity', () => {
   it.each([
     ['finds capacity for a job that fits now', 8, true],
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -309,6 +309,29 @@
     expect([await admit(late), await admit(waiting)]).toEqual([`${Reason.DeadlineUnreachable} ${Execution.NotRun}`, 'admitted'])
   })
 
+  it.each([
+    ['refuses them while a job within its rate waits for capacity', [16, 16], ['admitted', 'admitted', `${Reason.LimitReached} ${Execution.NotRun}`]],
+    ['admits them while no job waits', [1], ['admitted', 'admitted', 'admitted']]
+  ])('with jobs of a workspace far beyond its rate: %s', async (_, taskCounts, expected) => {
+    const owner = harness.startOwner(1)
+    await advance(200)
+    for (const count of taskCounts) await harness.accept({ workspace: '', steps: [createStep({ count })] })
+    await advance(100)
+    const outcomes: string[] = []
+    for (const index of expected.keys()) {
+      const job = createJob({
+        id: `${index}`.padStart(16, 'f'),
+        workspace: 'flood',
+        workspaceSettings: { weight: 1, upperLimit: { cpuMilli: 0, memoryMb: 0, accelerators: 0 } },
+        acceptedMs: harness.clock.wall()
+      })
+      const admitting = owner.admit(encodeJob(job), 500)
+      await advance(50)
+      outcomes.push((await admitting).match(() => 'admitted', ({ reason, execution }) => `${reason} ${execution}`))
+    }
+    expect(outcomes).toEqual(expected)
+  })
+
   // Guards against jobs that rank as late, or as early, for as long as the clock of the node that accepted them has jumped.
   it.each([
     ['corrects the time of a job from a clock that is behind', -5000, 0],
--- a/packages/control/test/place/decisions.spec.ts
+++ b/packages/control/test/place/decisions.spec.ts
@@ -1,5 +1,7 @@
+import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import { findRetryAfterMs } from '../../src/place/admission.js'
+import { ExcessLimiter, Shortage, shortageOf } from '../../src/place/excess.js'
 import { fitGang, fitTask, isEligible, type Candidate } from '../../src/place/fit.js'
 import { chooseRunsToStop, mayHold, mayPreempt } from '../../src/place/hold.js'
 import { headroomOf } from '../../src/place/limit.js'
@@ -209,3 +211,60 @@
     expect(findRetryAfterMs(unplacedSteps)).toBe(retryAfterMs)
   })
 })
+
+describe('a workspace that submits many times its rate', () => {
+  /** Submits jobs at a steady rate for some seconds and returns the times of those accepted, and when the others may return. */
+  function flood (
+    jobsPerSecond: number, weight: number, seconds: number, contended: boolean
+  ): { accepted: number, returns: number[] } {
+    const limiter = new ExcessLimiter()
+    const returns: number[] = []
+    let accepted = 0
+    for (let job = 0; job < jobsPerSecond * seconds; job++) {
+      const atMs = NOW_MS + job * 1000 / jobsPerSecond
+      const retryAfterMs = limiter.findRetryAfterMs('guild', weight, atMs, contended)
+      if (retryAfterMs !== undefined) {
+        returns.push(atMs + retryAfterMs)
+        continue
+      }
+      accepted++
+      limiter.count('guild', weight, atMs)
+    }
+    return { accepted, returns }
+  }
+
+  it.each([
+    ['all jobs while no other job waits', 60, 10, false, 300],
+    ['all jobs within the rate', 10, 10, true, 50],
+    ['all jobs without a rate', 60, 0, true, 300],
+    ['the jobs of a burst and of the rate while others wait', 60, 10, true, 70]
+  ])('has accepted %s', (_, jobsPerSecond, weight, contended, expected) => {
+    expect(Math.abs(flood(jobsPerSecond, weight, 5, contended).accepted - expected)).toBeLessThanOrEqual(1)
+  })
+
+  it('has refused callers return no faster than its rate', () => {
+    fc.assert(fc.property(fc.integer({ min: 1, max: 40 }), fc.integer({ min: 2, max: 8 }), (weight, factor) => {
+      const { returns } = flood(weight * factor, weight, 3, true)
+      const inSecond = new Map<number, number>()
+      for (const returnMs of returns) {
+        const second = Math.floor((returnMs - NOW_MS) / 1000)
+        inSecond.set(second, (inSecond.get(second) ?? 0) + 1)
+      }
+      // Callers beyond the maximum retry time return together.
+      const within = [...inSecond].filter(([second]) => second < 20).map(([, count]) => count)
+      expect(Math.max(0, ...within)).toBeLessThanOrEqual(weight + 1)
+    }))
+  })
+
+  const peer = { slackMs: 800, totalSlackMs: 1000, overRate: false, tooLate: false, lacksCapacity: false }
+  it.each([
+    ['capacity, with full workers', { lacksCapacity: true }, Shortage.Capacity],
+    ['advice, after half of its slack', { slackMs: 400 }, Shortage.Advice],
+    ['advice, when it is late', { slackMs: -500 }, Shortage.Advice],
+    ['nothing, while it waits for its first advice', {}, Shortage.None],
+    ['nothing, if it is beyond the rate of its workspace too', { overRate: true, lacksCapacity: true }, Shortage.None],
+    ['nothing, if it is too late to be of use', { slackMs: -9000, tooLate: true, lacksCapacity: true }, Shortage.None]
+  ])('takes from a waiting step %s', (_, fields, expected) => {
+    expect(shortageOf({ ...peer, ...fields })).toBe(expected)
+  })
+})
