--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -74,7 +74,7 @@
  * no owner was reached.
  */
 const OWNER_REASONS: ReadonlySet<Reason> = new Set([
-  Reason.LogUnavailable, Reason.DeadlineUnreachable, Reason.LimitReached, Reason.TooLarge
+  Reason.LogUnavailable, Reason.DeadlineUnreachable, Reason.LimitReached, Reason.RateExceeded, Reason.TooLarge
 ])
 
 /** A caller's record in a message that asks the owner to append it to the journal. */
--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -16,6 +16,7 @@
 import { TicketStatus, type AdvisorClient } from './advisor-client.js'
 import { Candidates, type PoolCandidate } from './candidates.js'
 import { CapacityReclaimer } from './capacity-reclaimer.js'
+import { Contention } from './contention.js'
 import { JobSettings } from './job-settings.js'
 import type { ReadyStep, ReadySteps } from './ready-step.js'
 import { chargeOf, type Ledger } from './ledger.js'
@@ -99,6 +100,8 @@
 export class Dispatcher {
   private readonly urgentDemand = new Map<string, UrgentDemand>()
   private readonly unplacedSteps = new Map<string, UnplacedStep[]>()
+  /** As of the last round. */
+  readonly contention: Contention
   private readonly candidates: Candidates
   private readonly permittedWorkers: PermittedWorkersFinder
   private readonly jobSettings: JobSettings
@@ -107,12 +110,14 @@
     this.candidates = new Candidates(options.sessions, options.slownessOf)
     this.permittedWorkers = new PermittedWorkersFinder(options.advisorClient)
     this.jobSettings = new JobSettings(options.configuration)
+    this.contention = new Contention(this.jobSettings)
   }
 
   /** Runs one round over all waiting tasks. */
   round (): Decisions {
     const round = this.startRound()
     this.unplacedSteps.clear()
+    this.contention.clear()
     for (const ranked of round.rankedSteps) {
       try {
         this.place(ranked, this.poolOf(ranked, round), round)
@@ -186,7 +191,10 @@
     const { permitted } = workers
     const chosen = permitted.length > 0 && pool.mayFit(charge) ? this.choose(ranked, waiting, allowed, permitted) : []
     const unplaced = allowed - chosen.length
-    if (unplaced > 0) this.askAboutUnknown(ranked, unplaced, workers, pool)
+    if (unplaced > 0) {
+      this.contention.record(ranked, permitted.length > 0)
+      this.askAboutUnknown(ranked, unplaced, workers, pool)
+    }
     if (permitted.length === 0) {
       if (workers.unknown.length === 0) this.options.onNoWorker(readyStep, ranked.queue?.advice !== undefined)
       return
@@ -298,10 +306,11 @@
   /** Asks the advisor about workers that it has not been asked about, for tasks that no permitted worker can take. */
   private askAboutUnknown (ranked: RankedStep, unplaced: number, { unknown }: PermittedWorkers, pool: Pool): void {
     const { advisorClient } = this.options
-    const { readyStep, queue, rank } = ranked
+    const { readyStep, queue, rank, tooLate } = ranked
     if (unknown.length === 0 || queue?.advice === undefined) return
     const { charge } = readyStep
-    const hasFreeCapacity = pool.mayFit(charge) && unknown.some((candidate) => fitsResources(charge, candidate.free))
+    // Calls for steps that are too late to be of use must not delay others, so they are ordered as if no worker had free capacity.
+    const hasFreeCapacity = !tooLate && pool.mayFit(charge) && unknown.some((candidate) => fitsResources(charge, candidate.free))
     if (advisorClient.reprioritize(readyStep.name, rank, hasFreeCapacity)) return
     const sessions = chooseWorkersToAsk(charge, unplaced, unknown).map(({ session }) => session)
     advisorClient.request(readyStep.name, sessions, queue.advice, rank, hasFreeCapacity)
@@ -358,10 +367,10 @@
     let totalSlackMs = 0
     let waitingSteps = 0
     const usage = new WorkspaceUsage(ledger, this.jobSettings)
-    for (const { readyStep, queue, objectiveMs, overRate } of round.rankedSteps) {
+    for (const { readyStep, queue, objectiveMs, overRate, tooLate } of round.rankedSteps) {
       if (queue === undefined || readyStep.step.lasting || !isUrgent(queue)) continue
-      // No capacity is reserved for tasks that are blocked by the limit or the rate of their workspace.
-      if (overRate) continue
+      // No capacity is reserved for tasks that are too late to be of use, or blocked by the limit or the rate of their workspace.
+      if (overRate || tooLate) continue
       const count = Math.min(readyStep.waiting.length, usage.headroom(readyStep))
       if (count === 0) continue
       usage.add(readyStep, count)
--- a/packages/control/test/owner/dispatcher.spec.ts
+++ b/packages/control/test/owner/dispatcher.spec.ts
@@ -20,6 +20,10 @@
 const ROUND_MS = 100
 const CAPACITY = { cpuMilli: 4000, memoryMb: 4000, accelerators: 0 }
 const SMALL = { cpuMilli: 800, memoryMb: 800, accelerators: 0 }
+/** Age at which the jobs of the tests are too late to be of use. */
+const TOO_LATE_MS = 600_000
+/** Age at which the jobs of the tests are late, but of use. */
+const WAITED_MS = 3000
 const TASK = { cpuMilli: 1000, memoryMb: 1000, accelerators: 0 }
 
 const CONFIGURATION: Configuration = {
@@ -120,6 +124,10 @@
     return this.dispatcher.hasCapacityFor(createJob({ steps: [createStep({ count: tasks, size: TASK })] }))
   }
 
+  isContendedFor (queue: string, hasCapacity: boolean): boolean {
+    return this.dispatcher.contention.isContendedFor(createJob({ queue }), () => hasCapacity)
+  }
+
   async grant (workers: readonly string[]): Promise<void> {
     this.answer!(ok(workers.map((worker) => [worker, `ticket of ${worker}`])))
     await new Promise((resolve) => setImmediate(resolve))
@@ -140,11 +148,12 @@
 
 describe('a burst of urgent jobs that are not allowed to run', () => {
   it.each([
-    ['its workspace is at its upper limit', 'limited', false],
-    ['it is beyond the rate of its workspace', '', true]
-  ])('reserves no capacity when %s', async (_, workspace, overRate) => {
+    ['its workspace is at its upper limit', 'limited', false, 0],
+    ['it is beyond the rate of its workspace', '', true, 0],
+    ['it is too late to be of use', '', false, TOO_LATE_MS]
+  ])('reserves no capacity when %s', async (_, workspace, overRate, ageMs) => {
     await harness.addWorkers(4)
-    const burst = harness.accept({ queue: 'urgent', workspace }, 100)
+    const burst = harness.accept({ queue: 'urgent', workspace, acceptedMs: harness.clock.wall() - ageMs }, 100)
     if (overRate) harness.overRateJobs.add(burst.job.id)
     harness.runRounds(50)
     harness.cancel(burst)
@@ -172,6 +181,24 @@
   })
 })
 
+describe('the contention of a round', () => {
+  it.each([
+    ['counts a job of the same queue', 'urgent', 'urgent', 20, false, false, true],
+    ['counts a job of a queue with a higher priority', 'urgent', 'later', 20, false, false, true],
+    ['does not count a job of a queue with a lower priority', 'later', 'urgent', 20, false, false, false],
+    ['does not count a job that fits', 'urgent', 'urgent', 8, false, false, false],
+    ['does not count a job beyond its rate', 'urgent', 'urgent', 20, true, false, false],
+    ['does not count a job that lacks capacity while the new one has some', 'urgent', 'urgent', 20, false, true, false],
+    ['counts a job that has waited long for advice', 'advised', 'urgent', 1, false, true, true]
+  ])('%s', async (_, waiting, submitted, tasks, overRate, hasCapacity, contended) => {
+    await harness.addWorkers(2)
+    const entry = harness.accept({ queue: waiting, acceptedMs: harness.clock.wall() - (waiting === 'advised' ? WAITED_MS : 0) }, tasks)
+    if (overRate) harness.overRateJobs.add(entry.job.id)
+    harness.runRounds(1)
+    expect(harness.isContendedFor(submitted, hasCapacity)).toBe(contended)
+  })
+})
+
 describe('the check for free capacity', () => {
   it.each([
     ['finds capacity for a job that fits now', 8, true],
@@ -282,13 +309,15 @@
   // Guards against small tasks that never start because their only worker is held for the tasks of a step of which one runs there at a
   // time, although they would not delay any of them.
   it.each([
-    ['takes a small task beside the run for which the large one waits', LARGE, 1, 1],
-    ['takes no small task whose capacity the large one needs', TASK, 3, 0]
-  ])('%s', async (_, size, runs, small) => {
+    ['takes a small task beside the run for which the large one waits', LARGE, 1, 0, 1],
+    ['takes no small task whose capacity the large one needs', TASK, 3, 0, 0],
+    ['takes a small task if both are too late to be of use', TASK, 3, TOO_LATE_MS, 1]
+  ])('%s', async (_, size, runs, ageMs, small) => {
     await harness.addWorkers(1)
     harness.occupy('w1', size, runs)
-    harness.accept({ queue: 'urgent', steps: [createStep({ size: LARGE })] }, 1)
-    const later = harness.accept({ queue: 'later' }, 1)
+    const acceptedMs = harness.clock.wall() - ageMs
+    harness.accept({ queue: 'urgent', acceptedMs, steps: [createStep({ size: LARGE })] }, 1)
+    const later = harness.accept({ queue: 'later', acceptedMs }, 1)
     const { assignments } = harness.runRounds(1)
     expect(assignments.filter(({ readyStep }) => readyStep.entry === later)).toHaveLength(small)
   })
--- a/packages/protocol/src/refusal.ts
+++ b/packages/protocol/src/refusal.ts
@@ -34,6 +34,8 @@
    * accepted jobs of a workspace use as much memory as they may.
    */
   LimitReached = 'limit-reached',
+  /** The workspace submits far beyond its rate while jobs within their rate wait. */
+  RateExceeded = 'rate-exceeded',
   NoOwner = 'no-owner',
   /** The node that received the request does not, or no longer, own the shard; another node owns it. */
   NotOwner = 'not-owner',
