Refusals of excess have a reason of their own

Cause: the backlog and the refusals of excess both answered limit-reached. The entry counts those of the backlog in one line a second, so that refusals of excess would have lost their own lines under a wrong name. Change: the reason rate-exceeded, 429 like the other.

--- a/packages/daemon/src/entry/problem.ts
+++ b/packages/daemon/src/entry/problem.ts
@@ -50,6 +50,7 @@
   [Reason.DeadlineUnreachable]: { status: 503, title: 'Deadline cannot be met', retryAfterMs: 1000 },
   [Reason.DeadlinePassed]: { status: 504, title: 'Deadline passed' },
   [Reason.LimitReached]: { status: 429, title: 'Limit reached', retryAfterMs: 1000 },
+  [Reason.RateExceeded]: { status: 429, title: 'Rate exceeded', retryAfterMs: 1000 },
   [Reason.NoOwner]: { status: 503, title: 'No owner', retryAfterMs: 1000 },
   [Reason.NotOwner]: { status: 503, title: 'Owner has changed', retryAfterMs: 1000 },
   [Reason.LogUnavailable]: { status: 503, title: 'Log unavailable', retryAfterMs: 5000 },
