--- a/packages/daemon/test/entry-api.spec.ts
+++ b/packages/daemon/test/entry-api.spec.ts
@@ -21,6 +21,7 @@
     { reason: Reason.DeadlineUnreachable, status: 503, retryAfter: '1' },
     { reason: Reason.DeadlinePassed, status: 504, retryAfter: null },
     { reason: Reason.LimitReached, status: 429, retryAfter: '1' },
+    { reason: Reason.RateExceeded, status: 429, retryAfter: '1' },
     { reason: Reason.NoOwner, status: 503, retryAfter: '1' },
     { reason: Reason.NotOwner, status: 503, retryAfter: '1' },
     { reason: Reason.LogUnavailable, status: 503, retryAfter: '5' },
@@ -48,7 +49,7 @@
   })
 
   test('there are as many reasons as rows in the table above', () => {
-    expect(Object.values(Reason)).toHaveLength(25)
+    expect(Object.values(Reason)).toHaveLength(26)
   })
 
   test('Retry-After is rounded up to whole seconds', async () => {
