Entry: a connection that the server does not read is not read either

Cause: found in the review. If the HTTP server paused a connection and nothing was left of the last read, the feed resumed the socket: small segments then gathered without a bound, and uncounted. Change: the feed pauses the socket until the server asks for more.

--- a/packages/control/src/entry/feed.ts
+++ b/packages/control/src/entry/feed.ts
@@ -13,6 +13,8 @@
   /** Received data that was not handed on yet. */
   private rest: Buffer | undefined
   private stopped = false
+  /** The HTTP server takes no more data for now. */
+  private full = false
   private feeding = false
   /** True once the client has sent everything. */
   private ended = false
@@ -71,7 +73,8 @@
   }
 
   override _read (): void {
-    if (this.rest !== undefined) this.feed()
+    this.full = false
+    this.feed()
   }
 
   override _write (chunk: Buffer | string, encoding: BufferEncoding, callback: () => void): void {
@@ -91,11 +94,12 @@
   private feed (): void {
     if (this.feeding) return
     this.feeding = true
-    let accepting = true
-    while (accepting && this.rest !== undefined && !this.stopped && !this.destroyed) {
+    while (!this.full && this.rest !== undefined && !this.stopped && !this.destroyed) {
       const { rest } = this
       this.rest = rest.length > PART_BYTES ? rest.subarray(PART_BYTES) : undefined
-      accepting = this.push(rest.length > PART_BYTES ? rest.subarray(0, PART_BYTES) : rest)
+      // The server may ask for more while it takes this part.
+      this.full = true
+      if (this.push(rest.length > PART_BYTES ? rest.subarray(0, PART_BYTES) : rest)) this.full = false
     }
     this.feeding = false
     if (this.destroyed) return
@@ -103,7 +107,7 @@
       this.push(null)
       return
     }
-    if (this.rest === undefined && !this.stopped) {
+    if (this.rest === undefined && !this.stopped && !this.full) {
       if (this.socket.isPaused()) this.socket.resume()
       return
     }
--- /dev/null
+++ b/packages/control/test/entry/feed.spec.ts
@@ -0,0 +1,69 @@
+import { EventEmitter } from 'node:events'
+import type { Socket } from 'node:net'
+import { beforeEach, describe, expect, it } from 'vitest'
+import { Feed } from '../../src/entry/feed.js'
+
+/** A socket without a network. It delivers data only while it is not paused. */
+class FakeSocket extends EventEmitter {
+  paused = false
+  delivered = 0
+
+  pause (): void { this.paused = true }
+  resume (): void { this.paused = false }
+  isPaused (): boolean { return this.paused }
+  destroy (): void {}
+
+  /** Offers data in small segments until the socket is paused. */
+  press (segments: number, bytes: number): void {
+    for (let segment = 0; segment < segments && !this.paused; segment++) {
+      this.delivered += bytes
+      this.emit('data', Buffer.alloc(bytes))
+    }
+  }
+}
+
+let socket: FakeSocket
+let feed: Feed
+beforeEach(() => {
+  socket = new FakeSocket()
+  feed = new Feed(socket as unknown as Socket, () => {})
+})
+
+describe('the feed of a connection', () => {
+  // Guards against a server that has stopped reading a connection while small segments go on arriving.
+  it.each([
+    ['smaller than a part', 1000],
+    ['as large as a part', 2048],
+    ['larger than a part', 5000]
+  ])('takes a bounded number of segments %s while the server reads nothing', (_, bytes) => {
+    socket.press(1000, bytes)
+    expect(socket.paused).toBe(true)
+    expect(feed.readableLength).toBeLessThanOrEqual(feed.readableHighWaterMark + bytes)
+  })
+
+  it('hands on everything, in order, once the server reads', async () => {
+    let read = 0
+    socket.press(1000, 1000)
+    feed.on('data', (part: Buffer) => { read += part.length })
+    for (let round = 0; round < 20; round++) {
+      await new Promise((resolve) => setImmediate(resolve))
+      socket.press(100, 1000)
+    }
+    await new Promise((resolve) => setImmediate(resolve))
+    expect(socket.delivered).toBeGreaterThan(100_000)
+    expect(read).toBe(socket.delivered)
+  })
+
+  it('is not read while it is stopped, and goes on after it', async () => {
+    let read = 0
+    feed.on('data', (part: Buffer) => { read += part.length })
+    await new Promise((resolve) => setImmediate(resolve))
+    feed.stop()
+    expect(socket.paused).toBe(true)
+    socket.emit('data', Buffer.alloc(5000))
+    expect(read).toBe(0)
+    feed.goOn()
+    await new Promise((resolve) => setImmediate(resolve))
+    expect([read, socket.paused]).toEqual([5000, false])
+  })
+})
