Entry: bodies that trickle do not lock out other callers

Cause: found in the review. Connections whose bodies arrive a byte at a time were neither idle nor unread, so that nothing made room for another caller or for the readiness probe for up to two minutes. A request with an unknown expectation was answered by the HTTP server itself, past the gate; and a refused request whose body had arrived hid later malformed input. Change: the connection whose only request has been arriving longest gives way; all requests pass the gate.

--- a/packages/control/src/entry/entry.ts
+++ b/packages/control/src/entry/entry.ts
@@ -174,6 +174,7 @@
 
   attach (server: Server): void {
     server.on('request', (request, response) => { this.onRequest(request, response) })
+    server.on('checkExpectation', (request, response) => { this.onRequest(request, response) })
     server.on('clientError', (error: NodeJS.ErrnoException, socket) => { this.onClientError(error, socket) })
   }
 
@@ -283,7 +284,7 @@
     if (status === 503) response.setHeader('retry-after', RETRY_AFTER_S)
     response.statusCode = status
     response.end()
-    line.discarding = true
+    line.discarding = !request.complete
     let discarded = 0
     request.on('data', (part: Buffer) => {
       discarded += part.length
--- a/packages/control/src/entry/gate.ts
+++ b/packages/control/src/entry/gate.ts
@@ -4,7 +4,8 @@
  * A connection with as many requests in progress as it may have is not read. If a limit of all connections is reached, room is made
  * in this order:
  *
- * - for a connection, the one that has been idle longest is closed, then one that does not read its answers;
+ * - for a connection, the one that has been idle longest is closed, then one that does not read its answers, then the one whose only
+ *   request has been arriving for the longest time;
  * - for a request, connections that do not read their answers are closed, then the one that holds most by requests that are not
  *   handled yet, unless that is the connection of the request itself.
  *
@@ -20,6 +21,8 @@
   Idle = 'idle',
   /** A connection whose client does not read was closed to make room. */
   Unread = 'unread',
+  /** A connection whose request had been arriving for the longest time was closed to make room. */
+  Receiving = 'receiving',
   /** The connection that held most by requests not handled yet was closed to make room. */
   Largest = 'largest',
   /** A request was refused because no room was left. */
@@ -91,6 +94,8 @@
   private readonly lines = new Set<Line>()
   /** Connections without requests, the one that has been idle longest first. */
   private readonly idle = new Set<Line>()
+  /** Connections with a request that is arriving, the one that arrives for the longest time first. */
+  private readonly receiving = new Set<Line>()
   private usedBytes = 0
   private openRequests = 0
 
@@ -143,6 +148,7 @@
     line.closed = true
     this.lines.delete(line)
     this.idle.delete(line)
+    this.receiving.delete(line)
     this.usedBytes -= line.freeable
     this.openRequests -= line.requests
     line.freeable = 0
@@ -161,6 +167,7 @@
     line.requests++
     this.openRequests++
     line.receiving = passage
+    this.receiving.add(line)
     return this.reserve(passage, REQUEST_BYTES)
   }
 
@@ -195,7 +202,7 @@
   complete (passage: Passage): boolean {
     const { line } = passage
     if (line.closed || !this.reserve(passage, HANDLING_COPIES * passage.bodyBytes)) return false
-    line.receiving = undefined
+    this.endReceiving(line)
     line.waiting.push(passage)
     this.handleNext(line)
     if (line.requests >= this.limits.requestsPerConnection) this.hold(line)
@@ -206,7 +213,7 @@
   abandon (passage: Passage): void {
     const { line } = passage
     if (line.closed) return
-    if (line.receiving === passage) line.receiving = undefined
+    if (line.receiving === passage) this.endReceiving(line)
     this.free(passage)
     this.finish(line)
   }
@@ -243,6 +250,11 @@
     }
   }
 
+  private endReceiving (line: Line): void {
+    line.receiving = undefined
+    this.receiving.delete(line)
+  }
+
   private handleNext (line: Line): void {
     const parallel = this.usedBytes > this.limits.bytes * SHARED_FRACTION ? 1 : this.limits.requestsPerConnection
     while (line.handled.size < parallel) {
@@ -323,6 +335,11 @@
       this.cut(line, Cutoff.Unread)
       return true
     }
+    for (const line of this.receiving) {
+      if (line.handled.size > 0 || line.waiting.length > 0) continue
+      this.cut(line, Cutoff.Receiving)
+      return true
+    }
     return false
   }
 
--- a/packages/control/test/entry/gate.spec.ts
+++ b/packages/control/test/entry/gate.spec.ts
@@ -98,6 +98,16 @@
     expect(lines.map((line) => line.closed)).toEqual(lines.map((__, index) => index === closed))
   })
 
+  it('closes the connection whose only request has been arriving for the longest time, if none is idle or unread', () => {
+    const scene = new Scene()
+    const [handled, first, second] = [scene.open(), scene.open(), scene.open()]
+    scene.send(handled, 'a')
+    scene.begin(first, 1)
+    scene.begin(second, 1)
+    scene.open()
+    expect([handled.closed, first.closed, second.closed, scene.cutoffs]).toEqual([false, true, false, [Cutoff.Receiving]])
+  })
+
   it.each([
     ['the connection that holds most', [40_000, 25_000], [], 0, Cutoff.Largest, true],
     ['a connection that does not read before a larger one', [40_000, 25_000], [1], 1, Cutoff.Unread, true],
