Advice: a step that is too late but can start is asked about before one that cannot start

Change: such calls come in the order of the ranks among those that can start. In the same lines: a step that no worker may run is no competition for excess. Measured: both cases of dispatcher.spec.ts fail before.

--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -192,7 +192,7 @@
     const chosen = permitted.length > 0 && pool.mayFit(charge) ? this.choose(ranked, waiting, allowed, permitted) : []
     const unplaced = allowed - chosen.length
     if (unplaced > 0) {
-      this.contention.record(ranked, permitted.length > 0)
+      if (permitted.length > 0 || workers.unknown.length > 0) this.contention.record(ranked, permitted.length > 0)
       this.askAboutUnknown(ranked, unplaced, workers, pool)
     }
     if (permitted.length === 0) {
@@ -306,11 +306,10 @@
   /** Asks the advisor about workers that it has not been asked about, for tasks that no permitted worker can take. */
   private askAboutUnknown (ranked: RankedStep, unplaced: number, { unknown }: PermittedWorkers, pool: Pool): void {
     const { advisorClient } = this.options
-    const { readyStep, queue, rank, tooLate } = ranked
+    const { readyStep, queue, rank } = ranked
     if (unknown.length === 0 || queue?.advice === undefined) return
     const { charge } = readyStep
-    // Calls for steps that are too late to be of use must not delay others, so they are ordered as if no worker had free capacity.
-    const hasFreeCapacity = !tooLate && pool.mayFit(charge) && unknown.some((candidate) => fitsResources(charge, candidate.free))
+    const hasFreeCapacity = pool.mayFit(charge) && unknown.some((candidate) => fitsResources(charge, candidate.free))
     if (advisorClient.reprioritize(readyStep.name, rank, hasFreeCapacity)) return
     const sessions = chooseWorkersToAsk(charge, unplaced, unknown).map(({ session }) => session)
     advisorClient.request(readyStep.name, sessions, queue.advice, rank, hasFreeCapacity)
--- a/packages/control/test/owner/dispatcher.spec.ts
+++ b/packages/control/test/owner/dispatcher.spec.ts
@@ -41,6 +41,8 @@
   readonly clock = new FakeClock()
   readonly overRateJobs = new Set<string>()
   readonly asked: string[][] = []
+  /** Steps for which the advisor was asked. */
+  readonly askedSteps: string[] = []
   /** Steps for which no worker was found. */
   readonly withoutWorker: string[] = []
   readonly evacuated = new Set<string>()
@@ -53,8 +55,9 @@
   private jobs = 0
 
   constructor () {
-    this.advisorClient = new AdvisorClient((_, __, workers) => new Promise((resolve) => {
+    this.advisorClient = new AdvisorClient((_, step, workers) => new Promise((resolve) => {
       this.asked.push([...workers])
+      this.askedSteps.push(step)
       this.answer = resolve
     }), () => ['n1'], this.clock, () => {})
     this.dispatcher = new Dispatcher({
@@ -181,6 +184,23 @@
   })
 })
 
+describe('a step that is too late to be of use', () => {
+  // Guards against a step that is never placed although there is room, while steps that cannot start keep the advisor busy.
+  it('is asked about before steps for which there is no room', async () => {
+    await harness.addWorkers(1)
+    harness.occupy('w1', { cpuMilli: 3000, memoryMb: 3000, accelerators: 0 })
+    const large = createStep({ size: { cpuMilli: 2000, memoryMb: 2000, accelerators: 0 } })
+    for (let job = 0; job < 12; job++) harness.accept({ queue: 'advised', steps: [large] }, 1)
+    const late = harness.accept({
+      queue: 'advised', acceptedMs: harness.clock.wall() - TOO_LATE_MS, steps: [createStep({ size: SMALL })]
+    }, 1)
+    harness.runRounds(1)
+    expect(harness.askedSteps).not.toContain(`${late.job.id}.0.0`)
+    await harness.grant(['w1'])
+    expect(harness.askedSteps).toContain(`${late.job.id}.0.0`)
+  })
+})
+
 describe('the contention of a round', () => {
   it.each([
     ['counts a job of the same queue', 'urgent', 'urgent', 20, false, false, true],
@@ -197,6 +217,13 @@
     harness.runRounds(1)
     expect(harness.isContendedFor(submitted, hasCapacity)).toBe(contended)
   })
+
+  it('does not count a job that no worker may run', async () => {
+    await harness.addWorkers(2)
+    harness.accept({ queue: 'urgent', acceptedMs: harness.clock.wall() - WAITED_MS, steps: [createStep({ label: 'nowhere', size: TASK })] }, 1)
+    harness.runRounds(1)
+    expect(harness.isContendedFor('urgent', true)).toBe(false)
+  })
 })
 
 describe('the check for free capacity', () => {
