Rates: a clock that is set back does not stop the buckets

After the owner's clock had been ahead, no bucket was filled until it was there again, so that jobs within their rate were refused. Change: a bucket or a time of return from a later clock counts from now on. Measured: the case of decisions.spec.ts fails before.

--- a/packages/control/src/place/excess.ts
+++ b/packages/control/src/place/excess.ts
@@ -68,7 +68,10 @@
     if (!contended) return undefined
     const untilWithinMs = this.rates.untilWithinMs(workspace, weight, atMs)
     if (untilWithinMs <= 0) return undefined
-    const returnMs = Math.max(atMs + untilWithinMs, this.nextReturnMs.get(workspace) ?? 0)
+    const nextReturnMs = this.nextReturnMs.get(workspace) ?? 0
+    // A return that is further ahead than any that is given was given by a clock that has been set back since.
+    const isFromLaterClock = nextReturnMs - atMs > 2 * MAX_RETRY_AFTER_MS
+    const returnMs = Math.max(atMs + untilWithinMs, isFromLaterClock ? 0 : nextReturnMs)
     const retryAfterMs = returnMs - atMs
     if (retryAfterMs > MAX_RETRY_AFTER_MS) return MAX_RETRY_AFTER_MS
     this.nextReturnMs.set(workspace, returnMs + 1000 / weight)
--- a/packages/control/src/place/rate.ts
+++ b/packages/control/src/place/rate.ts
@@ -11,6 +11,12 @@
 /** Default capacity of a token bucket, as the time in which it fills. */
 const BURST_SECONDS = 1
 
+/**
+ * A bucket that was filled this much later than now was filled by a clock that has been set back since. It is filled from now on, so that
+ * the workspace does not wait until the clock is there again.
+ */
+const MAX_CLOCK_DIFFERENCE_MS = 4000
+
 /** Token buckets by workspace. */
 export class RateTracker {
   private readonly buckets = new Map<string, Bucket>()
@@ -43,6 +49,7 @@
     const capacity = Math.max(1, weight) * this.burstSeconds
     let bucket = this.buckets.get(workspace)
     if (bucket === undefined) this.buckets.set(workspace, bucket = { tokens: capacity, filledMs: atMs })
+    if (bucket.filledMs - atMs > MAX_CLOCK_DIFFERENCE_MS) bucket.filledMs = atMs
     const elapsedMs = Math.max(0, atMs - bucket.filledMs)
     bucket.tokens = Math.min(capacity, bucket.tokens + weight * elapsedMs / 1000)
     bucket.filledMs = Math.max(bucket.filledMs, atMs)
--- a/packages/control/test/place/decisions.spec.ts
+++ b/packages/control/test/place/decisions.spec.ts
@@ -246,6 +246,18 @@
     expect(Math.abs(flood(jobsPerSecond, weight, 5, contended).accepted - expected)).toBeLessThanOrEqual(1)
   })
 
+  it('is within its rate again although the clock was set back by an hour', () => {
+    const limiter = new ExcessLimiter()
+    const count = (atMs: number): number | undefined => {
+      const retryAfterMs = limiter.findRetryAfterMs('guild', 1, atMs, true)
+      if (retryAfterMs === undefined) limiter.count('guild', 1, atMs)
+      return retryAfterMs
+    }
+    for (let job = 0; job < 5; job++) count(NOW_MS + 3_600_000)
+    count(NOW_MS)
+    expect([count(NOW_MS + 2000), count(NOW_MS + 2000)]).toEqual([undefined, undefined])
+  })
+
   it('has refused callers return no faster than its rate', () => {
     fc.assert(fc.property(fc.integer({ min: 1, max: 40 }), fc.integer({ min: 2, max: 8 }), (weight, factor) => {
       const { returns } = flood(weight * factor, weight, 3, true)
