Entry: a repeated submission is not said to be not run while the first is in progress

Cause: found in the review. Without an owner, the second submission of a job on the same node could be refused as not run although the first was being stored. Change: its outcome is unknown then. Measured: the case of job-service.spec.ts fails before.

--- a/packages/control/src/entry/job-service.ts
+++ b/packages/control/src/entry/job-service.ts
@@ -86,6 +86,8 @@
   private readonly appender: Appender
   private readonly refusals: RefusalCounter
   private readonly unconfirmedJobs = new UnconfirmedJobs()
+  /** Number of submissions in progress, by id of the job. */
+  private readonly submitting = new Map<string, number>()
 
   constructor (private readonly options: JobServiceOptions) {
     this.refusals = new RefusalCounter(options.log, options.clock, 'jobs refused by the backlog')
@@ -136,7 +138,7 @@
     const validationError = findJobError(submission)
     if (validationError !== undefined) return err(refuse(Reason.BadRequest, validationError))
     const job = this.createJob(request, submission)
-    const appended = await this.append(encodeJob(job), budgetMs, () => this.options.journalState().jobs.has(job.id), job)
+    const appended = await this.appendJob(job, budgetMs)
     if (appended.isErr()) {
       const { reason, execution, retryAfterMs } = appended.error
       if (execution === Execution.Unknown) this.unconfirmedJobs.add(job.id, this.options.clock.now())
@@ -155,6 +157,21 @@
     return ok(undefined)
   }
 
+  /** Appends a job. While another submission of it is in progress, which may store it, it is not said to be not run. */
+  private async appendJob (job: Job, budgetMs: number): Promise<Result<void, Refusal>> {
+    const { id } = job
+    const others = this.submitting.get(id) ?? 0
+    this.submitting.set(id, others + 1)
+    try {
+      const appended = await this.append(encodeJob(job), budgetMs, () => this.options.journalState().jobs.has(id), job)
+      return others === 0 ? appended : appended.mapErr((refusal) => ({ ...refusal, execution: Execution.Unknown }))
+    } finally {
+      const remaining = this.submitting.get(id)! - 1
+      if (remaining === 0) this.submitting.delete(id)
+      else this.submitting.set(id, remaining)
+    }
+  }
+
   /** Returns the phase of a job as callers see it. */
   async lookup (request: AuthorizedRequest, id: string): Promise<Result<Phase, Refusal>> {
     const since = this.options.clock.stamp()
--- a/packages/control/test/entry/job-service.spec.ts
+++ b/packages/control/test/entry/job-service.spec.ts
@@ -165,6 +165,19 @@
     expect(outcomes).toEqual([Execution.Unknown, Execution.Unknown])
   })
 
+  // Guards against a caller that is told that its job never runs while its earlier attempt on the same node may still store it.
+  it('is not refused as not run while another submission of it is in progress', async () => {
+    const journalState = new JournalState()
+    const jobService = createJobService(new ScriptedStore(neverAnswer), undefined, journalState)
+    const outcomes: Execution[] = []
+    submit(jobService, 1, (result) => { outcomes.push(result._unsafeUnwrapErr().execution) })
+    await vi.advanceTimersByTimeAsync(50)
+    journalState.backlog.add('', journalState.backlog.boundBytes)
+    submit(jobService, 1, (result) => { outcomes.push(result._unsafeUnwrapErr().execution) })
+    await vi.advanceTimersByTimeAsync(50)
+    expect(outcomes).toEqual([Execution.Unknown])
+  })
+
   it('is refused while the jobs that wait for the store take the room', async () => {
     const journalState = new JournalState()
     const { backlog } = journalState
