Past use: credit what is left of a discarded run, and count all workers

The credit was not decayed and covered long-running tasks; after a takeover the use was related to the few workers that had answered. Change: the decayed time is credited, never that of long-running tasks or of runs stopped for another reason; the capacity is that of all known workers. Measured: two cases of past-use-recorder.spec.ts fail before.

--- a/packages/control/src/owner/past-use-recorder.ts
+++ b/packages/control/src/owner/past-use-recorder.ts
@@ -1,7 +1,7 @@
 /**
  * Records what workspaces use while this node owns the cell, and writes it to the journal for its successors.
  */
-import type { Resources } from '@fireflymount/protocol/resources'
+import { NO_RESOURCES, addResources, type Resources } from '@fireflymount/protocol/resources'
 import type { Clock } from '../clock.js'
 import { detach } from '../detach.js'
 import type { Encoder } from '../journal/job-changes.js'
@@ -12,7 +12,6 @@
 import type { Log } from '../report/log.js'
 import type { Metrics } from '../report/metrics.js'
 import type { Ledger } from './ledger.js'
-import { totalCapacityOf } from './pool.js'
 import { StopReason, type Run } from './run.js'
 import type { Session } from './session.js'
 
@@ -76,10 +75,14 @@
     this.write()
   }
 
-  /** Credits the workspace of a run whose work was discarded with what the run held. Saved work, and that of a cancelled job, is not credited. */
+  /**
+   * Credits the workspace of a run whose work was discarded with what the run held. Saved work is not credited, nor is that of a long-running
+   * task, which has served its users, or of a run that was stopped for another reason than preemption.
+   */
   credit ({ entry, step, assignedMs, checkpoint, stopping }: Run): void {
-    if (stopping === StopReason.Cancelled || checkpoint !== '') return
-    this.pastUse.charge(entry.job.workspace, step.size, this.totalCapacity(), assignedMs - this.options.clock.now())
+    if (checkpoint !== '' || step.lasting || (stopping !== undefined && stopping !== StopReason.Preempted)) return
+    const heldMs = this.pastUse.remainingOf(this.options.clock.now() - assignedMs)
+    this.pastUse.charge(entry.job.workspace, step.size, this.totalCapacity(), -heldMs)
   }
 
   private sample (elapsedMs: number): void {
@@ -126,8 +129,11 @@
     if (changes.size > 0) detach(this.options.writer.commit(changes))
   }
 
+  /** Capacity of all workers, also of those that are not reachable now: what runs there is held. */
   private totalCapacity (): Resources {
-    return totalCapacityOf(this.options.sessions.values())
+    let total = NO_RESOURCES
+    for (const { worker } of this.options.sessions.values()) total = addResources(total, worker.capacity)
+    return total
   }
 }
 
--- a/packages/control/src/owner/pool.ts
+++ b/packages/control/src/owner/pool.ts
@@ -107,12 +107,12 @@
   }
 }
 
-/** Total capacity of the reachable workers of an upstream, or of all upstreams, outside of zones that are being evacuated. */
-export function totalCapacityOf (sessions: Iterable<Session>, upstream?: string): Resources {
+/** Total capacity of an upstream's reachable workers outside of zones that are being evacuated. */
+export function totalCapacityOf (sessions: Iterable<Session>, upstream: string): Resources {
   let [cpuMilli, memoryMb, accelerators] = [0, 0, 0]
   for (const session of sessions) {
     const { worker, reachable } = session
-    if ((upstream !== undefined && worker.upstream !== upstream) || !reachable || session.isEvacuated()) continue
+    if (worker.upstream !== upstream || !reachable || session.isEvacuated()) continue
     cpuMilli += worker.capacity.cpuMilli
     memoryMb += worker.capacity.memoryMb
     accelerators += worker.capacity.accelerators
--- a/packages/control/src/place/past-use.ts
+++ b/packages/control/src/place/past-use.ts
@@ -82,6 +82,11 @@
     ])
   }
 
+  /** Returns what is left of the time for which something was held until now, after its decay. */
+  remainingOf (heldMs: number): number {
+    return (1 - this.decayOver(heldMs)) * this.halfLifeMs / Math.LN2
+  }
+
   /** Computes by how much each workspace yields. Call it after changes of the use or of the weights. */
   update (weights: Weights): void {
     this.yields = new Map()
--- a/packages/control/test/owner/past-use-recorder.spec.ts
+++ b/packages/control/test/owner/past-use-recorder.spec.ts
@@ -63,9 +63,9 @@
   }
 
   /** Assigns a run of a workspace. */
-  assign (workspace: string, cpuMilli: number): Run {
+  assign (workspace: string, cpuMilli: number, lasting = false): Run {
     const id = String(this.ledger.size).padStart(16, '0')
-    const step = createStep({ size: { cpuMilli, memoryMb: 0, accelerators: 0 } })
+    const step = createStep({ size: { cpuMilli, memoryMb: 0, accelerators: 0 }, lasting })
     const state = new JournalState()
     state.apply({ ...encodeJob(createJob({ id, workspace, steps: [step] })), offset: UNKNOWN_OFFSET }, 1)
     const entry = state.jobs.get(id)!
@@ -133,10 +133,11 @@
     ['a run that was lost with its worker', undefined, '', 0],
     ['a preempted run of which nothing was saved', StopReason.Preempted, '', 0],
     ['not a run that has saved its work', undefined, 'saved', 4000],
-    ['not a run of a cancelled job', StopReason.Cancelled, '', 4000]
-  ])('credits %s', async (_, stopping, checkpoint, remainingMs) => {
+    ['not a run of a cancelled job', StopReason.Cancelled, '', 4000],
+    ['not a run of a long-running task', undefined, '', 4000, true]
+  ])('credits %s', async (_, stopping, checkpoint, remainingMs, lasting = false) => {
     const recorder = cell.takeOver()
-    const run = cell.assign('heavy', 4000)
+    const run = cell.assign('heavy', 4000, lasting)
     run.stopping = stopping
     run.checkpoint = checkpoint
     await cell.pass(recorder, 10)
@@ -144,6 +145,16 @@
     expect(Math.abs(recorder.pastUse.useOf('heavy') - remainingMs)).toBeLessThan(500)
   })
 
+  it('credits a run with what is left of its use after the decay', async () => {
+    const recorder = cell.takeOver()
+    cell.assign('heavy', 1000)
+    const run = cell.assign('heavy', 4000)
+    await cell.pass(recorder, 600)
+    const before = recorder.pastUse.useOf('heavy')
+    recorder.credit(run)
+    expect(recorder.pastUse.useOf('heavy') / before).toBeCloseTo(0.2, 1)
+  })
+
   it.each([
     ['is not a record', 'text'],
     ['has a row of another type', [1, [['heavy', 'much', 0, 0]]]],
