Review: no claim before the evacuations are known, no useless renewals

Cause: found in the review. A node could own the cell before it had read the requests of operators, and start nothing until then; each step without a worker walked all sessions in each round also without an evacuation; tickets that are valid for hardly longer than a call, and those of steps too late to be of use, were renewed ahead. Change: each returns early.

--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -8,7 +8,7 @@
 import { MessageKind, type Notice, type Request } from '@fireflymount/protocol/message'
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
-import { sleep, type Clock } from './clock.js'
+import { NEVER, sleep, type Clock } from './clock.js'
 import { Entry } from './entry/entry.js'
 import { JobService } from './entry/job-service.js'
 import type { EntryLimits } from './entry/limits.js'
@@ -456,6 +456,8 @@
 
   private shouldClaim (nowMs: number): boolean {
     if (this.journal.offset === undefined || this.configuration === undefined || !this.registration.isWritten()) return false
+    // Before the first read has ended, it is not known which zones are being evacuated, so that nothing could be started.
+    if (this.configurationFollower.freshAt === NEVER) return false
     const { nodes, ownerClaim } = this.journalState
     if (ownerClaim !== undefined && this.claimant.holds(ownerClaim)) return false
     if (this.options.clock.now() - this.ownerFailedMs < FAILED_OWNER_DELAY_MS) return false
--- a/packages/control/src/owner/ticket-renewal.ts
+++ b/packages/control/src/owner/ticket-renewal.ts
@@ -13,6 +13,9 @@
 /** A call takes at most this much longer for the workers that it names than for none. More named workers are more choice. */
 const MAX_NAMED_SHARE = 0.25
 
+/** Tickets are renewed ahead only if they are valid for this many calls. */
+const MIN_VALID_CALLS = 2
+
 /** The renewals of one round. Steps are passed to it in the order in which they are placed. */
 export class TicketRenewal {
   /** Number of steps for which tickets were requested. */
@@ -28,9 +31,12 @@
    * @param unplaced number of these tasks
    * @param permitted workers that may run the step
    */
-  renew ({ readyStep, queue, rank }: RankedStep, unplaced: number, permitted: readonly PoolCandidate[], pool: Pool): void {
-    if (queue?.advice === undefined || permitted.length === 0) return
+  renew (ranked: RankedStep, unplaced: number, permitted: readonly PoolCandidate[], pool: Pool): void {
+    const { readyStep, queue, rank, tooLate } = ranked
+    if (queue?.advice === undefined || permitted.length === 0 || tooLate) return
     const { advice } = queue
+    // Tickets that are valid for hardly longer than a call would be renewed without end.
+    if (advice.validMs < MIN_VALID_CALLS * advice.callMs) return
     const { name, charge } = readyStep
     const callMs = (1 + MAX_NAMED_SHARE) * advice.callMs
     const upcoming = this.upcoming.get(queue) ?? pool.releases().within(callMs)
--- a/packages/control/src/zones/zone-evacuator.ts
+++ b/packages/control/src/zones/zone-evacuator.ts
@@ -71,7 +71,8 @@
    */
   onNoWorker (readyStep: ReadyStep, advised: boolean): void {
     const { name, waiting } = readyStep
-    if (this.waitingSteps.has(name)) return
+    const [anyZone] = this.options.zones.evacuated()
+    if (anyZone === undefined || this.waitingSteps.has(name)) return
     const zones = this.findZones(readyStep, advised)
     if (zones.size === 0) return
     this.waitingSteps.add(name)
