Advice: requests of evacuated zones are withdrawn like all others

Cause: dropRequestsFor repeated the body of withdraw. Change: it calls withdraw. No change of behaviour. Measured: the tests of the advisor's client, the dispatcher and zones/ pass.

--- a/packages/control/src/owner/advisor-client.ts
+++ b/packages/control/src/owner/advisor-client.ts
@@ -235,10 +235,7 @@
   dropRequestsFor (isUnusable: (worker: string) => boolean): void {
     for (const request of [...this.queue]) {
       if (!request.workers.every(({ id }) => isUnusable(id))) continue
-      this.queue.splice(this.queue.indexOf(request), 1)
-      const known = this.steps.get(request.step)!
-      known.queued = undefined
-      known.pending = false
+      this.withdraw(this.steps.get(request.step)!)
     }
   }
 
