Dispatcher: a step that no worker may run returns first

Cause: the case was asked for twice in one function, once to leave it out of the competition and once to report it. Change: one early return before the choice of workers. No change of behaviour: without a permitted worker nothing was chosen, and nothing unknown was asked. Measured: the tests of owner/, zones/ and the clusters of evacuation and excess pass.

--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -187,18 +187,20 @@
     const withinLimit = Math.min(waiting.length, round.usage.headroom(readyStep))
     const allowed = mayUseReserve(ranked, pool) ? withinLimit : pool.countOutsideReserve(charge, withinLimit)
     if (allowed === 0 || (step.gang && allowed < step.count)) return
-    const workers = this.permittedWorkers.find(readyStep, pool, ranked.queue?.advice !== undefined)
-    const { permitted } = workers
+    const advised = ranked.queue?.advice !== undefined
+    const workers = this.permittedWorkers.find(readyStep, pool, advised)
+    const { permitted, unknown } = workers
+    if (permitted.length === 0 && unknown.length === 0) {
+      this.options.onNoWorker(readyStep, advised)
+      return
+    }
     const chosen = permitted.length > 0 && pool.mayFit(charge) ? this.choose(ranked, waiting, allowed, permitted) : []
     const unplaced = allowed - chosen.length
     if (unplaced > 0) {
-      if (permitted.length > 0 || workers.unknown.length > 0) this.contention.record(ranked, permitted.length > 0)
+      this.contention.record(ranked, permitted.length > 0)
       this.askAboutUnknown(ranked, unplaced, workers, pool)
     }
-    if (permitted.length === 0) {
-      if (workers.unknown.length === 0) this.options.onNoWorker(readyStep, ranked.queue?.advice !== undefined)
-      return
-    }
+    if (permitted.length === 0) return
     if (unplaced > 0) {
       this.recordUnplaced(ranked, unplaced, pool)
       round.renewal.renew(ranked, unplaced, permitted, pool)
