Evacuation: one constant for the validity of a start

Cause: the refresh of the evacuations had a copy of the session's constant; if one had been changed, reads would have come too late for full starts. Change: it uses the session's. No change of behaviour. Measured: the tests of zones/, the session and the cluster of evacuations pass.

--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -23,7 +23,7 @@
  */
 const REPORT_LONG_POLL_TIMEOUT_MS = 1900
 /** How long a start request is valid on the worker's clock. Limits how late a delayed request can be executed. */
-const START_VALIDITY_MS = 2000
+export const START_VALIDITY_MS = 2000
 /** Minimum and maximum delay after a failed report request. The delay doubles with each failure. */
 const MIN_REPORT_RETRY_DELAY_MS = 60
 const MAX_REPORT_RETRY_DELAY_MS = 400
--- a/packages/control/src/zones/evacuation-refresh.ts
+++ b/packages/control/src/zones/evacuation-refresh.ts
@@ -2,10 +2,9 @@
  * Reads the requests to evacuate zones again on the owner before they are too old for starts of full validity.
  */
 import { detach } from '../detach.js'
+import { START_VALIDITY_MS } from '../owner/session.js'
 import type { ZoneStatus } from './evacuations.js'
 
-/** A start that is valid for less than this may be refused as late by a worker that is reached slowly. */
-const FULL_START_VALIDITY_MS = 2000
 /** Minimum interval between two reads. */
 const MIN_READ_INTERVAL_MS = 250
 
@@ -22,7 +21,7 @@
    * @param nowMs time on the steady clock
    */
   check (nowMs: number): void {
-    if (this.reading || this.zones.maxStartValidityMs() >= FULL_START_VALIDITY_MS) return
+    if (this.reading || this.zones.maxStartValidityMs() >= START_VALIDITY_MS) return
     if (nowMs - this.lastReadMs < MIN_READ_INTERVAL_MS) return
     this.reading = true
     this.lastReadMs = nowMs
