Excess test: submits once all workers are full

Cause: the test submitted as soon as one task had started. Change: the test waits until the filling job holds the room of all workers, which is the load that it names; its bounds stay.

--- a/packages/control/test/cluster/excess.spec.ts
+++ b/packages/control/test/cluster/excess.spec.ts
@@ -3,7 +3,9 @@
 import { Topic } from '../../src/ports/store.js'
 import { Cluster, waitFor } from './cluster.js'
 
-/** More tasks than all workers have room for. */
+const WORKERS = 4
+/** Number of tasks that all workers together have room for. */
+const ROOM_TASKS = 16 * WORKERS
 const FILLING_TASKS = 400
 const TASK_MS = '30000'
 const JOBS = 12
@@ -11,7 +13,7 @@
 const BURST_JOBS = 2
 
 let cluster: Cluster
-beforeEach(() => { cluster = new Cluster(4) })
+beforeEach(() => { cluster = new Cluster(WORKERS) })
 afterEach(() => { cluster.close() })
 
 // Guards against an entry node that takes the owner's refusal for an owner that was not reached, and stores the job itself.
@@ -19,7 +21,7 @@
   await cluster.start(['n0', 'n1', 'n2'].map((name) => ({ name, callMs: 1 })))
   expect(await waitFor(() => cluster.nodes.every((node) => node.ready()), 5000)).toBe(true)
   expect(await cluster.submit(cluster.nodes[0]!, 'f'.repeat(16), FILLING_TASKS, TASK_MS)).toBe(true)
-  expect(await waitFor(() => cluster.workers.countStarted('f'.repeat(16)) > 0, 5000)).toBe(true)
+  expect(await waitFor(() => cluster.workers.countStarted('f'.repeat(16)) === ROOM_TASKS, 5000)).toBe(true)
   const startedMs = performance.now()
   const accepted: string[] = []
   for (let index = 0; index < JOBS; index++) {
