Owner on a slow machine hands the cell over

Cause: an owner whose machine is slowed keeps its connections, so others claim the cell only after long silence. The time until a further handover doubles with each change of the owner.

--- a/packages/control/src/clock.ts
+++ b/packages/control/src/clock.ts
@@ -8,6 +8,8 @@
   abstract now (): number
   /** Unix time in milliseconds. It jumps when the system time is set. */
   abstract wall (): number
+  /** Processor time in milliseconds that this process has used since it started. */
+  abstract processorMs (): number
 
   /** Returns the current time on both clocks. */
   stamp (): Stamp {
@@ -44,6 +46,11 @@
   wall (): number {
     return Date.now()
   }
+
+  processorMs (): number {
+    const { user, system } = process.cpuUsage()
+    return (user + system) / 1000
+  }
 }
 
 /**
--- a/packages/control/src/membership/election.ts
+++ b/packages/control/src/membership/election.ts
@@ -45,7 +45,7 @@
 const MUCH_SMALLER_RATIO = 0.5
 const MUCH_SMALLER_RANKS = 1
 /** Candidates with a larger rank number than this claim at the same time as this rank. */
-const MAX_RANK = 4
+export const MAX_RANK = 4
 
 /** What a node knows about the owner. */
 export interface OwnerView {
--- a/packages/control/src/membership/handover.ts
+++ b/packages/control/src/membership/handover.ts
@@ -1,5 +1,5 @@
 /**
- * Finds out when an owner hands the cell over to a node with much more processor.
+ * Finds out when an owner hands the cell over to a node with much more processor than it has, or than it gets now.
  */
 import type { Clock } from '../clock.js'
 import { isMuchSmaller, type Candidate } from './election.js'
@@ -9,12 +9,22 @@
  * handovers are at least this far apart.
  */
 export const HANDOVER_DELAY_MS = 10_000
+/**
+ * Minimum age of the ownership of a slow owner. It doubles with each recent change of the owner, so that a cell whose machines are all
+ * slow keeps its owners for longer.
+ */
+export const MIN_OWNERSHIP_MS = 3000
 
 /** The nodes to which one owner may hand the cell over. */
 export class Handover {
   private readonly connectedSinceMs = new Map<string, number>()
 
-  constructor (private readonly clock: Clock) {}
+  private readonly ownedSinceMs: number
+
+  /** Starts with the ownership. */
+  constructor (private readonly clock: Clock) {
+    this.ownedSinceMs = clock.now()
+  }
 
   /**
    * Returns a connected node that is much larger than this one and has been connected for long enough; undefined if there is none.
@@ -38,4 +48,20 @@
       if (sinceMs !== undefined && nowMs - sinceMs >= HANDOVER_DELAY_MS) return candidate.node
     }
   }
+
+  /**
+   * Returns a connected node that has much more processor than this one gets now; undefined if there is none.
+   *
+   * @param receivedShare number of cores that this node gets
+   * @param recentChanges how often the owner has changed lately
+   */
+  findFaster (
+    receivedShare: number, recentChanges: number, candidates: Iterable<Candidate>, connected: readonly string[]
+  ): string | undefined {
+    if (this.clock.now() - this.ownedSinceMs < MIN_OWNERSHIP_MS * 2 ** recentChanges) return undefined
+    for (const candidate of candidates) {
+      if (candidate.leaving === true || !connected.includes(candidate.node)) continue
+      if (isMuchSmaller({ node: '', processorShare: receivedShare }, candidate)) return candidate.node
+    }
+  }
 }
--- a/packages/control/src/membership/owner-watch.ts
+++ b/packages/control/src/membership/owner-watch.ts
@@ -29,6 +29,8 @@
   private returned = false
   /** When takeovers were read whose former owner may have been alive. */
   private takeoversMs: number[] = []
+  /** When claims were read that replaced another one. */
+  private changesMs: number[] = []
 
   constructor (
     private readonly node: string,
@@ -70,6 +72,7 @@
     this.links.forgetDial(claim.node)
     if (before === undefined) return
     this.claimReadMs = nowMs
+    this.changesMs.push(nowMs)
     if (!hadEnded) this.takeoversMs.push(nowMs)
   }
 
@@ -83,6 +86,13 @@
     return this.returned
   }
 
+  /** Returns how often the owner has changed lately. */
+  countRecentChanges (): number {
+    const nowMs = this.clock.now()
+    this.changesMs = this.changesMs.filter((changeMs) => nowMs - changeMs < RECENT_CHANGE_MS)
+    return this.changesMs.length
+  }
+
   /** Notes that the connection to the owner was lost. */
   onDisconnected (): void {
     this.delayStartMs = this.clock.now()
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -17,12 +17,13 @@
 import { JournalState } from './journal/journal-state.js'
 import { StoreAccess, type RelayCall } from './membership/access.js'
 import { ClaimProof, Claimant } from './membership/claimant.js'
-import { isClaimDue, rankOf } from './membership/election.js'
+import { MAX_RANK, isClaimDue, rankOf } from './membership/election.js'
 import { FleetGateways } from './membership/fleet-gateways.js'
 import { GatewayServer } from './membership/gateway-server.js'
 import { Handover } from './membership/handover.js'
 import { Links } from './membership/links.js'
 import { OwnerWatch } from './membership/owner-watch.js'
+import { ProcessorWatch } from './membership/processor-watch.js'
 import { AddressCollector, Registration } from './membership/registration.js'
 import { RelayServer, StoreRelay } from './membership/relay.js'
 import type { Configuration } from './model/configuration.js'
@@ -60,6 +61,8 @@
  * store. An older read is due to this node itself, which was blocked or suspended, and says nothing about the owner.
  */
 const CONFIRMATION_AGE_MS = 1000
+/** The same for the handover by an owner that gets little processor, which handles confirmations late. */
+const SLOW_CONFIRMATION_AGE_MS = 3000
 const CONFIRMATION_ANSWER_COUNT = 4
 /** Time for which a node does not claim the cell after its ownership ended with an unexpected error, so that others can. */
 const FAILED_OWNER_DELAY_MS = 5000
@@ -89,6 +92,8 @@
   readonly port: number
   /** Number of processor cores that the process may use; undefined if it is unknown. */
   readonly processorShare?: number | undefined
+  /** The owner hands the cell over if it gets less than this part of its processor; undefined if it does not. */
+  readonly minProcessorRatio?: number | undefined
   /** Memory in MB that the process may use; undefined if it is unknown. */
   readonly memoryMb?: number | undefined
   /** Bound in MB on what the jobs of the cell may hold in memory; undefined if it follows from the memory of the smallest node. */
@@ -152,6 +157,7 @@
   /** Both are set while this node owns the cell. */
   private addressCollector: AddressCollector | undefined
   private handover: Handover | undefined
+  private readonly processorWatch: ProcessorWatch
   /** Steady time at which an ownership of this node last ended with an unexpected error. */
   private ownerFailedMs = -Infinity
   /** Steady time at which the journal was last read to its end. */
@@ -176,6 +182,11 @@
     })
     this.gatewayServer = new GatewayServer(options.fleet, () => this.draining)
     this.ownerWatch = new OwnerWatch(settings.node, this.links, clock)
+    this.processorWatch = new ProcessorWatch({
+      processorShare: settings.processorShare,
+      minRatio: settings.minProcessorRatio,
+      onSlow: (receivedShare) => { log.event('machine slow', { receivedShare, processorShare: settings.processorShare }) }
+    })
     this.storeRelay = new StoreRelay(this.links, settings.node, () => [
       this.journalState.ownerClaim?.node ?? '', ...this.journalState.nodes.keys()
     ])
@@ -216,7 +227,7 @@
     if (listening.isErr()) return listening
     const { signal } = this.stopController
     const { metrics, log, clock } = this.options
-    observeEventLoop(metrics, log, clock, signal)
+    observeEventLoop(metrics, log, clock, (sample) => { this.processorWatch.add(sample) }, signal)
     detach(supervise('configuration', () => this.configurationFollower.run(signal), signal, log))
     detach(supervise('journal', () => this.followJournal(), signal, log))
     detach(this.registration.write())
@@ -423,14 +434,20 @@
   }
 
   /**
-   * Hands the cell over to a much larger node, if there is one and the store has lately accepted an append. This node is a candidate
-   * like the others afterwards.
+   * Hands the cell over to a much larger node, or to any that is faster while this one is slow, if there is one and the store has lately
+   * accepted an append. This node is a candidate like the others afterwards.
    */
   private handOver ({ epoch, writer }: Owner): void {
     const { clock, settings } = this.options
-    const successor = this.handover!.findSuccessor(settings, this.journalState.nodes.values(), this.links.connected())
-    if (successor === undefined || clock.ageOf(writer.confirmedAt) > CONFIRMATION_AGE_MS) return
-    this.options.log.event('cell handed over', { epoch, successor })
+    const candidates = [...this.journalState.nodes.values()]
+    const connected = this.links.connected()
+    const larger = this.handover!.findSuccessor(settings, candidates, connected)
+    const receivedShare = this.processorWatch.receivedShareAt(clock.now())
+    const recentChanges = this.ownerWatch.countRecentChanges()
+    const successor = larger ?? this.handover!.findFaster(receivedShare, recentChanges, candidates, connected)
+    const maxAgeMs = larger === undefined ? SLOW_CONFIRMATION_AGE_MS : CONFIRMATION_AGE_MS
+    if (successor === undefined || clock.ageOf(writer.confirmedAt) > maxAgeMs) return
+    this.options.log.event('cell handed over', { epoch, successor, slow: larger === undefined })
     this.dropOwnership('handed over')
     this.ownerWatch.onLeaving(epoch)
     detach(this.askForSuccessor(epoch))
@@ -465,7 +482,7 @@
     // The rank depends on all nodes of the cell, and a claim that is not due for the first candidate is due for none.
     if (!isClaimDue(view, 0, nowMs)) return false
     const rank = rankOf(this.options.settings.node, nodes.values(), ownerClaim?.node ?? '', this.ownerWatch.hasOwnerReturned())
-    return isClaimDue(view, rank, nowMs)
+    return isClaimDue(view, this.processorWatch.isSlow(this.options.clock.now()) ? MAX_RANK : rank, nowMs)
   }
 
   private async claim (): Promise<void> {
--- a/packages/control/test/cluster/cluster.ts
+++ b/packages/control/test/cluster/cluster.ts
@@ -4,7 +4,7 @@
 import { createServer } from 'node:net'
 import { NO_RESOURCES } from '@fireflymount/protocol/resources'
 import { err, ok, type Result } from 'neverthrow'
-import { SystemClock } from '../../src/clock.js'
+import { SystemClock, type Clock } from '../../src/clock.js'
 import type { AuthorizedRequest } from '../../src/entry/job-service.js'
 import type { Configuration } from '../../src/model/configuration.js'
 import type { Phase } from '../../src/model/job.js'
@@ -86,6 +86,10 @@
   readonly events: LoggedEvent[] = []
   /** See NodeSettings. */
   evacuationLimitMs: number | undefined
+  /** See NodeSettings. */
+  minProcessorRatio: number | undefined
+  /** Clocks by node; a node that is not listed has the system's. */
+  readonly clocks = new Map<string, Clock>()
 
   constructor (workerCount: number) {
     this.workers = new SimulatedWorkers(workerCount)
@@ -106,7 +110,8 @@
         keptMs: 120_000,
         stopMs: 200,
         configurationAgeMaxMs: 3500,
-        evacuationLimitMs: this.evacuationLimitMs
+        evacuationLimitMs: this.evacuationLimitMs,
+        minProcessorRatio: this.minProcessorRatio
       }
       this.settings.set(name, settings)
       const node = new Node({
@@ -116,7 +121,7 @@
         advisor: { advise: async () => err(AdviceFailure.NoAnswer) },
         machines: new NoMachines(),
         formats: new ClusterFormats(),
-        clock: new SystemClock(),
+        clock: this.clocks.get(name) ?? new SystemClock(),
         log: new CollectingLog(name, this.events),
         metrics: new Metrics()
       })
--- a/packages/control/test/fakes.ts
+++ b/packages/control/test/fakes.ts
@@ -24,6 +24,7 @@
 export class FakeClock extends Clock {
   steadyMs = 1000
   wallMs = 1_700_000_000_000
+  usedMs = 0
 
   now (): number {
     return this.steadyMs
@@ -33,6 +34,10 @@
     return this.wallMs
   }
 
+  processorMs (): number {
+    return this.usedMs
+  }
+
   /** Advances both clocks. */
   advance (ms: number): void {
     this.steadyMs += ms
--- a/packages/control/test/owner/round-pacer.spec.ts
+++ b/packages/control/test/owner/round-pacer.spec.ts
@@ -13,6 +13,10 @@
   override wall (): number {
     return Date.now() + this.busyMs
   }
+
+  override processorMs (): number {
+    return 0
+  }
 }
 
 /** Runs rounds of a given duration. */
