--- a/packages/control/src/owner/candidates.ts
+++ b/packages/control/src/owner/candidates.ts
@@ -18,6 +18,8 @@
   /** The worker was already considered for preemption by urgent tasks in this round, with or without success. */
   consideredForPreemption = false
   private nowMs = 0
+  /** As of this round, which starts and stops no runs before its end; undefined until they are asked for. */
+  private ends: readonly Release[] | undefined
   /** Estimated time on the steady clock at which all runs on the worker have ended, and the usage for which it was estimated. */
   private emptyAtMs = 0
   private usedWhenEstimated: Resources | undefined
@@ -59,9 +61,11 @@
     return this.expectedEnds().map(({ charge }) => charge)
   }
 
-  /** The runs that are being stopped, or are expected to end and are not overdue. */
-  releases (): Release[] {
-    return this.expectedEnds().filter(({ endMs }) => endMs === -Infinity || endMs >= 0)
+  /** Adds the runs that are being stopped, or are expected to end and are not overdue. */
+  addReleases (releases: Release[]): void {
+    for (const end of this.expectedEnds()) {
+      if (end.endMs === -Infinity || end.endMs >= 0) releases.push(end)
+    }
   }
 
   /** Time until a task fits if nothing else is placed on the worker; Infinity if it never does. */
@@ -75,7 +79,11 @@
     return Infinity
   }
 
-  private expectedEnds (): Release[] {
+  private expectedEnds (): readonly Release[] {
+    return (this.ends ??= this.computeExpectedEnds())
+  }
+
+  private computeExpectedEnds (): Release[] {
     const ends: Release[] = []
     for (const { step, stopping, assignedMs, charge } of this.session.runs.values()) {
       if (stopping !== undefined) ends.push({ charge, endMs: -Infinity })
@@ -100,6 +108,7 @@
     this.slowness = slowness
     this.consideredForPreemption = false
     this.nowMs = nowMs
+    this.ends = undefined
     if (worker.labels === this.labels && worker.capacity === this.capacity) return false
     const changed = !isSameKind(this, worker)
     this.labels = worker.labels
--- a/packages/control/src/owner/pool.ts
+++ b/packages/control/src/owner/pool.ts
@@ -3,7 +3,7 @@
  */
 import { fitsResources, scaleResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
 import { maxHoldsOf, spareBeside } from '../place/hold.js'
-import { Releases } from '../place/releases.js'
+import { Releases, type Release } from '../place/releases.js'
 import type { CandidateSet, PoolCandidate } from './candidates.js'
 import type { Session } from './session.js'
 
@@ -64,8 +64,10 @@
 
   /** What the candidates are expected to release. Runs that take longer than estimated are left out. */
   releases (): Releases {
-    this.expectedReleases ??= new Releases(this.candidates.flatMap((candidate) => candidate.releases()))
-    return this.expectedReleases
+    if (this.expectedReleases !== undefined) return this.expectedReleases
+    const ends: Release[] = []
+    for (const candidate of this.candidates) candidate.addReleases(ends)
+    return (this.expectedReleases = new Releases(ends))
   }
 
   /** Returns false if the task certainly fits on no candidate. */
