Entry: a connection whose answer is unread for a moment is not closed

Under pressure, any connection with a byte of an answer still in the process counted as one that does not read, so an ordinary client between two packets lost its connection, also while its request was being handled and while the node drained. Change: a client counts as not reading once it has taken nothing for `stallMs` (1 s by default, below the default deadline of a call). During a graceful stop only idle connections are closed to make room.

--- a/packages/control/src/entry/entry.ts
+++ b/packages/control/src/entry/entry.ts
@@ -82,6 +82,11 @@
     return this.gates.get(endpoint)?.requests ?? 0
   }
 
+  /** Closes no more callers' connections with requests to make room, because the node stops gracefully. */
+  drain (): void {
+    this.gates.get(Endpoint.Callers)?.drain()
+  }
+
   /** Ends the reports. */
   close (): void {
     clearInterval(this.timer)
--- a/packages/control/src/entry/gate.ts
+++ b/packages/control/src/entry/gate.ts
@@ -4,12 +4,15 @@
  * A connection with as many requests in progress as it may have is not read. If a limit of all connections is reached, room is made
  * in this order:
  *
- * - for a connection, the one that has been idle longest is closed, then one that does not read its answers, then the one whose only
- *   request has been arriving for the longest time;
- * - for a request, connections that do not read their answers are closed, then the one that holds most by requests that are not
- *   handled yet, unless that is the connection of the request itself.
+ * - for a connection, the one that has been idle longest is closed, then one that does not read its answers and has no work in
+ *   progress, then the one whose only request has been arriving for the longest time, then any that does not read;
+ * - for a request, connections that do not read and have no work in progress are closed, then those that hold more than the request's
+ *   own connection and have no request handled, then any that does not read, then any that holds more.
  *
- * What then finds no room is refused. Only requests that are not handled yet are refused, so a refused request has not run.
+ * A connection does not read once it has taken nothing of its answers for `stallMs`. What finds no room is refused. Only requests
+ * that are not handled yet are refused, so a refused request has not run.
+ *
+ * While the gate drains, only idle connections are closed to make room.
  */
 import type { EntryLimits } from './limits.js'
 
@@ -56,6 +59,8 @@
   /** Complete requests that wait for those before them. */
   readonly waiting: Passage[] = []
   readonly handled = new Set<Passage>()
+  /** Number of requests that are being handled, without those whose answer is being sent. */
+  working = 0
   /** Received bytes that wait until the connection is read again. */
   waitingBytes = 0
   held = false
@@ -96,8 +101,11 @@
   private readonly idle = new Set<Line>()
   /** Connections with a request that is arriving, the one that arrives for the longest time first. */
   private readonly receiving = new Set<Line>()
+  /** Connections whose clients did not read, as of the last sweep. */
+  private readonly stalled = new Set<Line>()
   private usedBytes = 0
   private openRequests = 0
+  private draining = false
 
   /** @param onCutoff called for each connection and request that is refused or closed */
   constructor (readonly limits: EntryLimits, private readonly onCutoff: (cutoff: Cutoff) => void) {}
@@ -117,6 +125,11 @@
     return this.openRequests
   }
 
+  /** Closes no more connections that have requests. */
+  drain (): void {
+    this.draining = true
+  }
+
   /** Counts a connection or request that its server refuses for another reason than the lack of room. */
   count (cutoff: Cutoff): void {
     this.onCutoff(cutoff)
@@ -149,6 +162,7 @@
     this.lines.delete(line)
     this.idle.delete(line)
     this.receiving.delete(line)
+    this.stalled.delete(line)
     this.usedBytes -= line.freeable
     this.openRequests -= line.requests
     line.freeable = 0
@@ -221,6 +235,7 @@
   /** Notes that a request was handled. Its answer may still be unread. */
   settle (passage: Passage): void {
     passage.settled = true
+    passage.line.working--
     if (passage.line.closed) {
       this.usedBytes -= passage.bytes
       return
@@ -235,16 +250,19 @@
     if (passage.settled && !passage.line.closed) this.conclude(passage)
   }
 
-  /** Closes the connections whose clients have read nothing of their answers for too long. */
+  /** Notes which clients do not read, and closes the connections of those that have read nothing for too long. */
   sweep (nowMs: number): void {
+    this.stalled.clear()
     for (const line of this.lines) {
       const sent = line.sent()
       if (line.unread() === 0) {
         line.unreadSinceMs = undefined
       } else if (line.unreadSinceMs === undefined || sent !== line.readBytes) {
         line.unreadSinceMs = nowMs
-      } else if (nowMs - line.unreadSinceMs >= this.limits.answerMs) {
+      } else if (nowMs - line.unreadSinceMs >= this.limits.answerMs && !this.draining) {
         this.cut(line, Cutoff.SlowReader)
+      } else if (nowMs - line.unreadSinceMs >= this.limits.stallMs) {
+        this.stalled.add(line)
       }
       line.readBytes = sent
     }
@@ -261,6 +279,7 @@
       const passage = line.waiting.shift()
       if (passage === undefined) return
       line.handled.add(passage)
+      line.working++
       line.freeable -= passage.bytes
       passage.handle()
     }
@@ -310,29 +329,35 @@
 
   private makeRoom (line: Line, bytes: number): boolean {
     while (this.usedBytes + bytes > this.limits.bytes) {
-      let unread: Line | undefined
-      let largest = line
-      for (const other of this.lines) {
-        if (other === line || other.freeable === 0) continue
-        if (other.unread() > 0 && other.freeable > (unread?.freeable ?? 0)) unread = other
-        if (other.freeable > largest.freeable) largest = other
-      }
-      if (unread !== undefined) this.cut(unread, Cutoff.Unread)
-      else if (largest !== line) this.cut(largest, Cutoff.Largest)
-      else return false
+      if (this.draining) return false
+      const reader = this.stalledLine(false, line)
+      const larger = this.largerThan(line, false)
+      if (reader !== undefined) this.cut(reader, Cutoff.Unread)
+      else if (larger !== undefined) this.cut(larger, Cutoff.Largest)
+      else if (!this.cutBusy(line)) return false
     }
     return true
   }
 
+  /** Makes room at the expense of requests that are being handled. Returns false if it cannot. */
+  private cutBusy (line: Line): boolean {
+    const reader = this.stalledLine(true, line)
+    const larger = this.largerThan(line, true)
+    if (reader !== undefined) this.cut(reader, Cutoff.Unread)
+    else if (larger !== undefined) this.cut(larger, Cutoff.Largest)
+    return reader !== undefined || larger !== undefined
+  }
+
   private makeRoomForConnection (): boolean {
     const [idle] = this.idle
     if (idle !== undefined) {
       this.cut(idle, Cutoff.Idle)
       return true
     }
-    for (const line of this.lines) {
-      if (line.unread() === 0) continue
-      this.cut(line, Cutoff.Unread)
+    if (this.draining) return false
+    const reader = this.stalledLine(false)
+    if (reader !== undefined) {
+      this.cut(reader, Cutoff.Unread)
       return true
     }
     for (const line of this.receiving) {
@@ -340,7 +365,28 @@
       this.cut(line, Cutoff.Receiving)
       return true
     }
-    return false
+    const busyReader = this.stalledLine(true)
+    if (busyReader === undefined) return false
+    this.cut(busyReader, Cutoff.Unread)
+    return true
+  }
+
+  /** Returns a connection whose client does not read, with or without work in progress; for a request, another one that holds memory. */
+  private stalledLine (working: boolean, requester?: Line): Line | undefined {
+    for (const line of this.stalled) {
+      if ((line.working > 0) !== working || line.unread() === 0 || line.sent() !== line.readBytes) continue
+      if (requester === undefined || (line !== requester && line.freeable > 0)) return line
+    }
+    return undefined
+  }
+
+  /** Returns the connection that holds most, with or without requests that are handled, if it holds more than the given one. */
+  private largerThan (line: Line, busy: boolean): Line | undefined {
+    let largest = line
+    for (const other of this.lines) {
+      if ((other.handled.size > 0) === busy && other.freeable > largest.freeable) largest = other
+    }
+    return largest === line ? undefined : largest
   }
 
   private cut (line: Line, cutoff: Cutoff): void {
--- a/packages/control/src/entry/limits.ts
+++ b/packages/control/src/entry/limits.ts
@@ -27,6 +27,8 @@
   readonly headMs: number
   /** Maximum time in milliseconds in which a request's body arrives after its head. */
   readonly bodyMs: number
+  /** Time in milliseconds for which a client reads nothing of an answer until it counts as one that does not read. */
+  readonly stallMs: number
   /** Maximum time in milliseconds for which a client reads nothing of an answer. */
   readonly answerMs: number
 }
@@ -56,7 +58,7 @@
 const MEGABYTE = 1024 * 1024
 
 const CALLER_DEFAULTS = {
-  requestsPerConnection: 8, bodyBytes: 262_144, headBytes: 16_384, headMs: 60_000, bodyMs: 60_000, answerMs: 30_000
+  requestsPerConnection: 8, bodyBytes: 262_144, headBytes: 16_384, headMs: 60_000, bodyMs: 60_000, stallMs: 1000, answerMs: 30_000
 }
 /** Limits of servers whose clients send no bodies and read short answers. */
 const PROBE_LIMITS: EntryLimits = {
@@ -67,6 +69,7 @@
   headBytes: 4096,
   headMs: 60_000,
   bodyMs: 1000,
+  stallMs: 1000,
   answerMs: 30_000
 }
 
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -251,6 +251,7 @@
   /** Makes the node not ready for new callers, takes no new commands of the owner on another node, and asks other nodes to take over the ownership. Requests in flight continue. */
   async drain (): Promise<void> {
     this.draining = true
+    this.entry.drain()
     const { owner } = this
     this.options.log.event('node draining', { owner: owner !== undefined })
     detach(this.registration.announceStop())
