Entry: making room costs the same however many connections are open

With the memory used up, each part that arrived and each request looked at all connections, several times, so a crowd turned its numbers into processor time of the node. Change: the order of closing is a module of its own, which keeps the connections sorted by state and by the power of two of what they hold. A request only makes room at the expense of a connection that holds more than its own would, or as much while its request has been arriving for `stallMs`, so that equal trickles do not lock a caller out.

--- a/packages/control/src/entry/entry.ts
+++ b/packages/control/src/entry/entry.ts
@@ -7,9 +7,11 @@
 import type { Clock } from '../clock.js'
 import { describeError, type Log } from '../report/log.js'
 import type { Metrics } from '../report/metrics.js'
+import { Cutoff } from './cutoff.js'
 import { Feed } from './feed.js'
-import { Cutoff, Gate, Line, Passage } from './gate.js'
+import { Gate } from './gate.js'
 import { Endpoint, limitsOf, type EntryLimits, type MachineResources } from './limits.js'
+import { Line, Passage } from './line.js'
 
 /** Interval at which clients that do not read are looked for, and at which is reported what was refused or closed. */
 const TICK_MS = 1000
--- a/packages/control/src/entry/gate.ts
+++ b/packages/control/src/entry/gate.ts
@@ -2,42 +2,13 @@
  * Admission of connections and requests to a server, by its limits. It makes no calls and sets no timers.
  *
  * A connection with as many requests in progress as it may have is not read. If a limit of all connections is reached, room is made
- * in this order:
- *
- * - for a connection, the one that has been idle longest is closed, then one that does not read its answers and has no work in
- *   progress, then the one whose only request has been arriving for the longest time, then any that does not read;
- * - for a request, connections that do not read and have no work in progress are closed, then those that hold more than the request's
- *   own connection and have no request handled, then any that does not read, then any that holds more.
- *
- * A connection does not read once it has taken nothing of its answers for `stallMs`. What finds no room is refused. Only requests
- * that are not handled yet are refused, so a refused request has not run.
- *
- * While the gate drains, only idle connections are closed to make room.
+ * by closing others, see `Eviction`. What finds no room is refused. Only requests that are not handled yet are refused, so a refused
+ * request has not run.
  */
+import { Cutoff } from './cutoff.js'
+import { Eviction, type Evicted } from './eviction.js'
 import type { EntryLimits } from './limits.js'
-
-/** Why a connection or a request was refused or closed. */
-export enum Cutoff {
-  /** A connection was refused because all others are in use. */
-  Connections = 'connections',
-  /** An idle connection was closed to make room for another one. */
-  Idle = 'idle',
-  /** A connection whose client does not read was closed to make room. */
-  Unread = 'unread',
-  /** A connection whose request had been arriving for the longest time was closed to make room. */
-  Receiving = 'receiving',
-  /** The connection that held most by requests not handled yet was closed to make room. */
-  Largest = 'largest',
-  /** A request was refused because no room was left. */
-  Memory = 'memory',
-  HeadTooLarge = 'head-too-large',
-  BodyTooLarge = 'body-too-large',
-  SlowHead = 'slow-head',
-  SlowBody = 'slow-body',
-  /** A client read nothing of its answers for too long. */
-  SlowReader = 'slow-reader',
-  Malformed = 'malformed'
-}
+import type { Line, Passage } from './line.js'
 
 /** Estimated memory of a request without its body. */
 const REQUEST_BYTES = 8192
@@ -48,67 +19,17 @@
 /** Part of the memory in use from which on each connection has one request handled at a time. */
 const SHARED_FRACTION = 1 / 2
 
-/** A connection. The gate keeps its state in the fields. */
-export abstract class Line {
-  /** Requests in progress: receiving, waiting and handled. */
-  requests = 0
-  /** Bytes that closing the connection sets free. */
-  freeable = 0
-  /** The request whose body is arriving. */
-  receiving: Passage | undefined
-  /** Complete requests that wait for those before them. */
-  readonly waiting: Passage[] = []
-  readonly handled = new Set<Passage>()
-  /** Number of requests that are being handled, without those whose answer is being sent. */
-  working = 0
-  /** Received bytes that wait until the connection is read again. */
-  waitingBytes = 0
-  held = false
-  closed = false
-  /** Bytes that the client had read, and since when the number has not changed while there was more to read. */
-  readBytes = 0
-  unreadSinceMs: number | undefined
-
-  /** Stops reading from the client. */
-  abstract hold (): void
-  /** Reads from the client again. */
-  abstract resume (): void
-  /** Closes the connection at once. `Gate.leave` is called for it. */
-  abstract close (): void
-  /** Bytes of answers that the client has not read yet, and that are in the memory of the process. */
-  abstract unread (): number
-  /** Bytes of answers that left the memory of the process. */
-  abstract sent (): number
-}
-
-/** A request, from its head until the end of its answer. */
-export class Passage {
-  bytes = 0
-  bodyBytes = 0
-  /** True once the request was handled. */
-  settled = false
-  /** True once its answer was sent to the end. */
-  answered = false
-
-  /** @param handle starts the handling of the request */
-  constructor (readonly line: Line, readonly handle: () => void) {}
-}
-
 /** Admits connections and requests. */
 export class Gate {
   private readonly lines = new Set<Line>()
-  /** Connections without requests, the one that has been idle longest first. */
-  private readonly idle = new Set<Line>()
-  /** Connections with a request that is arriving, the one that arrives for the longest time first. */
-  private readonly receiving = new Set<Line>()
-  /** Connections whose clients did not read, as of the last sweep. */
-  private readonly stalled = new Set<Line>()
+  private readonly eviction: Eviction
   private usedBytes = 0
   private openRequests = 0
-  private draining = false
 
   /** @param onCutoff called for each connection and request that is refused or closed */
-  constructor (readonly limits: EntryLimits, private readonly onCutoff: (cutoff: Cutoff) => void) {}
+  constructor (readonly limits: EntryLimits, private readonly onCutoff: (cutoff: Cutoff) => void) {
+    this.eviction = new Eviction(limits.stallMs)
+  }
 
   /** Number of open connections. */
   get connections (): number {
@@ -127,7 +48,7 @@
 
   /** Closes no more connections that have requests. */
   drain (): void {
-    this.draining = true
+    this.eviction.idleOnly = true
   }
 
   /** Counts a connection or request that its server refuses for another reason than the lack of room. */
@@ -141,18 +62,19 @@
    * @returns false if it is refused
    */
   enter (line: Line): boolean {
-    if (this.lines.size >= this.limits.connections && !this.makeRoomForConnection()) {
+    if (this.lines.size >= this.limits.connections && !this.evict(this.eviction.forConnection())) {
       this.onCutoff(Cutoff.Connections)
       return false
     }
     this.lines.add(line)
-    this.idle.add(line)
+    this.eviction.update(line)
     return true
   }
 
   /** Counts a connection as in use for as long as it is open. */
   occupy (line: Line): void {
-    this.idle.delete(line)
+    line.occupied = true
+    this.eviction.update(line)
   }
 
   /** Removes a closed connection. Handled requests of it are counted until they have settled. */
@@ -160,9 +82,7 @@
     if (line.closed) return
     line.closed = true
     this.lines.delete(line)
-    this.idle.delete(line)
-    this.receiving.delete(line)
-    this.stalled.delete(line)
+    this.eviction.remove(line)
     this.usedBytes -= line.freeable
     this.openRequests -= line.requests
     line.freeable = 0
@@ -177,11 +97,10 @@
   begin (passage: Passage): boolean {
     const { line } = passage
     if (line.closed) return false
-    this.idle.delete(line)
     line.requests++
     this.openRequests++
     line.receiving = passage
-    this.receiving.add(line)
+    line.arrivingSinceMs = this.eviction.sweptMs
     return this.reserve(passage, REQUEST_BYTES)
   }
 
@@ -189,13 +108,13 @@
   keep (line: Line, bytes: number): void {
     if (line.closed) return
     const added = bytes - line.waitingBytes
-    if (added > 0 && this.usedBytes + added > this.limits.bytes && !this.makeRoom(line, added)) {
+    if (added > 0 && !this.makeRoom(line, added)) {
       this.cut(line, Cutoff.Memory)
       return
     }
     line.waitingBytes = bytes
-    line.freeable += added
     this.usedBytes += added
+    this.addFreeable(line, added)
   }
 
   /**
@@ -216,7 +135,7 @@
   complete (passage: Passage): boolean {
     const { line } = passage
     if (line.closed || !this.reserve(passage, HANDLING_COPIES * passage.bodyBytes)) return false
-    this.endReceiving(line)
+    line.receiving = undefined
     line.waiting.push(passage)
     this.handleNext(line)
     if (line.requests >= this.limits.requestsPerConnection) this.hold(line)
@@ -227,7 +146,7 @@
   abandon (passage: Passage): void {
     const { line } = passage
     if (line.closed) return
-    if (line.receiving === passage) this.endReceiving(line)
+    if (line.receiving === passage) line.receiving = undefined
     this.free(passage)
     this.finish(line)
   }
@@ -240,7 +159,7 @@
       this.usedBytes -= passage.bytes
       return
     }
-    passage.line.freeable += passage.bytes
+    this.addFreeable(passage.line, passage.bytes)
     if (passage.answered) this.conclude(passage)
   }
 
@@ -252,35 +171,29 @@
 
   /** Notes which clients do not read, and closes the connections of those that have read nothing for too long. */
   sweep (nowMs: number): void {
-    this.stalled.clear()
+    this.eviction.sweptMs = nowMs
     for (const line of this.lines) {
       const sent = line.sent()
       if (line.unread() === 0) {
         line.unreadSinceMs = undefined
       } else if (line.unreadSinceMs === undefined || sent !== line.readBytes) {
         line.unreadSinceMs = nowMs
-      } else if (nowMs - line.unreadSinceMs >= this.limits.answerMs && !this.draining) {
+      } else if (nowMs - line.unreadSinceMs >= this.limits.answerMs && !this.eviction.idleOnly) {
         this.cut(line, Cutoff.SlowReader)
-      } else if (nowMs - line.unreadSinceMs >= this.limits.stallMs) {
-        this.stalled.add(line)
+        continue
       }
       line.readBytes = sent
+      this.eviction.update(line)
     }
   }
 
-  private endReceiving (line: Line): void {
-    line.receiving = undefined
-    this.receiving.delete(line)
-  }
-
   private handleNext (line: Line): void {
     const parallel = this.usedBytes > this.limits.bytes * SHARED_FRACTION ? 1 : this.limits.requestsPerConnection
-    while (line.handled.size < parallel) {
-      const passage = line.waiting.shift()
-      if (passage === undefined) return
+    while (line.handled.size < parallel && line.waiting.length > 0) {
+      const passage = line.waiting.shift()!
       line.handled.add(passage)
       line.working++
-      line.freeable -= passage.bytes
+      this.addFreeable(line, -passage.bytes)
       passage.handle()
     }
   }
@@ -296,7 +209,7 @@
     line.requests--
     this.openRequests--
     if (line.waiting.length > 0) this.handleNext(line)
-    if (line.requests === 0) this.idle.add(line)
+    this.eviction.update(line)
     if (line.held && line.requests < this.limits.requestsPerConnection) {
       line.held = false
       line.resume()
@@ -311,82 +224,38 @@
 
   /** Counts memory for a request that is not handled yet, and makes room for it if needed. */
   private reserve (passage: Passage, bytes: number): boolean {
-    if (this.usedBytes + bytes > this.limits.bytes && !this.makeRoom(passage.line, bytes)) {
+    if (!this.makeRoom(passage.line, bytes)) {
       this.onCutoff(Cutoff.Memory)
       return false
     }
     this.usedBytes += bytes
     passage.bytes += bytes
-    passage.line.freeable += bytes
+    this.addFreeable(passage.line, bytes)
     return true
   }
 
   private free (passage: Passage): void {
     this.usedBytes -= passage.bytes
-    passage.line.freeable -= passage.bytes
+    this.addFreeable(passage.line, -passage.bytes)
     passage.bytes = 0
   }
 
-  private makeRoom (line: Line, bytes: number): boolean {
-    while (this.usedBytes + bytes > this.limits.bytes) {
-      if (this.draining) return false
-      const reader = this.stalledLine(false, line)
-      const larger = this.largerThan(line, false)
-      if (reader !== undefined) this.cut(reader, Cutoff.Unread)
-      else if (larger !== undefined) this.cut(larger, Cutoff.Largest)
-      else if (!this.cutBusy(line)) return false
-    }
-    return true
-  }
-
-  /** Makes room at the expense of requests that are being handled. Returns false if it cannot. */
-  private cutBusy (line: Line): boolean {
-    const reader = this.stalledLine(true, line)
-    const larger = this.largerThan(line, true)
-    if (reader !== undefined) this.cut(reader, Cutoff.Unread)
-    else if (larger !== undefined) this.cut(larger, Cutoff.Largest)
-    return reader !== undefined || larger !== undefined
+  private addFreeable (line: Line, bytes: number): void {
+    line.freeable += bytes
+    this.eviction.update(line)
   }
 
-  private makeRoomForConnection (): boolean {
-    const [idle] = this.idle
-    if (idle !== undefined) {
-      this.cut(idle, Cutoff.Idle)
-      return true
-    }
-    if (this.draining) return false
-    const reader = this.stalledLine(false)
-    if (reader !== undefined) {
-      this.cut(reader, Cutoff.Unread)
-      return true
-    }
-    for (const line of this.receiving) {
-      if (line.handled.size > 0 || line.waiting.length > 0) continue
-      this.cut(line, Cutoff.Receiving)
-      return true
+  /** Returns whether there is room for more bytes of a connection, after others were closed for it if needed. */
+  private makeRoom (line: Line, bytes: number): boolean {
+    while (this.usedBytes + bytes > this.limits.bytes) {
+      if (!this.evict(this.eviction.forMemory(line, bytes))) return false
     }
-    const busyReader = this.stalledLine(true)
-    if (busyReader === undefined) return false
-    this.cut(busyReader, Cutoff.Unread)
     return true
   }
 
-  /** Returns a connection whose client does not read, with or without work in progress; for a request, another one that holds memory. */
-  private stalledLine (working: boolean, requester?: Line): Line | undefined {
-    for (const line of this.stalled) {
-      if ((line.working > 0) !== working || line.unread() === 0 || line.sent() !== line.readBytes) continue
-      if (requester === undefined || (line !== requester && line.freeable > 0)) return line
-    }
-    return undefined
-  }
-
-  /** Returns the connection that holds most, with or without requests that are handled, if it holds more than the given one. */
-  private largerThan (line: Line, busy: boolean): Line | undefined {
-    let largest = line
-    for (const other of this.lines) {
-      if ((other.handled.size > 0) === busy && other.freeable > largest.freeable) largest = other
-    }
-    return largest === line ? undefined : largest
+  private evict (evicted: Evicted | undefined): boolean {
+    if (evicted !== undefined) this.cut(evicted.line, evicted.cutoff)
+    return evicted !== undefined
   }
 
   private cut (line: Line, cutoff: Cutoff): void {
--- a/packages/control/test/entry/gate.spec.ts
+++ b/packages/control/test/entry/gate.spec.ts
@@ -1,6 +1,8 @@
 import { describe, expect, it } from 'vitest'
-import { Cutoff, Gate, Line, Passage } from '../../src/entry/gate.js'
+import { Cutoff } from '../../src/entry/cutoff.js'
+import { Gate } from '../../src/entry/gate.js'
 import { Endpoint, limitsOf, type EntryLimits } from '../../src/entry/limits.js'
+import { Line, Passage } from '../../src/entry/line.js'
 
 const LIMITS: EntryLimits = {
   connections: 3,
@@ -26,10 +28,33 @@
   override sent (): number { return this.sentBytes }
 }
 
+/** Reports each time that the gate looks at what a connection holds. */
+function countLooks (line: FakeLine, onLook: () => void): void {
+  const { handled } = line
+  let { freeable } = line
+  Object.defineProperty(line, 'freeable', {
+    get: () => {
+      onLook()
+      return freeable
+    },
+    set: (bytes: number) => { freeable = bytes }
+  })
+  Object.defineProperty(line, 'handled', {
+    get: () => {
+      onLook()
+      return handled
+    }
+  })
+}
+
 class Scene {
   readonly cutoffs: Cutoff[] = []
   readonly handled: string[] = []
-  readonly gate = new Gate(LIMITS, (cutoff) => { this.cutoffs.push(cutoff) })
+  readonly gate: Gate
+
+  constructor (limits = LIMITS) {
+    this.gate = new Gate(limits, (cutoff) => { this.cutoffs.push(cutoff) })
+  }
 
   open (): FakeLine {
     const line = new FakeLine()
@@ -140,6 +165,19 @@
     expect(lines.map(({ closed }) => closed)).toEqual(lines.map((__, index) => index === closed))
   })
 
+  it.each([
+    ['for too long', 500, [true, false, false], true],
+    ['for a moment', 499, [false, false, false], false]
+  ])('closes a connection for a request if its request of the same size has been arriving %s', (_, nowMs, closed, admitted) => {
+    const scene = new Scene({ ...LIMITS, connections: 4, bytes: 48_000 })
+    const lines = [scene.open(), scene.open(), scene.open()]
+    scene.gate.sweep(0)
+    for (const line of lines) scene.begin(line, 7000)
+    scene.gate.sweep(nowMs)
+    expect(scene.send(scene.open(), 'ordinary') !== undefined).toBe(admitted)
+    expect(lines.map((line) => line.closed)).toEqual(closed)
+  })
+
   it.each([
     ['has just begun to wait', () => {}, 499],
     ['was read in part', (line: FakeLine) => { line.sentBytes++ }, 500],
@@ -186,6 +224,32 @@
     expect([scene.cutoffs, lines.map(({ closed }) => closed)]).toEqual([[...cutoffs, Cutoff.Connections], [false, false, false]])
   })
 
+  it.each([
+    ['are handled', (scene: Scene, line: FakeLine) => { scene.send(line, 'a') }],
+    ['are handled and whose answers are not read', (scene: Scene, line: FakeLine) => {
+      scene.send(line, 'a')
+      line.unreadBytes = 1
+    }],
+    ['arrive beside others that are handled', (scene: Scene, line: FakeLine) => {
+      scene.send(line, 'a')
+      scene.begin(line, 1)
+    }]
+  ])('looks at as many connections for a request without room, however many are open whose requests %s', (_, occupy) => {
+    const looks = [20, 2000].map((connections) => {
+      const scene = new Scene({ ...LIMITS, connections, bytes: connections * 20_000 })
+      const lines = Array.from({ length: connections - 1 }, () => scene.open())
+      for (const line of lines) occupy(scene, line)
+      const requester = scene.open()
+      scene.gate.sweep(0)
+      scene.gate.sweep(500)
+      let count = 0
+      for (const line of lines) countLooks(line, () => count++)
+      for (let attempt = 0; attempt < 50; attempt++) scene.begin(requester, connections * 20_000)
+      return count
+    })
+    expect(looks[1]).toBeLessThanOrEqual(looks[0]! + 2000)
+  })
+
   it('never closes a connection for the sake of its requests that are being handled', () => {
     const scene = new Scene()
     const line = scene.open()
