Entry: bodies and refused requests keep no buffers outside the heap

Cause, traced on the crowd of bodies that do not end. What V8 holds outside the heap reached 64 MB while the gate counted 20 MB: each part of a body was a buffer of its own until the body ended; a refused body was read on to the end; a paused socket reads another 64 kB; and a part that the HTTP server kept held the whole received slab. 500 bodies were begun, though 75 could end. Change: bodies are copied into blocks of 4 kB that are used again. A body beyond its first block counts at once as what it may become. A refused request whose rest is not short is answered with `connection: close`, and its connection is not read any more and closed a second later.

--- a/packages/control/src/entry/entry.ts
+++ b/packages/control/src/entry/entry.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '../clock.js'
 import { describeError, type Log } from '../report/log.js'
 import type { Metrics } from '../report/metrics.js'
+import { Blocks, Body } from './body.js'
 import { Cutoff } from './cutoff.js'
 import { Feed } from './feed.js'
 import { Gate } from './gate.js'
@@ -19,7 +20,8 @@
 const MAX_SLOWNESS_CHECK_MS = 5000
 /** Retry time in seconds given to clients for whom there is no room. */
 const RETRY_AFTER_S = 1
-const NO_BODY = Buffer.alloc(0)
+/** The rest of a refused request's body up to which it is discarded. A connection with more of it is closed. */
+const MAX_DISCARDED_BYTES = 16_384
 
 const STATUS_LINES: Partial<Record<Cutoff, string>> = {
   [Cutoff.Connections]: `503 Service Unavailable\r\nRetry-After: ${RETRY_AFTER_S}`,
@@ -47,6 +49,7 @@
   private readonly gates = new Map<Endpoint, Gate>()
   /** What was refused or closed since the last tick. */
   private readonly cutoffs = new Map<Endpoint, Map<Cutoff, number>>()
+  private readonly blocks = new Blocks()
   private readonly timer: NodeJS.Timeout
 
   constructor (private readonly options: EntryOptions) {
@@ -72,7 +75,7 @@
       connectionsCheckingInterval: Math.min(MAX_SLOWNESS_CHECK_MS, limits.headMs, limits.bodyMs),
       keepAliveTimeout: 0
     })
-    const gated = new GatedServer(gate, handler, this.options.log)
+    const gated = new GatedServer(gate, this.blocks, handler, this.options.log)
     gated.attach(server)
     if (endpoint === Endpoint.Nodes) gated.acceptUpgrades(server)
     else gated.feed(server)
@@ -103,6 +106,7 @@
 
   private tick (): void {
     const { clock, log, metrics } = this.options
+    this.blocks.trim()
     for (const [endpoint, gate] of this.gates) {
       gate.sweep(clock.now())
       metrics.entryConnections.set({ endpoint }, gate.connections)
@@ -126,6 +130,9 @@
     super()
   }
 
+  /** Drops what the client sends from now on. */
+  ignore (): void {}
+
   override hold (): void {}
 
   override resume (): void {}
@@ -152,6 +159,10 @@
     this.feed = new Feed(socket, (bytes) => { gate.keep(this, bytes) })
   }
 
+  override ignore (): void {
+    this.feed.ignore()
+  }
+
   override hold (): void {
     this.feed.stop()
   }
@@ -177,7 +188,12 @@
 class GatedServer {
   private readonly lines = new Map<Duplex, StreamLine>()
 
-  constructor (private readonly gate: Gate, private readonly handler: RequestHandler, private readonly log: Log) {}
+  constructor (
+    private readonly gate: Gate,
+    private readonly blocks: Blocks,
+    private readonly handler: RequestHandler,
+    private readonly log: Log
+  ) {}
 
   attach (server: Server): void {
     server.on('request', (request, response) => { this.onRequest(request, response) })
@@ -222,25 +238,32 @@
     // Requests that arrived in one part with the one for which the connection was closed.
     if (line === undefined || line.closed) return
     const { gate } = this
-    const parts: Buffer[] = []
-    const passage = new Passage(line, () => { this.handle(passage, request, response, joinParts(parts)) })
+    const body = new Body(this.blocks)
+    let content: Buffer
+    const declared = request.headers['content-length']
+    const length = declared === undefined ? undefined : Number(declared)
+    const passage = new Passage(line, length, () => { this.handle(passage, request, response, content) })
+    const complete = (): void => {
+      content = body.finish()
+      if (!gate.complete(passage)) refuse(503)
+    }
     let refused = false
     const refuse = (status: number): void => {
       refused = true
+      body.release()
       this.refuse(passage, request, response, status)
     }
     if (!gate.begin(passage)) {
       refuse(503)
       return
     }
-    const length = Number(request.headers['content-length'] ?? 0)
-    if (length > gate.limits.bodyBytes) {
+    if (length !== undefined && length > gate.limits.bodyBytes) {
       gate.count(Cutoff.BodyTooLarge)
       refuse(413)
       return
     }
-    if (length === 0 && request.headers['transfer-encoding'] === undefined) {
-      if (!gate.complete(passage)) refuse(503)
+    if ((length ?? 0) === 0 && request.headers['transfer-encoding'] === undefined) {
+      complete()
       return
     }
     request.on('data', (part: Buffer) => {
@@ -249,13 +272,13 @@
         gate.count(Cutoff.BodyTooLarge)
         refuse(413)
       } else if (gate.receive(passage, part.length)) {
-        parts.push(part)
+        body.append(part)
       } else {
         refuse(503)
       }
-      if (refused) parts.length = 0
     })
-    request.once('end', () => { if (!refused && !gate.complete(passage)) refuse(503) })
+    request.once('end', () => { if (!refused) complete() })
+    request.once('close', () => { if (!request.complete) body.release() })
   }
 
   private handle (passage: Passage, request: IncomingMessage, response: ServerResponse, body: Buffer): void {
@@ -278,7 +301,7 @@
     })
   }
 
-  /** Answers a request that has not been handled, and discards the rest of its body up to the size that a body may have. */
+  /** Answers a request that has not been handled. The rest of its body is discarded if it is short; else the connection is closed. */
   private refuse (passage: Passage, request: IncomingMessage, response: ServerResponse, status: number): void {
     const line = passage.line as StreamLine
     if (line.closed) return
@@ -290,14 +313,13 @@
     response.once('close', () => { this.gate.abandon(passage) })
     if (status === 503) response.setHeader('retry-after', RETRY_AFTER_S)
     response.statusCode = status
-    response.end()
     line.discarding = !request.complete
-    let discarded = 0
-    request.on('data', (part: Buffer) => {
-      discarded += part.length
-      if (discarded > this.gate.limits.bodyBytes) this.close(line)
-    })
     request.once('end', () => { line.discarding = false })
+    const restBytes = (passage.declaredBytes ?? Infinity) - passage.bodyBytes
+    const closing = line.discarding && restBytes > MAX_DISCARDED_BYTES
+    if (closing) response.setHeader('connection', 'close')
+    response.end()
+    if (closing) line.ignore()
   }
 
   private close (line: StreamLine): void {
@@ -341,7 +363,3 @@
   const statusLine = STATUS_LINES[cutoff] ?? '400 Bad Request'
   socket.end(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`, () => { socket.destroy() })
 }
-
-function joinParts (parts: Buffer[]): Buffer {
-  return parts.length === 1 ? parts[0]! : parts.length === 0 ? NO_BODY : Buffer.concat(parts)
-}
--- a/packages/control/src/entry/feed.ts
+++ b/packages/control/src/entry/feed.ts
@@ -8,6 +8,11 @@
 /** Size of the parts. An ordinary request has one part, or a few. */
 const PART_BYTES = 2048
 
+/** Time for which a connection whose client is not read any more stays open, so that the client receives its last answer. */
+const LINGER_MS = 1000
+/** Fills the buffer of any socket. */
+const FILLER = Buffer.alloc(65_536)
+
 /** Passes the data of a socket in both directions. */
 export class Feed extends Duplex {
   /** Received data that was not handed on yet. */
@@ -16,6 +21,8 @@
   /** The HTTP server takes no more data for now. */
   private full = false
   private feeding = false
+  /** Nothing more is handed on. */
+  private ignoring = false
   /** True once the client has sent everything. */
   private ended = false
 
@@ -23,6 +30,7 @@
   constructor (private readonly socket: Socket, private readonly onRest: (bytes: number) => void) {
     super({ decodeStrings: false })
     socket.on('data', (data: Buffer) => {
+      if (this.ignoring) return
       this.rest = data
       this.feed()
     })
@@ -53,7 +61,7 @@
 
   /** Hands on data again, after the other connections had their turn. */
   goOn (): void {
-    if (!this.stopped) return
+    if (!this.stopped || this.ignoring) return
     this.stopped = false
     setImmediate(() => {
       if (this.stopped) return
@@ -62,13 +70,23 @@
     })
   }
 
+  /** Reads nothing more, and drops what has been received. */
+  ignore (): void {
+    this.ignoring = true
+    this.rest = undefined
+    this.stopped = true
+    this.socket.pause()
+    // A paused socket reads on until its buffer is full.
+    if (!this.ended) this.socket.unshift(FILLER)
+  }
+
   /** Closes the connection once everything has been written. The HTTP server calls it after the last answer. */
   destroySoon (): void {
     if (this.writableFinished) {
-      this.destroy()
+      this.close()
       return
     }
-    this.once('finish', () => { this.destroy() })
+    this.once('finish', () => { this.close() })
     this.end()
   }
 
@@ -91,6 +109,12 @@
     callback(error)
   }
 
+  private close (): void {
+    // Closing with data unread would reset the connection before the client has its answer.
+    if (this.ignoring) setTimeout(() => { this.destroy() }, LINGER_MS).unref()
+    else this.destroy()
+  }
+
   private feed (): void {
     if (this.feeding) return
     this.feeding = true
@@ -99,7 +123,8 @@
       this.rest = rest.length > PART_BYTES ? rest.subarray(PART_BYTES) : undefined
       // The server may ask for more while it takes this part.
       this.full = true
-      if (this.push(rest.length > PART_BYTES ? rest.subarray(0, PART_BYTES) : rest)) this.full = false
+      // A copy, since a part that the server keeps would keep all that was received with it.
+      if (this.push(rest.length > PART_BYTES ? Buffer.from(rest.subarray(0, PART_BYTES)) : rest)) this.full = false
     }
     this.feeding = false
     if (this.destroyed) return
--- a/packages/control/src/entry/gate.ts
+++ b/packages/control/src/entry/gate.ts
@@ -5,6 +5,7 @@
  * by closing others, see `Eviction`. What finds no room is refused. Only requests that are not handled yet are refused, so a refused
  * request has not run.
  */
+import { BLOCK_BYTES } from './body.js'
 import { Cutoff } from './cutoff.js'
 import { Eviction, type Evicted } from './eviction.js'
 import type { EntryLimits } from './limits.js'
@@ -12,10 +13,8 @@
 
 /** Estimated memory of a request without its body. */
 const REQUEST_BYTES = 8192
-/** Estimated memory of a part of a body, without its content. */
-const PART_BYTES = 96
-/** Copies of a body that its handling makes: text, values, and the records of the journal. */
-const HANDLING_COPIES = 3
+/** Copies of a body that is being handled: bytes, text, values, and the records of the journal. */
+const HANDLING_COPIES = 4
 /** Part of the memory in use from which on each connection has one request handled at a time. */
 const SHARED_FRACTION = 1 / 2
 
@@ -124,7 +123,13 @@
    */
   receive (passage: Passage, partBytes: number): boolean {
     passage.bodyBytes += partBytes
-    return !passage.line.closed && this.reserve(passage, partBytes + PART_BYTES)
+    if (passage.line.closed) return false
+    // A body beyond its first block takes the room for the rest at once, so that the bodies that have begun can end.
+    const bytes = passage.bodyBytes <= BLOCK_BYTES ? BLOCK_BYTES : blockBytesOf(passage.declaredBytes ?? this.limits.bodyBytes)
+    if (bytes <= passage.reservedBytes) return true
+    const added = bytes - passage.reservedBytes
+    passage.reservedBytes = bytes
+    return this.reserve(passage, added)
   }
 
   /**
@@ -134,7 +139,7 @@
    */
   complete (passage: Passage): boolean {
     const { line } = passage
-    if (line.closed || !this.reserve(passage, HANDLING_COPIES * passage.bodyBytes)) return false
+    if (line.closed || !this.reserve(passage, HANDLING_COPIES * passage.bodyBytes - passage.reservedBytes)) return false
     line.receiving = undefined
     line.waiting.push(passage)
     this.handleNext(line)
@@ -264,3 +269,8 @@
     line.close()
   }
 }
+
+/** Returns what the blocks of a body take. */
+function blockBytesOf (bodyBytes: number): number {
+  return Math.ceil(bodyBytes / BLOCK_BYTES) * BLOCK_BYTES
+}
--- a/packages/control/src/entry/line.ts
+++ b/packages/control/src/entry/line.ts
@@ -48,11 +48,16 @@
 export class Passage {
   bytes = 0
   bodyBytes = 0
+  /** Memory that is counted for the body while it arrives. */
+  reservedBytes = 0
   /** True once the request was handled. */
   settled = false
   /** True once its answer was sent to the end. */
   answered = false
 
-  /** @param handle starts the handling of the request */
-  constructor (readonly line: Line, readonly handle: () => void) {}
+  /**
+   * @param declaredBytes size of the body; undefined if the client does not tell it
+   * @param handle starts the handling of the request
+   */
+  constructor (readonly line: Line, readonly declaredBytes: number | undefined, readonly handle: () => void) {}
 }
--- a/packages/control/test/entry/feed.spec.ts
+++ b/packages/control/test/entry/feed.spec.ts
@@ -1,5 +1,6 @@
-import { EventEmitter } from 'node:events'
-import type { Socket } from 'node:net'
+import { EventEmitter, once } from 'node:events'
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { beforeEach, describe, expect, it } from 'vitest'
 import { Feed } from '../../src/entry/feed.js'
 
@@ -54,6 +55,23 @@
     expect(read).toBe(socket.delivered)
   })
 
+  it('reads nothing more once it is ignored', async () => {
+    const server = createServer()
+    await once(server.listen(0, '127.0.0.1'), 'listening')
+    const client = connect((server.address() as AddressInfo).port, '127.0.0.1')
+    const [accepted] = await once(server, 'connection') as [Socket]
+    const ignored = new Feed(accepted, () => {})
+    ignored.once('data', () => { ignored.ignore() })
+    client.write(Buffer.alloc(1_000_000))
+    await once(ignored, 'data')
+    const readBytes = accepted.bytesRead
+    await sleep(200)
+    expect(accepted.bytesRead).toBe(readBytes)
+    client.destroy()
+    ignored.destroy()
+    server.close()
+  })
+
   it('is not read while it is stopped, and goes on after it', async () => {
     let read = 0
     feed.on('data', (part: Buffer) => { read += part.length })
