Entry: 700 other nodes can connect on the smallest machine

Cause: with 2,212 descriptors 503 nodes could connect to an owner; in a larger cell the rest was refused as 'connections', although callers might hold 1,257. On 602 MB the limits on callers and a full backlog, which a former owner holds twice, left no memory for buffers outside the heap. Change: callers may hold half of the sockets, other nodes 3/8; the rest stays for what the node opens. Requests take 48 MB at most.

--- a/packages/control/src/entry/limits.ts
+++ b/packages/control/src/entry/limits.ts
@@ -45,13 +45,15 @@
 const FILE_DESCRIPTORS = 200
 const MIN_CONNECTIONS = 16
 /**
- * Parts of the sockets. The rest is for the connections that the node itself opens: to the store, to workers, to the advisor and to
- * the machine service.
+ * Parts of the sockets. All other nodes may connect to the owner. The rest is for the connections that the node itself opens: to the
+ * store, to workers, to the advisor and to the machine service.
  */
-const CALLER_SOCKETS = 5 / 8
-const NODE_SOCKETS = 1 / 4
+const CALLER_SOCKETS = 1 / 2
+const NODE_SOCKETS = 3 / 8
 /** Part of the memory for callers' requests, and the part for their connections. The rest is for the node's state and its heap. */
 const REQUEST_MEMORY = 1 / 8
+/** Thousands of ordinary requests. Memory beyond it is worth more to the backlog. */
+const MAX_REQUEST_MB = 48
 const CONNECTION_MEMORY = 1 / 8
 /** Estimated memory of an open connection. */
 const CONNECTION_BYTES = 16_384
@@ -89,7 +91,7 @@
       return {
         ...CALLER_DEFAULTS,
         connections: connectionsOf(Math.min(sockets * CALLER_SOCKETS, byMemory)),
-        bytes: Math.floor(memoryBytes * REQUEST_MEMORY),
+        bytes: Math.floor(Math.min(memoryBytes * REQUEST_MEMORY, MAX_REQUEST_MB * MEGABYTE)),
         ...definedOf(settings)
       }
     }
