Entry: settings for the limits that were fixed

`[callerLimits]` sets the time to return, how much of a refused body is read, how long a connection that is not read any more stays open, and how many connections other nodes may have. The defaults are the figures of before.

--- a/packages/control/src/entry/entry.ts
+++ b/packages/control/src/entry/entry.ts
@@ -11,20 +11,16 @@
 import { Cutoff } from './cutoff.js'
 import { Feed } from './feed.js'
 import { Gate } from './gate.js'
-import { Endpoint, limitsOf, type EntryLimits, type MachineResources } from './limits.js'
+import { Endpoint, limitsOf, type EntrySettings, type MachineResources } from './limits.js'
 import { Line, Passage } from './line.js'
 
 /** Interval at which clients that do not read are looked for, and at which is reported what was refused or closed. */
 const TICK_MS = 1000
 /** Maximum interval at which slow heads and bodies are looked for. */
 const MAX_SLOWNESS_CHECK_MS = 5000
-/** Retry time in seconds given to clients for whom there is no room. */
-const RETRY_AFTER_S = 1
-/** The rest of a refused request's body up to which it is discarded. A connection with more of it is closed. */
-const MAX_DISCARDED_BYTES = 16_384
 
 const STATUS_LINES: Partial<Record<Cutoff, string>> = {
-  [Cutoff.Connections]: `503 Service Unavailable\r\nRetry-After: ${RETRY_AFTER_S}`,
+  [Cutoff.Connections]: '503 Service Unavailable',
   [Cutoff.HeadTooLarge]: '431 Request Header Fields Too Large',
   [Cutoff.SlowHead]: '408 Request Timeout',
   [Cutoff.SlowBody]: '408 Request Timeout',
@@ -37,8 +33,8 @@
 /** Dependencies and settings of the servers. */
 export interface EntryOptions {
   readonly machine: MachineResources
-  /** Limits of the callers' server that are set by the operator. */
-  readonly limits?: Partial<EntryLimits> | undefined
+  /** Limits that are set by the operator. */
+  readonly limits?: EntrySettings | undefined
   readonly clock: Clock
   readonly log: Log
   readonly metrics: Metrics
@@ -156,7 +152,7 @@
 
   constructor (socket: Socket, gate: Gate) {
     super(socket)
-    this.feed = new Feed(socket, (bytes) => { gate.keep(this, bytes) })
+    this.feed = new Feed(socket, gate.limits.lingerMs, (bytes) => { gate.keep(this, bytes) })
   }
 
   override ignore (): void {
@@ -222,7 +218,7 @@
 
   private enter (line: StreamLine, stream: Duplex): boolean {
     if (!this.gate.enter(line)) {
-      endWith(line.socket, Cutoff.Connections)
+      endWith(line.socket, Cutoff.Connections, `Retry-After: ${this.gate.limits.retryAfterS}\r\n`)
       return false
     }
     this.lines.set(stream, line)
@@ -311,12 +307,12 @@
       return
     }
     response.once('close', () => { this.gate.abandon(passage) })
-    if (status === 503) response.setHeader('retry-after', RETRY_AFTER_S)
+    if (status === 503) response.setHeader('retry-after', this.gate.limits.retryAfterS)
     response.statusCode = status
     line.discarding = !request.complete
     request.once('end', () => { line.discarding = false })
     const restBytes = (passage.declaredBytes ?? Infinity) - passage.bodyBytes
-    const closing = line.discarding && restBytes > MAX_DISCARDED_BYTES
+    const closing = line.discarding && restBytes > this.gate.limits.discardBytes
     if (closing) response.setHeader('connection', 'close')
     response.end()
     if (closing) line.ignore()
@@ -355,11 +351,11 @@
 }
 
 /** Ends a connection with an answer that has no body. */
-function endWith (socket: Duplex, cutoff: Cutoff): void {
+function endWith (socket: Duplex, cutoff: Cutoff, headers = ''): void {
   if (!socket.writable) {
     socket.destroy()
     return
   }
   const statusLine = STATUS_LINES[cutoff] ?? '400 Bad Request'
-  socket.end(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`, () => { socket.destroy() })
+  socket.end(`HTTP/1.1 ${statusLine}\r\n${headers}Connection: close\r\nContent-Length: 0\r\n\r\n`, () => { socket.destroy() })
 }
--- a/packages/control/src/entry/feed.ts
+++ b/packages/control/src/entry/feed.ts
@@ -8,8 +8,6 @@
 /** Size of the parts. An ordinary request has one part, or a few. */
 const PART_BYTES = 2048
 
-/** Time for which a connection whose client is not read any more stays open, so that the client receives its last answer. */
-const LINGER_MS = 1000
 /** Fills the buffer of any socket. */
 const FILLER = Buffer.alloc(65_536)
 
@@ -26,8 +24,13 @@
   /** True once the client has sent everything. */
   private ended = false
 
-  /** @param onRest called with the number of received bytes that wait, whenever the feed stops or goes on */
-  constructor (private readonly socket: Socket, private readonly onRest: (bytes: number) => void) {
+  /**
+   * @param lingerMs time for which an ignored connection stays open after its last answer
+   * @param onRest called with the number of received bytes that wait, whenever the feed stops or goes on
+   */
+  constructor (
+    private readonly socket: Socket, private readonly lingerMs: number, private readonly onRest: (bytes: number) => void
+  ) {
     super({ decodeStrings: false })
     socket.on('data', (data: Buffer) => {
       if (this.ignoring) return
@@ -111,7 +114,7 @@
 
   private close (): void {
     // Closing with data unread would reset the connection before the client has its answer.
-    if (this.ignoring) setTimeout(() => { this.destroy() }, LINGER_MS).unref()
+    if (this.ignoring) setTimeout(() => { this.destroy() }, this.lingerMs).unref()
     else this.destroy()
   }
 
--- a/packages/control/src/entry/limits.ts
+++ b/packages/control/src/entry/limits.ts
@@ -31,6 +31,18 @@
   readonly stallMs: number
   /** Maximum time in milliseconds for which a client reads nothing of an answer. */
   readonly answerMs: number
+  /** Time in seconds after which a client may return for whom there was no room. */
+  readonly retryAfterS: number
+  /** Size in bytes up to which the rest of a refused request's body is read. With a larger rest the connection is closed. */
+  readonly discardBytes: number
+  /** Time in milliseconds for which a connection that is not read any more stays open, so that the client receives its answer. */
+  readonly lingerMs: number
+}
+
+/** Limits that the operator sets; those that are absent follow from the machine. */
+export interface EntrySettings extends Partial<EntryLimits> {
+  /** Maximum number of connections of other nodes. */
+  readonly nodeConnections?: number | undefined
 }
 
 /** What the machine lets the process use; undefined where it is unknown. */
@@ -59,11 +71,20 @@
 const CONNECTION_BYTES = 16_384
 const MEGABYTE = 1024 * 1024
 
+const REFUSAL_DEFAULTS = { retryAfterS: 1, discardBytes: 16_384, lingerMs: 1000 }
 const CALLER_DEFAULTS = {
-  requestsPerConnection: 8, bodyBytes: 262_144, headBytes: 16_384, headMs: 60_000, bodyMs: 60_000, stallMs: 1000, answerMs: 30_000
+  ...REFUSAL_DEFAULTS,
+  requestsPerConnection: 8,
+  bodyBytes: 262_144,
+  headBytes: 16_384,
+  headMs: 60_000,
+  bodyMs: 60_000,
+  stallMs: 1000,
+  answerMs: 30_000
 }
 /** Limits of servers whose clients send no bodies and read short answers. */
 const PROBE_LIMITS: EntryLimits = {
+  ...REFUSAL_DEFAULTS,
   connections: 32,
   requestsPerConnection: 1,
   bytes: MEGABYTE,
@@ -80,11 +101,12 @@
  *
  * @param endpoint the server
  * @param machine what the process may use
- * @param settings limits of the callers' server that are set by the operator
+ * @param settings limits of the callers' server, and the number of other nodes' connections, that are set by the operator
  */
-export function limitsOf (endpoint: Endpoint, machine: MachineResources, settings: Partial<EntryLimits> = {}): EntryLimits {
+export function limitsOf (endpoint: Endpoint, machine: MachineResources, settings: EntrySettings = {}): EntryLimits {
   const memoryBytes = (machine.memoryMb ?? DEFAULT_MEMORY_MB) * MEGABYTE
   const sockets = (machine.maxDescriptors ?? DEFAULT_DESCRIPTORS) - FILE_DESCRIPTORS
+  const { nodeConnections, ...callerSettings } = settings
   switch (endpoint) {
     case Endpoint.Callers: {
       const byMemory = memoryBytes * CONNECTION_MEMORY / CONNECTION_BYTES
@@ -92,10 +114,10 @@
         ...CALLER_DEFAULTS,
         connections: connectionsOf(Math.min(sockets * CALLER_SOCKETS, byMemory)),
         bytes: Math.floor(Math.min(memoryBytes * REQUEST_MEMORY, MAX_REQUEST_MB * MEGABYTE)),
-        ...definedOf(settings)
+        ...definedOf(callerSettings)
       }
     }
-    case Endpoint.Nodes: return { ...PROBE_LIMITS, connections: connectionsOf(sockets * NODE_SOCKETS) }
+    case Endpoint.Nodes: return { ...PROBE_LIMITS, connections: nodeConnections ?? connectionsOf(sockets * NODE_SOCKETS) }
     default: return PROBE_LIMITS
   }
 }
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -11,7 +11,7 @@
 import { NEVER, sleep, type Clock } from './clock.js'
 import { Entry } from './entry/entry.js'
 import { JobService } from './entry/job-service.js'
-import type { EntryLimits } from './entry/limits.js'
+import type { EntrySettings } from './entry/limits.js'
 import { Follower } from './journal/follower.js'
 import { Subject, UNKNOWN_OFFSET, splitKey, type NodeAddress } from './journal/record.js'
 import { JournalState } from './journal/journal-state.js'
@@ -95,8 +95,8 @@
   readonly backlogMb?: number | undefined
   /** Number of file descriptors that the process may have open; undefined if it is unknown. */
   readonly maxDescriptors?: number | undefined
-  /** Limits of the callers' server that differ from those that follow from the machine. */
-  readonly callerLimits?: Partial<EntryLimits> | undefined
+  /** Limits on clients that differ from those that follow from the machine. */
+  readonly callerLimits?: EntrySettings | undefined
   /** Maximum age of the configuration. With an older one the node refuses requests, since their keys may have been revoked. */
   readonly configurationAgeMaxMs: number
   /** Time after the request to evacuate an availability zone from which no task may start there; undefined for no limit. */
--- a/packages/control/test/entry/entry.spec.ts
+++ b/packages/control/test/entry/entry.spec.ts
@@ -88,9 +88,9 @@
     ['without a length', 'transfer-encoding: chunked', `7530\r\n${'a'.repeat(30_000)}\r\n`],
     ['with a length', 'content-length: 200000', 'a'.repeat(30_000)]
   ])('does not read the rest of a refused body %s', async (_, header, part) => {
-    const { port } = await start({ ...LIMITS, bytes: 20_000, bodyBytes: 200_000, bodyMs: 60_000 })
+    const { port } = await start({ ...LIMITS, bytes: 20_000, bodyBytes: 200_000, bodyMs: 60_000, lingerMs: 50, retryAfterS: 3 })
     const answer = await exchange(port, `POST / HTTP/1.1\r\nhost: a\r\n${header}\r\n\r\n${part}`)
-    expect(answer).toMatch(/503 [^]*retry-after: 1\r\nconnection: close/i)
+    expect(answer).toMatch(/503 [^]*retry-after: 3\r\nconnection: close/i)
   })
 
   it('closes an idle connection for a new one', async () => {
--- a/packages/control/test/entry/feed.spec.ts
+++ b/packages/control/test/entry/feed.spec.ts
@@ -27,7 +27,7 @@
 let feed: Feed
 beforeEach(() => {
   socket = new FakeSocket()
-  feed = new Feed(socket as unknown as Socket, () => {})
+  feed = new Feed(socket as unknown as Socket, 1000, () => {})
 })
 
 describe('the feed of a connection', () => {
@@ -60,7 +60,7 @@
     await once(server.listen(0, '127.0.0.1'), 'listening')
     const client = connect((server.address() as AddressInfo).port, '127.0.0.1')
     const [accepted] = await once(server, 'connection') as [Socket]
-    const ignored = new Feed(accepted, () => {})
+    const ignored = new Feed(accepted, 1000, () => {})
     ignored.once('data', () => { ignored.ignore() })
     client.write(Buffer.alloc(1_000_000))
     await once(ignored, 'data')
--- a/packages/control/test/entry/gate.spec.ts
+++ b/packages/control/test/entry/gate.spec.ts
@@ -13,7 +13,10 @@
   headMs: 1,
   bodyMs: 1,
   stallMs: 500,
-  answerMs: 1000
+  answerMs: 1000,
+  retryAfterS: 1,
+  discardBytes: 1,
+  lingerMs: 1
 }
 
 /** A connection without a network. */
@@ -291,6 +294,13 @@
     expect(limitsOf(Endpoint.Callers, machine, settings)).toMatchObject(expected)
   })
 
+  it.each([
+    [Endpoint.Nodes, 7],
+    [Endpoint.Readiness, 32]
+  ])('of the server %s let %i connections be open if other nodes may have 7', (endpoint, connections) => {
+    expect(limitsOf(endpoint, {}, { nodeConnections: 7, connections: 5 }).connections).toBe(connections)
+  })
+
   it.each([160, 210, 602])('leave descriptors for 700 other nodes and for what the node opens on a machine of %i MB', (memoryMb) => {
     const maxConnections = (endpoint: Endpoint): number => limitsOf(endpoint, { memoryMb, maxDescriptors: 2212 }).connections
     expect(maxConnections(Endpoint.Nodes)).toBeGreaterThan(700)
