Entry: a request does not close its own connection to make room

Cause: the connection of a request that had been arriving for a second could be the first of its size, so the request closed it, and its memory stayed counted. Change: it is passed over, and the request refused. Measured: the new case of gate.spec.ts fails before.

--- a/packages/control/src/entry/eviction.ts
+++ b/packages/control/src/entry/eviction.ts
@@ -91,7 +91,7 @@
     if (stalled !== undefined) return { line: stalled, cutoff: Cutoff.Unread }
     const larger = this.sizes.largerThan(heldBytes)
     if (larger !== undefined) return { line: larger, cutoff: Cutoff.Largest }
-    const equal = this.sizes.equalTo(heldBytes)
+    const equal = this.sizes.equalTo(heldBytes, requester)
     if (equal !== undefined && this.arriving.has(equal) && this.sweptMs - equal.arrivingSinceMs >= this.stallMs) {
       return { line: equal, cutoff: Cutoff.Receiving }
     }
@@ -141,10 +141,12 @@
     return undefined
   }
 
-  /** Returns the connection that has been in the class of the given size longest. */
-  equalTo (bytes: number): Line | undefined {
-    const [line] = this.classes[sizeClass(bytes)]!
-    return line
+  /** Returns the connection that has been in the class of the given size longest, apart from the requester. */
+  equalTo (bytes: number, requester: Line): Line | undefined {
+    for (const line of this.classes[sizeClass(bytes)]!) {
+      if (line !== requester) return line
+    }
+    return undefined
   }
 }
 
--- a/packages/control/src/entry/gate.ts
+++ b/packages/control/src/entry/gate.ts
@@ -100,6 +100,7 @@
     this.openRequests++
     line.receiving = passage
     line.arrivingSinceMs = this.eviction.sweptMs
+    this.eviction.update(line)
     return this.reserve(passage, REQUEST_BYTES)
   }
 
--- a/packages/control/test/entry/gate.spec.ts
+++ b/packages/control/test/entry/gate.spec.ts
@@ -191,6 +191,16 @@
     expect(lines.map((line) => line.closed)).toEqual(closed)
   })
 
+  it('refuses a request that has been arriving for too long rather than closing its own connection for it', () => {
+    const scene = new Scene({ ...LIMITS, bytes: 13_000 })
+    const passage = new Passage(scene.open(), 1500, () => {})
+    scene.gate.begin(passage)
+    scene.gate.receive(passage, 1500)
+    scene.gate.sweep(500)
+    expect(scene.gate.complete(passage)).toBe(false)
+    expect([scene.cutoffs, passage.line.closed]).toEqual([[Cutoff.Memory], false])
+  })
+
   it.each([
     ['has just begun to wait', () => {}, 499],
     ['was read in part', (line: FakeLine) => { line.sentBytes++ }, 500],
