Explain: a dry run says where new work would go now

It reports acceptance and refusal, place in the order, obstacle, estimated start, and a verdict on each kind of worker.

--- a/packages/command/src/program.ts
+++ b/packages/command/src/program.ts
@@ -9,8 +9,9 @@
 import { grantKey, withdrawKey } from './keys.js'
 import { drainWorker, evacuateZone, reportBurn, showStatus } from './operations.js'
 import { Format, formatFailure, formatJson, type Terminal } from './terminal.js'
-import { cancel, explain, showJob, submit, type SubmitOptions } from './work.js'
+import { cancel, explain, explainNew, showJob, submit, type DryRunOptions, type SubmitOptions } from './work.js'
 import type { Result } from 'neverthrow'
+import type { Resources } from '@fireflymount/protocol/resources'
 import type { Failure } from './failure.js'
 import type { GlobalOptions } from './options.js'
 
@@ -127,9 +128,25 @@
   addCommand(program, 'cancel', 'cancels a job', 'cancel bee-planner.0f3a')
     .argument('<job>', 'id of the job')
     .action((id: string, _, command: Command) => runner.callServer(command, (context) => cancel(context, id)))
-  addCommand(program, 'explain', 'explains why a job is waiting and what it waits for', 'explain bee-planner.0f3a')
-    .argument('<job>', 'id of the job')
-    .action((id: string, _, command: Command) => runner.callServer(command, (context) => explain(context, id)))
+  addExplain(program, runner)
+}
+
+function addExplain (program: Command, runner: CommandRunner): void {
+  const description = 'explains why a job is waiting; with --queue, where new work would go now, without submitting it'
+  addCommand(program, 'explain', description, 'explain bee-planner.0f3a\n  $ fireflymount explain --queue drift --team guild --tasks 8')
+    .argument('[job]', 'id of the job')
+    .option('--queue <queue>', 'explain work on this queue that is not submitted; needs an administration key')
+    .option('--team <team>', 'team that would submit it (default: the first team of the queue)')
+    .option('--tasks <count>', 'number of tasks of a gang', parsePositiveInteger)
+    .option('--runtime <ms>', 'expected run time of one task in milliseconds', parsePositiveInteger)
+    .option('--size <cpu,memory,accelerators>', 'size of one task in thousandths of a core, MB and accelerators, such as 500,1024,0', parseSize)
+    .option('--deadline <ms>', 'deadline of a request in milliseconds', parsePositiveInteger)
+    .action((id: string | undefined, options: DryRunOptions, command: Command) => {
+      if (id !== undefined && Object.keys(options).length > 0) {
+        command.error('error: give either the id of a job or --queue with its options')
+      }
+      return runner.callServer(command, (context) => id === undefined ? explainNew(context, options) : explain(context, id))
+    })
 }
 
 function addKeys (program: Command, runner: CommandRunner): void {
@@ -178,6 +195,12 @@
   return [...earlier, value]
 }
 
+function parseSize (text: string): Resources {
+  const amounts = /^(\d{1,12}),(\d{1,12}),(\d{1,6})$/.exec(text)
+  if (amounts === null) throw new InvalidArgumentError('It must be three whole numbers, such as 500,1024,0.')
+  return { cpuMilli: Number(amounts[1]), memoryMb: Number(amounts[2]), accelerators: Number(amounts[3]) }
+}
+
 function parsePositiveInteger (text: string): number {
   const value = /^\d{1,12}$/.test(text) ? Number(text) : 0
   if (value < 1) throw new InvalidArgumentError('It must be a whole number above zero.')
--- a/packages/command/src/work.ts
+++ b/packages/command/src/work.ts
@@ -4,8 +4,11 @@
 import { randomUUID } from 'node:crypto'
 import { err, ok, type Result } from 'neverthrow'
 import { JobState, type Job } from '@fireflymount/protocol/message'
+import type { DryRunReport } from '@fireflymount/protocol/dry-run'
+import type { Resources } from '@fireflymount/protocol/resources'
 import { createObjectOutput, type ActionContext, type ActionOutput } from './action.js'
 import { RetryPolicy } from './client.js'
+import { formatDryRun } from './dry-run.js'
 import { ExitCode } from './exit-code.js'
 import { createUsageError, type Failure } from './failure.js'
 import { readText } from './options.js'
@@ -85,6 +88,37 @@
   return answer.map(({ body }) => createObjectOutput((body ?? {}) as object))
 }
 
+/** Options of the command `explain` that describe work which is not submitted. */
+export interface DryRunOptions {
+  readonly queue?: string
+  readonly team?: string
+  readonly tasks?: number
+  /** Milliseconds. */
+  readonly runtime?: number
+  readonly size?: Resources
+  /** Milliseconds. */
+  readonly deadline?: number
+}
+
+/**
+ * Explains where work would go if it were submitted now, without submitting it.
+ *
+ * @param context the client and the terminal
+ * @param options the work
+ * @returns the report
+ */
+export async function explainNew (context: ActionContext, options: DryRunOptions): Promise<Result<ActionOutput, Failure>> {
+  const { queue, team, tasks, runtime: runtimeMs, size, deadline: deadlineMs } = options
+  if (queue === undefined) return err(createUsageError('Give the id of a job, or --queue for work that is not submitted.'))
+  const answer = await context.client.call({
+    method: 'POST',
+    path: `/v1/admin/queues/${encodeURIComponent(queue)}/dry-run`,
+    retry: RetryPolicy.Safe,
+    body: { team, tasks, runtimeMs, size, deadlineMs }
+  })
+  return answer.map(({ body }) => ({ value: body, text: formatDryRun(body as DryRunReport) }))
+}
+
 async function sendRequest (
   context: ActionContext, queue: string, options: SubmitOptions, body: unknown
 ): Promise<Result<ActionOutput, Failure>> {
--- a/packages/command/test/program.spec.ts
+++ b/packages/command/test/program.spec.ts
@@ -4,6 +4,7 @@
 import { afterEach, beforeEach, describe, expect, test } from 'vitest'
 import { hashSecret } from '@fireflymount/manifest/hash'
 import { Section } from '@fireflymount/manifest/manifest'
+import { OrderFactor, WorkerVerdict, type DryRunReport } from '@fireflymount/protocol/dry-run'
 import { JobState, MessageKind, type Job, type Submit } from '@fireflymount/protocol/message'
 import { Execution, Reason, refuse } from '@fireflymount/protocol/refusal'
 import { Cell, Fault, OPERATOR_SECRET } from './cell.js'
@@ -33,6 +34,40 @@
 }
 const TEXT = JSON.stringify(FILE)
 
+const REPORT: DryRunReport = {
+  queue: 'yardage',
+  upstream: 'bee-planner',
+  team: 'guild',
+  owner: 'node-1',
+  accepted: false,
+  refusal: refuse(Reason.QueueFull, 'The queue is full.', 70),
+  obstacle: 'room',
+  detail: 'No worker has 2 cores free.',
+  remedy: 'Wait.',
+  order: { before: 3, detail: '3 waiting tasks.', reasons: [{ factor: OrderFactor.PastUse, value: 40, detail: 'Moved back.' }] },
+  startsInMs: 900,
+  workers: [{
+    verdict: WorkerVerdict.Busy,
+    zone: 'fukuoka',
+    capacity: { cpuMilli: 4000, memoryMb: 64, accelerators: 0 },
+    workers: 2,
+    startable: 0,
+    examples: ['w-1', 'w-2']
+  }]
+}
+const REPORT_TEXT = `Work of "guild" on the queue "yardage" goes to the upstream "bee-planner", which node-1 owns.
+It would be refused (queue-full): The queue is full. Retry in 70 ms.
+If it were accepted, it would wait (room): No worker has 2 cores free. It would start in about 900 ms.
+What helps: Wait.
+Before it in the order: 3. 3 waiting tasks.
+
+FACTOR    VALUE  DETAIL
+past-use  40 ms  Moved back.
+
+VERDICT  WORKERS  STARTABLE  ZONE     CAPACITY                EXAMPLES
+busy     2        0          fukuoka  4 cores, 64 MB, 0 acc.  w-1 w-2
+`
+
 let cell: Cell
 
 beforeEach(async () => {
@@ -221,6 +256,22 @@
     expect(await cell.run(['evacuate', 'kobe'])).toMatchObject({ err: expect.stringContaining('The zones are fukuoka.') })
   })
 
+  test.each([
+    { args: ['--queue', 'yardage'], body: { team: 'guild', tasks: 1 } },
+    {
+      args: ['--queue', 'yardage', '--team', 'guild', '--tasks', '1', '--runtime', '5', '--size', '1,2,0'],
+      body: { team: 'guild', tasks: 1, runtimeMs: 5, size: { cpuMilli: 1, memoryMb: 2, accelerators: 0 } }
+    },
+    { args: ['--queue', 'preview', '--deadline', '90'], body: { team: 'guild', tasks: 1, deadlineMs: 90 } }
+  ])('explain $args makes a dry run', async ({ args, body }) => {
+    await cell.run(['apply', '-'], TEXT)
+    cell.router.answer = () => ok(REPORT)
+    const { exit, out } = await cell.run(['explain', ...args])
+    expect([exit, out]).toEqual([0, REPORT_TEXT])
+    expect(cell.router.asked).toEqual([{ kind: MessageKind.DryRun, queue: args[1], ...body }])
+    expect(JSON.parse((await cell.run(['explain', ...args, '--output', 'json'])).out)).toEqual(REPORT)
+  })
+
   test.each([
     { args: ['get', 'teams'], out: /NAME +WORKSPACE[^]*guild +hakata/ },
     { args: ['get', 'teams', 'guild'], out: /share +1/ }
@@ -243,6 +294,9 @@
     { says: 'applying an invalid manifest', args: ['apply', '-'], input: invalid, exit: 2, err: '$.teams[0].colour' },
     { says: 'JSON with a syntax error', args: ['validate', '-'], input: '{"teams":', exit: 2, err: 'fireflymount: -' },
     { says: 'a body that is not JSON', args: ['submit', 'yardage', '--body', '{'], exit: 2, err: 'not valid JSON' },
+    { says: 'no job and no queue to explain', args: ['explain'], exit: 2, err: 'Give the id of a job, or --queue' },
+    { says: 'a job and a queue to explain', args: ['explain', 'a.1', '--queue', 'yardage'], exit: 2, err: 'either the id of a job or --queue' },
+    { says: 'a size that is not three numbers', args: ['explain', '--queue', 'yardage', '--size', '1,2'], exit: 2, err: 'three whole numbers' },
     { says: 'a wait time that is not a number', args: ['job', 'a.1', '--wait', 'x'], exit: 2, err: 'whole number' },
     { says: 'a server that is not a URL', args: ['--server', 'node-1', 'status'], exit: 2, err: 'not a server URL' },
     { says: 'no server', args: ['status'], variables: { FIREFLYMOUNT_SERVER: '' }, exit: 2, err: '--server' },
--- a/packages/daemon/src/entry/access.ts
+++ b/packages/daemon/src/entry/access.ts
@@ -37,10 +37,29 @@
     if (header === undefined && queue.open) return teamOfOpenQueue(queue)
     const key = this.checkKey(header)
     if (key.isErr()) return err(key.error)
-    if (!queue.teams.includes(key.value.team)) {
-      return err(refuse(Reason.WrongTeam, `The team "${key.value.team}" may not use the queue "${queue.name}". An operator can add it to the queue's teams.`))
-    }
-    return ok(key.value.team)
+    return this.checkTeam(queue, key.value.team).map(() => key.value.team)
+  }
+
+  /**
+   * Checks that a team may use a queue.
+   *
+   * @param queue the queue
+   * @param team the team
+   * @returns nothing, or why it may not
+   */
+  checkTeam (queue: Queue, team: string): Result<void, Refusal> {
+    if (queue.teams.includes(team)) return ok()
+    return err(refuse(Reason.WrongTeam, `The team "${team}" may not use the queue "${queue.name}". An operator can add it to the queue's teams.`))
+  }
+
+  /**
+   * Checks that this node's configuration is recent enough to check the keys of callers.
+   *
+   * @param queue the queue that they use; an open queue needs no key
+   * @returns nothing, or why callers are refused
+   */
+  checkFreshness (queue: Queue): Result<void, Refusal> {
+    return queue.open ? ok() : this.checkConfigurationAge()
   }
 
   /**
@@ -98,13 +117,17 @@
     if (header === undefined) return err(refuse(Reason.BadKey, MISSING_KEY_DETAIL))
     const token = parseBearer(header)
     if (token === undefined) return err(refuse(Reason.BadKey, INVALID_KEY_DETAIL))
-    if (this.configuration.ageMs() > this.settings.timing.staleMs) {
-      return err(refuse(Reason.ConfigurationStale, 'This node cannot check whether the key is still valid, because its configuration was not confirmed recently. Nothing was run; retry.'))
-    }
+    const fresh = this.checkConfigurationAge()
+    if (fresh.isErr()) return err(fresh.error)
     const key = this.findKey(token)
     return key === undefined ? err(refuse(Reason.BadKey, INVALID_KEY_DETAIL)) : ok(key)
   }
 
+  private checkConfigurationAge (): Result<void, Refusal> {
+    if (this.configuration.ageMs() <= this.settings.timing.staleMs) return ok()
+    return err(refuse(Reason.ConfigurationStale, 'This node cannot check whether the key is still valid, because its configuration was not confirmed recently. Nothing was run; retry.'))
+  }
+
   private findKey (token: string): Key | undefined {
     const dot = token.lastIndexOf('.')
     const named = dot < 1 ? undefined : this.configurationIndex.keyByName(token.slice(0, dot))
--- a/packages/daemon/src/entry/admission.ts
+++ b/packages/daemon/src/entry/admission.ts
@@ -40,6 +40,20 @@
    * @returns the slot, or the refusal
    */
   admit (team: string, queue: string): Result<AdmissionSlot, Refusal> {
+    const checked = this.check(team, queue)
+    if (checked.isErr()) return err(checked.error)
+    this.adjustCounts(team, queue, 1)
+    return ok(createSlot(() => this.adjustCounts(team, queue, -1)))
+  }
+
+  /**
+   * Checks whether a request would be admitted, without admitting it.
+   *
+   * @param team the team
+   * @param queue the queue's name
+   * @returns nothing, or the refusal
+   */
+  check (team: string, queue: string): Result<void, Refusal> {
     if (this.total >= this.limit) return err(this.refuseOverloaded())
     if ((this.byQueue.get(queue) ?? 0) >= Math.ceil(this.limit * MAX_QUEUE_FRACTION)) {
       return err(refuse(Reason.Overloaded, `The queue "${queue}" has as many requests in progress as one queue may have on this node. Retry later.`, RETRY_AFTER_MS))
@@ -47,8 +61,7 @@
     if (this.total >= this.limit * SHARE_ENFORCEMENT_FRACTION && (this.byTeam.get(team) ?? 0) >= this.teamLimit(team)) {
       return err(refuse(Reason.LimitReached, `This node is busy and the team "${team}" already has its share of requests in progress. Retry later.`, RETRY_AFTER_MS))
     }
-    this.adjustCounts(team, queue, 1)
-    return ok(createSlot(() => this.adjustCounts(team, queue, -1)))
+    return ok()
   }
 
   /**
--- a/packages/daemon/src/entry/api.ts
+++ b/packages/daemon/src/entry/api.ts
@@ -7,6 +7,7 @@
 import { onConfiguration, onObject, onPatch, onPut, onRemove } from './administration.js'
 import { Admission } from './admission.js'
 import { ConfigurationIndex } from './configuration-index.js'
+import { onDryRun } from './dry-run.js'
 import { onCancel, onExplain, onStatus, onSubmit } from './jobs.js'
 import { Method, addRoute } from './route.js'
 import { Phase } from './lifecycle.js'
@@ -93,6 +94,7 @@
   addRoute(app, '/v1/admin/status', { [Method.Get]: () => onClusterStatus(api) })
   addRoute(app, '/v1/admin/shards/:upstream', { [Method.Get]: (context) => onShard(api, context) })
   addRoute(app, '/v1/admin/jobs/:id/explanation', { [Method.Get]: (context) => onAdminExplain(api, context) })
+  addRoute(app, '/v1/admin/queues/:queue/dry-run', { [Method.Post]: (context) => onDryRun(api, context) })
   addRoute(app, '/v1/admin/workers/:upstream/:worker/drain', { [Method.Post]: (context) => onDrain(api, context) })
   addRoute(app, '/v1/admin/zones/:zone/evacuation', { [Method.Post]: (context) => onEvacuation(api, context) })
   addRoute(app, '/v1/admin/node', { [Method.Get]: () => onUsage(api) })
--- a/packages/daemon/src/owner/jobs.ts
+++ b/packages/daemon/src/owner/jobs.ts
@@ -220,7 +220,14 @@
     return ok(describeJob(job))
   }
 
-  private check (submit: Submit, queue: Queue): Refusal | undefined {
+  /**
+   * Checks whether a job would be accepted now, as far as this is known before it is written to the log.
+   *
+   * @param submit the submission
+   * @param queue its queue
+   * @returns why it would be refused, or undefined
+   */
+  check (submit: Pick<Submit, 'tasks' | 'size' | 'body'>, queue: Queue): Refusal | undefined {
     if (submit.tasks < 1 || submit.tasks > MAX_JOB_TASKS) {
       return refuse(Reason.TooLarge, `A job has 1 to ${MAX_JOB_TASKS} tasks, not ${submit.tasks}.`)
     }
--- a/packages/daemon/src/owner/owner.ts
+++ b/packages/daemon/src/owner/owner.ts
@@ -22,6 +22,7 @@
 import type { BurnCounts } from './burn.js'
 import { Requests } from './requests.js'
 import { ChangeKind, RunOutcome, type Drained, type Evacuated } from './change.js'
+import { dryRunWork } from './dry-run.js'
 import { Fleet } from './fleet.js'
 import { Jobs, refusalOf } from './jobs.js'
 import type { JournalWriter } from './journal-writer.js'
@@ -207,6 +208,7 @@
       case MessageKind.Status: return await this.jobs.status(message.job, message.waitMs)
       case MessageKind.Cancel: return await this.jobs.cancel(message.job)
       case MessageKind.Explain: return this.explain(message.job)
+      case MessageKind.DryRun: return dryRunWork(this, message)
       case MessageKind.Survey: return ok(surveyShard(this))
       case MessageKind.Drain: return await this.drain(message.worker, message.drained)
       case MessageKind.Evacuate: return await this.evacuate(message.zone, message.evacuated)
--- a/packages/daemon/src/owner/roles.ts
+++ b/packages/daemon/src/owner/roles.ts
@@ -106,6 +106,7 @@
   private shardOf (message: Request): string | undefined {
     switch (message.kind) {
       case MessageKind.Call:
+      case MessageKind.DryRun:
         return findQueue(this.options.manifest(), message.queue)?.upstream
       case MessageKind.Submit:
       case MessageKind.Status:
--- a/packages/daemon/src/peer/peers.ts
+++ b/packages/daemon/src/peer/peers.ts
@@ -232,6 +232,7 @@
     case MessageKind.Status:
     case MessageKind.Cancel:
     case MessageKind.Explain:
+    case MessageKind.DryRun:
     case MessageKind.Survey:
     case MessageKind.Drain:
     case MessageKind.Evacuate:
--- a/packages/daemon/src/peer/router.ts
+++ b/packages/daemon/src/peer/router.ts
@@ -9,8 +9,8 @@
 export abstract class Router {
   /**
    * Sends a request to the owner of a shard. Follows the redirect of Reason.NotOwner. Retries after a lost connection if the
-   * request certainly did not take effect or if it is idempotent (Submit, Status, Cancel, Explain, Survey, Drain,
-   * Evacuate).
+   * request certainly did not take effect or if it is idempotent (Submit, Status, Cancel, Explain, DryRun, Survey,
+   * Drain, Evacuate).
    *
    * @param shard the upstream's name
    * @param request the request
--- a/packages/measure/src/baseline.ts
+++ b/packages/measure/src/baseline.ts
@@ -4,6 +4,7 @@
  */
 import type { Result } from 'neverthrow'
 import type { Refusal } from '@fireflymount/protocol/refusal'
+import type { DryRun } from '@fireflymount/policy/dry-run'
 import type { ExpiredTask, SchedulingRound } from '@fireflymount/policy/scheduler'
 import type { TeamQuota, Ending, Explanation, WorkerSpec, Placement, Task } from '@fireflymount/policy/task'
 import { ok } from 'neverthrow'
@@ -117,6 +118,11 @@
     return { obstacle: Obstacle.None, detail: '', remedy: '' }
   }
 
+  dryRun (): DryRun {
+    const place = { shareRatio: 0, tasksBefore: 0, teamsBefore: [] }
+    return { refusal: undefined, explanation: this.explain(), place, startsInMs: undefined, workers: [] }
+  }
+
   waiting (): number {
     return this.positions.size
   }
--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -36,7 +36,7 @@
     const obstacle = this.sizeObstacle(task)
     if (this.hasFailedOnHealthyWorkers(task)) return err(taskFailedRefusal())
     if (obstacle !== undefined) return err(refuse(Reason.Infeasible, obstacle))
-    const kind = this.state.kind(task.kind)
+    const kind = this.state.peekKind(task.kind)
     if (kind.waiting >= kind.queueCapacity) return err(this.queueFullRefusal(task, kind))
     if (task.startByMs === undefined) return ok(undefined)
     return this.checkLatestStart(task, kind, task.startByMs, nowMs)
@@ -89,7 +89,7 @@
    * @returns the waiting time in milliseconds
    */
   estimateWaitMs (task: Task, kind: TaskKind): number {
-    const startable = this.startableNow(task.size, this.state.team(task.team))
+    const startable = this.startableNow(task.size, this.state.peekTeam(task.team))
     // Tasks ahead that can't start now; negative if a further task could start as well.
     const remainingAhead = kind.waiting - startable
     if (remainingAhead < 0) return 0
--- a/packages/policy/src/explanation.ts
+++ b/packages/policy/src/explanation.ts
@@ -59,7 +59,14 @@
   )
 }
 
-function explainLimit (team: Team, task: Task): Explanation {
+/**
+ * Explains that the allotment of a team blocks a task.
+ *
+ * @param team the team
+ * @param task one of its tasks
+ * @returns the explanation
+ */
+export function explainLimit (team: Team, task: Task): Explanation {
   const running = `${team.tasks} tasks with ${describeResources(team)} are running`
   const detail = `Team "${team.name}" has used up its allotment in this shard: ${running}, and the task needs ${describeResources(task.size)}.`
   return createExplanation(
--- a/packages/policy/src/headroom.ts
+++ b/packages/policy/src/headroom.ts
@@ -56,22 +56,46 @@
   allows (size: Resources, count: number, nowMs: number): boolean {
     if (this.peakSlots < 1) return true
     this.decay(nowMs)
+    return this.staysFree(size, count, 1)
+  }
+
+  /**
+   * The same as `allows`, without a change to the recorded peak.
+   *
+   * @param size the sum of the tasks' sizes
+   * @param count number of tasks
+   * @param nowMs the current time
+   * @returns true if the headroom stays free
+   */
+  wouldAllow (size: Resources, count: number, nowMs: number): boolean {
+    return this.peakSlots < 1 || this.staysFree(size, count, this.retainedUntil(nowMs))
+  }
+
+  /** Returns whether the headroom stays free if a fraction of the unused part of the recorded peak is retained. */
+  private staysFree (size: Resources, count: number, retained: number): boolean {
     const { fleet } = this.state
-    const cpu = headroomFor(this.peakCpu - this.runningCpu, fleet.totalCpu, size.cpuMilli) * this.headroomFactor
-    const memory = headroomFor(this.peakMemory - this.runningMemory, fleet.totalMemory, size.memoryMb) * this.headroomFactor
-    const slots = Math.round(headroomFor(this.peakSlots - this.runningSlots, fleet.totalSlots, count) * this.headroomFactor)
+    const unusedCpu = (this.peakCpu - this.runningCpu) * retained
+    const unusedMemory = (this.peakMemory - this.runningMemory) * retained
+    const unusedSlots = (this.peakSlots - this.runningSlots) * retained
+    const cpu = headroomFor(unusedCpu, fleet.totalCpu, size.cpuMilli) * this.headroomFactor
+    const memory = headroomFor(unusedMemory, fleet.totalMemory, size.memoryMb) * this.headroomFactor
+    const slots = Math.round(headroomFor(unusedSlots, fleet.totalSlots, count) * this.headroomFactor)
     if (fleet.readyFreeSlots - count < slots) return false
     return fleet.readyFreeCpu - size.cpuMilli >= cpu && fleet.readyFreeMemory - size.memoryMb >= memory
   }
 
   private decay (nowMs: number): void {
     if (nowMs <= this.decayedAtMs) return
-    const retained = Math.exp((this.decayedAtMs - nowMs) / PEAK_DECAY_MS)
+    const retained = this.retainedUntil(nowMs)
     this.peakCpu = this.runningCpu + (this.peakCpu - this.runningCpu) * retained
     this.peakMemory = this.runningMemory + (this.peakMemory - this.runningMemory) * retained
     this.peakSlots = this.runningSlots + (this.peakSlots - this.runningSlots) * retained
     this.decayedAtMs = nowMs
   }
+
+  private retainedUntil (nowMs: number): number {
+    return nowMs <= this.decayedAtMs ? 1 : Math.exp((this.decayedAtMs - nowMs) / PEAK_DECAY_MS)
+  }
 }
 
 /** Returns the headroom of one resource. There is none for a demand so large that it could otherwise never start. */
--- a/packages/policy/src/lanes.ts
+++ b/packages/policy/src/lanes.ts
@@ -25,6 +25,16 @@
 /** The placement policy of each workload. */
 export type Policies = Readonly<Record<Workload, Policy>>
 
+/** The place of a new task in the order of waiting work. */
+export interface PlaceInOrder {
+  /** Ratio of the team's usage to its share; 1 is exactly at the share. */
+  readonly shareRatio: number
+  /** Number of waiting tasks and gangs of the same team that come first. */
+  readonly tasksBefore: number
+  /** Names of other teams of which at least one task comes first. */
+  readonly teamsBefore: readonly string[]
+}
+
 /** Keeps the lanes in lists by what blocks them, and orders those that may start a task. */
 export class Lanes {
   /** Lanes blocked by the headroom for requests. */
@@ -211,11 +221,53 @@
     return block === Block.None
   }
 
+  /**
+   * Returns what would be considered before a task that is submitted now. Changes no state.
+   *
+   * @param task the task, which need not be known
+   * @param nowMs the current time
+   * @returns its place in the order
+   */
+  placeOf (task: Task, nowMs: number): PlaceInOrder {
+    const team = this.state.peekTeam(task.team)
+    const shareRatio = team.shareRatioAt(this.totals, nowMs)
+    const effectiveSubmitMs = nowMs - this.policies[task.workload].waitCreditMs
+    const rank = this.shareWeight * shareRatio
+    const teamsBefore = new Set<Team>()
+    let tasksBefore = 0
+    for (const lane of this.lanes.values()) {
+      if (lane.length === 0) continue
+      if (lane.team === team) {
+        tasksBefore += this.countBefore(lane, task, effectiveSubmitMs)
+        continue
+      }
+      const laneRank = this.rankAt(lane, lane.team.shareRatioAt(this.totals, nowMs), nowMs)
+      if (isListed(lane) && laneRank < rank) teamsBefore.add(lane.team)
+    }
+    return { shareRatio, tasksBefore, teamsBefore: [...teamsBefore].map(({ name }) => name).sort() }
+  }
+
+  /** Counts the tasks and gangs of a lane that come before a new task of the same team. */
+  private countBefore (lane: Lane, task: Task, effectiveSubmitMs: number): number {
+    if (lane.urgency !== task.urgency) return lane.urgency === Urgency.Urgent ? lane.length : 0
+    const { table } = this.state
+    let count = 0
+    for (let row = lane.head; row !== NONE; row = table.next[row]!) {
+      if (table.at(row).submittedMs - lane.policy.waitCreditMs >= effectiveSubmitMs) break
+      count++
+    }
+    return count
+  }
+
   private rank (lane: Lane, nowMs: number): number {
+    return this.rankAt(lane, lane.team.shareRatio, nowMs)
+  }
+
+  private rankAt (lane: Lane, shareRatio: number, nowMs: number): number {
     const { agingHorizonMs } = lane.policy
     const horizonMs = lane.urgency === Urgency.Urgent ? agingHorizonMs * URGENT_AGING_FACTOR : agingHorizonMs
     const aging = Math.min(1, Math.max(0, (nowMs - lane.submittedMs) / horizonMs))
-    return this.shareWeight * lane.team.shareRatio - this.waitingWeight * aging
+    return this.shareWeight * shareRatio - this.waitingWeight * aging
   }
 
   private laneFor (row: number): Lane {
@@ -278,6 +330,11 @@
   return left.effectiveSubmitMs < right.effectiveSubmitMs
 }
 
+/** Returns whether the head of a lane may start once a worker has enough free capacity. */
+function isListed (lane: Lane): boolean {
+  return lane.block === Block.None || lane.block === Block.Capacity
+}
+
 function isActive (team: Team): boolean {
   return team.unblockedLanes.length + team.capacityBlocked.length > 0
 }
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -4,6 +4,7 @@
 import type { Refusal } from '@fireflymount/protocol/refusal'
 import type { Resources } from '@fireflymount/protocol/resources'
 import type { Result } from 'neverthrow'
+import type { ClosedVerdict, DryRun } from './dry-run.js'
 import type { TeamQuota, Condition, Ending, Explanation, WorkerSpec, Placement, Preemption, Task } from './task.js'
 
 /** The decisions of one scheduling round. */
@@ -59,6 +60,14 @@
   abstract recordUsage (task: string, usage: Resources): void
   /** Explains why a task waits and what would let it start. */
   abstract explain (task: string, nowMs: number): Explanation
+  /**
+   * Returns what would happen to a task or gang that is submitted now, without any change of state.
+   *
+   * @param task the task, or one task of a gang, which has `groupSize` tasks
+   * @param nowMs the current time
+   * @param closedVerdict why a closed worker takes no new tasks
+   */
+  abstract dryRun (task: Task, nowMs: number, closedVerdict: ClosedVerdict): DryRun
   /** Returns the number of waiting tasks. */
   abstract waiting (): number
   /** Returns the number of running tasks. */
--- a/packages/policy/src/shard-state.ts
+++ b/packages/policy/src/shard-state.ts
@@ -48,6 +48,26 @@
     return kind
   }
 
+  /**
+   * Finds a team without creating it.
+   *
+   * @param name the name of the team
+   * @returns the team, or for an unknown one a team without usage and limits of its own that is not kept
+   */
+  peekTeam (name: string): Team {
+    return this.teams.get(name) ?? new Team(name)
+  }
+
+  /**
+   * Finds a kind without creating it.
+   *
+   * @param name the name of the kind
+   * @returns the kind, or for an unknown one a kind without estimates that is not kept
+   */
+  peekKind (name: string): TaskKind {
+    return this.kinds.get(name) ?? new TaskKind(name)
+  }
+
   /**
    * Adds a task, and adds it to its group.
    *
--- a/packages/policy/src/shard.ts
+++ b/packages/policy/src/shard.ts
@@ -15,6 +15,7 @@
 import { Workload } from '@fireflymount/protocol/workload'
 import { Admission } from './admission.js'
 import { BatchPolicy } from './batch.js'
+import { DryRunPlanner, type ClosedVerdict, type DryRun } from './dry-run.js'
 import { createExplanation, explainTask } from './explanation.js'
 import { GangPolicy, waitingMembers, sumSizes } from './gang.js'
 import { FreedWorkers } from './freed.js'
@@ -55,6 +56,7 @@
   private readonly lanes: Lanes
   private readonly waitlist: Waitlist
   private readonly review: Review
+  private readonly dryRunPlanner: DryRunPlanner
 
   constructor ({ weights }: ShardOptions) {
     super()
@@ -67,7 +69,9 @@
       [Workload.Batch]: new BatchPolicy(state, normalized, reservation),
       [Workload.Gang]: new GangPolicy(state, normalized, reservation)
     }
-    this.lanes = new Lanes(state, this.policies, new LimitCheck(state, this.headroom, reservation), normalized)
+    const limitCheck = new LimitCheck(state, this.headroom, reservation)
+    this.lanes = new Lanes(state, this.policies, limitCheck, normalized)
+    this.dryRunPlanner = new DryRunPlanner(state, admission, limitCheck, this.lanes, reservation)
     this.waitlist = new Waitlist(state, this.lanes, reservation, admission)
     this.review = new Review(state, this.lanes, health, new PreemptionPlanner(state, this.lanes), reservation, freed)
   }
@@ -203,6 +207,10 @@
     return explainTask(this.state, this.admission, row)
   }
 
+  dryRun (task: Task, nowMs: number, closedVerdict: ClosedVerdict): DryRun {
+    return this.dryRunPlanner.run(task, nowMs, closedVerdict)
+  }
+
   waiting (): number {
     return this.state.table.waiting
   }
--- a/packages/policy/src/team.ts
+++ b/packages/policy/src/team.ts
@@ -81,10 +81,10 @@
    */
   decayUsage (nowMs: number): void {
     if (nowMs <= this.decayedAtMs) return
-    const retained = Math.exp((this.decayedAtMs - nowMs) / USAGE_DECAY_MS)
-    this.decayedCpu = this.expectedCpu + (this.decayedCpu - this.expectedCpu) * retained
-    this.decayedMemory = this.expectedMemory + (this.decayedMemory - this.expectedMemory) * retained
-    this.decayedAccelerators = this.accelerators + (this.decayedAccelerators - this.accelerators) * retained
+    const retained = this.retainedUntil(nowMs)
+    this.decayedCpu = blend(this.expectedCpu, this.decayedCpu, retained)
+    this.decayedMemory = blend(this.expectedMemory, this.decayedMemory, retained)
+    this.decayedAccelerators = blend(this.accelerators, this.decayedAccelerators, retained)
     this.decayedAtMs = nowMs
   }
 
@@ -94,11 +94,32 @@
    * @param totals capacity of the shard and sum of all shares
    */
   updateShareRatio (totals: ShardTotals): void {
-    const cpu = blend(this.expectedCpu, this.decayedCpu) / totals.cpuMilli
-    const memory = blend(this.expectedMemory, this.decayedMemory) / totals.memoryMb
-    const accelerators = blend(this.accelerators, this.decayedAccelerators) / totals.accelerators
+    this.shareRatio = this.shareRatioAfter(1, totals)
+  }
+
+  /**
+   * Computes the share ratio at a time, without updating it.
+   *
+   * @param totals capacity of the shard and sum of all shares
+   * @param nowMs the time
+   * @returns the share ratio
+   */
+  shareRatioAt (totals: ShardTotals, nowMs: number): number {
+    return this.shareRatioAfter(this.retainedUntil(nowMs), totals)
+  }
+
+  /** Computes the share ratio from the fraction of past usage that is retained. */
+  private shareRatioAfter (retained: number, totals: ShardTotals): number {
+    const weight = HISTORY_WEIGHT * retained
+    const cpu = blend(this.expectedCpu, this.decayedCpu, weight) / totals.cpuMilli
+    const memory = blend(this.expectedMemory, this.decayedMemory, weight) / totals.memoryMb
+    const accelerators = blend(this.accelerators, this.decayedAccelerators, weight) / totals.accelerators
     const dominant = Math.max(cpu, memory, accelerators)
-    this.shareRatio = dominant * totals.shares / Math.max(this.share, totals.shares * MIN_SHARE_FRACTION)
+    return dominant * totals.shares / Math.max(this.share, totals.shares * MIN_SHARE_FRACTION)
+  }
+
+  private retainedUntil (nowMs: number): number {
+    return nowMs <= this.decayedAtMs ? 1 : Math.exp((this.decayedAtMs - nowMs) / USAGE_DECAY_MS)
   }
 
   /**
@@ -120,6 +141,6 @@
   shares: number
 }
 
-function blend (current: number, past: number): number {
-  return current + (past - current) * HISTORY_WEIGHT
+function blend (current: number, past: number, weight: number): number {
+  return current + (past - current) * weight
 }
--- a/packages/protocol/src/connection.ts
+++ b/packages/protocol/src/connection.ts
@@ -60,7 +60,7 @@
  */
 const CALLER_KINDS: ReadonlySet<unknown> = new Set([
   MessageKind.Call, MessageKind.Submit, MessageKind.Status, MessageKind.Cancel,
-  MessageKind.Explain, MessageKind.Survey, MessageKind.Drain, MessageKind.Evacuate, MessageKind.Abandon
+  MessageKind.Explain, MessageKind.DryRun, MessageKind.Survey, MessageKind.Drain, MessageKind.Evacuate, MessageKind.Abandon
 ])
 
 /** Bytes that may be buffered in the socket before new requests are refused. */
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -32,6 +32,8 @@
   Cancel = 'cancel',
   /** Returns the reasons why a job has not started. */
   Explain = 'explain',
+  /** Returns where new work would go now, and why, without accepting it. */
+  DryRun = 'dry-run',
   /** Returns the state of a shard: workers, tasks, queues, burn counters. */
   Survey = 'survey',
   /**
@@ -116,6 +118,16 @@
 export const StatusCodec = Codec.interface({ kind: exactly(MessageKind.Status), job: string, waitMs: number })
 export const CancelCodec = Codec.interface({ kind: exactly(MessageKind.Cancel), job: string })
 export const ExplainCodec = Codec.interface({ kind: exactly(MessageKind.Explain), job: string })
+/** Answered with a DryRunReport. `deadlineMs` is the time until the caller's deadline, for a queue of requests. */
+export const DryRunCodec = Codec.interface({
+  kind: exactly(MessageKind.DryRun),
+  queue: string,
+  team: string,
+  tasks: number,
+  runtimeMs: optional(number),
+  size: optional(ResourcesCodec),
+  deadlineMs: optional(number)
+})
 export const SurveyCodec = Codec.interface({ kind: exactly(MessageKind.Survey), shard: string })
 export const WatchCodec = Codec.interface({ kind: exactly(MessageKind.Watch), shard: string })
 export const PledgeCodec = Codec.interface({ kind: exactly(MessageKind.Pledge), shard: string, epoch: EpochCodec })
@@ -222,6 +234,7 @@
   [MessageKind.Status]: StatusCodec,
   [MessageKind.Cancel]: CancelCodec,
   [MessageKind.Explain]: ExplainCodec,
+  [MessageKind.DryRun]: DryRunCodec,
   [MessageKind.Survey]: SurveyCodec,
   [MessageKind.Watch]: WatchCodec,
   [MessageKind.Pledge]: PledgeCodec,
@@ -265,6 +278,15 @@
 export type Status = GetType<typeof StatusCodec>
 export type Cancel = GetType<typeof CancelCodec>
 export type Explain = GetType<typeof ExplainCodec>
+export interface DryRun {
+  readonly kind: MessageKind.DryRun
+  readonly queue: string
+  readonly team: string
+  readonly tasks: number
+  readonly runtimeMs?: number | undefined
+  readonly size?: Resources | undefined
+  readonly deadlineMs?: number | undefined
+}
 export type Survey = GetType<typeof SurveyCodec>
 export type Watch = GetType<typeof WatchCodec>
 export type Pledge = GetType<typeof PledgeCodec>
@@ -303,7 +325,7 @@
 }
 export type Disconnect = GetType<typeof DisconnectCodec>
 export type Abandon = GetType<typeof AbandonCodec>
-export type Request = Call | Submit | Status | Cancel | Explain | Survey | Watch | Pledge | Handover |
+export type Request = Call | Submit | Status | Cancel | Explain | DryRun | Survey | Watch | Pledge | Handover |
   Transfer | Borrow | Records | Drain | Evacuate | Abandon | Notice | Lookup | Advise | Relay | Succeed | Command | Disconnect
 
 /** States of a durable job. */
