Explain: dry runs of jobs on the users' platform

A pure module (dry-run/plan, dry-run/verdict) turns facts into a report: refusal, obstacle, place in the order with priority, rate, slack and past use, start, and a verdict on each kind of worker. The ranking takes additional steps; the dispatcher tells the reserve of its last round.

Result: tables for each obstacle, verdict and factor; a property over 100 runs: with dry runs between the rounds, assignments, advisor calls and charges are the same as without. Three nodes over loopback give the owner's report, also after a takeover. Not checked by a dry run: the memory for waiting jobs and the burst of a workspace beyond its rate (docs/design/explain.md).

--- a/packages/command/src/program.ts
+++ b/packages/command/src/program.ts
@@ -141,6 +141,8 @@
     .option('--runtime <ms>', 'expected run time of one task in milliseconds', parsePositiveInteger)
     .option('--size <cpu,memory,accelerators>', 'size of one task in thousandths of a core, MB and accelerators, such as 500,1024,0', parseSize)
     .option('--deadline <ms>', 'deadline of a request in milliseconds', parsePositiveInteger)
+    .option('--label <label>', 'label that a worker must have, in cells whose workers have labels')
+    .option('--gang', 'the tasks start together, in cells where this does not depend on the queue')
     .action((id: string | undefined, options: DryRunOptions, command: Command) => {
       if (id !== undefined && Object.keys(options).length > 0) {
         command.error('error: give either the id of a job or --queue with its options')
--- a/packages/command/src/work.ts
+++ b/packages/command/src/work.ts
@@ -98,6 +98,8 @@
   readonly size?: Resources
   /** Milliseconds. */
   readonly deadline?: number
+  readonly label?: string
+  readonly gang?: boolean
 }
 
 /**
@@ -108,13 +110,13 @@
  * @returns the report
  */
 export async function explainNew (context: ActionContext, options: DryRunOptions): Promise<Result<ActionOutput, Failure>> {
-  const { queue, team, tasks, runtime: runtimeMs, size, deadline: deadlineMs } = options
+  const { queue, team, tasks, runtime: runtimeMs, size, deadline: deadlineMs, label, gang } = options
   if (queue === undefined) return err(createUsageError('Give the id of a job, or --queue for work that is not submitted.'))
   const answer = await context.client.call({
     method: 'POST',
     path: `/v1/admin/queues/${encodeURIComponent(queue)}/dry-run`,
     retry: RetryPolicy.Safe,
-    body: { team, tasks, runtimeMs, size, deadlineMs }
+    body: { team, tasks, runtimeMs, size, deadlineMs, label, gang }
   })
   return answer.map(({ body }) => ({ value: body, text: formatDryRun(body as DryRunReport) }))
 }
--- /dev/null
+++ b/packages/control/src/dry-run/plan.ts
@@ -0,0 +1,164 @@
+/**
+ * Dry run of a job: where it would go if it were submitted now, and why. Works on what the owner knows, and changes nothing.
+ */
+import {
+  OrderFactor, groupWorkers, type DryRunReport, type OrderReason, type OrderReport, type WorkerOutlook
+} from '@fireflymount/protocol/dry-run'
+import type { Refusal } from '@fireflymount/protocol/refusal'
+import { fitsResources, scaleResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
+import type { Queue } from '../model/configuration.js'
+import { isFit, isOpen } from './verdict.js'
+
+/** What keeps a job from starting at once. */
+export enum JobObstacle {
+  None = 'none',
+  /** No worker has the label, or is large enough. */
+  Shape = 'shape',
+  /** No suitable worker takes new tasks. */
+  Workers = 'workers',
+  /** The upper limit of the workspace. */
+  Limit = 'limit',
+  /** Capacity that is reserved for urgent tasks. */
+  Reserve = 'reserve',
+  /** Too little capacity is free. */
+  Capacity = 'room',
+  /** Capacity is free for some tasks of the gang, but not for all of them at once. */
+  Gang = 'gang',
+  /** The advisor has to permit workers first. */
+  Advice = 'advice'
+}
+
+/** The place of the job's first step in the order, and what determines it. */
+export interface Place {
+  /** Number of waiting steps of the upstream that are placed first, and of all that wait. */
+  readonly before: number
+  readonly waiting: number
+  readonly slackMs: number
+  /** Rate of the workspace in jobs per second, 0 without one, and whether the job counts as beyond it. */
+  readonly rate: number
+  readonly overRate: boolean
+  /** Undefined if past use does not count. */
+  readonly pastUse: { readonly share: number, readonly yieldMs: number } | undefined
+}
+
+/** What a dry run is made from. */
+export interface DryRunInput {
+  readonly owner: string
+  readonly queue: Queue
+  readonly workspace: string
+  /** Number of tasks of the first step, and what each is charged. */
+  readonly count: number
+  readonly charge: Resources
+  readonly gang: boolean
+  readonly refusal: Refusal | undefined
+  readonly place: Place
+  readonly workers: readonly WorkerOutlook[]
+  /** Number of tasks that the upper limit of the workspace permits in addition to those that run. */
+  readonly withinLimit: number
+  /** Capacity that the tasks must leave free; undefined if they may use it. */
+  readonly reserve: Resources | undefined
+  /** Free capacity of all workers that take new tasks. */
+  readonly totalFree: Resources
+  /** Estimated time until capacity for one task is free on a worker, if nothing else takes it; Infinity if unknown. */
+  readonly untilFreeMs: number
+}
+
+interface Finding {
+  readonly obstacle: JobObstacle
+  readonly detail: string
+  readonly remedy: string
+}
+
+/** Creates the report of a dry run. */
+export function planDryRun (input: DryRunInput): DryRunReport {
+  const { owner, queue, workspace, refusal, place, workers } = input
+  const finding = findObstacle(input)
+  const startsInMs = startsInMsOf(input, finding.obstacle)
+  return {
+    queue: queue.name,
+    upstream: queue.upstream,
+    team: workspace,
+    owner,
+    accepted: refusal === undefined,
+    ...(refusal === undefined ? {} : { refusal }),
+    ...finding,
+    order: describeOrder(queue, place),
+    ...(startsInMs === undefined ? {} : { startsInMs }),
+    workers: groupWorkers(workers)
+  }
+}
+
+function findObstacle (input: DryRunInput): Finding {
+  const { workers, count, gang, withinLimit, queue } = input
+  const needed = gang ? count : 1
+  const fit = workers.filter(isFit)
+  if (fit.length === 0) {
+    return found(JobObstacle.Shape, `No worker of the upstream has the label and the size that the tasks need; ${workers.length} are known.`, 'Request less, or add suitable workers.')
+  }
+  if (!fit.some(isOpen)) {
+    return found(JobObstacle.Workers, `None of the ${fit.length} suitable workers takes new tasks.`, 'The verdicts say why: take the zone back, end the drain, or repair the workers.')
+  }
+  if (withinLimit < needed) {
+    return found(JobObstacle.Limit, `The upper limit of the workspace "${input.workspace}" permits ${withinLimit} more task(s), and ${needed} are needed to start.`, 'Wait until its tasks end, or raise the limit.')
+  }
+  const startable = workers.reduce((sum, worker) => sum + worker.startable, 0)
+  if (startable < needed) return explainCapacity(startable, needed)
+  if (!isOutsideReserve(input, needed)) {
+    return found(JobObstacle.Reserve, 'The free capacity is reserved for urgent tasks, sized by their recent demand.', 'Wait, add workers, or raise the priority of the queue.')
+  }
+  if (queue.advice === undefined) return found(JobObstacle.None, 'Enough capacity is free.', '')
+  return found(
+    JobObstacle.Advice,
+    `Capacity is free for ${startable} task(s), but the advisor has to permit the workers, which a dry run does not ask it.`,
+    `Asking takes ${queue.advice.callMs} ms and ${queue.advice.workerMs} ms for each worker.`
+  )
+}
+
+function explainCapacity (startable: number, needed: number): Finding {
+  if (needed === 1) return found(JobObstacle.Capacity, 'No suitable worker has enough free capacity.', 'Wait, add workers, or request less.')
+  return found(
+    JobObstacle.Gang,
+    `Only ${startable} of the ${needed} tasks of the gang could start now, and they have to start together.`,
+    'Wait, add workers, or request fewer tasks.'
+  )
+}
+
+function isOutsideReserve ({ reserve, totalFree, charge }: DryRunInput, needed: number): boolean {
+  return reserve === undefined || fitsResources(scaleResources(charge, needed), subtractResources(totalFree, reserve))
+}
+
+/** The start is known if it is now, or if the job is the first to get capacity that is estimated to become free. */
+function startsInMsOf ({ place, untilFreeMs }: DryRunInput, obstacle: JobObstacle): number | undefined {
+  if (obstacle === JobObstacle.None) return 0
+  if (obstacle !== JobObstacle.Capacity || place.before > 0 || !Number.isFinite(untilFreeMs)) return undefined
+  return Math.round(untilFreeMs)
+}
+
+function describeOrder (queue: Queue, { before, waiting, slackMs, rate, overRate, pastUse }: Place): OrderReport {
+  const reasons: OrderReason[] = [
+    { factor: OrderFactor.Priority, value: queue.priority, detail: 'Priority of the queue; 0 is the highest.' },
+    { factor: OrderFactor.Rate, value: overRate ? 'beyond' : 'within', detail: describeRate(rate, overRate) },
+    { factor: OrderFactor.Slack, value: Math.round(slackMs), detail: 'Time until the first step has to start to meet the objective; the least comes first.' }
+  ]
+  if (pastUse !== undefined) reasons.push(describePastUse(pastUse.share, pastUse.yieldMs))
+  return { before, detail: `Waiting steps of the upstream that come first, of ${waiting} that wait.`, reasons }
+}
+
+function describeRate (rate: number, overRate: boolean): string {
+  if (rate === 0) return 'The workspace has no rate.'
+  if (!overRate) return `The rate of the workspace is ${rate} jobs a second. Jobs beyond it come after all jobs within their rate.`
+  return `The newest job of the workspace is beyond its rate of ${rate} jobs a second: it comes after all jobs within their rate.`
+}
+
+function describePastUse (share: number, yieldMs: number): OrderReason {
+  const used = `The workspace has ${Math.round(share * 1000) / 10} % of the recorded use`
+  return {
+    factor: OrderFactor.PastUse,
+    value: Math.round(yieldMs),
+    detail: yieldMs > 0 ? `${used}: its steps yield by this time to workspaces that wait too.` : `${used}: its steps yield to none that waits.`
+  }
+}
+
+function found (obstacle: JobObstacle, detail: string, remedy: string): Finding {
+  return { obstacle, detail, remedy }
+}
--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -58,6 +58,15 @@
   readonly stopMs: number
 }
 
+/** Capacity of an upstream that is reserved for urgent tasks. */
+export interface Reservation {
+  /** Tasks of queues with this priority are urgent; Infinity without queues. */
+  readonly urgentPriority: number
+  /** Tasks with at most this estimated duration may use the reserve. */
+  readonly urgentTotalSlackMs: number
+  readonly reserve: Resources
+}
+
 /** Dependencies of the dispatcher. */
 export interface DispatcherOptions {
   readonly ledger: Ledger
@@ -113,6 +122,25 @@
     this.contention = new Contention(this.jobSettings)
   }
 
+  /** Returns how the capacity of an upstream was reserved for urgent tasks in the last round. */
+  reservationOf (upstream: string): Reservation {
+    const { sessions } = this.options
+    const urgentDemand = this.urgentDemand.get(upstream)
+    return {
+      urgentPriority: this.urgentPriorityOf(upstream),
+      urgentTotalSlackMs: urgentDemand?.totalSlackMs ?? 0,
+      reserve: urgentDemand?.reserve(totalCapacityOf(sessions.values(), upstream)) ?? NO_RESOURCES
+    }
+  }
+
+  private urgentPriorityOf (upstream: string): number {
+    let urgentPriority = Infinity
+    for (const queue of this.jobSettings.queues()) {
+      if (queue.upstream === upstream) urgentPriority = Math.min(urgentPriority, queue.priority)
+    }
+    return urgentPriority
+  }
+
   /** Runs one round over all waiting tasks. */
   round (): Decisions {
     const round = this.startRound()
@@ -356,10 +384,7 @@
    */
   private createPool (upstream: string, round: Round): Pool {
     const { ledger, sessions, clock } = this.options
-    let urgentPriority = Infinity
-    for (const queue of this.jobSettings.queues()) {
-      if (queue.upstream === upstream) urgentPriority = Math.min(urgentPriority, queue.priority)
-    }
+    const urgentPriority = this.urgentPriorityOf(upstream)
     const isUrgent = (queue: Queue): boolean => queue.upstream === upstream && queue.priority === urgentPriority
     let demand = NO_RESOURCES
     for (const queue of this.jobSettings.queues()) {
@@ -395,8 +420,8 @@
  * start soon to meet their objective, unless that time is already past. Urgent tasks may do so also beyond the rate of their
  * workspace.
  */
-function mayUseReserve ({ readyStep, queue, slackMs }: RankedStep, pool: Pool): boolean {
-  if (readyStep.step.lasting || queue === undefined || queue.priority <= pool.urgentPriority) return true
-  if (readyStep.step.estimateMs <= pool.urgentTotalSlackMs) return true
+export function mayUseReserve ({ readyStep, queue, slackMs }: RankedStep, reservation: Reservation): boolean {
+  if (readyStep.step.lasting || queue === undefined || queue.priority <= reservation.urgentPriority) return true
+  if (readyStep.step.estimateMs <= reservation.urgentTotalSlackMs) return true
   return slackMs > 0 && slackMs < MAX_SLACK_FOR_RESERVE_MS
 }
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -6,6 +6,8 @@
  * and stops those of a gang of which a member has ended.
  */
 import { setMaxListeners } from 'node:events'
+import type { DryRunReport } from '@fireflymount/protocol/dry-run'
+import type { DryRun } from '@fireflymount/protocol/message'
 import type { Execution, Refusal } from '@fireflymount/protocol/refusal'
 import type { Result } from 'neverthrow'
 import { detach } from '../detach.js'
@@ -38,6 +40,7 @@
 import { ReadySteps } from './ready-step.js'
 import { Assigner } from './assigner.js'
 import { Dispatcher } from './dispatcher.js'
+import { dryRunJob } from './dry-run.js'
 import { RunEndHandler } from './run-end-handler.js'
 import { Fences } from './fence.js'
 import { Adoption } from './adoption.js'
@@ -302,6 +305,18 @@
     return await this.admissionController.append(records, timeoutMs)
   }
 
+  /**
+   * Reports where a job would go if it were submitted now. Changes nothing, and asks no advisor.
+   *
+   * @param node name of this node
+   */
+  dryRun (request: DryRun, node: string): Result<DryRunReport, Refusal> {
+    const { configuration, clock } = this.options
+    const { ledger, readySteps, sessions, dispatcher, overRateJobs } = this
+    const pastUse = this.pastUseRecorder?.pastUse
+    return dryRunJob({ node, configuration, clock, ledger, readySteps, sessions, dispatcher, overRateJobs, pastUse }, request)
+  }
+
   private onWritten (record: KeyedRecord): void {
     this.options.journalState.apply({ ...record, offset: UNKNOWN_OFFSET }, this.epoch)
     this.onJob(splitKey(record.key).name)
--- a/packages/control/src/owner/step-ranking.ts
+++ b/packages/control/src/owner/step-ranking.ts
@@ -27,6 +27,8 @@
   readonly objectiveMs: number
   /** The job can no longer complete while it is of use to its caller. */
   readonly tooLate: boolean
+  /** Time by which the step yields to others because of the past use of its workspace. */
+  readonly yieldMs: number
 }
 
 /** What the ranking depends on. */
@@ -38,19 +40,25 @@
   readonly overRateJobs: ReadonlySet<string>
   /** Undefined if past use does not count. */
   readonly pastUse: PastUse | undefined
+  /** Steps that are ranked as if they were ready. */
+  readonly additional?: readonly ReadyStep[]
 }
 
 /** Returns the ready steps that are due, in the order in which they are placed. */
-export function rankReadySteps ({ readySteps, jobSettings, clock, overRateJobs, pastUse }: StepRankingOptions): RankedStep[] {
+export function rankReadySteps (
+  { readySteps, jobSettings, clock, overRateJobs, pastUse, additional = [] }: StepRankingOptions
+): RankedStep[] {
   const wallNowMs = clock.wall()
-  const yields = pastUse?.yieldsAmong(waitingWorkspaces(readySteps, wallNowMs))
+  const listed = [...readySteps.list(), ...additional]
+  const yields = pastUse?.yieldsAmong(waitingWorkspaces(listed, wallNowMs))
   const ranked: RankedStep[] = []
-  for (const readyStep of readySteps.list()) {
+  for (const readyStep of listed) {
     if (!isDue(readyStep, wallNowMs)) continue
     const { entry: { job, phase }, dueMs, chainMs, criticalPathMs } = readyStep
     const queue = jobSettings.queueOf(job)
     const overRate = overRateJobs.has(job.id)
     const objectiveMs = (queue?.stretch ?? UNKNOWN_QUEUE_STRETCH) * criticalPathMs + (queue?.targetMs ?? 0)
+    const yieldMs = (yields?.get(job.workspace) ?? 0) * Math.max(0, objectiveMs - criticalPathMs)
     const rank = placementRankOf({
       longRunning: readyStep.step.lasting,
       // A job whose queue is not known is ranked with the highest priority, but does not count as urgent.
@@ -60,11 +68,11 @@
       chainMs,
       started: job.occurrences === 0 && phase === Phase.Active,
       overRate,
-      yieldMs: (yields?.get(job.workspace) ?? 0) * Math.max(0, objectiveMs - criticalPathMs)
+      yieldMs
     }, wallNowMs)
     const slackMs = dueMs + objectiveMs - chainMs - wallNowMs
     const tooLate = !readyStep.step.lasting && isTooLate(slackMs, objectiveMs)
-    ranked.push({ readyStep, queue, overRate, rank, slackMs, objectiveMs, tooLate })
+    ranked.push({ readyStep, queue, overRate, rank, slackMs, objectiveMs, tooLate, yieldMs })
   }
   return ranked.sort((left, right) => left.rank - right.rank)
 }
@@ -74,9 +82,9 @@
 }
 
 /** Returns the workspaces whose due steps wait. Long-running steps do not count: they rank first and yield to none. */
-function waitingWorkspaces (readySteps: ReadySteps, wallNowMs: number): ReadonlySet<string> {
+function waitingWorkspaces (readySteps: Iterable<ReadyStep>, wallNowMs: number): ReadonlySet<string> {
   const waiting = new Set<string>()
-  for (const readyStep of readySteps.list()) {
+  for (const readyStep of readySteps) {
     if (!readyStep.step.lasting && isDue(readyStep, wallNowMs)) waiting.add(readyStep.entry.job.workspace)
   }
   return waiting
--- a/packages/protocol/src/dry-run.ts
+++ b/packages/protocol/src/dry-run.ts
@@ -36,8 +36,6 @@
   Share = 'share',
   /** Whether the workspace submits beyond its rate. */
   Rate = 'rate',
-  /** Class of work that is placed before or after others whatever their other factors are. */
-  Band = 'band',
   /** Milliseconds until the work has to start to meet its objective; negative if it is late. */
   Slack = 'slack',
   /** Milliseconds that past use of the workspace moves the work back in the order. */
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -126,7 +126,9 @@
   tasks: number,
   runtimeMs: optional(number),
   size: optional(ResourcesCodec),
-  deadlineMs: optional(number)
+  deadlineMs: optional(number),
+  label: optional(string),
+  gang: optional(boolean)
 })
 export const SurveyCodec = Codec.interface({ kind: exactly(MessageKind.Survey), shard: string })
 export const WatchCodec = Codec.interface({ kind: exactly(MessageKind.Watch), shard: string })
@@ -286,6 +288,10 @@
   readonly runtimeMs?: number | undefined
   readonly size?: Resources | undefined
   readonly deadlineMs?: number | undefined
+  /** Label that a worker must have. Only packages/control has labels. */
+  readonly label?: string | undefined
+  /** The tasks start together. In packages/daemon this depends on the queue. */
+  readonly gang?: boolean | undefined
 }
 export type Survey = GetType<typeof SurveyCodec>
 export type Watch = GetType<typeof WatchCodec>
