Explain: paused placement, and an upstream without known workers

Cause: a dry run said "would start now" while the evacuations of zones were read too long ago and nothing was placed, and blamed label and size where the owner knew no worker yet.

Change: the obstacles `paused` and `workers` say so; the time after which to return is a whole number.

--- a/packages/control/src/dry-run/plan.ts
+++ b/packages/control/src/dry-run/plan.ts
@@ -14,8 +14,10 @@
   None = 'none',
   /** No worker has the label, or is large enough. */
   Shape = 'shape',
-  /** No suitable worker takes new tasks. */
+  /** No suitable worker takes new tasks, or none is known. */
   Workers = 'workers',
+  /** Nothing is placed, since the evacuations of zones were read too long ago. */
+  Paused = 'paused',
   /** The upper limit of the workspace. */
   Limit = 'limit',
   /** Capacity that is reserved for urgent tasks. */
@@ -51,6 +53,8 @@
   readonly charge: Resources
   readonly gang: boolean
   readonly refusal: Refusal | undefined
+  /** Nothing is placed at the moment. */
+  readonly paused: boolean
   readonly place: Place
   readonly workers: readonly WorkerOutlook[]
   /** Number of tasks that the upper limit of the workspace permits in addition to those that run. */
@@ -91,6 +95,7 @@
 function findObstacle (input: DryRunInput): Finding {
   const { workers, count, gang, withinLimit, queue } = input
   const needed = gang ? count : 1
+  if (workers.length === 0) return found(JobObstacle.Workers, 'The owner knows no worker of the upstream.', 'Add workers, or wait until the owner has read their registry.')
   const fit = workers.filter(isFit)
   if (fit.length === 0) {
     return found(JobObstacle.Shape, `No worker of the upstream has the label and the size that the tasks need; ${workers.length} are known.`, 'Request less, or add suitable workers.')
@@ -98,6 +103,9 @@
   if (!fit.some(isOpen)) {
     return found(JobObstacle.Workers, `None of the ${fit.length} suitable workers takes new tasks.`, 'The verdicts say why: take the zone back, end the drain, or repair the workers.')
   }
+  if (input.paused) {
+    return found(JobObstacle.Paused, 'Nothing is placed, since the evacuations of zones were read too long ago.', 'Wait until the store answers again.')
+  }
   if (withinLimit < needed) {
     return found(JobObstacle.Limit, `The upper limit of the workspace "${input.workspace}" permits ${withinLimit} more task(s), and ${needed} are needed to start.`, 'Wait until its tasks end, or raise the limit.')
   }
--- a/packages/control/src/owner/dry-run.ts
+++ b/packages/control/src/owner/dry-run.ts
@@ -15,6 +15,7 @@
 import { findRetryAfterMs } from '../place/admission.js'
 import { headroomOf } from '../place/limit.js'
 import type { PastUse } from '../place/past-use.js'
+import type { ZoneStatus } from '../zones/evacuations.js'
 import { PoolCandidate } from './candidates.js'
 import { mayUseReserve, type Dispatcher } from './dispatcher.js'
 import { JobSettings } from './job-settings.js'
@@ -39,6 +40,7 @@
   readonly dispatcher: Pick<Dispatcher, 'reservationOf' | 'unplacedStepsOf' | 'hasCapacityFor'>
   readonly overRateJobs: ReadonlySet<string>
   readonly pastUse: PastUse | undefined
+  readonly zones: ZoneStatus
 }
 
 /** The workers of an upstream, as far as a step is concerned. */
@@ -75,6 +77,7 @@
     count: step.count,
     charge,
     gang: step.gang,
+    paused: options.zones.maxStartValidityMs() === 0,
     refusal: refusalOf(options, job, queue, workspace, overRate),
     place: placeOf(options, ranked, own, workspace),
     workers: workers.outlooks,
@@ -201,6 +204,6 @@
   return refuse(
     Reason.DeadlineUnreachable,
     'The jobs ahead in the queue take too long for this job to meet its objective. Retry later.',
-    retryAfterMs
+    Math.ceil(retryAfterMs)
   )
 }
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -311,10 +311,12 @@
    * @param node name of this node
    */
   dryRun (request: DryRun, node: string): Result<DryRunReport, Refusal> {
-    const { configuration, clock } = this.options
+    const { configuration, clock, zones } = this.options
     const { ledger, readySteps, sessions, dispatcher, overRateJobs } = this
     const pastUse = this.pastUseRecorder?.pastUse
-    return dryRunJob({ node, configuration, clock, ledger, readySteps, sessions, dispatcher, overRateJobs, pastUse }, request)
+    return dryRunJob({
+      node, configuration, clock, zones, ledger, readySteps, sessions, dispatcher, overRateJobs, pastUse
+    }, request)
   }
 
   private onWritten (record: KeyedRecord): void {
--- a/packages/control/test/dry-run/plan.spec.ts
+++ b/packages/control/test/dry-run/plan.spec.ts
@@ -19,6 +19,7 @@
   charge: SIZE,
   gang: false,
   refusal: undefined,
+  paused: false,
   place: { before: 0, waiting: 3, slackMs: 500.4, rate: 0, overRate: false, pastUse: undefined },
   workers: [worker(WorkerVerdict.Available, 1), worker(WorkerVerdict.Label)],
   withinLimit: Infinity,
@@ -31,7 +32,8 @@
 describe('what keeps a job from starting', () => {
   it.each([
     ['nothing', {}, JobObstacle.None, 0],
-    ['no worker', { workers: [] }, JobObstacle.Shape, undefined],
+    ['no worker', { workers: [] }, JobObstacle.Workers, undefined],
+    ['an old read of the evacuations', { paused: true }, JobObstacle.Paused, undefined],
     ['labels and sizes', { workers: [worker(WorkerVerdict.Label), worker(WorkerVerdict.TooSmall)] }, JobObstacle.Shape, undefined],
     ['workers that take no tasks', { workers: [worker(WorkerVerdict.Evacuated), worker(WorkerVerdict.Label)] }, JobObstacle.Workers, undefined],
     ['the limit of the workspace', { withinLimit: 0 }, JobObstacle.Limit, undefined],
--- a/packages/control/test/owner/dry-run.spec.ts
+++ b/packages/control/test/owner/dry-run.spec.ts
@@ -42,6 +42,7 @@
   readonly clock = new FakeClock()
   readonly overRateJobs = new Set<string>()
   readonly evacuated = new Set<string>()
+  startValidityMs = Infinity
   readonly sessions = new Map<string, Session>()
   readonly ledger = new Ledger()
   /** Calls of the advisor and assignments, in order. */
@@ -100,7 +101,8 @@
 
   dryRun (work: Partial<DryRun> = {}): DryRunReport {
     const { dispatcher } = this
-    return dryRunJob({ ...this.parts(), node: 'n1', dispatcher }, { ...WORK, ...work })._unsafeUnwrap()
+    const zones = { ...ALL_ZONES, maxStartValidityMs: () => this.startValidityMs }
+    return dryRunJob({ ...this.parts(), node: 'n1', dispatcher, zones }, { ...WORK, ...work })._unsafeUnwrap()
   }
 
   private parts () {
@@ -123,6 +125,7 @@
       await cell.round()
     }, {}, 'room', WorkerVerdict.Busy, 900],
     ['in an evacuated zone', async () => { cell.evacuated.add('fukuoka') }, {}, 'workers', WorkerVerdict.Evacuated, undefined],
+    ['while starts are paused', async () => { cell.startValidityMs = 0 }, {}, 'paused', WorkerVerdict.Available, undefined],
     ['that needs a label', async () => {}, { label: 'b' }, 'shape', WorkerVerdict.Label, undefined],
     ['of a workspace at its limit', async () => {}, { team: 'limited' }, 'limit', WorkerVerdict.Available, undefined],
     ['on a queue with advice', async () => {}, { queue: 'advised' }, 'advice', WorkerVerdict.AdviceUnknown, undefined],
