Explain: why a submitted job waits, on the users' platform

Cause: the nodes of the users' platform could say where a new job would go, but not why one that was submitted waits; operators had to read it from log lines.

Change: GET /v1/jobs/{id}/explanation on the metrics address gives the same report on the first waiting step of the job, with what the advisor has answered about it (`not-permitted`) and the delay after failed runs (`delayed`). `fireflymount explain ID` prints it as text or JSON.

--- a/packages/command/src/dry-run.ts
+++ b/packages/command/src/dry-run.ts
@@ -13,11 +13,12 @@
  * @returns lines that end with a line feed
  */
 export function formatDryRun (report: DryRunReport): string {
-  const { queue, upstream, team, owner, order, workers } = report
+  const { job, queue, upstream, team, owner, order, workers } = report
   const sender = team === '' ? '' : ` of "${team}"`
+  const subject = job === undefined ? 'Work' : `The job ${job}`
   const factors = order.reasons.map(({ factor, value, detail }) => ({ factor, value: withUnit(factor, value), detail }))
   return [
-    `Work${sender} on the queue "${queue}" goes to the upstream "${upstream}", which ${owner} owns.\n`,
+    `${subject}${sender} on the queue "${queue}" goes to the upstream "${upstream}", which ${owner} owns.\n`,
     describeAcceptance(report),
     describeStart(report),
     `Before it in the order: ${order.before}. ${order.detail}\n`,
@@ -26,7 +27,8 @@
   ].join('')
 }
 
-function describeAcceptance ({ accepted, refusal }: DryRunReport): string {
+function describeAcceptance ({ job, accepted, refusal }: DryRunReport): string {
+  if (job !== undefined) return 'It is accepted and waits.\n'
   if (accepted || refusal === undefined) return 'It would be accepted.\n'
   const retry = refusal.retryAfterMs === undefined ? '' : ` Retry in ${refusal.retryAfterMs} ms.`
   return `It would be refused (${refusal.reason}): ${refusal.detail}${retry}\n`
--- a/packages/command/src/work.ts
+++ b/packages/command/src/work.ts
@@ -85,7 +85,13 @@
  */
 export async function explain (context: ActionContext, id: string): Promise<Result<ActionOutput, Failure>> {
   const answer = await context.client.call({ method: 'GET', path: `${pathOf(id)}/explanation`, retry: RetryPolicy.Safe })
-  return answer.map(({ body }) => createObjectOutput((body ?? {}) as object))
+  return answer.map(({ body }) => describeExplanation((body ?? {}) as Partial<DryRunReport>))
+}
+
+/** Describes an explanation, which is a report if the nodes are those of the users' platform and the job waits. */
+function describeExplanation (explanation: Partial<DryRunReport>): ActionOutput {
+  if (explanation.workers === undefined) return createObjectOutput(explanation)
+  return { value: explanation, text: formatDryRun(explanation as DryRunReport) }
 }
 
 /** Options of the command `explain` that describe work which is not submitted. */
--- a/packages/command/test/program.spec.ts
+++ b/packages/command/test/program.spec.ts
@@ -272,6 +272,14 @@
     expect(JSON.parse((await cell.run(['explain', ...args, '--output', 'json'])).out)).toEqual(REPORT)
   })
 
+  test('explain of a waiting job prints a report as text', async () => {
+    await cell.run(['apply', '-'], TEXT)
+    const report: DryRunReport = { ...REPORT, job: 'bee-planner.01', accepted: true }
+    cell.router.answer = ({ kind }) => ok(kind === MessageKind.Status ? createJob(JobState.Waiting) : report)
+    const { exit, out } = await cell.run(['explain', 'bee-planner.01'])
+    expect([exit, out]).toEqual([0, expect.stringMatching(/^The job bee-planner\.01 of "guild"[^]*It is accepted and waits\.\nIt would wait/)])
+  })
+
   test.each([
     { args: ['get', 'teams'], out: /NAME +WORKSPACE[^]*guild +hakata/ },
     { args: ['get', 'teams', 'guild'], out: /share +1/ }
--- a/packages/control/src/dry-run/endpoint.ts
+++ b/packages/control/src/dry-run/endpoint.ts
@@ -1,40 +1,63 @@
 /**
- * The operators' request for a dry run, `POST /v1/admin/queues/{queue}/dry-run`, as the command line sends it.
+ * The operators' requests for explanations, as the command line sends them: `POST /v1/admin/queues/{queue}/dry-run` for a job that is
+ * not submitted, and `GET /v1/jobs/{id}/explanation` for one that is.
  */
 import type { ServerResponse } from 'node:http'
-import { MessageKind, type DryRun } from '@fireflymount/protocol/message'
+import { MessageKind, type DryRun, type Explain } from '@fireflymount/protocol/message'
 import { Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import type { Resources } from '@fireflymount/protocol/resources'
 import { err, ok, type Result } from 'neverthrow'
 
-const PATH = /^\/v1\/admin\/queues\/([^/]+)\/dry-run$/
+const DRY_RUN_PATH = /^\/v1\/admin\/queues\/([^/]+)\/dry-run$/
+const JOB_PATH = /^\/v1\/(?:admin\/)?jobs\/([^/]+)\/explanation$/
 const FIELDS = ['team', 'tasks', 'runtimeMs', 'size', 'label', 'gang'] as const
 const DIMENSIONS = ['cpuMilli', 'memoryMb', 'accelerators'] as const
 const EXAMPLE = 'such as {"team": "guild", "runtimeMs": 1000, "size": {"cpuMilli": 500, "memoryMb": 1024, "accelerators": 0}}'
 const STATUS_OF_REASON: Partial<Record<Reason, number>> = {
-  [Reason.BadRequest]: 400, [Reason.NoSuchQueue]: 404, [Reason.Internal]: 500
+  [Reason.BadRequest]: 400, [Reason.NoSuchQueue]: 404, [Reason.NoSuchJob]: 404, [Reason.Internal]: 500
 }
 
-/** Answers a dry run. */
-export type DryRunHandler = (request: DryRun) => Promise<Result<unknown, Refusal>>
+/** Answers a request for an explanation. */
+export type ExplanationHandler = (request: DryRun | Explain) => Promise<Result<unknown, Refusal>>
 
-/** Returns the queue of a request for a dry run; undefined for any other request. */
-export function queueOfDryRun (method: string | undefined, url: string | undefined): string | undefined {
-  const queue = PATH.exec(url ?? '')?.[1]
-  if (method !== 'POST' || queue === undefined) return undefined
+/**
+ * Decodes a request for an explanation.
+ *
+ * @returns the message for the owner, or what is invalid and how to mend it; undefined for any other request
+ */
+export function decodeExplanation (
+  method: string | undefined, url: string | undefined, body: string
+): Result<DryRun | Explain, Refusal> | undefined {
+  const queue = method === 'POST' ? nameIn(DRY_RUN_PATH, url) : undefined
+  if (queue !== undefined) return decodeDryRun(queue, body)
+  const job = method === 'GET' ? nameIn(JOB_PATH, url) : undefined
+  return job === undefined ? undefined : ok({ kind: MessageKind.Explain, job })
+}
+
+/** Answers a decoded request. */
+export async function answerExplanation (
+  request: Result<DryRun | Explain, Refusal>, response: ServerResponse, handler: ExplanationHandler
+): Promise<void> {
+  const answer = request.isOk() ? await handler(request.value) : err(request.error)
+  if (answer.isOk()) {
+    response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(answer.value))
+    return
+  }
+  const { reason, detail, execution, retryAfterMs } = answer.error
+  response.writeHead(STATUS_OF_REASON[reason] ?? 503, { 'content-type': 'application/problem+json' })
+  response.end(JSON.stringify({ title: reason, detail, execution, retryAfterMs }))
+}
+
+function nameIn (path: RegExp, url = ''): string | undefined {
   try {
-    return decodeURIComponent(queue)
+    const name = path.exec(url)?.[1]
+    return name === undefined ? undefined : decodeURIComponent(name)
   } catch {
     return undefined
   }
 }
 
-/**
- * Decodes the body of a request for a dry run.
- *
- * @returns the message for the owner, or which field is invalid and how to mend it
- */
-export function decodeDryRun (queue: string, body: string): Result<DryRun, Refusal> {
+function decodeDryRun (queue: string, body: string): Result<DryRun, Refusal> {
   const fields = parseObject(body)
   if (fields === undefined) return err(refuse(Reason.BadRequest, `The body must be an object ${EXAMPLE}.`))
   const { team = '', tasks = 1, runtimeMs, size, label = '', gang = false } = fields
@@ -50,21 +73,6 @@
   return ok({ kind: MessageKind.DryRun, queue, team, tasks, runtimeMs, size, label, gang } as DryRun)
 }
 
-/** Answers a request for a dry run. */
-export async function answerDryRun (
-  queue: string, body: string, response: ServerResponse, handler: DryRunHandler
-): Promise<void> {
-  const request = decodeDryRun(queue, body)
-  const answer = request.isOk() ? await handler(request.value) : err(request.error)
-  if (answer.isOk()) {
-    response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(answer.value))
-    return
-  }
-  const { reason, detail, execution, retryAfterMs } = answer.error
-  response.writeHead(STATUS_OF_REASON[reason] ?? 503, { 'content-type': 'application/problem+json' })
-  response.end(JSON.stringify({ title: reason, detail, execution, retryAfterMs }))
-}
-
 function parseObject (text: string): Record<string, unknown> | undefined {
   try {
     const value: unknown = JSON.parse(text)
--- a/packages/control/src/dry-run/plan.ts
+++ b/packages/control/src/dry-run/plan.ts
@@ -2,7 +2,7 @@
  * Dry run of a job: where it would go if it were submitted now, and why. Works on what the owner knows, and changes nothing.
  */
 import {
-  OrderFactor, groupWorkers, type DryRunReport, type OrderReason, type OrderReport, type WorkerOutlook
+  OrderFactor, WorkerVerdict, groupWorkers, type DryRunReport, type OrderReason, type OrderReport, type WorkerOutlook
 } from '@fireflymount/protocol/dry-run'
 import type { Refusal } from '@fireflymount/protocol/refusal'
 import { fitsResources, scaleResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
@@ -20,6 +20,8 @@
   Paused = 'paused',
   /** The upper limit of the workspace. */
   Limit = 'limit',
+  /** The tasks may not start yet, because their runs failed. */
+  Delayed = 'delayed',
   /** Capacity that is reserved for urgent tasks. */
   Reserve = 'reserve',
   /** Too little capacity is free. */
@@ -30,7 +32,7 @@
   Advice = 'advice'
 }
 
-/** The place of the job's first step in the order, and what determines it. */
+/** The place of a step of the job in the order, and what determines it. */
 export interface Place {
   /** Number of waiting steps of the upstream that are placed first, and of all that wait. */
   readonly before: number
@@ -43,18 +45,22 @@
   readonly pastUse: { readonly share: number, readonly yieldMs: number } | undefined
 }
 
-/** What a dry run is made from. */
+/** What a report is made from. */
 export interface DryRunInput {
+  /** Id of the job; undefined for one that is not submitted. */
+  readonly job: string | undefined
   readonly owner: string
   readonly queue: Queue
   readonly workspace: string
-  /** Number of tasks of the first step, and what each is charged. */
+  /** Number of tasks of the step, and what each is charged. */
   readonly count: number
   readonly charge: Resources
   readonly gang: boolean
   readonly refusal: Refusal | undefined
   /** Nothing is placed at the moment. */
   readonly paused: boolean
+  /** Time before which no task of the step may start, because its runs failed; 0 if there is none. */
+  readonly delayMs: number
   readonly place: Place
   readonly workers: readonly WorkerOutlook[]
   /** Number of tasks that the upper limit of the workspace permits in addition to those that run. */
@@ -73,12 +79,13 @@
   readonly remedy: string
 }
 
-/** Creates the report of a dry run. */
+/** Creates the report. */
 export function planDryRun (input: DryRunInput): DryRunReport {
-  const { owner, queue, workspace, refusal, place, workers } = input
+  const { job, owner, queue, workspace, refusal, place, workers } = input
   const finding = findObstacle(input)
   const startsInMs = startsInMsOf(input, finding.obstacle)
   return {
+    ...(job === undefined ? {} : { job }),
     queue: queue.name,
     upstream: queue.upstream,
     team: workspace,
@@ -93,12 +100,12 @@
 }
 
 function findObstacle (input: DryRunInput): Finding {
-  const { workers, count, gang, withinLimit, queue } = input
+  const { workers, count, gang, withinLimit, queue, delayMs } = input
   const needed = gang ? count : 1
   if (workers.length === 0) return found(JobObstacle.Workers, 'The owner knows no worker of the upstream.', 'Add workers, or wait until the owner has read their registry.')
   const fit = workers.filter(isFit)
   if (fit.length === 0) {
-    return found(JobObstacle.Shape, `No worker of the upstream has the label and the size that the tasks need; ${workers.length} are known.`, 'Request less, or add suitable workers.')
+    return found(JobObstacle.Shape, `No worker of the upstream suits the tasks, by label, size and the advisor's permission; ${workers.length} are known.`, 'Request less, or add suitable workers.')
   }
   if (!fit.some(isOpen)) {
     return found(JobObstacle.Workers, `None of the ${fit.length} suitable workers takes new tasks.`, 'The verdicts say why: take the zone back, end the drain, or repair the workers.')
@@ -106,22 +113,29 @@
   if (input.paused) {
     return found(JobObstacle.Paused, 'Nothing is placed, since the evacuations of zones were read too long ago.', 'Wait until the store answers again.')
   }
+  if (delayMs > 0) return found(JobObstacle.Delayed, 'Runs of the tasks have failed, and the next ones start after a delay.', '')
   if (withinLimit < needed) {
     return found(JobObstacle.Limit, `The upper limit of the workspace "${input.workspace}" permits ${withinLimit} more task(s), and ${needed} are needed to start.`, 'Wait until its tasks end, or raise the limit.')
   }
-  const startable = workers.reduce((sum, worker) => sum + worker.startable, 0)
+  const startable = countStartable(workers)
   if (startable < needed) return explainCapacity(startable, needed)
   if (!isOutsideReserve(input, needed)) {
     return found(JobObstacle.Reserve, 'The free capacity is reserved for urgent tasks, sized by their recent demand.', 'Wait, add workers, or raise the priority of the queue.')
   }
-  if (queue.advice === undefined) return found(JobObstacle.None, 'Enough capacity is free.', '')
+  const permitted = workers.filter(({ verdict }) => verdict === WorkerVerdict.Available)
+  if (countStartable(permitted) >= needed) return found(JobObstacle.None, 'Enough capacity is free.', '')
+  const { callMs = 0, workerMs = 0 } = queue.advice ?? {}
   return found(
     JobObstacle.Advice,
-    `Capacity is free for ${startable} task(s), but the advisor has to permit the workers, which a dry run does not ask it.`,
-    `Asking takes ${queue.advice.callMs} ms and ${queue.advice.workerMs} ms for each worker.`
+    `Capacity is free for ${startable} task(s), but the advisor has to permit the workers, and was not asked about all of them.`,
+    `Asking takes ${callMs} ms and ${workerMs} ms for each worker.`
   )
 }
 
+function countStartable (workers: readonly WorkerOutlook[]): number {
+  return workers.reduce((sum, { startable }) => sum + startable, 0)
+}
+
 function explainCapacity (startable: number, needed: number): Finding {
   if (needed === 1) return found(JobObstacle.Capacity, 'No suitable worker has enough free capacity.', 'Wait, add workers, or request less.')
   return found(
@@ -136,7 +150,8 @@
 }
 
 /** The start is known if it is now, or if the job is the first to get capacity that is estimated to become free. */
-function startsInMsOf ({ place, untilFreeMs }: DryRunInput, obstacle: JobObstacle): number | undefined {
+function startsInMsOf ({ place, untilFreeMs, delayMs }: DryRunInput, obstacle: JobObstacle): number | undefined {
+  if (obstacle === JobObstacle.Delayed) return Math.round(delayMs)
   if (obstacle === JobObstacle.None) return 0
   if (obstacle !== JobObstacle.Capacity || place.before > 0 || !Number.isFinite(untilFreeMs)) return undefined
   return Math.round(untilFreeMs)
@@ -146,7 +161,7 @@
   const reasons: OrderReason[] = [
     { factor: OrderFactor.Priority, value: queue.priority, detail: 'Priority of the queue; 0 is the highest.' },
     { factor: OrderFactor.Rate, value: overRate ? 'beyond' : 'within', detail: describeRate(rate, overRate) },
-    { factor: OrderFactor.Slack, value: Math.round(slackMs), detail: 'Time until the first step has to start to meet the objective; the least comes first.' }
+    { factor: OrderFactor.Slack, value: Math.round(slackMs), detail: 'Time until the step has to start to meet the objective; the least comes first.' }
   ]
   if (pastUse !== undefined) reasons.push(describePastUse(pastUse.share, pastUse.yieldMs))
   return { before, detail: `Waiting steps of the upstream that come first, of ${waiting} that wait.`, reasons }
--- a/packages/control/src/dry-run/verdict.ts
+++ b/packages/control/src/dry-run/verdict.ts
@@ -20,22 +20,32 @@
   readonly free: Resources
 }
 
+/** What is known of the advisor's permission to run a step on a worker. */
+export enum Permission {
+  NotNeeded = 'not-needed',
+  /** The advisor was not asked. */
+  Unknown = 'unknown',
+  Granted = 'granted',
+  Denied = 'denied'
+}
+
 /** Verdicts on workers that take no new tasks of any step. */
 const CLOSED: ReadonlySet<WorkerVerdict> = new Set([
   WorkerVerdict.Unreachable, WorkerVerdict.Evacuated, WorkerVerdict.Draining, WorkerVerdict.Quarantined
 ])
 /** Verdicts on workers that can never run the step. */
-const UNFIT: ReadonlySet<WorkerVerdict> = new Set([WorkerVerdict.Label, WorkerVerdict.TooSmall])
+const UNFIT: ReadonlySet<WorkerVerdict> = new Set([
+  WorkerVerdict.Label, WorkerVerdict.TooSmall, WorkerVerdict.NotPermitted
+])
 
 /**
  * Judges a worker.
  *
  * @param charge what a task of the step is charged
- * @param advised the advisor has to permit the worker, and is not asked by a dry run
  */
-export function outlookOf (state: WorkerState, step: Step, charge: Resources, advised: boolean): WorkerOutlook {
+export function outlookOf (state: WorkerState, step: Step, charge: Resources, permission: Permission): WorkerOutlook {
   const { worker: { id, zone, capacity }, free } = state
-  const verdict = verdictOf(state, step, charge, advised)
+  const verdict = verdictOf(state, step, charge, permission)
   const fits = verdict === WorkerVerdict.Available || verdict === WorkerVerdict.AdviceUnknown
   return { id, zone, capacity, verdict, startable: fits ? countFitting(step, charge, free) : 0 }
 }
@@ -50,18 +60,19 @@
   return !UNFIT.has(verdict) && !CLOSED.has(verdict)
 }
 
-function verdictOf (state: WorkerState, step: Step, charge: Resources, advised: boolean): WorkerVerdict {
+function verdictOf (state: WorkerState, step: Step, charge: Resources, permission: Permission): WorkerVerdict {
   const { worker, free } = state
   // Without a registry entry, label and size are unknown.
   if (worker.address === '') return WorkerVerdict.Unreachable
   if (step.label !== '' && !worker.labels.includes(step.label)) return WorkerVerdict.Label
   if (!fitsResources(step.size, worker.capacity)) return WorkerVerdict.TooSmall
+  if (permission === Permission.Denied) return WorkerVerdict.NotPermitted
   if (state.evacuated) return WorkerVerdict.Evacuated
   if (worker.draining) return WorkerVerdict.Draining
   if (!state.reachable) return WorkerVerdict.Unreachable
   if (state.paused) return WorkerVerdict.Quarantined
   if (state.hasUnknownRuns || !fitsResources(charge, free)) return WorkerVerdict.Busy
-  return advised ? WorkerVerdict.AdviceUnknown : WorkerVerdict.Available
+  return permission === Permission.Unknown ? WorkerVerdict.AdviceUnknown : WorkerVerdict.Available
 }
 
 /** Counts the tasks that fit, at most all tasks of the step. */
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -5,7 +5,7 @@
 import { detach } from './detach.js'
 import { supervise } from './supervise.js'
 import { setMaxListeners } from 'node:events'
-import { MessageKind, type DryRun, type Notice, type Request } from '@fireflymount/protocol/message'
+import { MessageKind, type DryRun, type Explain, type Notice, type Request } from '@fireflymount/protocol/message'
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
 import { NEVER, sleep, type Clock } from './clock.js'
@@ -65,9 +65,9 @@
 const FAILED_OWNER_DELAY_MS = 5000
 /** Timeout for asking the other nodes to take over during a planned stop. */
 const SUCCEED_TIMEOUT_MS = 300
-/** Timeout of the owner's answer to a dry run, and the retry time while none is known. */
-const DRY_RUN_TIMEOUT_MS = 2000
-const DRY_RUN_RETRY_AFTER_MS = 500
+/** Timeout of the owner's answer to operators, and the retry time given to them while there is no owner. */
+const EXPLANATION_TIMEOUT_MS = 2000
+const EXPLANATION_RETRY_AFTER_MS = 500
 /** Minimum interval between two collections of records that wait for a job that the journal no longer has. */
 const DEFERRED_COLLECTION_INTERVAL_MS = 30_000
 const BYTES_PER_MB = 1024 * 1024
@@ -593,27 +593,31 @@
   }
 
   /**
-   * Asks the owner where a job would go if it were submitted now.
+   * Asks the owner where a job would go if it were submitted now, or why a job waits.
    *
-   * @returns a DryRunReport, or why there is none
+   * @returns a DryRunReport or a JobSummary, or why there is none
    */
-  async dryRun (request: DryRun): Promise<Result<unknown, Refusal>> {
-    if (this.owner !== undefined) return this.serveDryRun(this.owner, request)
+  async explain (request: DryRun | Explain): Promise<Result<unknown, Refusal>> {
+    if (this.owner !== undefined) return this.serveExplanation(this.owner, request)
     const { ownerClaim } = this.journalState
-    if (ownerClaim === undefined) return err(refuse(Reason.NoOwner, 'This node knows no owner of the cell.', DRY_RUN_RETRY_AFTER_MS))
-    if (this.links.has(ownerClaim.node)) return await this.links.ask(ownerClaim.node, request, DRY_RUN_TIMEOUT_MS)
+    if (ownerClaim === undefined) return err(refuse(Reason.NoOwner, 'This node knows no owner of the cell.', EXPLANATION_RETRY_AFTER_MS))
+    if (this.links.has(ownerClaim.node)) return await this.links.ask(ownerClaim.node, request, EXPLANATION_TIMEOUT_MS)
     const address = this.journalState.nodes.get(ownerClaim.node)
     const place = address === undefined ? 'at an unknown address' : `at ${address.host}`
     return err(refuse(
       Reason.NotOwner,
       `The owner of the cell is ${ownerClaim.node} ${place}, to which this node has no connection. Ask it instead.`,
-      DRY_RUN_RETRY_AFTER_MS
+      EXPLANATION_RETRY_AFTER_MS
     ))
   }
 
-  private serveDryRun (owner: Owner, request: DryRun): Result<unknown, Refusal> {
-    if (owner.mayAct()) return owner.dryRun(request, this.options.settings.node)
-    return err(refuse(Reason.NotOwner, 'The store has not confirmed lately that this node owns the cell.', DRY_RUN_RETRY_AFTER_MS))
+  private serveExplanation (owner: Owner, request: DryRun | Explain): Result<unknown, Refusal> {
+    const { node } = this.options.settings
+    if (!owner.mayAct()) {
+      const detail = 'The store has not confirmed lately that this node owns the cell.'
+      return err(refuse(Reason.NotOwner, detail, EXPLANATION_RETRY_AFTER_MS))
+    }
+    return request.kind === MessageKind.DryRun ? owner.dryRun(request, node) : owner.explain(request.job, node)
   }
 
   private async askAdvice (
@@ -633,8 +637,9 @@
         if (this.owner === undefined) return err(refuse(Reason.NotOwner, 'This node does not own the cell.'))
         return ok(this.journalState.jobs.get(request.job)?.visiblePhase() ?? null)
       case MessageKind.DryRun:
+      case MessageKind.Explain:
         if (this.owner === undefined) return err(refuse(Reason.NotOwner, 'This node does not own the cell.'))
-        return this.serveDryRun(this.owner, request)
+        return this.serveExplanation(this.owner, request)
       case MessageKind.Advise: {
         const advice = await this.options.advisor.advise(request.step, request.workers, request.timeoutMs)
         return advice.mapErr((failure) => refuse(Reason.Overloaded, `The advisor returned no tickets: ${failure}.`, 0))
--- a/packages/control/src/owner/dry-run.ts
+++ b/packages/control/src/owner/dry-run.ts
@@ -1,5 +1,6 @@
 /**
- * Collects what a dry run needs from the owner's state, without changing it.
+ * Collects what a report on a job needs from the owner's state, without changing it: on a job that is not submitted, or on one that
+ * waits.
  */
 import type { DryRunReport, WorkerOutlook } from '@fireflymount/protocol/dry-run'
 import type { DryRun } from '@fireflymount/protocol/message'
@@ -7,8 +8,8 @@
 import { addResources, NO_RESOURCES, type Resources } from '@fireflymount/protocol/resources'
 import { err, ok, type Result } from 'neverthrow'
 import type { Clock } from '../clock.js'
-import { planDryRun, type Place } from '../dry-run/plan.js'
-import { isOpen, outlookOf } from '../dry-run/verdict.js'
+import { JobObstacle, planDryRun, type Place } from '../dry-run/plan.js'
+import { Permission, isOpen, outlookOf } from '../dry-run/verdict.js'
 import { JobEntry } from '../journal/journal-state.js'
 import type { Configuration, Queue, WorkspaceSettings } from '../model/configuration.js'
 import { findJobError, type Job, type Step } from '../model/job.js'
@@ -16,6 +17,7 @@
 import { headroomOf } from '../place/limit.js'
 import type { PastUse } from '../place/past-use.js'
 import type { ZoneStatus } from '../zones/evacuations.js'
+import type { AdvisorClient } from './advisor-client.js'
 import { PoolCandidate } from './candidates.js'
 import { mayUseReserve, type Dispatcher } from './dispatcher.js'
 import { JobSettings } from './job-settings.js'
@@ -29,7 +31,7 @@
 /** A waiting job of the workspace that was accepted within this time shows whether the workspace is beyond its rate. */
 const RECENT_MS = 1000
 
-/** The parts of the owner that a dry run reads. */
+/** The parts of the owner that a report needs. */
 export interface DryRunOptions {
   readonly node: string
   readonly configuration: () => Configuration
@@ -41,6 +43,28 @@
   readonly overRateJobs: ReadonlySet<string>
   readonly pastUse: PastUse | undefined
   readonly zones: ZoneStatus
+  readonly advisorClient: Pick<AdvisorClient, 'hasTicket' | 'wasAsked'>
+  /** Time on the steady clock before which a task may not start, by task name. */
+  readonly notBeforeMs: ReadonlyMap<string, number>
+}
+
+/** A job that no report is made on. */
+export interface JobSummary {
+  readonly job: string
+  readonly obstacle: JobObstacle.None
+  readonly detail: string
+  readonly remedy: string
+}
+
+/** What a report is made on. */
+interface Subject {
+  readonly job: string | undefined
+  readonly queue: Queue
+  readonly own: RankedStep
+  /** All ready steps in their order, including `own`. */
+  readonly ranked: readonly RankedStep[]
+  readonly workspace: WorkspaceSettings | undefined
+  readonly refusal: Refusal | undefined
 }
 
 /** The workers of an upstream, as far as a step is concerned. */
@@ -62,30 +86,78 @@
   const mistake = findJobError(job)
   if (mistake !== undefined) return err(refuse(Reason.BadRequest, mistake))
   const readyStep = createReadyStep(job)
-  const { step, charge } = readyStep
   const waiting = rankReadySteps({ ...options, jobSettings: new JobSettings(options.configuration) })
   const overRate = isBeyondRate(waiting, job)
   const ranked = rankAmong(options, readyStep, overRate)
   const workspace = configuration.workspaces.find(({ name }) => name === job.workspace)
-  const workers = inspectWorkers(options, queue, readyStep)
-  const reservation = options.dispatcher.reservationOf(queue.upstream)
   const own = ranked.find((each) => each.readyStep === readyStep)!
-  return ok(planDryRun({
-    owner: options.node,
+  const refusal = refusalOf(options, job, queue, workspace, overRate)
+  return ok(reportOn(options, { job: undefined, queue, own, ranked, workspace, refusal }))
+}
+
+/**
+ * Reports why a job waits: on the first of its steps in the order.
+ *
+ * @param entry the job
+ */
+export function explainJob (options: DryRunOptions, entry: JobEntry): DryRunReport | JobSummary {
+  const { job } = entry
+  const jobSettings = new JobSettings(options.configuration)
+  const ranked = rankReadySteps({ ...options, jobSettings })
+  const own = ranked.find(({ readyStep }) => readyStep.entry === entry)
+  if (own === undefined) return { job: job.id, obstacle: JobObstacle.None, detail: describeNotWaiting(options, entry), remedy: '' }
+  const { queue } = own
+  if (queue === undefined) return { job: job.id, obstacle: JobObstacle.None, detail: 'The queue of the job was removed.', remedy: '' }
+  const workspace = jobSettings.workspaceOf(job)
+  return reportOn(options, { job: job.id, queue, own, ranked, workspace, refusal: undefined })
+}
+
+function describeNotWaiting ({ readySteps, ledger, clock }: DryRunOptions, entry: JobEntry): string {
+  if (entry.isFinishedOrCancelled()) return `The job has ended: ${entry.phase}.`
+  const runs = [...ledger.runsOf(entry)].length
+  if (runs > 0) return `No task of the job waits; ${runs} run(s) have not ended.`
+  for (const readyStep of readySteps.list()) {
+    if (readyStep.entry === entry) return `The next occurrence is due in ${Math.round(readyStep.dueMs - clock.wall())} ms.`
+  }
+  return 'No task of the job waits.'
+}
+
+function reportOn (options: DryRunOptions, { job, queue, own, ranked, workspace, refusal }: Subject): DryRunReport {
+  const { dispatcher, ledger, node, zones } = options
+  const { entry, step, charge } = own.readyStep
+  const workers = inspectWorkers(options, queue, own.readyStep)
+  const reservation = dispatcher.reservationOf(queue.upstream)
+  return planDryRun({
+    job,
+    owner: node,
     queue,
-    workspace: job.workspace,
+    workspace: entry.job.workspace,
     count: step.count,
     charge,
     gang: step.gang,
-    paused: options.zones.maxStartValidityMs() === 0,
-    refusal: refusalOf(options, job, queue, workspace, overRate),
+    paused: zones.maxStartValidityMs() === 0,
+    delayMs: delayOf(options, own.readyStep),
+    refusal,
     place: placeOf(options, ranked, own, workspace),
     workers: workers.outlooks,
-    withinLimit: headroomOf(workspace?.upperLimit ?? NO_RESOURCES, options.ledger.usedBy(job.workspace), step.size),
+    withinLimit: headroomOf(workspace?.upperLimit ?? NO_RESOURCES, ledger.usedBy(entry.job.workspace), step.size),
     reserve: mayUseReserve(own, reservation) ? undefined : reservation.reserve,
     totalFree: workers.totalFree,
     untilFreeMs: workers.untilFreeMs
-  }))
+  })
+}
+
+/** Returns the time before which none of the waiting tasks of a step may start; of a gang, not all of them. */
+function delayOf ({ notBeforeMs, clock }: DryRunOptions, { entry, step, waiting }: ReadyStep): number {
+  const nowMs = clock.now()
+  const delays = waiting.map(({ key }) => Math.max(0, (notBeforeMs.get(`${entry.job.id}.${key}`) ?? 0) - nowMs))
+  return step.gang ? Math.max(0, ...delays) : Math.min(...delays)
+}
+
+function permissionOf (advisorClient: DryRunOptions['advisorClient'], queue: Queue, step: string, worker: string): Permission {
+  if (queue.advice === undefined) return Permission.NotNeeded
+  if (advisorClient.hasTicket(step, worker)) return Permission.Granted
+  return advisorClient.wasAsked(step, worker) ? Permission.Denied : Permission.Unknown
 }
 
 function createJob (
@@ -170,7 +242,9 @@
   }
 }
 
-function inspectWorkers ({ sessions, clock }: DryRunOptions, queue: Queue, { step, charge }: ReadyStep): Workers {
+function inspectWorkers (
+  { sessions, clock, advisorClient }: DryRunOptions, queue: Queue, { name, step, charge }: ReadyStep
+): Workers {
   const nowMs = clock.now()
   const workers: Workers = { outlooks: [], totalFree: NO_RESOURCES, untilFreeMs: Infinity }
   for (const session of sessions.values()) {
@@ -182,7 +256,7 @@
       paused: nowMs < session.pausedUntilMs,
       hasUnknownRuns: session.unknownRuns.size > 0,
       free: session.freeCapacity()
-    }, step, charge, queue.advice !== undefined)
+    }, step, charge, permissionOf(advisorClient, queue, name, session.id))
     workers.outlooks.push(outlook)
     if (session.acceptsRuns(nowMs)) workers.totalFree = addResources(workers.totalFree, session.freeCapacity())
     if (!isOpen(outlook)) continue
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -8,8 +8,8 @@
 import { setMaxListeners } from 'node:events'
 import type { DryRunReport } from '@fireflymount/protocol/dry-run'
 import type { DryRun } from '@fireflymount/protocol/message'
-import type { Execution, Refusal } from '@fireflymount/protocol/refusal'
-import type { Result } from 'neverthrow'
+import { Reason, refuse, type Execution, type Refusal } from '@fireflymount/protocol/refusal'
+import { err, ok, type Result } from 'neverthrow'
 import { detach } from '../detach.js'
 import { supervise } from '../supervise.js'
 import { sleep, type Clock, type Stamp } from '../clock.js'
@@ -40,7 +40,7 @@
 import { ReadySteps } from './ready-step.js'
 import { Assigner } from './assigner.js'
 import { Dispatcher } from './dispatcher.js'
-import { dryRunJob } from './dry-run.js'
+import { dryRunJob, explainJob, type DryRunOptions, type JobSummary } from './dry-run.js'
 import { RunEndHandler } from './run-end-handler.js'
 import { Fences } from './fence.js'
 import { Adoption } from './adoption.js'
@@ -311,12 +311,27 @@
    * @param node name of this node
    */
   dryRun (request: DryRun, node: string): Result<DryRunReport, Refusal> {
+    return dryRunJob(this.dryRunOptions(node), request)
+  }
+
+  /**
+   * Reports why a job waits. Changes nothing.
+   *
+   * @param id id of the job
+   * @param node name of this node
+   */
+  explain (id: string, node: string): Result<DryRunReport | JobSummary, Refusal> {
+    const entry = this.options.journalState.jobs.get(id)
+    if (entry === undefined) return err(refuse(Reason.NoSuchJob, `There is no job ${id}.`))
+    return ok(explainJob(this.dryRunOptions(node), entry))
+  }
+
+  private dryRunOptions (node: string): DryRunOptions {
     const { configuration, clock, zones } = this.options
-    const { ledger, readySteps, sessions, dispatcher, overRateJobs } = this
+    const { ledger, readySteps, sessions, dispatcher, overRateJobs, advisorClient, notBeforeMs } = this
     const pastUse = this.pastUseRecorder?.pastUse
-    return dryRunJob({
-      node, configuration, clock, zones, ledger, readySteps, sessions, dispatcher, overRateJobs, pastUse
-    }, request)
+    const state = { ledger, readySteps, sessions, dispatcher, overRateJobs, advisorClient, notBeforeMs, pastUse }
+    return { ...state, node, configuration, clock, zones }
   }
 
   private onWritten (record: KeyedRecord): void {
--- a/packages/control/test/cluster/dry-run.spec.ts
+++ b/packages/control/test/cluster/dry-run.spec.ts
@@ -26,7 +26,7 @@
   let found: DryRunReport | undefined
   const deadlineMs = performance.now() + TIMEOUT_MS
   while (found?.obstacle !== 'none' && performance.now() < deadlineMs) {
-    found = (await cluster.nodes[index]!.dryRun(WORK)).unwrapOr(undefined) as DryRunReport | undefined
+    found = (await cluster.nodes[index]!.explain(WORK)).unwrapOr(undefined) as DryRunReport | undefined
     await waitFor(() => false, 100)
   }
   return found!
@@ -49,6 +49,6 @@
 
 it('a node that knows no owner says so', async () => {
   await cluster.start([NODES[0]!])
-  const answer = await cluster.nodes[0]!.dryRun(WORK)
+  const answer = await cluster.nodes[0]!.explain(WORK)
   expect(answer._unsafeUnwrapErr()).toMatchObject({ reason: Reason.NoOwner, retryAfterMs: expect.any(Number) })
 })
--- a/packages/control/test/dry-run/plan.spec.ts
+++ b/packages/control/test/dry-run/plan.spec.ts
@@ -12,6 +12,7 @@
 }
 
 const FREE: DryRunInput = {
+  job: undefined,
   owner: 'n1',
   queue: createQueue(),
   workspace: 'guild',
@@ -20,6 +21,7 @@
   gang: false,
   refusal: undefined,
   paused: false,
+  delayMs: 0,
   place: { before: 0, waiting: 3, slackMs: 500.4, rate: 0, overRate: false, pastUse: undefined },
   workers: [worker(WorkerVerdict.Available, 1), worker(WorkerVerdict.Label)],
   withinLimit: Infinity,
@@ -44,6 +46,8 @@
     ['a gang of which a part fits', { gang: true }, JobObstacle.Gang, undefined],
     ['the reserve for urgent tasks', { reserve: { ...SIZE, cpuMilli: 1 } }, JobObstacle.Reserve, undefined],
     ['nothing, beside a reserve', { reserve: SIZE, totalFree: { ...SIZE, cpuMilli: 2000, memoryMb: 2000 } }, JobObstacle.None, 0],
+    ['a delay after failures', { delayMs: 70.2 }, JobObstacle.Delayed, 70],
+    ['permitted workers beside unknown ones', { queue: ADVISED }, JobObstacle.None, 0],
     ['the advisor', { queue: ADVISED, workers: [worker(WorkerVerdict.AdviceUnknown, 1)] }, JobObstacle.Advice, undefined]
   ])('%s', (_, input, obstacle, startsInMs) => {
     const report = planDryRun({ ...FREE, ...input })
--- a/packages/control/test/dry-run/verdict.spec.ts
+++ b/packages/control/test/dry-run/verdict.spec.ts
@@ -1,6 +1,6 @@
 import { WorkerVerdict } from '@fireflymount/protocol/dry-run'
 import { describe, expect, it } from 'vitest'
-import { outlookOf, type WorkerState } from '../../src/dry-run/verdict.js'
+import { Permission, outlookOf, type WorkerState } from '../../src/dry-run/verdict.js'
 import { createStep, createWorker } from '../fakes.js'
 
 const SIZE = { cpuMilli: 1000, memoryMb: 1000, accelerators: 0 }
@@ -17,22 +17,24 @@
 
 describe('the verdict on a worker', () => {
   it.each([
-    ['that is idle', {}, {}, false, WorkerVerdict.Available, 2],
-    ['that is idle, for one task', {}, { count: 1 }, false, WorkerVerdict.Available, 1],
-    ['that is idle, for a step with one task a worker', {}, { perWorker: 1 }, false, WorkerVerdict.Available, 1],
-    ['of which the advisor was not asked', {}, {}, true, WorkerVerdict.AdviceUnknown, 2],
-    ['without the label', CLOSED, { label: 'b' }, true, WorkerVerdict.Label, 0],
-    ['with the label', {}, { label: 'a' }, false, WorkerVerdict.Available, 2],
-    ['that is too small', CLOSED, { size: { ...SIZE, accelerators: 1 } }, true, WorkerVerdict.TooSmall, 0],
-    ['in an evacuated zone', CLOSED, {}, true, WorkerVerdict.Evacuated, 0],
-    ['that drains', { worker: createWorker({ draining: true }) }, {}, true, WorkerVerdict.Draining, 0],
-    ['that does not answer', { reachable: false }, {}, true, WorkerVerdict.Unreachable, 0],
-    ['without a registry entry', { worker: createWorker({ address: '', labels: [] }) }, { label: 'a' }, true, WorkerVerdict.Unreachable, 0],
-    ['on which runs failed', { paused: true }, {}, true, WorkerVerdict.Quarantined, 0],
-    ['that is full', { free: { ...SIZE, memoryMb: 999 } }, {}, true, WorkerVerdict.Busy, 0],
-    ['with runs that the owner does not know', { hasUnknownRuns: true }, {}, true, WorkerVerdict.Busy, 0]
-  ])('%s', (_, state, step, advised, verdict, startable) => {
-    const outlook = outlookOf({ ...IDLE, ...state }, createStep({ count: 3, ...step }), SIZE, advised)
+    ['that is idle', {}, {}, Permission.NotNeeded, WorkerVerdict.Available, 2],
+    ['that is idle, for one task', {}, { count: 1 }, Permission.NotNeeded, WorkerVerdict.Available, 1],
+    ['that is idle, for a step with one task a worker', {}, { perWorker: 1 }, Permission.NotNeeded, WorkerVerdict.Available, 1],
+    ['of which the advisor was not asked', {}, {}, Permission.Unknown, WorkerVerdict.AdviceUnknown, 2],
+    ['without the label', CLOSED, { label: 'b' }, Permission.Unknown, WorkerVerdict.Label, 0],
+    ['with the label', {}, { label: 'a' }, Permission.NotNeeded, WorkerVerdict.Available, 2],
+    ['that is too small', CLOSED, { size: { ...SIZE, accelerators: 1 } }, Permission.Unknown, WorkerVerdict.TooSmall, 0],
+    ['in an evacuated zone', CLOSED, {}, Permission.Unknown, WorkerVerdict.Evacuated, 0],
+    ['that the advisor denies', CLOSED, {}, Permission.Denied, WorkerVerdict.NotPermitted, 0],
+    ['that the advisor permits', {}, {}, Permission.Granted, WorkerVerdict.Available, 2],
+    ['that drains', { worker: createWorker({ draining: true }) }, {}, Permission.Unknown, WorkerVerdict.Draining, 0],
+    ['that does not answer', { reachable: false }, {}, Permission.Unknown, WorkerVerdict.Unreachable, 0],
+    ['without a registry entry', { worker: createWorker({ address: '', labels: [] }) }, { label: 'a' }, Permission.Unknown, WorkerVerdict.Unreachable, 0],
+    ['on which runs failed', { paused: true }, {}, Permission.Unknown, WorkerVerdict.Quarantined, 0],
+    ['that is full', { free: { ...SIZE, memoryMb: 999 } }, {}, Permission.Unknown, WorkerVerdict.Busy, 0],
+    ['with runs that the owner does not know', { hasUnknownRuns: true }, {}, Permission.Unknown, WorkerVerdict.Busy, 0]
+  ])('%s', (_, state, step, permission, verdict, startable) => {
+    const outlook = outlookOf({ ...IDLE, ...state }, createStep({ count: 3, ...step }), SIZE, permission)
     expect(outlook).toMatchObject({ verdict, startable })
   })
 })
--- a/packages/control/test/owner/dry-run.spec.ts
+++ b/packages/control/test/owner/dry-run.spec.ts
@@ -9,7 +9,7 @@
 import type { Job } from '../../src/model/job.js'
 import { AdvisorClient } from '../../src/owner/advisor-client.js'
 import { Dispatcher } from '../../src/owner/dispatcher.js'
-import { dryRunJob } from '../../src/owner/dry-run.js'
+import { dryRunJob, explainJob, type DryRunOptions } from '../../src/owner/dry-run.js'
 import { Ledger } from '../../src/owner/ledger.js'
 import { ReadySteps } from '../../src/owner/ready-step.js'
 import { Run, RunState } from '../../src/owner/run.js'
@@ -43,25 +43,28 @@
   readonly overRateJobs = new Set<string>()
   readonly evacuated = new Set<string>()
   startValidityMs = Infinity
+  /** Worker that the advisor does not permit. */
+  denied = ''
   readonly sessions = new Map<string, Session>()
   readonly ledger = new Ledger()
   /** Calls of the advisor and assignments, in order. */
   readonly decisions: string[] = []
   readonly pastUse = new PastUse(60_000)
+  readonly notBeforeMs = new Map<string, number>()
+  private readonly advisorClient: AdvisorClient
   private readonly readySteps = new ReadySteps(this.ledger)
   private readonly dispatcher: Dispatcher
+  private readonly entries = new Map<string, JobEntry>()
   private jobs = 0
 
   constructor () {
-    const advisorClient = new AdvisorClient(async (_, step, workers) => {
+    this.advisorClient = new AdvisorClient(async (_, step, workers) => {
       this.decisions.push(`ask ${step} ${workers.join(' ')}`)
-      return ok(workers.map((worker) => [worker, 'ticket']))
+      return ok(workers.filter((worker) => worker !== this.denied).map((worker) => [worker, 'ticket']))
     }, () => ['n1'], this.clock, () => {})
     this.dispatcher = new Dispatcher({
       ...this.parts(),
-      advisorClient,
       settings: { farFactor: 2, stopMs: 200 },
-      notBeforeMs: new Map(),
       slownessOf: () => 1,
       onNoWorker: () => {},
       onStepFailed: (_, error) => { throw error }
@@ -83,7 +86,9 @@
   submit (count: number, fields: Partial<Job> = {}): string {
     const id = String(++this.jobs).padStart(16, '0')
     const steps = [createStep({ count, size: TASK })]
-    this.readySteps.refresh(new JobEntry(createJob({ id, queue: 'urgent', acceptedMs: this.clock.wall(), steps, ...fields })))
+    const entry = new JobEntry(createJob({ id, queue: 'urgent', acceptedMs: this.clock.wall(), steps, ...fields }))
+    this.entries.set(id, entry)
+    this.readySteps.refresh(entry)
     return id
   }
 
@@ -100,14 +105,22 @@
   }
 
   dryRun (work: Partial<DryRun> = {}): DryRunReport {
-    const { dispatcher } = this
+    return dryRunJob(this.options(), { ...WORK, ...work })._unsafeUnwrap()
+  }
+
+  explain (id: string): ReturnType<typeof explainJob> {
+    return explainJob(this.options(), this.entries.get(id)!)
+  }
+
+  private options (): DryRunOptions {
     const zones = { ...ALL_ZONES, maxStartValidityMs: () => this.startValidityMs }
-    return dryRunJob({ ...this.parts(), node: 'n1', dispatcher, zones }, { ...WORK, ...work })._unsafeUnwrap()
+    return { ...this.parts(), node: 'n1', dispatcher: this.dispatcher, zones }
   }
 
   private parts () {
-    const { clock, ledger, readySteps, sessions, overRateJobs, pastUse } = this
-    return { clock, ledger, readySteps, sessions, overRateJobs, pastUse, configuration: () => CONFIGURATION }
+    const { clock, ledger, readySteps, sessions, overRateJobs, pastUse, advisorClient, notBeforeMs } = this
+    const configuration = (): Configuration => CONFIGURATION
+    return { clock, ledger, readySteps, sessions, overRateJobs, pastUse, advisorClient, notBeforeMs, configuration }
   }
 }
 
@@ -177,6 +190,51 @@
   })
 })
 
+describe('the report on a submitted job', () => {
+  const full = async (): Promise<void> => {
+    cell.submit(8)
+    await cell.round()
+  }
+
+  it.each([
+    ['on full workers, behind another', async () => {
+      await full()
+      cell.submit(1)
+      return cell.submit(1)
+    }, 'room', [WorkerVerdict.Busy], 1],
+    ['of whose workers the advisor denies one', async () => {
+      cell.denied = 'w2'
+      const id = cell.submit(9, { queue: 'advised' })
+      for (let count = 0; count < 3; count++) await cell.round()
+      return id
+    }, 'room', [WorkerVerdict.Busy, WorkerVerdict.NotPermitted], 0],
+    ['after a failure', async () => {
+      const id = cell.submit(1)
+      cell.notBeforeMs.set(`${id}.0.0.0`, cell.clock.now() + 500)
+      return id
+    }, 'delayed', [WorkerVerdict.Available], 0]
+  ])('%s', async (_, play, obstacle, verdicts, before) => {
+    const id = await play()
+    const report = cell.explain(id) as DryRunReport
+    expect(report).toMatchObject({ job: id, accepted: true, obstacle, order: { before } })
+    expect(report.workers.map(({ verdict }) => verdict).sort()).toEqual(verdicts)
+  })
+
+  it.each([
+    ['whose tasks all run', async () => {
+      const id = cell.submit(1)
+      await cell.round()
+      return id
+    }, '1 run(s)'],
+    ['whose next occurrence is not due', async () => {
+      return cell.submit(1, { occurrences: 2, firstDueMs: cell.clock.wall() + 700, intervalMs: 1000 })
+    }, 'due in 700 ms']
+  ])('is short for one %s', async (_, play, says) => {
+    const id = await play()
+    expect(cell.explain(id)).toEqual({ job: id, obstacle: 'none', detail: expect.stringContaining(says), remedy: '' })
+  })
+})
+
 describe('a dry run', () => {
   const submission = fc.record({ count: fc.integer({ min: 1, max: 5 }), queue: fc.constantFrom('urgent', 'advised', 'later') })
   const work = fc.record({
@@ -194,6 +252,7 @@
         for (const either of [plain, asked]) either.submit(count, { queue })
         const before = [...asked.decisions]
         asked.dryRun(each)
+        asked.explain('1'.padStart(16, '0'))
         expect(asked.decisions).toEqual(before)
         for (const either of [plain, asked]) await either.round()
         asked.dryRun(each)
--- a/packages/protocol/src/dry-run.ts
+++ b/packages/protocol/src/dry-run.ts
@@ -25,7 +25,9 @@
   /** It is reserved for other work that waits. */
   Reserved = 'reserved',
   /** The advisor has to permit it for each step of a job, and is asked only once the work waits. */
-  AdviceUnknown = 'advice-unknown'
+  AdviceUnknown = 'advice-unknown',
+  /** The advisor does not permit it. */
+  NotPermitted = 'not-permitted'
 }
 
 /** What determines the place of work in the order of waiting work. */
@@ -72,8 +74,10 @@
   readonly examples: readonly string[]
 }
 
-/** The report of a dry run. */
+/** The report of a dry run, or on a job that waits. */
 export interface DryRunReport {
+  /** Id of the job that waits; absent for work that is not submitted. */
+  readonly job?: string
   readonly queue: string
   readonly upstream: string
   /** Team or workspace on whose behalf the work would run; empty if there is none. */
