Explain: a dry run is a GET with a query

Cause: the metrics address of the users' platform takes no bodies (entry/limits), so it refused every dry run; the tests had called the handler without the server in front of it.

Change: GET /v1/admin/queues/{queue}/dry-run with the fields in its query, for both kinds of node and the command line.

--- a/packages/command/src/work.ts
+++ b/packages/command/src/work.ts
@@ -5,6 +5,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { JobState, type Job } from '@fireflymount/protocol/message'
 import type { DryRunReport } from '@fireflymount/protocol/dry-run'
+import { formatDryRunQuery } from '@fireflymount/protocol/dry-run-query'
 import type { Resources } from '@fireflymount/protocol/resources'
 import { createObjectOutput, type ActionContext, type ActionOutput } from './action.js'
 import { RetryPolicy } from './client.js'
@@ -118,11 +119,11 @@
 export async function explainNew (context: ActionContext, options: DryRunOptions): Promise<Result<ActionOutput, Failure>> {
   const { queue, team, tasks, runtime: runtimeMs, size, deadline: deadlineMs, label, gang } = options
   if (queue === undefined) return err(createUsageError('Give the id of a job, or --queue for work that is not submitted.'))
+  const query = formatDryRunQuery({ team, tasks, runtimeMs, size, deadlineMs, label, gang })
   const answer = await context.client.call({
-    method: 'POST',
-    path: `/v1/admin/queues/${encodeURIComponent(queue)}/dry-run`,
-    retry: RetryPolicy.Safe,
-    body: { team, tasks, runtimeMs, size, deadlineMs, label, gang }
+    method: 'GET',
+    path: `/v1/admin/queues/${encodeURIComponent(queue)}/dry-run?${query}`,
+    retry: RetryPolicy.Safe
   })
   return answer.map(({ body }) => ({ value: body, text: formatDryRun(body as DryRunReport) }))
 }
--- a/packages/daemon/src/entry/api.ts
+++ b/packages/daemon/src/entry/api.ts
@@ -94,7 +94,7 @@
   addRoute(app, '/v1/admin/status', { [Method.Get]: () => onClusterStatus(api) })
   addRoute(app, '/v1/admin/shards/:upstream', { [Method.Get]: (context) => onShard(api, context) })
   addRoute(app, '/v1/admin/jobs/:id/explanation', { [Method.Get]: (context) => onAdminExplain(api, context) })
-  addRoute(app, '/v1/admin/queues/:queue/dry-run', { [Method.Post]: (context) => onDryRun(api, context) })
+  addRoute(app, '/v1/admin/queues/:queue/dry-run', { [Method.Get]: (context) => onDryRun(api, context) })
   addRoute(app, '/v1/admin/workers/:upstream/:worker/drain', { [Method.Post]: (context) => onDrain(api, context) })
   addRoute(app, '/v1/admin/zones/:zone/evacuation', { [Method.Post]: (context) => onEvacuation(api, context) })
   addRoute(app, '/v1/admin/node', { [Method.Get]: () => onUsage(api) })
--- a/packages/daemon/src/entry/dry-run.ts
+++ b/packages/daemon/src/entry/dry-run.ts
@@ -2,10 +2,10 @@
  * Dry runs: where new work would go now, and why, without accepting it.
  */
 import { err, ok, type Result } from 'neverthrow'
+import { parseDryRunQuery } from '@fireflymount/protocol/dry-run-query'
 import { MessageKind, type DryRun } from '@fireflymount/protocol/message'
 import { Workload } from '@fireflymount/protocol/workload'
 import { createJsonResponse } from './json-response.js'
-import { readJson } from './body.js'
 import { createBadRequest, createProblem, createProblemResponse, type Problem } from './problem.js'
 import { createNoSuchQueueResponse } from './requests.js'
 import { parseSubmission } from './submission.js'
@@ -18,19 +18,17 @@
 const OWNER_REQUEST_TIMEOUT_MS = 5000
 
 /**
- * Handles `POST /v1/admin/queues/{queue}/dry-run`.
+ * Handles `GET /v1/admin/queues/{queue}/dry-run`.
  *
  * @param api the dependencies of the API
- * @param context the request context; the body has the fields of a submission without `body`, and `team`, which defaults to the
+ * @param context the request context; the query has the fields of a submission without `body`, and `team`, which defaults to the
  *   first team of the queue; on a queue of requests only `team` and `deadlineMs`
  * @returns the owner's report, or a problem
  */
 export async function onDryRun (api: ApiContext, context: Context): Promise<Response> {
   const queue = api.configurationIndex.queue(context.req.param('queue') ?? '')
   if (queue === undefined) return createNoSuchQueueResponse(api, context)
-  const body = await readJson(context.req.raw, api.settings.limits.bodyBytes)
-  if (body.isErr()) return createProblemResponse(body.error)
-  const work = parseDryRun(queue, body.value)
+  const work = parseDryRun(queue, parseDryRunQuery(new URL(context.req.url).searchParams))
   if (work.isErr()) return createProblemResponse(work.error)
   const answer = await api.router.askOwner(queue.upstream, work.value, OWNER_REQUEST_TIMEOUT_MS)
   if (answer.isErr()) return createProblemResponse(createProblem(answer.error))
@@ -49,12 +47,9 @@
   return refusal === undefined ? report : { ...report, accepted: false, refusal }
 }
 
-function parseDryRun (queue: Queue, value: unknown): Result<DryRun, Problem> {
-  if (typeof value !== 'object' || value === null || Array.isArray(value)) {
-    return err(createBadRequest('The body must be an object such as {"team": "guild"}.'))
-  }
-  const { team = queue.teams[0], deadlineMs, ...job } = value as Record<string, unknown>
-  if (typeof team !== 'string') return err(createBadRequest('"team" must be the name of a team.'))
+function parseDryRun (queue: Queue, fields: Readonly<Record<string, unknown>>): Result<DryRun, Problem> {
+  const { team = queue.teams[0], deadlineMs, ...job } = fields
+  if (typeof team !== 'string') return err(createBadRequest(`The queue "${queue.name}" has no team. Name one with "team".`))
   const work: DryRun = { kind: MessageKind.DryRun, queue: queue.name, team, tasks: 1 }
   if (queue.workload !== Workload.Request) {
     if (deadlineMs !== undefined) return err(createBadRequest('"deadlineMs" applies only to queues of requests. Leave it out.'))
