Explain: a start is certain only for the first job in the order

Cause: a report said "would start now" wherever capacity was free, but a round may hold a worker for a step that comes first, and holds are not kept between rounds.

Change: with other steps first the start is left out and the text says that a worker may be held.

--- a/packages/command/src/dry-run.ts
+++ b/packages/command/src/dry-run.ts
@@ -36,7 +36,7 @@
 
 function describeStart ({ accepted, obstacle, detail, remedy, startsInMs }: DryRunReport): string {
   const subject = accepted ? 'It' : 'If it were accepted, it'
-  if (obstacle === NO_OBSTACLE) return `${subject} would start now. ${detail}\n`
+  if (obstacle === NO_OBSTACLE) return `${subject} ${startsInMs === 0 ? 'would' : 'could'} start now. ${detail}\n`
   const start = startsInMs === undefined ? 'When it would start is not known.' : `It would start in about ${startsInMs} ms.`
   return `${subject} would wait (${obstacle}): ${detail} ${start}\n${remedy === '' ? '' : `What helps: ${remedy}\n`}`
 }
--- a/packages/control/src/dry-run/plan.ts
+++ b/packages/control/src/dry-run/plan.ts
@@ -123,7 +123,7 @@
     return found(JobObstacle.Reserve, 'The free capacity is reserved for urgent tasks, sized by their recent demand.', 'Wait, add workers, or raise the priority of the queue.')
   }
   const permitted = workers.filter(({ verdict }) => verdict === WorkerVerdict.Available)
-  if (countStartable(permitted) >= needed) return found(JobObstacle.None, 'Enough capacity is free.', '')
+  if (countStartable(permitted) >= needed) return found(JobObstacle.None, describeFreeCapacity(input.place), '')
   const { callMs = 0, workerMs = 0 } = queue.advice ?? {}
   return found(
     JobObstacle.Advice,
@@ -132,6 +132,11 @@
   )
 }
 
+function describeFreeCapacity ({ before }: Place): string {
+  if (before === 0) return 'Enough capacity is free.'
+  return `Enough capacity is free, unless a worker is held for one of the ${before} step(s) that come first.`
+}
+
 function countStartable (workers: readonly WorkerOutlook[]): number {
   return workers.reduce((sum, { startable }) => sum + startable, 0)
 }
@@ -149,10 +154,10 @@
   return reserve === undefined || fitsResources(scaleResources(charge, needed), subtractResources(totalFree, reserve))
 }
 
-/** The start is known if it is now, or if the job is the first to get capacity that is estimated to become free. */
+/** The start is known only of a job that is first in the order: it is now, or when capacity is estimated to become free. */
 function startsInMsOf ({ place, untilFreeMs, delayMs }: DryRunInput, obstacle: JobObstacle): number | undefined {
   if (obstacle === JobObstacle.Delayed) return Math.round(delayMs)
-  if (obstacle === JobObstacle.None) return 0
+  if (obstacle === JobObstacle.None) return place.before === 0 ? 0 : undefined
   if (obstacle !== JobObstacle.Capacity || place.before > 0 || !Number.isFinite(untilFreeMs)) return undefined
   return Math.round(untilFreeMs)
 }
--- a/packages/control/test/dry-run/plan.spec.ts
+++ b/packages/control/test/dry-run/plan.spec.ts
@@ -34,6 +34,7 @@
 describe('what keeps a job from starting', () => {
   it.each([
     ['nothing', {}, JobObstacle.None, 0],
+    ['nothing, with others waiting first, for which workers may be held', { place: { ...FREE.place, before: 1 } }, JobObstacle.None, undefined],
     ['no worker', { workers: [] }, JobObstacle.Workers, undefined],
     ['an old read of the evacuations', { paused: true }, JobObstacle.Paused, undefined],
     ['labels and sizes', { workers: [worker(WorkerVerdict.Label), worker(WorkerVerdict.TooSmall)] }, JobObstacle.Shape, undefined],
