--- a/packages/command/src/work.ts
+++ b/packages/command/src/work.ts
@@ -4,8 +4,12 @@
 import { randomUUID } from 'node:crypto'
 import { err, ok, type Result } from 'neverthrow'
 import { JobState, type Job } from '@fireflymount/protocol/message'
+import type { DryRunReport } from '@fireflymount/protocol/dry-run'
+import { formatDryRunQuery } from '@fireflymount/protocol/dry-run-query'
+import type { Resources } from '@fireflymount/protocol/resources'
 import { createObjectOutput, type ActionContext, type ActionOutput } from './action.js'
 import { RetryPolicy } from './client.js'
+import { formatDryRun } from './dry-run.js'
 import { ExitCode } from './exit-code.js'
 import { createUsageError, type Failure } from './failure.js'
 import { readText } from './options.js'
@@ -82,7 +86,46 @@
  */
 export async function explain (context: ActionContext, id: string): Promise<Result<ActionOutput, Failure>> {
   const answer = await context.client.call({ method: 'GET', path: `${pathOf(id)}/explanation`, retry: RetryPolicy.Safe })
-  return answer.map(({ body }) => createObjectOutput((body ?? {}) as object))
+  return answer.map(({ body }) => describeExplanation((body ?? {}) as Partial<DryRunReport>))
+}
+
+/** Describes an explanation, which is a report if the nodes are those of the users' platform and the job waits. */
+function describeExplanation (explanation: Partial<DryRunReport>): ActionOutput {
+  if (explanation.workers === undefined) return createObjectOutput(explanation)
+  return { value: explanation, text: formatDryRun(explanation as DryRunReport) }
+}
+
+/** Options of the command `explain` that describe work which is not submitted. */
+export interface DryRunOptions {
+  readonly queue?: string
+  readonly team?: string
+  readonly tasks?: number
+  /** Milliseconds. */
+  readonly runtime?: number
+  readonly size?: Resources
+  /** Milliseconds. */
+  readonly deadline?: number
+  readonly label?: string
+  readonly gang?: boolean
+}
+
+/**
+ * Explains where work would go if it were submitted now, without submitting it.
+ *
+ * @param context the client and the terminal
+ * @param options the work
+ * @returns the report
+ */
+export async function explainNew (context: ActionContext, options: DryRunOptions): Promise<Result<ActionOutput, Failure>> {
+  const { queue, team, tasks, runtime: runtimeMs, size, deadline: deadlineMs, label, gang } = options
+  if (queue === undefined) return err(createUsageError('Give the id of a job, or --queue for work that is not submitted.'))
+  const query = formatDryRunQuery({ team, tasks, runtimeMs, size, deadlineMs, label, gang })
+  const answer = await context.client.call({
+    method: 'GET',
+    path: `/v1/admin/queues/${encodeURIComponent(queue)}/dry-run?${query}`,
+    retry: RetryPolicy.Safe
+  })
+  return answer.map(({ body }) => ({ value: body, text: formatDryRun(body as DryRunReport) }))
 }
 
 async function sendRequest (
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -6,8 +6,10 @@
  * and stops those of a gang of which a member has ended.
  */
 import { setMaxListeners } from 'node:events'
-import type { Execution, Refusal } from '@fireflymount/protocol/refusal'
-import type { Result } from 'neverthrow'
+import type { DryRunReport } from '@fireflymount/protocol/dry-run'
+import type { DryRun } from '@fireflymount/protocol/message'
+import { Reason, refuse, type Execution, type Refusal } from '@fireflymount/protocol/refusal'
+import { err, ok, type Result } from 'neverthrow'
 import { detach } from '../detach.js'
 import { supervise } from '../supervise.js'
 import { sleep, type Clock, type Stamp } from '../clock.js'
@@ -38,6 +40,7 @@
 import { ReadySteps } from './ready-step.js'
 import { Assigner } from './assigner.js'
 import { Dispatcher } from './dispatcher.js'
+import { dryRunJob, explainJob, type DryRunOptions, type JobSummary } from './dry-run.js'
 import { RunEndHandler } from './run-end-handler.js'
 import { Fences } from './fence.js'
 import { Adoption } from './adoption.js'
@@ -302,6 +305,35 @@
     return await this.admissionController.append(records, timeoutMs)
   }
 
+  /**
+   * Reports where a job would go if it were submitted now. Changes nothing, and asks no advisor.
+   *
+   * @param node name of this node
+   */
+  dryRun (request: DryRun, node: string): Result<DryRunReport, Refusal> {
+    return dryRunJob(this.dryRunOptions(node), request)
+  }
+
+  /**
+   * Reports why a job waits. Changes nothing.
+   *
+   * @param id id of the job
+   * @param node name of this node
+   */
+  explain (id: string, node: string): Result<DryRunReport | JobSummary, Refusal> {
+    const entry = this.options.journalState.jobs.get(id)
+    if (entry === undefined) return err(refuse(Reason.NoSuchJob, `There is no job ${id}.`))
+    return ok(explainJob(this.dryRunOptions(node), entry))
+  }
+
+  private dryRunOptions (node: string): DryRunOptions {
+    const { configuration, clock, zones } = this.options
+    const { ledger, readySteps, sessions, dispatcher, overRateJobs, advisorClient, notBeforeMs } = this
+    const pastUse = this.pastUseRecorder?.pastUse
+    const state = { ledger, readySteps, sessions, dispatcher, overRateJobs, advisorClient, notBeforeMs, pastUse }
+    return { ...state, node, configuration, clock, zones }
+  }
+
   private onWritten (record: KeyedRecord): void {
     this.options.journalState.apply({ ...record, offset: UNKNOWN_OFFSET }, this.epoch)
     this.onJob(splitKey(record.key).name)
