--- a/packages/control/src/entry/feed.ts
+++ b/packages/control/src/entry/feed.ts
@@ -7,7 +7,6 @@
 
 /** Size of the parts. An ordinary request has one part, or a few. */
 const PART_BYTES = 2048
-
 /** Fills the buffer of any socket. */
 const FILLER = Buffer.alloc(65_536)
 
