Backlog: an ended job counts what it holds, and holds a third

Cause: an ended job counted 1,500 bytes for the 180 s for which its end is kept. By this, one workspace that submits some 80 jobs a second to a cell with a node of 210 MB is refused although all of its jobs end in time. The estimate was right: an ended job held 1,440 bytes, most of them in empty maps for records and changes of its tasks.

Change: the state of a job's tasks and their records is created on first use and dropped with the last record. An ended job counts 600 bytes.

A waiting job of two steps and 400 bytes: 2,788 and 1,860. The sets in which the owner counts jobs against their rate are not in these figures.

--- a/packages/control/src/journal/job-changes.ts
+++ b/packages/control/src/journal/job-changes.ts
@@ -16,22 +16,28 @@
 /** A task that is done. Its runs do not matter any more. */
 const DONE_TASK = { stage: Stage.Done, run: 0, worker: '', born: 0, failures: 0, failedRun: 0, checkpoint: '' }
 
-/** Records and changes of one job. */
-export class JobChanges {
+/** What is known of the records of a job's tasks. */
+class TaskRecords {
   /**
-   * Tasks' records that are, or may be, in the journal, by key. The value is empty unless the record was read from the journal and
-   * has not been decoded yet, since only an owner needs its content. Values are kept as strings, because a small buffer would keep
-   * the whole page alive that it was read with.
+   * Records that are, or may be, in the journal, by key. The value is empty unless the record was read from the journal and has not been
+   * decoded yet, since only an owner needs its content. Values are kept as strings, because a small buffer would keep the whole page
+   * alive that it was read with.
    */
-  private readonly stored = new Map<string, string>()
+  readonly stored = new Map<string, string>()
   /** True if records were read whose content is not in the job's tasks yet. */
   hasUnread = false
   /** Keys of the records that could not be decoded, or not in full. */
   readonly invalidKeys = new Set<string>()
   /** Changes that have not been handed to the writer; undefined for a record that is to be deleted. */
-  private readonly changed = new Map<string, Encoder | undefined>()
-  private readonly doneTasks = new Map<number, DoneTasks>()
-  private numbering: TaskNumbering | undefined
+  readonly changed = new Map<string, Encoder | undefined>()
+  readonly doneTasks = new Map<number, DoneTasks>()
+  numbering: TaskNumbering | undefined
+}
+
+/** Records and changes of one job. */
+export class JobChanges {
+  /** Undefined without records or changes, since most jobs in memory have ended and have none. */
+  private taskRecords: TaskRecords | undefined
   /** True if the record of the job's end has been handed to the writer or was read from the journal. */
   private endWritten = false
   /** True if the deletion of the job's record and of the tasks' records has been handed to the writer. */
@@ -39,14 +45,26 @@
 
   constructor (private readonly entry: JobEntry) {}
 
+  /** True if records were read whose content is not in the job's tasks yet. */
+  get hasUnread (): boolean {
+    return this.taskRecords?.hasUnread === true
+  }
+
+  /** Keys of the records that could not be decoded, or not in full. */
+  get invalidKeys (): Iterable<string> {
+    return this.taskRecords?.invalidKeys ?? []
+  }
+
   /** Notes a record of tasks that was read from the journal. */
   read (key: string, value: Buffer | undefined): void {
     if (value === undefined) {
-      this.stored.delete(key)
+      this.taskRecords?.stored.delete(key)
+      if (this.entry.job.steps.length === 0 && this.taskRecords?.stored.size === 0) this.taskRecords = undefined
       return
     }
-    this.stored.set(key, value.toString('latin1'))
-    this.hasUnread = true
+    const { records } = this
+    records.stored.set(key, value.toString('latin1'))
+    records.hasUnread = true
   }
 
   /** Notes that the record of the job's end was read from the journal. */
@@ -56,13 +74,14 @@
 
   /** Applies the records that were read to the job's tasks. */
   decodeUnread (): void {
-    this.hasUnread = false
-    for (const [key, text] of this.stored) {
+    const { records } = this
+    records.hasUnread = false
+    for (const [key, text] of records.stored) {
       if (text === '') continue
-      this.stored.set(key, '')
+      records.stored.set(key, '')
       const { subject, block } = splitBlockKey(key)
       const value = Buffer.from(text, 'latin1')
-      if (subject === Subject.Runs) this.applyRuns(block, value, () => { this.invalidKeys.add(key) })
+      if (subject === Subject.Runs) this.applyRuns(block, value, () => { records.invalidKeys.add(key) })
       else for (const number of decodeDone(block, value)) this.applyDone(number)
     }
   }
@@ -76,7 +95,7 @@
     }
     const block = doneBlockOf(number)
     const done = this.addDone(number)
-    this.changed.set(blockKeyOf(Subject.Done, this.entry.job.id, block), () => done.encode(this.entry.job.id, block))
+    this.records.changed.set(blockKeyOf(Subject.Done, this.entry.job.id, block), () => done.encode(this.entry.job.id, block))
     const runs = runsBlockOf(number)
     if (this.tasksOf(runs).every((other) => other?.stage === Stage.Done)) this.deleteRuns(runs)
   }
@@ -88,7 +107,7 @@
    * @returns encoders by key
    */
   take (): Map<string, Encoder> {
-    const { entry } = this
+    const { entry, taskRecords } = this
     const changes = new Map<string, Encoder>()
     if (this.detailsDeleted) return changes
     const { id } = entry.job
@@ -99,45 +118,56 @@
     }
     if (isFinal(entry.phase) && !entry.hasAssignedTask()) {
       this.detailsDeleted = true
-      for (const key of [keyOf(Subject.Job, id), ...this.stored.keys()]) changes.set(key, () => ({ key, value: undefined }))
-      this.stored.clear()
+      const keys = [keyOf(Subject.Job, id), ...this.storedTaskKeys()]
+      for (const key of keys) changes.set(key, () => ({ key, value: undefined }))
+      taskRecords?.stored.clear()
       return changes
     }
-    for (const [key, encoder] of this.changed) {
-      if (encoder === undefined) this.stored.delete(key)
-      else this.stored.set(key, '')
+    if (taskRecords === undefined) return changes
+    for (const [key, encoder] of taskRecords.changed) {
+      if (encoder === undefined) taskRecords.stored.delete(key)
+      else taskRecords.stored.set(key, '')
       changes.set(key, encoder ?? (() => ({ key, value: undefined })))
     }
-    this.changed.clear()
+    taskRecords.changed.clear()
     return changes
   }
 
-  /** Drops the state of the tasks, once the job has ended and has no runs. */
+  /** Drops the state of the tasks, once the job has ended and has no runs. Keys of records that the journal may hold are kept. */
   dropTasks (): void {
-    this.hasUnread = false
-    this.changed.clear()
-    this.doneTasks.clear()
-    this.numbering = undefined
+    const storedKeys = this.storedTaskKeys()
+    this.taskRecords = undefined
+    for (const key of storedKeys) this.records.stored.set(key, '')
   }
 
   /** Returns the keys of all records of the job that the journal may hold. The record of its end comes last. */
   storedKeys (): string[] {
     const { id } = this.entry.job
-    const keys = [keyOf(Subject.Job, id), ...this.stored.keys()]
+    const keys = [keyOf(Subject.Job, id), ...this.storedTaskKeys()]
     if (this.entry.cancelledMs > 0) keys.push(keyOf(Subject.Cancellation, id))
     return [...keys, keyOf(Subject.Progress, id)]
   }
 
+  private get records (): TaskRecords {
+    this.taskRecords ??= new TaskRecords()
+    return this.taskRecords
+  }
+
+  private storedTaskKeys (): string[] {
+    return [...this.taskRecords?.stored.keys() ?? []]
+  }
+
   private markRuns (block: number): void {
-    const { entry } = this
-    this.changed.set(blockKeyOf(Subject.Runs, entry.job.id, block), () => encodeRuns(entry.job.id, block, this.tasksOf(block)))
+    const { id } = this.entry.job
+    this.records.changed.set(blockKeyOf(Subject.Runs, id, block), () => encodeRuns(id, block, this.tasksOf(block)))
   }
 
   /** Deletes the record of a block of runs, if it may be in the journal. */
   private deleteRuns (block: number): void {
     const key = blockKeyOf(Subject.Runs, this.entry.job.id, block)
-    if (this.stored.has(key)) this.changed.set(key, undefined)
-    else this.changed.delete(key)
+    const { stored, changed } = this.records
+    if (stored.has(key)) changed.set(key, undefined)
+    else changed.delete(key)
   }
 
   private applyRuns (block: number, value: Buffer, onInvalid: () => void): void {
@@ -159,8 +189,9 @@
 
   private addDone (number: number): DoneTasks {
     const block = doneBlockOf(number)
-    let done = this.doneTasks.get(block)
-    if (done === undefined) this.doneTasks.set(block, done = new DoneTasks())
+    const { doneTasks } = this.records
+    let done = doneTasks.get(block)
+    if (done === undefined) doneTasks.set(block, done = new DoneTasks())
     done.add(number)
     return done
   }
@@ -177,12 +208,16 @@
   }
 
   private numberOf ({ key, occurrence, step }: TaskEntry): number {
-    this.numbering ??= new TaskNumbering(this.entry.job)
-    return this.numbering.numberOf(occurrence, step, Number(key.slice(key.lastIndexOf('.') + 1)))
+    return this.numbering().numberOf(occurrence, step, Number(key.slice(key.lastIndexOf('.') + 1)))
   }
 
   private keyOf (number: number): string | undefined {
-    this.numbering ??= new TaskNumbering(this.entry.job)
-    return this.numbering.keyOf(number)
+    return this.numbering().keyOf(number)
+  }
+
+  private numbering (): TaskNumbering {
+    const { records } = this
+    records.numbering ??= new TaskNumbering(this.entry.job)
+    return records.numbering
   }
 }
--- a/packages/control/src/journal/journal-state.ts
+++ b/packages/control/src/journal/journal-state.ts
@@ -1,7 +1,7 @@
 /**
  * The state of the cell, which every node builds by applying the records of the journal.
  */
-import { isFinal, occurrencesOf, taskKeyOf, Phase, type Job } from '../model/job.js'
+import { isFinal, occurrencesOf, taskKeyOf, Phase, type Job, type Step } from '../model/job.js'
 import { Backlog, backlogBoundOf, heldBytesOf } from '../place/backlog.js'
 import type { StoredRecord } from '../ports/store.js'
 import { JobChanges, type Encoder } from './job-changes.js'
@@ -33,6 +33,8 @@
   checkpoint: string
 }
 
+const NO_TASKS: ReadonlyMap<string, TaskEntry> = new Map()
+
 /** State of a job and its tasks. */
 export class JobEntry {
   phase = Phase.Pending
@@ -44,7 +46,8 @@
   committedPhase = Phase.Pending
   /** What the job is counted with in the backlog. */
   heldBytes = 0
-  private readonly taskEntries = new Map<string, TaskEntry>()
+  /** Undefined if no task was used. */
+  private taskEntries: Map<string, TaskEntry> | undefined
   private readonly changes = new JobChanges(this)
 
   /** @param job the job; once the job has ended, only a summary of it may be left */
@@ -53,7 +56,7 @@
   /** Tasks that were used at least once, by key. Records of tasks that were read from the journal are decoded here on first use. */
   get tasks (): ReadonlyMap<string, TaskEntry> {
     if (this.changes.hasUnread) this.changes.decodeUnread()
-    return this.taskEntries
+    return this.taskEntries ?? NO_TASKS
   }
 
   /** Returns a task; its entry is created on first use. */
@@ -78,6 +81,7 @@
       failedRun: 0,
       checkpoint: ''
     }
+    this.taskEntries ??= new Map()
     this.taskEntries.set(key, task)
     return task
   }
@@ -167,9 +171,9 @@
   /** Drops what is not needed of a job that has ended and has no runs. */
   dropDetails (): void {
     if (this.job.steps.length === 0) return
-    this.changes.dropTasks()
     this.job = summaryOf(this.job)
-    this.taskEntries.clear()
+    this.changes.dropTasks()
+    this.taskEntries = undefined
   }
 
   /** Returns the phase that callers see. */
@@ -185,10 +189,12 @@
   return stage === Stage.Assigned ? run - 1 : run
 }
 
+const NO_STEPS: readonly Step[] = []
+
 /** Returns a job without what only its tasks need. */
 function summaryOf ({ id, queue, workspace, acceptedMs }: Pick<Job, 'id' | 'queue' | 'workspace' | 'acceptedMs'>): Job {
   return {
-    id, queue, upstream: '', workspace, payload: '', steps: [], occurrences: 0, firstDueMs: 0, intervalMs: 0, acceptedMs
+    id, queue, upstream: '', workspace, payload: '', steps: NO_STEPS, occurrences: 0, firstDueMs: 0, intervalMs: 0, acceptedMs
   }
 }
 
--- a/packages/control/src/place/backlog.ts
+++ b/packages/control/src/place/backlog.ts
@@ -36,7 +36,7 @@
 const STEP_BYTES = 250
 const TASK_BYTES = 260
 /** Bytes of a job that has ended and of which only a summary is left. */
-const SUMMARY_BYTES = 1500
+const SUMMARY_BYTES = 600
 
 /**
  * Computes the bound on what all jobs hold.
--- a/packages/control/test/journal/journal-state.spec.ts
+++ b/packages/control/test/journal/journal-state.spec.ts
@@ -14,7 +14,7 @@
 const RUNNING = { stage: Stage.Assigned, run: 3, worker: 'w1', born: 10 }
 
 /** What an ended job counts in the backlog. */
-const SUMMARY_BYTES = 1500
+const SUMMARY_BYTES = 600
 
 const NODE = { node: 'n1', incarnation: '1', host: '10.0.0.1', port: 7000, zone: 'z' }
 const CLAIM = { epoch: 3, node: 'n2', incarnation: '1' }
