Backlog: Retry-After follows the room that comes back

Cause: a reservation that became a job counted as released. A flood that was accepted therefore told the callers after it to return after a second, although no job had ended. The rate was measured only from one refusal to the next, so that the first one had none (20 s) and one after a calm time had the mean of that time. All refused callers were told the same moment.

Change: `fulfil` ends the reservation of a job that is counted from then on. Callers of one workspace are told to return one after another as room comes back.

Tests: in owner/backlog.spec.ts the flood fails before. Of the three cases in place/backlog.spec.ts two call methods that are new, so that their failing before says nothing; the third, the order of return, does too for its call of `measure`.

--- a/packages/control/src/entry/job-service.ts
+++ b/packages/control/src/entry/job-service.ts
@@ -307,11 +307,9 @@
     const forwardMs = Math.min(OWNER_APPEND_TIMEOUT_MS, budgetMs / 2)
     const remainingMs = budgetMs - (forwarded === undefined ? 0 : forwardMs) - ANSWER_TRANSFER_MS
     const execution = await this.appender.append(record, remainingMs, mayBeStored ? Execution.Unknown : Execution.NotRun)
+    if (execution === Execution.Run) this.options.applyAppended(record)
     if (job !== undefined && !mayBeStored) backlog.release(job.id)
-    if (execution === Execution.Run) {
-      this.options.applyAppended(record)
-      return ok(undefined)
-    }
+    if (execution === Execution.Run) return ok(undefined)
     // The owner may have appended the record although its answer was lost.
     if (execution === Execution.Unknown && isWritten()) return ok(undefined)
     return err({
--- a/packages/control/src/journal/journal-state.ts
+++ b/packages/control/src/journal/journal-state.ts
@@ -310,7 +310,7 @@
   private addJob (entry: JobEntry): void {
     const { id } = entry.job
     this.jobs.set(id, entry)
-    this.backlog.release(id)
+    this.backlog.fulfil(id)
     this.count(entry, heldBytesOf(entry.job))
     for (const waiting of this.takeDeferred(id)) this.apply(waiting)
   }
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -389,6 +389,7 @@
     while (!signal.aborted) {
       await sleep(ELECTION_INTERVAL_MS, signal)
       this.reportJournal()
+      this.journalState.backlog.measure(this.options.clock.now())
       const { ownerClaim } = this.journalState
       const connected = ownerClaim !== undefined && this.links.has(ownerClaim.node)
       if (ownerClaim !== undefined && !connected && ownerClaim.node !== this.options.settings.node) {
--- a/packages/control/src/owner/admission-controller.ts
+++ b/packages/control/src/owner/admission-controller.ts
@@ -138,8 +138,21 @@
     this.options.log.decision('job exceeds workspace rate', { job: job.id, workspace: job.workspace, weight })
   }
 
+  /** Performs the work that is due. The owner calls it on every tick. */
+  tick (): void {
+    this.unstored.measure(this.options.clock.now())
+    this.collectUnconfirmed()
+  }
+
+  /** Drops the state of a job whose records are deleted. */
+  forget (job: string): void {
+    this.countedJobs.delete(job)
+    this.overRateJobs.delete(job)
+    this.unconfirmedKeys.delete(keyOf(Subject.Cancellation, job))
+  }
+
   /** Forgets unconfirmed records once the journal has been read after their last append: the job is known by then, or not stored. */
-  collectUnconfirmed (): void {
+  private collectUnconfirmed (): void {
     const { writer, clock, journalReadAt } = this.options
     for (const [key, settledMs] of this.unconfirmedKeys) {
       if (writer.isUncommitted(key)) continue
@@ -152,13 +165,6 @@
     }
   }
 
-  /** Drops the state of a job whose records are deleted. */
-  forget (job: string): void {
-    this.countedJobs.delete(job)
-    this.overRateJobs.delete(job)
-    this.unconfirmedKeys.delete(keyOf(Subject.Cancellation, job))
-  }
-
   /**
    * Returns a job with the owner's time if it was accepted on a clock that differs from the owner's, and any other job as it is. The
    * order of placement and the rates compare times of acceptance from all nodes.
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -552,7 +552,7 @@
       await sleep(TICK_INTERVAL_MS, signal)
       this.garbageCollector.tick()
       this.pastUseRecorder?.tick()
-      this.admissionController.collectUnconfirmed()
+      this.admissionController.tick()
       detach(this.workerLossDetector.tick(this.sessions.values()))
       if (this.mayAct()) this.runSupervisor.tick()
       this.startLog.writeDue()
--- a/packages/control/src/place/backlog.ts
+++ b/packages/control/src/place/backlog.ts
@@ -6,6 +6,7 @@
  * hold up to a multiple of what is still free of it. Alone it gets most of the bound, and several leave room for others.
  */
 import { occurrencesOf, type Job } from '../model/job.js'
+import { ReleaseRate } from './release-rate.js'
 
 const BYTES_PER_MB = 1024 * 1024
 /**
@@ -28,8 +29,6 @@
 /** Minimum and maximum time after which a caller is told to retry. */
 const MIN_RETRY_AFTER_MS = 1000
 const MAX_RETRY_AFTER_MS = 20_000
-/** Minimum time over which the rate of releases is measured. */
-const RATE_WINDOW_MS = 2000
 
 /** Bytes that a job, one of its steps and one of its tasks hold in the heap of the owner, without their texts. */
 const JOB_BYTES = 2300
@@ -89,11 +88,9 @@
   private readonly heldBytes = new Map<string, number>()
   private readonly reservations = new Map<string, Reservation>()
   private total = 0
-  /** Bytes that were released since `rateSinceMs`. */
-  private released = 0
-  private rateSinceMs = -Infinity
-  /** Rate of releases in bytes per millisecond. */
-  private releaseRate = 0
+  private readonly releaseRate = new ReleaseRate()
+  /** Steady time from which the next refused caller may return, by workspace. */
+  private readonly nextReturnMs = new Map<string, number>()
 
   /**
    * @param bound returns the bound on the bytes that all jobs hold, which may change
@@ -121,12 +118,10 @@
     this.total += bytes
   }
 
+  /** Ends the counting of bytes that are not held any more. */
   remove (workspace: string, bytes: number): void {
-    const remaining = this.heldBy(workspace) - bytes
-    if (remaining > 0) this.heldBytes.set(workspace, remaining)
-    else this.heldBytes.delete(workspace)
-    this.total -= bytes
-    this.released += bytes
+    this.subtract(workspace, bytes)
+    this.releaseRate.add(bytes)
   }
 
   /** Holds bytes for a job until `release` is called. A second reservation for the same job has no effect. */
@@ -136,12 +131,21 @@
     this.add(workspace, bytes)
   }
 
-  /** Ends the reservation for a job, if there is one. */
+  /** Ends the reservation for a job, if there is one, because the job will hold nothing. */
   release (id: string): void {
-    const reservation = this.reservations.get(id)
-    if (reservation === undefined) return
-    this.reservations.delete(id)
-    this.remove(reservation.workspace, reservation.bytes)
+    const reservation = this.takeReservation(id)
+    if (reservation !== undefined) this.remove(reservation.workspace, reservation.bytes)
+  }
+
+  /** Ends the reservation for a job, if there is one, because the job itself is counted from now on. No room comes back. */
+  fulfil (id: string): void {
+    const reservation = this.takeReservation(id)
+    if (reservation !== undefined) this.subtract(reservation.workspace, reservation.bytes)
+  }
+
+  /** Measures the rate of releases. To be called at regular intervals with the time on the steady clock. */
+  measure (nowMs: number): void {
+    this.releaseRate.measure(nowMs)
   }
 
   /**
@@ -159,15 +163,20 @@
   }
 
   /**
-   * Estimates, from the rate at which jobs have lately ended, when there will be room for a job.
+   * Estimates, from the rate at which jobs have lately ended, when there will be room for a job. Callers of one workspace are told to
+   * return one after another as room comes back, so that they do not all return at once.
    *
    * @param nowMs time on the steady clock
    * @returns delay in milliseconds
    */
   retryAfterMs (workspace: string, bytes: number, nowMs: number): number {
-    this.measureRate(nowMs)
-    const waitMs = this.excessOf(workspace, bytes) / (1 + FREE_ROOM_FACTOR) / this.releaseRate
-    return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, Number.isNaN(waitMs) ? 0 : waitMs))
+    const rate = this.releaseRate.measure(nowMs) ?? 0
+    if (rate <= 0) return MAX_RETRY_AFTER_MS
+    const waitMs = Math.max(MIN_RETRY_AFTER_MS, this.excessOf(workspace, bytes) / (1 + FREE_ROOM_FACTOR) / rate)
+    const returnMs = Math.max(nowMs + waitMs, this.nextReturnMs.get(workspace) ?? 0)
+    if (returnMs - nowMs >= MAX_RETRY_AFTER_MS) return MAX_RETRY_AFTER_MS
+    this.nextReturnMs.set(workspace, returnMs + bytes / rate)
+    return returnMs - nowMs
   }
 
   /** Divides the bound into the guaranteed part of each workspace and the room that all share. */
@@ -189,11 +198,16 @@
     return own - FREE_ROOM_FACTOR * (shared - used)
   }
 
-  private measureRate (nowMs: number): void {
-    const elapsedMs = nowMs - this.rateSinceMs
-    if (elapsedMs < RATE_WINDOW_MS) return
-    this.releaseRate = this.released / elapsedMs
-    this.released = 0
-    this.rateSinceMs = nowMs
+  private takeReservation (id: string): Reservation | undefined {
+    const reservation = this.reservations.get(id)
+    this.reservations.delete(id)
+    return reservation
+  }
+
+  private subtract (workspace: string, bytes: number): void {
+    const remaining = this.heldBy(workspace) - bytes
+    if (remaining > 0) this.heldBytes.set(workspace, remaining)
+    else this.heldBytes.delete(workspace)
+    this.total -= bytes
   }
 }
--- a/packages/control/test/owner/backlog.spec.ts
+++ b/packages/control/test/owner/backlog.spec.ts
@@ -38,6 +38,8 @@
   readonly accepted = new Set<string>()
   /** Number of submissions by what was answered. */
   answers: Record<string, number> = {}
+  /** When the last caller that was refused is told to return. */
+  retryAfterMs: number | undefined
   private lastId = 0
 
   constructor () {
@@ -68,7 +70,9 @@
         if (answer.isOk()) this.accepted.add(job.id)
         const name = answer.match(() => 'accepted', ({ reason, execution }) => `${reason} ${execution}`)
         this.answers[name] = (this.answers[name] ?? 0) + 1
-        if (answer.isErr()) expect(answer.error.retryAfterMs).toBeGreaterThanOrEqual(1000)
+        if (answer.isOk()) return
+        this.retryAfterMs = answer.error.retryAfterMs
+        expect(this.retryAfterMs).toBeGreaterThanOrEqual(1000)
       }))
       if (index % 20 === 0) await vi.advanceTimersByTimeAsync(50)
     }
@@ -138,6 +142,14 @@
     expect((await admitting).match(() => 'accepted', ({ reason, execution }) => `${reason} ${execution}`)).toBe(answer)
   })
 
+  // Guards against callers that are told to return soon by the reservations of jobs that were accepted.
+  it('is told to return late while none of its jobs ends', async () => {
+    await cell.submit('a', FLOOD)
+    await vi.advanceTimersByTimeAsync(3000)
+    await cell.submit('a', 1)
+    expect([cell.answers, cell.retryAfterMs]).toEqual([{ [REFUSED]: 1 }, 20_000])
+  })
+
   it('does not refuse a job that is known', async () => {
     await cell.submit('a', FLOOD)
     const [known] = cell.accepted
--- a/packages/control/test/place/backlog.spec.ts
+++ b/packages/control/test/place/backlog.spec.ts
@@ -113,6 +113,40 @@
     expect(backlog.retryAfterMs('a', 200, 4000)).toBeCloseTo(retryAfterMs)
   })
 
+  it('does not take a reservation whose job is counted from then on for room that comes back', () => {
+    const backlog = createBacklog()
+    backlog.add('a', 6000)
+    backlog.retryAfterMs('a', 10, 0)
+    for (let job = 0; job < 80; job++) {
+      backlog.reserve(String(job), 'a', 10)
+      backlog.fulfil(String(job))
+      backlog.add('a', 10)
+    }
+    backlog.remove('a', 100)
+    expect([backlog.totalBytes, backlog.retryAfterMs('a', 300, 4000)]).toEqual([6700, 8000])
+  })
+
+  // Guards against a node whose first refusal, or first one after a calm time, tells a time from a rate of long ago.
+  it('tells when there will be room by the latest releases', () => {
+    const backlog = createBacklog()
+    backlog.add('a', 6800 + 30 * 1000)
+    for (let nowMs = 0; nowMs <= 600_000; nowMs += 1000) {
+      backlog.measure(nowMs)
+      if (nowMs >= 570_000 && nowMs < 600_000) backlog.remove('a', 1000)
+    }
+    expect(backlog.retryAfterMs('a', 5000, 600_000)).toBeLessThan(6000)
+  })
+
+  it('tells callers to return one after another at the rate at which room comes back', () => {
+    const backlog = createBacklog()
+    backlog.add('a', 6800 + 400)
+    backlog.measure(0)
+    backlog.remove('a', 400)
+    const retryAfterMs = [1, 2, 3, 4, 5].map(() => backlog.retryAfterMs('a', 500, 4000))
+    expect(retryAfterMs).toEqual([5000, 10_000, 15_000, 20_000, 20_000])
+    expect(backlog.retryAfterMs('a', 500, 9000)).toBe(15_000)
+  })
+
   it('never admits more than the bound, and always some of a workspace that holds nothing', () => {
     const submission = tuple(constantFrom('a', 'b', 'c', ''), integer({ min: 1, max: 300 }), integer({ min: 0, max: 3 }))
     assert(property(array(submission, { maxLength: 2000 }), (submissions) => {
