Backlog: without an owner, large jobs are accepted in calm

Cause: a node that reached no owner divided the free room by the number of nodes for each single job. In an empty cell of 43 nodes, the smallest with 210 MB, jobs of some 3,000 tasks and more were refused (429), with a time to return that follows from the rate at which jobs end, though nothing had to end.

Jobs within the part are appended at once, as before.

--- a/packages/control/src/entry/job-service.ts
+++ b/packages/control/src/entry/job-service.ts
@@ -9,13 +9,12 @@
 import {
   findQueueByPath, findWorkspaceByKey, type Configuration, type Queue, type WorkspaceSettings
 } from '../model/configuration.js'
-import { heldBytesOf } from '../place/backlog.js'
 import { findJobError, isFinal, Phase, type Job, type Step } from '../model/job.js'
 import type { KeyedRecord, Store } from '../ports/store.js'
 import { describeError, type Log } from '../report/log.js'
 import { RefusalCounter } from '../report/refusal-counter.js'
 import { Appender } from './appender.js'
-import { refuseBeyondBacklog } from './backlog-refusal.js'
+import { OwnerlessAdmission } from './ownerless-admission.js'
 import { UnconfirmedJobs } from './unconfirmed-jobs.js'
 
 /** Timeout of the owner's answer to a lookup; after it this node answers from its own copy of the journal. */
@@ -84,6 +83,7 @@
 /** Handles callers' requests. */
 export class JobService {
   private readonly appender: Appender
+  private readonly ownerlessAdmission: OwnerlessAdmission
   private readonly refusals: RefusalCounter
   private readonly unconfirmedJobs = new UnconfirmedJobs()
   /** Number of submissions in progress, by id of the job. */
@@ -92,6 +92,8 @@
   constructor (private readonly options: JobServiceOptions) {
     this.refusals = new RefusalCounter(options.log, options.clock, 'jobs refused by the backlog')
     this.appender = new Appender(options.store, options.clock)
+    const { journalState, journalFreshAt, clock } = options
+    this.ownerlessAdmission = new OwnerlessAdmission({ journalState, journalFreshAt, clock, catchUp: () => this.catchUp() })
   }
 
   /**
@@ -272,15 +274,6 @@
     }
   }
 
-  /**
-   * Returns why this node may not append a job by itself, or undefined. The other nodes may append jobs at the same time, so each uses
-   * only its part of the room.
-   */
-  private findShortage (job: Job): Refusal | undefined {
-    const { backlog, nodes } = this.options.journalState()
-    return refuseBeyondBacklog(backlog, job.workspace, heldBytesOf(job), this.options.clock.now(), Math.max(1, nodes.size))
-  }
-
   /**
    * Appends a record through the owner, which batches the records of many callers into one append even if the store is slow. If
    * the owner was not reached, this node appends the record itself, until the store has it or the caller's time is over.
@@ -299,13 +292,14 @@
     if (forwarded !== undefined && (forwarded.isOk() || forwarded.error.execution === Execution.NotRun)) return forwarded
     const isUnconfirmed = job !== undefined && this.unconfirmedJobs.has(job.id, this.options.clock.now())
     const mayBeStored = forwarded !== undefined || isUnconfirmed
-    const refusal = job === undefined || mayBeStored ? undefined : this.findShortage(job)
+    const sinceMs = this.options.clock.now()
+    const refusal = job === undefined || mayBeStored ? undefined : await this.ownerlessAdmission.reserve(job)
     if (refusal !== undefined) return err(refusal)
+    const admissionMs = this.options.clock.now() - sinceMs
     const { backlog } = this.options.journalState()
-    if (job !== undefined && !mayBeStored) backlog.reserve(job.id, job.workspace, heldBytesOf(job))
     // If the outcome at the owner is unknown, the timeout given to the owner is subtracted, even if the answer was lost earlier.
     const forwardMs = Math.min(OWNER_APPEND_TIMEOUT_MS, budgetMs / 2)
-    const remainingMs = budgetMs - (forwarded === undefined ? 0 : forwardMs) - ANSWER_TRANSFER_MS
+    const remainingMs = budgetMs - (forwarded === undefined ? 0 : forwardMs) - admissionMs - ANSWER_TRANSFER_MS
     const execution = await this.appender.append(record, remainingMs, mayBeStored ? Execution.Unknown : Execution.NotRun)
     if (execution === Execution.Run) this.options.applyAppended(record)
     if (job !== undefined && !mayBeStored) backlog.release(job.id)
--- a/packages/control/test/entry/job-service.spec.ts
+++ b/packages/control/test/entry/job-service.spec.ts
@@ -4,7 +4,7 @@
 import { NEVER, SystemClock, type Stamp } from '../../src/clock.js'
 import { Appender } from '../../src/entry/appender.js'
 import { JobService, type AuthorizedRequest, type JobServiceOptions } from '../../src/entry/job-service.js'
-import { encodeJob } from '../../src/journal/record.js'
+import { Subject, encodeJob, encodeRecord } from '../../src/journal/record.js'
 import { JournalState } from '../../src/journal/journal-state.js'
 import type { Configuration } from '../../src/model/configuration.js'
 import { Phase } from '../../src/model/job.js'
@@ -178,6 +178,20 @@
     expect(outcomes).toEqual([Execution.Unknown])
   })
 
+  // Guards against large jobs that are refused in calm because the cell has many nodes.
+  it('is accepted if it is larger than this node\'s part of a calm backlog', async () => {
+    const journalState = new JournalState()
+    const address = { incarnation: '1', host: '10.0.0.1', port: 7000, zone: 'z', memoryMb: 210 }
+    for (let index = 0; index < 43; index++) {
+      journalState.apply({ ...encodeRecord(Subject.Node, `n${index}`, { ...address, node: `n${index}` }), offset: index })
+    }
+    const jobService = createJobService(new ScriptedStore(async () => ok(1)), undefined, journalState)
+    const submission = { id: idOf(1), payload: 'text', steps: [createStep({ count: 5000 })], occurrences: 0, firstDueMs: 0, intervalMs: 0 }
+    const submitting = jobService.submit(jobService.authorize('h', '/', '')._unsafeUnwrap(), submission, BUDGET_MS)
+    await vi.advanceTimersByTimeAsync(BUDGET_MS)
+    expect((await submitting).isOk()).toBe(true)
+  })
+
   it('is refused while the jobs that wait for the store take the room', async () => {
     const journalState = new JournalState()
     const { backlog } = journalState
