Backlog: 413 tells what a job needs and what a workspace may use

What is promised: a refusal that has not run, at once. What is refused is what cannot be held: the owner creates the tasks of occurrences that are not due yet, and those that are done stay until the job ends, so all occurrences have to count.

Cause: the answer spoke of tasks only, so that the caller of a scheduled job of 40 tasks could not know what to change. Change: it names both sizes and the occurrences. The largest jobs that are accepted are listed and tested for nodes of 100 to 250 MB.

What should come: tasks created when they are due and kept as bits once they are done, so that a schedule counts by its overlapping occurrences.

Tests: the case of the answer fails before; the four of sizes pass before and after.

--- a/packages/control/src/place/backlog.ts
+++ b/packages/control/src/place/backlog.ts
@@ -107,6 +107,12 @@
     return this.bound()
   }
 
+  /** Bytes that a single job may hold in an empty backlog. */
+  get maxJobBytes (): number {
+    const { guaranteed, shared } = this.division()
+    return guaranteed + shared * FREE_ROOM_FACTOR / (1 + FREE_ROOM_FACTOR)
+  }
+
   /** Bytes that the jobs of a workspace hold and have reserved. */
   heldBy (workspace: string): number {
     return this.heldBytes.get(workspace) ?? 0
@@ -155,8 +161,8 @@
    * @returns why it may not be added, or undefined
    */
   findShortage (workspace: string, bytes: number, parts = 1): Shortage | undefined {
-    const { guaranteed, shared } = this.division()
-    if ((bytes - guaranteed) * (1 + FREE_ROOM_FACTOR) > shared * FREE_ROOM_FACTOR) return Shortage.NeverFits
+    if (bytes > this.maxJobBytes) return Shortage.NeverFits
+    const { guaranteed } = this.division()
     if (this.heldBy(workspace) + bytes * parts <= guaranteed) return undefined
     if (bytes * parts > this.bound() - this.total) return Shortage.Full
     return this.excessOf(workspace, bytes) > 0 ? Shortage.Full : undefined
--- a/packages/control/test/place/backlog.spec.ts
+++ b/packages/control/test/place/backlog.spec.ts
@@ -1,5 +1,8 @@
+import { Reason, refuse } from '@fireflymount/protocol/refusal'
 import { assert, constantFrom, integer, array, property, tuple } from 'fast-check'
 import { describe, expect, it } from 'vitest'
+import { refuseBeyondBacklog } from '../../src/entry/backlog-refusal.js'
+import { MAX_JOB_TASKS } from '../../src/model/job.js'
 import { Backlog, Shortage, backlogBoundOf, heldBytesOf } from '../../src/place/backlog.js'
 import { createJob, createStep } from '../fakes.js'
 
@@ -37,6 +40,32 @@
   })
 })
 
+describe('the largest job that is ever accepted', () => {
+  it.each([
+    { memoryMb: 100, tasks: 20_000 },
+    { memoryMb: 160, tasks: 30_000 },
+    { memoryMb: 210, tasks: 80_000 },
+    { memoryMb: 250, tasks: MAX_JOB_TASKS }
+  ])('has $tasks tasks with a node of $memoryMb MB, in whatever occurrences', ({ memoryMb, tasks }) => {
+    const backlog = new Backlog(() => backlogBoundOf(memoryMb), () => 20)
+    for (const occurrences of [0, 8, 1000]) {
+      const job = createJob({ steps: [createStep({ count: tasks / Math.max(1, occurrences) })], occurrences })
+      expect(refuseBeyondBacklog(backlog, 'a', heldBytesOf(job), 0)).toBeUndefined()
+    }
+  })
+
+  // Guards against callers of scheduled jobs that do not learn why a job of few tasks is refused, nor what would be accepted.
+  it('is told to the caller of a larger one', () => {
+    const backlog = new Backlog(() => backlogBoundOf(160), () => 20)
+    const job = createJob({ steps: [createStep({ count: 40 })], occurrences: 1000 })
+    expect(refuseBeyondBacklog(backlog, 'a', heldBytesOf(job), 0)).toEqual(refuse(
+      Reason.TooLarge,
+      'The job needs 9.9 MB with the tasks of all occurrences; a workspace may use 8.3 MB. ' +
+      'Split it into jobs with fewer tasks or fewer occurrences.'
+    ))
+  })
+})
+
 /** Adds jobs of a workspace until there is no room. Returns the bytes that were added. */
 function fill (backlog: Backlog, workspace: string, bytes: number): number {
   let added = 0
