--- a/packages/control/src/owner/admission-controller.ts
+++ b/packages/control/src/owner/admission-controller.ts
@@ -53,6 +53,15 @@
   readonly log: Log
 }
 
+/** What a submitted job will take. */
+interface JobSize {
+  readonly job: Job
+  /** Bytes of memory on each node. */
+  readonly heldBytes: number
+  /** Bytes of its record until this is stored. */
+  readonly unstoredBytes: number
+}
+
 /** Admits callers' records for one owner. */
 export class AdmissionController {
   private readonly rates = new RateTracker()
@@ -87,10 +96,11 @@
     if (this.isKnownJob(submitted)) return ok(undefined)
     const submittedJob = decodeSubmitted(submitted)
     const job = submittedJob === undefined ? undefined : this.correctTime(submittedJob)
-    const refusal = job === undefined ? undefined : this.findRefusal(job, submitted)
+    const size = job === undefined ? undefined : sizeOfJob(job, submitted)
+    const refusal = size === undefined ? undefined : this.findRefusal(size, submitted.key)
     if (refusal !== undefined) return err(refusal)
     const record = job === undefined || job === submittedJob ? submitted : encodeJob(job)
-    if (job !== undefined) this.reserve(job, record)
+    if (size !== undefined) this.reserve(size)
     const execution = await this.append([record], timeoutMs)
     if (job !== undefined && execution !== Execution.Unknown) this.release(job.id, submitted.key)
     if (execution === Execution.Run) return ok(undefined)
@@ -188,13 +198,13 @@
    * wait, or the jobs ahead take too long. Jobs with a schedule or with long-running steps are refused only for lack of memory. A job
    * that may already have been written is never refused, because a refusal states that the job did not run.
    *
-   * @param record the job's record
+   * @param key key of the job's record
    */
-  private findRefusal (job: Job, record: KeyedRecord): Refusal | undefined {
+  private findRefusal (size: JobSize, key: string): Refusal | undefined {
     const { writer, dispatcher } = this.options
-    const { key } = record
+    const { job } = size
     if (writer.isUncommitted(key) || this.unconfirmedKeys.has(key)) return undefined
-    const shortage = this.findShortage(job, record)
+    const shortage = this.findShortage(size)
     if (shortage !== undefined) return shortage
     if (job.occurrences > 0 || job.steps.some((step) => step.lasting)) return undefined
     const weight = this.weightOf(job)
@@ -217,19 +227,19 @@
     )
   }
 
-  private findShortage (job: Job, record: KeyedRecord): Refusal | undefined {
+  private findShortage ({ job, heldBytes, unstoredBytes }: JobSize): Refusal | undefined {
     const { journalState, clock } = this.options
     const { workspace } = job
-    const refusal = refuseBeyondBacklog(journalState.backlog, workspace, heldBytesOf(job), clock.now()) ??
-      refuseBeyondBacklog(this.unstored, workspace, unstoredBytesOf(record), clock.now())
+    const refusal = refuseBeyondBacklog(journalState.backlog, workspace, heldBytes, clock.now()) ??
+      refuseBeyondBacklog(this.unstored, workspace, unstoredBytes, clock.now())
     if (refusal !== undefined) this.refusals.count(refusal.reason, { workspace })
     return refusal
   }
 
   /** Counts a job whose record is about to be appended. */
-  private reserve (job: Job, record: KeyedRecord): void {
-    this.options.journalState.backlog.reserve(job.id, job.workspace, heldBytesOf(job))
-    this.unstored.reserve(job.id, job.workspace, unstoredBytesOf(record))
+  private reserve ({ job, heldBytes, unstoredBytes }: JobSize): void {
+    this.options.journalState.backlog.reserve(job.id, job.workspace, heldBytes)
+    this.unstored.reserve(job.id, job.workspace, unstoredBytes)
   }
 
   /** Ends the reservations of a job that was stored, or of which no record can be stored any more. */
@@ -245,9 +255,9 @@
   }
 }
 
-/** Returns what a record holds while it waits for the store: it is received in one form and written in another. */
-function unstoredBytesOf (record: KeyedRecord): number {
-  return 2 * sizeOf([record])
+/** A record that waits for the store is held twice: it is received in one form and written in another. */
+function sizeOfJob (job: Job, record: KeyedRecord): JobSize {
+  return { job, heldBytes: heldBytesOf(job), unstoredBytes: 2 * sizeOf([record]) }
 }
 
 /** Decodes the record of a job; undefined for any other record, and for one that cannot be decoded. */
