Owner: contention is that of other workspaces, and passes

Cause: a workspace beyond its rate was refused while any step within its rate waited, also one of its own: alone in a full cell it was refused because its earlier jobs waited. The shortages of the last round counted until the next one, so that refusals went on while rounds were paused (evacuations read too long ago, ownership unconfirmed).

Change: the workspaces of the waiting steps are recorded, and only others count. Shortages count for 2 s of the steady clock; rounds follow each other within a few hundred milliseconds. place/excess.ts needs no change. What waits by `unplacedStepsOf` is from the last round too, and is left: while rounds are paused these jobs do wait.

Tests: three cases in dispatcher.spec.ts and one in owner.spec.ts fail before. The case "refuses them while a job within its rate waits" of owner.spec.ts was wrong: both of its waiting jobs had one id, so that one was accepted, all of its tasks ran, and what waited was a job of the refused workspace itself.

--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -110,7 +110,7 @@
     this.candidates = new Candidates(options.sessions, options.slownessOf)
     this.permittedWorkers = new PermittedWorkersFinder(options.advisorClient)
     this.jobSettings = new JobSettings(options.configuration)
-    this.contention = new Contention(this.jobSettings)
+    this.contention = new Contention(this.jobSettings, options.clock)
   }
 
   /** Runs one round over all waiting tasks. */
--- a/packages/control/test/owner/dispatcher.spec.ts
+++ b/packages/control/test/owner/dispatcher.spec.ts
@@ -127,8 +127,8 @@
     return this.dispatcher.hasCapacityFor(createJob({ steps: [createStep({ count: tasks, size: TASK })] }))
   }
 
-  isContendedFor (queue: string, hasCapacity: boolean): boolean {
-    return this.dispatcher.contention.isContendedFor(createJob({ queue }), () => hasCapacity)
+  isContendedFor (queue: string, hasCapacity: boolean, workspace = createJob().workspace): boolean {
+    return this.dispatcher.contention.isContendedFor(createJob({ queue, workspace }), () => hasCapacity)
   }
 
   async grant (workers: readonly string[]): Promise<void> {
@@ -218,6 +218,34 @@
     expect(harness.isContendedFor(submitted, hasCapacity)).toBe(contended)
   })
 
+  // Guards against a workspace that is alone in a full cell and is refused because its own jobs wait.
+  it.each([
+    { waiting: 'of the same workspace', workspaces: ['a'], advised: false, contended: false },
+    { waiting: 'of another workspace', workspaces: ['b'], advised: false, contended: true },
+    { waiting: 'without a workspace', workspaces: [''], advised: false, contended: true },
+    { waiting: 'of both', workspaces: ['a', 'b'], advised: false, contended: true },
+    { waiting: 'for advice, of the same workspace', workspaces: ['a'], advised: true, contended: false },
+    { waiting: 'for advice, of another workspace', workspaces: ['b'], advised: true, contended: true }
+  ])('counts jobs $waiting: $contended', async ({ workspaces, advised, contended }) => {
+    await harness.addWorkers(2)
+    const job = { queue: advised ? 'advised' : 'urgent', acceptedMs: harness.clock.wall() - (advised ? WAITED_MS : 0) }
+    for (const workspace of workspaces) harness.accept({ ...job, workspace }, 20)
+    harness.runRounds(1)
+    expect(harness.isContendedFor('urgent', false, 'a')).toBe(contended)
+  })
+
+  // Guards against refusals that go on while rounds are paused, for jobs that waited before.
+  it.each([
+    { sinceMs: 1000, contended: true },
+    { sinceMs: 2001, contended: false }
+  ])('counts $sinceMs ms after the round: $contended', async ({ sinceMs, contended }) => {
+    await harness.addWorkers(2)
+    harness.accept({ queue: 'urgent' }, 20)
+    harness.runRounds(1)
+    harness.clock.advance(sinceMs)
+    expect(harness.isContendedFor('urgent', false)).toBe(contended)
+  })
+
   it('does not count a job that no worker may run', async () => {
     await harness.addWorkers(2)
     harness.accept({ queue: 'urgent', acceptedMs: harness.clock.wall() - WAITED_MS, steps: [createStep({ label: 'nowhere', size: TASK })] }, 1)
--- a/packages/control/test/owner/owner.spec.ts
+++ b/packages/control/test/owner/owner.spec.ts
@@ -314,11 +314,14 @@
 
   it.each([
     ['refuses them while a job within its rate waits for capacity', [16, 16], ['admitted', 'admitted', `${Reason.RateExceeded} ${Execution.NotRun}`]],
+    ['admits them while only a job of the same workspace waits', [16], ['admitted', 'admitted', 'admitted']],
     ['admits them while no job waits', [1], ['admitted', 'admitted', 'admitted']]
   ])('with jobs of a workspace far beyond its rate: %s', async (_, taskCounts, expected) => {
     const owner = harness.startOwner(1)
     await advance(200)
-    for (const count of taskCounts) await harness.accept({ workspace: '', steps: [createStep({ count })] })
+    for (const [index, count] of taskCounts.entries()) {
+      await harness.accept({ id: `${index}`.padStart(16, 'e'), workspace: '', steps: [createStep({ count })] })
+    }
     await advance(100)
     const outcomes: string[] = []
     for (const index of expected.keys()) {
