--- a/packages/control/src/owner/dispatcher.ts
+++ b/packages/control/src/owner/dispatcher.ts
@@ -119,7 +119,7 @@
     this.candidates = new Candidates(options.sessions, options.slownessOf)
     this.permittedWorkers = new PermittedWorkersFinder(options.advisorClient)
     this.jobSettings = new JobSettings(options.configuration)
-    this.contention = new Contention(this.jobSettings)
+    this.contention = new Contention(this.jobSettings, options.clock)
   }
 
   /** Returns how the capacity of an upstream was reserved for urgent tasks in the last round. */
--- a/packages/control/test/place/backlog.spec.ts
+++ b/packages/control/test/place/backlog.spec.ts
@@ -1,5 +1,8 @@
+import { Reason, refuse } from '@fireflymount/protocol/refusal'
 import { assert, constantFrom, integer, array, property, tuple } from 'fast-check'
 import { describe, expect, it } from 'vitest'
+import { refuseBeyondBacklog } from '../../src/entry/backlog-refusal.js'
+import { MAX_JOB_TASKS } from '../../src/model/job.js'
 import { Backlog, Shortage, backlogBoundOf, heldBytesOf } from '../../src/place/backlog.js'
 import { createJob, createStep } from '../fakes.js'
 
@@ -37,6 +40,32 @@
   })
 })
 
+describe('the largest job that is ever accepted', () => {
+  it.each([
+    { memoryMb: 100, tasks: 20_000 },
+    { memoryMb: 160, tasks: 30_000 },
+    { memoryMb: 210, tasks: 80_000 },
+    { memoryMb: 250, tasks: MAX_JOB_TASKS }
+  ])('has $tasks tasks with a node of $memoryMb MB, in whatever occurrences', ({ memoryMb, tasks }) => {
+    const backlog = new Backlog(() => backlogBoundOf(memoryMb), () => 20)
+    for (const occurrences of [0, 8, 1000]) {
+      const job = createJob({ steps: [createStep({ count: tasks / Math.max(1, occurrences) })], occurrences })
+      expect(refuseBeyondBacklog(backlog, 'a', heldBytesOf(job), 0)).toBeUndefined()
+    }
+  })
+
+  // Guards against callers of scheduled jobs that do not learn why a job of few tasks is refused, nor what would be accepted.
+  it('is told to the caller of a larger one', () => {
+    const backlog = new Backlog(() => backlogBoundOf(160), () => 20)
+    const job = createJob({ steps: [createStep({ count: 40 })], occurrences: 1000 })
+    expect(refuseBeyondBacklog(backlog, 'a', heldBytesOf(job), 0)).toEqual(refuse(
+      Reason.TooLarge,
+      'The job needs 9.9 MB with the tasks of all occurrences; a workspace may use 8.3 MB. ' +
+      'Split it into jobs with fewer tasks or fewer occurrences.'
+    ))
+  })
+})
+
 /** Adds jobs of a workspace until there is no room. Returns the bytes that were added. */
 function fill (backlog: Backlog, workspace: string, bytes: number): number {
   let added = 0
@@ -113,6 +142,40 @@
     expect(backlog.retryAfterMs('a', 200, 4000)).toBeCloseTo(retryAfterMs)
   })
 
+  it('does not take a reservation whose job is counted from then on for room that comes back', () => {
+    const backlog = createBacklog()
+    backlog.add('a', 6000)
+    backlog.retryAfterMs('a', 10, 0)
+    for (let job = 0; job < 80; job++) {
+      backlog.reserve(String(job), 'a', 10)
+      backlog.fulfil(String(job))
+      backlog.add('a', 10)
+    }
+    backlog.remove('a', 100)
+    expect([backlog.totalBytes, backlog.retryAfterMs('a', 300, 4000)]).toEqual([6700, 8000])
+  })
+
+  // Guards against a node whose first refusal, or first one after a calm time, tells a time from a rate of long ago.
+  it('tells when there will be room by the latest releases', () => {
+    const backlog = createBacklog()
+    backlog.add('a', 6800 + 30 * 1000)
+    for (let nowMs = 0; nowMs <= 600_000; nowMs += 1000) {
+      backlog.measure(nowMs)
+      if (nowMs >= 570_000 && nowMs < 600_000) backlog.remove('a', 1000)
+    }
+    expect(backlog.retryAfterMs('a', 5000, 600_000)).toBeLessThan(6000)
+  })
+
+  it('tells callers to return one after another at the rate at which room comes back', () => {
+    const backlog = createBacklog()
+    backlog.add('a', 6800 + 400)
+    backlog.measure(0)
+    backlog.remove('a', 400)
+    const retryAfterMs = [1, 2, 3, 4, 5].map(() => backlog.retryAfterMs('a', 500, 4000))
+    expect(retryAfterMs).toEqual([5000, 10_000, 15_000, 20_000, 20_000])
+    expect(backlog.retryAfterMs('a', 500, 9000)).toBe(15_000)
+  })
+
   it('never admits more than the bound, and always some of a workspace that holds nothing', () => {
     const submission = tuple(constantFrom('a', 'b', 'c', ''), integer({ min: 1, max: 300 }), integer({ min: 0, max: 3 }))
     assert(property(array(submission, { maxLength: 2000 }), (submissions) => {
