--- a/vitest.crowd.config.ts
+++ b/vitest.crowd.config.ts
@@ -5,7 +5,7 @@
   resolve: { conditions: ['source'] },
   ssr: { resolve: { conditions: ['source'] } },
   test: {
-    include: ['platform/test/crowd/**/*.spec.ts'],
+    include: ['platform/test/crowd/**/*.spec.ts', 'packages/*/test/crowd/**/*.spec.ts'],
     testTimeout: 120_000,
     fileParallelism: false,
     server: { deps: { inline: [/@fireflymount/] } }
