Daemon: clients of the API are held to limits

Cause: connections, requests sent ahead, bodies in progress and answers that nobody reads had no bound together. 10,000 connections were allowed whatever the descriptors; requests of a connection were handled as fast as they were parsed; Node.js accepts one connection in each iteration of the event loop, and the iterations grew long.

Idle connections are closed before busy ones, those that do not read before those that do. A connection with more than eight requests in progress is not read. Received data is handed to the HTTP server in parts of 2 kB, and what takes more than eight parts waits for its turn, one connection in each iteration. Bodies are collected, and counted, before the request is handled, so that a refused request has not run and a slow body takes none of the places for requests. 408, 413, 431 and 503 are problem documents as before. Counters by reason, gauges, a log line a second for each reason.

--- a/packages/command/test/cell.ts
+++ b/packages/command/test/cell.ts
@@ -128,6 +128,7 @@
       configuration,
       router,
       lifecycle,
+      logger: { warn: () => {} },
       usage: () => { throw new Error('not used') },
       metrics: new NoMetrics(),
       clock: new SystemClock(),
--- a/packages/daemon/src/entry/administration.ts
+++ b/packages/daemon/src/entry/administration.ts
@@ -12,7 +12,7 @@
 import type { Section } from '@fireflymount/manifest/manifest'
 import type { ApiContext } from './api-context.js'
 
-const MAX_BODY_BYTES = 1_000_000
+export const MAX_PUBLICATION_BYTES = 1_000_000
 const AGE_HEADER = 'fireflymount-configuration-age-ms'
 
 /**
@@ -52,7 +52,7 @@
  * @returns the new revision, or a problem
  */
 export async function onPut (api: ApiContext, context: Context): Promise<Response> {
-  const body = await readJson(context.req.raw, MAX_BODY_BYTES)
+  const body = await readJson(context.req.raw, MAX_PUBLICATION_BYTES)
   if (body.isErr()) return createProblemResponse(body.error)
   if (typeof body.value !== 'object' || body.value === null || Array.isArray(body.value)) {
     return createProblemResponse(createBadRequest('The body must be the complete object.'))
@@ -83,7 +83,7 @@
  * @returns the new revision, or a problem
  */
 export async function onPatch (api: ApiContext, context: Context): Promise<Response> {
-  const body = await readJson(context.req.raw, MAX_BODY_BYTES)
+  const body = await readJson(context.req.raw, MAX_PUBLICATION_BYTES)
   if (body.isErr()) return createProblemResponse(body.error)
   const delta = readDelta(body.value)
   if (delta.isErr()) return createProblemResponse(delta.error)
--- a/packages/daemon/src/entry/api-context.ts
+++ b/packages/daemon/src/entry/api-context.ts
@@ -1,6 +1,7 @@
 /**
  * The components that the HTTP API uses.
  */
+import type { Logger } from 'pino'
 import type { Clock } from '@fireflymount/service-clients/clock'
 import type { Settings } from '@fireflymount/manifest/settings'
 import type { Configuration } from '../configuration/configuration.js'
@@ -21,6 +22,7 @@
   readonly settings: Settings
   readonly clock: Clock
   readonly lifecycle: Lifecycle
+  readonly logger: Pick<Logger, 'warn'>
   /** Returns the resources that the node has used since its start. */
   readonly usage: () => Usage
 }
--- a/packages/daemon/src/entry/body.ts
+++ b/packages/daemon/src/entry/body.ts
@@ -81,6 +81,12 @@
   return position === null ? 'it is empty or ends too early.' : `syntax error at ${position[0]}.`
 }
 
-function createTooLarge (maxBytes: number): Problem {
+/**
+ * Creates the problem for a body that is too large.
+ *
+ * @param maxBytes the size limit of the body
+ * @returns the problem, with status 413
+ */
+export function createTooLarge (maxBytes: number): Problem {
   return createProblem(refuse(Reason.TooLarge, `The body is larger than the ${maxBytes} bytes that this node accepts. Send a smaller body.`))
 }
--- a/packages/daemon/src/entry/problem.ts
+++ b/packages/daemon/src/entry/problem.ts
@@ -158,8 +158,19 @@
  * return createProblemResponse(createProblem(refuse(Reason.NoSuchQueue, 'There is no queue "x".')))
  */
 export function createProblemResponse (problem: Problem, headers: Readonly<Record<string, string>> = {}): Response {
-  const all: Record<string, string> = { ...headers, 'content-type': 'application/problem+json' }
-  if (problem.retryAfterMs !== undefined) all['retry-after'] = String(Math.ceil(problem.retryAfterMs / MS_PER_SECOND))
-  if (problem.status === 401) all['www-authenticate'] = 'Bearer'
+  const all = { ...headers, ...createProblemHeaders(problem) }
   return new Response(JSON.stringify(problem), { status: problem.status, headers: all })
 }
+
+/**
+ * Creates the headers of a problem's response.
+ *
+ * @param problem the problem
+ * @returns the headers, with `Retry-After` in whole seconds if the problem has a retry delay
+ */
+export function createProblemHeaders (problem: Problem): Record<string, string> {
+  const headers: Record<string, string> = { 'content-type': 'application/problem+json' }
+  if (problem.retryAfterMs !== undefined) headers['retry-after'] = String(Math.ceil(problem.retryAfterMs / MS_PER_SECOND))
+  if (problem.status === 401) headers['www-authenticate'] = 'Bearer'
+  return headers
+}
--- a/packages/daemon/src/entry/server.ts
+++ b/packages/daemon/src/entry/server.ts
@@ -1,26 +1,31 @@
 /**
  * Serves the API over HTTP and shuts down without interrupting requests in progress.
  */
-import { createServer, STATUS_CODES, type Server } from 'node:http'
+import { createServer, type Server } from 'node:http'
 import { once } from 'node:events'
 import { getRequestListener } from '@hono/node-server'
 import { sleep } from '@fireflymount/service-clients/clock'
+import { MAX_PUBLICATION_BYTES } from './administration.js'
 import { createApi } from './api.js'
-import { HttpProblem, createProblemResponse, createBadRequest, createHttpProblem, type Problem } from './problem.js'
+import { CutoffReport } from './cutoff-report.js'
+import { Gate } from './gate.js'
+import { GatedServer } from './gated-server.js'
+import { limitsOfApi } from './limits.js'
+import { readMachine } from './machine.js'
+import { createProblemResponse, createBadRequest } from './problem.js'
 import type { AddressInfo } from 'node:net'
-import type { Duplex } from 'node:stream'
 import type { Listener } from '@fireflymount/manifest/settings'
 import type { ApiOptions } from './api-context.js'
 
-/** Longest time that a caller may take to send a request. */
-const RECEIVE_TIMEOUT_MS = 30_000
-const HEADERS_TIMEOUT_MS = 10_000
 /** Longer than the usual idle timeout of load balancers, so that the balancer is the side that closes idle connections. */
 const KEEP_ALIVE_TIMEOUT_MS = 75_000
 /** Fraction of the drain time in which new work is still accepted, so that the load balancer has time to deregister the node. */
 const DEREGISTRATION_FRACTION = 0.25
 const MAX_DEREGISTRATION_MS = 3000
 const CONNECTION_CHECK_INTERVAL_MS = 1000
+const CONFIGURATION_PATH = '/v1/admin/configuration'
+/** Interval at which clients that do not read are looked for, and at which is reported what was refused or closed. */
+const REPORT_INTERVAL_MS = 1000
 
 /** A served API. */
 export interface ApiService {
@@ -46,18 +51,29 @@
  * process.once('SIGTERM', () => service.close())
  */
 export async function serveApi (options: ApiOptions): Promise<ApiService> {
-  const { limits, api } = options.settings
+  const { api } = options.settings
+  const limits = limitsOfApi(options.settings.limits, readMachine())
+  const cutoffs = new CutoffReport('entry', options.metrics, options.logger)
+  const gate = new Gate(limits, (cutoff) => { cutoffs.count(cutoff) })
   const server = createServer({
     maxHeaderSize: limits.headerBytes,
-    requestTimeout: RECEIVE_TIMEOUT_MS,
-    headersTimeout: HEADERS_TIMEOUT_MS,
+    requestTimeout: limits.receiveMs,
+    headersTimeout: Math.min(limits.headMs, limits.receiveMs),
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
     requireHostHeader: false
-  }, getRequestListener(createApi(options).fetch, { errorHandler: onRequestError }))
-  server.maxConnections = limits.connections
-  server.on('clientError', onClientError)
-  server.on('drop', () => options.metrics.count('entry.connections.refused'))
+  })
+  const listener = getRequestListener(createApi(options).fetch, { errorHandler: onRequestError })
+  const publicationBytes = Math.max(limits.bodyBytes, MAX_PUBLICATION_BYTES)
+  const maxBodyBytes = (path: string): number => path.startsWith(CONFIGURATION_PATH) ? publicationBytes : limits.bodyBytes
+  new GatedServer(gate, maxBodyBytes, listener).attach(server)
+  const timer = setInterval(() => {
+    gate.sweep(performance.now())
+    options.metrics.gauge('entry.connections', gate.connections)
+    options.metrics.gauge('entry.bytes', gate.bytes)
+    cutoffs.report()
+  }, REPORT_INTERVAL_MS)
+  server.once('close', () => { clearInterval(timer) })
   server.listen(api.port, api.host)
   await once(server, 'listening')
   const { address, port } = server.address() as AddressInfo
@@ -88,26 +104,3 @@
 function onRequestError (): Response {
   return createProblemResponse(createBadRequest('The URL or the Host header is not valid.'))
 }
-
-function onClientError (error: NodeJS.ErrnoException, socket: Duplex): void {
-  if (error.code === 'ECONNRESET' || !socket.writable) {
-    socket.destroy()
-    return
-  }
-  const problem = describeClientError(error.code)
-  const body = JSON.stringify(problem)
-  socket.end([
-    `HTTP/1.1 ${problem.status} ${STATUS_CODES[problem.status]}`,
-    'Connection: close',
-    'Content-Type: application/problem+json',
-    `Content-Length: ${Buffer.byteLength(body)}`,
-    '',
-    body
-  ].join('\r\n'))
-}
-
-function describeClientError (code: string | undefined): Problem {
-  if (code === 'HPE_HEADER_OVERFLOW') return createHttpProblem(HttpProblem.HeadersTooLarge, 'The headers are larger than this node accepts. Send smaller headers.')
-  if (code === 'ERR_HTTP_REQUEST_TIMEOUT') return createHttpProblem(HttpProblem.ReceiveTimeout, 'The request was not received in time. Send it without pauses.')
-  return createBadRequest('This is not a valid HTTP request.')
-}
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -101,6 +101,7 @@
       settings: this.settings,
       clock: this.clock,
       lifecycle: this.lifecycle,
+      logger: this.logger,
       usage: () => this.usage()
     })
     this.lifecycle.serve()
--- a/packages/daemon/test/entry-fakes.ts
+++ b/packages/daemon/test/entry-fakes.ts
@@ -213,7 +213,9 @@
   const clock = new FakeClock()
   const lifecycle = new Lifecycle()
   lifecycle.serve()
-  const options: ApiOptions = { configuration, router, metrics, clock, lifecycle, settings: createSettings(), usage: () => USAGE }
+  const logger = { warn: () => {} }
+  const settings = createSettings()
+  const options: ApiOptions = { configuration, router, metrics, clock, lifecycle, logger, settings, usage: () => USAGE }
   const api = createApi(options)
   return {
     options,
--- a/packages/manifest/src/settings-codec.ts
+++ b/packages/manifest/src/settings-codec.ts
@@ -13,6 +13,7 @@
 
 const MINUTE_MS = 60_000
 const MAX_BYTES = 1 << 30
+const DURATION = { min: 1, max: 60 * MINUTE_MS }
 
 /** Limits that apply if the settings specify none. */
 export const DEFAULT_LIMITS: Limits = { bodyBytes: 1 << 20, headerBytes: 16 << 10, connections: 10_000, requests: 2000 }
@@ -47,14 +48,19 @@
 }
 
 function duration (defaultValue: number): FieldCodec<number> {
-  return withDefault(integer({ min: 1, max: 60 * MINUTE_MS }), defaultValue)
+  return withDefault(integer(DURATION), defaultValue)
 }
 
 const LimitsCodec: FieldCodec<Limits> = object({
   bodyBytes: byteCount(DEFAULT_LIMITS.bodyBytes),
   headerBytes: byteCount(DEFAULT_LIMITS.headerBytes),
   connections: count(DEFAULT_LIMITS.connections),
-  requests: count(DEFAULT_LIMITS.requests)
+  requests: count(DEFAULT_LIMITS.requests),
+  requestsPerConnection: optional(integer({ min: 1, max: 10_000 })),
+  progressBytes: optional(integer({ min: 1 << 20, max: Number.MAX_SAFE_INTEGER })),
+  headMs: optional(integer(DURATION)),
+  receiveMs: optional(integer(DURATION)),
+  answerMs: optional(integer(DURATION))
 })
 
 const TimingCodec: FieldCodec<Timing> = object({
--- a/packages/manifest/src/settings.ts
+++ b/packages/manifest/src/settings.ts
@@ -40,9 +40,20 @@
 export interface Limits {
   readonly bodyBytes: number
   readonly headerBytes: number
+  /** Maximum number of open connections. It is lower where the memory or the descriptors of the process do not suffice. */
   readonly connections: number
   /** Requests in progress in the whole node. */
   readonly requests: number
+  /** Requests of one connection in progress. With one more, the connection is not read. Absent for the default. */
+  readonly requestsPerConnection?: number
+  /** Memory for all requests in progress and for answers that callers have not read; absent to derive it from the process. */
+  readonly progressBytes?: number
+  /** Maximum time in which a request's head arrives, in milliseconds; absent for the default. */
+  readonly headMs?: number
+  /** Maximum time in which a whole request arrives, in milliseconds; absent for the default. */
+  readonly receiveMs?: number
+  /** Maximum time for which a caller reads nothing of its answers, in milliseconds; absent for the default. */
+  readonly answerMs?: number
 }
 
 /** Intervals and timeouts of the protocols between nodes and workers, in milliseconds. */
