Daemon: clients where other nodes connect are held to limits

Cause: anyone who reaches the port of the nodes could open connections up to the descriptors of the process, and send frames of 4 MB before the hello frame.

Heads are limited to 4 kB and 5 s. Counters, a gauge and a log line as for callers.

--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -57,6 +57,7 @@
       settings,
       members: this.members,
       metrics: this.metrics,
+      logger,
       clock: this.clock,
       zonesOf: (shard) => this.zonesOf(shard),
       handler: (request) => this.handle(request),
--- a/packages/daemon/src/peer/peers.ts
+++ b/packages/daemon/src/peer/peers.ts
@@ -2,6 +2,7 @@
  * Connections to other nodes, and the routing of requests to the owners of shards.
  */
 import { createServer, type Server } from 'node:http'
+import type { Socket } from 'node:net'
 import { sleep, type Clock } from '@fireflymount/service-clients/clock'
 import { Meter, type ByteCounts } from '@fireflymount/service-clients/byte-counts'
 import {
@@ -12,10 +13,12 @@
 import { Execution, Reason, refuse, withEarlierAttempts, type Refusal } from '@fireflymount/protocol/refusal'
 import type { Settings } from '@fireflymount/manifest/settings'
 import { err, ok, type Result } from 'neverthrow'
+import type { Logger } from 'pino'
 import { WebSocket, WebSocketServer } from 'ws'
 import type { Metrics } from '../metrics.js'
 import type { Members } from '../membership/members.js'
 import { Router } from './router.js'
+import { Visitors } from './visitors.js'
 
 /** Maximum number of requests in flight per connection and direction. */
 const MAX_OPEN_REQUESTS = 4096
@@ -30,12 +33,15 @@
 const CONNECTION_RETRY_AFTER_MS = 50
 const NO_OWNER_RETRY_AFTER_MS = 1000
 const CONNECT_TIMEOUT_MS = 500
+/** Limits of the requests with which other nodes open connections. */
+const HTTP_OPTIONS = { maxHeaderSize: 4096, headersTimeout: 5000, requestTimeout: 5000, connectionsCheckingInterval: 1000 }
 
 /** Constructor arguments of `Peers`. `zonesOf` returns the availability zones of a shard. */
 export interface PeersOptions {
   readonly settings: Settings
   readonly members: Members
   readonly metrics: Metrics
+  readonly logger: Pick<Logger, 'warn'>
   readonly clock: Clock
   readonly zonesOf: (shard: string) => readonly string[]
   readonly handler: Handler
@@ -52,6 +58,7 @@
   private readonly connectionSettings: ConnectionSettings
   private readonly closedFrameCounts = createFrameCounts()
   private readonly meter = new Meter()
+  private readonly visitors: Visitors
   private server: Server | undefined
   private sockets: WebSocketServer | undefined
   private idleCheckTimer: NodeJS.Timeout | undefined
@@ -67,17 +74,19 @@
       openRequests: MAX_OPEN_REQUESTS,
       onHandlerError: options.onHandlerError
     }
+    this.visitors = new Visitors(options.metrics, options.logger)
   }
 
   /** Listens for other nodes. */
   async listen (): Promise<Result<void, string>> {
     const { host, port } = this.options.settings.peer
-    const server = createServer((_, response) => { response.writeHead(426).end() })
+    const server = createServer(HTTP_OPTIONS, (_, response) => { response.writeHead(426, { connection: 'close' }).end() })
     this.server = server
+    this.visitors.attach(server)
     this.sockets = new WebSocketServer({ server, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
     this.sockets.on('connection', (socket, request) => {
       this.meter.add(request.socket)
-      this.accept(socket)
+      this.accept(socket, request.socket)
     })
     this.idleCheckTimer = setInterval(() => { this.closeIdleConnections() }, IDLE_CHECK_INTERVAL_MS)
     return await new Promise((resolve) => {
@@ -144,6 +153,7 @@
     for (const connection of [...this.incoming, ...this.outgoing.values()]) connection.close()
     this.sockets?.close()
     this.server?.close()
+    this.visitors.close()
   }
 
   /** Totals of all connections, including closed ones. */
@@ -198,10 +208,12 @@
     return connection
   }
 
-  private accept (socket: WebSocket): void {
+  private accept (socket: WebSocket, stream: Socket): void {
     socket.on('error', () => { socket.terminate() })
+    this.visitors.watch(stream)
     Connection.open(socket, this.connectionSettings, this.options.handler).then((connection) => {
       if (connection.isErr()) return
+      this.visitors.admit(stream)
       this.incoming.add(connection.value)
       connection.value.onClose(() => {
         this.incoming.delete(connection.value)
--- a/packages/daemon/test/peers.spec.ts
+++ b/packages/daemon/test/peers.spec.ts
@@ -37,6 +37,7 @@
     settings: { node: 'entry', zone: 'z', peer: { host: '127.0.0.1', port: 0 }, timing: DEFAULT_TIMING },
     members: { vm: () => ({ address }), candidates: () => ['owner'] },
     metrics: new FakeMetrics(),
+    logger: { warn: () => {} },
     clock: new SystemClock(),
     zonesOf: () => []
   } as unknown as PeersOptions)
