--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/node.ts
@@ -57,6 +57,7 @@
       settings,
       members: this.members,
       metrics: this.metrics,
+      logger,
       clock: this.clock,
       zonesOf: (shard) => this.zonesOf(shard),
       handler: (request) => this.handle(request),
@@ -101,6 +102,7 @@
       settings: this.settings,
       clock: this.clock,
       lifecycle: this.lifecycle,
+      logger: this.logger,
       usage: () => this.usage()
     })
     this.lifecycle.serve()
