Processor watch: a process that is suspended once is not slow

Cause: the samples were judged by their sum, so one pause of a second while the process was busy, and the work that had piled up after it, counted as little processor, and the owner handed the cell over. Change: at least two samples must each show too little processor.

--- a/packages/control/src/membership/processor-watch.ts
+++ b/packages/control/src/membership/processor-watch.ts
@@ -10,7 +10,8 @@
 const WINDOW_MS = 2000
 /** The counting samples together must be at least this long, so that a short pause is no reason. */
 const MIN_SPAN_MS = 600
-const MIN_SAMPLES = 2
+/** So many of them must each show it: a process that is suspended once while it is busy has one such sample. */
+const MIN_SLOW_SAMPLES = 2
 /** A process that used less than this part of its processor during a sample was suspended, not slow. */
 const SUSPENDED_RATIO = 0.05
 /** Time for which a node counts as slow after the last sample that showed it. */
@@ -44,7 +45,8 @@
     if (sample.processorMs < SUSPENDED_RATIO * cores * sample.spanMs) return
     this.samples = [...this.samples.filter(({ atMs }) => sample.atMs - atMs < WINDOW_MS), sample]
     const spanMs = this.samples.reduce((sum, each) => sum + each.spanMs, 0)
-    if (this.samples.length < MIN_SAMPLES || spanMs < MIN_SPAN_MS) return
+    const slowSamples = this.samples.filter((each) => each.processorMs < minRatio * cores * each.spanMs)
+    if (slowSamples.length < MIN_SLOW_SAMPLES || spanMs < MIN_SPAN_MS) return
     const receivedShare = this.samples.reduce((sum, { processorMs }) => sum + processorMs, 0) / spanMs
     if (receivedShare >= minRatio * cores) return
     const isNews = !this.isSlow(sample.atMs)
--- a/packages/control/test/membership/processor-watch.spec.ts
+++ b/packages/control/test/membership/processor-watch.spec.ts
@@ -13,6 +13,10 @@
   ['is busy, not slow, with all of its processor', [{ spanMs: 400, processorMs: 230 }, { spanMs: 400, processorMs: 230 }], SHARE, 0.5, false],
   ['is busy, not slow, with a whole core', [{ spanMs: 400, processorMs: 390 }, { spanMs: 400, processorMs: 390 }], 4, 0.5, false],
   ['was suspended, not slow', [{ spanMs: 3000, processorMs: 20 }, { spanMs: 3000, processorMs: 20 }], SHARE, 0.5, false],
+  [
+    'was suspended once while it was busy, not slow',
+    [{ spanMs: 1100, processorMs: 60 }, { spanMs: 400, processorMs: 240 }, { spanMs: 300, processorMs: 180 }], SHARE, 0.5, false
+  ],
   ['is not slow if its late samples are far apart', [LATE, ...Array(25).fill(IDLE), LATE], SHARE, 0.5, false],
   ['is not slow if its processor is unknown', [LATE, LATE], undefined, 0.5, false],
   ['is not slow if it is not asked for', [LATE, LATE], SHARE, undefined, false],
