Entry: a body behind another request counts as arriving

Cause: the end of a body is reported after the head of the next request, if both arrived in one part. It cleared the mark of the request that was arriving by then, so a connection whose second body never ended was neither idle nor arriving, and was not closed for a new connection until its time was over. Change: only the request that is arriving itself clears the mark. Measured: the new case of gate.spec.ts fails before.

--- a/packages/control/src/entry/gate.ts
+++ b/packages/control/src/entry/gate.ts
@@ -141,7 +141,7 @@
   complete (passage: Passage): boolean {
     const { line } = passage
     if (line.closed || !this.reserve(passage, HANDLING_COPIES * passage.bodyBytes - passage.reservedBytes)) return false
-    line.receiving = undefined
+    if (line.receiving === passage) line.receiving = undefined
     line.waiting.push(passage)
     this.handleNext(line)
     if (line.requests >= this.limits.requestsPerConnection) this.hold(line)
--- a/packages/control/test/entry/gate.spec.ts
+++ b/packages/control/test/entry/gate.spec.ts
@@ -102,6 +102,18 @@
     expect([line.isHeld, scene.handled]).toEqual([true, ['a', 'b', 'c']])
   })
 
+  // The end of a body is reported after the head of a request that arrived in one part with it.
+  it('closes the connection of a body that does not end, although the request before it ended later', () => {
+    const scene = new Scene({ ...LIMITS, connections: 1 })
+    const line = scene.open()
+    const first = new Passage(line, 1, () => {})
+    scene.gate.begin(first)
+    scene.begin(line, 1)
+    scene.gate.complete(first)
+    scene.finish(first)
+    expect([scene.open().closed, scene.cutoffs]).toEqual([false, [Cutoff.Receiving]])
+  })
+
   it('sets everything free at the end, also if the answer ends before the handling', () => {
     const scene = new Scene()
     const lines = [scene.open(), scene.open()]
