Entry: requests with bodies that arrive in one part are held too

Cause: a connection was held when a request had arrived, but the end of a body is reported only after the part with it has been handed on whole. All requests with bodies of one read, up to 64 kB, were begun and counted with 12 kB each. Change: the head of a request holds the connection if as many requests as it may have are before it; a request that is arriving is read on. Measured: the two new cases of gate.spec.ts fail before.

--- a/packages/control/src/entry/gate.ts
+++ b/packages/control/src/entry/gate.ts
@@ -101,6 +101,8 @@
     line.receiving = passage
     line.arrivingSinceMs = this.eviction.sweptMs
     this.eviction.update(line)
+    // Those before it have arrived, but the ends of their bodies may not have been reported yet.
+    if (this.isFull(line)) this.hold(line)
     return this.reserve(passage, REQUEST_BYTES)
   }
 
@@ -144,7 +146,7 @@
     if (line.receiving === passage) line.receiving = undefined
     line.waiting.push(passage)
     this.handleNext(line)
-    if (line.requests >= this.limits.requestsPerConnection) this.hold(line)
+    if (this.isFull(line)) this.hold(line)
     return true
   }
 
@@ -216,12 +218,17 @@
     this.openRequests--
     if (line.waiting.length > 0) this.handleNext(line)
     this.eviction.update(line)
-    if (line.held && line.requests < this.limits.requestsPerConnection) {
+    if (line.held && !this.isFull(line)) {
       line.held = false
       line.resume()
     }
   }
 
+  /** Returns whether a connection has as many requests in progress as it may have, apart from one that is arriving. */
+  private isFull (line: Line): boolean {
+    return line.requests - Number(line.receiving !== undefined) >= this.limits.requestsPerConnection
+  }
+
   private hold (line: Line): void {
     if (line.held || line.closed) return
     line.held = true
--- a/packages/control/test/entry/gate.spec.ts
+++ b/packages/control/test/entry/gate.spec.ts
@@ -114,6 +114,22 @@
     expect([scene.open().closed, scene.cutoffs]).toEqual([false, [Cutoff.Receiving]])
   })
 
+  it.each([1, 2])('does not read a connection with %i requests before the one that is arriving', (requestsPerConnection) => {
+    const scene = new Scene({ ...LIMITS, requestsPerConnection })
+    const line = scene.open()
+    const passages = Array.from({ length: requestsPerConnection + 1 }, () => new Passage(line, 1, () => {}))
+    const held = passages.map((passage) => {
+      scene.gate.begin(passage)
+      return line.isHeld
+    })
+    expect(held).toEqual(passages.map((_, index) => index === requestsPerConnection))
+    for (const passage of passages.slice(0, -1)) scene.gate.complete(passage)
+    scene.finish(passages[0])
+    expect(line.isHeld).toBe(false)
+    scene.gate.complete(passages.at(-1)!)
+    expect(line.isHeld).toBe(true)
+  })
+
   it('sets everything free at the end, also if the answer ends before the handling', () => {
     const scene = new Scene()
     const lines = [scene.open(), scene.open()]
