Explain: a dry run costs the same whatever the number of tasks

Cause: the report on a new job created the state of each of its tasks, up to 100,000, on the owner's event loop, for a GET that needs no key. Change: one task stands for all, since none has a state yet. Measured: the two new cases of dry-run.spec.ts fail before.

--- a/packages/control/src/owner/dry-run.ts
+++ b/packages/control/src/owner/dry-run.ts
@@ -195,11 +195,15 @@
   }
 }
 
-/** Creates the ready step of a job that is not known to the owner. */
+/**
+ * Creates the ready step of a job that is not known to the owner. One task stands for all, since none of them has a state: the owner
+ * does not stop for a report on a job of the largest size.
+ */
 function createReadyStep (job: Job): ReadyStep {
+  const step = job.steps[0]!
   const readySteps = new ReadySteps(new Ledger())
-  readySteps.refresh(new JobEntry(job))
-  return [...readySteps.list()][0]!
+  readySteps.refresh(new JobEntry({ ...job, steps: [{ ...step, count: 1 }] }))
+  return { ...[...readySteps.list()][0]!, step }
 }
 
 function rankAmong (options: DryRunOptions, readyStep: ReadyStep, overRate: boolean): RankedStep[] {
--- a/packages/control/test/owner/dry-run.spec.ts
+++ b/packages/control/test/owner/dry-run.spec.ts
@@ -3,10 +3,10 @@
 import { Reason } from '@fireflymount/protocol/refusal'
 import fc from 'fast-check'
 import { ok } from 'neverthrow'
-import { beforeEach, describe, expect, it } from 'vitest'
+import { beforeEach, describe, expect, it, vi } from 'vitest'
 import { JobEntry } from '../../src/journal/journal-state.js'
 import type { Configuration } from '../../src/model/configuration.js'
-import type { Job } from '../../src/model/job.js'
+import { MAX_JOB_TASKS, type Job } from '../../src/model/job.js'
 import { AdvisorClient } from '../../src/owner/advisor-client.js'
 import { Dispatcher } from '../../src/owner/dispatcher.js'
 import { dryRunJob, explainJob, type DryRunOptions } from '../../src/owner/dry-run.js'
@@ -131,6 +131,14 @@
 })
 
 describe('the report on a new job', () => {
+  // Guards against an owner that stops for each request about a job of the largest size.
+  it.each([true, false])('costs the same for a job of the largest size, gang: %s', (gang) => {
+    const task = vi.spyOn(JobEntry.prototype, 'task')
+    expect(cell.dryRun({ tasks: MAX_JOB_TASKS, gang }).obstacle).toBe(gang ? 'gang' : 'none')
+    expect(task.mock.calls.length).toBeLessThan(10)
+    task.mockRestore()
+  })
+
   it.each([
     ['on idle workers', async () => {}, {}, 'none', WorkerVerdict.Available, 0],
     ['on full workers', async () => {
