Handover: only while the machine is slow

Cause: a node counts as slow for 5 s, so that it does not claim the cell back, and the owner used the same time: slow in the first moments of its ownership, it handed over at 3 s of age, although it had its processor again. Change: what it gets counts for the 2 s of the samples; claims as before.

--- a/packages/control/src/membership/processor-watch.ts
+++ b/packages/control/src/membership/processor-watch.ts
@@ -14,7 +14,7 @@
 const MIN_SLOW_SAMPLES = 2
 /** A process that used less than this part of its processor during a sample was suspended, not slow. */
 const SUSPENDED_RATIO = 0.05
-/** Time for which a node counts as slow after the last sample that showed it. */
+/** Time for which a node counts as slow after the last sample that showed it, so that it does not take the cell back at once. */
 const SLOW_MS = 5000
 /** One event loop uses one core at most, and some more in other threads. */
 const MAX_CORES = 1
@@ -32,7 +32,7 @@
 /** Watches the processor of this node. */
 export class ProcessorWatch {
   private samples: LoopSample[] = []
-  private slowUntilMs = -Infinity
+  private slowAtMs = -Infinity
   private receivedShare = Infinity
 
   constructor (private readonly options: ProcessorWatchOptions) {}
@@ -51,17 +51,17 @@
     if (receivedShare >= minRatio * cores) return
     const isNews = !this.isSlow(sample.atMs)
     this.receivedShare = receivedShare
-    this.slowUntilMs = sample.atMs + SLOW_MS
+    this.slowAtMs = sample.atMs
     if (isNews) onSlow(receivedShare)
   }
 
   /** True if the node has lately got much less processor than its settings say. */
   isSlow (nowMs: number): boolean {
-    return nowMs < this.slowUntilMs
+    return nowMs - this.slowAtMs < SLOW_MS
   }
 
-  /** Number of cores that the node gets, as far as is known; Infinity unless it is slow. */
+  /** Number of cores that the node gets now; Infinity unless that is known to be too little. */
   receivedShareAt (nowMs: number): number {
-    return this.isSlow(nowMs) ? this.receivedShare : Infinity
+    return nowMs - this.slowAtMs < WINDOW_MS ? this.receivedShare : Infinity
   }
 }
