--- a/packages/control/src/membership/processor-watch.ts
+++ b/packages/control/src/membership/processor-watch.ts
@@ -10,10 +10,11 @@
 const WINDOW_MS = 2000
 /** The counting samples together must be at least this long, so that a short pause is no reason. */
 const MIN_SPAN_MS = 600
-const MIN_SAMPLES = 2
+/** So many of them must each show it: a process that is suspended once while it is busy has one such sample. */
+const MIN_SLOW_SAMPLES = 2
 /** A process that used less than this part of its processor during a sample was suspended, not slow. */
 const SUSPENDED_RATIO = 0.05
-/** Time for which a node counts as slow after the last sample that showed it. */
+/** Time for which a node counts as slow after the last sample that showed it, so that it does not take the cell back at once. */
 const SLOW_MS = 5000
 /** One event loop uses one core at most, and some more in other threads. */
 const MAX_CORES = 1
@@ -31,7 +32,7 @@
 /** Watches the processor of this node. */
 export class ProcessorWatch {
   private samples: LoopSample[] = []
-  private slowUntilMs = -Infinity
+  private slowAtMs = -Infinity
   private receivedShare = Infinity
 
   constructor (private readonly options: ProcessorWatchOptions) {}
@@ -44,22 +45,23 @@
     if (sample.processorMs < SUSPENDED_RATIO * cores * sample.spanMs) return
     this.samples = [...this.samples.filter(({ atMs }) => sample.atMs - atMs < WINDOW_MS), sample]
     const spanMs = this.samples.reduce((sum, each) => sum + each.spanMs, 0)
-    if (this.samples.length < MIN_SAMPLES || spanMs < MIN_SPAN_MS) return
+    const slowSamples = this.samples.filter((each) => each.processorMs < minRatio * cores * each.spanMs)
+    if (slowSamples.length < MIN_SLOW_SAMPLES || spanMs < MIN_SPAN_MS) return
     const receivedShare = this.samples.reduce((sum, { processorMs }) => sum + processorMs, 0) / spanMs
     if (receivedShare >= minRatio * cores) return
     const isNews = !this.isSlow(sample.atMs)
     this.receivedShare = receivedShare
-    this.slowUntilMs = sample.atMs + SLOW_MS
+    this.slowAtMs = sample.atMs
     if (isNews) onSlow(receivedShare)
   }
 
   /** True if the node has lately got much less processor than its settings say. */
   isSlow (nowMs: number): boolean {
-    return nowMs < this.slowUntilMs
+    return nowMs - this.slowAtMs < SLOW_MS
   }
 
-  /** Number of cores that the node gets, as far as is known; Infinity unless it is slow. */
+  /** Number of cores that the node gets now; Infinity unless that is known to be too little. */
   receivedShareAt (nowMs: number): number {
-    return this.isSlow(nowMs) ? this.receivedShare : Infinity
+    return nowMs - this.slowAtMs < WINDOW_MS ? this.receivedShare : Infinity
   }
 }
--- a/packages/control/test/membership/processor-watch.spec.ts
+++ b/packages/control/test/membership/processor-watch.spec.ts
@@ -13,6 +13,10 @@
   ['is busy, not slow, with all of its processor', [{ spanMs: 400, processorMs: 230 }, { spanMs: 400, processorMs: 230 }], SHARE, 0.5, false],
   ['is busy, not slow, with a whole core', [{ spanMs: 400, processorMs: 390 }, { spanMs: 400, processorMs: 390 }], 4, 0.5, false],
   ['was suspended, not slow', [{ spanMs: 3000, processorMs: 20 }, { spanMs: 3000, processorMs: 20 }], SHARE, 0.5, false],
+  [
+    'was suspended once while it was busy, not slow',
+    [{ spanMs: 1100, processorMs: 60 }, { spanMs: 400, processorMs: 240 }, { spanMs: 300, processorMs: 180 }], SHARE, 0.5, false
+  ],
   ['is not slow if its late samples are far apart', [LATE, ...Array(25).fill(IDLE), LATE], SHARE, 0.5, false],
   ['is not slow if its processor is unknown', [LATE, LATE], undefined, 0.5, false],
   ['is not slow if it is not asked for', [LATE, LATE], SHARE, undefined, false],
@@ -27,3 +31,14 @@
   expect(watch.receivedShareAt(atMs)).toBe(slow ? 0.1 : Infinity)
   expect(watch.isSlow(atMs + 10_000)).toBe(false)
 })
+
+// Guards against an owner that hands the cell over because its machine was slow seconds ago.
+it.each([
+  [1900, true, 0.1],
+  [2100, true, Infinity],
+  [5100, false, Infinity]
+])('%i ms after it was slow, a node gets its processor again before it claims like the others', (afterMs, slow, receivedShare) => {
+  const watch = new ProcessorWatch({ processorShare: SHARE, minRatio: 0.5, onSlow: () => {} })
+  for (const atMs of [400, 800]) watch.add({ atMs, delayMs: 300, ...LATE })
+  expect([watch.isSlow(800 + afterMs), watch.receivedShareAt(800 + afterMs)]).toEqual([slow, receivedShare])
+})
