--- a/packages/control/src/membership/processor-watch.ts
+++ b/packages/control/src/membership/processor-watch.ts
@@ -21,7 +21,7 @@
 
 /** Options of `ProcessorWatch`. */
 export interface ProcessorWatchOptions {
-  /** Number of cores that the process may use; undefined if it is unknown, so that the node never counts as slow. */
+  /** Seconds of processor time that the process may use in a second; undefined if it is unknown, so that the node never counts as slow. */
   readonly processorShare: number | undefined
   /** The node is slow below this part of that; undefined if it never counts as slow. */
   readonly minRatio: number | undefined
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -3,6 +3,7 @@
  * serves callers and follows the journal and the configuration. It owns the cell after a successful claim.
  */
 import { detach } from './detach.js'
+import { ExplanationPacer } from './dry-run/pacer.js'
 import { supervise } from './supervise.js'
 import { setMaxListeners } from 'node:events'
 import { MessageKind, type DryRun, type Explain, type Notice, type Request } from '@fireflymount/protocol/message'
@@ -95,7 +96,9 @@
   readonly port: number
   /** Number of processor cores that the process may use; undefined if it is unknown. */
   readonly processorShare?: number | undefined
-  /** The owner hands the cell over if it gets less than this part of its processor; undefined if it does not. */
+  /** Seconds of processor time that the process may use in a second, whatever the speed of the cores; undefined if it is unknown. */
+  readonly processorTimeShare?: number | undefined
+  /** The owner hands the cell over if it gets less than this part of its processor time; undefined if it does not. */
   readonly minProcessorRatio?: number | undefined
   /** Memory in MB that the process may use; undefined if it is unknown. */
   readonly memoryMb?: number | undefined
@@ -161,6 +164,7 @@
   private addressCollector: AddressCollector | undefined
   private handover: Handover | undefined
   private readonly processorWatch: ProcessorWatch
+  private readonly explanationPacer: ExplanationPacer
   /** Steady time at which an ownership of this node last ended with an unexpected error. */
   private ownerFailedMs = -Infinity
   /** Steady time at which the journal was last read to its end. */
@@ -185,10 +189,11 @@
     })
     this.gatewayServer = new GatewayServer(options.fleet, () => this.draining)
     this.ownerWatch = new OwnerWatch(settings.node, this.links, clock)
+    this.explanationPacer = new ExplanationPacer(clock)
     this.processorWatch = new ProcessorWatch({
-      processorShare: settings.processorShare,
+      processorShare: settings.processorTimeShare,
       minRatio: settings.minProcessorRatio,
-      onSlow: (receivedShare) => { log.event('machine slow', { receivedShare, processorShare: settings.processorShare }) }
+      onSlow: (receivedShare) => { log.event('machine slow', { receivedShare, processorShare: settings.processorTimeShare }) }
     })
     this.storeRelay = new StoreRelay(this.links, settings.node, () => [
       this.journalState.ownerClaim?.node ?? '', ...this.journalState.nodes.keys()
@@ -450,7 +455,7 @@
     const receivedShare = this.processorWatch.receivedShareAt(clock.now())
     const recentChanges = this.ownerWatch.countRecentChanges()
     const successor = larger ?? this.handover!.findFaster(receivedShare, recentChanges, candidates, connected)
-    const maxAgeMs = larger === undefined ? SLOW_CONFIRMATION_AGE_MS : CONFIRMATION_AGE_MS
+    const maxAgeMs = receivedShare === Infinity ? CONFIRMATION_AGE_MS : SLOW_CONFIRMATION_AGE_MS
     if (successor === undefined || clock.ageOf(writer.confirmedAt) > maxAgeMs) return
     this.options.log.event('cell handed over', { epoch, successor, slow: larger === undefined })
     this.dropOwnership('handed over')
@@ -617,7 +622,7 @@
    * @returns a DryRunReport or a JobSummary, or why there is none
    */
   async explain (request: DryRun | Explain): Promise<Result<unknown, Refusal>> {
-    if (this.owner !== undefined) return this.serveExplanation(this.owner, request)
+    if (this.owner !== undefined) return await this.serveExplanation(this.owner, request)
     const { ownerClaim } = this.journalState
     if (ownerClaim === undefined) return err(refuse(Reason.NoOwner, 'This node knows no owner of the cell.', EXPLANATION_RETRY_AFTER_MS))
     if (this.links.has(ownerClaim.node)) return await this.links.ask(ownerClaim.node, request, EXPLANATION_TIMEOUT_MS)
@@ -630,7 +635,11 @@
     ))
   }
 
-  private serveExplanation (owner: Owner, request: DryRun | Explain): Result<unknown, Refusal> {
+  private async serveExplanation (owner: Owner, request: DryRun | Explain): Promise<Result<unknown, Refusal>> {
+    return await this.explanationPacer.run(() => this.computeExplanation(owner, request))
+  }
+
+  private computeExplanation (owner: Owner, request: DryRun | Explain): Result<unknown, Refusal> {
     const { node } = this.options.settings
     if (!owner.mayAct()) {
       const detail = 'The store has not confirmed lately that this node owns the cell.'
@@ -658,7 +667,7 @@
       case MessageKind.DryRun:
       case MessageKind.Explain:
         if (this.owner === undefined) return err(refuse(Reason.NotOwner, 'This node does not own the cell.'))
-        return this.serveExplanation(this.owner, request)
+        return await this.serveExplanation(this.owner, request)
       case MessageKind.Advise: {
         const advice = await this.options.advisor.advise(request.step, request.workers, request.timeoutMs)
         return advice.mapErr((failure) => refuse(Reason.Overloaded, `The advisor returned no tickets: ${failure}.`, 0))
--- a/packages/control/test/cluster/cluster.ts
+++ b/packages/control/test/cluster/cluster.ts
@@ -105,6 +105,7 @@
         host: '127.0.0.1',
         port: await findFreePort(),
         processorShare: CORE_CALL_MS / callMs,
+        processorTimeShare: 1,
         leaseMs: 6000,
         farFactor: 2,
         keptMs: 120_000,
