--- a/packages/control/src/membership/election.ts
+++ b/packages/control/src/membership/election.ts
@@ -45,7 +45,7 @@
 const MUCH_SMALLER_RATIO = 0.5
 const MUCH_SMALLER_RANKS = 1
 /** Candidates with a larger rank number than this claim at the same time as this rank. */
-export const MAX_RANK = 4
+export const LAST_RANK = 4
 
 /** What a node knows about the owner. */
 export interface OwnerView {
@@ -100,7 +100,7 @@
 export function isClaimDue (view: OwnerView, rank: number, nowMs: number): boolean {
   const answerMs = Math.min(view.answerMs, MAX_ANSWER_MS)
   const slowStoreMs = SLOW_ANSWER_COUNT * answerMs
-  const rankDelayMs = Math.min(rank, MAX_RANK) * (RANK_DELAY_MS + answerMs)
+  const rankDelayMs = Math.min(rank, LAST_RANK) * (RANK_DELAY_MS + answerMs)
   const delayedForMs = nowMs - view.unlinkedMs
   if (view.unclaimed) return delayedForMs >= FIRST_CLAIM_DELAY_MS + rankDelayMs
   if (view.left) return delayedForMs >= rankDelayMs
--- a/packages/control/src/membership/handover.ts
+++ b/packages/control/src/membership/handover.ts
@@ -52,13 +52,14 @@
   /**
    * Returns a connected node that has much more processor than this one gets now; undefined if there is none.
    *
-   * @param receivedShare number of cores that this node gets
+   * @param receivedShare number of cores that this node gets; undefined unless it is slow
    * @param recentChanges how often the owner has changed lately
    */
   findFaster (
-    receivedShare: number, recentChanges: number, candidates: Iterable<Candidate>, connected: readonly string[]
+    receivedShare: number | undefined, recentChanges: number, candidates: Iterable<Candidate>, connected: readonly string[]
   ): string | undefined {
-    if (this.clock.now() - this.ownedSinceMs < MIN_OWNERSHIP_MS * 2 ** recentChanges) return undefined
+    const minOwnershipMs = MIN_OWNERSHIP_MS * 2 ** recentChanges
+    if (receivedShare === undefined || this.clock.now() - this.ownedSinceMs < minOwnershipMs) return undefined
     for (const candidate of candidates) {
       if (candidate.leaving === true || !connected.includes(candidate.node)) continue
       if (isMuchSmaller({ node: '', processorShare: receivedShare }, candidate)) return candidate.node
--- a/packages/control/src/membership/processor-watch.ts
+++ b/packages/control/src/membership/processor-watch.ts
@@ -33,7 +33,7 @@
 export class ProcessorWatch {
   private samples: LoopSample[] = []
   private slowAtMs = -Infinity
-  private receivedShare = Infinity
+  private receivedShare = 0
 
   constructor (private readonly options: ProcessorWatchOptions) {}
 
@@ -60,8 +60,8 @@
     return nowMs - this.slowAtMs < SLOW_MS
   }
 
-  /** Number of cores that the node gets now; Infinity unless that is known to be too little. */
-  receivedShareAt (nowMs: number): number {
-    return nowMs - this.slowAtMs < WINDOW_MS ? this.receivedShare : Infinity
+  /** Number of cores that the node gets now if that is known to be too little, or undefined. */
+  receivedShareAt (nowMs: number): number | undefined {
+    return nowMs - this.slowAtMs < WINDOW_MS ? this.receivedShare : undefined
   }
 }
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -18,7 +18,7 @@
 import { JournalState } from './journal/journal-state.js'
 import { StoreAccess, type RelayCall } from './membership/access.js'
 import { ClaimProof, Claimant } from './membership/claimant.js'
-import { MAX_RANK, isClaimDue, rankOf } from './membership/election.js'
+import { LAST_RANK, isClaimDue, rankOf } from './membership/election.js'
 import { FleetGateways } from './membership/fleet-gateways.js'
 import { GatewayServer } from './membership/gateway-server.js'
 import { Handover } from './membership/handover.js'
@@ -455,7 +455,7 @@
     const receivedShare = this.processorWatch.receivedShareAt(clock.now())
     const recentChanges = this.ownerWatch.countRecentChanges()
     const successor = larger ?? this.handover!.findFaster(receivedShare, recentChanges, candidates, connected)
-    const maxAgeMs = receivedShare === Infinity ? CONFIRMATION_AGE_MS : SLOW_CONFIRMATION_AGE_MS
+    const maxAgeMs = receivedShare === undefined ? CONFIRMATION_AGE_MS : SLOW_CONFIRMATION_AGE_MS
     if (successor === undefined || clock.ageOf(writer.confirmedAt) > maxAgeMs) return
     this.options.log.event('cell handed over', { epoch, successor, slow: larger === undefined })
     this.dropOwnership('handed over')
@@ -492,7 +492,7 @@
     // The rank depends on all nodes of the cell, and a claim that is not due for the first candidate is due for none.
     if (!isClaimDue(view, 0, nowMs)) return false
     const rank = rankOf(this.options.settings.node, nodes.values(), ownerClaim?.node ?? '', this.ownerWatch.hasOwnerReturned())
-    return isClaimDue(view, this.processorWatch.isSlow(this.options.clock.now()) ? MAX_RANK : rank, nowMs)
+    return isClaimDue(view, this.processorWatch.isSlow(this.options.clock.now()) ? LAST_RANK : rank, nowMs)
   }
 
   private async claim (): Promise<void> {
--- a/packages/control/test/membership/handover.spec.ts
+++ b/packages/control/test/membership/handover.spec.ts
@@ -38,7 +38,7 @@
 
 describe('a slow owner', () => {
   const PEER: Candidate = { node: 'peer', processorShare: 0.324 }
-  it.each<[string, number, number, Candidate, string[], number, string | undefined]>([
+  it.each<[string, number | undefined, number, Candidate, string[], number, string | undefined]>([
     ['hands over to a node of its size', 0.05, 0, PEER, ['peer'], MIN_OWNERSHIP_MS, 'peer'],
     ['does not hand over right after its claim', 0.05, 0, PEER, ['peer'], MIN_OWNERSHIP_MS - 1, undefined],
     ['keeps the cell for longer after a recent change', 0.05, 1, PEER, ['peer'], 2 * MIN_OWNERSHIP_MS - 1, undefined],
@@ -47,7 +47,7 @@
     ['does not hand over to a node that is not connected', 0.05, 0, PEER, [], MIN_OWNERSHIP_MS, undefined],
     ['does not hand over to a node that is about to stop', 0.05, 0, { ...PEER, leaving: true }, ['peer'], MIN_OWNERSHIP_MS, undefined],
     ['does not hand over to a node of unknown size', 0.05, 0, { node: 'peer' }, ['peer'], MIN_OWNERSHIP_MS, undefined],
-    ['that is not slow any more keeps the cell', Infinity, 0, PEER, ['peer'], MIN_OWNERSHIP_MS, undefined]
+    ['that is not slow any more keeps the cell', undefined, 0, PEER, ['peer'], MIN_OWNERSHIP_MS, undefined]
   ])('%s', (_, receivedShare, recentChanges, peer, connected, afterMs, successor) => {
     const clock = new FakeClock()
     const handover = new Handover(clock)
--- a/packages/control/test/membership/processor-watch.spec.ts
+++ b/packages/control/test/membership/processor-watch.spec.ts
@@ -28,15 +28,15 @@
   for (const { spanMs, processorMs } of spans) watch.add({ atMs: atMs += spanMs, spanMs, delayMs: spanMs - 100, processorMs })
   expect(watch.isSlow(atMs)).toBe(slow)
   expect(received).toEqual(slow ? [0.1] : [])
-  expect(watch.receivedShareAt(atMs)).toBe(slow ? 0.1 : Infinity)
+  expect(watch.receivedShareAt(atMs)).toBe(slow ? 0.1 : undefined)
   expect(watch.isSlow(atMs + 10_000)).toBe(false)
 })
 
 // Guards against an owner that hands the cell over because its machine was slow seconds ago.
 it.each([
   [1900, true, 0.1],
-  [2100, true, Infinity],
-  [5100, false, Infinity]
+  [2100, true, undefined],
+  [5100, false, undefined]
 ])('%i ms after it was slow, a node gets its processor again before it claims like the others', (afterMs, slow, receivedShare) => {
   const watch = new ProcessorWatch({ processorShare: SHARE, minRatio: 0.5, onSlow: () => {} })
   for (const atMs of [400, 800]) watch.add({ atMs, delayMs: 300, ...LATE })
