--- a/packages/daemon/test/crowd/running-daemon.ts
+++ b/packages/daemon/test/crowd/running-daemon.ts
@@ -38,7 +38,7 @@
     private readonly folder: string
   ) {
     super()
-    this.watch = new ProcessWatch(child)
+    this.watch = new ProcessWatch(child, [`${host}:${API_PORT}`, `${host}:${PEER_PORT}`])
   }
 
   /** Starts a daemon on whose API a crowd presses. */
