Entry: connections take turns in parsing

Cause: a request is parsed before it can be counted or refused, and nothing bounded what is parsed in one iteration of the event loop but the size of a read, 64 kB for each connection. An ordinary request needs several iterations: its own connection, and the answers of the store.

Fix: at most 32 kB are parsed for a server in an iteration, in parts of 2 kB that connections take in turns. One that had nothing waiting alternates with the others, so that it does not queue behind what was sent ahead. While nobody else waits, a connection is parsed at once, so that a calm node does what it did before. What waits for its turn is counted by the gate; a paused socket no longer reads a further buffer of 64 kB that nothing counted.

Why it works: the work ahead of an ordinary request is one part of each connection that waits, whatever they have sent.

--- a/packages/control/src/entry/entry.ts
+++ b/packages/control/src/entry/entry.ts
@@ -9,10 +9,11 @@
 import type { Metrics } from '../report/metrics.js'
 import { Blocks, Body } from './body.js'
 import { Cutoff } from './cutoff.js'
-import { Feed } from './feed.js'
+import { Feed, SOCKET_BUFFER_BYTES } from './feed.js'
 import { Gate } from './gate.js'
 import { Endpoint, limitsOf, type EntrySettings, type MachineResources } from './limits.js'
 import { Line, Passage } from './line.js'
+import { Turns } from './turns.js'
 
 /** Interval at which clients that do not read are looked for, and at which is reported what was refused or closed. */
 const TICK_MS = 1000
@@ -63,8 +64,10 @@
     const limits = limitsOf(endpoint, this.options.machine, this.options.limits)
     const gate = new Gate(limits, (cutoff) => { this.count(endpoint, cutoff) })
     this.gates.set(endpoint, gate)
+    const isFed = endpoint !== Endpoint.Nodes
     // A keepAliveTimeout of 0 keeps idle connections open without a timeout.
     const server = createServer({
+      ...(isFed ? { highWaterMark: SOCKET_BUFFER_BYTES } : {}),
       maxHeaderSize: limits.headBytes,
       headersTimeout: limits.headMs,
       requestTimeout: limits.headMs + limits.bodyMs,
@@ -73,8 +76,8 @@
     })
     const gated = new GatedServer(gate, this.blocks, handler, this.options.log)
     gated.attach(server)
-    if (endpoint === Endpoint.Nodes) gated.acceptUpgrades(server)
-    else gated.feed(server)
+    if (isFed) gated.feed(server)
+    else gated.acceptUpgrades(server)
     return server
   }
 
@@ -150,9 +153,10 @@
 class FeedLine extends StreamLine {
   readonly feed: Feed
 
-  constructor (socket: Socket, gate: Gate) {
+  constructor (socket: Socket, gate: Gate, turns: Turns) {
     super(socket)
-    this.feed = new Feed(socket, gate.limits.lingerMs, (bytes) => { gate.keep(this, bytes) })
+    const { lingerMs } = gate.limits
+    this.feed = new Feed(socket, { turns, lingerMs, onWaiting: (bytes) => { gate.keep(this, bytes) } })
   }
 
   override ignore (): void {
@@ -199,10 +203,11 @@
 
   /** Passes connections through feeds, which hold those with as many requests in progress as they may have. */
   feed (server: Server): void {
+    const turns = new Turns()
     const [serve] = server.listeners('connection')
     server.removeAllListeners('connection')
     server.on('connection', (socket) => {
-      const line = new FeedLine(socket, this.gate)
+      const line = new FeedLine(socket, this.gate, turns)
       if (this.enter(line, line.feed)) serve!.call(server, line.feed)
     })
   }
--- a/packages/control/src/entry/feed.ts
+++ b/packages/control/src/entry/feed.ts
@@ -1,19 +1,33 @@
 /**
  * A connection that hands what it receives to the HTTP server in small parts, so that the server parses few requests more than may be
- * in progress.
+ * in progress, and in turns with other connections.
  */
 import type { Socket } from 'node:net'
 import { Duplex } from 'node:stream'
+import { PART_BYTES, type Turns } from './turns.js'
 
-/** Size of the parts. An ordinary request has one part, or a few. */
-const PART_BYTES = 2048
-/** Fills the buffer of any socket. */
-const FILLER = Buffer.alloc(65_536)
+/** Fills the buffer of a socket of `SOCKET_BUFFER_BYTES`. */
+const FILLER = Buffer.alloc(1)
+
+/** High-water mark of the sockets. Unlike larger ones, it lets a paused socket read nothing more. */
+export const SOCKET_BUFFER_BYTES = FILLER.length
+
+/** Dependencies and settings of a feed. */
+export interface FeedOptions {
+  readonly turns: Turns
+  /** Time in milliseconds for which an ignored connection stays open after its last answer. */
+  readonly lingerMs: number
+  /** Called with the number of received bytes that wait when it changes. */
+  readonly onWaiting: (bytes: number) => void
+}
 
 /** Passes the data of a socket in both directions. */
 export class Feed extends Duplex {
   /** Received data that was not handed on yet. */
   private rest: Buffer | undefined
+  private waitingBytes = 0
+  /** True if the next data is `FILLER`. */
+  private filled = false
   private stopped = false
   /** The HTTP server takes no more data for now. */
   private full = false
@@ -22,23 +36,17 @@
   private ignoring = false
   /** True once the client has sent everything. */
   private ended = false
+  /** True once the HTTP server was told so. */
+  private endHandedOn = false
+  private readonly turn = (): number => this.takeTurn()
 
-  /**
-   * @param lingerMs time for which an ignored connection stays open after its last answer
-   * @param onRest called with the number of received bytes that wait, whenever the feed stops or goes on
-   */
-  constructor (
-    private readonly socket: Socket, private readonly lingerMs: number, private readonly onRest: (bytes: number) => void
-  ) {
+  /** @param socket has a high-water mark of `SOCKET_BUFFER_BYTES` */
+  constructor (private readonly socket: Socket, private readonly options: FeedOptions) {
     super({ decodeStrings: false })
-    socket.on('data', (data: Buffer) => {
-      if (this.ignoring) return
-      this.rest = data
-      this.feed()
-    })
+    socket.on('data', (data: Buffer) => { this.receive(data) })
     socket.once('end', () => {
       this.ended = true
-      this.feed()
+      this.settle()
     })
     socket.once('error', () => { this.destroy() })
     socket.once('close', () => { this.destroy() })
@@ -56,30 +64,23 @@
 
   /** Hands on no more data. */
   stop (): void {
-    if (this.stopped) return
     this.stopped = true
-    if (!this.feeding) this.socket.pause()
+    this.options.turns.remove(this.turn)
+    this.settle()
   }
 
   /** Hands on data again, after the other connections had their turn. */
   goOn (): void {
     if (!this.stopped || this.ignoring) return
     this.stopped = false
-    setImmediate(() => {
-      if (this.stopped) return
-      this.onRest(0)
-      this.feed()
-    })
+    this.options.turns.wait(this.turn)
   }
 
   /** Reads nothing more, and drops what has been received. */
   ignore (): void {
     this.ignoring = true
     this.rest = undefined
-    this.stopped = true
-    this.socket.pause()
-    // A paused socket reads on until its buffer is full.
-    if (!this.ended) this.socket.unshift(FILLER)
+    this.stop()
   }
 
   /** Closes the connection once everything has been written. The HTTP server calls it after the last answer. */
@@ -94,7 +95,9 @@
 
   override _read (): void {
     this.full = false
-    this.feed()
+    if (this.feeding) return
+    if (this.rest === undefined) this.settle()
+    else if (!this.stopped) this.options.turns.wait(this.turn)
   }
 
   override _write (chunk: Buffer | string, encoding: BufferEncoding, callback: () => void): void {
@@ -107,38 +110,77 @@
 
   override _destroy (error: Error | null, callback: (error: Error | null) => void): void {
     this.rest = undefined
+    this.options.turns.remove(this.turn)
     this.socket.destroy()
     callback(error)
   }
 
   private close (): void {
     // Closing with data unread would reset the connection before the client has its answer.
-    if (this.ignoring) setTimeout(() => { this.destroy() }, this.lingerMs).unref()
+    if (this.ignoring) setTimeout(() => { this.destroy() }, this.options.lingerMs).unref()
     else this.destroy()
   }
 
-  private feed (): void {
-    if (this.feeding) return
-    this.feeding = true
-    while (!this.full && this.rest !== undefined && !this.stopped && !this.destroyed) {
-      const { rest } = this
-      this.rest = rest.length > PART_BYTES ? rest.subarray(PART_BYTES) : undefined
-      // The server may ask for more while it takes this part.
-      this.full = true
-      // A copy, since a part that the server keeps would keep all that was received with it.
-      if (this.push(rest.length > PART_BYTES ? Buffer.from(rest.subarray(0, PART_BYTES)) : rest)) this.full = false
-    }
-    this.feeding = false
-    if (this.destroyed) return
-    if (this.rest === undefined && this.ended) {
-      this.push(null)
+  private receive (data: Buffer): void {
+    if (this.filled && data.length === FILLER.length) {
+      this.filled = false
       return
     }
-    if (this.rest === undefined && !this.stopped && !this.full) {
-      if (this.socket.isPaused()) this.socket.resume()
-      return
+    if (this.ignoring) return
+    this.rest = this.rest === undefined ? data : Buffer.concat([this.rest, data])
+    if (!this.stopped && !this.full) this.options.turns.take(this.turn)
+    this.settle()
+  }
+
+  /** Hands on one part. */
+  private takeTurn (): number {
+    const { rest } = this
+    if (rest === undefined || this.stopped || this.full || this.destroyed) {
+      this.settle()
+      return 0
     }
+    const isLast = rest.length <= PART_BYTES
+    // A copy, since a part that the server keeps would keep all that was received with it.
+    const part = isLast ? rest : Buffer.from(rest.subarray(0, PART_BYTES))
+    this.rest = isLast ? undefined : rest.subarray(PART_BYTES)
+    this.feeding = true
+    // The server may ask for more while it takes this part.
+    this.full = true
+    if (this.push(part)) this.full = false
+    this.feeding = false
+    if (this.rest !== undefined && !this.stopped && !this.full) this.options.turns.wait(this.turn)
+    this.settle()
+    return part.length
+  }
+
+  /** Reads from the socket only if nothing waits, and reports what waits. */
+  private settle (): void {
+    if (this.feeding || this.destroyed) return
+    if (this.rest === undefined && this.ended && !this.ignoring) this.handOnEnd()
+    else if (this.rest === undefined && !this.stopped && !this.full) this.resumeReading()
+    else this.pauseReading()
+    const waitingBytes = this.rest?.length ?? 0
+    if (waitingBytes === this.waitingBytes) return
+    this.waitingBytes = waitingBytes
+    this.options.onWaiting(waitingBytes)
+  }
+
+  private handOnEnd (): void {
+    if (this.endHandedOn) return
+    this.endHandedOn = true
+    this.push(null)
+  }
+
+  private resumeReading (): void {
+    if (this.socket.isPaused()) this.socket.resume()
+  }
+
+  private pauseReading (): void {
+    if (this.socket.isPaused() || this.ended) return
     this.socket.pause()
-    if (this.stopped) this.onRest(this.rest?.length ?? 0)
+    if (this.filled) return
+    // A paused socket reads on until its buffer is full.
+    this.filled = true
+    this.socket.unshift(FILLER)
   }
 }
--- a/packages/control/src/entry/gate.ts
+++ b/packages/control/src/entry/gate.ts
@@ -23,6 +23,8 @@
   private readonly lines = new Set<Line>()
   private readonly eviction: Eviction
   private usedBytes = 0
+  /** Bytes that wait on all connections. */
+  private waitingBytes = 0
   private openRequests = 0
 
   /** @param onCutoff called for each connection and request that is refused or closed */
@@ -83,6 +85,7 @@
     this.lines.delete(line)
     this.eviction.remove(line)
     this.usedBytes -= line.freeable
+    this.waitingBytes -= line.waitingBytes
     this.openRequests -= line.requests
     line.freeable = 0
     line.waiting.length = 0
@@ -106,15 +109,19 @@
     return this.reserve(passage, REQUEST_BYTES)
   }
 
-  /** Counts received bytes that wait until the connection is read again. Closes the connection if there is no room for them. */
+  /**
+   * Counts received bytes that wait until the connection is read again. If there is no room for them, the connection is closed, unless it
+   * is the only one that waits.
+   */
   keep (line: Line, bytes: number): void {
     if (line.closed) return
     const added = bytes - line.waitingBytes
-    if (added > 0 && !this.makeRoom(line, added)) {
+    if (added > 0 && this.waitingBytes > line.waitingBytes && !this.makeRoom(line, added)) {
       this.cut(line, Cutoff.Memory)
       return
     }
     line.waitingBytes = bytes
+    this.waitingBytes += added
     this.usedBytes += added
     this.addFreeable(line, added)
   }
--- a/packages/control/test/entry/feed.spec.ts
+++ b/packages/control/test/entry/feed.spec.ts
@@ -2,16 +2,27 @@
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { beforeEach, describe, expect, it } from 'vitest'
-import { Feed } from '../../src/entry/feed.js'
+import { Feed, SOCKET_BUFFER_BYTES, type FeedOptions } from '../../src/entry/feed.js'
+import { PART_BYTES, Turns } from '../../src/entry/turns.js'
+
+function optionsOf (): FeedOptions {
+  return { turns: new Turns(), lingerMs: 1000, onWaiting: () => {} }
+}
 
 /** A socket without a network. It delivers data only while it is not paused. */
 class FakeSocket extends EventEmitter {
   paused = false
   delivered = 0
+  private readonly buffered: Buffer[] = []
 
   pause (): void { this.paused = true }
-  resume (): void { this.paused = false }
+  resume (): void {
+    this.paused = false
+    for (const chunk of this.buffered.splice(0)) this.emit('data', chunk)
+  }
+
   isPaused (): boolean { return this.paused }
+  unshift (chunk: Buffer): void { this.buffered.unshift(chunk) }
   destroy (): void {}
 
   /** Offers data in small segments until the socket is paused. */
@@ -27,7 +38,7 @@
 let feed: Feed
 beforeEach(() => {
   socket = new FakeSocket()
-  feed = new Feed(socket as unknown as Socket, 1000, () => {})
+  feed = new Feed(socket as unknown as Socket, optionsOf())
 })
 
 describe('the feed of a connection', () => {
@@ -55,13 +66,16 @@
     expect(read).toBe(socket.delivered)
   })
 
-  it('reads nothing more once it is ignored', async () => {
-    const server = createServer()
+  it.each([
+    ['is ignored', (ended: Feed) => { ended.ignore() }],
+    ['is stopped', (ended: Feed) => { ended.stop() }]
+  ])('reads nothing more once it %s', async (_, end) => {
+    const server = createServer({ highWaterMark: SOCKET_BUFFER_BYTES })
     await once(server.listen(0, '127.0.0.1'), 'listening')
     const client = connect((server.address() as AddressInfo).port, '127.0.0.1')
     const [accepted] = await once(server, 'connection') as [Socket]
-    const ignored = new Feed(accepted, 1000, () => {})
-    ignored.once('data', () => { ignored.ignore() })
+    const ignored = new Feed(accepted, optionsOf())
+    ignored.once('data', () => { end(ignored) })
     client.write(Buffer.alloc(1_000_000))
     await once(ignored, 'data')
     const readBytes = accepted.bytesRead
@@ -72,6 +86,23 @@
     server.close()
   })
 
+  it.each([
+    ['nothing', 1000, false, 0],
+    ['what it has received, while it is stopped', 5000, true, 5000],
+    ['what it has received, while it waits for its turn', 60_000, false, 60_000 - 16 * PART_BYTES]
+  ])('reports %s', async (_, bytes, isStopped, reported) => {
+    const reports: number[] = []
+    const reportingSocket = new FakeSocket()
+    const reporting = new Feed(reportingSocket as unknown as Socket, {
+      ...optionsOf(), onWaiting: (waitingBytes) => { reports.push(waitingBytes) }
+    })
+    reporting.on('data', () => {})
+    await new Promise((resolve) => setImmediate(resolve))
+    if (isStopped) reporting.stop()
+    reportingSocket.emit('data', Buffer.alloc(bytes))
+    expect(reports.at(-1) ?? 0).toBe(reported)
+  })
+
   it('is not read while it is stopped, and goes on after it', async () => {
     let read = 0
     feed.on('data', (part: Buffer) => { read += part.length })
--- a/packages/control/test/entry/gate.spec.ts
+++ b/packages/control/test/entry/gate.spec.ts
@@ -178,6 +178,18 @@
     expect(scene.gate.receive(passage, 2000)).toBe(admitted)
   })
 
+  it.each([
+    ['closes a connection whose data finds no room beside that of others', 60_000, [false, true], [Cutoff.Memory]],
+    ['keeps data that finds room', 30_000, [false, false], []]
+  ])('%s', (_, bytes, closed, cutoffs) => {
+    const scene = new Scene()
+    const lines = [scene.open(), scene.open()]
+    for (const line of lines) scene.gate.keep(line, bytes)
+    expect([lines.map((line) => line.closed), scene.cutoffs]).toEqual([closed, cutoffs])
+    for (const line of lines) scene.gate.leave(line)
+    expect(scene.gate.bytes).toBe(0)
+  })
+
   it('closes the connection whose only request has been arriving for the longest time, if none is idle or unread', () => {
     const scene = new Scene()
     const [handled, first, second] = [scene.open(), scene.open(), scene.open()]
