Entry: what the kernel holds for connections counts as memory

Cause: a connection that is not read fills its receive window. Nothing counted that, neither for connections with as many requests in progress as they may have, nor for refused ones, which stay open for a second so that the client gets its answer.

Fix: a connection that is not read counts as receiveBufferBytes (131,072, the usual receive buffer) beside what waits in the process. Refused connections may take a quarter of the limit in addition, of which the one that has lingered longest is closed first.

Why it works: the number of unread connections is bounded by memory. What the kernel has received before the process could read it is not bounded by this, see docs/design/entry-limits.md.

--- a/packages/control/src/entry/entry.ts
+++ b/packages/control/src/entry/entry.ts
@@ -155,8 +155,8 @@
 
   constructor (socket: Socket, gate: Gate, turns: Turns) {
     super(socket)
-    const { lingerMs } = gate.limits
-    this.feed = new Feed(socket, { turns, lingerMs, onWaiting: (bytes) => { gate.keep(this, bytes) } })
+    const { lingerMs, receiveBufferBytes: kernelBytes } = gate.limits
+    this.feed = new Feed(socket, { turns, lingerMs, kernelBytes, onWaiting: (bytes) => { gate.keep(this, bytes) } })
   }
 
   override ignore (): void {
@@ -320,7 +320,9 @@
     const closing = line.discarding && restBytes > this.gate.limits.discardBytes
     if (closing) response.setHeader('connection', 'close')
     response.end()
-    if (closing) line.ignore()
+    if (!closing) return
+    line.ignore()
+    this.gate.linger(line)
   }
 
   private close (line: StreamLine): void {
--- a/packages/control/src/entry/feed.ts
+++ b/packages/control/src/entry/feed.ts
@@ -6,6 +6,8 @@
 import { Duplex } from 'node:stream'
 import { PART_BYTES, type Turns } from './turns.js'
 
+/** Maximum size of one read from a socket. After a smaller one, nothing more was there to read. */
+const READ_BYTES = 65_536
 /** Fills the buffer of a socket of `SOCKET_BUFFER_BYTES`. */
 const FILLER = Buffer.alloc(1)
 
@@ -17,7 +19,9 @@
   readonly turns: Turns
   /** Time in milliseconds for which an ignored connection stays open after its last answer. */
   readonly lingerMs: number
-  /** Called with the number of received bytes that wait when it changes. */
+  /** Bytes that the kernel may hold for a connection that is not read. */
+  readonly kernelBytes: number
+  /** Called with the number of bytes that wait, in the process and in the kernel, when it changes. */
   readonly onWaiting: (bytes: number) => void
 }
 
@@ -25,6 +29,8 @@
 export class Feed extends Duplex {
   /** Received data that was not handed on yet. */
   private rest: Buffer | undefined
+  /** True if the last read may not have taken everything. */
+  private moreToRead = false
   private waitingBytes = 0
   /** True if the next data is `FILLER`. */
   private filled = false
@@ -128,6 +134,7 @@
     }
     if (this.ignoring) return
     this.rest = this.rest === undefined ? data : Buffer.concat([this.rest, data])
+    this.moreToRead = data.length >= READ_BYTES
     if (!this.stopped && !this.full) this.options.turns.take(this.turn)
     this.settle()
   }
@@ -159,7 +166,8 @@
     if (this.rest === undefined && this.ended && !this.ignoring) this.handOnEnd()
     else if (this.rest === undefined && !this.stopped && !this.full) this.resumeReading()
     else this.pauseReading()
-    const waitingBytes = this.rest?.length ?? 0
+    const isUnread = (this.stopped && !this.ignoring) || (this.moreToRead && this.rest !== undefined)
+    const waitingBytes = (this.rest?.length ?? 0) + (isUnread ? this.options.kernelBytes : 0)
     if (waitingBytes === this.waitingBytes) return
     this.waitingBytes = waitingBytes
     this.options.onWaiting(waitingBytes)
--- a/packages/control/src/entry/gate.ts
+++ b/packages/control/src/entry/gate.ts
@@ -17,12 +17,16 @@
 const HANDLING_COPIES = 4
 /** Part of the memory in use from which on each connection has one request handled at a time. */
 const SHARED_FRACTION = 1 / 2
+/** Part of the limit on memory that the kernel may hold in addition for connections that are not read any more. */
+const LINGERING_FRACTION = 1 / 4
 
 /** Admits connections and requests. */
 export class Gate {
   private readonly lines = new Set<Line>()
   private readonly eviction: Eviction
   private usedBytes = 0
+  /** Connections that are not read any more and stay open until the client has its answer, the one that does so longest first. */
+  private readonly lingering = new Set<Line>()
   /** Bytes that wait on all connections. */
   private waitingBytes = 0
   private openRequests = 0
@@ -83,6 +87,7 @@
     if (line.closed) return
     line.closed = true
     this.lines.delete(line)
+    this.lingering.delete(line)
     this.eviction.remove(line)
     this.usedBytes -= line.freeable
     this.waitingBytes -= line.waitingBytes
@@ -126,6 +131,17 @@
     this.addFreeable(line, added)
   }
 
+  /** Counts a connection that is not read any more, and closes others of its kind if what the kernel may hold for them is too much. */
+  linger (line: Line): void {
+    if (line.closed) return
+    this.lingering.add(line)
+    const maximum = this.limits.bytes * LINGERING_FRACTION / this.limits.receiveBufferBytes
+    for (const first of this.lingering) {
+      if (first === line || this.lingering.size <= maximum) return
+      this.cut(first, Cutoff.Memory)
+    }
+  }
+
   /**
    * Counts a part of a request's body.
    *
--- a/packages/control/src/entry/limits.ts
+++ b/packages/control/src/entry/limits.ts
@@ -35,6 +35,8 @@
   readonly retryAfterS: number
   /** Size in bytes up to which the rest of a refused request's body is read. With a larger rest the connection is closed. */
   readonly discardBytes: number
+  /** Bytes that the kernel may hold for a connection that is not read. They count as memory of the process. */
+  readonly receiveBufferBytes: number
   /** Time in milliseconds for which a connection that is not read any more stays open, so that the client receives its answer. */
   readonly lingerMs: number
 }
@@ -71,7 +73,7 @@
 const CONNECTION_BYTES = 16_384
 const MEGABYTE = 1024 * 1024
 
-const REFUSAL_DEFAULTS = { retryAfterS: 1, discardBytes: 16_384, lingerMs: 1000 }
+const REFUSAL_DEFAULTS = { retryAfterS: 1, discardBytes: 16_384, receiveBufferBytes: 131_072, lingerMs: 1000 }
 const CALLER_DEFAULTS = {
   ...REFUSAL_DEFAULTS,
   requestsPerConnection: 8,
--- a/packages/control/src/entry/line.ts
+++ b/packages/control/src/entry/line.ts
@@ -15,7 +15,7 @@
   readonly handled = new Set<Passage>()
   /** Number of requests that are being handled, without those whose answer is being sent. */
   working = 0
-  /** Received bytes that wait until the connection is read again. */
+  /** Received bytes that wait until the connection is read again, in the process and in the kernel. */
   waitingBytes = 0
   held = false
   closed = false
--- a/packages/control/test/entry/feed.spec.ts
+++ b/packages/control/test/entry/feed.spec.ts
@@ -5,8 +5,10 @@
 import { Feed, SOCKET_BUFFER_BYTES, type FeedOptions } from '../../src/entry/feed.js'
 import { PART_BYTES, Turns } from '../../src/entry/turns.js'
 
+const KERNEL_BYTES = 100_000
+
 function optionsOf (): FeedOptions {
-  return { turns: new Turns(), lingerMs: 1000, onWaiting: () => {} }
+  return { turns: new Turns(), lingerMs: 1000, kernelBytes: 0, onWaiting: () => {} }
 }
 
 /** A socket without a network. It delivers data only while it is not paused. */
@@ -88,13 +90,14 @@
 
   it.each([
     ['nothing', 1000, false, 0],
-    ['what it has received, while it is stopped', 5000, true, 5000],
-    ['what it has received, while it waits for its turn', 60_000, false, 60_000 - 16 * PART_BYTES]
+    ['what it has received and the kernel may hold, while it is stopped', 5000, true, 5000 + KERNEL_BYTES],
+    ['what it has received, while it waits for its turn', 60_000, false, 60_000 - 16 * PART_BYTES],
+    ['that the kernel may hold more after a full read', 65_536, false, 65_536 - 16 * PART_BYTES + KERNEL_BYTES]
   ])('reports %s', async (_, bytes, isStopped, reported) => {
     const reports: number[] = []
     const reportingSocket = new FakeSocket()
     const reporting = new Feed(reportingSocket as unknown as Socket, {
-      ...optionsOf(), onWaiting: (waitingBytes) => { reports.push(waitingBytes) }
+      ...optionsOf(), kernelBytes: KERNEL_BYTES, onWaiting: (waitingBytes) => { reports.push(waitingBytes) }
     })
     reporting.on('data', () => {})
     await new Promise((resolve) => setImmediate(resolve))
--- a/packages/control/test/entry/gate.spec.ts
+++ b/packages/control/test/entry/gate.spec.ts
@@ -16,6 +16,7 @@
   answerMs: 1000,
   retryAfterS: 1,
   discardBytes: 1,
+  receiveBufferBytes: 1,
   lingerMs: 1
 }
 
@@ -190,6 +191,13 @@
     expect(scene.gate.bytes).toBe(0)
   })
 
+  it('closes the connections that have lingered longest if the kernel may hold too much for them', () => {
+    const scene = new Scene({ ...LIMITS, receiveBufferBytes: 12_500 })
+    const lines = [scene.open(), scene.open(), scene.open()]
+    for (const line of lines) scene.gate.linger(line)
+    expect(lines.map((line) => line.closed)).toEqual([true, false, false])
+  })
+
   it('closes the connection whose only request has been arriving for the longest time, if none is idle or unread', () => {
     const scene = new Scene()
     const [handled, first, second] = [scene.open(), scene.open(), scene.open()]
