Entry: a body counts by its values too

Cause: the gate counted four times the length of a body. A body of many small values takes many times its length: text, parsed values, checked copies and the job. {"count":1} has 11 bytes and becomes three objects.

Fix: the objects and other values of a body are counted while it arrives, outside of strings, and add 1 kB and 64 bytes each. A body that would not fit if there were no other is refused with 413 instead of 503, since returning would not help.

Why it works: the bound on requests in progress now covers what their handling takes. A job of three steps counts 4 kB more.

--- a/packages/control/src/entry/entry.ts
+++ b/packages/control/src/entry/entry.ts
@@ -246,7 +246,12 @@
     const passage = new Passage(line, length, () => { this.handle(passage, request, response, content) })
     const complete = (): void => {
       content = body.finish()
-      if (!gate.complete(passage)) refuse(503)
+      if (!gate.fits(passage)) {
+        gate.count(Cutoff.BodyTooLarge)
+        refuse(413)
+      } else if (!gate.complete(passage)) {
+        refuse(503)
+      }
     }
     let refused = false
     const refuse = (status: number): void => {
@@ -274,6 +279,7 @@
         refuse(413)
       } else if (gate.receive(passage, part.length)) {
         body.append(part)
+        passage.shape.add(part)
       } else {
         refuse(503)
       }
--- a/packages/control/src/entry/gate.ts
+++ b/packages/control/src/entry/gate.ts
@@ -15,6 +15,9 @@
 const REQUEST_BYTES = 8192
 /** Copies of a body that is being handled: bytes, text, values, and the records of the journal. */
 const HANDLING_COPIES = 4
+/** Memory that the handling of an object and of another value of a body takes beyond that. */
+const OBJECT_BYTES = 1024
+const VALUE_BYTES = 64
 /** Part of the memory in use from which on each connection has one request handled at a time. */
 const SHARED_FRACTION = 1 / 2
 /** Part of the limit on memory that the kernel may hold in addition for connections that are not read any more. */
@@ -158,6 +161,11 @@
     return this.reserve(passage, added)
   }
 
+  /** Returns whether a request that has arrived could be handled if there were no other. */
+  fits (passage: Passage): boolean {
+    return REQUEST_BYTES + handlingBytesOf(passage) <= this.limits.bytes
+  }
+
   /**
    * Handles a request that has arrived, at once or after those before it on its connection.
    *
@@ -165,7 +173,7 @@
    */
   complete (passage: Passage): boolean {
     const { line } = passage
-    if (line.closed || !this.reserve(passage, HANDLING_COPIES * passage.bodyBytes - passage.reservedBytes)) return false
+    if (line.closed || !this.reserve(passage, handlingBytesOf(passage) - passage.reservedBytes)) return false
     if (line.receiving === passage) line.receiving = undefined
     line.waiting.push(passage)
     this.handleNext(line)
@@ -301,6 +309,11 @@
   }
 }
 
+/** Returns what the handling of a body takes. */
+function handlingBytesOf ({ bodyBytes, shape: { objects, values } }: Passage): number {
+  return HANDLING_COPIES * bodyBytes + OBJECT_BYTES * objects + VALUE_BYTES * values
+}
+
 /** Returns what the blocks of a body take. */
 function blockBytesOf (bodyBytes: number): number {
   return Math.ceil(bodyBytes / BLOCK_BYTES) * BLOCK_BYTES
--- a/packages/control/src/entry/line.ts
+++ b/packages/control/src/entry/line.ts
@@ -2,6 +2,8 @@
  * The gate's view of connections and requests.
  */
 
+import { JsonShape } from './json-shape.js'
+
 /** A connection. The gate keeps its state in the fields. */
 export abstract class Line {
   /** Requests in progress: receiving, waiting and handled. */
@@ -48,6 +50,8 @@
 export class Passage {
   bytes = 0
   bodyBytes = 0
+  /** What the body consists of. */
+  readonly shape = new JsonShape()
   /** Memory that is counted for the body while it arrives. */
   reservedBytes = 0
   /** True once the request was handled. */
--- a/packages/control/test/entry/gate.spec.ts
+++ b/packages/control/test/entry/gate.spec.ts
@@ -179,6 +179,20 @@
     expect(scene.gate.receive(passage, 2000)).toBe(admitted)
   })
 
+  it.each([
+    ['objects', 89, 0, true],
+    ['more objects', 90, 0, false],
+    ['values', 0, 1434, true],
+    ['more values', 0, 1435, false]
+  ])('counts what a body takes by its %s, and knows which never fits', (_, objects, values, fits) => {
+    const scene = new Scene()
+    const passage = new Passage(scene.open(), 1, () => {})
+    scene.gate.begin(passage)
+    Object.assign(passage.shape, { objects, values })
+    expect([scene.gate.fits(passage), scene.gate.complete(passage)]).toEqual([fits, fits])
+    expect(scene.gate.bytes).toBe(fits ? 8192 + 1024 * objects + 64 * values : 8192)
+  })
+
   it.each([
     ['closes a connection whose data finds no room beside that of others', 60_000, [false, true], [Cutoff.Memory]],
     ['keeps data that finds room', 30_000, [false, false], []]
