--- a/packages/control/src/entry/job-service.ts
+++ b/packages/control/src/entry/job-service.ts
@@ -4,7 +4,8 @@
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
 import { sleep, type Clock, type Stamp } from '../clock.js'
-import { Subject, encodeJob, encodeRecord } from '../journal/record.js'
+import { encodeCompactJob } from '../journal/job-record.js'
+import { Subject, encodeRecord } from '../journal/record.js'
 import type { JobEntry, JournalState } from '../journal/journal-state.js'
 import {
   findQueueByPath, findWorkspaceByKey, type Configuration, type Queue, type WorkspaceSettings
@@ -165,7 +166,7 @@
     const others = this.submitting.get(id) ?? 0
     this.submitting.set(id, others + 1)
     try {
-      const appended = await this.append(encodeJob(job), budgetMs, () => this.options.journalState().jobs.has(id), job)
+      const appended = await this.append(encodeCompactJob(job), budgetMs, () => this.options.journalState().jobs.has(id), job)
       return others === 0 ? appended : appended.mapErr((refusal) => ({ ...refusal, execution: Execution.Unknown }))
     } finally {
       const remaining = this.submitting.get(id)! - 1
--- a/packages/control/src/journal/job-record.ts
+++ b/packages/control/src/journal/job-record.ts
@@ -1,12 +1,12 @@
 /**
- * The compact form of a job's record, in which fields are told apart by their place. Entry nodes send jobs to the owner with named
- * fields, as earlier builds read them; the owner writes the compact form. Both are read.
+ * The compact form of a job's record, in which fields are told apart by their place. Records with named fields, as entry nodes of earlier
+ * builds send them to the owner, are read too.
  */
 import { err, ok, type Result } from 'neverthrow'
 import type { QueueSettings, WorkspaceSettings } from '../model/configuration.js'
 import { findJobError, findSettingsError, type Job, type Step } from '../model/job.js'
 import type { KeyedRecord } from '../ports/store.js'
-import { Subject, decodeValue, encodeValue, splitKey } from './record.js'
+import { Subject, decodeValue, encodeValue, keyOf, splitKey } from './record.js'
 
 /** Flags of a step, each with its bit in `StepRow`. */
 enum StepFlag {
@@ -39,9 +39,14 @@
   occurrences?: number, firstDueMs?: number, intervalMs?: number, queueSettings?: QueueRow, workspaceSettings?: WorkspaceRow
 ]
 
+/** Encodes the record of an accepted job in its compact form. */
+export function encodeCompactJob (job: Job): KeyedRecord {
+  return { key: keyOf(Subject.Job, job.id), value: encodeValue(rowOf(job)) }
+}
+
 /** Returns the record of a job in its compact form; any other record, and one that cannot be decoded, as it is. */
 export function compactJob (record: KeyedRecord): KeyedRecord {
-  if (splitKey(record.key).subject !== Subject.Job || record.value === undefined) return record
+  if (splitKey(record.key).subject !== Subject.Job || record.value === undefined || isArray(record.value)) return record
   const decoded = decodeValue<Job | JobRow>(record.value)
   if (decoded.isErr() || isRow(decoded.value)) return record
   return { key: record.key, value: encodeValue(rowOf(decoded.value)) }
@@ -73,6 +78,12 @@
   if (!areTexts || !Number.isFinite(acceptedMs)) return 'A field of the job is missing or has another type.'
 }
 
+/** True for the encoding of an array, without decoding it. */
+function isArray (value: Buffer): boolean {
+  const [format = 0] = value
+  return (format & 0xf0) === 0x90 || format === 0xdc || format === 0xdd
+}
+
 function isRow (decoded: Job | JobRow): decoded is JobRow {
   return Array.isArray(decoded)
 }
--- a/packages/control/src/journal/record.ts
+++ b/packages/control/src/journal/record.ts
@@ -8,7 +8,7 @@
  * | --- | --- | --- |
  * | `b/owner` | epoch of the owner | by the owner when it has nothing else to write |
  * | `c/ID` | Cancellation | when a caller cancels the job |
- * | `j/ID` | Job, compact if the owner wrote it, see job-record.ts | when the job is accepted; deleted when the job has ended and none of its tasks is assigned any more |
+ * | `j/ID` | Job, see job-record.ts | when the job is accepted; deleted when the job has ended and none of its tasks is assigned any more |
  * | `n/NAME` | NodeAddress | when the node starts |
  * | `o/cell` | OwnerClaim | when a node claims the cell |
  * | `p/ID` | JobEnd | when the job ends; deleted at the end of the retention |
@@ -180,7 +180,7 @@
   }
 }
 
-/** Encodes the record of an accepted job with named fields, as entry nodes send it to the owner. */
+/** Encodes the record of an accepted job with named fields, as entry nodes of earlier builds send it to the owner. */
 export function encodeJob (job: Job): KeyedRecord {
   return encodeRecord(Subject.Job, job.id, job)
 }
--- a/packages/control/src/owner/admission-controller.ts
+++ b/packages/control/src/owner/admission-controller.ts
@@ -6,8 +6,8 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Clock, Stamp } from '../clock.js'
 import { refuseBeyondBacklog } from '../entry/backlog-refusal.js'
-import { compactJob, decodeJob } from '../journal/job-record.js'
-import { Subject, encodeJob, keyOf, splitKey } from '../journal/record.js'
+import { compactJob, decodeJob, encodeCompactJob } from '../journal/job-record.js'
+import { Subject, keyOf, splitKey } from '../journal/record.js'
 import type { JobEntry, JournalState } from '../journal/journal-state.js'
 import { sizeOf, type Writer } from '../journal/writer.js'
 import type { Configuration } from '../model/configuration.js'
@@ -99,7 +99,7 @@
     const size = job === undefined ? undefined : sizeOfJob(job, submitted)
     const refusal = size === undefined ? undefined : this.findRefusal(size, submitted.key)
     if (refusal !== undefined) return err(refusal)
-    const record = job === undefined || job === submittedJob ? submitted : encodeJob(job)
+    const record = job === undefined || job === submittedJob ? submitted : encodeCompactJob(job)
     if (size !== undefined) this.reserve(size)
     const execution = await this.append([record], timeoutMs)
     if (job !== undefined && execution !== Execution.Unknown) this.release(job.id, submitted.key)
--- a/packages/control/test/journal/job-record.spec.ts
+++ b/packages/control/test/journal/job-record.spec.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { compactJob, decodeJob } from '../../src/journal/job-record.js'
+import { compactJob, decodeJob, encodeCompactJob } from '../../src/journal/job-record.js'
 import { encodeJob, encodeRecord, Subject } from '../../src/journal/record.js'
 import type { Job, Step } from '../../src/model/job.js'
 import { createJob, createStep } from '../fakes.js'
@@ -34,6 +34,7 @@
     expect(decodeJob(record.key, record.value!)._unsafeUnwrap()).toEqual(job)
     expect(compact.value!.length).toBeLessThan(record.value!.length / 2)
     expect(compactJob(compact)).toBe(compact)
+    expect(encodeCompactJob(job).value!.equals(compact.value!)).toBe(true)
   })
 
   it.each([
