Daemon: a body in small chunks holds its bytes only

Cause: each part of a body is a view of the 64 kB that were read with it, and the daemon kept the views until the body had ended.

Fix: parts are copied into blocks that are used again, as at the other kind of node (packages/entry).

--- a/packages/daemon/src/entry/gated-server.ts
+++ b/packages/daemon/src/entry/gated-server.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
+import { Blocks, Body } from '@fireflymount/entry/body'
 import { Feed } from '@fireflymount/entry/feed'
 import { Turns } from '@fireflymount/entry/turns'
 import { Reason, refuse } from '@fireflymount/protocol/refusal'
@@ -59,6 +60,7 @@
 export class GatedServer {
   private readonly lines = new Map<Duplex, FeedLine>()
   private readonly turns = new Turns()
+  private readonly blocks = new Blocks()
   private refusals = 0
 
   /** @param maxBodyBytes returns the maximum size of the body of a request to a path */
@@ -80,6 +82,11 @@
     server.on('clientError', (error: NodeJS.ErrnoException, socket) => { this.onClientError(error, socket) })
   }
 
+  /** Drops memory that was kept since a peak. To be called at regular intervals. */
+  trim (): void {
+    this.blocks.trim()
+  }
+
   private enter (line: FeedLine, socket: Socket): boolean {
     const { feed } = line
     if (!this.gate.enter(line)) {
@@ -129,7 +136,7 @@
 
   private receive (passage: Passage, request: IncomingMessage, response: ServerResponse, maxBytes: number): void {
     const line = passage.line as FeedLine
-    const parts: Buffer[] = []
+    const body = new Body(this.blocks)
     let refused = false
     line.receiving = true
     request.on('data', (part: Buffer) => {
@@ -139,17 +146,18 @@
         this.gate.count(Cutoff.BodyTooLarge)
         this.refuse(line, request, response, createTooLarge(maxBytes))
       } else if (this.gate.receive(passage, part.length)) {
-        parts.push(part)
+        body.append(part)
       } else {
         refused = true
         this.refuseForMemory(line, request, response)
       }
-      if (refused) parts.length = 0
+      if (refused) body.release()
     })
     request.once('end', () => {
       line.receiving = false
-      if (!refused) this.handle(passage, request, response, parts.length === 1 ? parts[0]! : Buffer.concat(parts))
+      if (!refused) this.handle(passage, request, response, body.finish())
     })
+    request.once('close', () => { if (!request.complete) body.release() })
   }
 
   private handle (passage: Passage, request: IncomingMessage, response: ServerResponse, body?: Buffer): void {
--- a/packages/daemon/src/entry/server.ts
+++ b/packages/daemon/src/entry/server.ts
@@ -68,9 +68,11 @@
   const listener = getRequestListener(createApi(options).fetch, { errorHandler: onRequestError })
   const publicationBytes = Math.max(limits.bodyBytes, MAX_PUBLICATION_BYTES)
   const maxBodyBytes = (path: string): number => path.startsWith(CONFIGURATION_PATH) ? publicationBytes : limits.bodyBytes
-  new GatedServer(gate, maxBodyBytes, listener).attach(server)
+  const gatedServer = new GatedServer(gate, maxBodyBytes, listener)
+  gatedServer.attach(server)
   const timer = setInterval(() => {
     gate.sweep(performance.now())
+    gatedServer.trim()
     options.metrics.gauge('entry.connections', gate.connections)
     options.metrics.gauge('entry.bytes', gate.bytes)
     cutoffs.report()
--- a/packages/daemon/test/crowd/daemon.spec.ts
+++ b/packages/daemon/test/crowd/daemon.spec.ts
@@ -21,6 +21,7 @@
 const FRAME_PART = Buffer.alloc(1 << 20)
 const LARGE = requestText('POST', JOBS, { ...KEYED, ...JSON_TYPE }, JSON.stringify({ body: 'x'.repeat(200_000) }))
 const TRAILERS = `${CHUNKED}0\r\n${'t: 1\r\n'.repeat(1500)}\r\n`
+const SMALL_CHUNKS = `${CHUNKED}${'1\r\n1\r\n'.repeat(2000)}0\r\n\r\n`
 const endlessBody = (): Client => new Drip(CHUNKED + CHUNK.repeat(200), CHUNK, 50)
 const idle = (): Client => new Drip(LOOKUP, '', 1)
 
@@ -53,7 +54,8 @@
   })
 
   it.each([
-    { name: 'by many trailers', text: TRAILERS }
+    { name: 'by many trailers', text: TRAILERS },
+    { name: 'by chunks of one byte', text: SMALL_CHUNKS }
   ])('of requests that are costly to parse, $name', async ({ text }) => {
     await expectTurns(MACHINE, repeat(200, () => new Pipeline(100, () => text, true)), RunningDaemon.start)
   })
