Daemon: a body counts by its values too

Cause: as at the other kind of node, the gate counted three times the length of a body, and {} has two bytes.

Fix: objects and other values are counted while a body arrives. A body that would not fit if there were no other is refused with 413.

--- a/packages/daemon/src/entry/body.ts
+++ b/packages/daemon/src/entry/body.ts
@@ -90,3 +90,12 @@
 export function createTooLarge (maxBytes: number): Problem {
   return createProblem(refuse(Reason.TooLarge, `The body is larger than the ${maxBytes} bytes that this node accepts. Send a smaller body.`))
 }
+
+/**
+ * Creates the problem for a body whose values take more memory than all requests may take.
+ *
+ * @returns the problem, with status 413
+ */
+export function createTooManyValues (): Problem {
+  return createProblem(refuse(Reason.TooLarge, 'The body has more values than this node accepts. Send a smaller body.'))
+}
--- a/packages/daemon/src/entry/gate.ts
+++ b/packages/daemon/src/entry/gate.ts
@@ -11,6 +11,7 @@
  *
  * What then finds no room is refused. Only requests that are not handled yet are refused, so a refused request has not run.
  */
+import { JsonShape } from '@fireflymount/entry/json-shape'
 import type { EntryLimits } from './limits.js'
 
 /** Why a connection or a request was refused or closed. */
@@ -86,6 +87,8 @@
 export class Passage {
   bytes = 0
   bodyBytes = 0
+  /** What the body consists of. */
+  readonly shape = new JsonShape()
   stage = Stage.Arriving
 
   constructor (readonly line: Line) {}
@@ -188,6 +191,11 @@
     return !passage.line.closed && this.reserve(passage, partBytes + PART_BYTES)
   }
 
+  /** Returns whether a request that has arrived could be handled if there were no other. */
+  fits (passage: Passage): boolean {
+    return passage.bytes + handlingBytesOf(passage) <= this.limits.progressBytes
+  }
+
   /**
    * Admits a request that has arrived to its handling.
    *
@@ -195,7 +203,7 @@
    */
   handle (passage: Passage): boolean {
     const { line } = passage
-    if (line.closed || !this.reserve(passage, HANDLING_COPIES * passage.bodyBytes)) return false
+    if (line.closed || !this.reserve(passage, handlingBytesOf(passage))) return false
     this.arriving.delete(line)
     passage.stage = Stage.Handled
     line.handled++
@@ -330,3 +338,8 @@
     this.close(line)
   }
 }
+
+/** Returns what the handling of a body takes beyond its parts. */
+function handlingBytesOf ({ bodyBytes, shape }: Passage): number {
+  return HANDLING_COPIES * bodyBytes + shape.valueBytes
+}
--- a/packages/daemon/src/entry/gated-server.ts
+++ b/packages/daemon/src/entry/gated-server.ts
@@ -8,7 +8,7 @@
 import { Feed } from '@fireflymount/entry/feed'
 import { Turns } from '@fireflymount/entry/turns'
 import { Reason, refuse } from '@fireflymount/protocol/refusal'
-import { createTooLarge } from './body.js'
+import { createTooLarge, createTooManyValues } from './body.js'
 import { cutoffOf, describeCutoff, endWith, isTimeout } from './client-error.js'
 import { Cutoff, Line, Passage, type Gate } from './gate.js'
 import { createProblem, createProblemHeaders, type Problem } from './problem.js'
@@ -147,6 +147,7 @@
         this.refuse(line, request, response, createTooLarge(maxBytes))
       } else if (this.gate.receive(passage, part.length)) {
         body.append(part)
+        passage.shape.add(part)
       } else {
         refused = true
         this.refuseForMemory(line, request, response)
@@ -155,7 +156,14 @@
     })
     request.once('end', () => {
       line.receiving = false
-      if (!refused) this.handle(passage, request, response, body.finish())
+      if (refused) return
+      const content = body.finish()
+      if (this.gate.fits(passage)) {
+        this.handle(passage, request, response, content)
+        return
+      }
+      this.gate.count(Cutoff.BodyTooLarge)
+      this.refuse(line, request, response, createTooManyValues())
     })
     request.once('close', () => { if (!request.complete) body.release() })
   }
--- a/packages/daemon/test/crowd/daemon.spec.ts
+++ b/packages/daemon/test/crowd/daemon.spec.ts
@@ -19,6 +19,8 @@
 /** The head of a frame of 4 MB. */
 const FRAME_HEAD = Buffer.from([0x82, 0xff, 0, 0, 0, 0, 0, 0x3f, 0xff, 0xff, 0, 0, 0, 0])
 const FRAME_PART = Buffer.alloc(1 << 20)
+const VALUES = requestText('POST', JOBS, { ...KEYED, ...JSON_TYPE }, JSON.stringify({ body: Array.from({ length: 80_000 }, () => ({})) }))
+const OBJECTS = requestText('POST', JOBS, { ...KEYED, ...JSON_TYPE }, JSON.stringify({ body: Array.from({ length: 5000 }, () => ({})) }))
 const LARGE = requestText('POST', JOBS, { ...KEYED, ...JSON_TYPE }, JSON.stringify({ body: 'x'.repeat(200_000) }))
 const TRAILERS = `${CHUNKED}0\r\n${'t: 1\r\n'.repeat(1500)}\r\n`
 const SMALL_CHUNKS = `${CHUNKED}${'1\r\n1\r\n'.repeat(2000)}0\r\n\r\n`
@@ -37,6 +39,8 @@
     { name: 'of submissions on 100 connections', clients: repeat(100, () => new Pipeline(150, () => SUBMISSION)) },
     { name: 'of submissions on one connection', clients: [new Pipeline(12_000, () => SUBMISSION)] },
     { name: 'of submissions on one, read', clients: [new Pipeline(12_000, () => SUBMISSION, true)] },
+    { name: 'of submissions of many values', clients: repeat(100, () => new Pipeline(5, () => VALUES)) },
+    { name: 'of submissions of 5,000 objects', clients: repeat(10, () => new Pipeline(150, () => OBJECTS)) },
     { name: 'of large submissions', clients: repeat(10, () => new Pipeline(150, () => LARGE)) },
     { name: 'of submissions without a key', clients: repeat(100, () => new Pipeline(150, () => KEYLESS)) },
     {
--- a/packages/daemon/test/gate.spec.ts
+++ b/packages/daemon/test/gate.spec.ts
@@ -191,6 +191,17 @@
   expect([a.isHeld, gate.bytes]).toEqual([false, 2 * REQUEST_BYTES])
 })
 
+test.each([
+  { title: 'fits', objects: 380, fits: true },
+  { title: 'never fits', objects: 390, fits: false }
+])('what a body takes counts by its values, and a body that $title is told apart', ({ objects, fits }) => {
+  const { gate, a } = setUp()
+  const passage = begin(gate, a)
+  Object.assign(passage.shape, { objects })
+  expect([gate.fits(passage), gate.handle(passage)]).toEqual([fits, fits])
+  expect(gate.bytes).toBe(REQUEST_BYTES + (fits ? 1024 * objects : 0))
+})
+
 test('data that waits for the turn of its connection counts, and closes a larger connection or its own if there is no room for it', () => {
   const { gate, cutoffs, a, b } = setUp()
   gate.keep(a, 300_000)
