Entry: clients of the probes' addresses are not closed for what the kernel may hold

Seen in review: of 32 clients that ask for metrics or readiness at once, 6 were answered; the others' connections were closed.

Cause: a connection with as many requests as it may have (one, at these addresses) counts as receiveBufferBytes, and eight of them use up the 1 MB of these servers.

Fix: it counts nothing there. The number of these connections, 32, bounds what the kernel may hold for them.

The test failed before.

--- a/packages/control/src/entry/limits.ts
+++ b/packages/control/src/entry/limits.ts
@@ -95,7 +95,9 @@
   headMs: 60_000,
   bodyMs: 1000,
   stallMs: 1000,
-  answerMs: 30_000
+  answerMs: 30_000,
+  // There are few such connections.
+  receiveBufferBytes: 0
 }
 
 /**
--- a/packages/control/test/entry/entry.spec.ts
+++ b/packages/control/test/entry/entry.spec.ts
@@ -23,12 +23,23 @@
   for (const end of opened.splice(0)) 'listening' in end ? end.close() : end.destroy()
 })
 
-/** Starts a server whose answers repeat the body. */
-async function start (limits: Partial<EntryLimits> = LIMITS): Promise<{ port: number, log: EventLog, metrics: Metrics }> {
+/**
+ * Starts a server whose answers repeat the body.
+ *
+ * @param together number of requests that have arrived when the first one is answered
+ */
+async function start (
+  limits: Partial<EntryLimits> = LIMITS, endpoint = Endpoint.Callers, together = 1
+): Promise<{ port: number, log: EventLog, metrics: Metrics }> {
   const log = new EventLog()
   const metrics = new Metrics()
   const entry = new Entry({ machine: {}, limits, clock: new SystemClock(), log, metrics })
-  const server = entry.createServer(Endpoint.Callers, async (_, response, body) => { response.end(`<${body.toString()}>`) })
+  let handled = 0
+  const server = entry.createServer(endpoint, async (_, response, body) => {
+    handled++
+    await expect.poll(() => handled).toBeGreaterThanOrEqual(together)
+    response.end(`<${body.toString()}>`)
+  })
   server.listen(0, '127.0.0.1')
   await once(server, 'listening')
   opened.push(server)
@@ -93,6 +104,12 @@
     expect(answer).toMatch(/503 [^]*retry-after: 3\r\nconnection: close/i)
   })
 
+  it.each([Endpoint.Readiness, Endpoint.Metrics])('answers as many clients at once at the address for %s as may connect', async (endpoint) => {
+    const { port } = await start({}, endpoint, 32)
+    const answers = await Promise.all(Array.from({ length: 32 }, async () => await exchange(port, GET, '<>')))
+    expect(answers.filter((answer) => answer.includes('200')).length).toBe(32)
+  })
+
   it('closes an idle connection for a new one', async () => {
     const { port } = await start()
     const idle = exchange(port, GET)
