Entry: the memory of requests follows from what the heap has left

Cause: requests may take an eighth of the memory, 20 MB. Most of that is in the heap, whose old generation has 64 MB on this machine: 32 for the node's state, 26 for a backlog that a former owner holds twice. The sum of the parts was never within the heap.

Fix: requests take at most a fifth of what the machine has beyond 128 MB, the part that the backlog leaves: 6 MB of 160, 16 MB of 210, and 48 MB as before from 368 MB. No ordinary client meets it: a submission of 4 kB counts some 28 kB.

The table of limits in gate.spec.ts stated the former default for 160 and 210 MB; it states the new one, which is lower.

--- a/packages/control/src/entry/limits.ts
+++ b/packages/control/src/entry/limits.ts
@@ -2,6 +2,8 @@
  * Limits on what the clients of a node's servers may hold of it. They follow from the memory and the descriptors of its machine.
  */
 
+import { JOBS_SHARE, RESERVED_MB } from '../place/backlog.js'
+
 /** A server of the node. */
 export enum Endpoint {
   Callers = 'callers',
@@ -64,10 +66,13 @@
  */
 const CALLER_SOCKETS = 1 / 2
 const NODE_SOCKETS = 3 / 8
-/** Part of the memory for callers' requests, and the part for their connections. The rest is for the node's state and its heap. */
+/** Parts of the memory for callers' requests and for their connections. The rest is for the node's state and its heap. */
 const REQUEST_MEMORY = 1 / 8
 /** Thousands of ordinary requests. Memory beyond it is worth more to the backlog. */
 const MAX_REQUEST_MB = 48
+const MIN_REQUEST_MB = 4
+/** Part of the heap beyond what is reserved that is left if a former owner holds all jobs twice. */
+const REQUEST_HEAP = 1 - 2 * JOBS_SHARE
 const CONNECTION_MEMORY = 1 / 8
 /** Estimated memory of an open connection. */
 const CONNECTION_BYTES = 16_384
@@ -117,7 +122,7 @@
       return {
         ...CALLER_DEFAULTS,
         connections: connectionsOf(Math.min(sockets * CALLER_SOCKETS, byMemory)),
-        bytes: Math.floor(Math.min(memoryBytes * REQUEST_MEMORY, MAX_REQUEST_MB * MEGABYTE)),
+        bytes: requestBytesOf(memoryBytes),
         ...definedOf(callerSettings)
       }
     }
@@ -126,6 +131,13 @@
   }
 }
 
+/** Most of what requests take is in the heap, which is smaller than the memory. */
+function requestBytesOf (memoryBytes: number): number {
+  const heapBytes = (memoryBytes - RESERVED_MB * MEGABYTE) * REQUEST_HEAP
+  const bytes = Math.min(memoryBytes * REQUEST_MEMORY, heapBytes, MAX_REQUEST_MB * MEGABYTE)
+  return Math.floor(Math.max(bytes, MIN_REQUEST_MB * MEGABYTE))
+}
+
 /** Leaves out the limits that are not set. */
 function definedOf (settings: Partial<EntryLimits>): Partial<EntryLimits> {
   return Object.fromEntries(Object.entries(settings).filter(([, value]) => value !== undefined))
--- a/packages/control/src/place/backlog.ts
+++ b/packages/control/src/place/backlog.ts
@@ -13,12 +13,12 @@
  * Memory of a node that is not available to its jobs. It covers the process outside the old generation of its heap, see `run` in
  * deploy/system.toml, and what the heap holds without jobs.
  */
-const RESERVED_MB = 128
+export const RESERVED_MB = 128
 /**
  * Part of the remaining memory that jobs may hold. A former owner holds all jobs twice while it reads the journal from scratch, and the
  * heap needs room for garbage.
  */
-const JOBS_SHARE = 0.4
+export const JOBS_SHARE = 0.4
 const MIN_BOUND_MB = 8
 /** Memory of the smallest node if no node of the cell reports its own. */
 const DEFAULT_MEMORY_MB = 256
--- a/packages/control/test/entry/gate.spec.ts
+++ b/packages/control/test/entry/gate.spec.ts
@@ -357,8 +357,8 @@
 
 describe('the limits', () => {
   it.each([
-    ['few descriptors', { memoryMb: 210, maxDescriptors: 2212 }, {}, { connections: 1006, bytes: 27_525_120 }],
-    ['little memory', { memoryMb: 160, maxDescriptors: 4100 }, {}, { connections: 1280, bytes: 20_971_520 }],
+    ['few descriptors', { memoryMb: 210, maxDescriptors: 2212 }, {}, { connections: 1006, bytes: 17_196_646 }],
+    ['little memory', { memoryMb: 160, maxDescriptors: 4100 }, {}, { connections: 1280, bytes: 6_710_886 }],
     ['much memory', { memoryMb: 602, maxDescriptors: 8192 }, {}, { connections: 3996, bytes: 50_331_648 }],
     ['an unknown machine', {}, {}, { connections: 1948, bytes: 50_331_648 }],
     ['limits that are set', { memoryMb: 210 }, { connections: 5, headMs: undefined }, { connections: 5, headMs: 60_000 }]
