--- a/packages/entry/src/turns.ts
+++ b/packages/entry/src/turns.ts
@@ -78,9 +78,9 @@
   }
 
   private takeNext (): Turn | undefined {
-    const first = this.freshNext ? this.fresh : this.backlogged
+    const [preferred, other] = this.freshNext ? [this.fresh, this.backlogged] : [this.backlogged, this.fresh]
     this.freshNext = !this.freshNext
-    const [turn] = first.size > 0 ? first : this.freshNext ? this.fresh : this.backlogged
+    const [turn] = preferred.size > 0 ? preferred : other
     if (turn !== undefined) this.remove(turn)
     return turn
   }
