Lookup: a job is found on its own queue only

What callers saw: GET for a job on another queue than its own answered with the state of the job while it was at work, from every node, instead of denying it. So a client with a key could ask for jobs of all queues.

Cause: an entry node asked the owner for the phase of a job by its id alone, and answered with what the owner said.

A node that knows the job on another queue denies it without asking. The field is optional: owners of earlier builds ignore it, and questions of earlier builds are answered as before.

--- a/packages/control/src/entry/job-service.ts
+++ b/packages/control/src/entry/job-service.ts
@@ -75,8 +75,8 @@
   readonly forwardToOwner: (record: KeyedRecord, timeoutMs: number) => Promise<Result<void, Refusal> | undefined>
   /** Applies to this node's state a record that it has appended to the journal. An owner on another node reads it from there. */
   readonly applyAppended: (record: KeyedRecord) => void
-  /** Asks the owner for a job's phase; null if the owner does not know the job, undefined if it did not answer. */
-  readonly askPhase: (job: string, timeoutMs: number) => Promise<Phase | null | undefined>
+  /** Asks the owner for the phase of a queue's job; null if the owner does not know it there, undefined if it did not answer. */
+  readonly askPhase: (job: string, queue: string, timeoutMs: number) => Promise<Phase | null | undefined>
   readonly clock: Clock
   readonly log: Log
 }
@@ -179,8 +179,10 @@
   async lookup (request: AuthorizedRequest, id: string): Promise<Result<Phase, Refusal>> {
     const since = this.options.clock.stamp()
     const known = this.options.journalState().jobs.get(id)
+    const { name } = request.queue
+    if (known !== undefined && known.job.queue !== name) return err(noSuchJob(id))
     if (known === undefined || !isFinal(known.visiblePhase())) {
-      const phase = await this.options.askPhase(id, LOOKUP_TIMEOUT_MS)
+      const phase = await this.options.askPhase(id, name, LOOKUP_TIMEOUT_MS)
       if (phase !== undefined && phase !== null) return ok(phase)
     }
     return (await this.findJob(request, id, since)).map((entry) => entry.visiblePhase())
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -305,7 +305,7 @@
       journalFreshAt: () => this.journal.freshAt,
       forwardToOwner: (record, timeoutMs) => this.forwardToOwner(record, timeoutMs),
       applyAppended: (record) => { this.applyAppended(record) },
-      askPhase: (job, timeoutMs) => this.askPhase(job, timeoutMs),
+      askPhase: (job, queue, timeoutMs) => this.askPhase(job, queue, timeoutMs),
       clock,
       log
     })
@@ -608,14 +608,21 @@
     else this.applyRecord({ ...record, offset: UNKNOWN_OFFSET })
   }
 
-  private async askPhase (job: string, timeoutMs: number): Promise<Phase | null | undefined> {
-    if (this.owner !== undefined) return this.journalState.jobs.get(job)?.visiblePhase() ?? null
+  private async askPhase (job: string, queue: string, timeoutMs: number): Promise<Phase | null | undefined> {
+    if (this.owner !== undefined) return this.phaseOf(job, queue)
     const { ownerClaim } = this.journalState
     if (ownerClaim === undefined || !this.links.has(ownerClaim.node)) return undefined
-    const answer = await this.links.ask(ownerClaim.node, { kind: MessageKind.Lookup, job }, timeoutMs)
+    const answer = await this.links.ask(ownerClaim.node, { kind: MessageKind.Lookup, job, queue }, timeoutMs)
     return answer.isOk() && (answer.value === null || isPhase(answer.value)) ? answer.value : undefined
   }
 
+  /** Returns the phase of a job; null if this node knows no such job on the queue. */
+  private phaseOf (job: string, queue: string | undefined): Phase | null {
+    const entry = this.journalState.jobs.get(job)
+    if (entry === undefined || (queue !== undefined && entry.job.queue !== queue)) return null
+    return entry.visiblePhase()
+  }
+
   /**
    * Asks the owner where a job would go if it were submitted now, or why a job waits.
    *
@@ -663,7 +670,7 @@
         return await this.serveAppend(this.owner, request)
       case MessageKind.Lookup:
         if (this.owner === undefined) return err(refuse(Reason.NotOwner, 'This node does not own the cell.'))
-        return ok(this.journalState.jobs.get(request.job)?.visiblePhase() ?? null)
+        return ok(this.phaseOf(request.job, request.queue))
       case MessageKind.DryRun:
       case MessageKind.Explain:
         if (this.owner === undefined) return err(refuse(Reason.NotOwner, 'This node does not own the cell.'))
--- a/packages/control/test/cluster/cluster.ts
+++ b/packages/control/test/cluster/cluster.ts
@@ -146,9 +146,9 @@
     return (await node.jobService.submit({ ...REQUEST, ...workspace }, submission, BUDGET_MS)).isOk()
   }
 
-  /** Returns the phase of a job as callers see it; undefined if the lookup is refused. */
-  async phase (node: Node, id: string): Promise<Phase | undefined> {
-    return (await node.jobService.lookup(REQUEST, id)).unwrapOr(undefined)
+  /** Returns the phase of a job as callers of a queue see it; undefined if the lookup is refused. */
+  async phase (node: Node, id: string, queue = QUEUE): Promise<Phase | undefined> {
+    return (await node.jobService.lookup({ ...REQUEST, queue }, id)).unwrapOr(undefined)
   }
 
   /** Cancels a job. Resolves to true once the cancellation is stored. */
--- a/packages/control/test/entry/job-service.spec.ts
+++ b/packages/control/test/entry/job-service.spec.ts
@@ -268,6 +268,19 @@
   })
 })
 
+describe('a lookup', () => {
+  // Owners of earlier builds answer for jobs of any queue.
+  it.each([
+    { phase: Phase.Active }, { phase: null }, { phase: undefined }
+  ])('is refused for a known job of another queue if the owner answers $phase', async ({ phase }) => {
+    const journalState = new JournalState()
+    journalState.apply({ ...encodeJob(createJob({ id: idOf(1), queue: 'another' })), offset: 1 })
+    const jobService = createJobService(new ScriptedStore(neverAnswer), undefined, journalState, { askPhase: async () => phase })
+    const answer = await jobService.lookup(jobService.authorize('h', '/', '')._unsafeUnwrap(), idOf(1))
+    expect(answer._unsafeUnwrapErr()).toMatchObject({ reason: Reason.NoSuchJob, execution: Execution.NotRun })
+  })
+})
+
 describe('the cancellation of a job that this node knows', () => {
   // Guards against UNASKED: a cancellation is acknowledged although neither it nor the end of the job is in the journal, and a successor
   // goes on with the job.
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -186,8 +186,8 @@
 
 /** Records to append. Answered with true once the store has acknowledged them. */
 export const NoticeCodec = Codec.interface({ kind: exactly(MessageKind.Notice), records: array(record), timeoutMs: number })
-/** Answered with the phase, or with null if the owner does not know the job. */
-export const LookupCodec = Codec.interface({ kind: exactly(MessageKind.Lookup), job: string })
+/** Answered with the phase, or with null if the owner does not know the job on this queue. Nodes of earlier builds name no queue. */
+export const LookupCodec = Codec.interface({ kind: exactly(MessageKind.Lookup), job: string, queue: optional(string) })
 /** Answered with pairs of a worker and its ticket, without which the worker may not run the step. */
 export const AdviseCodec = Codec.interface({
   kind: exactly(MessageKind.Advise), step: string, workers: array(string), timeoutMs: number
