Turns: a new caller waits for the connections before its own, not for what they send

What callers saw: an ordinary request came late while a crowd connected. Cause: libuv accepts one connection in an iteration of the event loop, and a whole round (32 kB) of what the crowd had sent was parsed in each. A caller behind 200 connections waited for 200 rounds. The new test in feed.spec.ts hands on 6,553,824 bytes before the 201st connection on the code before, of 1,638,400 allowed (657,056 of 163,840 with 20); it was seen failing. Why this works: an accepted connection takes three quarters of the round, and what exceeds a round is taken from the next one. What remains is room for the first part of the new connection. Without new connections a round is what it was.

--- a/packages/control/src/entry/entry.ts
+++ b/packages/control/src/entry/entry.ts
@@ -207,6 +207,7 @@
     const [serve] = server.listeners('connection')
     server.removeAllListeners('connection')
     server.on('connection', (socket) => {
+      turns.accept()
       const line = new FeedLine(socket, this.gate, turns)
       if (this.enter(line, line.feed)) serve!.call(server, line.feed)
     })
--- a/packages/daemon/src/entry/gated-server.ts
+++ b/packages/daemon/src/entry/gated-server.ts
@@ -75,6 +75,7 @@
     const [serve] = server.listeners('connection')
     server.removeAllListeners('connection')
     server.on('connection', (socket) => {
+      this.turns.accept()
       const line = new FeedLine(socket, this.turns, this.gate)
       if (this.enter(line, socket)) serve!.call(server, line.feed)
     })
--- a/packages/entry/src/turns.ts
+++ b/packages/entry/src/turns.ts
@@ -4,13 +4,16 @@
  * A request is parsed before it can be counted or refused, so what is parsed in an iteration of the event loop is bounded. Answers the
  * load of clients that send much on many connections: between two iterations, other events such as answers of the store are handled.
  * Connections take turns of one part each, as in deficit round robin. Those that had nothing waiting alternate with the others, so that a
- * request does not queue behind all that was sent ahead.
+ * request does not queue behind all that was sent ahead. The event loop accepts one connection in an iteration, so a round in which one
+ * is accepted is smaller: a new caller would otherwise wait for a whole round for each connection that is to be accepted before its own.
  */
 
 /** Maximum size of the part that is handed on in a turn. An ordinary request has one part, or a few. */
 export const PART_BYTES = 2048
 /** Size of the parts that are handed on in one iteration of the event loop. */
 const ROUND_BYTES = 32_768
+/** What an accepted connection takes of a round. The rest has room for an ordinary request. */
+const ACCEPT_BYTES = 24_576
 /** Minimum size that a turn is counted with. */
 const MIN_TURN_BYTES = 256
 
@@ -22,13 +25,19 @@
   /** Turns of connections that had nothing waiting. */
   private readonly fresh = new Set<Turn>()
   private readonly backlogged = new Set<Turn>()
-  /** Bytes that may be handed on until the next iteration of the event loop. */
+  /** Bytes that may be handed on until the next iteration of the event loop. What exceeds a round is taken from the next one. */
   private leftBytes = ROUND_BYTES
   private freshNext = true
   private scheduled = false
   /** True while a connection has its turn. */
   private running = false
 
+  /** Counts a connection that was accepted. */
+  accept (): void {
+    this.leftBytes -= ACCEPT_BYTES
+    this.schedule()
+  }
+
   /** Lets a connection take a turn that had nothing waiting: at once if the round has room, else in one of the next rounds. */
   take (turn: Turn): void {
     if (this.fresh.has(turn) || this.backlogged.has(turn)) return
@@ -68,7 +77,7 @@
 
   private startRound (): void {
     this.scheduled = false
-    this.leftBytes = ROUND_BYTES
+    this.leftBytes = ROUND_BYTES + Math.min(0, this.leftBytes)
     while (this.leftBytes > 0) {
       const turn = this.takeNext()
       if (turn === undefined) break
--- a/packages/entry/test/feed.spec.ts
+++ b/packages/entry/test/feed.spec.ts
@@ -118,4 +118,31 @@
     await new Promise((resolve) => setImmediate(resolve))
     expect([read, socket.paused]).toEqual([5000, false])
   })
+
+  // The event loop accepts one connection in an iteration.
+  it.each([
+    ['a few', 20],
+    ['many', 200]
+  ])('lets a new connection in behind %s others that have sent much, after parts of 8 kB for each of them', async (_, crowd) => {
+    const turns = new Turns()
+    const server = createServer({ highWaterMark: SOCKET_BUFFER_BYTES })
+    await once(server.listen(0, '127.0.0.1'), 'listening')
+    const clients = Array.from({ length: crowd + 1 }, () => connect((server.address() as AddressInfo).port, '127.0.0.1'))
+    for (const client of clients) client.write(Buffer.alloc(100_000))
+    const feeds: Feed[] = []
+    let handedOnBytes = 0
+    await new Promise<void>((resolve) => {
+      server.on('connection', (accepted) => {
+        turns.accept()
+        if (feeds.length === crowd) resolve()
+        const crowded = new Feed(accepted, { ...optionsOf(), turns })
+        crowded.on('data', (part: Buffer) => { handedOnBytes += part.length })
+        feeds.push(crowded)
+      })
+    })
+    expect(handedOnBytes).toBeLessThanOrEqual(crowd * 8192)
+    expect(handedOnBytes).toBeGreaterThan(0)
+    for (const stream of [...clients, ...feeds]) stream.destroy()
+    server.close()
+  })
 })
--- a/packages/entry/test/turns.spec.ts
+++ b/packages/entry/test/turns.spec.ts
@@ -76,4 +76,16 @@
     await nextIteration()
     expect(log).not.toContain('a')
   })
+
+  it('let fewer parts through in an iteration in which a connection is accepted, the first of the new connection among them', async () => {
+    useUp(PARTS_PER_ROUND - 1)
+    turns.take(connection('a', 100))
+    turns.accept()
+    turns.take(connection('new', 1))
+    log.length = 0
+    await nextIteration()
+    expect(log).toEqual(['new', 'a', 'a', 'a'])
+    await nextIteration()
+    expect(log.length).toBe(4 + PARTS_PER_ROUND)
+  })
 })
