Links: strangers may send no more than an introduction needs

What callers saw: 400 clients without a key that connect where other nodes do, upgrade to a WebSocket and begin a frame of 4 MB, took 677 MB of the node's 160 (684 with unread bytes): on its machine the process would have been killed. Cause: the gate counted an upgraded connection as one in use and saw none of its bytes. The WebSocket library buffers a frame until it has arrived, up to 4 MB (a node's frames may be as large). Being in use, strangers were also never closed for a node that had no room. Why this works: until a client has introduced itself as a node, what it sends counts as memory of requests, 128 kB are the most, and its connection counts as idle, so that it is closed first. A node's hello takes some hundred bytes; after it nothing is counted. The daemon had this bound already; both share it now, counted from the upgrade instead of the beginning of the connection.

--- a/packages/control/src/entry/entry.ts
+++ b/packages/control/src/entry/entry.ts
@@ -10,6 +10,7 @@
 import { Blocks, Body } from '@fireflymount/entry/body'
 import { Cutoff } from './cutoff.js'
 import { Feed, SOCKET_BUFFER_BYTES } from '@fireflymount/entry/feed'
+import { Introduction, MAX_INTRODUCTION_BYTES } from '@fireflymount/entry/introduction'
 import { Gate } from './gate.js'
 import { Endpoint, limitsOf, type EntrySettings, type MachineResources } from './limits.js'
 import { Line, Passage } from './line.js'
@@ -44,6 +45,7 @@
 /** Creates the servers of a node and reports on their gates. */
 export class Entry {
   private readonly gates = new Map<Endpoint, Gate>()
+  private readonly gatedServers = new Map<Endpoint, GatedServer>()
   /** What was refused or closed since the last tick. */
   private readonly cutoffs = new Map<Endpoint, Map<Cutoff, number>>()
   private readonly blocks = new Blocks()
@@ -75,12 +77,18 @@
       keepAliveTimeout: 0
     })
     const gated = new GatedServer(gate, this.blocks, handler, this.options.log)
+    this.gatedServers.set(endpoint, gated)
     gated.attach(server)
     if (isFed) gated.feed(server)
     else gated.acceptUpgrades(server)
     return server
   }
 
+  /** Notes that a client of the nodes' server has introduced itself as a node. Its connection is not closed to make room for others. */
+  admitNode (stream: Duplex): void {
+    this.gatedServers.get(Endpoint.Nodes)?.admit(stream)
+  }
+
   /** Number of requests to a server whose answer has not been sent to the end. */
   openRequests (endpoint: Endpoint): number {
     return this.gates.get(endpoint)?.requests ?? 0
@@ -124,6 +132,8 @@
   discarding = false
   /** True after an error of the client, such as malformed HTTP. */
   failed = false
+  /** What the client of an upgraded connection sends until it is admitted. */
+  introduction: Introduction | undefined
 
   constructor (readonly socket: Socket) {
     super()
@@ -213,15 +223,34 @@
     })
   }
 
-  /** Passes connections on as they are, and counts upgraded ones as in use for as long as they are open. */
+  /** Passes connections on as they are. Clients that have upgraded theirs may send an introduction until they are admitted. */
   acceptUpgrades (server: Server): void {
     server.on('connection', (socket) => { this.enter(new StreamLine(socket), socket) })
     server.on('upgrade', (_, socket: Duplex) => {
       const line = this.lines.get(socket)
-      if (line !== undefined) this.gate.occupy(line)
+      if (line === undefined) return
+      line.introduction = new Introduction(socket, (bytes) => { this.onIntroduction(line, bytes) })
     })
   }
 
+  /** Counts an upgraded connection as in use for as long as it is open. */
+  admit (stream: Duplex): void {
+    const line = this.lines.get(stream)
+    if (line === undefined) return
+    line.introduction?.end()
+    this.gate.keep(line, 0)
+    this.gate.occupy(line)
+  }
+
+  private onIntroduction (line: StreamLine, bytes: number): void {
+    if (bytes <= MAX_INTRODUCTION_BYTES) {
+      this.gate.keep(line, bytes)
+      return
+    }
+    this.gate.count(Cutoff.BodyTooLarge)
+    this.close(line)
+  }
+
   private enter (line: StreamLine, stream: Duplex): boolean {
     if (!this.gate.enter(line)) {
       endWith(line.socket, Cutoff.Connections, `Retry-After: ${this.gate.limits.retryAfterS}\r\n`)
--- a/packages/control/src/membership/links.ts
+++ b/packages/control/src/membership/links.ts
@@ -3,6 +3,7 @@
  */
 import { detach } from '../detach.js'
 import type { Server } from 'node:http'
+import type { Duplex } from 'node:stream'
 import { Connection, type ConnectionSettings, type Handler, type HandlerFailure } from '@fireflymount/protocol/connection'
 import { MAX_FRAME_BYTES } from '@fireflymount/protocol/frame'
 import type { Request } from '@fireflymount/protocol/message'
@@ -37,7 +38,7 @@
   readonly host: string
   readonly port: number
   /** Creates the server for connections from other nodes. */
-  readonly entry: Pick<Entry, 'createServer'>
+  readonly entry: Pick<Entry, 'createServer' | 'admitNode'>
   readonly addressOf: (node: string) => NodeAddress | undefined
   readonly handler: Handler
   readonly onLink: (node: string, up: boolean) => void
@@ -75,7 +76,7 @@
     const server = this.options.entry.createServer(Endpoint.Nodes, (_, response) => { response.writeHead(426).end() })
     this.server = server
     this.sockets = new WebSocketServer({ server, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
-    this.sockets.on('connection', (socket) => { detach(this.accept(socket)) })
+    this.sockets.on('connection', (socket, request) => { detach(this.accept(socket, request.socket)) })
     return await new Promise((resolve) => {
       server.once('error', (error) => { resolve(err(`Cannot listen on ${host}:${port}: ${error.message}`)) })
       server.listen(port, host, () => { resolve(ok(undefined)) })
@@ -170,9 +171,11 @@
     return opened
   }
 
-  private async accept (socket: WebSocket): Promise<void> {
+  private async accept (socket: WebSocket, stream: Duplex): Promise<void> {
     const opened = await Connection.open(socket, this.connectionSettings, this.options.handler)
-    if (opened.isOk()) this.register(opened.value)
+    if (opened.isErr()) return
+    this.options.entry.admitNode(stream)
+    this.register(opened.value)
   }
 
   private register (connection: Connection): void {
--- a/packages/control/test/membership/links.spec.ts
+++ b/packages/control/test/membership/links.spec.ts
@@ -1,4 +1,6 @@
-import { createServer, type AddressInfo } from 'node:net'
+import { once } from 'node:events'
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
+import { MessageKind } from '@fireflymount/protocol/message'
 import { ok } from 'neverthrow'
 import { afterEach, describe, expect, it } from 'vitest'
 import { Entry } from '../../src/entry/entry.js'
@@ -18,15 +20,34 @@
   return port
 }
 
+const NODE_CONNECTIONS = 4
+const UPGRADE = 'GET / HTTP/1.1\r\nhost: a\r\nconnection: Upgrade\r\nupgrade: websocket\r\nsec-websocket-version: 13\r\n' +
+  'sec-websocket-key: Y3Jvd2Qtb2Ytc3RyYW5nZQ==\r\n\r\n'
+/** The head of a frame of 4 MB. */
+const FRAME_HEAD = Buffer.from([0x82, 0xff, 0, 0, 0, 0, 0, 0x3f, 0xff, 0xff, 0, 0, 0, 0])
+
 const opened: Links[] = []
+const strangers: Socket[] = []
+
+/** Opens a WebSocket without an introduction. */
+async function visit (port: number): Promise<Socket> {
+  const stranger = connect(port, HOST)
+  stranger.on('error', () => {})
+  strangers.push(stranger)
+  stranger.write(UPGRADE)
+  await once(stranger, 'data')
+  return stranger
+}
 
-function createLinks (node: string, port: number, peer: NodeAddress | undefined): Links {
+function createLinks (node: string, port: number, peer: NodeAddress | undefined, metrics = new Metrics()): Links {
   const links = new Links({
     node,
     zone: 'z',
     host: HOST,
     port,
-    entry: new Entry({ machine: {}, clock: new SystemClock(), log: new SilentLog(), metrics: new Metrics() }),
+    entry: new Entry({
+      machine: {}, limits: { nodeConnections: NODE_CONNECTIONS }, clock: new SystemClock(), log: new SilentLog(), metrics
+    }),
     addressOf: () => peer,
     handler: async () => ok(undefined),
     onLink: () => {},
@@ -36,7 +57,10 @@
   return links
 }
 
-afterEach(() => { for (const links of opened.splice(0)) links.close() })
+afterEach(() => {
+  for (const links of opened.splice(0)) links.close()
+  for (const stranger of strangers.splice(0)) stranger.destroy()
+})
 
 describe('the links of a node', () => {
   it('report that an address refuses connections until a process listens there', async () => {
@@ -83,4 +107,28 @@
     expect((await links.connect('b')).isOk()).toBe(true)
     expect([links.has('b'), links.acceptsConnections('b'), links.refusesConnections('b')]).toEqual([true, false, false])
   })
+
+  it('close a client that sends more than an introduction instead of one, and read on from a node', async () => {
+    const port = await findFreePort()
+    const metrics = new Metrics()
+    expect((await createLinks('b', port, undefined, metrics).listen()).isOk()).toBe(true)
+    const links = createLinks('a', await findFreePort(), { node: 'b', incarnation: '1', host: HOST, port, zone: 'z' })
+    const answer = await links.ask('b', { kind: MessageKind.Lookup, job: 'x'.repeat(1_000_000), queue: '' }, 3000)
+    expect(answer.isOk()).toBe(true)
+    const stranger = await visit(port)
+    stranger.write(Buffer.concat([FRAME_HEAD, Buffer.alloc(1_000_000)]))
+    await new Promise((resolve) => { stranger.once('close', resolve) })
+    expect(await metrics.text()).toMatch(/endpoint="nodes",reason="body-too-large"[^}]*} 1\n/)
+    expect(links.has('b')).toBe(true)
+  })
+
+  it('close clients that have not introduced themselves for a node, and no node for them', async () => {
+    const port = await findFreePort()
+    expect((await createLinks('b', port, undefined).listen()).isOk()).toBe(true)
+    for (let index = 0; index < NODE_CONNECTIONS; index++) await visit(port)
+    const links = createLinks('a', await findFreePort(), { node: 'b', incarnation: '1', host: HOST, port, zone: 'z' })
+    expect((await links.connect('b')).isOk()).toBe(true)
+    for (let index = 0; index < 2 * NODE_CONNECTIONS; index++) await visit(port)
+    expect(links.has('b')).toBe(true)
+  })
 })
--- a/packages/daemon/src/peer/visitors.ts
+++ b/packages/daemon/src/peer/visitors.ts
@@ -5,6 +5,7 @@
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
+import { Introduction, MAX_INTRODUCTION_BYTES } from '@fireflymount/entry/introduction'
 import type { Logger } from 'pino'
 import { cutoffOf, describeCutoff, endWith } from '../entry/client-error.js'
 import { CutoffReport } from '../entry/cutoff-report.js'
@@ -13,8 +14,6 @@
 import { readMachine } from '../entry/machine.js'
 import type { Metrics } from '../metrics.js'
 
-/** Bytes that a client may send before it has introduced itself: several times a handshake and a hello frame. */
-const MAX_INTRODUCTION_BYTES = 131_072
 /** Part of the memory that frames which a node has not read may fill before its connection is closed. */
 const UNREAD_MEMORY = 1 / 4
 /** Longest time for which a node reads nothing. */
@@ -23,13 +22,11 @@
 
 /** The gate's view of a connection. */
 class SocketLine extends Line {
-  /** @param onExcess called once the client has sent more than an introduction needs */
-  constructor (private readonly socket: Socket, private readonly onExcess: (line: SocketLine) => void) {
-    super()
-  }
+  /** What the client sends until it is admitted. */
+  introduction: Introduction | undefined
 
-  readonly onData = (): void => {
-    if (this.socket.bytesRead > MAX_INTRODUCTION_BYTES) this.onExcess(this)
+  constructor (private readonly socket: Socket) {
+    super()
   }
 
   override hold (): void {}
@@ -75,14 +72,17 @@
   /** Holds a client that has opened a WebSocket to what an introduction needs, until it is admitted. */
   watch (socket: Socket): void {
     const line = this.lines.get(socket)
-    if (line !== undefined) socket.on('data', line.onData)
+    if (line === undefined) return
+    line.introduction = new Introduction(socket, (bytes) => {
+      if (bytes > MAX_INTRODUCTION_BYTES) this.cut(line, Cutoff.BodyTooLarge)
+    })
   }
 
   /** Notes that a client has introduced itself as a node. */
   admit (socket: Socket): void {
     const line = this.lines.get(socket)
     if (line === undefined) return
-    socket.off('data', line.onData)
+    line.introduction?.end()
     this.gate.occupy(line)
   }
 
@@ -92,7 +92,7 @@
   }
 
   private enter (socket: Socket): void {
-    const line = new SocketLine(socket, (excessive) => { this.cut(excessive, Cutoff.BodyTooLarge) })
+    const line = new SocketLine(socket)
     if (!this.gate.enter(line)) {
       socket.destroy()
       return
