Links: a connection with requests sent ahead is closed

What callers saw: 200 clients that send 1,000 requests each to the port where other nodes connect, and do not read, ended the process with SIGABRT within half a second. Cause: connections of this server are passed on as they are, since the WebSocket library takes them over, so they cannot be held. The parser made a request object and an answer of each request that was sent ahead. Why this works: a node sends one request, the upgrade. A connection on which a second one comes before the first is answered is closed, and so is one whose request was answered with 426. At the other servers requests sent ahead are held, as before. New reason `sent-ahead`.

--- a/packages/control/src/entry/entry.ts
+++ b/packages/control/src/entry/entry.ts
@@ -132,6 +132,8 @@
   discarding = false
   /** True after an error of the client, such as malformed HTTP. */
   failed = false
+  /** True if the connection can be held while a request is in progress. */
+  readonly holdable: boolean = false
   /** What the client of an upgraded connection sends until it is admitted. */
   introduction: Introduction | undefined
 
@@ -161,6 +163,7 @@
 
 /** A connection that can be held. */
 class FeedLine extends StreamLine {
+  override readonly holdable = true
   readonly feed: Feed
 
   constructor (socket: Socket, gate: Gate, turns: Turns) {
@@ -269,6 +272,11 @@
     // Requests that arrived in one part with the one for which the connection was closed.
     if (line === undefined || line.closed) return
     const { gate } = this
+    if (line.requests > 0 && !line.holdable) {
+      gate.count(Cutoff.SentAhead)
+      this.close(line)
+      return
+    }
     const body = new Body(this.blocks)
     let content: Buffer
     const declared = request.headers['content-length']
--- a/packages/control/src/membership/links.ts
+++ b/packages/control/src/membership/links.ts
@@ -73,7 +73,7 @@
    */
   async listen (): Promise<Result<void, string>> {
     const { host, port } = this.options
-    const server = this.options.entry.createServer(Endpoint.Nodes, (_, response) => { response.writeHead(426).end() })
+    const server = this.options.entry.createServer(Endpoint.Nodes, (_, response) => { response.writeHead(426, { connection: 'close' }).end() })
     this.server = server
     this.sockets = new WebSocketServer({ server, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
     this.sockets.on('connection', (socket, request) => { detach(this.accept(socket, request.socket)) })
--- a/packages/control/test/membership/links.spec.ts
+++ b/packages/control/test/membership/links.spec.ts
@@ -122,6 +122,19 @@
     expect(links.has('b')).toBe(true)
   })
 
+  it('close a client that sends requests before it has the answer to the first', async () => {
+    const port = await findFreePort()
+    const metrics = new Metrics()
+    expect((await createLinks('b', port, undefined, metrics).listen()).isOk()).toBe(true)
+    const stranger = connect(port, HOST)
+    strangers.push(stranger)
+    stranger.on('error', () => {})
+    stranger.resume()
+    stranger.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(3))
+    await new Promise((resolve) => { stranger.once('close', resolve) })
+    expect(await metrics.text()).toMatch(/endpoint="nodes",reason="sent-ahead"[^}]*} 1\n/)
+  })
+
   it('close clients that have not introduced themselves for a node, and no node for them', async () => {
     const port = await findFreePort()
     expect((await createLinks('b', port, undefined).listen()).isOk()).toBe(true)
