Entry: a connection that cannot be accepted ends no process

What callers would see: when the system refuses to hand over a connection (ENOBUFS, ENOMEM), as it may while a crowd connects, the node is gone. Cause: a server reports it as 'error'. For callers, readiness and metrics the listener for failures to listen was still there, so the node ended with "Cannot listen"; where other nodes connect, and in the daemon, the event had no listener, or the WebSocket server repeated it without one, which ends a process as an uncaught error. A port that is in use did the same, instead of being reported.

--- a/packages/control/src/entry/cutoff.ts
+++ b/packages/control/src/entry/cutoff.ts
@@ -2,6 +2,8 @@
 export enum Cutoff {
   /** A connection was refused because all others are in use. */
   Connections = 'connections',
+  /** The system did not hand a connection over, for example for lack of memory. */
+  AcceptFailed = 'accept-failed',
   /** An idle connection was closed to make room for another one. */
   Idle = 'idle',
   /** A connection whose client does not read was closed to make room. */
--- a/packages/control/src/entry/entry.ts
+++ b/packages/control/src/entry/entry.ts
@@ -212,6 +212,7 @@
     server.on('request', (request, response) => { this.onRequest(request, response) })
     server.on('checkExpectation', (request, response) => { this.onRequest(request, response) })
     server.on('clientError', (error: NodeJS.ErrnoException, socket) => { this.onClientError(error, socket) })
+    server.once('listening', () => { server.on('error', () => { this.gate.count(Cutoff.AcceptFailed) }) })
   }
 
   /** Passes connections through feeds, which hold those with as many requests in progress as they may have. */
--- a/packages/control/src/membership/links.ts
+++ b/packages/control/src/membership/links.ts
@@ -76,6 +76,8 @@
     const server = this.options.entry.createServer(Endpoint.Nodes, (_, response) => { response.writeHead(426, { connection: 'close' }).end() })
     this.server = server
     this.sockets = new WebSocketServer({ server, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
+    // Repeats the errors of the server, which are handled there.
+    this.sockets.on('error', () => {})
     this.sockets.on('connection', (socket, request) => { detach(this.accept(socket, request.socket)) })
     return await new Promise((resolve) => {
       server.once('error', (error) => { resolve(err(`Cannot listen on ${host}:${port}: ${error.message}`)) })
--- a/packages/control/test/entry/entry.spec.ts
+++ b/packages/control/test/entry/entry.spec.ts
@@ -30,7 +30,7 @@
  */
 async function start (
   limits: Partial<EntryLimits> = LIMITS, endpoint = Endpoint.Callers, together = 1
-): Promise<{ port: number, log: EventLog, metrics: Metrics }> {
+): Promise<{ port: number, server: Server, log: EventLog, metrics: Metrics }> {
   const log = new EventLog()
   const metrics = new Metrics()
   const entry = new Entry({ machine: {}, limits, clock: new SystemClock(), log, metrics })
@@ -43,7 +43,7 @@
   server.listen(0, '127.0.0.1')
   await once(server, 'listening')
   opened.push(server)
-  return { port: (server.address() as AddressInfo).port, log, metrics }
+  return { port: (server.address() as AddressInfo).port, server, log, metrics }
 }
 
 /** Sends a text and returns what is answered until the connection is closed or the answer contains the mark. */
@@ -110,6 +110,13 @@
     expect(answers.filter((answer) => answer.includes('200')).length).toBe(32)
   })
 
+  it.each([Endpoint.Callers, Endpoint.Nodes])('goes on and counts it if a connection to the server of %s cannot be accepted', async (endpoint) => {
+    const { port, server, metrics } = await start(LIMITS, endpoint)
+    for (let index = 0; index < 2; index++) server.emit('error', Object.assign(new Error('accept ENOBUFS'), { code: 'ENOBUFS' }))
+    expect(await exchange(port, GET, '<>')).toContain('200')
+    expect(await metrics.text()).toContain(`entry_cutoffs_total{endpoint="${endpoint}",reason="accept-failed"} 2`)
+  })
+
   it('closes an idle connection for a new one', async () => {
     const { port } = await start()
     const idle = exchange(port, GET)
--- a/packages/control/test/membership/links.spec.ts
+++ b/packages/control/test/membership/links.spec.ts
@@ -86,6 +86,13 @@
   })
 
   // Guards against the incident of the saturated owner: a busy owner looked like one that was gone.
+  it('report that their port is in use', async () => {
+    const port = await findFreePort()
+    expect((await createLinks('a', port, undefined).listen()).isOk()).toBe(true)
+    const listening = await createLinks('b', port, undefined).listen()
+    expect(listening.isErr() && listening.error).toContain(`Cannot listen on ${HOST}:${port}`)
+  })
+
   it('report that an address accepts connections although its process does not answer', async () => {
     const silent = createServer()
     await new Promise<void>((resolve) => { silent.listen(0, HOST, resolve) })
--- a/packages/daemon/src/entry/gated-server.ts
+++ b/packages/daemon/src/entry/gated-server.ts
@@ -81,6 +81,7 @@
     })
     server.on('request', (request, response) => { this.onRequest(request, response) })
     server.on('clientError', (error: NodeJS.ErrnoException, socket) => { this.onClientError(error, socket) })
+    server.once('listening', () => { server.on('error', () => { this.gate.count(Cutoff.AcceptFailed) }) })
   }
 
   /** Drops memory that was kept since a peak. To be called at regular intervals. */
--- a/packages/daemon/src/peer/peers.ts
+++ b/packages/daemon/src/peer/peers.ts
@@ -84,6 +84,8 @@
     this.server = server
     this.visitors.attach(server)
     this.sockets = new WebSocketServer({ server, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
+    // Repeats the errors of the server, which are handled there.
+    this.sockets.on('error', () => {})
     this.sockets.on('connection', (socket, request) => {
       this.meter.add(request.socket)
       this.accept(socket, request.socket)
--- a/packages/daemon/src/peer/visitors.ts
+++ b/packages/daemon/src/peer/visitors.ts
@@ -66,6 +66,7 @@
   attach (server: Server): void {
     server.on('connection', (socket) => { this.enter(socket) })
     server.on('clientError', (error, socket) => { this.onClientError(error, socket) })
+    server.once('listening', () => { server.on('error', () => { this.cutoffs.count(Cutoff.AcceptFailed) }) })
     this.timer = setInterval(() => { this.check() }, REPORT_INTERVAL_MS)
   }
 
--- a/packages/daemon/test/peers.spec.ts
+++ b/packages/daemon/test/peers.spec.ts
@@ -20,6 +20,19 @@
 /** The connection at the owner. */
 let ownerSocket: WebSocket
 
+/** @param port on which the node listens for others */
+function createPeers (port: number): Peers {
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  return new Peers({
+    settings: { node: 'entry', zone: 'z', peer: { host: '127.0.0.1', port }, timing: DEFAULT_TIMING },
+    members: { vm: () => ({ address }), candidates: () => ['owner'] },
+    metrics: new FakeMetrics(),
+    logger: { warn: () => {} },
+    clock: new SystemClock(),
+    zonesOf: () => []
+  } as unknown as PeersOptions)
+}
+
 beforeEach(async () => {
   handled = []
   server = new WebSocketServer({ host: '127.0.0.1', port: 0 })
@@ -32,15 +45,7 @@
     }).catch(() => {})
   })
   await once(server, 'listening')
-  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
-  peers = new Peers({
-    settings: { node: 'entry', zone: 'z', peer: { host: '127.0.0.1', port: 0 }, timing: DEFAULT_TIMING },
-    members: { vm: () => ({ address }), candidates: () => ['owner'] },
-    metrics: new FakeMetrics(),
-    logger: { warn: () => {} },
-    clock: new SystemClock(),
-    zonesOf: () => []
-  } as unknown as PeersOptions)
+  peers = createPeers(0)
 })
 
 afterEach(() => {
@@ -49,6 +54,14 @@
   server.close()
 })
 
+test('a port that is in use is reported', async () => {
+  const { port } = server.address() as AddressInfo
+  const second = createPeers(port)
+  const listening = await second.listen()
+  second.close()
+  expect(listening.isErr() && listening.error).toContain(`Cannot listen on 127.0.0.1:${port}`)
+})
+
 // Guards against a worker that is drained, or takes work, although the last command that an operator got an answer to says otherwise.
 test.each<{ title: string, isLate: boolean, request: Request, isHandled: boolean }>([
   {
