Gate: a connection that lingers after its refusal makes room before an idle one

What callers saw: in the crowd "at all servers of a node at once, of large bodies" one readiness probe of 16 was closed without an answer. Cause (by the unit test; the closed probe itself was not traced): a refused connection stays open until its client has read the answer, and counted as idle only from then on. With all 32 connections of the readiness server lingering, the only one idle longer was that of the probe, whose request was still on its way. Evidence: the new test in gate.spec.ts, which failed before. Why this works: a lingering connection serves nothing any more, so it goes first, the one that lingers longest before others.

--- a/packages/control/src/entry/eviction.ts
+++ b/packages/control/src/entry/eviction.ts
@@ -3,10 +3,11 @@
  *
  * For a connection:
  *
- * 1. the one that has been idle longest;
- * 2. one that does not read its answers and has no work in progress;
- * 3. the one whose only request has been arriving longest;
- * 4. one that does not read its answers.
+ * 1. the one that has lingered longest: its request was refused, and nothing more is read;
+ * 2. the one that has been idle longest;
+ * 3. one that does not read its answers and has no work in progress;
+ * 4. the one whose only request has been arriving longest;
+ * 5. one that does not read its answers.
  *
  * For the memory of a request:
  *
@@ -35,6 +36,8 @@
   sweptMs = 0
   /** True if connections with requests are not closed. */
   idleOnly = false
+  /** Connections that stay open only until their clients have read a refusal, in the order of entry. */
+  readonly lingering = new Set<Line>()
   /** Each set is in the order of entry, so that its first connection has been in that state longest. */
   private readonly idle = new Set<Line>()
   private readonly arriving = new Set<Line>()
@@ -60,13 +63,15 @@
 
   /** Takes a closed connection out. */
   remove (line: Line): void {
-    for (const set of [this.idle, this.arriving, this.stalled, this.stalledWorking]) set.delete(line)
+    for (const set of [this.lingering, this.idle, this.arriving, this.stalled, this.stalledWorking]) set.delete(line)
     this.sizes.place(line, 0)
     this.busySizes.place(line, 0)
   }
 
   /** Returns what is closed for a new connection; undefined if it has to be refused. */
   forConnection (): Evicted | undefined {
+    const [lingering] = this.lingering
+    if (lingering !== undefined) return { line: lingering, cutoff: Cutoff.Idle }
     const [idle] = this.idle
     if (idle !== undefined) return { line: idle, cutoff: Cutoff.Idle }
     if (this.idleOnly) return undefined
--- a/packages/control/src/entry/gate.ts
+++ b/packages/control/src/entry/gate.ts
@@ -25,8 +25,6 @@
   private readonly lines = new Set<Line>()
   private readonly eviction: Eviction
   private usedBytes = 0
-  /** Connections that are not read any more and stay open until the client has its answer, the one that does so longest first. */
-  private readonly lingering = new Set<Line>()
   /** Bytes that wait on all connections. */
   private waitingBytes = 0
   private openRequests = 0
@@ -87,7 +85,6 @@
     if (line.closed) return
     line.closed = true
     this.lines.delete(line)
-    this.lingering.delete(line)
     this.eviction.remove(line)
     this.usedBytes -= line.freeable
     this.waitingBytes -= line.waitingBytes
@@ -134,10 +131,11 @@
   /** Counts a connection that is not read any more, and closes others of its kind if what the kernel may hold for them is too much. */
   linger (line: Line): void {
     if (line.closed) return
-    this.lingering.add(line)
+    const { lingering } = this.eviction
+    lingering.add(line)
     const maximum = this.limits.bytes * LINGERING_FRACTION / this.limits.receiveBufferBytes
-    for (const first of this.lingering) {
-      if (first === line || this.lingering.size <= maximum) return
+    for (const first of lingering) {
+      if (first === line || lingering.size <= maximum) return
       this.cut(first, Cutoff.Memory)
     }
   }
--- a/packages/control/test/entry/gate.spec.ts
+++ b/packages/control/test/entry/gate.spec.ts
@@ -212,6 +212,15 @@
     expect(lines.map((line) => line.closed)).toEqual([true, false, false])
   })
 
+  it('closes a connection that lingers for a new one, before one whose request may be on its way', () => {
+    const scene = new Scene()
+    const lines = [scene.open(), scene.open(), scene.open()]
+    const [, refused, later] = lines
+    for (const line of [refused!, later!]) scene.gate.linger(line)
+    scene.open()
+    expect([lines.map((line) => line.closed), scene.cutoffs]).toEqual([[false, true, false], [Cutoff.Idle]])
+  })
+
   it('closes the connection whose only request has been arriving for the longest time, if none is idle or unread', () => {
     const scene = new Scene()
     const [handled, first, second] = [scene.open(), scene.open(), scene.open()]
