Links: connections take turns until they are upgraded

What callers saw: 200 clients that send 1,000 requests each to the port where other nodes connect ended the process with SIGABRT, although a connection was closed at its second request: the crowd passed once with 118 MB and ended the node in the next run. Cause: the server's sockets were read directly, so the parser made all requests and answers of a read of 64 kB, some 1,000 of them, on 200 connections in one iteration of the event loop. The connection was closed after that. Why this works: until the upgrade these connections pass through a feed as those of callers do: 2 kB of each in turns, 32 kB in an iteration, and one request at a time. At the upgrade the feed leaves the socket, with what it has read, to the WebSocket library, so frames between nodes are not held up.

--- a/packages/control/src/entry/cutoff.ts
+++ b/packages/control/src/entry/cutoff.ts
@@ -18,8 +18,6 @@
   BodyTooLarge = 'body-too-large',
   SlowHead = 'slow-head',
   SlowBody = 'slow-body',
-  /** A client sent a request before the answer to another one, where connections cannot be held. */
-  SentAhead = 'sent-ahead',
   /** A client read nothing of its answers for too long. */
   SlowReader = 'slow-reader',
   Malformed = 'malformed'
--- a/packages/control/src/entry/entry.ts
+++ b/packages/control/src/entry/entry.ts
@@ -2,7 +2,7 @@
  * The HTTP servers of a node, each behind a gate that holds its clients to the limits.
  */
 import { createServer, type Server } from 'node:http'
-import type { Duplex } from 'node:stream'
+import type { Socket } from 'node:net'
 import { Blocks } from '@fireflymount/entry/body'
 import { SOCKET_BUFFER_BYTES } from '@fireflymount/entry/feed'
 import type { Clock } from '../clock.js'
@@ -10,7 +10,7 @@
 import type { Metrics } from '../report/metrics.js'
 import type { Cutoff } from './cutoff.js'
 import { Gate } from './gate.js'
-import { GatedServer, type RequestHandler } from './gated-server.js'
+import { GatedServer, type RequestHandler, type UpgradeHandler } from './gated-server.js'
 import { Endpoint, limitsOf, type EntrySettings, type MachineResources } from './limits.js'
 
 /** Interval at which clients that do not read are looked for, and at which is reported what was refused or closed. */
@@ -47,15 +47,15 @@
    *
    * @param endpoint the server, of which there is one
    * @param handler handles its requests
+   * @param onUpgrade takes upgraded connections; without it, requests for an upgrade are like others
    */
-  createServer (endpoint: Endpoint, handler: RequestHandler): Server {
+  createServer (endpoint: Endpoint, handler: RequestHandler, onUpgrade?: UpgradeHandler): Server {
     const limits = limitsOf(endpoint, this.options.machine, this.options.limits)
     const gate = new Gate(limits, (cutoff) => { this.count(endpoint, cutoff) })
     this.gates.set(endpoint, gate)
-    const isFed = endpoint !== Endpoint.Nodes
     // A keepAliveTimeout of 0 keeps idle connections open without a timeout.
     const server = createServer({
-      ...(isFed ? { highWaterMark: SOCKET_BUFFER_BYTES } : {}),
+      highWaterMark: SOCKET_BUFFER_BYTES,
       maxHeaderSize: limits.headBytes,
       headersTimeout: limits.headMs,
       requestTimeout: limits.headMs + limits.bodyMs,
@@ -65,14 +65,14 @@
     const gated = new GatedServer(gate, this.blocks, handler, this.options.log)
     this.gatedServers.set(endpoint, gated)
     gated.attach(server)
-    if (isFed) gated.feed(server)
-    else gated.acceptUpgrades(server)
+    gated.feed(server)
+    if (onUpgrade !== undefined) gated.acceptUpgrades(server, onUpgrade)
     return server
   }
 
   /** Notes that a client of the nodes' server has introduced itself as a node. Its connection is not closed to make room for others. */
-  admitNode (stream: Duplex): void {
-    this.gatedServers.get(Endpoint.Nodes)?.admit(stream)
+  admitNode (socket: Socket): void {
+    this.gatedServers.get(Endpoint.Nodes)?.admit(socket)
   }
 
   /** Number of requests to a server whose answer has not been sent to the end. */
--- a/packages/control/src/entry/gated-server.ts
+++ b/packages/control/src/entry/gated-server.ts
@@ -2,23 +2,32 @@
  * Passes the connections and requests of an HTTP server through a gate, which holds its clients to the limits.
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { Body, type Blocks } from '@fireflymount/entry/body'
-import { Introduction, MAX_INTRODUCTION_BYTES } from '@fireflymount/entry/introduction'
+import { MAX_INTRODUCTION_BYTES } from '@fireflymount/entry/introduction'
 import { Turns } from '@fireflymount/entry/turns'
 import { describeError, type Log } from '../report/log.js'
 import { cutoffOf, endWith } from './client-error.js'
 import { Cutoff } from './cutoff.js'
 import type { Gate } from './gate.js'
-import { Passage } from './line.js'
-import { FeedLine, StreamLine } from './stream-line.js'
+import { Passage, type Line } from './line.js'
+import { FeedLine, UpgradedLine } from './stream-line.js'
 
 /** Handles a request whose body has arrived. A promise resolves once the request was handled. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse, body: Buffer) => unknown
 
+/**
+ * Takes a connection that its client asks to upgrade. It has to listen at once.
+ *
+ * @param head what the client has sent after the request
+ */
+export type UpgradeHandler = (request: IncomingMessage, socket: Socket, head: Buffer) => void
+
 /** Connects a server with a gate. */
 export class GatedServer {
-  private readonly lines = new Map<Duplex, StreamLine>()
+  private readonly lines = new Map<Duplex, FeedLine>()
+  private readonly upgraded = new Map<Socket, UpgradedLine>()
 
   constructor (
     private readonly gate: Gate,
@@ -43,30 +52,39 @@
     server.on('connection', (socket) => {
       turns.accept()
       const line = new FeedLine(socket, this.gate, turns)
-      if (this.enter(line, line.feed)) serve!.call(server, line.feed)
+      if (this.enter(line)) serve!.call(server, line.feed)
     })
   }
 
-  /** Passes connections on as they are. Clients that have upgraded theirs may send an introduction until they are admitted. */
-  acceptUpgrades (server: Server): void {
-    server.on('connection', (socket) => { this.enter(new StreamLine(socket), socket) })
-    server.on('upgrade', (_, socket: Duplex) => {
-      const line = this.lines.get(socket)
+  /** Passes upgraded connections on. Until one is admitted, its client may send an introduction. */
+  acceptUpgrades (server: Server, onUpgrade: UpgradeHandler): void {
+    server.on('upgrade', (request: IncomingMessage, stream: Duplex, head: Buffer) => {
+      const line = this.lines.get(stream)
       if (line === undefined) return
-      line.introduction = new Introduction(socket, (bytes) => { this.onIntroduction(line, bytes) })
+      const rest = line.feed.release()
+      this.gate.leave(line)
+      const { socket } = line
+      const upgraded = new UpgradedLine(socket, (sender, bytes) => { this.onIntroduction(sender, bytes) })
+      this.gate.enter(upgraded)
+      this.upgraded.set(socket, upgraded)
+      socket.once('close', () => {
+        this.upgraded.delete(socket)
+        this.gate.leave(upgraded)
+      })
+      onUpgrade(request, socket, Buffer.concat([head, rest]))
     })
   }
 
   /** Counts an upgraded connection as in use for as long as it is open. */
-  admit (stream: Duplex): void {
-    const line = this.lines.get(stream)
+  admit (socket: Socket): void {
+    const line = this.upgraded.get(socket)
     if (line === undefined) return
-    line.introduction?.end()
+    line.introduction.end()
     this.gate.keep(line, 0)
     this.gate.occupy(line)
   }
 
-  private onIntroduction (line: StreamLine, bytes: number): void {
+  private onIntroduction (line: UpgradedLine, bytes: number): void {
     if (bytes <= MAX_INTRODUCTION_BYTES) {
       this.gate.keep(line, bytes)
       return
@@ -75,14 +93,15 @@
     this.close(line)
   }
 
-  private enter (line: StreamLine, stream: Duplex): boolean {
+  private enter (line: FeedLine): boolean {
+    const { feed, socket } = line
     if (!this.gate.enter(line)) {
-      endWith(line.socket, Cutoff.Connections, `Retry-After: ${this.gate.limits.retryAfterS}\r\n`)
+      endWith(socket, Cutoff.Connections, `Retry-After: ${this.gate.limits.retryAfterS}\r\n`)
       return false
     }
-    this.lines.set(stream, line)
-    stream.once('close', () => {
-      this.lines.delete(stream)
+    this.lines.set(feed, line)
+    feed.once('close', () => {
+      this.lines.delete(feed)
       this.gate.leave(line)
     })
     return true
@@ -93,11 +112,6 @@
     // Requests that arrived in one part with the one for which the connection was closed.
     if (line === undefined || line.closed) return
     const { gate } = this
-    if (line.requests > 0 && !line.holdable) {
-      gate.count(Cutoff.SentAhead)
-      this.close(line)
-      return
-    }
     const body = new Body(this.blocks)
     let content: Buffer
     const declared = request.headers['content-length']
@@ -169,7 +183,7 @@
 
   /** Answers a request that has not been handled. The rest of its body is discarded if it is short; else the connection is closed. */
   private refuse (passage: Passage, request: IncomingMessage, response: ServerResponse, status: number): void {
-    const line = passage.line as StreamLine
+    const line = passage.line as FeedLine
     if (line.closed) return
     // Answers go out in the order of the requests, so this one would wait in memory.
     if (line.requests > 1) {
@@ -190,7 +204,7 @@
     this.gate.linger(line)
   }
 
-  private close (line: StreamLine): void {
+  private close (line: Line): void {
     this.gate.leave(line)
     line.close()
   }
--- a/packages/control/src/entry/stream-line.ts
+++ b/packages/control/src/entry/stream-line.ts
@@ -3,78 +3,75 @@
  */
 import type { Socket } from 'node:net'
 import { Feed } from '@fireflymount/entry/feed'
-import type { Introduction } from '@fireflymount/entry/introduction'
+import { Introduction } from '@fireflymount/entry/introduction'
 import type { Turns } from '@fireflymount/entry/turns'
 import type { Gate } from './gate.js'
 import { Line } from './line.js'
 
-/** A connection that is passed on as it is. */
-export class StreamLine extends Line {
+/** A connection with requests. */
+export class FeedLine extends Line {
   /** True if the rest of a refused request's body is discarded. */
   discarding = false
   /** True after an error of the client, such as malformed HTTP. */
   failed = false
-  /** True if the connection can be held while a request is in progress. */
-  readonly holdable: boolean = false
-  /** What the client of an upgraded connection sends until it is admitted. */
-  introduction: Introduction | undefined
+  readonly feed: Feed
 
-  constructor (readonly socket: Socket) {
+  constructor (readonly socket: Socket, gate: Gate, turns: Turns) {
     super()
+    const { lingerMs, receiveBufferBytes: kernelBytes } = gate.limits
+    this.feed = new Feed(socket, { turns, lingerMs, kernelBytes, onWaiting: (bytes) => { gate.keep(this, bytes) } })
   }
 
   /** Drops what the client sends from now on. */
-  ignore (): void {}
+  ignore (): void {
+    this.feed.ignore()
+  }
 
-  override hold (): void {}
+  override hold (): void {
+    this.feed.stop()
+  }
 
-  override resume (): void {}
+  override resume (): void {
+    this.feed.goOn()
+  }
 
   override close (): void {
-    this.socket.destroy()
+    this.feed.destroy()
   }
 
   override unread (): number {
-    return this.socket.writableLength
+    return this.feed.unsentBytes
   }
 
   override sent (): number {
-    return this.socket.bytesWritten - this.socket.writableLength
+    return this.feed.sentBytes
   }
 }
 
-/** A connection that can be held. */
-export class FeedLine extends StreamLine {
-  override readonly holdable = true
-  readonly feed: Feed
-
-  constructor (socket: Socket, gate: Gate, turns: Turns) {
-    super(socket)
-    const { lingerMs, receiveBufferBytes: kernelBytes } = gate.limits
-    this.feed = new Feed(socket, { turns, lingerMs, kernelBytes, onWaiting: (bytes) => { gate.keep(this, bytes) } })
-  }
+/** A connection that its client has upgraded. */
+export class UpgradedLine extends Line {
+  /** What the client sends until it is admitted. */
+  readonly introduction: Introduction
 
-  override ignore (): void {
-    this.feed.ignore()
+  /** @param onIntroduction called with the number of bytes that the client has sent before it is admitted */
+  constructor (private readonly socket: Socket, onIntroduction: (line: UpgradedLine, bytes: number) => void) {
+    super()
+    this.introduction = new Introduction(socket, (bytes) => { onIntroduction(this, bytes) })
   }
 
-  override hold (): void {
-    this.feed.stop()
-  }
+  override hold (): void {}
 
-  override resume (): void {
-    this.feed.goOn()
-  }
+  override resume (): void {}
 
   override close (): void {
-    this.feed.destroy()
+    this.socket.destroy()
   }
 
   override unread (): number {
-    return this.feed.unsentBytes
+    return this.socket.writableLength
   }
 
   override sent (): number {
-    return this.feed.sentBytes
+    return this.socket.bytesWritten - this.socket.writableLength
   }
 }
--- a/packages/control/src/membership/links.ts
+++ b/packages/control/src/membership/links.ts
@@ -3,7 +3,7 @@
  */
 import { detach } from '../detach.js'
 import type { Server } from 'node:http'
-import type { Duplex } from 'node:stream'
+import type { Socket } from 'node:net'
 import { Connection, type ConnectionSettings, type Handler, type HandlerFailure } from '@fireflymount/protocol/connection'
 import { MAX_FRAME_BYTES } from '@fireflymount/protocol/frame'
 import type { Request } from '@fireflymount/protocol/message'
@@ -73,12 +73,16 @@
    */
   async listen (): Promise<Result<void, string>> {
     const { host, port } = this.options
-    const server = this.options.entry.createServer(Endpoint.Nodes, (_, response) => { response.writeHead(426, { connection: 'close' }).end() })
+    const sockets = new WebSocketServer({ noServer: true, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
+    this.sockets = sockets
+    const server = this.options.entry.createServer(
+      Endpoint.Nodes,
+      (_, response) => { response.writeHead(426, { connection: 'close' }).end() },
+      (request, stream, head) => {
+        sockets.handleUpgrade(request, stream, head, (socket) => { detach(this.accept(socket, stream)) })
+      }
+    )
     this.server = server
-    this.sockets = new WebSocketServer({ server, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
-    // Repeats the errors of the server, which are handled there.
-    this.sockets.on('error', () => {})
-    this.sockets.on('connection', (socket, request) => { detach(this.accept(socket, request.socket)) })
     return await new Promise((resolve) => {
       server.once('error', (error) => { resolve(err(`Cannot listen on ${host}:${port}: ${error.message}`)) })
       server.listen(port, host, () => { resolve(ok(undefined)) })
@@ -173,7 +177,7 @@
     return opened
   }
 
-  private async accept (socket: WebSocket, stream: Duplex): Promise<void> {
+  private async accept (socket: WebSocket, stream: Socket): Promise<void> {
     const opened = await Connection.open(socket, this.connectionSettings, this.options.handler)
     if (opened.isErr()) return
     this.options.entry.admitNode(stream)
--- a/packages/entry/src/feed.ts
+++ b/packages/entry/src/feed.ts
@@ -44,19 +44,23 @@
   private ended = false
   /** True once the HTTP server was told so. */
   private endHandedOn = false
+  private released = false
   private readonly turn = (): number => this.takeTurn()
+  private readonly listenersOfSocket: ReadonlyArray<readonly [event: string, listener: (data: Buffer) => void]> = [
+    ['data', (data) => { this.receive(data) }],
+    ['end', () => {
+      this.ended = true
+      this.settle()
+    }],
+    ['timeout', () => { this.emit('timeout') }],
+    ['error', () => { this.destroy() }],
+    ['close', () => { this.destroy() }]
+  ]
 
   /** @param socket has a high-water mark of `SOCKET_BUFFER_BYTES` */
   constructor (private readonly socket: Socket, private readonly options: FeedOptions) {
     super({ decodeStrings: false })
-    socket.on('data', (data: Buffer) => { this.receive(data) })
-    socket.once('end', () => {
-      this.ended = true
-      this.settle()
-    })
-    socket.on('timeout', () => { this.emit('timeout') })
-    socket.once('error', () => { this.destroy() })
-    socket.once('close', () => { this.destroy() })
+    for (const [event, listener] of this.listenersOfSocket) socket.on(event, listener)
   }
 
   /** Bytes of answers that have not left the process. */
@@ -90,6 +94,21 @@
     this.stop()
   }
 
+  /**
+   * Leaves the socket to another reader, which has to listen at once, and ends without closing it.
+   *
+   * @returns what was received and not handed on
+   */
+  release (): Buffer {
+    const rest = this.rest ?? Buffer.alloc(0)
+    this.released = true
+    for (const [event, listener] of this.listenersOfSocket) this.socket.off(event, listener)
+    this.destroy()
+    if (this.filled) this.socket.read(FILLER.length)
+    this.socket.resume()
+    return rest
+  }
+
   /** Emits 'timeout' once the connection has been idle for this time. The HTTP server calls it for connections that are kept alive. */
   setTimeout (ms: number): this {
     this.socket.setTimeout(ms)
@@ -124,7 +143,7 @@
   override _destroy (error: Error | null, callback: (error: Error | null) => void): void {
     this.rest = undefined
     this.options.turns.remove(this.turn)
-    this.socket.destroy()
+    if (!this.released) this.socket.destroy()
     callback(error)
   }
 
--- a/packages/entry/test/feed.spec.ts
+++ b/packages/entry/test/feed.spec.ts
@@ -88,6 +88,40 @@
     server.close()
   })
 
+  it.each([
+    ['while it hands on a part', 0],
+    ['once it waits for its reader', 100]
+  ])('leaves the socket to another reader %s, without a loss', async (_, waitMs) => {
+    const server = createServer({ highWaterMark: SOCKET_BUFFER_BYTES })
+    await once(server.listen(0, '127.0.0.1'), 'listening')
+    const client = connect((server.address() as AddressInfo).port, '127.0.0.1')
+    const [accepted] = await once(server, 'connection') as [Socket]
+    const sent = Buffer.from(Array.from({ length: 300_000 }, (_, index) => index % 251))
+    const handedOn: Buffer[] = []
+    const released = new Feed(accepted, optionsOf())
+    const first = once(released, 'data')
+    released.on('data', (part: Buffer) => {
+      handedOn.push(part)
+      if (waitMs > 0) released.pause()
+      else handOver()
+    })
+    client.write(sent)
+    await first
+    if (waitMs > 0) await sleep(waitMs).then(handOver)
+    await expect.poll(() => Buffer.concat(handedOn).length).toBe(sent.length)
+    expect(Buffer.concat(handedOn).equals(sent)).toBe(true)
+    expect([released.destroyed, accepted.destroyed]).toEqual([true, false])
+    client.destroy()
+    server.close()
+
+    function handOver (): void {
+      // Emits what the feed itself has buffered.
+      released.read()
+      handedOn.push(released.release())
+      accepted.on('data', (data: Buffer) => { handedOn.push(data) })
+    }
+  })
+
   it.each([
     ['nothing', 1000, false, 0],
     ['what it has received and the kernel may hold, while it is stopped', 5000, true, 5000 + KERNEL_BYTES],
