Entry: the kernel completes few connections ahead

Cause: the kernel completes up to 511 connections for each listening socket (the default of Node.js) before they are accepted and takes what they send, some 64 kB each. Received and unread bytes count as memory of the process. Why this works: the backlogs of the listening sockets follow from the memory: 1/8 of it for callers and 1/16 for nodes at the size of a receive buffer, 511 at most, and 32 for readiness and metrics, which have as many connections. Beyond it the kernel holds clients back, which try again.

--- a/packages/control/src/entry/entry.ts
+++ b/packages/control/src/entry/entry.ts
@@ -70,6 +70,11 @@
     return server
   }
 
+  /** Maximum number of connections to a server that are completed before they are accepted. */
+  backlogOf (endpoint: Endpoint): number {
+    return limitsOf(endpoint, this.options.machine, this.options.limits).backlog
+  }
+
   /** Notes that a client of the nodes' server has introduced itself as a node. Its connection is not closed to make room for others. */
   admitNode (socket: Socket): void {
     this.gatedServers.get(Endpoint.Nodes)?.admit(socket)
--- a/packages/control/src/entry/limits.ts
+++ b/packages/control/src/entry/limits.ts
@@ -17,6 +17,8 @@
 export interface EntryLimits {
   /** Maximum number of open connections. */
   readonly connections: number
+  /** Maximum number of connections that the kernel completes, with what their clients send, before they are accepted. */
+  readonly backlog: number
   /** Requests of one connection in progress from which on the connection is not read. */
   readonly requestsPerConnection: number
   /** Maximum estimated memory in bytes of all requests in progress and of the answers that clients have not read. */
@@ -74,6 +76,10 @@
 /** Part of the heap beyond what is reserved that is left if a former owner holds all jobs twice. */
 const REQUEST_HEAP = 1 - 2 * JOBS_SHARE
 const CONNECTION_MEMORY = 1 / 8
+/** Parts of the memory for what the kernel holds for connections before they are accepted. */
+const CALLER_BACKLOG_MEMORY = 1 / 8
+const NODE_BACKLOG_MEMORY = 1 / 16
+const MAX_BACKLOG = 511
 /** Estimated memory of an open connection. */
 const CONNECTION_BYTES = 16_384
 const MEGABYTE = 1024 * 1024
@@ -93,6 +99,7 @@
 const PROBE_LIMITS: EntryLimits = {
   ...REFUSAL_DEFAULTS,
   connections: 32,
+  backlog: 32,
   requestsPerConnection: 1,
   bytes: MEGABYTE,
   bodyBytes: 0,
@@ -122,11 +129,16 @@
       return {
         ...CALLER_DEFAULTS,
         connections: connectionsOf(Math.min(sockets * CALLER_SOCKETS, byMemory)),
+        backlog: backlogOf(memoryBytes * CALLER_BACKLOG_MEMORY),
         bytes: requestBytesOf(memoryBytes),
         ...definedOf(callerSettings)
       }
     }
-    case Endpoint.Nodes: return { ...PROBE_LIMITS, connections: nodeConnections ?? connectionsOf(sockets * NODE_SOCKETS) }
+    case Endpoint.Nodes: return {
+      ...PROBE_LIMITS,
+      connections: nodeConnections ?? connectionsOf(sockets * NODE_SOCKETS),
+      backlog: backlogOf(memoryBytes * NODE_BACKLOG_MEMORY)
+    }
     default: return PROBE_LIMITS
   }
 }
@@ -146,3 +158,7 @@
 function connectionsOf (count: number): number {
   return Math.max(MIN_CONNECTIONS, Math.floor(count))
 }
+
+function backlogOf (bytes: number): number {
+  return Math.min(MAX_BACKLOG, Math.max(MIN_CONNECTIONS, Math.floor(bytes / REFUSAL_DEFAULTS.receiveBufferBytes)))
+}
--- a/packages/control/test/entry/gate.spec.ts
+++ b/packages/control/test/entry/gate.spec.ts
@@ -6,6 +6,7 @@
 
 const LIMITS: EntryLimits = {
   connections: 3,
+  backlog: 1,
   requestsPerConnection: 2,
   bytes: 100_000,
   bodyBytes: 50_000,
@@ -375,6 +376,14 @@
     expect(limitsOf(Endpoint.Callers, machine, settings)).toMatchObject(expected)
   })
 
+  it.each([
+    [160, { callers: 160, nodes: 80, readiness: 32, metrics: 32 }],
+    [602, { callers: 511, nodes: 301, readiness: 32, metrics: 32 }]
+  ])('let the kernel complete few connections ahead on a machine of %i MB', (memoryMb, expected) => {
+    const backlogs = Object.values(Endpoint).map((endpoint) => [endpoint, limitsOf(endpoint, { memoryMb }).backlog])
+    expect(Object.fromEntries(backlogs)).toEqual(expected)
+  })
+
   it.each([
     [Endpoint.Nodes, 7],
     [Endpoint.Readiness, 32]
