--- a/packages/control/src/entry/entry.ts
+++ b/packages/control/src/entry/entry.ts
@@ -71,8 +71,8 @@
   }
 
   /** Maximum number of connections to a server that are completed before they are accepted. */
-  backlogOf (endpoint: Endpoint): number {
-    return limitsOf(endpoint, this.options.machine, this.options.limits).backlog
+  listenBacklogOf (endpoint: Endpoint): number {
+    return limitsOf(endpoint, this.options.machine, this.options.limits).listenBacklog
   }
 
   /** Notes that a client of the nodes' server has introduced itself as a node. Its connection is not closed to make room for others. */
--- a/packages/control/src/entry/limits.ts
+++ b/packages/control/src/entry/limits.ts
@@ -18,7 +18,7 @@
   /** Maximum number of open connections. */
   readonly connections: number
   /** Maximum number of connections that the kernel completes, with what their clients send, before they are accepted. */
-  readonly backlog: number
+  readonly listenBacklog: number
   /** Requests of one connection in progress from which on the connection is not read. */
   readonly requestsPerConnection: number
   /** Maximum estimated memory in bytes of all requests in progress and of the answers that clients have not read. */
@@ -79,7 +79,7 @@
 /** Parts of the memory for what the kernel holds for connections before they are accepted. */
 const CALLER_BACKLOG_MEMORY = 1 / 8
 const NODE_BACKLOG_MEMORY = 1 / 16
-const MAX_BACKLOG = 511
+const MAX_LISTEN_BACKLOG = 511
 /** Estimated memory of an open connection. */
 const CONNECTION_BYTES = 16_384
 const MEGABYTE = 1024 * 1024
@@ -99,7 +99,7 @@
 const PROBE_LIMITS: EntryLimits = {
   ...REFUSAL_DEFAULTS,
   connections: 32,
-  backlog: 32,
+  listenBacklog: 32,
   requestsPerConnection: 1,
   bytes: MEGABYTE,
   bodyBytes: 0,
@@ -129,7 +129,7 @@
       return {
         ...CALLER_DEFAULTS,
         connections: connectionsOf(Math.min(sockets * CALLER_SOCKETS, byMemory)),
-        backlog: backlogOf(memoryBytes * CALLER_BACKLOG_MEMORY),
+        listenBacklog: connectionsIn(memoryBytes * CALLER_BACKLOG_MEMORY),
         bytes: requestBytesOf(memoryBytes),
         ...definedOf(callerSettings)
       }
@@ -137,7 +137,7 @@
     case Endpoint.Nodes: return {
       ...PROBE_LIMITS,
       connections: nodeConnections ?? connectionsOf(sockets * NODE_SOCKETS),
-      backlog: backlogOf(memoryBytes * NODE_BACKLOG_MEMORY)
+      listenBacklog: connectionsIn(memoryBytes * NODE_BACKLOG_MEMORY)
     }
     default: return PROBE_LIMITS
   }
@@ -159,6 +159,7 @@
   return Math.max(MIN_CONNECTIONS, Math.floor(count))
 }
 
-function backlogOf (bytes: number): number {
-  return Math.min(MAX_BACKLOG, Math.max(MIN_CONNECTIONS, Math.floor(bytes / REFUSAL_DEFAULTS.receiveBufferBytes)))
+/** Returns how many connections may wait to be accepted if the kernel may hold so many bytes for them. */
+function connectionsIn (bytes: number): number {
+  return Math.min(MAX_LISTEN_BACKLOG, Math.max(MIN_CONNECTIONS, Math.floor(bytes / REFUSAL_DEFAULTS.receiveBufferBytes)))
 }
--- a/packages/control/src/membership/links.ts
+++ b/packages/control/src/membership/links.ts
@@ -38,7 +38,7 @@
   readonly host: string
   readonly port: number
   /** Creates the server for connections from other nodes. */
-  readonly entry: Pick<Entry, 'createServer' | 'backlogOf' | 'admitNode'>
+  readonly entry: Pick<Entry, 'createServer' | 'listenBacklogOf' | 'admitNode'>
   readonly addressOf: (node: string) => NodeAddress | undefined
   readonly handler: Handler
   readonly onLink: (node: string, up: boolean) => void
@@ -85,7 +85,7 @@
     this.server = server
     return await new Promise((resolve) => {
       server.once('error', (error) => { resolve(err(`Cannot listen on ${host}:${port}: ${error.message}`)) })
-      server.listen({ port, host, backlog: this.options.entry.backlogOf(Endpoint.Nodes) }, () => { resolve(ok(undefined)) })
+      server.listen({ port, host, backlog: this.options.entry.listenBacklogOf(Endpoint.Nodes) }, () => { resolve(ok(undefined)) })
     })
   }
 
--- a/packages/control/test/entry/gate.spec.ts
+++ b/packages/control/test/entry/gate.spec.ts
@@ -6,7 +6,7 @@
 
 const LIMITS: EntryLimits = {
   connections: 3,
-  backlog: 1,
+  listenBacklog: 1,
   requestsPerConnection: 2,
   bytes: 100_000,
   bodyBytes: 50_000,
@@ -380,7 +380,7 @@
     [160, { callers: 160, nodes: 80, readiness: 32, metrics: 32 }],
     [602, { callers: 511, nodes: 301, readiness: 32, metrics: 32 }]
   ])('let the kernel complete few connections ahead on a machine of %i MB', (memoryMb, expected) => {
-    const backlogs = Object.values(Endpoint).map((endpoint) => [endpoint, limitsOf(endpoint, { memoryMb }).backlog])
+    const backlogs = Object.values(Endpoint).map((endpoint) => [endpoint, limitsOf(endpoint, { memoryMb }).listenBacklog])
     expect(Object.fromEntries(backlogs)).toEqual(expected)
   })
 
