--- a/packages/control/src/entry/job-service.ts
+++ b/packages/control/src/entry/job-service.ts
@@ -16,6 +16,7 @@
 import { RefusalCounter } from '../report/refusal-counter.js'
 import { Appender } from './appender.js'
 import { OwnerlessAdmission } from './ownerless-admission.js'
+import { SharedReads } from './shared-reads.js'
 import { UnconfirmedJobs } from './unconfirmed-jobs.js'
 
 /** Timeout of the owner's answer to a lookup; after it this node answers from its own copy of the journal. */
@@ -90,7 +91,10 @@
   /** Number of submissions in progress, by id of the job. */
   private readonly submitting = new Map<string, number>()
 
+  private readonly reads: SharedReads
+
   constructor (private readonly options: JobServiceOptions) {
+    this.reads = new SharedReads(options.catchUp)
     this.refusals = new RefusalCounter(options.log, options.clock, 'jobs refused by the backlog')
     this.appender = new Appender(options.store, options.clock)
     const { journalState, journalFreshAt, clock } = options
@@ -256,7 +260,7 @@
   }
 
   private async catchUp (): Promise<void> {
-    await Promise.race([this.options.catchUp(), sleep(CATCH_UP_TIMEOUT_MS)])
+    await Promise.race([this.reads.run(), sleep(CATCH_UP_TIMEOUT_MS)])
   }
 
   private refuseStaleJournal (subject: { readonly job: string } | { readonly queue: string }, detail: string): Refusal {
--- a/packages/control/test/entry/job-service.spec.ts
+++ b/packages/control/test/entry/job-service.spec.ts
@@ -315,6 +315,26 @@
     expect(reason).toBe(Reason.LogUnavailable)
   })
 
+  // Guards against a page of the journal in memory for each of many requests.
+  it.each(['lookup', 'count'])('shares its read with others: %s', async (call) => {
+    let reads = 0
+    const catchUp = async (): Promise<void> => {
+      reads++
+      await new Promise(() => {})
+    }
+    const jobService = createJobService(new ScriptedStore(neverAnswer), undefined, new JournalState(), {
+      journalFreshAt: () => NEVER, catchUp
+    })
+    const authorized = jobService.authorize('h', '/', '')._unsafeUnwrap()
+    const answering = Array.from({ length: 300 }, async (_, index) => {
+      return call === 'lookup' ? await jobService.lookup(authorized, idOf(index)) : await jobService.countPending(authorized)
+    })
+    await vi.advanceTimersByTimeAsync(450)
+    await Promise.all(answering)
+    expect(reads).toBeLessThanOrEqual(8)
+    expect(reads).toBeGreaterThan(0)
+  })
+
   it.each([
     { age: 'as old as visible counts may be', ageMs: 2900, waiting: 1 },
     { age: 'older', ageMs: 3100, waiting: Reason.LogUnavailable }
