Show that a job of many small tasks ends the owners

Cause: neither the assignments of a round nor the starts under way are bounded, and the records of one job are kept in one append, which may be larger than the store allows.

--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Plays the case. Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" && exec node play.mjs
