--- a/review/lib-2/judge.mjs
+++ b/review/lib-2/judge.mjs
@@ -50,3 +50,22 @@
   }
   return breaches
 }
+
+/** Returns the tasks of a job that are at work at any moment of a span. */
+export function findBusyTasks (events, job, fromMs, toMs) {
+  const busy = runsOf(events).filter(({ task, startMs, endMs }) => task.startsWith(job) && startMs <= toMs && endMs >= fromMs)
+  return busy.map(({ task }) => task)
+}
+
+/** Asks for an accepted job as a client does, with four retries at other nodes. Returns the state, or what the attempts got. */
+export async function askForState (cell, id, path, answerMs) {
+  const RETRIES = 4
+  const seen = []
+  for (let attempt = 0; attempt <= RETRIES; attempt++) {
+    const asked = await cell.ask((attempt + Number.parseInt(id, 16)) % cell.nodeCount, 'GET', path, undefined, answerMs)
+    const state = cell.stateOf(asked)
+    if (state !== undefined) return { state }
+    seen.push(asked.status)
+  }
+  return { seen }
+}
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -19,6 +19,8 @@
   closedRuns = new Map()
   fence = 0
   deadlineMs = 0
+  /** When the lease was last found to have lapsed, on the worker's clock. */
+  lapsedMs = -Infinity
   sequence = 0
   waiters = new Set()
   bornMs = Date.now()
@@ -67,6 +69,7 @@
     this.closedRuns = new Map()
     this.fence = 0
     this.deadlineMs = 0
+    this.lapsedMs = -Infinity
     this.sequence = 0
     this.waiters = new Set()
     this.bornMs = Date.now()
@@ -101,6 +104,7 @@
 
   tick () {
     const { clockMs } = this
+    if (clockMs > this.deadlineMs) this.lapsedMs = clockMs
     for (const [task, run] of this.running) {
       if (clockMs > this.deadlineMs) this.end(task, 'lapsed')
       else if (clockMs - run.startMs >= run.workMs) this.end(task, run.fails ? 'failed' : 'done')
@@ -111,7 +115,7 @@
     const { run } = this.running.get(task)
     this.running.delete(task)
     this.closedRuns.set(task, Math.max(run, this.closedRuns.get(task) ?? 0))
-    this.ended.push([this.nextEnd++, task, run, how, ''])
+    this.ended.push([this.nextEnd++, task, run, how, '', this.clockMs])
     this.trace('end', { worker: this.id, task, run, how })
     for (const wake of [...this.waiters]) wake()
   }
@@ -169,8 +173,9 @@
 
   serveHold ({ deadlineMs, ackedThrough = 0, waitMs = 0 }, response) {
     this.extend(deadlineMs)
-    for (const [number, task, run, how] of this.ended) {
-      if (number <= ackedThrough) this.trace('acked', { worker: this.id, task, run, how })
+    for (const [number, task, run, how, , endedMs] of this.ended) {
+      // An end isn't taken note of if the lease lapsed between the end and its acknowledgement.
+      if (number <= ackedThrough && this.lapsedMs < endedMs) this.trace('acked', { worker: this.id, task, run, how })
     }
     this.ended = this.ended.filter(([number]) => number > ackedThrough)
     if (this.ended.length > 0 || waitMs === 0) return this.report(response)
@@ -192,7 +197,7 @@
     for (const [task, { run, startMs, workMs }] of this.running) {
       running.push([task, run, '', Math.min(100, Math.floor(100 * (this.clockMs - startMs) / workMs)), 0])
     }
-    this.reply(response, 200, { running, ended: this.ended.slice(0, MAX_ENDS) })
+    this.reply(response, 200, { running, ended: this.ended.slice(0, MAX_ENDS).map((end) => end.slice(0, 5)) })
   }
 
   reply (response, status, content) {
