Keep a run whose start may still be carried out by a later incarnation

Cause: a start got no answer, its worker confirmed the stop, and the owner took that for the end of the start: it released the run and placed the task elsewhere. Only the incarnation that confirmed the stop knows of it. The worker crashed, started again under its id and carried out the late start before the owner had reached it; the deadline of the start lies on the clock of the former incarnation. A lapsed lease, a machine that is down and a report to a new owner were taken for the end of a start in the same way.

Fix: a run is released only once none of its starts can be carried out any more. StartAttempts knows this of each run: all were answered, the worker has reported the run, or the longest delay of a command has passed. So that this is enough, an owner sends starts only within 2.5 s of its last confirmation. A long-running task is started again at once on the same worker, where it cannot run beside itself. Tasks that may run twice, jobs that are over, and workers whose machine has another worker need no wait. The other members of a gang are stopped at once.

--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -32,7 +32,7 @@
 import { ZoneEvacuator } from '../zones/zone-evacuator.js'
 import { SpeedEstimator } from '../place/speed.js'
 import { AdvisorClient, type AdvisorCall, type FinishedCall } from './advisor-client.js'
-import { MAX_UNCONFIRMED_OWNERSHIP_MS } from './ownership.js'
+import { MAX_UNCONFIRMED_OWNERSHIP_MS, MAX_UNCONFIRMED_START_MS } from './ownership.js'
 import { RunSupervisor } from './run-supervisor.js'
 import { WorkerLossDetector } from './worker-loss-detector.js'
 import { JournalCommitter } from './journal-committer.js'
@@ -45,6 +45,7 @@
 import { Fences } from './fence.js'
 import { Adoption } from './adoption.js'
 import { AdmissionController } from './admission-controller.js'
+import { MAX_COMMAND_DELAY_MS } from './lease.js'
 import { Ledger, chargeOf } from './ledger.js'
 import { Registry } from './registry.js'
 import { RoundPacer } from './round-pacer.js'
@@ -284,7 +285,11 @@
 
   /** Returns true if the store confirmed the ownership recently enough. */
   mayAct (): boolean {
-    return !this.stopController.signal.aborted && this.options.clock.ageOf(this.writer.confirmedAt) < MAX_UNCONFIRMED_OWNERSHIP_MS
+    return this.isConfirmedWithin(MAX_UNCONFIRMED_OWNERSHIP_MS)
+  }
+
+  private isConfirmedWithin (ms: number): boolean {
+    return !this.stopController.signal.aborted && this.options.clock.ageOf(this.writer.confirmedAt) < ms
   }
 
   /**
@@ -387,6 +392,7 @@
       const run = new Run(entry, task, task.run, session, chargeOf(entry.job.steps[task.step]!), '', this.options.clock.now())
       run.state = RunState.Uncertain
       run.inherited = true
+      run.starts.inherit(this.options.clock.now() + MAX_UNCONFIRMED_START_MS + MAX_COMMAND_DELAY_MS)
       run.throttlePercent = undefined
       this.ledger.add(run)
       if (entry.isFinishedOrCancelled()) run.stopping = StopReason.Cancelled
@@ -465,6 +471,7 @@
       fleet: options.fleet,
       clock: options.clock,
       mayAct: () => this.mayAct(),
+      mayStart: () => this.isConfirmedWithin(MAX_UNCONFIRMED_START_MS),
       zones: options.zones,
       onRunsEnded: (session, ended) => this.runEndHandler.handleRunEnds(session, ended),
       onUnknownRun: (session, task, run) => { this.onUnknownRun(session, task, run) },
@@ -477,6 +484,13 @@
       },
       onRunsLost: (session, runs, reason) => { this.runEndHandler.onRunsLost(session, runs, reason) },
       onRunReleased: (run, reason) => { this.runEndHandler.onRunReleased(run, reason) },
+      onReleaseDelayed: (run, reason, delayMs) => {
+        options.metrics.delayedReleases.inc()
+        options.log.decision('run release delayed', {
+          task: run.name, run: run.number, worker: run.session.id, reason, delayMs: Math.round(delayMs)
+        })
+        this.runEndHandler.onReleaseDelayed(run)
+      },
       onStartHeld: (run, reason) => {
         options.metrics.heldStarts.inc({ reason })
         this.runEndHandler.onRunReleased(run, reason)
--- a/packages/control/src/owner/ownership.ts
+++ b/packages/control/src/owner/ownership.ts
@@ -7,3 +7,9 @@
  * previous owner has certainly stopped granting leases.
  */
 export const MAX_UNCONFIRMED_OWNERSHIP_MS = 11_000
+
+/**
+ * Maximum time that an owner sends starts on its last confirmation from the store. It limits how long a successor keeps the runs of the
+ * previous owner whose starts may still be carried out.
+ */
+export const MAX_UNCONFIRMED_START_MS = 2500
--- a/packages/control/src/owner/run-end-handler.ts
+++ b/packages/control/src/owner/run-end-handler.ts
@@ -248,6 +248,11 @@
     this.options.requestRound()
   }
 
+  /** Handles a run that is not running and is kept for a while. The other members of its gang can't complete without it. */
+  onReleaseDelayed ({ entry, task }: Run): void {
+    if (!entry.isFinishedOrCancelled()) this.stopGang(entry, task)
+  }
+
   /**
    * Handles a run that has ended, and whose end is lost. The worker may have completed it, so its job fails rather than run it twice. A
    * task that is long-running, or may run twice, is placed again.
--- a/packages/control/src/owner/run.ts
+++ b/packages/control/src/owner/run.ts
@@ -6,6 +6,7 @@
 import type { Step } from '../model/job.js'
 import { Progress } from './progress.js'
 import type { Session } from './session.js'
+import { StartAttempts } from './start-attempts.js'
 
 /** State of a run. */
 export enum RunState {
@@ -23,7 +24,10 @@
   Cancelled = 'cancelled',
   /** The job has failed, or has completed while members of a gang still run. */
   JobEnded = 'job-failed',
-  /** It is unknown whether the run has started. A confirmed stop proves that it is not running and can no longer start. */
+  /**
+   * It is unknown whether the run has started. A confirmed stop proves that it is not running and can no longer start in this incarnation of
+   * the worker.
+   */
   Uncertain = 'uncertain',
   /** The run of another member of the gang has ended without completing. */
   GangMemberEnded = 'gang-incomplete',
@@ -45,12 +49,17 @@
   state = RunState.Committing
   /**
    * Assigned by a previous owner. If a report under this owner's fence contains all ended runs, and the run is neither among
-   * them nor running, it can no longer start.
+   * them nor running, it can no longer start in this incarnation of the worker.
    */
   inherited = false
   /** The current incarnation of the worker has reported the run. The run therefore ends with that incarnation. */
   listed = false
   stopping: StopReason | undefined
+  readonly starts = new StartAttempts()
+  /** The start is being repeated until the worker confirms the run. */
+  repeating = false
+  /** The run is kept only because a start of it may still be carried out. */
+  releaseDelayed = false
   /**
    * When the current incarnation of the worker last confirmed that the run was there, by the answer to its start or by a report: the worker's
    * clock, and the steady clock of this process. Undefined before.
--- a/packages/control/src/owner/session-host.ts
+++ b/packages/control/src/owner/session-host.ts
@@ -19,6 +19,8 @@
   readonly clock: Clock
   /** Returns false if the store has not confirmed the ownership recently enough, or the owner is closed. */
   readonly mayAct: () => boolean
+  /** Returns false if the store has not confirmed the ownership within `MAX_UNCONFIRMED_START_MS`, or the owner is closed. */
+  readonly mayStart: () => boolean
   /** Availability zones to which nothing may be sent. */
   readonly zones: ZoneStatus
   /** Applies ended runs. Resolves to those that were applied, once the changes are in the journal. */
@@ -31,6 +33,13 @@
   readonly onRunsLost: (session: Session, runs: readonly Run[], reason: string) => void
   /** Called when a run is released for another reason: it has provably not started, or has ended without being reported. */
   readonly onRunReleased: (run: Run, reason: string) => void
+  /**
+   * Called once for a run that is kept although it is not running, because a start of it may still be carried out.
+   *
+   * @param reason how it is known that the run is not running
+   * @param delayMs longest time for which the run is kept
+   */
+  readonly onReleaseDelayed: (run: Run, reason: string, delayMs: number) => void
   /** Called when a run is not started because of an evacuation; the run is to be released. */
   readonly onStartHeld: (run: Run, reason: string) => void
   /** Called when it is first confirmed to this owner that a run has started, also for a run of an earlier owner. */
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -6,6 +6,7 @@
 import { NO_RESOURCES, addResources, subtractResources, type Resources } from '@fireflymount/protocol/resources'
 import { sleep } from '../clock.js'
 import { detach } from '../detach.js'
+import { Stage } from '../journal/record.js'
 import { rackOf, type EndedRun, type Report, type Worker } from '../model/worker.js'
 import { WorkerFailure } from '../ports/fleet.js'
 import type { Fence } from './fence.js'
@@ -280,12 +281,11 @@
       this.host.onRunReleased(run, 'stopped before it was started')
       return
     }
-    if (!this.host.mayAct()) {
+    if (!this.host.mayStart()) {
       this.host.onRunReleased(run, 'ownership not confirmed lately')
       return
     }
-    const validityMs = Math.min(START_VALIDITY_MS, this.host.zones.maxStartValidityMs())
-    if (validityMs === 0 || this.isEvacuated()) {
+    if (this.startValidityMs() === 0) {
       this.host.onStartHeld(run, this.isEvacuated() ? ZONE_EVACUATED : 'evacuations not read lately')
       return
     }
@@ -294,11 +294,22 @@
       this.host.onRunReleased(run, 'no fencing token left')
       return
     }
+    if (!await this.sendStart(run)) await this.resolveUncertainStart(run)
+  }
+
+  /** How long a start may be valid that is sent now; 0 if none may be sent. */
+  private startValidityMs (): number {
+    return this.isEvacuated() ? 0 : Math.min(START_VALIDITY_MS, this.host.zones.maxStartValidityMs())
+  }
+
+  /** Sends one start request and handles its answer. Returns false if there was none. */
+  private async sendStart (run: Run): Promise<boolean> {
     run.state = RunState.Starting
     // The deadline of a start also extends the lease.
-    const deadlineMs = this.lease.grant(validityMs)
+    const deadlineMs = this.lease.grant(this.startValidityMs())
     const fence = this.fence.current
     const { born } = this
+    run.starts.onSent(this.host.clock.now())
     this.unsettledStarts.add(run, this.host.clock.now())
     const started = await this.host.fleet.start(this.worker, {
       task: run.name,
@@ -310,18 +321,48 @@
       ticket: run.ticket
     })
     this.unsettledStarts.onAnswered(run, started, this.host.clock.now())
-    if (this.runs.get(run.name) !== run) return
+    const isAnswered = started.isOk() || started.error !== WorkerFailure.NoAnswer
+    if (isAnswered) run.starts.onAnswered()
+    if (this.runs.get(run.name) !== run) return true
     if (started.isOk()) {
       // The answer may be that of a former incarnation; the run is unresolved then.
-      if (this.born !== born) return
+      if (this.born !== born) return true
       this.markRunning(run)
       if (this.isOfSeenIncarnation(started.value)) this.confirm(run, started.value)
-      return
+      return true
     }
     this.pausedUntilMs = Math.max(this.pausedUntilMs, this.host.clock.now() + placementPauseOf(started.error))
-    if (started.error === WorkerFailure.NoAnswer) await this.resolveUncertainStart(run)
-    else if (started.error === WorkerFailure.Fenced && this.isNewest(fence)) this.host.onFenced(this)
-    else this.host.onRunReleased(run, started.error)
+    if (started.error === WorkerFailure.Fenced && this.isNewest(fence)) this.host.onFenced(this)
+    else if (isAnswered) this.handleRefusedStart(run, started.error)
+    return isAnswered
+  }
+
+  /** Gives up a run whose start was refused, unless an earlier start of it was not answered. */
+  private handleRefusedStart (run: Run, failure: WorkerFailure): void {
+    if (this.mayRelease(run)) this.host.onRunReleased(run, failure)
+    else detach(this.stopRun(run, StopReason.Uncertain))
+  }
+
+  /**
+   * Returns true if a run that is not running may be given up, so that its task is placed again: no start of it can be carried out any more,
+   * also not by a later incarnation of the worker, or no other run can follow that must not run beside it.
+   */
+  private mayRelease (run: Run): boolean {
+    const { entry, task, step, starts } = run
+    if (step.speculative || task.stage === Stage.Done || entry.isFinishedOrCancelled()) return true
+    return starts.remainingMs(this.host.clock.now()) === 0
+  }
+
+  /** Gives up a run that is not running, as soon as no start of it can be carried out any more. */
+  private release (run: Run, reason: string): void {
+    if (this.mayRelease(run)) this.host.onRunReleased(run, reason)
+    else this.delayRelease(run, reason)
+  }
+
+  private delayRelease (run: Run, reason: string): void {
+    if (run.releaseDelayed) return
+    run.releaseDelayed = true
+    this.host.onReleaseDelayed(run, reason, run.starts.remainingMs(this.host.clock.now()))
   }
 
   /** Stops a run. Repeats the stop until the owner counts the run as ended or unable to start, or the session is closed. */
@@ -345,6 +386,7 @@
         if (run.stoppedClockMs === undefined) this.host.onStopConfirmed(run, this.host.clock.now() - decidedMs)
         run.stoppedClockMs = stopped.value
         if (run.state !== RunState.Running) await this.requestReportNow()
+        await this.waitForRelease(run, born)
       } else if (stopped.error === WorkerFailure.Fenced) {
         this.handleFenced(fence)
       }
@@ -352,6 +394,13 @@
     }
   }
 
+  /** Waits after a confirmed stop while a start of the run may still be carried out by a later incarnation of the worker. */
+  private async waitForRelease (run: Run, born: number): Promise<void> {
+    const { signal } = this.stopController
+    const isStopped = (): boolean => this.runs.get(run.name) === run && run.state !== RunState.Running && this.born === born
+    while (isStopped() && !this.mayRelease(run) && !signal.aborted) await sleep(STOP_RETRY_DELAY_MS, signal)
+  }
+
   /** Stops a run that the owner does not know. */
   async stopUnknownRun (task: string, run: number): Promise<void> {
     if (this.unknownRuns.has(task)) return
@@ -486,7 +535,7 @@
     // it.
     for (const run of this.runs.values()) {
       const unresolved = !run.listed && !run.inherited && run.assignedMs <= this.restartSeenMs
-      if (unresolved) detach(this.stopRun(run, StopReason.Uncertain))
+      if (unresolved) detach(this.repeatOrStop(run))
     }
     this.host.onAdopted(this)
   }
@@ -507,6 +556,7 @@
       }
       this.confirm(run, report.clockMs)
       run.listed = true
+      run.starts.onReported()
       run.progress.record(active.progress, report.clockMs)
       run.load = active.load
       if (active.checkpoint !== '' && active.checkpoint !== run.checkpoint) {
@@ -529,8 +579,11 @@
       const stopped = run.stoppedClockMs !== undefined && report.clockMs > run.stoppedClockMs
       if (stopped && run.missing) {
         this.host.onEndLost(run)
+      } else if (cannotStart && mayRepeat(run) && !this.mayRelease(run)) {
+        run.inherited = false
+        detach(this.repeatStart(run))
       } else if (cannotStart || stopped) {
-        this.host.onRunReleased(run, cannotStart ? 'not running and can no longer start' : 'stop confirmed')
+        this.release(run, cannotStart ? 'not running and can no longer start' : 'stop confirmed')
       } else if (run.stopping === undefined && !run.missing && isMissing(run, report, sentMs)) {
         run.missing = true
         this.host.onRunMissing(run, this.host.clock.now() - run.confirmed!.atMs)
@@ -592,7 +645,34 @@
     run.state = RunState.Uncertain
     await this.requestReportNow()
     if (this.runs.get(run.name) !== run || run.state !== RunState.Uncertain) return
-    await this.stopRun(run, StopReason.Uncertain)
+    await this.repeatOrStop(run)
+  }
+
+  /** Handles a run that the worker does not report and whose start it may still carry out. */
+  private async repeatOrStop (run: Run): Promise<void> {
+    if (mayRepeat(run) && !this.mayRelease(run)) await this.repeatStart(run)
+    else await this.stopRun(run, StopReason.Uncertain)
+  }
+
+  /**
+   * Sends the start of a run again until the worker confirms the run. A request that is carried out late has no further effect beside the
+   * run: it has the same number, and a later incarnation of the worker can only carry it out after the run has ended with this one.
+   */
+  private async repeatStart (run: Run): Promise<void> {
+    if (run.repeating) return
+    run.repeating = true
+    const { signal } = this.stopController
+    while (this.runs.get(run.name) === run && run.state === RunState.Uncertain && run.stopping === undefined && !signal.aborted) {
+      if (this.worker.draining || this.startValidityMs() === 0) {
+        detach(this.stopRun(run, StopReason.Uncertain))
+      } else if (!this.reachable || !this.adopted || !this.host.mayStart() || (this.hasAcknowledged && !this.raiseFence())) {
+        await sleep(STOP_RETRY_DELAY_MS, signal)
+      } else if (!await this.sendStart(run)) {
+        run.state = RunState.Uncertain
+        await this.requestReportNow()
+      }
+    }
+    run.repeating = false
   }
 
   /** True once every lease that this owner has granted to the worker has certainly expired. */
@@ -608,9 +688,11 @@
    * Declares that all runs on the worker have ended.
    *
    * @param reason how this is known
+   * @param isFinal true if the worker cannot start again under its id, so that no start can be carried out any more
    */
-  declareLost (reason: string): void {
+  declareLost (reason: string, isFinal = false): void {
     this.unknownRuns.clear()
+    if (isFinal) for (const run of this.runs.values()) run.starts.settle()
     this.reportLost([...this.runs.values()], reason)
   }
 
@@ -618,21 +700,24 @@
     const lost: Run[] = []
     for (const run of runs) {
       if (run.missing) this.host.onEndLost(run)
-      else lost.push(run)
+      else if (this.mayRelease(run)) lost.push(run)
+      else this.delayRelease(run, reason)
     }
     if (lost.length > 0) this.host.onRunsLost(this, lost, reason)
   }
 
   /**
    * Handles a restart of the worker. Runs that the previous incarnation reported have ended, and runs whose start request was not
-   * sent can no longer start: both are reported as lost. A start request in flight may have reached the new incarnation. Its run
-   * is stopped if the first report of the new incarnation does not list it, and released once the stop is confirmed. A run
-   * inherited from an earlier owner is released without a stop: see `Run.inherited`.
+   * sent can no longer start: both are reported as lost. A start request in flight may have reached the new incarnation, or may reach a
+   * later one. Its run is stopped if the first report of the new incarnation does not list it, and released once the stop is confirmed
+   * and the request cannot be carried out any more. A run inherited from an earlier owner is released without a stop: see
+   * `Run.inherited`.
    */
   private handleRestart (born: number, clockMs: number, reason: string): void {
     const lost: Run[] = []
     for (const run of this.runs.values()) {
       if (run.listed || run.state === RunState.Committing) lost.push(run)
+      run.listed = false
       run.stoppedClockMs = undefined
       run.confirmed = undefined
       run.state = RunState.Uncertain
@@ -663,6 +748,14 @@
   return state === RunState.Running && confirmed !== undefined && clockMs > confirmed.clockMs && sentMs >= confirmed.atMs
 }
 
+/**
+ * Returns true if the start of a run may be repeated although an earlier request may be carried out late. A task that ends as done might be
+ * carried out again then, after its end.
+ */
+function mayRepeat ({ step, stopping }: Run): boolean {
+  return step.lasting && stopping === undefined
+}
+
 function placementPauseOf (failure: WorkerFailure): number {
   switch (failure) {
     case WorkerFailure.NoTicket:
--- a/packages/control/src/owner/worker-loss-detector.ts
+++ b/packages/control/src/owner/worker-loss-detector.ts
@@ -21,6 +21,13 @@
   readonly lastAnswerMs: number
 }
 
+/** How it is known that a worker has ended. */
+interface Loss {
+  readonly reason: string
+  /** True if it cannot start again under its id: its machine, or each machine, runs another worker. */
+  readonly isFinal: boolean
+}
+
 /** Polls the list of machines, but only while workers with runs do not answer, because each request costs a call to the platform. */
 export class WorkerLossDetector {
   private polledMs = -Infinity
@@ -51,21 +58,23 @@
     for (const { session, born, lastAnswerMs } of silent) {
       // The list may be from before a restart or an answer of the worker.
       if (session.silentMs() <= MIN_SILENCE_MS || session.born !== born || session.lastAnswerMs !== lastAnswerMs) continue
-      const reason = this.findLoss(session, listed.value)
-      if (reason !== undefined) session.declareLost(reason)
+      const loss = this.findLoss(session, listed.value)
+      if (loss !== undefined) session.declareLost(loss.reason, loss.isFinal)
     }
   }
 
   /** Returns how a list of machines proves that a worker has ended, or undefined. */
-  private findLoss ({ id, worker }: Session, machines: readonly Machine[]): string | undefined {
+  private findLoss ({ id, worker }: Session, machines: readonly Machine[]): Loss | undefined {
     // The machine is unknown if the worker had no registry entry any more when this owner took over.
     const known = machines.find(({ name }) => name !== '' && name === worker.machine)
     const machine = known ?? machines.find(({ worker: listed }) => listed === id)
     if (machine !== undefined) {
-      return hasWorkerEnded(machine, id) ? 'The machine of the worker is down or runs another worker.' : undefined
+      if (!hasWorkerEnded(machine, id)) return undefined
+      return { reason: 'The machine of the worker is down or runs another worker.', isFinal: runsAnotherWorker(machine, id) }
     }
     if (this.missingMs(id) <= MAX_MISSING_MS || !runOtherWorkers(machines)) return undefined
-    return 'The worker has no registry entry, and no machine runs it.'
+    const isFinal = machines.every(({ state }) => state === MachineState.Up)
+    return { reason: 'The worker has no registry entry, and no machine runs it.', isFinal }
   }
 }
 
@@ -82,6 +91,9 @@
  * @param worker the worker's id
  */
 export function hasWorkerEnded (machine: Machine, worker: string): boolean {
-  if (machine.state === MachineState.Down) return true
+  return machine.state === MachineState.Down || runsAnotherWorker(machine, worker)
+}
+
+function runsAnotherWorker (machine: Machine, worker: string): boolean {
   return machine.state === MachineState.Up && machine.worker !== '' && machine.worker !== worker
 }
--- a/packages/control/src/report/metrics.ts
+++ b/packages/control/src/report/metrics.ts
@@ -50,6 +50,9 @@
     'end_write_seconds', 'Time from the report of ended runs until their changes are in the journal', [], DELAY_BUCKETS)
 
   readonly missingRuns = this.counter('missing_runs_total', 'Runs that a worker listed no more although no end of them was reported', [])
+  readonly delayedReleases = this.counter(
+    'delayed_releases_total', 'Runs that were not running and were kept because a start of them could still be carried out', [])
+
   readonly evacuatedZone = this.gauge('evacuated_zone', '1 while an availability zone is being evacuated, by zone', ['zone'])
   readonly evacuationWaits = this.counter('evacuation_waits_total', 'Tasks whose permitted workers were all in evacuated zones', [])
   readonly heldStarts = this.counter('held_starts_total', 'Assignments that were not started because of an evacuation, by reason', ['reason'])
