Count a job as pending while its only starts have not taken effect

What callers saw: a job whose starts were refused or not answered was left out of its queue's count, and shown as active, although none of its tasks had started.

Fix: the owner knows it. It keeps the jobs of which a run was given up, or is kept, and none has started; after a takeover it takes a job for started if an earlier run of it may have been. A node adds the owner's number to its own count; a lookup is answered by the owner already. The question is a lookup without a job, which owners of earlier builds answer with null.

--- a/packages/control/src/entry/job-service.ts
+++ b/packages/control/src/entry/job-service.ts
@@ -78,6 +78,8 @@
   readonly applyAppended: (record: KeyedRecord) => void
   /** Asks the owner for the phase of a queue's job; null if the owner does not know it there, undefined if it did not answer. */
   readonly askPhase: (job: string, queue: string, timeoutMs: number) => Promise<Phase | null | undefined>
+  /** Asks the owner for the number of a queue's jobs that are active in the journal and have not started; 0 if it does not answer. */
+  readonly countUnstarted: (queue: string, timeoutMs: number) => Promise<number>
   readonly clock: Clock
   readonly log: Log
 }
@@ -224,13 +226,13 @@
     }
   }
 
-  /** Counts the jobs of a queue that are pending: none of their tasks has been assigned. Refuses with a journal that is too old. */
+  /** Counts the jobs of a queue of which no task has started. Refuses with a journal that is too old. */
   async countPending (request: AuthorizedRequest): Promise<Result<number, Refusal>> {
     if (this.journalAgeMs() > COUNT_REFRESH_AGE_MS) await this.catchUp()
     if (this.journalAgeMs() > MAX_COUNT_AGE_MS) {
       return err(this.refuseStaleJournal({ queue: request.queue.name }, 'The jobs of the queue cannot be counted.'))
     }
-    let count = 0
+    let count = await this.options.countUnstarted(request.queue.name, LOOKUP_TIMEOUT_MS)
     for (const entry of this.options.journalState().jobs.values()) {
       if (entry.job.queue === request.queue.name && entry.visiblePhase() === Phase.Pending) count++
     }
--- a/packages/control/src/node.ts
+++ b/packages/control/src/node.ts
@@ -6,7 +6,7 @@
 import { ExplanationPacer } from './dry-run/pacer.js'
 import { supervise } from './supervise.js'
 import { setMaxListeners } from 'node:events'
-import { MessageKind, type DryRun, type Explain, type Notice, type Request } from '@fireflymount/protocol/message'
+import { ALL_UNSTARTED, MessageKind, type DryRun, type Explain, type Notice, type Request } from '@fireflymount/protocol/message'
 import { Execution, Reason, refuse, type Refusal } from '@fireflymount/protocol/refusal'
 import { err, ok, type Result } from 'neverthrow'
 import { NEVER, sleep, type Clock } from './clock.js'
@@ -28,7 +28,7 @@
 import { AddressCollector, Registration } from './membership/registration.js'
 import { RelayServer, StoreRelay } from './membership/relay.js'
 import type { Configuration } from './model/configuration.js'
-import { isPhase, type Phase } from './model/job.js'
+import { isPhase, Phase } from './model/job.js'
 import { epochAfter } from './owner/fence.js'
 import { Owner, type OwnerSettings } from './owner/owner.js'
 import { AdviceFailure, isTickets, type Advisor, type Tickets } from './ports/advisor.js'
@@ -306,6 +306,7 @@
       forwardToOwner: (record, timeoutMs) => this.forwardToOwner(record, timeoutMs),
       applyAppended: (record) => { this.applyAppended(record) },
       askPhase: (job, queue, timeoutMs) => this.askPhase(job, queue, timeoutMs),
+      countUnstarted: (queue, timeoutMs) => this.countUnstarted(queue, timeoutMs),
       clock,
       log
     })
@@ -616,11 +617,20 @@
     return answer.isOk() && (answer.value === null || isPhase(answer.value)) ? answer.value : undefined
   }
 
+  /** Asks the owner for the number of a queue's jobs that are active in the journal and have not started; 0 if it does not answer. */
+  private async countUnstarted (queue: string, timeoutMs: number): Promise<number> {
+    if (this.owner !== undefined) return this.owner.unstartedJobs.countOf(queue)
+    const { ownerClaim } = this.journalState
+    if (ownerClaim === undefined || !this.links.has(ownerClaim.node)) return 0
+    const answer = await this.links.ask(ownerClaim.node, { kind: MessageKind.Lookup, job: ALL_UNSTARTED, queue }, timeoutMs)
+    return answer.isOk() && Number.isSafeInteger(answer.value) ? answer.value as number : 0
+  }
+
   /** Returns the phase of a job; null if this node knows no such job on the queue. */
   private phaseOf (job: string, queue: string | undefined): Phase | null {
     const entry = this.journalState.jobs.get(job)
     if (entry === undefined || (queue !== undefined && entry.job.queue !== queue)) return null
-    return entry.visiblePhase()
+    return this.owner?.unstartedJobs.has(entry) === true ? Phase.Pending : entry.visiblePhase()
   }
 
   /**
@@ -670,6 +680,7 @@
         return await this.serveAppend(this.owner, request)
       case MessageKind.Lookup:
         if (this.owner === undefined) return err(refuse(Reason.NotOwner, 'This node does not own the cell.'))
+        if (request.job === ALL_UNSTARTED) return ok(this.owner.unstartedJobs.countOf(request.queue ?? ''))
         return ok(this.phaseOf(request.job, request.queue))
       case MessageKind.DryRun:
       case MessageKind.Explain:
--- a/packages/control/src/owner/owner.ts
+++ b/packages/control/src/owner/owner.ts
@@ -53,6 +53,7 @@
 import { Session } from './session.js'
 import type { SessionHost } from './session-host.js'
 import { assignedToIncompleteGangs, endJob } from './run-end.js'
+import { UnstartedJobs } from './unstarted-jobs.js'
 import { GarbageCollector } from './garbage-collector.js'
 
 /** Confirmations of stops are logged from this time after the decision on. The others are in the histogram. */
@@ -117,6 +118,8 @@
   private readonly speeds = new SpeedEstimator()
   private readonly committer: JournalCommitter
   private readonly statistics = new JobStatistics()
+  /** Jobs that the journal shows as active although none of their tasks has started. */
+  readonly unstartedJobs = new UnstartedJobs()
   private readonly startLog: StartLog
   private readonly runEndHandler: RunEndHandler
   private readonly admissionController: AdmissionController
@@ -166,6 +169,7 @@
       notBeforeMs: this.notBeforeMs,
       committer: this.committer,
       statistics: this.statistics,
+      unstartedJobs: this.unstartedJobs,
       configuration: options.configuration,
       clock,
       log,
@@ -385,6 +389,7 @@
 
   /** Restores the runs and ready steps of a job from its state in the journal. */
   private restoreJob (entry: JobEntry): void {
+    this.unstartedJobs.restore(entry)
     const incomplete = assignedToIncompleteGangs(entry)
     for (const task of entry.tasks.values()) {
       if (task.stage !== Stage.Assigned) continue
@@ -409,6 +414,7 @@
     this.admissionController.forget(job)
     this.advisorClient.forget(job)
     this.statistics.endJob(job)
+    this.unstartedJobs.forget(job)
   }
 
   /** Returns the session of a worker, created if needed. A new session has no address until the registry contains the worker. */
@@ -496,6 +502,7 @@
         this.runEndHandler.onRunReleased(run, reason)
       },
       onStarted: (run) => {
+        this.unstartedJobs.onStarted(run.entry)
         options.metrics.starts.inc()
         options.metrics.startSeconds.observe((run.startedMs - run.assignedMs) / 1000)
       },
--- a/packages/control/src/owner/run-end-handler.ts
+++ b/packages/control/src/owner/run-end-handler.ts
@@ -22,6 +22,7 @@
 import type { Ledger } from './ledger.js'
 import { RunState, StopReason, type Run } from './run.js'
 import type { Session } from './session.js'
+import type { UnstartedJobs } from './unstarted-jobs.js'
 import { membersOf, applyRunEnd, endJob } from './run-end.js'
 
 /**
@@ -50,6 +51,7 @@
   readonly notBeforeMs: Map<string, number>
   readonly committer: JournalCommitter
   readonly statistics: JobStatistics
+  readonly unstartedJobs: UnstartedJobs
   readonly configuration: () => Configuration
   readonly clock: Clock
   readonly log: Log
@@ -83,7 +85,10 @@
     const applied: EndedRun[] = []
     for (const endedRun of endedRuns) {
       const entry = this.entryOf(endedRun)
-      if (entry !== undefined) touched.add(entry)
+      if (entry !== undefined) {
+        touched.add(entry)
+        this.options.unstartedJobs.onStarted(entry)
+      }
       try {
         this.noteChanges(entry)
         this.handleRunEnd(session, endedRun, entry)
@@ -243,6 +248,7 @@
     if (reason === WorkerFailure.NoTicket) this.options.advisorClient.expire(run.stepName, run.session.id, run.ticket)
     else this.delayTask(run.name)
     const entry = this.endRun(run, RunOutcome.Stopped)
+    this.options.unstartedJobs.onNotRunning(entry)
     if (!entry.isFinishedOrCancelled()) this.stopGang(entry, run.task)
     detach(this.options.committer.commitJobs([entry]))
     this.options.requestRound()
@@ -250,6 +256,7 @@
 
   /** Handles a run that is not running and is kept for a while. The other members of its gang can't complete without it. */
   onReleaseDelayed ({ entry, task }: Run): void {
+    this.options.unstartedJobs.onNotRunning(entry)
     if (!entry.isFinishedOrCancelled()) this.stopGang(entry, task)
   }
 
--- a/packages/control/test/cluster/cluster.ts
+++ b/packages/control/test/cluster/cluster.ts
@@ -151,6 +151,11 @@
     return (await node.jobService.lookup({ ...REQUEST, queue }, id)).unwrapOr(undefined)
   }
 
+  /** Number of pending jobs that a node shows to callers. */
+  async countPending (node: Node): Promise<number> {
+    return (await node.jobService.countPending(REQUEST)).unwrapOr(NaN)
+  }
+
   /** Cancels a job. Resolves to true once the cancellation is stored. */
   async cancel (node: Node, id: string): Promise<boolean> {
     return (await node.jobService.cancel(REQUEST, id, BUDGET_MS)).isOk()
--- a/packages/control/test/cluster/workers.ts
+++ b/packages/control/test/cluster/workers.ts
@@ -73,6 +73,8 @@
   readonly callsByNode = new Map<string, number>()
   /** Links that carry nothing, as the name of a node and the id of a worker. */
   private readonly cuts = new Set<string>()
+  /** Whether starts are neither carried out nor answered. */
+  losesStarts = false
 
   constructor (count: number) {
     for (let index = 0; index < count; index++) {
@@ -141,6 +143,7 @@
   }
 
   override async start (worker: Worker, command: StartCommand): Promise<Result<number, WorkerFailure>> {
+    if (this.workers.losesStarts) return err(WorkerFailure.NoAnswer)
     return await this.call(worker, command.fence, (target) => { target.start(command) })
   }
 
--- a/packages/control/test/entry/job-service.spec.ts
+++ b/packages/control/test/entry/job-service.spec.ts
@@ -67,6 +67,7 @@
     forwardToOwner: async () => forwarded,
     applyAppended: () => {},
     askPhase: async () => undefined,
+    countUnstarted: async () => 0,
     clock,
     log: new SilentLog(),
     ...options
@@ -347,6 +348,16 @@
     const counted = await jobService.countPending(jobService.authorize('h', '/', '')._unsafeUnwrap())
     expect(counted.isOk() ? counted.value : counted.error.reason).toBe(waiting)
   })
+
+  it('adds the jobs that the owner has assigned and that have not started', async () => {
+    const journalState = new JournalState()
+    journalState.apply({ ...encodeJob(createJob({ id: idOf(1) })), offset: 1 })
+    const jobService = createJobService(new ScriptedStore(neverAnswer), undefined, journalState, {
+      countUnstarted: async (queue) => queue === 'preview' ? 2 : 0
+    })
+    const counted = await jobService.countPending(jobService.authorize('h', '/', '')._unsafeUnwrap())
+    expect(counted._unsafeUnwrap()).toBe(3)
+  })
 })
 
 function staleStamp (ageMs = 1000): Stamp {
--- a/packages/control/test/owner/late-start.spec.ts
+++ b/packages/control/test/owner/late-start.spec.ts
@@ -235,4 +235,35 @@
     const [other] = startedRuns()
     expect([other?.worker === worker.id, other?.ending]).toEqual([false, RunOutcome.Stopped])
   })
+
+  // Guards against a job that is not counted as waiting while its first start may be carried out late.
+  it.each<{ says: string, prepare: () => Promise<void> }>([
+    { says: 'by the owner that has sent it', prepare: async () => {} },
+    { says: 'by a successor', prepare: async () => { await cell.succeed() } }
+  ])('leaves its job unstarted until a task starts: $says', async ({ prepare }) => {
+    await acceptWithLostStart()
+    await prepare()
+    await advance(PLACEMENT_MS)
+    const before = cell.owner.unstartedJobs.countOf('preview')
+    await advance(MAX_UNCONFIRMED_START_MS + MAX_COMMAND_DELAY_MS)
+    expect([before, startedRuns().length, cell.owner.unstartedJobs.countOf('preview')]).toEqual([1, 1, 0])
+  })
+
+  it('counts a job as started after a takeover if one of its tasks was done before', async () => {
+    await cell.accept(ID, { count: 2 })
+    await advance(WORK_MS + 500)
+    expect(cell.phaseOf(ID)).toBe(Phase.Completed)
+    const second = '00000000000000cc'
+    for (const worker of cell.workers) worker.workMs = undefined
+    await cell.accept(second, { count: 2 })
+    const [first] = startedRuns().filter(({ task }) => task.startsWith(second))
+    cell.workerOf(first!.worker).end(first!.task)
+    await advance(500)
+    for (const worker of cell.workers) worker.restart()
+    for (const worker of cell.workers) cell.register(worker)
+    for (const worker of cell.workers) worker.holdsStarts = true
+    await cell.succeed()
+    await advance(PLACEMENT_MS)
+    expect(cell.owner.unstartedJobs.countOf('preview')).toBe(0)
+  })
 })
--- a/packages/control/test/owner/run-end-handler.spec.ts
+++ b/packages/control/test/owner/run-end-handler.spec.ts
@@ -10,6 +10,7 @@
 import { Run, RunState } from '../../src/owner/run.js'
 import { RunEndHandler } from '../../src/owner/run-end-handler.js'
 import { Session } from '../../src/owner/session.js'
+import { UnstartedJobs } from '../../src/owner/unstarted-jobs.js'
 import { SpeedEstimator } from '../../src/place/speed.js'
 import { JobStatistics } from '../../src/report/job-statistics.js'
 import { SilentLog } from '../../src/report/log.js'
@@ -36,6 +37,7 @@
     committer: { commitJobs: async () => true } as unknown as JournalCommitter,
     notBeforeMs: new Map(),
     statistics: new JobStatistics(),
+    unstartedJobs: new UnstartedJobs(),
     configuration: () => ({
       version: 1, queues: [createQueue()], upstreams: [], workspaces: [], limits: { bodyBytes: 1, headerMs: 1, idleMs: 1 }
     }),
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -186,7 +186,12 @@
 
 /** Records to append. Answered with true once the store has acknowledged them. */
 export const NoticeCodec = Codec.interface({ kind: exactly(MessageKind.Notice), records: array(record), timeoutMs: number })
-/** Answered with the phase, or with null if the owner does not know the job on this queue. Nodes of earlier builds name no queue. */
+/** In place of a job in a lookup: the jobs that are assigned and have not started. */
+export const ALL_UNSTARTED = ''
+/**
+ * Answered with the phase, or with null if the owner does not know the job on this queue. Nodes of earlier builds name no queue. For
+ * `ALL_UNSTARTED`, answered with the number of such jobs on the queue; owners of earlier builds answer with null.
+ */
 export const LookupCodec = Codec.interface({ kind: exactly(MessageKind.Lookup), job: string, queue: optional(string) })
 /** Answered with pairs of a worker and its ticket, without which the worker may not run the step. */
 export const AdviseCodec = Codec.interface({
