Store the cancellation of a job that is not known

Fix: the cancellation is stored before its caller is told that there is no such job. It names the queue; once the record of a job on that queue is read, in whichever order, the job is cancelled, and it is never started if the cancellation comes first. It counts in the backlog like a job that has ended, so that a client can't fill the memory with them, is shown to nobody, and is removed after the retention time. Nodes of earlier builds take it for the cancellation of a job that they will read, and drop it, as they did before.

--- a/packages/control/src/entry/job-service.ts
+++ b/packages/control/src/entry/job-service.ts
@@ -5,16 +5,18 @@
 import { err, ok, type Result } from 'neverthrow'
 import { sleep, type Clock, type Stamp } from '../clock.js'
 import { encodeCompactJob } from '../journal/job-record.js'
-import { Subject, encodeRecord } from '../journal/record.js'
+import { Subject, encodeRecord, type EarlyCancellation } from '../journal/record.js'
 import type { JobEntry, JournalState } from '../journal/journal-state.js'
 import {
   findQueueByPath, findWorkspaceByKey, type Configuration, type Queue, type WorkspaceSettings
 } from '../model/configuration.js'
 import { findJobError, isFinal, Phase, type Job, type Step } from '../model/job.js'
+import { EARLY_CANCELLATION_BYTES } from '../place/backlog.js'
 import type { KeyedRecord, Store } from '../ports/store.js'
 import { describeError, type Log } from '../report/log.js'
 import { RefusalCounter } from '../report/refusal-counter.js'
 import { Appender } from './appender.js'
+import { refuseBeyondBacklog } from './backlog-refusal.js'
 import { OwnerlessAdmission } from './ownerless-admission.js'
 import { SharedReads } from './shared-reads.js'
 import { UnconfirmedJobs } from './unconfirmed-jobs.js'
@@ -195,22 +197,54 @@
   }
 
   /**
-   * Cancels a job. Success means that the cancellation is in the store.
+   * Cancels a job. Success, or the refusal that there is no such job, means that the cancellation is in the store: a submission of the job
+   * that was not answered may still be stored.
    *
    * @param budgetMs time for which the caller still waits
    */
   async cancel (request: AuthorizedRequest, id: string, budgetMs: number): Promise<Result<void, Refusal>> {
     const found = await this.findJob(request, id, this.options.clock.stamp())
+    if (found.isErr() && found.error.reason === Reason.NoSuchJob && !this.options.journalState().jobs.has(id)) {
+      return await this.cancelUnknown(request, id, budgetMs)
+    }
     if (found.isErr()) return err(found.error)
     // An end that is not in the journal yet may be lost with the owner that decided it.
     if (isFinal(found.value.visiblePhase())) return ok(undefined)
     const record = encodeRecord(Subject.Cancellation, id, { atMs: this.options.clock.wall() })
     const appended = await this.append(record, budgetMs, () => (this.options.journalState().jobs.get(id)?.cancelledMs ?? 0) > 0)
     if (appended.isErr()) return err(appended.error)
-    this.options.log.decision('cancellation accepted', { job: id, version: request.version })
+    this.options.log.decision('cancellation accepted', { job: id, version: request.version, known: true })
     return ok(undefined)
   }
 
+  /** Stores the cancellation of a job that is not known, so that the job does not run if its record is stored later. */
+  private async cancelUnknown (request: AuthorizedRequest, id: string, budgetMs: number): Promise<Result<void, Refusal>> {
+    const { queue, workspace, version } = request
+    const isCancelled = (): boolean => {
+      const { jobs, earlyCancellations } = this.options.journalState()
+      return earlyCancellations.get(id)?.queue === queue.name || (jobs.get(id)?.cancelledMs ?? 0) > 0
+    }
+    if (!isCancelled()) {
+      const shortage = this.findShortage(request)
+      if (shortage !== undefined) return err(shortage)
+      const cancellation: EarlyCancellation = { atMs: this.options.clock.wall(), queue: queue.name, workspace }
+      const appended = await this.append(encodeRecord(Subject.Cancellation, id, cancellation), budgetMs, isCancelled)
+      if (appended.isErr()) return err(appended.error)
+    }
+    const isKnown = this.options.journalState().jobs.get(id)?.job.queue === queue.name
+    this.options.log.decision('cancellation accepted', { job: id, version, known: isKnown })
+    return isKnown ? ok(undefined) : err(noSuchJob(id))
+  }
+
+  /** Returns why the cancellation of a job that is not known is refused, or undefined: it is kept in memory like a job that has ended. */
+  private findShortage ({ queue, workspace }: AuthorizedRequest): Refusal | undefined {
+    const { journalState, clock } = this.options
+    const shortage = refuseBeyondBacklog(journalState().backlog, workspace, EARLY_CANCELLATION_BYTES, clock.now())
+    if (shortage === undefined) return undefined
+    this.refusals.count(shortage.reason, { queue: queue.name, workspace, retryAfterMs: shortage.retryAfterMs })
+    return shortage
+  }
+
   /**
    * Logs an unexpected error in the handling of a request.
    *
--- a/packages/control/src/journal/journal-state.ts
+++ b/packages/control/src/journal/journal-state.ts
@@ -2,14 +2,14 @@
  * The state of the cell, which every node builds by applying the records of the journal.
  */
 import { isFinal, occurrencesOf, taskKeyOf, Phase, type Job, type Step } from '../model/job.js'
-import { Backlog, backlogBoundOf, heldBytesOf } from '../place/backlog.js'
+import { Backlog, EARLY_CANCELLATION_BYTES, backlogBoundOf, heldBytesOf } from '../place/backlog.js'
 import type { StoredRecord } from '../ports/store.js'
 import { JobChanges, type Encoder } from './job-changes.js'
 import { decodeJob } from './job-record.js'
 import { decodePastUse, type PastUseBlock } from './past-use-record.js'
 import {
-  Stage, Subject, decodeProgress, decodeValue, isCancellation, isNodeAddress, isOwnerClaim, splitKey, type JobEnd,
-  type NodeAddress, type OwnerClaim, type Progress
+  Stage, Subject, decodeProgress, decodeValue, isCancellation, isEarly, isNodeAddress, isOwnerClaim, splitKey,
+  type EarlyCancellation, type JobEnd, type NodeAddress, type OwnerClaim, type Progress
 } from './record.js'
 import { splitBlockKey } from './task-record.js'
 
@@ -204,6 +204,8 @@
   readonly nodes = new Map<string, NodeAddress>()
   /** Past use of workspaces as the last owners recorded it, by block. An owner does not read its own records. */
   readonly pastUse = new Map<string, PastUseBlock>()
+  /** Cancellations of jobs that are not known, by job id. They take effect if the record of the job is stored later. */
+  readonly earlyCancellations = new Map<string, EarlyCancellation>()
   /** The newest valid claim, by this node or another one. */
   ownerClaim: OwnerClaim | undefined
   /** Number of records of any owner that have been read. Only its change is used; a deferred record counts twice. */
@@ -313,6 +315,28 @@
     this.backlog.fulfil(id)
     this.count(entry, heldBytesOf(entry.job))
     for (const waiting of this.takeDeferred(id)) this.apply(waiting)
+    const early = this.earlyCancellations.get(id)
+    if (early !== undefined) this.cancelEarly(entry, early)
+  }
+
+  private cancelEarly (entry: JobEntry, early: EarlyCancellation): void {
+    if (entry.job.queue !== early.queue) return
+    entry.cancelledMs ||= early.atMs
+    this.removeEarlyCancellation(entry.job.id)
+  }
+
+  /** Removes the cancellation of a job that is not known. */
+  removeEarlyCancellation (id: string): void {
+    const early = this.earlyCancellations.get(id)
+    if (early === undefined) return
+    this.earlyCancellations.delete(id)
+    this.backlog.remove(early.workspace, EARLY_CANCELLATION_BYTES)
+  }
+
+  private addEarlyCancellation (id: string, early: EarlyCancellation): void {
+    if (this.earlyCancellations.has(id)) return
+    this.earlyCancellations.set(id, early)
+    this.backlog.add(early.workspace, EARLY_CANCELLATION_BYTES)
   }
 
   /** The record of a job that has ended is deleted before the record of its end, which remains for callers. */
@@ -324,11 +348,18 @@
   }
 
   private applyCancellation (id: string, record: StoredRecord): void {
-    if (record.value === undefined) return
+    if (record.value === undefined) return this.removeEarlyCancellation(id)
     const entry = this.jobs.get(id)
-    if (entry === undefined) return this.defer(id, record)
     const cancellation = this.decode(record.key, record.value, isCancellation)
-    if (cancellation !== undefined) entry.cancelledMs ||= cancellation.atMs
+    if (cancellation === undefined) return
+    if (isEarly(cancellation)) {
+      this.addEarlyCancellation(id, cancellation)
+      if (entry !== undefined) this.cancelEarly(entry, cancellation)
+    } else if (entry === undefined) {
+      this.defer(id, record)
+    } else {
+      entry.cancelledMs ||= cancellation.atMs
+    }
   }
 
   private applyProgress (id: string, record: StoredRecord, ownEpoch: number): void {
--- a/packages/control/src/journal/record.ts
+++ b/packages/control/src/journal/record.ts
@@ -7,7 +7,7 @@
  * | Key | Content | Written |
  * | --- | --- | --- |
  * | `b/owner` | epoch of the owner | by the owner when it has nothing else to write |
- * | `c/ID` | Cancellation | when a caller cancels the job |
+ * | `c/ID` | Cancellation | when a caller cancels the job, also before the job is known; deleted at the end of the retention |
  * | `j/ID` | Job, see job-record.ts | when the job is accepted; deleted when the job has ended and none of its tasks is assigned any more |
  * | `n/NAME` | NodeAddress | when the node starts |
  * | `o/cell` | OwnerClaim | when a node claims the cell |
@@ -111,8 +111,15 @@
 export interface Cancellation {
   /** Unix time of the cancellation. */
   readonly atMs: number
+  /** Queue of the request if the job was not known. The cancellation then holds for a job on this queue that is stored later. */
+  readonly queue?: string
+  /** Workspace of the request if the job was not known. */
+  readonly workspace?: string
 }
 
+/** A cancellation of a job that was not known. */
+export type EarlyCancellation = Required<Cancellation>
+
 /** Offset of a record that was applied before it was read from the journal. */
 export const UNKNOWN_OFFSET = -1
 
@@ -226,7 +233,12 @@
 
 /** Checks the decoded value of a cancellation. */
 export function isCancellation (value: unknown): value is Cancellation {
-  return isTime((value as Partial<Cancellation> | null)?.atMs)
+  const { atMs, queue, workspace } = (value ?? {}) as Partial<Cancellation>
+  return isTime(atMs) && typeof queue === typeof workspace && (queue === undefined || typeof queue === 'string')
+}
+
+export function isEarly (cancellation: Cancellation): cancellation is EarlyCancellation {
+  return cancellation.queue !== undefined
 }
 
 function isTime (value: unknown): boolean {
--- a/packages/control/src/owner/garbage-collector.ts
+++ b/packages/control/src/owner/garbage-collector.ts
@@ -6,6 +6,7 @@
 import { detach } from '../detach.js'
 import type { Encoder } from '../journal/job-changes.js'
 import type { JobEntry, JournalState } from '../journal/journal-state.js'
+import { Subject, keyOf } from '../journal/record.js'
 import type { Writer } from '../journal/writer.js'
 import { isFinal } from '../model/job.js'
 import { MAX_UNCONFIRMED_OWNERSHIP_MS } from './ownership.js'
@@ -97,9 +98,23 @@
       this.forgetJob(entry)
       if (changes.size >= MAX_RECORDS_PER_COLLECTION) break
     }
+    this.collectEarlyCancellations(nowMs, changes)
     if (changes.size > 0) detach(this.options.writer.commit(changes))
   }
 
+  /** Removes cancellations of jobs that were never stored, once no append of their records can be carried out any more. */
+  private collectEarlyCancellations (nowMs: number, changes: Map<string, Encoder>): void {
+    const { journalState, settings } = this.options
+    for (const [id, { atMs }] of journalState.earlyCancellations) {
+      if (changes.size >= MAX_RECORDS_PER_COLLECTION) return
+      // The clock of the node that has written it may have been wrong.
+      if (Math.abs(nowMs - atMs) < RETENTION_FACTOR * settings.keptMs) continue
+      const key = keyOf(Subject.Cancellation, id)
+      changes.set(key, () => ({ key, value: undefined }))
+      journalState.removeEarlyCancellation(id)
+    }
+  }
+
   /**
    * True once the journal has been read since a job became due. The record of a job that is read after its removal would be taken for
    * that of a new job.
--- a/packages/control/src/place/backlog.ts
+++ b/packages/control/src/place/backlog.ts
@@ -36,6 +36,8 @@
 const TASK_BYTES = 260
 /** Bytes of a job that has ended and of which only a summary is left. */
 const SUMMARY_BYTES = 600
+/** Bytes that the cancellation of a job that is not known holds. */
+export const EARLY_CANCELLATION_BYTES = 600
 
 /**
  * Computes the bound on what all jobs hold.
--- a/packages/control/test/journal/journal-state.spec.ts
+++ b/packages/control/test/journal/journal-state.spec.ts
@@ -2,7 +2,7 @@
 import { encodeJob, encodeJobEnd, encodeRecord, encodeValue, Stage, Subject, type Progress } from '../../src/journal/record.js'
 import { JobEntry, JournalState, type TaskEntry } from '../../src/journal/journal-state.js'
 import { Phase } from '../../src/model/job.js'
-import { backlogBoundOf, heldBytesOf } from '../../src/place/backlog.js'
+import { EARLY_CANCELLATION_BYTES, backlogBoundOf, heldBytesOf } from '../../src/place/backlog.js'
 import type { KeyedRecord } from '../../src/ports/store.js'
 import { createJob, createStep } from '../fakes.js'
 
@@ -17,6 +17,10 @@
 const SUMMARY_BYTES = 600
 
 const NODE = { node: 'n1', incarnation: '1', host: '10.0.0.1', port: 7000, zone: 'z' }
+const EARLY = encodeRecord(Subject.Cancellation, ID, { atMs: 1_700_000_000_500, queue: 'preview', workspace: 'guild' })
+const EARLY_ELSEWHERE = encodeRecord(Subject.Cancellation, ID, { atMs: 1_700_000_000_500, queue: 'another', workspace: 'guild' })
+const INVALID_EARLY = encodeRecord(Subject.Cancellation, ID, { atMs: 5, queue: 1, workspace: 2 })
+const UNCANCELLED = { key: `c/${ID}`, value: undefined }
 const CLAIM = { epoch: 3, node: 'n2', incarnation: '1' }
 
 /** A record of an earlier build. */
@@ -186,6 +190,33 @@
     expect(applyAll(records).backlog.boundBytes).toBe(backlogBoundOf(smallest))
   })
 
+  // Guards against a job that runs although its cancellation was acknowledged, because its record was stored only after that.
+  it.each([
+    { records: 'its job', applied: [EARLY, ACCEPTED], phase: Phase.Cancelled, waiting: 0 },
+    { records: 'its job, after long', applied: [EARLY, 'collect', 'collect', ACCEPTED], phase: Phase.Cancelled, waiting: 0 },
+    { records: 'its job before it', applied: [ACCEPTED, EARLY], phase: Phase.Cancelled, waiting: 0 },
+    { records: 'its job, with runs', applied: [EARLY, ...changed(RUNNING), ACCEPTED], phase: Phase.Cancelled, waiting: 0 },
+    { records: 'its job that had ended', applied: [ACCEPTED, ended(Phase.Completed), EARLY], phase: Phase.Completed, waiting: 0 },
+    { records: 'the end of its job', applied: [EARLY, ended(Phase.Cancelled)], phase: Phase.Cancelled, waiting: 0 },
+    { records: 'itself again', applied: [EARLY, EARLY, ACCEPTED], phase: Phase.Cancelled, waiting: 0 },
+    { records: 'a job of another queue', applied: [EARLY_ELSEWHERE, ACCEPTED], phase: Phase.Pending, waiting: 1 },
+    { records: 'a job of another queue before it', applied: [ACCEPTED, EARLY_ELSEWHERE], phase: Phase.Pending, waiting: 1 },
+    { records: 'its own deletion', applied: [EARLY, UNCANCELLED, ACCEPTED], phase: Phase.Pending, waiting: 0 },
+    { records: 'nothing', applied: [EARLY], phase: undefined, waiting: 1 },
+    { records: 'nothing, if a field has another type', applied: [INVALID_EARLY], phase: undefined, waiting: 0 }
+  ])('keeps the cancellation of an unknown job until it reads $records', ({ applied, phase, waiting }) => {
+    const journalState = new JournalState()
+    for (const record of applied) {
+      if (typeof record === 'string') journalState.collectDeferred()
+      else journalState.apply({ ...record, offset: 1 })
+    }
+    const entry = journalState.jobs.get(ID)
+    const jobBytes = entry === undefined ? 0 : heldBytesOf(entry.job)
+    const { earlyCancellations, deferredCount, backlog } = journalState
+    expect([entry?.visiblePhase(), earlyCancellations.size, deferredCount, backlog.totalBytes])
+      .toEqual([phase, waiting, 0, jobBytes + waiting * EARLY_CANCELLATION_BYTES])
+  })
+
   it('drops records that still wait for their job at the second collection', () => {
     const journalState = applyAll([CANCELLED])
     const counts = [1, 2].map(() => {
