Release a run at once if its start needed a ticket

Cause: the wait was asked of all starts. One with a ticket can't be carried out by a later incarnation: the ticket is valid "during this life of the worker", otherwise "the start is rejected". A confirmed stop settles it.

Fix: such a run is released as before.

The case 'the start has a ticket' of session.spec.ts fails without the change.

--- a/packages/control/src/owner/run.ts
+++ b/packages/control/src/owner/run.ts
@@ -56,6 +56,8 @@
   listed = false
   stopping: StopReason | undefined
   readonly starts = new StartAttempts()
+  /** The worker only accepts a start of the run with a ticket for its present incarnation. */
+  readonly needsTicket: boolean
   /** The start is being repeated until the worker confirms the run. */
   repeating = false
   /** The run is kept only because a start of it may still be carried out. */
@@ -108,6 +110,7 @@
     nowMs: number
   ) {
     this.assignedMs = nowMs
+    this.needsTicket = ticket !== '' || entry.job.queueSettings?.advice !== undefined
     this.name = `${entry.job.id}.${task.key}`
     this.stepName = `${entry.job.id}.${task.occurrence}.${task.step}`
     this.step = entry.job.steps[task.step]!
--- a/packages/control/src/owner/session.ts
+++ b/packages/control/src/owner/session.ts
@@ -345,11 +345,12 @@
 
   /**
    * Returns true if a run that is not running may be given up, so that its task is placed again: no start of it can be carried out any more,
-   * also not by a later incarnation of the worker, or no other run can follow that must not run beside it.
+   * also not by a later incarnation of the worker, or no other run can follow that must not run beside it. A later incarnation accepts no
+   * ticket of an earlier one.
    */
   private mayRelease (run: Run): boolean {
-    const { entry, task, step, starts } = run
-    if (step.speculative || task.stage === Stage.Done || entry.isFinishedOrCancelled()) return true
+    const { entry, task, step, starts, needsTicket } = run
+    if (step.speculative || needsTicket || task.stage === Stage.Done || entry.isFinishedOrCancelled()) return true
     return starts.remainingMs(this.host.clock.now()) === 0
   }
 
--- a/packages/control/test/owner/session.spec.ts
+++ b/packages/control/test/owner/session.spec.ts
@@ -36,7 +36,7 @@
   journal: Promise<boolean>
 }
 
-function createHarness (fields: Partial<SessionHost> = {}): Harness {
+function createHarness (fields: Partial<SessionHost> = {}, ticket = ''): Harness {
   const clock = new FakeClock()
   const fleet = new FakeFleet()
   const lost: string[] = []
@@ -65,7 +65,7 @@
     ...fields
   })
   const session = new Session(createWorker(), host)
-  const run = createRun(session, clock.now())
+  const run = createRun(session, clock.now(), ticket)
   ledger.add(run)
   const harness: Harness = {
     clock,
@@ -86,11 +86,11 @@
 }
 
 /** Creates the first run of a task, which is assigned to the session's worker. */
-function createRun (session: Session, nowMs: number): Run {
+function createRun (session: Session, nowMs: number, ticket = ''): Run {
   const entry = new JobEntry(createJob())
   const task = entry.task(0, 0, 0)
   Object.assign(task, { stage: Stage.Assigned, run: 1, worker: 'w1', born: 10 })
-  return new Run(entry, task, 1, session, chargeOf(entry.job.steps[0]!), '', nowMs)
+  return new Run(entry, task, 1, session, chargeOf(entry.job.steps[0]!), ticket, nowMs)
 }
 
 function report (fields: Partial<Report>): Report {
@@ -230,15 +230,18 @@
   })
 
   // Guards against a task that runs twice because its start is carried out late by a later incarnation of the worker, which has not seen the stop.
-  it.each<{ says: string, isConfirmed: boolean, elapsedMs: number, expected: string[] }>([
+  it.each<{ says: string, isConfirmed: boolean, ticket?: string, elapsedMs: number, expected: string[] }>([
     { says: 'the stop is not confirmed', isConfirmed: false, elapsedMs: MAX_COMMAND_DELAY_MS + 1, expected: [] },
     { says: 'the start may be carried out late', isConfirmed: true, elapsedMs: MAX_COMMAND_DELAY_MS - 1, expected: [] },
+    // The ticket is only valid for the incarnation of the worker that has confirmed the stop.
+    { says: 'the start has a ticket', isConfirmed: true, ticket: 't', elapsedMs: 0, expected: ['stop confirmed'] },
+    { says: 'the start has a ticket, and the stop is not confirmed', isConfirmed: false, ticket: 't', elapsedMs: 1000, expected: [] },
     { says: 'the start cannot be carried out', isConfirmed: true, elapsedMs: MAX_COMMAND_DELAY_MS + 1, expected: ['stop confirmed'] }
   ])('releases a run whose start was not answered only after a confirmed stop and the longest delay of a start: $says', async ({
-    isConfirmed, elapsedMs, expected
+    isConfirmed, ticket = '', elapsedMs, expected
   }) => {
     vi.useFakeTimers()
-    const { clock, fleet, session, run, released } = createHarness()
+    const { clock, fleet, session, run, released } = createHarness({}, ticket)
     let clockMs = 6000
     fleet.onReportRequest = async () => ok(report({ clockMs: ++clockMs }))
     run.state = RunState.Running
@@ -248,7 +251,7 @@
     fleet.onStop = () => isConfirmed ? ok(clockMs) : err(WorkerFailure.NoAnswer)
     detach(session.start(run))
     await vi.advanceTimersByTimeAsync(1000)
-    expect([fleet.stopped.length > 0, released]).toEqual([true, []])
+    expect([fleet.stopped.length > 0, released]).toEqual([true, elapsedMs === 0 ? expected : []])
     clock.advance(elapsedMs)
     await vi.advanceTimersByTimeAsync(1000)
     expect(released).toEqual(expected)
