--- a/packages/control/test/owner/session.spec.ts
+++ b/packages/control/test/owner/session.spec.ts
@@ -4,6 +4,7 @@
 import { detach } from '../../src/detach.js'
 import { JobEntry } from '../../src/journal/journal-state.js'
 import { Stage } from '../../src/journal/record.js'
+import type { AdviceSettings } from '../../src/model/configuration.js'
 import { RunOutcome, type ActiveRun, type EndedRun, type Report } from '../../src/model/worker.js'
 import { Fences, epochAfter } from '../../src/owner/fence.js'
 import { MAX_COMMAND_DELAY_MS } from '../../src/owner/lease.js'
@@ -12,7 +13,7 @@
 import { Session } from '../../src/owner/session.js'
 import type { SessionHost } from '../../src/owner/session-host.js'
 import { WorkerFailure } from '../../src/ports/fleet.js'
-import { ALL_ZONES, FakeClock, FakeFleet, createJob, createSessionHost, createStep, createWorker } from '../fakes.js'
+import { ALL_ZONES, FakeClock, FakeFleet, createJob, createQueue, createSessionHost, createStep, createWorker } from '../fakes.js'
 
 const LEASE_MS = 6000
 
@@ -134,6 +135,23 @@
     expect([harness.run.state, harness.released]).toEqual([state, released])
   })
 
+  // The ticket of a start is only valid for the incarnation of the worker that the report comes from.
+  it.each<{ says: string, advice: AdviceSettings | undefined, expected: string[] }>([
+    { says: 'may have been sent without a ticket', advice: undefined, expected: [] },
+    { says: 'had a ticket', advice: { callMs: 1, workerMs: 1, validMs: 1 }, expected: ['not running and can no longer start'] }
+  ])('keeps an inherited run that the worker does not list only if its start $says', async ({ advice, expected }) => {
+    const { clock, fleet, session, released } = createHarness()
+    const entry = new JobEntry(createJob({ queueSettings: { ...createQueue(), advice } }))
+    const run = new Run(entry, entry.task(0, 0, 0), 1, session, chargeOf(entry.job.steps[0]!), '', clock.now())
+    run.state = RunState.Uncertain
+    run.inherited = true
+    run.starts.inherit(clock.now() + MAX_COMMAND_DELAY_MS)
+    session.runs.set(run.name, run)
+    fleet.onReportRequest = async () => ok(report({}))
+    await session.requestReportNow()
+    expect(released).toEqual(expected)
+  })
+
   // Guards against tasks that run twice because a run is taken for not started while a full report omits its end.
   it.each<[string, (harness: Harness) => Promise<void>]>([
     ['an inherited run', async ({ run }) => {
