--- a/packages/control/test/owner/acknowledgement.spec.ts
+++ b/packages/control/test/owner/acknowledgement.spec.ts
@@ -1,5 +1,5 @@
 import { err, ok } from 'neverthrow'
-import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { describe, expect, it, vi } from 'vitest'
 import { SystemClock } from '../../src/clock.js'
 import { encodeJob, encodeRecord, Stage, Subject } from '../../src/journal/record.js'
 import { JobEntry, JournalState } from '../../src/journal/journal-state.js'
@@ -13,6 +13,7 @@
 import { StoreFailure, Topic, type StoreCall } from '../../src/ports/store.js'
 import { newestOf, stateOf } from '../journal/steady-cell.js'
 import { FakeFleet, FakeStore, createJob, createOwnerOptions, createQueue, createStep, createWorker } from '../fakes.js'
+import { advance, playWithFakeTimers } from './restarting-cell.js'
 
 const ID = '00000000000000aa'
 const OTHER_ID = '00000000000000bb'
@@ -189,10 +190,6 @@
   await new Promise((resolve) => setTimeout(resolve, ms))
 }
 
-async function advance (ms: number): Promise<void> {
-  await vi.advanceTimersByTimeAsync(ms)
-}
-
 /** Makes the first calls of a method with matching arguments throw. */
 function failFor<Name extends string, T> (
   target: Record<Name, (argument: T) => unknown>, name: Name, matches: (argument: T) => boolean, failures: number
@@ -206,19 +203,7 @@
 }
 
 let cell: Cell
-beforeEach(async () => {
-  vi.useFakeTimers()
-  // Retry delays have random jitter.
-  vi.spyOn(Math, 'random').mockReturnValue(0.5)
-  cell = new Cell()
-  await advance(300)
-})
-afterEach(async () => {
-  cell.owner.close()
-  await advance(5000)
-  vi.useRealTimers()
-  vi.restoreAllMocks()
-})
+playWithFakeTimers(() => (cell = new Cell()))
 
 describe('ended runs whose changes are not in the journal', () => {
   // Guards against a task that runs again after a takeover, although the end of its run was acknowledged: that end changed nothing,
--- a/packages/control/test/owner/late-start.spec.ts
+++ b/packages/control/test/owner/late-start.spec.ts
@@ -1,11 +1,11 @@
 import { err } from 'neverthrow'
-import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { describe, expect, it } from 'vitest'
 import { Phase, type Step } from '../../src/model/job.js'
 import { RunOutcome } from '../../src/model/worker.js'
 import { MAX_COMMAND_DELAY_MS } from '../../src/owner/lease.js'
 import { MAX_UNCONFIRMED_START_MS } from '../../src/owner/ownership.js'
 import { WorkerFailure } from '../../src/ports/fleet.js'
-import { RestartingCell, advance, type RestartingWorker, type StartedRun } from './restarting-cell.js'
+import { RestartingCell, advance, playWithFakeTimers, type RestartingWorker, type StartedRun } from './restarting-cell.js'
 
 const ID = '00000000000000bb'
 const WORK_MS = 300
@@ -23,19 +23,10 @@
 }
 
 let cell: RestartingCell
-beforeEach(async () => {
-  vi.useFakeTimers()
-  // Retry delays have random jitter.
-  vi.spyOn(Math, 'random').mockReturnValue(0.5)
+playWithFakeTimers(() => {
   cell = new RestartingCell(['w1', 'w2'])
   for (const worker of cell.workers) worker.workMs = WORK_MS
-  await advance(300)
-})
-afterEach(async () => {
-  cell.owner.close()
-  await advance(5000)
-  vi.useRealTimers()
-  vi.restoreAllMocks()
+  return cell
 })
 
 /** Accepts a job whose first start is left unanswered. Returns the worker that has it. */
--- a/packages/control/test/owner/restarted-worker.spec.ts
+++ b/packages/control/test/owner/restarted-worker.spec.ts
@@ -1,9 +1,9 @@
-import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { describe, expect, it } from 'vitest'
 import { Phase } from '../../src/model/job.js'
 import { MAX_COMMAND_DELAY_MS } from '../../src/owner/lease.js'
 import { WorkerFailure } from '../../src/ports/fleet.js'
 import { Topic } from '../../src/ports/store.js'
-import { RestartingCell, advance } from './restarting-cell.js'
+import { RestartingCell, advance, playWithFakeTimers } from './restarting-cell.js'
 
 const EARLIER_JOBS = ['00000000000000a1', '00000000000000a2', '00000000000000a3']
 const ID = '00000000000000bb'
@@ -12,19 +12,7 @@
 const MAX_CALL_DELAY_MS = 12_000
 
 let cell: RestartingCell
-beforeEach(async () => {
-  vi.useFakeTimers()
-  // Retry delays have random jitter.
-  vi.spyOn(Math, 'random').mockReturnValue(0.5)
-  cell = new RestartingCell()
-  await advance(300)
-})
-afterEach(async () => {
-  cell.owner.close()
-  await advance(5000)
-  vi.useRealTimers()
-  vi.restoreAllMocks()
-})
+playWithFakeTimers(() => (cell = new RestartingCell()))
 
 function isWritten (job: string): boolean {
   return cell.phaseOf(job) === Phase.Completed
--- a/packages/control/test/owner/restarting-cell.ts
+++ b/packages/control/test/owner/restarting-cell.ts
@@ -2,7 +2,7 @@
  * A cell of workers, which may restart under their ids, and successive owners.
  */
 import { err, ok, type Result } from 'neverthrow'
-import { vi } from 'vitest'
+import { afterEach, beforeEach, vi } from 'vitest'
 import { SystemClock } from '../../src/clock.js'
 import { encodeJob } from '../../src/journal/record.js'
 import { JournalState } from '../../src/journal/journal-state.js'
@@ -285,3 +285,25 @@
 export async function advance (ms: number): Promise<void> {
   await vi.advanceTimersByTimeAsync(ms)
 }
+
+/**
+ * Runs each test of a file with fake timers and a cell of its own.
+ *
+ * @param create creates the cell, whose last owner is closed after the test
+ */
+export function playWithFakeTimers (create: () => { readonly owner: Pick<Owner, 'close'> }): void {
+  let cell: ReturnType<typeof create>
+  beforeEach(async () => {
+    vi.useFakeTimers()
+    // Retry delays have random jitter.
+    vi.spyOn(Math, 'random').mockReturnValue(0.5)
+    cell = create()
+    await advance(300)
+  })
+  afterEach(async () => {
+    cell.owner.close()
+    await advance(5000)
+    vi.useRealTimers()
+    vi.restoreAllMocks()
+  })
+}
